--- /dev/null
+++ b/cmd/lycheevale/main.go
@@ -0,0 +1,4 @@
+// Command lycheevale runs one instance of the serving layer.
+package main
+
+func main() {}
--- /dev/null
+++ b/internal/state/registry/object.go
@@ -0,0 +1,143 @@
+// Package registry holds the configuration objects and the state machine that applies changes to them.
+package registry
+
+import (
+	"net/netip"
+	"time"
+)
+
+// Kind names a kind of configuration object.
+type Kind string
+
+// Kinds of configuration objects.
+const (
+	KindCustomer Kind = "Customer"
+	KindKey      Kind = "Key"
+	KindModel    Kind = "Model"
+	KindAdapter  Kind = "Adapter"
+	KindVersion  Kind = "Version"
+	KindService  Kind = "Service"
+	KindVoter    Kind = "Voter"
+	KindShare    Kind = "Share"
+)
+
+// Object is one configuration object; exactly the spec that Kind names is set, none when Deleted.
+type Object struct {
+	Kind     Kind      `json:"Kind"`
+	Name     string    `json:"Name"`
+	Revision uint64    `json:"Revision,omitempty"` // revision of the change that wrote it
+	Deleted  bool      `json:"Deleted,omitempty"`
+	Customer *Customer `json:"Customer,omitempty"`
+	Key      *Key      `json:"Key,omitempty"`
+	Model    *Model    `json:"Model,omitempty"`
+	Adapter  *Adapter  `json:"Adapter,omitempty"`
+	Version  *Version  `json:"Version,omitempty"`
+	Service  *Service  `json:"Service,omitempty"`
+	Voter    *Voter    `json:"Voter,omitempty"`
+	Share    *Share    `json:"Share,omitempty"`
+}
+
+// Customer is a party whose requests are limited and accounted together.
+type Customer struct {
+	Rate       float64 `json:"Rate"`  // tokens per second over the whole fleet
+	Burst      float64 `json:"Burst"` // tokens
+	Priority   int     `json:"Priority,omitempty"`
+	StrictKeys bool    `json:"StrictKeys,omitempty"` // refuse keyed requests when withdrawals may be unknown here
+}
+
+// Key is an issued caller's key; Name of its object is the public identifier.
+type Key struct {
+	Customer  string `json:"Customer"`
+	Hash      string `json:"Hash"` // hexadecimal SHA-256 of the secret
+	Withdrawn bool   `json:"Withdrawn,omitempty"`
+}
+
+// Model is a base model.
+type Model struct{}
+
+// Adapter is a LoRA adapter of one customer.
+type Adapter struct {
+	Customer       string `json:"Customer"`
+	Model          string `json:"Model"`
+	DefaultVersion string `json:"DefaultVersion"`
+	Open           bool   `json:"Open,omitempty"` // usable by every caller
+}
+
+// VersionState tells whether new requests may use a version.
+type VersionState string
+
+// States of a version.
+const (
+	VersionActive    VersionState = "Active"
+	VersionWithdrawn VersionState = "Withdrawn"
+)
+
+// Version is one immutable version of an adapter; its object is named adapter@version.
+type Version struct {
+	Adapter string       `json:"Adapter"`
+	Source  string       `json:"Source"` // identifier in the weight store
+	State   VersionState `json:"State"`
+}
+
+// ServiceKind tells how requests of a service are routed.
+type ServiceKind string
+
+// Kinds of services.
+const (
+	ServiceModel ServiceKind = "Model" // routed by the model field
+	ServicePlain ServiceKind = "Plain" // routed by method and path
+)
+
+// Service is a set of endpoints behind one name.
+type Service struct {
+	Kind      ServiceKind `json:"Kind"`
+	Model     string      `json:"Model,omitempty"`
+	Routes    []Route     `json:"Routes,omitempty"`
+	Objective Objective   `json:"Objective"`
+}
+
+// Route is a path of a plain service.
+type Route struct {
+	Method     string `json:"Method"`
+	Path       string `json:"Path"`
+	Open       bool   `json:"Open,omitempty"`
+	Idempotent bool   `json:"Idempotent,omitempty"`
+}
+
+// Objective is the service level that the burn report compares with.
+type Objective struct {
+	Availability float64 `json:"Availability"` // share of requests, 0 to 1
+	FirstTokenMS int     `json:"FirstTokenMS"` // milliseconds for 95 in 100 requests
+}
+
+// Voter is an instance that stores the replicated logs.
+type Voter struct {
+	Address    netip.AddrPort `json:"Address"`
+	DataCentre string         `json:"DataCentre"`
+}
+
+// Share is the part of a customer's limit that one data centre may use; named customer/data centre.
+type Share struct {
+	Customer   string  `json:"Customer"`
+	DataCentre string  `json:"DataCentre"`
+	Rate       float64 `json:"Rate"`  // tokens per second
+	Burst      float64 `json:"Burst"` // tokens
+	Epoch      uint64  `json:"Epoch"`
+	Confirmed  bool    `json:"Confirmed"` // the data centre has applied this epoch
+}
+
+// Command is a change of several objects that is applied whole or not at all.
+type Command struct {
+	RequestID        string    `json:"RequestID"`
+	ExpectedRevision uint64    `json:"ExpectedRevision,omitempty"` // 0 accepts any revision
+	Operator         string    `json:"Operator"`
+	At               time.Time `json:"At"`
+	Changes          []Object  `json:"Changes"`
+}
+
+// Result answers a command; a resend with the same RequestID receives the first result again.
+type Result struct {
+	Revision uint64 `json:"Revision"`
+	Error    string `json:"Error,omitempty"`
+	Conflict bool   `json:"Conflict,omitempty"` // ExpectedRevision was no longer current
+}
