--- a/internal/base/refusal/refusal.go
+++ b/internal/base/refusal/refusal.go
@@ -2,10 +2,11 @@
 package refusal
 
 import (
-	"errors"
 	"fmt"
 	"net/http"
 	"time"
+
+	"github.com/zeebo/errs"
 )
 
 // Code is the stable name of a kind of refusal.
@@ -92,7 +93,7 @@
 // without a type carries no proof that the request did not run.
 func From(err error) *Error {
 	var e *Error
-	if errors.As(err, &e) {
+	if errs.IsFunc(err, func(link error) (ok bool) { e, ok = link.(*Error); return ok }) {
 		return e
 	}
 	return New(OutcomeUnknown, "%v", err)
--- /dev/null
+++ b/internal/fake/engine/command.go
@@ -0,0 +1,150 @@
+package engine
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"net/http"
+	"net/netip"
+	"time"
+
+	"github.com/zeebo/errs"
+
+	"lycheevale/internal/serve/engine"
+)
+
+// announceInterval is the time between two announcements.
+const announceInterval = 500 * time.Millisecond
+
+func (e *Engine) command(w http.ResponseWriter, r *http.Request) {
+	var c engine.Command
+	if err := json.NewDecoder(r.Body).Decode(&c); err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	e.mu.Lock()
+	first, resent := e.commands[c.ID]
+	if !resent {
+		first = &outcome{done: make(chan struct{})}
+		e.commands[c.ID] = first
+	}
+	e.mu.Unlock()
+	if resent {
+		<-first.done
+	} else {
+		first.code, first.err = e.run(r.Context(), c)
+		close(first.done)
+	}
+	if first.err != nil {
+		http.Error(w, first.err.Error(), first.code)
+		return
+	}
+	w.WriteHeader(http.StatusNoContent)
+}
+
+func (e *Engine) run(ctx context.Context, c engine.Command) (int, error) {
+	e.mu.Lock()
+	if e.options.ChecksFencing && c.Fence < e.state.HighestFence {
+		e.mu.Unlock()
+		return http.StatusConflict, errs.New("stale fencing number")
+	}
+	e.state.HighestFence = max(e.state.HighestFence, c.Fence)
+	e.mu.Unlock()
+	if !c.Deadline.After(time.Now()) {
+		return http.StatusGone, errs.New("deadline has passed")
+	}
+	switch c.Kind {
+	case engine.LoadAdapter:
+		return e.load(ctx, c)
+	case engine.UnloadAdapter:
+		e.mu.Lock()
+		defer e.mu.Unlock()
+		e.evict(c.Target)
+		return 0, nil
+	case engine.LoadModel:
+		e.mu.Lock()
+		defer e.mu.Unlock()
+		e.state.Model = c.Target
+		e.resident = map[string]time.Time{}
+		return 0, nil
+	case engine.ChangeRole:
+		e.mu.Lock()
+		defer e.mu.Unlock()
+		e.state.Role = c.Target
+		return 0, nil
+	}
+	return http.StatusBadRequest, errs.New("unknown command")
+}
+
+func (e *Engine) load(ctx context.Context, c engine.Command) (int, error) {
+	if f := e.options.Faults.FailLoad; f != nil {
+		if err := f(c.Target); err != nil {
+			return http.StatusBadGateway, err
+		}
+	}
+	e.mu.Lock()
+	incarnation := e.state.Incarnation
+	if c.Evict != "" {
+		e.evict(c.Evict)
+	}
+	if len(e.resident)+len(e.pending) >= e.state.Slots {
+		e.mu.Unlock()
+		return http.StatusBadGateway, errs.New("no free slot")
+	}
+	e.pending[c.Target] = true
+	e.mu.Unlock()
+	err := e.options.Fetch(ctx, c.Source)
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.state.Incarnation != incarnation {
+		return http.StatusBadGateway, errs.New("engine restarted")
+	}
+	delete(e.pending, c.Target)
+	if err != nil {
+		return http.StatusBadGateway, err
+	}
+	e.resident[c.Target] = time.Now()
+	return 0, nil
+}
+
+func (e *Engine) evict(name string) {
+	if e.inUse[name] > 0 {
+		e.evicted++
+	}
+	delete(e.resident, name)
+}
+
+// Announcement returns what the engine announces when it is reached at the address.
+func (e *Engine) Announcement(address netip.AddrPort) engine.Announcement {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return engine.Announcement{
+		Name: e.options.Name, DataCentre: e.options.DataCentre, Address: address, Incarnation: e.state.Incarnation,
+		Kind: engine.KindEngine, Service: e.options.Service, Model: e.state.Model, Slots: e.state.Slots,
+		BatchSize: e.state.BatchSize, ChecksFencing: e.options.ChecksFencing, HighestFence: e.state.HighestFence,
+		Leaving: e.leaving,
+	}
+}
+
+// Announce posts announcements made by the function to the instances until ctx ends.
+func Announce(ctx context.Context, to []netip.AddrPort, make func() engine.Announcement) error {
+	client := http.Client{Timeout: announceInterval}
+	ticker := time.NewTicker(announceInterval)
+	defer ticker.Stop()
+	for i := 0; ; i++ {
+		raw, err := json.Marshal(make())
+		if err != nil {
+			return err
+		}
+		target := to[i%len(to)]
+		if resp, err := client.Post("http://"+target.String()+"/v1/endpoints/announce", "application/json",
+			bytes.NewReader(raw)); err == nil {
+			_ = resp.Body.Close()
+		}
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-ticker.C:
+		}
+	}
+}
--- /dev/null
+++ b/internal/serve/caller/options.go
@@ -0,0 +1,93 @@
+package caller
+
+import (
+	"context"
+	"log/slog"
+	"net/http"
+	"time"
+
+	"lycheevale/internal/serve/owner"
+	"lycheevale/internal/state/registry"
+)
+
+// Target is an endpoint chosen for an attempt and the way to reach its owner.
+type Target struct {
+	Endpoint string
+	Dispatch func(ctx context.Context, r owner.Request) (*owner.Stream, error)
+}
+
+// PlainTarget is an endpoint of a plain service; Done must be called when its request has ended.
+type PlainTarget struct {
+	Endpoint string
+	Address  string // host and port
+	Done     func()
+}
+
+// Reservation holds tokens of a customer until Settle gives back what was not used.
+type Reservation struct {
+	Settle func(used int)
+}
+
+// Claim is the right to run one non-idempotent request.
+type Claim struct {
+	Stored  *StoredResponse                                    // set when the request has run already
+	Finish  func(ctx context.Context, r *StoredResponse) error // records the response
+	Release func(ctx context.Context) error                    // records that the request surely did not run
+}
+
+// StoredResponse is a response kept for resends with the same Idempotency-Key.
+type StoredResponse struct {
+	Status      int    `json:"Status"`
+	ContentType string `json:"ContentType"`
+	Body        []byte `json:"Body"`
+}
+
+// Options are the settings and neighbours of a Server.
+type Options struct {
+	Logger         *slog.Logger
+	Registry       *registry.Registry
+	Now            func() time.Time
+	Withdrawn      func(keyID string) bool
+	Stale          func() bool // withdrawals made elsewhere may be unknown here
+	Reserve        func(ctx context.Context, customer string, tokens int) (Reservation, error)
+	Choose         func(now time.Time, r owner.Request, tried []string) (Target, error)
+	ChoosePlain    func(service string, tried []string) (PlainTarget, error)
+	Claim          func(ctx context.Context, customer, key, fingerprint string) (Claim, error)
+	Observe        func(Outcome)
+	PlainTransport http.RoundTripper
+	MaxBody        int64         // bytes
+	DefaultTimeout time.Duration // of a request
+	MaxTimeout     time.Duration
+	MaxOutput      int // tokens when the caller names none
+	MaxAttempts    int
+	RetryBudget    float64 // retries allowed for each request, on average
+	RecheckEvery   time.Duration
+}
+
+// Option sets one of the Options.
+type Option func(*Options)
+
+// With sets options by a function, for callers that wire many neighbours at once.
+func With(f func(*Options)) Option { return f }
+
+func defaults() Options {
+	return Options{
+		Logger:    slog.Default(),
+		Registry:  registry.New(),
+		Now:       time.Now,
+		Withdrawn: func(string) bool { return false },
+		Stale:     func() bool { return false },
+		Reserve: func(context.Context, string, int) (Reservation, error) {
+			return Reservation{Settle: func(int) {}}, nil
+		},
+		Observe:        func(Outcome) {},
+		PlainTransport: newPlainTransport(),
+		MaxBody:        4 << 20,
+		DefaultTimeout: time.Minute,
+		MaxTimeout:     10 * time.Minute,
+		MaxOutput:      256,
+		MaxAttempts:    3,
+		RetryBudget:    0.2,
+		RecheckEvery:   500 * time.Millisecond,
+	}
+}
--- /dev/null
+++ b/internal/serve/caller/plain.go
@@ -0,0 +1,290 @@
+package caller
+
+import (
+	"bytes"
+	"context"
+	"crypto/sha256"
+	"encoding/hex"
+	"io"
+	"log/slog"
+	"net"
+	"net/http"
+	"net/url"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/google/uuid"
+	"github.com/zeebo/errs"
+
+	"lycheevale/internal/base/event"
+	"lycheevale/internal/base/refusal"
+	"lycheevale/internal/serve/engine"
+	"lycheevale/internal/state/registry"
+)
+
+// Bounds of plain services.
+const (
+	maxPlainResponse = 4 << 20 // bytes
+	plainDialTimeout = time.Second
+	plainAnswerWait  = 2 * time.Second // for the first byte, on all attempts but the last
+)
+
+// newPlainTransport opens a connection for each request: on a kept connection the transport may send a request again
+// on its own after a failure, and a connection that went silent would take requests with it.
+func newPlainTransport() *http.Transport {
+	return &http.Transport{
+		DialContext:        (&net.Dialer{Timeout: plainDialTimeout}).DialContext,
+		DisableKeepAlives:  true,
+		DisableCompression: true,
+	}
+}
+
+// plainRoutes finds the service and route of a path; it is rebuilt when the configuration changes.
+type plainRoutes struct {
+	mu       sync.Mutex
+	revision uint64
+	built    bool
+	mux      *http.ServeMux
+	routes   map[string]plainRoute
+}
+
+type plainRoute struct {
+	service string
+	registry.Route
+}
+
+func (p *plainRoutes) find(reg *registry.Registry, r *http.Request) (plainRoute, bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if revision := reg.Revision(); !p.built || revision != p.revision {
+		p.rebuild(reg)
+		p.revision, p.built = revision, true
+	}
+	_, pattern := p.mux.Handler(r)
+	route, ok := p.routes[pattern]
+	return route, ok
+}
+
+// rebuild skips routes that conflict with an earlier one; the registry refuses such changes.
+func (p *plainRoutes) rebuild(reg *registry.Registry) {
+	p.mux = http.NewServeMux()
+	p.routes = map[string]plainRoute{}
+	for _, o := range reg.List(registry.KindService) {
+		if o.Service.Kind != registry.ServicePlain {
+			continue
+		}
+		for _, route := range o.Service.Routes {
+			p.addRoute(plainRoute{o.Name, route})
+		}
+	}
+}
+
+func (p *plainRoutes) addRoute(route plainRoute) {
+	defer func() { _ = recover() }()
+	pattern := route.Method + " " + route.Path
+	p.mux.HandleFunc(pattern, func(http.ResponseWriter, *http.Request) {})
+	p.routes[pattern] = route
+}
+
+// plainCall is one call of a plain service on its way.
+type plainCall struct {
+	*exchange
+	route plainRoute
+	body  []byte
+	query string
+}
+
+// servePlain passes a call of a plain service through the filters.
+func (s *Server) servePlain(w http.ResponseWriter, r *http.Request) {
+	x, err := s.newExchange(w, r)
+	defer func() { s.report(x) }()
+	c := &plainCall{exchange: x}
+	if err == nil {
+		err = s.run(x, c.find(s), s.identify, c.authorise, c.read(s))
+	}
+	if err != nil {
+		s.refuse(x, err)
+		return
+	}
+	ctx, cancel := context.WithDeadline(r.Context(), x.deadline)
+	defer cancel()
+	response, err := s.call(ctx, c)
+	if err != nil {
+		s.refuse(x, s.explain(ctx, err))
+		return
+	}
+	if response.ContentType != "" {
+		w.Header().Set("Content-Type", response.ContentType)
+	}
+	w.WriteHeader(response.Status)
+	_, _ = w.Write(response.Body)
+}
+
+func (c *plainCall) find(s *Server) filter {
+	return func(x *exchange) error {
+		route, ok := s.plain.find(s.options.Registry, x.r)
+		if !ok {
+			return refusal.New(refusal.NotFound, "no service has the route %s %s", x.r.Method, x.r.URL.Path)
+		}
+		c.route = route
+		x.outcome.Service = route.service
+		return nil
+	}
+}
+
+func (c *plainCall) authorise(x *exchange) error {
+	if !c.route.Open && x.customer == "" {
+		return refusal.New(refusal.NotPermitted, "this route needs a key")
+	}
+	return nil
+}
+
+func (c *plainCall) read(s *Server) filter {
+	return func(x *exchange) (err error) {
+		raw, err := s.readBody(x)
+		if err != nil {
+			return err
+		}
+		if keyPattern.MatchString(x.r.URL.Path) {
+			return refusal.New(refusal.BadRequest, "the path contains a key")
+		}
+		c.body = scrubBody(raw, x.r.Header.Get("Content-Type"))
+		c.query = scrubQuery(x.r.URL.RawQuery)
+		return nil
+	}
+}
+
+// call runs the request under its claim where it has one.
+func (s *Server) call(ctx context.Context, c *plainCall) (*StoredResponse, error) {
+	key := c.r.Header.Get(headerIdempotency)
+	if c.route.Idempotent || key == "" || s.options.Claim == nil {
+		return s.attempts(ctx, c)
+	}
+	claim, err := s.options.Claim(ctx, c.customer, key, c.fingerprint())
+	if err != nil {
+		return nil, err
+	}
+	if claim.Stored != nil {
+		return claim.Stored, nil
+	}
+	response, err := s.attempts(ctx, c)
+	if err != nil && refusal.From(err).Ran == refusal.NotRun {
+		return nil, s.releaseClaim(ctx, claim, err)
+	}
+	if err != nil {
+		return nil, err
+	}
+	// The response is whole and true even if its record fails; a resend then learns that the outcome is unknown.
+	if err := claim.Finish(context.WithoutCancel(ctx), response); err != nil {
+		event.Log(ctx, s.options.Logger, event.OutcomeUncertain, slog.String("Request", c.id), slog.Any("Error", err))
+	}
+	return response, nil
+}
+
+func (s *Server) releaseClaim(ctx context.Context, claim Claim, cause error) error {
+	if err := claim.Release(context.WithoutCancel(ctx)); err != nil {
+		event.Log(ctx, s.options.Logger, event.OutcomeUncertain, slog.String("Request", requestID(ctx)), slog.Any("Error", err))
+	}
+	return cause
+}
+
+func (c *plainCall) fingerprint() string {
+	h := sha256.New()
+	for _, part := range [][]byte{[]byte(c.r.Method), []byte(c.r.URL.Path), []byte(c.query), c.body} {
+		_, _ = h.Write(part)
+		_, _ = h.Write([]byte{0})
+	}
+	return hex.EncodeToString(h.Sum(nil))
+}
+
+// attempts tries endpoints until one answers; a non-idempotent request goes on only while it surely has not run.
+func (s *Server) attempts(ctx context.Context, c *plainCall) (response *StoredResponse, err error) {
+	s.retries.earn()
+	var tried []string
+	for n := 1; ; n++ {
+		var endpoint string
+		response, endpoint, err = s.callOnce(ctx, c, tried, n)
+		if err == nil {
+			return response, nil
+		}
+		e := refusal.From(err)
+		again := e.Ran == refusal.NotRun && e.Code == refusal.Unavailable || c.route.Idempotent && e.Ran == refusal.Unknown
+		if !again || n >= s.options.MaxAttempts || ctx.Err() != nil || !s.retries.spend() || !backoffWait(ctx, n) {
+			return nil, err
+		}
+		tried = append(tried, endpoint)
+	}
+}
+
+func (s *Server) callOnce(ctx context.Context, c *plainCall, tried []string, n int) (*StoredResponse, string, error) {
+	target, err := s.options.ChoosePlain(c.route.service, tried)
+	if err != nil {
+		return nil, "", err
+	}
+	defer target.Done()
+	c.outcome.Endpoint = target.Endpoint
+	if c.route.Idempotent && n < s.options.MaxAttempts {
+		var cancel context.CancelFunc
+		ctx, cancel = context.WithTimeout(ctx, plainAnswerWait)
+		defer cancel()
+	}
+	response, err := s.exchangePlain(ctx, c, target)
+	return response, target.Endpoint, err
+}
+
+func (s *Server) exchangePlain(ctx context.Context, c *plainCall, target PlainTarget) (*StoredResponse, error) {
+	u := url.URL{Scheme: "http", Host: target.Address, Path: c.r.URL.Path, RawPath: c.r.URL.RawPath, RawQuery: c.query}
+	req, err := http.NewRequestWithContext(ctx, c.r.Method, u.String(), bytes.NewReader(c.body))
+	if err != nil {
+		return nil, refusal.New(refusal.BadRequest, "%v", err)
+	}
+	attempt := uuid.NewString()
+	req.Header = plainHeader(c.r.Header)
+	req.Header.Set(engine.HeaderAttempt, attempt)
+	resp, err := s.options.PlainTransport.RoundTrip(req)
+	if err != nil {
+		return nil, plainError(err)
+	}
+	defer func() { _ = resp.Body.Close() }()
+	if got := resp.Header.Get(engine.HeaderAttempt); got != "" && got != attempt {
+		event.Log(ctx, s.options.Logger, event.AnswerDiscarded, slog.String("Endpoint", target.Endpoint))
+		return nil, refusal.New(refusal.OutcomeUnknown, "endpoint answered another request")
+	}
+	body, err := io.ReadAll(io.LimitReader(resp.Body, maxPlainResponse+1))
+	if err != nil {
+		return nil, refusal.New(refusal.OutcomeUnknown, "answer was cut: %v", err)
+	}
+	if len(body) > maxPlainResponse {
+		return nil, refusal.New(refusal.OutcomeUnknown, "answer is larger than %d bytes", maxPlainResponse)
+	}
+	return &StoredResponse{Status: resp.StatusCode, ContentType: resp.Header.Get("Content-Type"), Body: body}, nil
+}
+
+// plainError proves NotRun only where no connection was opened.
+func plainError(err error) error {
+	dialled := !errs.IsFunc(err, func(e error) bool { op, ok := e.(*net.OpError); return ok && op.Op == "dial" })
+	if dialled {
+		return refusal.New(refusal.OutcomeUnknown, "%v", err)
+	}
+	return refusal.New(refusal.Unavailable, "endpoint cannot be reached: %v", err)
+}
+
+// droppedHeaders end at this hop, or carry keys.
+var droppedHeaders = []string{
+	"Connection", "Keep-Alive", "Proxy-Authenticate", "Proxy-Authorization", "Te", "Trailer", "Transfer-Encoding",
+	"Upgrade", "Authorization", headerAPIKey, "Cookie", headerTimeout, "Expect", "Content-Length",
+}
+
+func plainHeader(in http.Header) http.Header {
+	out := http.Header{}
+	for name, values := range in {
+		if slices.Contains(droppedHeaders, http.CanonicalHeaderKey(name)) || keyPattern.MatchString(name) {
+			continue
+		}
+		for _, v := range values {
+			out.Add(name, scrubText(v))
+		}
+	}
+	return out
+}
--- /dev/null
+++ b/internal/serve/caller/relay.go
@@ -0,0 +1,217 @@
+package caller
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"log/slog"
+	"net/http"
+	"time"
+
+	"github.com/google/uuid"
+	"github.com/zeebo/errs"
+
+	"lycheevale/internal/base/event"
+	"lycheevale/internal/base/refusal"
+	"lycheevale/internal/serve/engine"
+)
+
+// errWithdrawn is the cause of a stream's context when its key no longer permits it.
+var errWithdrawn = errs.New("key was withdrawn")
+
+// relay runs attempts until one has answered whole or none may follow.
+func (s *Server) relay(ctx context.Context, x *exchange) (err error) {
+	out := newOutput(x)
+	s.retries.earn()
+	var tried []string
+	for n := 1; ; n++ {
+		var endpoint string
+		endpoint, err = s.attempt(ctx, x, out, tried)
+		if err == nil || !s.mayRetry(ctx, x, out, err, n) {
+			break
+		}
+		tried = append(tried, endpoint)
+		event.Log(ctx, s.options.Logger, event.RequestRetried, slog.String("Request", x.id),
+			slog.String("Endpoint", endpoint), slog.Any("Error", err))
+		if !backoffWait(ctx, n) {
+			break
+		}
+	}
+	x.used = out.tokens(x)
+	if err != nil {
+		err = s.explain(ctx, err)
+		s.fail(x, out, err)
+		return err
+	}
+	return out.end()
+}
+
+// explain names withdrawal and deadline as the reason where they ended the attempt.
+func (s *Server) explain(ctx context.Context, err error) error {
+	e := refusal.From(err)
+	switch {
+	case context.Cause(ctx) == errWithdrawn:
+		refused := refusal.New(refusal.NotPermitted, "key was withdrawn")
+		refused.Ran = e.Ran
+		return refused
+	case ctx.Err() == context.DeadlineExceeded:
+		refused := refusal.New(refusal.DeadlineExceeded, "deadline has passed: %s", e.Message)
+		refused.Ran = e.Ran
+		return refused
+	}
+	return e
+}
+
+// fail answers with an error, or ends a stream that has begun with an error event and no end marker.
+func (s *Server) fail(x *exchange, out *output, err error) {
+	if !out.begun {
+		s.refuse(x, err)
+		return
+	}
+	e := refusal.From(err)
+	x.outcome.Code = e.Code
+	if context.Cause(x.r.Context()) == nil {
+		out.sendError(e)
+	}
+}
+
+// attempt chooses an endpoint, dispatches to it and relays its answer.
+func (s *Server) attempt(ctx context.Context, x *exchange, out *output, tried []string) (endpoint string, err error) {
+	request := s.request(x, uuid.NewString())
+	request.Body, err = x.body.forEngine(request.Target())
+	if err != nil {
+		return "", refusal.New(refusal.BadRequest, "%v", err)
+	}
+	target, err := s.options.Choose(s.options.Now(), request, tried)
+	if err != nil {
+		return "", err
+	}
+	request.Endpoint = target.Endpoint
+	stream, err := target.Dispatch(ctx, request)
+	if err != nil {
+		return target.Endpoint, err
+	}
+	defer stream.Close()
+	x.outcome.Endpoint = stream.Endpoint
+	out.attempts++
+	out.restart()
+	for e, err := range stream.Events() {
+		if err != nil {
+			return target.Endpoint, err
+		}
+		if err := out.add(s.options.Now(), e); err != nil {
+			return target.Endpoint, err
+		}
+	}
+	return target.Endpoint, nil
+}
+
+// mayRetry allows another attempt where the request surely did not run or where running it again cannot show.
+func (s *Server) mayRetry(ctx context.Context, x *exchange, out *output, err error, n int) bool {
+	e := refusal.From(err)
+	switch {
+	case ctx.Err() != nil || n >= s.options.MaxAttempts:
+		return false
+	case e.Code != refusal.Unavailable && e.Code != refusal.OutcomeUnknown:
+		return false
+	case e.Ran == refusal.Unknown && out.begun && x.body.Temperature != 0:
+		return false
+	case out.mismatch:
+		return false
+	}
+	return s.retries.spend()
+}
+
+// output writes the answer to the caller, as a stream or as one JSON document.
+type output struct {
+	x        *exchange
+	begun    bool // something has been sent to the caller
+	attempts int
+	mismatch bool
+	seen     int      // events of the current attempt
+	sent     []uint64 // hash of each event sent, to compare a repeated attempt with
+	parts    assembler
+	first    time.Time
+}
+
+func newOutput(x *exchange) *output { return &output{x: x} }
+
+// restart begins a further attempt: its first events must equal what was sent already.
+func (o *output) restart() {
+	o.seen = 0
+	o.parts = assembler{}
+}
+
+func (o *output) add(now time.Time, e engine.Event) error {
+	c, err := decodeChunk(e.Data)
+	if err != nil {
+		return refusal.New(refusal.OutcomeUnknown, "endpoint sent an invalid event: %v", err)
+	}
+	o.parts.add(c)
+	o.seen++
+	if o.first.IsZero() {
+		o.first = now
+		o.x.outcome.FirstToken = now
+	}
+	if !o.x.body.Stream {
+		return nil
+	}
+	hash := c.contentHash()
+	if o.seen <= len(o.sent) {
+		if o.sent[o.seen-1] != hash {
+			o.mismatch = true
+			return refusal.New(refusal.OutcomeUnknown, "repeated attempt gave a different answer")
+		}
+		return nil
+	}
+	if o.x.body.Temperature == 0 {
+		o.sent = append(o.sent, hash)
+	}
+	return o.write(e.Data)
+}
+
+func (o *output) write(data string) error {
+	o.begin()
+	if _, err := fmt.Fprintf(o.x.w, "data: %s\n\n", data); err != nil {
+		return refusal.New(refusal.Unavailable, "caller has gone").WithUnknown()
+	}
+	_ = http.NewResponseController(o.x.w).Flush()
+	return nil
+}
+
+func (o *output) begin() {
+	if o.begun {
+		return
+	}
+	o.begun = true
+	h := o.x.w.Header()
+	h.Set("Content-Type", "text/event-stream")
+	h.Set("Cache-Control", "no-store")
+	o.x.w.WriteHeader(http.StatusOK)
+}
+
+func (o *output) sendError(e *refusal.Error) {
+	raw, _ := json.Marshal(describe(e))
+	_ = o.write(string(raw))
+}
+
+// end finishes a whole answer.
+func (o *output) end() error {
+	if o.x.body.Stream {
+		return o.write(engine.DoneMarker)
+	}
+	writeJSON(o.x.w, http.StatusOK, o.parts.document(o.x))
+	return nil
+}
+
+// tokens returns what the request used: the engine's figure for a whole answer, otherwise the prompt and the events
+// seen for each attempt that an engine accepted.
+func (o *output) tokens(x *exchange) int {
+	if o.attempts == 0 {
+		return 0
+	}
+	if o.parts.usage.Total > 0 && o.attempts == 1 {
+		return o.parts.usage.Total
+	}
+	return min(o.attempts*x.body.promptTokens()+o.seen, x.body.promptTokens()+x.body.MaxTokens)
+}
--- /dev/null
+++ b/internal/serve/engine/engine.go
@@ -0,0 +1,242 @@
+package engine
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"iter"
+	"net"
+	"net/http"
+	"net/netip"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/tmaxmax/go-sse"
+	"github.com/zeebo/errs"
+)
+
+// Classes of errors of this package.
+var (
+	// Error is the class of all other failures; it proves nothing about whether the request ran.
+	Error = errs.Class("engine")
+	// NotRun marks failures of requests that the engine surely did not run.
+	NotRun = errs.Class("engine did not run the request")
+	// Cut marks a stream that ended before its end marker.
+	Cut = errs.Class("stream ended before its end marker")
+	// Foreign marks an answer that carries another attempt's identifier or model.
+	Foreign = errs.Class("answer belongs to another attempt")
+	// StaleFence marks a command that the engine rejected for its fencing number.
+	StaleFence = errs.Class("stale fencing number")
+	// LoadFailure marks a load that the engine or the weight store failed.
+	LoadFailure = errs.Class("adapter load failed")
+)
+
+// maxErrorBody bounds what is read of an error response, in bytes.
+const maxErrorBody = 4 << 10
+
+// Client talks to one engine and is safe for concurrent use.
+type Client struct {
+	options Options
+	base    string
+	http    *http.Client
+}
+
+// New returns a client of the engine at the address.
+func New(address netip.AddrPort, opts ...Option) *Client {
+	o := Options{MaxEventSize: defaultMaxEventSize, DecodeError: statusError}
+	for _, opt := range opts {
+		opt(&o)
+	}
+	if o.Transport == nil {
+		o.Transport = NewTransport()
+	}
+	return &Client{options: o, base: "http://" + address.String(), http: &http.Client{Transport: o.Transport}}
+}
+
+// CloseIdle closes connections that carry no request, so that the next request opens a new one.
+func (c *Client) CloseIdle() { c.http.CloseIdleConnections() }
+
+// Answer is a running stream of one attempt; its body must be closed.
+type Answer struct {
+	Attempt  string
+	Endpoint string // set by owners, not by engines
+	Load     int    // requests waiting or running at the owner's endpoint, set by owners
+	body     io.ReadCloser
+	client   *Client
+}
+
+// Close releases the connection of the answer.
+func (a *Answer) Close() { _ = a.body.Close() }
+
+// Complete starts an attempt. Errors of class NotRun prove that the engine did not run it.
+func (c *Client) Complete(ctx context.Context, a Attempt) (answer *Answer, err error) {
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, c.base+a.Path, bytes.NewReader(a.Body))
+	if err != nil {
+		return nil, NotRun.Wrap(err)
+	}
+	req.Header.Set("Content-Type", "application/json")
+	req.Header.Set("Accept", "text/event-stream")
+	req.Header.Set(HeaderAttempt, a.ID)
+	req.Header.Set(HeaderPriority, strconv.Itoa(a.Priority))
+	req.Header.Set(HeaderDeadline, a.Deadline.Format(time.RFC3339Nano))
+	for name, values := range a.Header {
+		req.Header[name] = values
+	}
+	// Without GetBody the transport cannot resend the request on its own after a lost connection.
+	req.GetBody = nil
+	return c.stream(req, a.ID, a.Model)
+}
+
+// Resume continues a cut stream after the event with the given sequence number.
+func (c *Client) Resume(ctx context.Context, attempt, model string, after uint64) (answer *Answer, err error) {
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, c.base+"/v1/streams/"+attempt, nil)
+	if err != nil {
+		return nil, Error.Wrap(err)
+	}
+	req.Header.Set(HeaderAttempt, attempt)
+	req.Header.Set(HeaderEventID, strconv.FormatUint(after, 10))
+	return c.stream(req, attempt, model)
+}
+
+func (c *Client) stream(req *http.Request, attempt, model string) (*Answer, error) {
+	resp, err := c.http.Do(req)
+	if err != nil {
+		return nil, classifySend(err)
+	}
+	if resp.StatusCode != http.StatusOK {
+		return nil, c.options.DecodeError(resp)
+	}
+	got, served := resp.Header.Get(HeaderAttempt), resp.Header.Get(HeaderModel)
+	if got != attempt || served != model {
+		_ = resp.Body.Close()
+		return nil, Foreign.New("asked attempt %s on %s, got attempt %s on %s", attempt, model, got, served)
+	}
+	load, _ := strconv.Atoi(resp.Header.Get(HeaderLoad))
+	return &Answer{
+		Attempt: attempt, Endpoint: resp.Header.Get(HeaderEndpoint), Load: load, body: resp.Body, client: c,
+	}, nil
+}
+
+// classifySend tells a connection that was never opened from one that failed later.
+func classifySend(err error) error {
+	var op *net.OpError
+	if errs.IsFunc(err, func(e error) bool { o, ok := e.(*net.OpError); op = o; return ok }) && op.Op == "dial" {
+		return NotRun.Wrap(err)
+	}
+	return Error.Wrap(err)
+}
+
+func statusError(resp *http.Response) error {
+	defer func() { _ = resp.Body.Close() }()
+	text, _ := io.ReadAll(io.LimitReader(resp.Body, maxErrorBody))
+	err := fmt.Errorf("status %d: %s", resp.StatusCode, bytes.TrimSpace(text))
+	if resp.Header.Get(HeaderNotRun) == "true" {
+		return NotRun.Wrap(err)
+	}
+	return Error.Wrap(err)
+}
+
+// Events yields the events of the answer up to the end marker, which is not yielded. A stream that ends
+// without it yields an error of class Cut, an event of another attempt one of class Foreign.
+func (a *Answer) Events() iter.Seq2[Event, error] {
+	return func(yield func(Event, error) bool) {
+		config := sse.ReadConfig{MaxEventSize: a.client.options.MaxEventSize}
+		for raw, err := range sse.Read(a.body, &config) {
+			if err != nil {
+				yield(Event{}, Cut.Wrap(err))
+				return
+			}
+			event, err := a.decode(raw)
+			if err != nil {
+				yield(Event{}, err)
+				return
+			}
+			if event.Data == DoneMarker {
+				return
+			}
+			if !yield(event, nil) {
+				return
+			}
+		}
+		yield(Event{}, Cut.New("end of stream"))
+	}
+}
+
+// decode splits the event identifier, which is the attempt and the sequence number joined by a slash.
+func (a *Answer) decode(raw sse.Event) (Event, error) {
+	attempt, number, found := strings.Cut(raw.LastEventID, "/")
+	if !found || attempt != a.Attempt {
+		return Event{}, Foreign.New("event %q in the stream of attempt %s", raw.LastEventID, a.Attempt)
+	}
+	seq, err := strconv.ParseUint(number, 10, 64)
+	if err != nil {
+		return Event{}, Foreign.Wrap(err)
+	}
+	return Event{Seq: seq, Data: raw.Data}, nil
+}
+
+// State reads the engine's current state.
+func (c *Client) State(ctx context.Context) (state State, err error) {
+	err = c.call(ctx, http.MethodGet, "/v1/state", nil, &state)
+	return state, err
+}
+
+// Load reads the engine's load report, which lags.
+func (c *Client) Load(ctx context.Context) (state State, err error) {
+	err = c.call(ctx, http.MethodGet, "/v1/load", nil, &state)
+	return state, err
+}
+
+// Order runs a control command and waits for its end.
+func (c *Client) Order(ctx context.Context, command Command) error {
+	return c.call(ctx, http.MethodPost, "/v1/commands", command, nil)
+}
+
+// Cancel stops an attempt on the engine.
+func (c *Client) Cancel(ctx context.Context, attempt string) error {
+	return c.call(ctx, http.MethodDelete, "/v1/streams/"+attempt, nil, nil)
+}
+
+// Probe asks for a sign of life on a new connection, independent of open ones.
+func (c *Client) Probe(ctx context.Context) (err error) {
+	defer func() { err = Error.Wrap(err) }()
+	transport := c.options.Transport.Clone()
+	transport.DisableKeepAlives = true
+	fresh := Client{base: c.base, http: &http.Client{Transport: transport}}
+	return fresh.call(ctx, http.MethodGet, "/v1/health", nil, nil)
+}
+
+func (c *Client) call(ctx context.Context, method, path string, in, out any) (err error) {
+	var body io.Reader = http.NoBody
+	if in != nil {
+		raw, err := json.Marshal(in)
+		if err != nil {
+			return Error.Wrap(err)
+		}
+		body = bytes.NewReader(raw)
+	}
+	req, err := http.NewRequestWithContext(ctx, method, c.base+path, body)
+	if err != nil {
+		return Error.Wrap(err)
+	}
+	req.Header.Set("Content-Type", "application/json")
+	resp, err := c.http.Do(req)
+	if err != nil {
+		return Error.Wrap(err)
+	}
+	defer func() { _ = resp.Body.Close() }()
+	switch {
+	case resp.StatusCode == http.StatusConflict:
+		return StaleFence.Wrap(statusError(resp))
+	case resp.StatusCode == http.StatusBadGateway:
+		return LoadFailure.Wrap(statusError(resp))
+	case resp.StatusCode >= http.StatusBadRequest:
+		return statusError(resp)
+	case out == nil:
+		return nil
+	}
+	return Error.Wrap(json.NewDecoder(resp.Body).Decode(out))
+}
--- /dev/null
+++ b/internal/serve/engine/options.go
@@ -0,0 +1,52 @@
+package engine
+
+import (
+	"net"
+	"net/http"
+	"time"
+)
+
+// Defaults of the client.
+const (
+	defaultDialTimeout  = time.Second
+	defaultMaxEventSize = 1 << 20 // bytes
+	defaultMaxIdle      = 256     // connections kept open for each endpoint
+)
+
+// Options are the settings of a Client.
+type Options struct {
+	Transport    *http.Transport
+	MaxEventSize int // bytes
+	DecodeError  func(resp *http.Response) error
+}
+
+// Option sets one of the Options.
+type Option func(*Options)
+
+// WithTransport sets the HTTP transport; tests use it to cause connection faults.
+func WithTransport(t *http.Transport) Option {
+	return func(o *Options) { o.Transport = t }
+}
+
+// WithMaxEventSize sets the largest accepted event in bytes.
+func WithMaxEventSize(n int) Option {
+	return func(o *Options) { o.MaxEventSize = n }
+}
+
+// WithDecodeError sets how a rejected attempt's response becomes an error; it closes the body.
+func WithDecodeError(f func(resp *http.Response) error) Option {
+	return func(o *Options) { o.DecodeError = f }
+}
+
+// NewTransport returns a transport without environment proxies and with bounded dialling.
+func NewTransport() *http.Transport {
+	return &http.Transport{
+		DialContext:         (&net.Dialer{Timeout: defaultDialTimeout, KeepAlive: 15 * time.Second}).DialContext,
+		MaxIdleConns:        0,
+		MaxIdleConnsPerHost: defaultMaxIdle,
+		IdleConnTimeout:     time.Minute,
+		DisableCompression:  true,
+		WriteBufferSize:     4 << 10,
+		ReadBufferSize:      4 << 10,
+	}
+}
--- /dev/null
+++ b/internal/serve/engine/protocol.go
@@ -0,0 +1,103 @@
+// Package engine is the client of the protocol that model endpoints speak: completions as server-sent events,
+// state, control commands, cancellation, resume and probes over HTTP.
+package engine
+
+import (
+	"net/netip"
+	"time"
+)
+
+// Header names of the engine protocol.
+const (
+	HeaderAttempt  = "X-Attempt-Id" // sent by the caller of the engine and repeated by the engine
+	HeaderModel    = "X-Served-Model"
+	HeaderPriority = "X-Priority"
+	HeaderDeadline = "X-Deadline"    // RFC 3339 with nanoseconds
+	HeaderNotRun   = "X-Not-Run"     // "true" on a rejection of a request that was not started
+	HeaderEventID  = "Last-Event-ID" // last event received, on resume
+	HeaderEndpoint = "X-Endpoint"    // endpoint that serves the attempt, set by owners
+	HeaderLoad     = "X-Endpoint-Load"
+)
+
+// DoneMarker is the data of the event that ends a complete stream.
+const DoneMarker = "[DONE]"
+
+// Kind tells how an endpoint is used.
+type Kind string
+
+// Kinds of endpoints.
+const (
+	KindEngine Kind = "Engine"
+	KindPlain  Kind = "Plain"
+)
+
+// Announcement is what an endpoint posts to any instance of its data centre about once a second.
+type Announcement struct {
+	Name          string         `json:"Name"`
+	DataCentre    string         `json:"DataCentre"`
+	Address       netip.AddrPort `json:"Address"`
+	Incarnation   uint64         `json:"Incarnation"`
+	Kind          Kind           `json:"Kind"`
+	Service       string         `json:"Service"`
+	Model         string         `json:"Model,omitempty"`
+	Slots         int            `json:"Slots,omitempty"`
+	BatchSize     int            `json:"BatchSize,omitempty"`
+	ChecksFencing bool           `json:"ChecksFencing,omitempty"`
+	HighestFence  uint64         `json:"HighestFence,omitempty"`
+	Leaving       bool           `json:"Leaving,omitempty"`
+}
+
+// State is an engine's own account of itself, current when it answers.
+type State struct {
+	Name         string         `json:"Name"`
+	Incarnation  uint64         `json:"Incarnation"`
+	Model        string         `json:"Model"`
+	Role         string         `json:"Role"`
+	Slots        int            `json:"Slots"`
+	BatchSize    int            `json:"BatchSize"`
+	Resident     []string       `json:"Resident"` // adapter@version
+	InUse        map[string]int `json:"InUse"`    // running requests by adapter@version
+	Running      int            `json:"Running"`
+	Waiting      int            `json:"Waiting"`
+	HighestFence uint64         `json:"HighestFence"`
+	MeasuredAt   time.Time      `json:"MeasuredAt"`
+}
+
+// CommandKind names a control command.
+type CommandKind string
+
+// Kinds of control commands.
+const (
+	LoadAdapter   CommandKind = "LoadAdapter"
+	UnloadAdapter CommandKind = "UnloadAdapter"
+	LoadModel     CommandKind = "LoadModel"
+	ChangeRole    CommandKind = "ChangeRole"
+)
+
+// Command is a control command; the engine runs a command with the same ID once.
+type Command struct {
+	ID       string      `json:"ID"`
+	Kind     CommandKind `json:"Kind"`
+	Fence    uint64      `json:"Fence"`
+	Deadline time.Time   `json:"Deadline"`
+	Target   string      `json:"Target"`          // adapter@version, model or role
+	Evict    string      `json:"Evict,omitempty"` // adapter@version that makes room
+	Source   string      `json:"Source,omitempty"`
+}
+
+// Attempt is one try to run a completion.
+type Attempt struct {
+	ID       string
+	Path     string // /v1/completions or /v1/chat/completions
+	Model    string // adapter@version or base model
+	Priority int
+	Deadline time.Time
+	Body     []byte
+	Header   map[string][]string // additional headers
+}
+
+// Event is one event of a stream; Seq counts from 1.
+type Event struct {
+	Seq  uint64
+	Data string
+}
--- /dev/null
+++ b/internal/serve/owner/options.go
@@ -0,0 +1,62 @@
+package owner
+
+import (
+	"log/slog"
+	"net/netip"
+	"time"
+
+	"lycheevale/internal/place/scheduler"
+	"lycheevale/internal/serve/engine"
+)
+
+// Options are the settings of an Owner.
+type Options struct {
+	Logger       *slog.Logger
+	Scheduler    *scheduler.Scheduler
+	Now          func() time.Time
+	Client       func(address netip.AddrPort) *engine.Client
+	PollInterval time.Duration // between two load reports of an endpoint
+	IdleTimeout  time.Duration // without any event on a stream
+	ProbeTimeout time.Duration
+	LoadTimeout  time.Duration // deadline of a load command
+	LeaseMargin  time.Duration // stop before the lease deadline
+	MaxResumes   int           // for each stream
+	MissedPolls  int           // failed polls in a row until an endpoint counts as silent
+}
+
+// Option sets one of the Options.
+type Option func(*Options)
+
+// WithLogger sets the logger.
+func WithLogger(l *slog.Logger) Option {
+	return func(o *Options) { o.Logger = l }
+}
+
+// WithScheduler sets the scheduler, which the owner then uses alone.
+func WithScheduler(s *scheduler.Scheduler) Option {
+	return func(o *Options) { o.Scheduler = s }
+}
+
+// WithClient sets how engine clients are made.
+func WithClient(f func(address netip.AddrPort) *engine.Client) Option {
+	return func(o *Options) { o.Client = f }
+}
+
+// WithIdleTimeout sets how long a stream may stay without events.
+func WithIdleTimeout(d time.Duration) Option {
+	return func(o *Options) { o.IdleTimeout = d }
+}
+
+// WithPollInterval sets the time between two load reports of an endpoint.
+func WithPollInterval(d time.Duration) Option {
+	return func(o *Options) { o.PollInterval = d }
+}
+
+func defaults() Options {
+	return Options{
+		Logger: slog.Default(), Scheduler: scheduler.New(), Now: time.Now,
+		Client:       func(a netip.AddrPort) *engine.Client { return engine.New(a) },
+		PollInterval: 250 * time.Millisecond, IdleTimeout: 2 * time.Second, ProbeTimeout: 500 * time.Millisecond,
+		LoadTimeout: 5 * time.Second, LeaseMargin: 200 * time.Millisecond, MaxResumes: 3, MissedPolls: 4,
+	}
+}
--- /dev/null
+++ b/internal/serve/owner/remote.go
@@ -0,0 +1,153 @@
+package owner
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"net/netip"
+	"strconv"
+	"time"
+
+	"lycheevale/internal/base/refusal"
+	"lycheevale/internal/serve/engine"
+)
+
+// dispatchPath is where owners accept attempts from entries.
+const dispatchPath = "/internal/v1/dispatch"
+
+// Names of headers between entries and owners.
+const (
+	headerDispatch = "X-Dispatch" // Request as JSON
+	headerRefusal  = "X-Refusal"  // refusal as JSON
+)
+
+// maxDispatchBody bounds the body of a dispatched request in bytes.
+const maxDispatchBody = 8 << 20
+
+// Handler accepts attempts from other instances and answers like an engine.
+func (o *Owner) Handler() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("POST "+dispatchPath, o.serveDispatch)
+	return mux
+}
+
+func (o *Owner) serveDispatch(w http.ResponseWriter, r *http.Request) {
+	var request Request
+	err := json.Unmarshal([]byte(r.Header.Get(headerDispatch)), &request)
+	if err == nil {
+		request.Body, err = io.ReadAll(http.MaxBytesReader(w, r.Body, maxDispatchBody))
+	}
+	if err != nil {
+		writeRefusal(w, refusal.New(refusal.BadRequest, "%v", err))
+		return
+	}
+	stream, err := o.Dispatch(r.Context(), request)
+	if err != nil {
+		writeRefusal(w, refusal.From(err))
+		return
+	}
+	defer stream.Close()
+	h := w.Header()
+	h.Set("Content-Type", "text/event-stream")
+	h.Set(engine.HeaderAttempt, stream.Attempt)
+	h.Set(engine.HeaderModel, request.Target())
+	h.Set(engine.HeaderEndpoint, stream.Endpoint)
+	h.Set(engine.HeaderLoad, strconv.Itoa(stream.Load))
+	copyEvents(w, stream)
+}
+
+// copyEvents writes the stream; an error aborts the connection, so that the reader sees a cut stream.
+func copyEvents(w http.ResponseWriter, stream *Stream) {
+	flusher := http.NewResponseController(w)
+	_ = flusher.Flush()
+	var last uint64
+	for e, err := range stream.Events() {
+		if err != nil {
+			panic(http.ErrAbortHandler)
+		}
+		last = e.Seq
+		writeEvent(w, stream.Attempt, e)
+		_ = flusher.Flush()
+	}
+	writeEvent(w, stream.Attempt, engine.Event{Seq: last + 1, Data: engine.DoneMarker})
+}
+
+func writeEvent(w io.Writer, attempt string, e engine.Event) {
+	_, _ = fmt.Fprintf(w, "id: %s/%d\ndata: %s\n\n", attempt, e.Seq, e.Data)
+}
+
+func writeRefusal(w http.ResponseWriter, e *refusal.Error) {
+	raw, _ := json.Marshal(e)
+	w.Header().Set(headerRefusal, string(raw))
+	w.WriteHeader(e.Status)
+}
+
+// readRefusal turns an owner's rejection back into its error.
+func readRefusal(resp *http.Response) error {
+	defer func() { _ = resp.Body.Close() }()
+	var e refusal.Error
+	if err := json.Unmarshal([]byte(resp.Header.Get(headerRefusal)), &e); err != nil || e.Code == "" {
+		return refusal.New(refusal.OutcomeUnknown, "owner answered with status %d", resp.StatusCode)
+	}
+	return &e
+}
+
+// Remote dispatches to the owner at another instance and is safe for concurrent use.
+type Remote struct {
+	client *engine.Client
+	idle   time.Duration
+}
+
+// NewRemote returns a Remote for the instance at the address; a stream without events for longer than idle ends.
+func NewRemote(address netip.AddrPort, idle time.Duration, opts ...engine.Option) *Remote {
+	opts = append(opts, engine.WithDecodeError(readRefusal))
+	return &Remote{client: engine.New(address, opts...), idle: idle}
+}
+
+// Dispatch sends the attempt to the owner. Its errors are refusals.
+func (m *Remote) Dispatch(ctx context.Context, r Request) (stream *Stream, err error) {
+	raw, err := json.Marshal(r)
+	if err != nil {
+		return nil, refusal.New(refusal.BadRequest, "%v", err)
+	}
+	ctx, cancel := context.WithDeadline(ctx, r.Deadline)
+	answer, err := m.client.Complete(ctx, engine.Attempt{
+		ID: r.Attempt, Path: dispatchPath, Model: r.Target(), Priority: r.Priority, Deadline: r.Deadline, Body: r.Body,
+		Header: map[string][]string{headerDispatch: {string(raw)}},
+	})
+	if err != nil {
+		cancel()
+		return nil, remoteError(err)
+	}
+	watch := newWatchdog(ctx, m.idle)
+	stop := context.AfterFunc(watch.ctx, answer.Close)
+	return &Stream{
+		Attempt: r.Attempt, Endpoint: answer.Endpoint, Load: answer.Load,
+		events: func(yield func(engine.Event, error) bool) {
+			for e, err := range answer.Events() {
+				watch.reset()
+				if err != nil {
+					err = refusal.New(refusal.OutcomeUnknown, "%v", err)
+				}
+				if !yield(e, err) {
+					return
+				}
+			}
+		},
+		close: func() {
+			stop()
+			watch.stop()
+			cancel()
+			answer.Close()
+		},
+	}, nil
+}
+
+func remoteError(err error) error {
+	if engine.NotRun.Has(err) {
+		return refusal.New(refusal.Unavailable, "owner cannot be reached: %v", err)
+	}
+	return refusal.From(err)
+}
