--- /dev/null
+++ b/internal/state/record/errors.go
@@ -0,0 +1,36 @@
+package record
+
+import (
+	"errors"
+	"fmt"
+
+	"github.com/zeebo/errs"
+)
+
+// Error is the class of errors of this package.
+var Error = errs.Class("record")
+
+// ErrFailed is returned after a failed write or sync: what reached the disk is unknown, so the store must be reopened.
+var ErrFailed = errors.New("store stopped after a failed disk operation")
+
+// ErrIdentityMissing is returned when a directory holds records but no identity file.
+var ErrIdentityMissing = errors.New("directory holds records but no identity file")
+
+// CorruptionError reports damaged data that had been synced; the store is not opened.
+type CorruptionError struct {
+	File   string
+	Offset int64
+	Reason string
+}
+
+// Error implements error.
+func (e *CorruptionError) Error() string {
+	return fmt.Sprintf("%s is corrupted at offset %d: %s", e.File, e.Offset, e.Reason)
+}
+
+// Cut reports an incomplete or corrupted tail that was removed when the store was opened.
+type Cut struct {
+	File   string
+	Offset int64 // length of the file after the cut
+	Bytes  int64 // number of bytes removed
+}
