Add the HTTP API for operators

Cause: configuration could not be changed or observed from outside. Change: serve/operator with objects, changes, dry run, keys, limits, status, endpoints, watch, audit log and hashed bearer tokens; fake/control is the fake behind its function fields.

--- /dev/null
+++ b/internal/serve/operator/operator_test.go
@@ -0,0 +1,281 @@
+package operator_test
+
+import (
+	"bufio"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"log/slog"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"golang.org/x/sync/errgroup"
+
+	"lycheevale/internal/fake/control"
+	"lycheevale/internal/serve/operator"
+	"lycheevale/internal/state/registry"
+)
+
+const (
+	customer = `{"Kind":"Customer","Name":"banksia","Customer":{"Rate":100,"Burst":500}}`
+	model    = `{"Kind":"Model","Name":"quill","Model":{}}`
+)
+
+type api struct {
+	*qt.C
+	fake   *control.Fake
+	audit  *operator.Audit
+	url    string
+	token  string
+	viewer string
+}
+
+func start(t testing.TB, opts ...operator.Option) *api {
+	a := &api{C: qt.New(t), fake: control.New(), audit: operator.NewAudit(nil)}
+	var alice, vera operator.Credential
+	a.token, alice = operator.NewToken("alice", operator.RoleOperator)
+	a.viewer, vera = operator.NewToken("vera", operator.RoleViewer)
+	server := httptest.NewServer(operator.New(append([]operator.Option{
+		operator.WithSystem(a.fake.System()), operator.WithCredentials(operator.NewCredentials(alice, vera)),
+		operator.WithAudit(a.audit), operator.WithLogger(slog.New(slog.DiscardHandler)),
+	}, opts...)...).Handler())
+	t.Cleanup(server.Close)
+	a.url = server.URL
+	return a
+}
+
+// call sends the body as JSON and returns the status and the answer.
+func (a *api) call(token, method, path, body string) (int, string) {
+	request, err := http.NewRequest(method, a.url+path, strings.NewReader(body))
+	a.Assert(err, qt.IsNil)
+	request.Header.Set("Authorization", "Bearer "+token)
+	request.Header.Set("Content-Type", "application/json")
+	response, err := http.DefaultClient.Do(request)
+	a.Assert(err, qt.IsNil)
+	defer response.Body.Close()
+	answer, err := io.ReadAll(response.Body)
+	a.Assert(err, qt.IsNil)
+	return response.StatusCode, string(answer)
+}
+
+func (a *api) change(id, extra string, objects ...string) (int, string) {
+	return a.call(a.token, "POST", "/v1/changes",
+		fmt.Sprintf(`{"RequestID":%q,%s"Changes":[%s]}`, id, extra, strings.Join(objects, ",")))
+}
+
+func Example() {
+	fake := control.New()
+	token, credential := operator.NewToken("alice", operator.RoleOperator)
+	server := httptest.NewServer(operator.New(operator.WithSystem(fake.System()),
+		operator.WithCredentials(operator.NewCredentials(credential))).Handler())
+	defer server.Close()
+	request, _ := http.NewRequest("GET", server.URL+"/v1/objects/customers", nil)
+	request.Header.Set("Authorization", "Bearer "+token)
+	response, _ := http.DefaultClient.Do(request)
+	body, _ := io.ReadAll(response.Body)
+	fmt.Print(string(body))
+	// Output: {"Revision":0,"Objects":[]}
+}
+
+// Guards against a resend that is applied twice, and a stale revision that overwrites a newer one.
+func TestChangeIsAppliedOnce(t *testing.T) {
+	a := start(t)
+	status, first := a.change("r1", "", customer, model)
+	a.Assert(status, qt.Equals, http.StatusOK)
+	a.Assert(first, qt.Contains, `"Revision":1,"InForce":["entry-1","entry-2"]`)
+	a.Assert(first, qt.Contains, `"Action":"Create"`)
+	status, _ = a.change("r1", "", customer, model)
+	a.Assert(status, qt.Equals, http.StatusOK)
+	a.Assert(a.fake.Registry.Revision(), qt.Equals, uint64(1))
+	_, _ = a.change("r2", `"ExpectedRevision":1,`, customer)
+	status, answer := a.change("r3", `"ExpectedRevision":1,`, customer)
+	a.Assert(status, qt.Equals, http.StatusConflict)
+	a.Assert(answer, qt.Contains, `"Code":"Conflict","Ran":"NotRun"`)
+	a.Assert(answer, qt.Contains, `"Revision":2`)
+}
+
+// Guards against a dry run that changes something or passes what the change would refuse.
+func TestDryRun(t *testing.T) {
+	a := start(t)
+	status, answer := a.change("r1", `"DryRun":true,`, customer)
+	a.Assert(status, qt.Equals, http.StatusOK)
+	a.Assert(answer, qt.Contains, `"Action":"Create"`)
+	a.Assert(a.fake.Registry.Revision(), qt.Equals, uint64(0))
+	a.Assert(a.audit.Recent(10), qt.HasLen, 0)
+	status, _ = a.change("r2", `"DryRun":true,"ExpectedRevision":7,`, customer)
+	a.Assert(status, qt.Equals, http.StatusConflict)
+}
+
+// Guards against objects that are accepted although other parts of the system cannot use them.
+func TestInvalidChangesAreRefused(t *testing.T) {
+	a := start(t)
+	adapter := `{"Kind":"Adapter","Name":"a","Adapter":{"Customer":"banksia","Model":"quill","DefaultVersion":"1"}}`
+	version := `{"Kind":"Version","Name":"a@1","Version":{"Adapter":"a","Source":"s","State":"Active"}}`
+	route := `{"Kind":"Service","Name":%q,"Service":{"Kind":"Plain","Routes":[{"Method":"POST","Path":"/o"}],"Objective":{"Availability":0.9}}}`
+	key := `{"Kind":"Key","Name":"k","Key":{"Customer":"banksia","Hash":"` + strings.Repeat("ab", 32) + `"%s}}`
+	status, answer := a.change("base", "", customer, model, adapter, version, fmt.Sprintf(route, "ledger"), fmt.Sprintf(key, ""))
+	a.Assert(status, qt.Equals, http.StatusOK, qt.Commentf(answer))
+	for _, test := range []struct{ want, object string }{
+		{`Kind \"Custmer\" is not known`, `{"Kind":"Custmer","Name":"x"}`},
+		{"exactly the field Customer", `{"Kind":"Customer","Name":"x","Model":{}}`},
+		{"Customer.Rate is 0", `{"Kind":"Customer","Name":"x","Customer":{"Rate":0,"Burst":1}}`},
+		{`unknown field \"Brst\"`, `{"Kind":"Customer","Name":"x","Customer":{"Rate":1,"Brst":1}}`},
+		{"Name", `{"Kind":"Customer","Name":"a b","Customer":{"Rate":1,"Burst":1}}`},
+		{"two parts joined by @", `{"Kind":"Version","Name":"x","Version":{"Adapter":"x","Source":"s","State":"Active"}}`},
+		{`names customer \"nobody\"`, `{"Kind":"Adapter","Name":"x","Adapter":{"Customer":"nobody","Model":"quill","DefaultVersion":""}}`},
+		{"Version.Source cannot be changed", `{"Kind":"Version","Name":"a@1","Version":{"Adapter":"a","Source":"t","State":"Active"}}`},
+		{`adapter \"a\" names it`, `{"Kind":"Customer","Name":"banksia","Deleted":true}`},
+		{"belongs to service", fmt.Sprintf(route, "other")},
+		{"Key.Withdrawn cannot be changed", fmt.Sprintf(key, `,"Withdrawn":true`)},
+		{"must follow the withdrawal", `{"Kind":"Key","Name":"k","Deleted":true}`},
+		{"does not go with a specification", `{"Kind":"Model","Name":"quill","Deleted":true,"Model":{}}`},
+	} {
+		status, answer := a.change("bad", "", test.object)
+		a.Check(status, qt.Equals, http.StatusBadRequest, qt.Commentf(test.object))
+		a.Check(answer, qt.Contains, test.want)
+	}
+	status, answer = a.change("twice", "", customer, customer)
+	a.Assert(status, qt.Equals, http.StatusBadRequest)
+	a.Assert(answer, qt.Contains, "occurs twice")
+	a.Assert(a.fake.Registry.Revision(), qt.Equals, uint64(1))
+}
+
+// Guards against access without a token, and against changes by a viewer.
+func TestAuthentication(t *testing.T) {
+	a := start(t)
+	for _, token := range []string{"", "lo_wrong", a.token + "x"} {
+		status, answer := a.call(token, "GET", "/v1/status", "")
+		a.Assert(status, qt.Equals, http.StatusUnauthorized)
+		a.Assert(answer, qt.Contains, `"Code":"NotPermitted"`)
+	}
+	status, _ := a.call(a.viewer, "GET", "/v1/status", "")
+	a.Assert(status, qt.Equals, http.StatusOK)
+	status, _ = a.call(a.viewer, "POST", "/v1/changes", "{}")
+	a.Assert(status, qt.Equals, http.StatusForbidden)
+}
+
+// Guards against a removed operator who keeps access, and a broken file that locks everybody out.
+func TestCredentialsReload(t *testing.T) {
+	c := qt.New(t)
+	path := filepath.Join(t.TempDir(), "operators.yaml")
+	token, credential := operator.NewToken("alice", operator.RoleOperator)
+	store := func(text string) { c.Assert(os.WriteFile(path, []byte(text), 0o600), qt.IsNil) }
+	store(fmt.Sprintf("Operators:\n  - {Name: alice, Role: Operator, Hash: %s}\n", credential.Hash))
+	credentials, err := operator.LoadCredentials(path)
+	c.Assert(err, qt.IsNil)
+	accepted := func() bool { _, ok := credentials.Identify("Bearer " + token); return ok }
+	c.Assert(accepted(), qt.IsTrue)
+	store("Operators:\n  - {Name: alice, Rle: Operator}\n")
+	c.Assert(credentials.Reload(), qt.ErrorMatches, `.*:2:19: unknown field Rle \(did you mean Role\?\)`)
+	c.Assert(accepted(), qt.IsTrue)
+	store("Operators: []\n")
+	c.Assert(credentials.Reload(), qt.IsNil)
+	c.Assert(accepted(), qt.IsFalse)
+}
+
+// Guards against a secret that is shown but does not match the stored hash, and one that is stored.
+func TestKeyIssue(t *testing.T) {
+	a := start(t)
+	_, _ = a.change("r1", "", customer)
+	issue := func(id string) (int, string) {
+		return a.call(a.token, "POST", "/v1/keys", fmt.Sprintf(`{"RequestID":%q,"Customer":"banksia"}`, id))
+	}
+	status, body := issue("k1")
+	a.Assert(status, qt.Equals, http.StatusOK)
+	var answer operator.KeyAnswer
+	a.Assert(json.Unmarshal([]byte(body), &answer), qt.IsNil)
+	a.Assert(answer.Key, qt.Matches, "lv_"+answer.ID+"_[0-9a-f]{64}")
+	o, _ := a.fake.Registry.Get(registry.KindKey, answer.ID)
+	a.Assert(o.Key.Hash, qt.HasLen, 64)
+	a.Assert(strings.Contains(answer.Key, o.Key.Hash), qt.IsFalse)
+	status, body = issue("k1")
+	a.Assert(status, qt.Equals, http.StatusConflict)
+	a.Assert(body, qt.Contains, "shown once")
+	status, body = a.call(a.token, "POST", "/v1/keys/"+answer.ID+"/withdraw", `{"RequestID":"w1"}`)
+	a.Assert(status, qt.Equals, http.StatusOK, qt.Commentf(body))
+	o, _ = a.fake.Registry.Get(registry.KindKey, answer.ID)
+	a.Assert(o.Key.Withdrawn, qt.IsTrue)
+}
+
+// Guards against actions without a record, and records that claim an outcome nobody knows.
+func TestAudit(t *testing.T) {
+	a := start(t)
+	a.fake.After = func(registry.Command) error { return errors.New("leader lost") }
+	status, answer := a.change("r1", "", customer)
+	a.Assert(status, qt.Equals, http.StatusBadGateway)
+	a.Assert(answer, qt.Contains, `"Code":"OutcomeUnknown","Ran":"Unknown"`)
+	records := a.audit.Recent(10)
+	a.Assert(records, qt.HasLen, 2)
+	a.Assert(records[0].Stage, qt.Equals, operator.StageStarted)
+	a.Assert(records[0].Operator, qt.Equals, "alice")
+	a.Assert(records[1].Error, qt.Contains, "leader lost")
+	full := operator.NewAudit(func([]byte) error { return errors.New("disk full") })
+	b := start(t, operator.WithAudit(full))
+	status, _ = b.change("r1", "", customer)
+	b.Assert(status, qt.Equals, http.StatusServiceUnavailable)
+	b.Assert(b.fake.Registry.Revision(), qt.Equals, uint64(0))
+}
+
+// Guards against bodies that occupy memory without bound or are read in another way than meant.
+func TestBodiesAreBoundedAndStrict(t *testing.T) {
+	a := start(t, operator.WithLimits(1024, 4096))
+	for _, test := range []struct {
+		body string
+		want int
+	}{
+		{`{"RequestID":"` + strings.Repeat("x", 2000) + `"}`, http.StatusRequestEntityTooLarge},
+		{`{"RequestID":"r","ExpectedRevison":1}`, http.StatusBadRequest},
+		{`{"RequestID":"r"} {}`, http.StatusBadRequest},
+		{`{"RequestID":""}`, http.StatusBadRequest},
+	} {
+		status, _ := a.call(a.token, "POST", "/v1/changes", test.body)
+		a.Check(status, qt.Equals, test.want)
+	}
+	status, _ := a.call(a.token, "GET", "/v1/objects/customer", "")
+	a.Assert(status, qt.Equals, http.StatusNotFound)
+}
+
+// Guards against a watch that misses a change or outlives the server.
+func TestWatchResumesAndEnds(t *testing.T) {
+	c := qt.New(t)
+	fake := control.New()
+	token, credential := operator.NewToken("alice", operator.RoleViewer)
+	server := operator.New(operator.WithSystem(fake.System()), operator.WithLogger(slog.New(slog.DiscardHandler)),
+		operator.WithCredentials(operator.NewCredentials(credential)), operator.WithKeepAlive(time.Millisecond))
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	c.Assert(err, qt.IsNil)
+	ctx, cancel := context.WithCancel(t.Context())
+	var group errgroup.Group
+	group.Go(func() error { return server.Run(ctx, listener) })
+	for i := range 3 {
+		_, _ = fake.System().Propose(ctx, registry.Command{RequestID: fmt.Sprint(i), Changes: []registry.Object{
+			{Kind: registry.KindModel, Name: fmt.Sprint("m", i), Model: &registry.Model{}},
+		}})
+	}
+	request, _ := http.NewRequest("GET", "http://"+listener.Addr().String()+"/v1/watch", nil)
+	request.Header.Set("Authorization", "Bearer "+token)
+	request.Header.Set("Last-Event-ID", "1")
+	response, err := http.DefaultClient.Do(request)
+	c.Assert(err, qt.IsNil)
+	lines := bufio.NewScanner(response.Body)
+	var ids []string
+	for len(ids) < 2 && lines.Scan() {
+		if id, ok := strings.CutPrefix(lines.Text(), "id: "); ok {
+			ids = append(ids, id)
+		}
+	}
+	c.Assert(ids, qt.DeepEquals, []string{"2", "3"})
+	cancel()
+	for lines.Scan() {
+	}
+	c.Assert(group.Wait(), qt.IsNil)
+}
