--- /dev/null
+++ b/internal/tool/daemoncmd/daemoncmd.go
@@ -0,0 +1,117 @@
+// Package daemoncmd holds the commands of lycheevale that do not start an instance.
+package daemoncmd
+
+import (
+	"crypto/tls"
+	"crypto/x509"
+	"errors"
+	"fmt"
+	"io"
+	"os"
+	"runtime/debug"
+
+	"lycheevale/internal/base/settings"
+	"lycheevale/internal/serve/operator"
+	"lycheevale/internal/tool/exitcode"
+)
+
+// PrintDefaults writes the commented default settings and returns the exit code.
+func PrintDefaults(out io.Writer) int {
+	if _, err := out.Write(settings.DefaultsYAML()); err != nil {
+		return exitcode.Failure
+	}
+	return exitcode.OK
+}
+
+// Version writes the version of the program and returns the exit code.
+func Version(out io.Writer) int {
+	fmt.Fprintln(out, VersionText())
+	return exitcode.OK
+}
+
+// VersionText returns the version of the module and the commit that the program was built from.
+func VersionText() string {
+	info, ok := debug.ReadBuildInfo()
+	if !ok {
+		return "lycheevale (unknown version)"
+	}
+	text := "lycheevale " + info.Main.Version + " " + info.GoVersion
+	for _, s := range info.Settings {
+		if s.Key == "vcs.revision" || s.Key == "vcs.modified" {
+			text += " " + s.Key + "=" + s.Value
+		}
+	}
+	return text
+}
+
+// CheckConfig checks the settings file at path and the files that it names, writes all errors to
+// errOut and returns the exit code.
+func CheckConfig(path string, out, errOut io.Writer) int {
+	s, err := settings.Load(path)
+	if err == nil {
+		err = checkFiles(s)
+	}
+	if err != nil {
+		fmt.Fprintln(errOut, err)
+		return exitcode.Invalid
+	}
+	fmt.Fprintf(out, "%s: settings of %s in %s are valid\n", path, s.Name, s.DataCentre)
+	return exitcode.OK
+}
+
+// checkFiles reads every file that the settings name; a planned restart must not be the first to
+// find out that one is missing.
+func checkFiles(s settings.Settings) error {
+	var all []error
+	check := func(name string, err error) {
+		if err != nil {
+			all = append(all, fmt.Errorf("%s: %w", name, err))
+		}
+	}
+	pair := func(name, certificate, key string) {
+		if certificate == "" {
+			return
+		}
+		_, err := tls.LoadX509KeyPair(certificate, key)
+		check(name, err)
+	}
+	pair("TLS.Callers", s.TLS.Callers.CertificateFile, s.TLS.Callers.KeyFile)
+	pair("TLS.Operators", s.TLS.Operators.CertificateFile, s.TLS.Operators.KeyFile)
+	pair("TLS.Peers", s.TLS.Peers.CertificateFile, s.TLS.Peers.KeyFile)
+	if s.TLS.Peers.AuthorityFile != "" {
+		check("TLS.Peers.AuthorityFile", checkAuthority(s.TLS.Peers.AuthorityFile))
+	}
+	if s.Operators.CredentialsFile != "" {
+		_, err := operator.LoadCredentials(s.Operators.CredentialsFile)
+		check("Operators.CredentialsFile", err)
+	}
+	if s.DataFolder != "" {
+		check("DataFolder", checkFolder(s.DataFolder))
+	}
+	return errors.Join(all...)
+}
+
+func checkAuthority(path string) error {
+	data, err := os.ReadFile(path)
+	if err != nil {
+		return err
+	}
+	if !x509.NewCertPool().AppendCertsFromPEM(data) {
+		return fmt.Errorf("%s holds no certificate in PEM", path)
+	}
+	return nil
+}
+
+// checkFolder accepts a folder that does not exist yet, because the instance creates it.
+func checkFolder(path string) error {
+	info, err := os.Stat(path)
+	switch {
+	case errors.Is(err, os.ErrNotExist):
+		return nil
+	case err != nil:
+		return err
+	case !info.IsDir():
+		return fmt.Errorf("%s is not a folder", path)
+	}
+	return nil
+}
