--- a/internal/tool/ctl/ctl_test.go
+++ b/internal/tool/ctl/ctl_test.go
@@ -112,7 +112,8 @@
 		"voters set entry-1 --voter-address 10.2.0.1:8082 --data-centre suva-a", "voters list",
 		"customers delete koro --expected-revision 1", "keys issue koro", "keys list", "keys issue koro -o json",
 		"keys withdraw lv_0123456789abcdef_00", "status", "status -o yaml", "endpoints", "watch --from 3 --count 2",
-		"audit -n 2", "aply", "apply", "completion fish",
+		"audit -n 2", "aply", "apply", "completion fish", "questionnaire --answers ../../../configs/koro-answers.yaml --out @/koro",
+		"questionnaire --answers ../../../configs/koro-answers.yaml --out @/koro", "apply -f @/koro/objects.yaml",
 	} {
 		code, out, errOut := s.run(line)
 		fmt.Fprintf(&log, "$ lycheectl %s\n%s%sexit %d\n\n", line, out, errOut, code)
