--- a/internal/base/settings/settings_test.go
+++ b/internal/base/settings/settings_test.go
@@ -5,6 +5,8 @@
 	"net/netip"
 	"os"
 	"path/filepath"
+	"reflect"
+	"strings"
 	"testing"
 
 	qt "github.com/frankban/quicktest"
@@ -74,6 +76,24 @@
 	}
 }
 
+// Guards against settings without an entry in the operators' guide.
+func TestEverySettingIsDocumented(t *testing.T) {
+	page, err := os.ReadFile("../../../docs/operators.md")
+	qt.Assert(t, err, qt.IsNil)
+	var walk func(path string, v reflect.Type)
+	walk = func(path string, v reflect.Type) {
+		for i := range v.NumField() {
+			field, full := v.Field(i).Type, path+v.Field(i).Name
+			if field.Kind() == reflect.Struct && field != reflect.TypeFor[netip.AddrPort]() {
+				walk(full+".", field)
+				continue
+			}
+			qt.Check(t, strings.Contains(string(page), "| `"+full+"` |"), qt.IsTrue, qt.Commentf(full))
+		}
+	}
+	walk("", reflect.TypeFor[settings.Settings]())
+}
+
 // Guards against arbitrary files that crash the loader.
 func FuzzParse(f *testing.F) {
 	f.Add(settings.DefaultsYAML())
