Refuse objects that an entry cannot use

Cause: key ids with _, hashes in upper case, routes that http.ServeMux refuses and adapters named like a model were accepted, but serve/caller cannot use them. Change: serve/operator refuses them with a reason; tool/objectfile holds the object files, and the questionnaire checks its own output with the same code. Measured: the added cases fail without the checks and pass with them (go test -race).

--- a/internal/serve/operator/credentials.go
+++ b/internal/serve/operator/credentials.go
@@ -121,7 +121,7 @@
 			add("Role", "must be Operator or Viewer")
 		}
 		if !validHash(o.Hash) {
-			add("Hash", "must be a hexadecimal SHA-256")
+			add("Hash", "must be a hexadecimal SHA-256 in lower case")
 		}
 	}
 	return file.Operators, problems.Err()
@@ -138,7 +138,7 @@
 	c.mu.RLock()
 	defer c.mu.RUnlock()
 	for _, known := range c.list {
-		if subtle.ConstantTimeCompare(presented, []byte(strings.ToLower(known.Hash))) == 1 {
+		if subtle.ConstantTimeCompare(presented, []byte(known.Hash)) == 1 {
 			id, ok = Identity{Name: known.Name, Role: known.Role}, true
 		}
 	}
--- a/internal/serve/operator/keys.go
+++ b/internal/serve/operator/keys.go
@@ -5,7 +5,6 @@
 	"crypto/rand"
 	"encoding/hex"
 	"net/http"
-	"strings"
 	"time"
 
 	"lycheevale/internal/base/refusal"
@@ -60,7 +59,7 @@
 	}
 	object := registry.Object{
 		Kind: registry.KindKey, Name: answer.ID,
-		Key: &registry.Key{Customer: q.Customer, Hash: strings.ToLower(hash)},
+		Key: &registry.Key{Customer: q.Customer, Hash: hash},
 	}
 	var err error
 	answer.Outcome, err = s.perform(r, "IssueKey", q.RequestID, namesOf([]registry.Object{object}),
--- a/internal/serve/operator/references.go
+++ b/internal/serve/operator/references.go
@@ -1,7 +1,9 @@
 package operator
 
 import (
+	"errors"
 	"fmt"
+	"net/http"
 	"reflect"
 	"strings"
 
@@ -58,6 +60,7 @@
 		if o.Deleted {
 			continue
 		}
+		fs.shadows(m, o)
 		for _, ref := range referencesOf(o) {
 			if !m.has(ref.kind, ref.name) {
 				fs.add(ref.path, "names %s %q, which does not exist", strings.ToLower(string(ref.kind)), ref.name)
@@ -141,16 +144,19 @@
 	}
 }
 
-// routes reports a method and path that two services claim, for the order of two equal routes would
-// decide where a request goes.
+// routes reports routes that the mux of an entry cannot tell apart from those of other services or
+// of the system itself: the order in which they are read would decide where a request goes.
 func (fs *faults) routes(m merged, objects []registry.Object) {
-	claimed := map[string]string{}
+	mux := http.NewServeMux()
+	for _, pattern := range systemRoutes {
+		_ = register(mux, pattern)
+	}
 	m.each(registry.KindService, func(o registry.Object) {
 		if _, changed := m.changes[registry.ID{Kind: o.Kind, Name: o.Name}]; changed || o.Service == nil {
 			return
 		}
 		for _, r := range o.Service.Routes {
-			claimed[r.Method+" "+r.Path] = o.Name
+			_ = register(mux, r.Method+" "+r.Path)
 		}
 	})
 	for i, o := range objects {
@@ -159,15 +165,41 @@
 		}
 		fs.index, fs.object = i, o
 		for k, r := range o.Service.Routes {
-			route := r.Method + " " + r.Path
-			if other, taken := claimed[route]; taken {
-				fs.add(fmt.Sprintf("Service.Routes[%d]", k), "%s belongs to service %q already", route, other)
+			if err := register(mux, r.Method+" "+r.Path); err != nil {
+				fs.add(fmt.Sprintf("Service.Routes[%d]", k), "cannot be told apart from another route: %v", err)
 			}
-			claimed[route] = o.Name
 		}
 	}
 }
 
+// systemRoutes are the routes that every entry serves itself.
+var systemRoutes = []string{
+	"POST /v1/completions", "POST /v1/chat/completions", "GET /v1/models", "POST /v1/endpoints/announce",
+	"GET /healthz", "GET /readyz",
+}
+
+// register adds a pattern to the mux, which panics if the pattern is not valid or conflicts.
+func register(mux *http.ServeMux, pattern string) (err error) {
+	defer func() {
+		if p := recover(); p != nil {
+			lines := strings.Split(fmt.Sprint(p), "\n") // the first one names files of the program
+			err = errors.New(lines[len(lines)-1])
+		}
+	}()
+	mux.HandleFunc(pattern, func(http.ResponseWriter, *http.Request) {})
+	return nil
+}
+
+// shadows reports an adapter and a model of the same name, of which callers could name only the model.
+func (fs *faults) shadows(m merged, o registry.Object) {
+	other := map[registry.Kind]registry.Kind{
+		registry.KindModel: registry.KindAdapter, registry.KindAdapter: registry.KindModel,
+	}[o.Kind]
+	if other != "" && m.has(other, o.Name) {
+		fs.add("Name", "is the name of %s too; callers could not tell them apart", strings.ToLower(string(other)))
+	}
+}
+
 // effects tells what the change does to each object.
 func effects(v View, objects []registry.Object) []Effect {
 	list := make([]Effect, 0, len(objects))
--- a/internal/serve/operator/validate.go
+++ b/internal/serve/operator/validate.go
@@ -4,6 +4,7 @@
 	"encoding/hex"
 	"fmt"
 	"math"
+	"net/http"
 	"regexp"
 	"slices"
 	"strings"
@@ -36,9 +37,10 @@
 	return len(name) <= maxNameLength && namePattern.MatchString(name)
 }
 
+// validHash accepts lower case only, because hashes are compared as texts.
 func validHash(hash string) bool {
 	raw, err := hex.DecodeString(hash)
-	return err == nil && len(raw) == 32
+	return err == nil && len(raw) == 32 && hash == strings.ToLower(hash)
 }
 
 type faults struct {
@@ -133,7 +135,10 @@
 	case registry.KindKey:
 		fs.required("Key.Customer", o.Key.Customer)
 		if !validHash(o.Key.Hash) {
-			fs.add("Key.Hash", "must be a hexadecimal SHA-256")
+			fs.add("Key.Hash", "must be a hexadecimal SHA-256 in lower case")
+		}
+		if strings.Contains(o.Name, "_") {
+			fs.add("Name", "must not contain _, which separates the parts of a key")
 		}
 	case registry.KindAdapter:
 		fs.required("Adapter.Customer", o.Adapter.Customer)
@@ -208,6 +213,10 @@
 		}
 		if !strings.HasPrefix(r.Path, "/") || strings.ContainsAny(r.Path, "?# ") {
 			fs.add(path+".Path", "is %q, expected a path that begins with /", r.Path)
+			continue
+		}
+		if err := register(http.NewServeMux(), "GET "+r.Path); err != nil {
+			fs.add(path+".Path", "is %q, which is not a valid pattern: %v", r.Path, err)
 		}
 	}
 	if a := s.Objective.Availability; !(a >= 0 && a <= 1) {
--- a/internal/tool/ctl/output.go
+++ b/internal/tool/ctl/output.go
@@ -1,7 +1,6 @@
 package ctl
 
 import (
-	"bytes"
 	"encoding/json"
 	"fmt"
 	"io"
@@ -13,6 +12,7 @@
 
 	"lycheevale/internal/serve/operator"
 	"lycheevale/internal/state/registry"
+	"lycheevale/internal/tool/objectfile"
 )
 
 // table is text in columns.
@@ -75,7 +75,7 @@
 	if s.globals.Output != "yaml" {
 		return s.show(answer, objectTable(c, answer.Objects).write)
 	}
-	data, err := EncodeObjects(answer.Objects)
+	data, err := objectfile.Encode(answer.Objects)
 	if err != nil {
 		return err
 	}
@@ -83,23 +83,6 @@
 	return err
 }
 
-// EncodeObjects returns the objects as one YAML document each, without their revisions.
-func EncodeObjects(objects []registry.Object) ([]byte, error) {
-	var b bytes.Buffer
-	for i, o := range objects {
-		o.Revision = 0
-		data, err := toYAML(o)
-		if err != nil {
-			return nil, err
-		}
-		if i > 0 {
-			b.WriteString("---\n")
-		}
-		b.Write(data)
-	}
-	return b.Bytes(), nil
-}
-
 func objectTable(c operator.Collection, objects []registry.Object) *table {
 	t := &table{header: headers[c.Kind]}
 	for _, o := range objects {
--- a/internal/tool/questionnaire/questionnaire.go
+++ b/internal/tool/questionnaire/questionnaire.go
@@ -7,6 +7,10 @@
 	"path/filepath"
 
 	"lycheevale/internal/base/settings"
+	"lycheevale/internal/base/yamldoc"
+	"lycheevale/internal/serve/operator"
+	"lycheevale/internal/state/registry"
+	"lycheevale/internal/tool/objectfile"
 )
 
 // ObjectsFile is the name of the generated file for lycheectl apply.
@@ -40,9 +44,26 @@
 	if err != nil {
 		return nil, err
 	}
+	if err := checkObjects(data); err != nil {
+		return nil, err
+	}
 	return append(files, File{Name: ObjectsFile, Data: data}), nil
 }
 
+// checkObjects makes sure that an empty deployment accepts the objects.
+func checkObjects(data []byte) error {
+	objects, err := objectfile.Parse(ObjectsFile, data)
+	if err != nil {
+		return err
+	}
+	empty := registry.New()
+	var refused yamldoc.SourceErrors
+	for _, f := range operator.CheckReferences(operator.View{Object: empty.Get, Objects: empty.List}, objects) {
+		refused = append(refused, yamldoc.SourceError{File: ObjectsFile, Message: f.String()})
+	}
+	return refused.Err()
+}
+
 // Write stores the files in a folder; without overwrite it fails, before it writes any, if one exists.
 func Write(folder string, files []File, overwrite bool) error {
 	const readable, searchable = 0o644, 0o755
--- a/internal/tool/questionnaire/questionnaire_test.go
+++ b/internal/tool/questionnaire/questionnaire_test.go
@@ -12,7 +12,7 @@
 	"lycheevale/internal/base/settings"
 	"lycheevale/internal/serve/operator"
 	"lycheevale/internal/state/registry"
-	"lycheevale/internal/tool/ctl"
+	"lycheevale/internal/tool/objectfile"
 	"lycheevale/internal/tool/questionnaire"
 )
 
@@ -60,7 +60,7 @@
 }
 
 func checkObjects(c *qt.C, path string) {
-	objects, err := ctl.ReadObjects(path)
+	objects, err := objectfile.Read(path)
 	c.Assert(err, qt.IsNil)
 	r := registry.New()
 	c.Assert(operator.CheckReferences(operator.View{Object: r.Get, Objects: r.List}, objects), qt.HasLen, 0)
@@ -99,6 +99,11 @@
 	}{
 		{"has no disk", func(a *questionnaire.Answers) { a.DataCentres = []questionnaire.DataCentre{{Name: "a", Region: "a"}} }},
 		{"would not be encrypted", func(a *questionnaire.Answers) { a.Operations.CertificateFolder = "" }},
+		{"cannot be told apart", func(a *questionnaire.Answers) {
+			a.Services = []questionnaire.PlainService{{Name: "s", Availability: 0.9, Routes: []questionnaire.Route{
+				{Method: "GET", Path: "/{a}"}, {Method: "GET", Path: "/{b}"},
+			}}}
+		}},
 		{"occurs twice", func(a *questionnaire.Answers) { a.Customers = append(a.Customers, a.Customers[0]) }},
 		{"expected more than 0 and less than 1", func(a *questionnaire.Answers) { a.Models = []questionnaire.Model{{Name: "m"}} }},
 		{"Traffic.LongestRequest is 0s", func(a *questionnaire.Answers) { a.Traffic.LongestRequest = 0 }},
