Keep withdrawals of keys apart from changes

Cause: changes that hang, or a full disk of the audit log, would have refused the withdrawal of a stolen key.

--- a/internal/base/event/operator.go
+++ b/internal/base/event/operator.go
@@ -22,7 +22,7 @@
 	{ChangeUncertain, slog.LevelWarn, "outcome of an operator's change is unknown", "Resend it with the same RequestID; check that a majority of voters is reachable."},
 	{CredentialsReloaded, slog.LevelInfo, "operators' credentials reloaded", "None."},
 	{CredentialsRejected, slog.LevelError, "operators' credentials file is not valid; the previous ones stay in effect", "Correct the file; a removed operator keeps access until then."},
-	{AuditFailed, slog.LevelError, "audit log cannot be written", "Free disk space; changes are refused until then."},
+	{AuditFailed, slog.LevelError, "audit log cannot be written", "Free disk space; until then changes are refused, and only withdrawals of keys are made."},
 	{OperatorPanicked, slog.LevelError, "handler of an operator's request panicked", "Report a bug with the stack."},
 	{WatchEnded, slog.LevelInfo, "operator's watch ended", "None; clients resume after the last event."},
 }
--- a/internal/serve/operator/change.go
+++ b/internal/serve/operator/change.go
@@ -65,7 +65,7 @@
 		return nil, invalid(faults)
 	}
 	command := s.command(r, c.RequestID, c.ExpectedRevision, c.Changes)
-	outcome, err := s.perform(r, "Change", c.RequestID, namesOf(c.Changes), func(ctx context.Context) (Outcome, error) {
+	outcome, err := s.perform(r, actionChange, c.RequestID, namesOf(c.Changes), func(ctx context.Context) (Outcome, error) {
 		if faults := CheckReferences(view, c.Changes); len(faults) > 0 && !s.mayBeResend(c) {
 			return Outcome{}, invalid(faults)
 		}
@@ -118,6 +118,13 @@
 	}
 }
 
+// Actions in the audit log.
+const (
+	actionChange   = "Change"
+	actionIssue    = "IssueKey"
+	actionWithdraw = "WithdrawKey"
+)
+
 // perform runs one action between its two audit records. The action outlives the operator's
 // connection, so that its result is on record also where nobody waits for the answer.
 func (s *Server) perform(
@@ -129,7 +136,9 @@
 	}
 	if err := s.options.Audit.Add(record); err != nil {
 		event.Log(r.Context(), s.options.Logger, event.AuditFailed, slog.String("Error", err.Error()))
-		return Outcome{}, refusal.New(refusal.Unavailable, "the audit log cannot be written")
+		if action != actionWithdraw { // a stolen key is worse than a missing record
+			return Outcome{}, refusal.New(refusal.Unavailable, "the audit log cannot be written")
+		}
 	}
 	ctx, cancel := context.WithTimeout(context.WithoutCancel(r.Context()), s.options.Change)
 	defer cancel()
--- a/internal/serve/operator/http.go
+++ b/internal/serve/operator/http.go
@@ -105,10 +105,10 @@
 func (s *Server) answer(f func(r *http.Request) (any, error)) http.HandlerFunc {
 	return func(w http.ResponseWriter, r *http.Request) {
 		control := http.NewResponseController(w)
-		_ = control.SetReadDeadline(s.options.Now().Add(s.options.BodyRead))
+		_ = control.SetReadDeadline(time.Now().Add(s.options.BodyRead))
 		r.Body = http.MaxBytesReader(w, r.Body, s.options.BodyBytes)
 		body, err := f(r)
-		_ = control.SetWriteDeadline(s.options.Now().Add(s.options.Write))
+		_ = control.SetWriteDeadline(time.Now().Add(s.options.Write))
 		if err != nil {
 			s.refuse(w, err)
 			return
--- a/internal/serve/operator/keys.go
+++ b/internal/serve/operator/keys.go
@@ -62,7 +62,7 @@
 		Key: &registry.Key{Customer: q.Customer, Hash: hash},
 	}
 	var err error
-	answer.Outcome, err = s.perform(r, "IssueKey", q.RequestID, namesOf([]registry.Object{object}),
+	answer.Outcome, err = s.perform(r, actionIssue, q.RequestID, namesOf([]registry.Object{object}),
 		func(ctx context.Context) (Outcome, error) { return s.proposeKey(ctx, r, q.RequestID, object) })
 	return answer, err
 }
@@ -135,7 +135,7 @@
 		return nil, refusal.New(refusal.BadRequest, "%q is not the id of a key (the part between lv_ and the secret)", id)
 	}
 	names := []string{string(registry.KindKey) + "/" + id}
-	outcome, err := s.perform(r, "WithdrawKey", q.RequestID, names, func(ctx context.Context) (Outcome, error) {
+	outcome, err := s.perform(r, actionWithdraw, q.RequestID, names, func(ctx context.Context) (Outcome, error) {
 		return s.options.System.Withdraw(ctx, id)
 	})
 	return ChangeAnswer{RequestID: q.RequestID, Outcome: outcome}, err
--- a/internal/serve/operator/operator.go
+++ b/internal/serve/operator/operator.go
@@ -24,6 +24,7 @@
 type Server struct {
 	options    Options
 	requests   chan struct{}
+	urgent     chan struct{} // withdrawals, which changes that hang must not hold up
 	watches    chan struct{}
 	watching   context.Context // ends before the server waits for running requests
 	endWatches context.CancelFunc
@@ -38,6 +39,7 @@
 	s := &Server{
 		options:  o,
 		requests: make(chan struct{}, o.MaxRequests),
+		urgent:   make(chan struct{}, o.MaxRequests),
 		watches:  make(chan struct{}, o.MaxWatches),
 	}
 	s.watching, s.endWatches = context.WithCancel(context.Background())
@@ -49,6 +51,7 @@
 	outer := alice.New(s.recoverPanic, s.headers, s.identify)
 	read := outer.Append(s.bounded(s.requests))
 	write := read.Append(s.mayChange)
+	urgent := outer.Append(s.bounded(s.urgent), s.mayChange)
 	watch := outer.Append(s.bounded(s.watches))
 	mux := http.NewServeMux()
 	mux.Handle("GET /v1/objects/{kind}", read.ThenFunc(s.answer(s.listObjects)))
@@ -59,7 +62,7 @@
 	mux.Handle("GET /v1/audit", read.ThenFunc(s.answer(s.listAudit)))
 	mux.Handle("POST /v1/changes", write.ThenFunc(s.answer(s.change)))
 	mux.Handle("POST /v1/keys", write.ThenFunc(s.answer(s.issueKey)))
-	mux.Handle("POST /v1/keys/{id}/withdraw", write.ThenFunc(s.answer(s.withdrawKey)))
+	mux.Handle("POST /v1/keys/{id}/withdraw", urgent.ThenFunc(s.answer(s.withdrawKey)))
 	mux.Handle("GET /v1/watch", watch.ThenFunc(s.watch))
 	mux.Handle("/", read.ThenFunc(s.answer(s.unknownPath)))
 	return mux
