Keep issued keys unchanged

Cause: a change could have replaced the hash or customer of an issued key. Change: serve/operator refuses it; tests for that, for a change whose operator disconnects, and for redirects and lost answers at the client.

--- a/internal/serve/operator/operator_test.go
+++ b/internal/serve/operator/operator_test.go
@@ -142,6 +142,7 @@
 		{"must not contain _", strings.Replace(fmt.Sprintf(key, ""), `"k"`, `"k_1"`, 1)},
 		{"in lower case", strings.ReplaceAll(fmt.Sprintf(key, ""), "ab", "AB")},
 		{"Key.Withdrawn cannot be changed", fmt.Sprintf(key, `,"Withdrawn":true`)},
+		{"Key cannot be changed", strings.ReplaceAll(fmt.Sprintf(key, ""), "ab", "ac")},
 		{"must follow the withdrawal", `{"Kind":"Key","Name":"k","Deleted":true}`},
 		{"does not go with a specification", `{"Kind":"Model","Name":"quill","Deleted":true,"Model":{}}`},
 	} {
@@ -219,6 +220,60 @@
 	a.Assert(o.Key.Withdrawn, qt.IsTrue)
 }
 
+// Guards against a key that is replaced by another request, or shown although another one is stored.
+func TestKeyIsNeverReplaced(t *testing.T) {
+	fake := control.New()
+	system := fake.System()
+	hidden := 0 // look-ups of keys by an instance that lags behind the log
+	system.Object = func(kind registry.Kind, name string) (registry.Object, bool) {
+		if hidden > 0 && kind == registry.KindKey {
+			hidden--
+			return registry.Object{}, false
+		}
+		return fake.Registry.Get(kind, name)
+	}
+	a := start(t, operator.WithSystem(system))
+	_, _ = a.change("r1", "", customer)
+	_, body := a.call(a.token, "POST", "/v1/keys", `{"RequestID":"k1","Customer":"banksia"}`)
+	var answer operator.KeyAnswer
+	a.Assert(json.Unmarshal([]byte(body), &answer), qt.IsNil)
+	hidden = 2 // before the change is proposed
+	status, body := a.call(a.token, "POST", "/v1/keys", `{"RequestID":"k1","Customer":"banksia"}`)
+	a.Assert(status, qt.Equals, http.StatusConflict, qt.Commentf(body))
+	hash := strings.Repeat("ab", 32)
+	status, _ = a.call(a.token, "POST", "/v1/keys",
+		fmt.Sprintf(`{"RequestID":"k2","Customer":"banksia","ID":%q,"Hash":%q}`, answer.ID, hash))
+	a.Assert(status, qt.Equals, http.StatusConflict)
+	o, _ := fake.Registry.Get(registry.KindKey, answer.ID)
+	a.Assert(o.Key.Hash, qt.Not(qt.Equals), hash)
+}
+
+// Guards against a change that is cut off half-way because the operator's connection ended.
+func TestChangeOutlivesConnection(t *testing.T) {
+	fake := control.New()
+	system := fake.System()
+	ctx, disconnect := context.WithCancel(t.Context())
+	ended := make(chan error, 1)
+	system.Propose = func(ctx context.Context, _ registry.Command) (operator.Outcome, error) {
+		disconnect()
+		select {
+		case <-ctx.Done():
+		case <-time.After(100 * time.Millisecond):
+		}
+		ended <- ctx.Err()
+		return operator.Outcome{}, ctx.Err()
+	}
+	a := start(t, operator.WithSystem(system))
+	request, err := http.NewRequestWithContext(ctx, "POST", a.url+"/v1/changes",
+		strings.NewReader(`{"RequestID":"r1","Changes":[`+model+`]}`))
+	a.Assert(err, qt.IsNil)
+	request.Header.Set("Authorization", "Bearer "+a.token)
+	request.Header.Set("Content-Type", "application/json")
+	_, err = http.DefaultClient.Do(request)
+	a.Assert(err, qt.IsNotNil)
+	a.Assert(<-ended, qt.IsNil)
+}
+
 // Guards against actions without a record, and records that claim an outcome nobody knows.
 func TestAudit(t *testing.T) {
 	a := start(t)
--- a/internal/serve/operator/references.go
+++ b/internal/serve/operator/references.go
@@ -78,6 +78,9 @@
 	case o.Kind == registry.KindKey && o.Deleted && !old.Key.Withdrawn:
 		fs.add("Deleted", "must follow the withdrawal of the key, which reaches connected callers at once")
 	case o.Kind == registry.KindKey && !o.Deleted && o.Key != nil:
+		if old.Key.Hash != o.Key.Hash || old.Key.Customer != o.Key.Customer {
+			fs.add("Key", "cannot be changed; issue another key")
+		}
 		if old.Key.Withdrawn != o.Key.Withdrawn {
 			fs.add("Key.Withdrawn", "cannot be changed here; POST /v1/keys/{id}/withdraw withdraws a key for ever")
 		}
--- a/internal/tool/ctl/ctl_test.go
+++ b/internal/tool/ctl/ctl_test.go
@@ -58,20 +58,22 @@
 	fake   *control.Fake
 	folder string
 	url    string
-	wrap   func(http.Handler) http.Handler // faults of the connection
+	wrap   atomic.Pointer[wrapper]
 }
 
+// wrapper injects faults of the connection.
+type wrapper func(http.Handler) http.Handler
+
+func (s *setup) inject(w wrapper) { s.wrap.Store(&w) }
+
 func start(t testing.TB) *setup {
 	s := &setup{C: qt.New(t), fake: control.New(), folder: t.TempDir()}
+	s.inject(func(api http.Handler) http.Handler { return api })
 	token, credential := operator.NewToken("alice", operator.RoleOperator)
 	api := operator.New(operator.WithSystem(s.fake.System()), operator.WithLogger(slog.New(slog.DiscardHandler)),
 		operator.WithCredentials(operator.NewCredentials(credential))).Handler()
 	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		if s.wrap != nil {
-			s.wrap(api).ServeHTTP(w, r)
-			return
-		}
-		api.ServeHTTP(w, r)
+		(*s.wrap.Load())(api).ServeHTTP(w, r)
 	}))
 	t.Cleanup(server.Close)
 	s.url = strings.TrimPrefix(server.URL, "http://")
@@ -129,7 +131,7 @@
 func TestLostAnswers(t *testing.T) {
 	s := start(t)
 	lose := 2
-	s.wrap = func(api http.Handler) http.Handler {
+	s.inject(func(api http.Handler) http.Handler {
 		return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 			if r.Method != http.MethodPost || lose == 0 {
 				api.ServeHTTP(w, r)
@@ -139,7 +141,7 @@
 			api.ServeHTTP(httptest.NewRecorder(), r)
 			panic(http.ErrAbortHandler) // closes the connection after the change is made
 		})
-	}
+	})
 	code, _, errOut := s.run("apply -f @/objects.yaml")
 	s.Assert(code, qt.Equals, exitcode.OK, qt.Commentf(errOut))
 	s.Assert(strings.Count(errOut, "next attempt"), qt.Equals, 2)
@@ -163,6 +165,17 @@
 	code, out, _ = s.run("models set quill --request-id " + id[1])
 	s.Assert(code, qt.Equals, exitcode.OK)
 	s.Assert(out, qt.Contains, "Nothing to change at revision 1")
+	s.inject(func(api http.Handler) http.Handler {
+		return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			if r.Method == http.MethodPost {
+				panic(http.ErrAbortHandler) // takes the request and closes the connection
+			}
+			api.ServeHTTP(w, r)
+		})
+	})
+	code, _, _ = s.run("--retry-for 1s models set third")
+	s.Assert(code, qt.Equals, exitcode.Unknown)
+	s.inject(func(api http.Handler) http.Handler { return api })
 	// A refusal of the second attempt says nothing about the first.
 	attempts := 0
 	s.fake.Before = func(registry.Command) error {
@@ -223,13 +236,13 @@
 		code, _, _ := s.run("models set " + name)
 		s.Assert(code, qt.Equals, exitcode.OK)
 	}
-	s.wrap = func(api http.Handler) http.Handler {
+	s.inject(func(api http.Handler) http.Handler {
 		return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 			ctx, cancel := context.WithCancel(r.Context())
 			defer cancel()
 			api.ServeHTTP(&oneEvent{ResponseWriter: w, end: cancel}, r.WithContext(ctx))
 		})
-	}
+	})
 	code, out, _ := s.run("watch --from 0 --count 3")
 	s.Assert(code, qt.Equals, exitcode.OK)
 	s.Assert(out, qt.Equals, "1 Model a written\n2 Model b written\n3 Model c written\n")
@@ -266,6 +279,16 @@
 	s.Assert(code, qt.Equals, exitcode.Unavailable)
 	s.Assert(asked.Load(), qt.IsFalse)
 	s.file("ca.pem", string(pem.EncodeToMemory(&pem.Block{Type: "CERTIFICATE", Bytes: server.Certificate().Raw})))
+	redirect := httptest.NewServer(http.RedirectHandler(server.URL, http.StatusTemporaryRedirect))
+	defer redirect.Close()
+	s.url = strings.TrimPrefix(redirect.URL, "http://")
+	code, _, _ = s.run("status --ca-file @/ca.pem --retry-for 1s")
+	s.Assert(code, qt.Not(qt.Equals), exitcode.OK)
+	s.url = redirect.Listener.Addr().String()
+	code, _, _ = s.run("status --retry-for 1s")
+	s.Assert(code, qt.Not(qt.Equals), exitcode.OK)
+	s.Assert(asked.Load(), qt.IsFalse)
+	s.url = strings.TrimPrefix(server.URL, "https://")
 	code, out, errOut := s.run("status --ca-file @/ca.pem")
 	s.Assert(code, qt.Equals, exitcode.OK, qt.Commentf(errOut))
 	s.Assert(out, qt.Contains, "entry-1")
