Read only the wanted objects for small changes

Cause: every change read whole collections, which hold 140,000 adapters at the size to design for. Change: GET /v1/objects/{kind} selects by Name; lycheectl uses it for up to 100 objects of a kind.

--- a/internal/serve/operator/read.go
+++ b/internal/serve/operator/read.go
@@ -45,6 +45,7 @@
 	return names
 }
 
+// listObjects answers with all objects of a kind, or with those of the given names that exist.
 func (s *Server) listObjects(r *http.Request) (any, error) {
 	c, err := kindOf(r)
 	if err != nil {
@@ -52,7 +53,17 @@
 	}
 	// The revision is read first: an ExpectedRevision that is too old fails, one too new would not.
 	answer := Objects{Revision: s.options.System.Revision()}
-	answer.Objects = append([]registry.Object{}, s.options.System.Objects(c.Kind)...)
+	names := r.URL.Query()["Name"]
+	if len(names) == 0 {
+		answer.Objects = append([]registry.Object{}, s.options.System.Objects(c.Kind)...)
+		return answer, nil
+	}
+	answer.Objects = []registry.Object{}
+	for _, name := range names {
+		if o, ok := s.options.System.Object(c.Kind, name); ok {
+			answer.Objects = append(answer.Objects, o)
+		}
+	}
 	return answer, nil
 }
 
--- a/internal/tool/ctl/apply.go
+++ b/internal/tool/ctl/apply.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"io"
 	"maps"
+	"net/url"
 	"reflect"
 	"slices"
 	"strings"
@@ -29,16 +30,30 @@
 	objects  map[registry.ID]registry.Object
 }
 
-// read returns the current state of the collections that the wanted objects belong to.
+// maxNames is the number of objects up to which only they are read instead of the whole collection,
+// which has 140,000 adapters at the size to design for. The names stay below the limit for headers.
+const maxNames = 100
+
+// read returns the current state of the wanted objects.
 func (c *Client) read(s *session, wanted []registry.Object) (current, error) {
 	now := current{objects: map[registry.ID]registry.Object{}}
 	first := true
 	for _, collection := range operator.Collections {
-		if !slices.ContainsFunc(wanted, func(o registry.Object) bool { return o.Kind == collection.Kind }) {
+		names := url.Values{}
+		for _, o := range wanted {
+			if o.Kind == collection.Kind {
+				names.Add("Name", o.Name)
+			}
+		}
+		if len(names) == 0 {
 			continue
 		}
+		path := "/v1/objects/" + collection.Name
+		if len(names["Name"]) <= maxNames {
+			path += "?" + names.Encode()
+		}
 		var answer operator.Objects
-		if err := c.get(s.ctx, "/v1/objects/"+collection.Name, &answer); err != nil {
+		if err := c.get(s.ctx, path, &answer); err != nil {
 			return now, err
 		}
 		// The lowest revision is the one at which no list can have missed a later change.
--- a/internal/tool/ctl/ctl_test.go
+++ b/internal/tool/ctl/ctl_test.go
@@ -294,6 +294,23 @@
 	s.Assert(out, qt.Contains, "entry-1")
 }
 
+// Guards against a file of thousands of objects that is compared or sent in another way than a small one.
+func TestApplyManyObjects(t *testing.T) {
+	s := start(t)
+	var many strings.Builder
+	for i := range 3000 {
+		fmt.Fprintf(&many, "Kind: Adapter\nName: a%d\nAdapter: {Customer: banksia, Model: quill, DefaultVersion: ''}\n---\n", i)
+	}
+	s.file("many.yaml", many.String())
+	_, _, _ = s.run("apply -f @/objects.yaml")
+	code, out, errOut := s.run("apply -f @/many.yaml")
+	s.Assert(code, qt.Equals, exitcode.OK, qt.Commentf(errOut))
+	s.Assert(out, qt.Contains, "3000 to create, 0 to update, 0 to delete, 0 unchanged")
+	_, out, _ = s.run("apply -f @/many.yaml")
+	s.Assert(out, qt.Contains, "0 to create, 0 to update, 0 to delete, 3000 unchanged")
+	s.Assert(s.fake.Registry.List(registry.KindAdapter), qt.HasLen, 3001)
+}
+
 // Guards against a completion script whose request for candidates is not answered.
 func TestCompletion(t *testing.T) {
 	s := start(t)
