--- /dev/null
+++ b/internal/limit/admit/admit.go
@@ -0,0 +1,285 @@
+// Package admit admits requests within the rates of their customers: an instance draws small batches of tokens
+// from the exact buckets of its data centre's coordinator and spends them locally.
+package admit
+
+import (
+	"context"
+	"errors"
+	"math"
+	"sync"
+	"time"
+
+	"github.com/zeebo/errs"
+	"golang.org/x/sync/errgroup"
+
+	"lycheevale/internal/base/event"
+	"lycheevale/internal/base/refusal"
+	"lycheevale/internal/limit/share"
+)
+
+// Error is the class of errors of this package.
+var Error = errs.Class("admit")
+
+// Admission is an instance's admission. It is safe for concurrent use.
+type Admission struct {
+	options Options
+	mu      sync.Mutex
+	holder  *holder
+	wake    chan struct{}
+	cut     bool // the coordinator did not answer the last message
+}
+
+// Reservation is an admitted request's tokens. The zero Reservation is that of a request without a limit.
+type Reservation struct {
+	admission *Admission
+	spending  *spending
+}
+
+// New returns an admission; Run must run for requests of limited customers to be admitted.
+func New(opts ...Option) *Admission {
+	o := defaultOptions()
+	for _, opt := range opts {
+		opt(&o)
+	}
+	return &Admission{options: o, holder: newHolder(o), wake: make(chan struct{}, 1)}
+}
+
+// Reserve admits a request that will use up to the tokens, counted now. It waits in the customer's queue up to
+// the deadline of ctx when the tokens will be there in time; otherwise it returns a refusal at once: OverRate
+// with the time to retry, BadRequest, or Unavailable when the coordinator cannot be reached. The customer of an
+// open route is empty; it and a customer without rate and burst have no limit.
+func (a *Admission) Reserve(ctx context.Context, customer string, tokens float64) (Reservation, error) {
+	limited, err := a.check(customer, tokens)
+	if err != nil || !limited {
+		return Reservation{}, err
+	}
+	now := a.options.Now()
+	deadline := now.Add(longestRequest)
+	if d, ok := ctx.Deadline(); ok && d.Before(deadline) {
+		deadline = d
+	}
+	a.mu.Lock()
+	if w, ok := a.holder.wallets[customer]; ok && len(w.waiters) >= maxWaiters {
+		a.mu.Unlock()
+		return Reservation{}, refusal.New(refusal.OverRate, "too many waiting requests of customer %q", customer)
+	}
+	s, q := a.holder.reserve(now, customer, tokens, deadline)
+	ask := len(a.holder.asking) > 0
+	a.mu.Unlock()
+	if ask {
+		a.signal()
+	}
+	if s != nil {
+		return Reservation{a, s}, nil
+	}
+	return a.wait(ctx, customer, q)
+}
+
+// check returns whether the customer has a limit, or the refusal of a request that can never be admitted.
+func (a *Admission) check(customer string, tokens float64) (limited bool, err error) {
+	if math.IsNaN(tokens) || math.IsInf(tokens, 0) || tokens < 0 {
+		return false, refusal.New(refusal.BadRequest, "invalid number of tokens")
+	}
+	if customer == "" || tokens == 0 {
+		return false, nil
+	}
+	limit, ok := a.options.Limit(customer)
+	if !ok {
+		return false, refusal.New(refusal.NotPermitted, "customer %q is not configured", customer)
+	}
+	if share.Unlimited(limit) {
+		return false, nil
+	}
+	if tokens > limit.Burst {
+		return false, refusal.New(refusal.OverRate, "the request needs %.0f tokens, the burst is %.0f", tokens, limit.Burst)
+	}
+	return true, nil
+}
+
+func (a *Admission) wait(ctx context.Context, customer string, q *waiter) (Reservation, error) {
+	timer := time.NewTimer(q.deadline.Sub(a.options.Now()))
+	defer timer.Stop()
+	select {
+	case o := <-q.done:
+		return a.finish(customer, o)
+	case <-ctx.Done():
+	case <-timer.C:
+	}
+	a.mu.Lock()
+	waited := a.holder.cancel(a.options.Now(), customer, q)
+	answered, next := q.answered, a.holder.wallet(a.options.Now(), customer).poll
+	cut := a.cut
+	a.mu.Unlock()
+	a.signal()
+	if !waited {
+		return a.finish(customer, <-q.done)
+	}
+	switch {
+	case errors.Is(ctx.Err(), context.Canceled):
+		return Reservation{}, refusal.New(refusal.DeadlineExceeded, "the request was cancelled while it waited for its rate")
+	case !answered || cut:
+		return Reservation{}, refusal.New(refusal.Unavailable, "the coordinator of rates cannot be reached")
+	default:
+		return Reservation{}, refusal.New(refusal.OverRate, "customer %q is over its rate", customer).WithRetryAt(next)
+	}
+}
+
+func (a *Admission) finish(customer string, o outcome) (Reservation, error) {
+	if o.spending != nil {
+		return Reservation{a, o.spending}, nil
+	}
+	return Reservation{}, refusal.New(refusal.OverRate, "customer %q is over its rate", customer).WithRetryAt(o.retryAt)
+}
+
+// Settle ends the reservation with the tokens that were used; the rest is returned. Later calls have no effect.
+func (r Reservation) Settle(used float64) {
+	if r.spending == nil {
+		return
+	}
+	a := r.admission
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.holder.settle(a.options.Now(), r.spending, used)
+}
+
+func (a *Admission) signal() {
+	select {
+	case a.wake <- struct{}{}:
+	default:
+	}
+}
+
+// Run exchanges messages with the coordinator until ctx ends, and then returns all tokens.
+func (a *Admission) Run(ctx context.Context) (err error) {
+	defer func() { err = Error.Wrap(err) }()
+	group, ctx := errgroup.WithContext(ctx)
+	group.Go(func() error { return a.runBorrow(ctx) })
+	group.Go(func() error { return a.runReturn(ctx) })
+	err = group.Wait()
+	if errors.Is(err, context.Canceled) {
+		err = nil
+	}
+	a.returnAll(context.WithoutCancel(ctx))
+	return err
+}
+
+func (a *Admission) runBorrow(ctx context.Context) error {
+	for {
+		if err := a.awaitBorrow(ctx); err != nil {
+			return err
+		}
+		if !a.borrowOnce(ctx) {
+			if err := pause(ctx, a.options.Resend/2); err != nil {
+				return err
+			}
+		}
+	}
+}
+
+// awaitBorrow waits until there is something to ask.
+func (a *Admission) awaitBorrow(ctx context.Context) error {
+	for {
+		a.mu.Lock()
+		now := a.options.Now()
+		at := a.holder.nextBorrow(now)
+		a.mu.Unlock()
+		if !at.IsZero() && !at.After(now) {
+			return ctx.Err()
+		}
+		d := longestPoll
+		if !at.IsZero() {
+			d = at.Sub(now)
+		}
+		timer := time.NewTimer(d)
+		select {
+		case <-ctx.Done():
+			timer.Stop()
+			return ctx.Err()
+		case <-a.wake:
+		case <-timer.C:
+		}
+		timer.Stop()
+	}
+}
+
+// borrowOnce sends one request; it is false when that was not answered.
+func (a *Admission) borrowOnce(ctx context.Context) bool {
+	a.mu.Lock()
+	req := a.holder.composeBorrow(a.options.Now())
+	a.mu.Unlock()
+	if req == nil {
+		return true
+	}
+	var reply BorrowReply
+	if !a.call(ctx, MethodBorrow, req, &reply) {
+		return false
+	}
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.holder.applyBorrow(a.options.Now(), req, reply)
+	return true
+}
+
+func (a *Admission) runReturn(ctx context.Context) error {
+	for {
+		if err := pause(ctx, a.options.Report); err != nil {
+			return err
+		}
+		a.returnOnce(ctx, false)
+	}
+}
+
+func (a *Admission) returnOnce(ctx context.Context, all bool) bool {
+	a.mu.Lock()
+	req := a.holder.composeReturn(a.options.Now(), all)
+	a.mu.Unlock()
+	if req == nil {
+		return true
+	}
+	var reply ReturnReply
+	if !a.call(ctx, MethodReturn, req, &reply) {
+		return false
+	}
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.holder.applyReturn(req, reply)
+	return true
+}
+
+// returnAll sends what is pending and then all batches; what cannot be sent counts as spent.
+func (a *Admission) returnAll(ctx context.Context) {
+	for range 2 {
+		a.returnOnce(ctx, true)
+	}
+}
+
+// call sends a message to the coordinator and logs when it starts or stops answering.
+func (a *Admission) call(ctx context.Context, method string, req, reply any) (ok bool) {
+	name, known := a.options.Coordinator()
+	if known {
+		ctx, cancel := context.WithTimeout(ctx, a.options.Resend)
+		defer cancel()
+		ok = a.options.Call(ctx, name, method, req, reply) == nil
+	}
+	a.mu.Lock()
+	changed := a.cut == ok
+	a.cut = !ok
+	a.mu.Unlock()
+	if changed && ok {
+		event.Log(ctx, a.options.Logger, event.LimitCoordinatorFound)
+	} else if changed {
+		event.Log(ctx, a.options.Logger, event.LimitCoordinatorSilent)
+	}
+	return ok
+}
+
+func pause(ctx context.Context, d time.Duration) error {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+		return ctx.Err()
+	case <-timer.C:
+		return nil
+	}
+}
--- /dev/null
+++ b/internal/limit/admit/admit_test.go
@@ -0,0 +1,190 @@
+package admit
+
+import (
+	"flag"
+	"fmt"
+	"os"
+	"testing"
+	"time"
+
+	"github.com/frankban/quicktest"
+	"pgregory.net/rapid"
+
+	"lycheevale/internal/limit/share"
+	"lycheevale/internal/state/registry"
+)
+
+const (
+	simSeed      = "20261204"
+	simSchedules = 2500
+)
+
+func TestMain(m *testing.M) {
+	flag.Parse()
+	settings := map[string]string{
+		"rapid.seed": simSeed, "rapid.checks": fmt.Sprint(simSchedules), "rapid.nofailfile": "true",
+	}
+	for name, value := range settings {
+		if err := flag.Set(name, value); err != nil {
+			panic(err)
+		}
+	}
+	code := m.Run()
+	if code != 0 {
+		fmt.Println("rapid seed", simSeed)
+	}
+	os.Exit(code)
+}
+
+// Guards against any schedule of faults that admits more than rate times time plus burst.
+func TestNeverOverRate(t *testing.T) {
+	admissions := 0
+	rapid.Check(t, func(t *rapid.T) {
+		w := drawWorld(t, mutation{})
+		if err := w.run(); err != nil {
+			t.Fatal(err)
+		}
+		admissions += w.admissions
+	})
+	t.Logf("%d admissions in %d schedules", admissions, simSchedules)
+	quicktest.Assert(t, admissions > 5*simSchedules, quicktest.IsTrue)
+}
+
+// Each mutation switches one protecting rule off; the check of TestNeverOverRate must find it in drawn schedules.
+func TestMutationsAreFound(t *testing.T) {
+	mutations := []mutation{
+		{name: "naive credit at settlement", coordinate: func(o *CoordinatorOptions) { o.naiveCredit = true }},
+		{name: "full bucket after takeover", coordinate: func(o *CoordinatorOptions) { o.fullStart = true }},
+		{name: "increase before confirmation", allocate: []share.Option{share.WithEarlyIncrease()}},
+	}
+	for _, m := range mutations {
+		t.Run(m.name, func(t *testing.T) {
+			found, tried := false, 0
+			rapid.Check(t, func(t *rapid.T) {
+				if !found {
+					tried++
+					found = drawWorld(t, m).run() != nil
+				}
+			})
+			t.Logf("found after %d schedules", tried)
+			quicktest.Assert(t, found, quicktest.IsTrue)
+		})
+	}
+}
+
+// These rules matter in schedules too rare to be drawn; the schedule is given and must pass with the rule.
+func TestRareMutationsAreFound(t *testing.T) {
+	mutations := []mutation{
+		{
+			name: "refill before the predecessor's batches expired", play: playTakeover,
+			coordinate: func(o *CoordinatorOptions) { o.earlyOpen = true },
+		},
+		{
+			name: "resent messages applied again", play: playResent,
+			coordinate: func(o *CoordinatorOptions) { o.applyResent = true },
+		},
+		{
+			name: "batches of lost instances given back", play: playLostInstance,
+			coordinate: func(o *CoordinatorOptions) { o.freeExpired = true },
+		},
+		{name: "life of a batch from its arrival", play: playLateReply, lateLife: true},
+	}
+	for _, m := range mutations {
+		t.Run(m.name, func(t *testing.T) {
+			for _, mutated := range []bool{false, true} {
+				tried := mutation{centres: 1}
+				if mutated {
+					tried.coordinate, tried.lateLife = m.coordinate, m.lateLife
+				}
+				w := newWorld([32]byte{}, 0, tried)
+				w.reliable, w.delays, w.rate = true, []int{1}, 100
+				w.shares, w.history = nil, nil
+				w.plan()
+				w.startCoordinator(w.centres[0])
+				w.deliver(8 * time.Second)
+				w.connect()
+				m.play(w)
+				quicktest.Assert(t, w.err != nil, quicktest.Equals, mutated, quicktest.Commentf("%v", w.err))
+			}
+		})
+	}
+}
+
+// connect lets both instances learn the coordinator's epoch.
+func (w *world) connect() {
+	for _, i := range w.instances {
+		i.holder.epoch = w.centres[0].coordinator.Epoch()
+	}
+}
+
+// slow lowers the rate, so that little refills during a schedule.
+func (w *world) slow() {
+	w.rate = 20
+	c := w.centres[0]
+	c.coordinator.SetShare(w.now.Add(c.offset), registry.Share{
+		Customer: simCustomer, DataCentre: "dc0", Rate: 20, Burst: 100, Epoch: 9, Confirmed: true,
+	})
+}
+
+// ask reserves and exchanges messages until the answer is there.
+func (w *world) ask(i int, n, final float64) {
+	w.request(w.instances[i], n, final, time.Second)
+	for range 4 {
+		w.exchange(w.instances[i], false)
+		w.deliver(5 * time.Millisecond)
+	}
+}
+
+// playTakeover delivers a batch of the old coordinator when the new one already lends.
+func playTakeover(w *world) {
+	w.delays = []int{450}
+	w.request(w.instances[0], 99, 99, time.Second)
+	w.exchange(w.instances[0], false)
+	w.deliver(455 * time.Millisecond)
+	w.startCoordinator(w.centres[0])
+	w.delays = []int{1}
+	w.deliver(425 * time.Millisecond)
+	w.ask(1, 40, 40)
+	w.deliver(20 * time.Millisecond)
+}
+
+// playResent delivers a credit twice.
+func playResent(w *world) {
+	w.slow()
+	i := w.instances[0]
+	w.ask(0, 50, 0)
+	w.ask(0, 49, 49)
+	w.exchange(i, true)
+	w.deliver(5 * time.Millisecond)
+	i.holder.settle(w.now.Add(i.offset), i.open[0].s, 0)
+	w.duplicates = 1
+	w.exchange(i, true)
+	w.deliver(5 * time.Millisecond)
+	w.duplicates = 0
+	w.ask(1, 95, 95)
+}
+
+// playLostInstance restarts an instance that spent a batch and did not report it.
+func playLostInstance(w *world) {
+	w.slow()
+	w.ask(0, 99, 99)
+	w.startInstance(w.instances[0])
+	w.deliver(1100 * time.Millisecond)
+	w.ask(1, 95, 95)
+}
+
+// playLateReply delivers a batch 1.2 s after it was asked for, when its request has given up.
+func playLateReply(w *world) {
+	w.delays = []int{600}
+	w.request(w.instances[0], 99, 99, time.Second)
+	w.exchange(w.instances[0], false)
+	w.deliver(1100 * time.Millisecond)
+	w.collect()
+	w.deliver(560 * time.Millisecond)
+	w.centres[0].coordinator.Tick(w.now.Add(w.centres[0].offset))
+	w.deliver(240 * time.Millisecond)
+	w.delays = []int{1}
+	w.ask(1, 20, 20)
+	w.request(w.instances[0], 99, 99, time.Second)
+	w.ask(1, 20, 20)
+}
--- /dev/null
+++ b/internal/limit/admit/coordinator.go
@@ -0,0 +1,331 @@
+package admit
+
+import (
+	"maps"
+	"slices"
+	"sync"
+	"time"
+
+	"lycheevale/internal/limit/bucket"
+	"lycheevale/internal/limit/share"
+	"lycheevale/internal/state/registry"
+)
+
+// Coordinator lends the tokens of one data centre's shares to its instances. It is safe for concurrent use.
+// All accounts start empty, and refill only after every batch of the predecessor has expired.
+type Coordinator struct {
+	options  CoordinatorOptions
+	epoch    uint64
+	opens    time.Time
+	mu       sync.Mutex
+	accounts map[string]*account
+	sessions map[string]*session
+	nextID   uint64
+}
+
+// session is the state of the messages of one instance.
+type session struct {
+	incarnation uint64
+	seen        time.Time
+	borrowed    uint64 // sequence of the last applied BorrowRequest
+	borrowReply BorrowReply
+	returned    uint64
+	returnReply ReturnReply
+}
+
+// NewCoordinator returns the coordinator of a term; epoch is its fencing number and must differ from that of
+// every earlier coordinator of the data centre.
+func NewCoordinator(now time.Time, epoch uint64, opts ...CoordinatorOption) *Coordinator {
+	o := defaultCoordinatorOptions()
+	for _, opt := range opts {
+		opt(&o)
+	}
+	return &Coordinator{
+		options: o, epoch: epoch, opens: now.Add(o.Life + o.Margin),
+		accounts: map[string]*account{}, sessions: map[string]*session{},
+	}
+}
+
+// Epoch returns the coordinator's term.
+func (c *Coordinator) Epoch() uint64 { return c.epoch }
+
+// SetCustomer sets the customer's limit over the whole fleet.
+func (c *Coordinator) SetCustomer(now time.Time, name string, limit registry.Customer) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.account(now, name).limit = limit
+}
+
+// SetShare applies a share of this data centre. An epoch below the applied one, or below the one that the
+// keepers have recorded, is ignored.
+func (c *Coordinator) SetShare(now time.Time, s registry.Share) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if recorded, ok := c.options.Recorded[s.Customer]; ok && recorded.Epoch > s.Epoch {
+		s = recorded
+	}
+	a := c.account(now, s.Customer)
+	if s.Epoch < a.share.Epoch {
+		return
+	}
+	if c.options.fullStart && a.share.Epoch == 0 {
+		a.bucket = bucket.New(c.usable(now), s.Rate, s.Burst)
+	}
+	a.share = s
+	a.bucket.SetLimits(c.usable(now), s.Rate, s.Burst)
+}
+
+// RemoveShare stops lending to a customer whose share was deleted.
+func (c *Coordinator) RemoveShare(now time.Time, customer string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	a := c.account(now, customer)
+	a.share = registry.Share{}
+	a.bucket.SetLimits(c.usable(now), 0, 0)
+}
+
+// usable returns the time from which a new rate counts: now, or the end of the predecessor's batches.
+func (c *Coordinator) usable(now time.Time) time.Time {
+	if now.Before(c.opens) && !c.options.earlyOpen {
+		return c.opens
+	}
+	return now
+}
+
+// account returns the state of a customer. It is kept for the whole term, also without a share, so that the
+// marks of its bucket stay unique.
+func (c *Coordinator) account(now time.Time, customer string) *account {
+	a, ok := c.accounts[customer]
+	if !ok {
+		a = &account{bucket: c.newBucket(now), batches: map[batchKey]*lent{}}
+		c.accounts[customer] = a
+	}
+	return a
+}
+
+func (c *Coordinator) newBucket(now time.Time) *bucket.Bucket {
+	opts := []bucket.Option{bucket.WithLevel(0), bucket.WithGrants(c.options.Grants)}
+	if c.options.naiveCredit {
+		opts = append(opts, bucket.WithNaiveCredit())
+	}
+	return bucket.New(c.usable(now), 0, 0, opts...)
+}
+
+// Borrow answers a BorrowRequest of the instance named from.
+func (c *Coordinator) Borrow(now time.Time, from string, req BorrowRequest) BorrowReply {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	s, ok := c.session(now, from, req.Header)
+	if !ok {
+		return BorrowReply{Answer: Answer{Epoch: c.epoch, Reset: true}}
+	}
+	if req.Sequence <= s.borrowed && !c.options.applyResent {
+		return s.borrowReply
+	}
+	reply := BorrowReply{Answer: Answer{Epoch: c.epoch}}
+	for _, item := range req.Items {
+		if answer := c.borrow(now, from, item); !answer.empty() {
+			reply.Items = append(reply.Items, answer)
+		}
+	}
+	s.borrowed, s.borrowReply = req.Sequence, reply
+	return reply
+}
+
+func (a BorrowAnswer) empty() bool {
+	return a.Batch == nil && len(a.Refused) == 0 && a.Next == 0
+}
+
+// session returns the state of the sender's messages; it is false for a message that must not be applied.
+func (c *Coordinator) session(now time.Time, from string, h Header) (*session, bool) {
+	if h.Epoch != c.epoch {
+		return nil, false
+	}
+	s, ok := c.sessions[from]
+	if !ok || h.Incarnation > s.incarnation {
+		if h.Sequence != 1 {
+			return nil, false
+		}
+		s = &session{incarnation: h.Incarnation}
+		c.sessions[from] = s
+	}
+	if h.Incarnation < s.incarnation {
+		return nil, false
+	}
+	s.seen = now
+	return s, true
+}
+
+// silent reports whether an instance has stopped asking; its claims do not hold up others.
+func (c *Coordinator) silent(now time.Time) func(string) bool {
+	return func(holder string) bool {
+		s, ok := c.sessions[holder]
+		return !ok || now.Sub(s.seen) > c.options.Silence
+	}
+}
+
+func (c *Coordinator) borrow(now time.Time, from string, item BorrowItem) BorrowAnswer {
+	answer := BorrowAnswer{Customer: item.Customer}
+	a := c.account(now, item.Customer)
+	a.expire(now, c.options.freeExpired)
+	a.cancel(from, item.Cancelled)
+	silent := c.silent(now)
+	for _, claim := range item.Claims {
+		if r, refused := a.claim(now, from, claim, silent); refused {
+			answer.Refused = append(answer.Refused, r)
+		}
+	}
+	granted, tokens := a.grant(now, from, silent)
+	answer.Granted = granted
+	prefetch := 0.0
+	if len(a.queue) == 0 {
+		prefetch = min(item.Prefetch, max(0, a.bucket.Level(now)-tokens)*c.options.PrefetchShare)
+	}
+	answer.Batch = c.lend(now, from, a, tokens, prefetch)
+	answer.Next = a.next(now, from, silent)
+	return answer
+}
+
+// lend creates the batch for granted claims and prefetch, or none when both are zero.
+func (c *Coordinator) lend(now time.Time, from string, a *account, claimed, prefetch float64) *Batch {
+	total := claimed + prefetch
+	if total <= 0 || !a.bucket.Hold(now, total) {
+		return nil
+	}
+	c.nextID++
+	a.add(&lent{
+		key: batchKey{from, c.nextID}, tokens: total, prefetch: prefetch,
+		deadline: now.Add(c.options.Life + c.options.Margin),
+	})
+	return &Batch{ID: c.nextID, Tokens: total, Life: c.options.Life}
+}
+
+// Return answers a ReturnRequest of the instance named from.
+func (c *Coordinator) Return(now time.Time, from string, req ReturnRequest) ReturnReply {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	s, ok := c.session(now, from, req.Header)
+	if !ok {
+		return ReturnReply{Answer: Answer{Epoch: c.epoch, Reset: true}}
+	}
+	if req.Sequence <= s.returned && !c.options.applyResent {
+		return s.returnReply
+	}
+	reply := ReturnReply{Answer: Answer{Epoch: c.epoch}}
+	for _, item := range req.Items {
+		if mark := c.giveBack(now, from, item); mark != 0 {
+			reply.Items = append(reply.Items, ReturnAnswer{Customer: item.Customer, Mark: mark})
+		}
+	}
+	s.returned, s.returnReply = req.Sequence, reply
+	return reply
+}
+
+// giveBack applies credits, then counts what is newly spent, then takes back the rest of closed batches.
+func (c *Coordinator) giveBack(now time.Time, from string, item ReturnItem) (mark uint64) {
+	a := c.account(now, item.Customer)
+	a.expire(now, c.options.freeExpired)
+	for _, credit := range item.Credits {
+		g := bucket.Grant{Mark: credit.Mark, Tokens: credit.Tokens}
+		a.demand.add(now, -a.bucket.Credit(now, g, credit.Tokens))
+		if credit.Close {
+			a.bucket.Close(g)
+		}
+	}
+	spent, rest, complete := 0.0, 0.0, true
+	for _, report := range item.Batches {
+		s, r, ok := a.settle(from, report)
+		spent += s
+		rest += r
+		complete = complete && ok
+	}
+	if spent > 0 {
+		mark = a.bucket.Spend(now, spent).Mark
+		a.demand.add(now, spent)
+	}
+	a.bucket.Unhold(now, rest)
+	if !complete {
+		return 0 // part of the spending was counted earlier, a credit under this mark could be too large
+	}
+	return mark
+}
+
+// settle applies the report of one batch; a batch that expired has already been counted as spent.
+func (a *account) settle(from string, report BatchReport) (spent, rest float64, ok bool) {
+	key := batchKey{from, report.ID}
+	l, ok := a.batches[key]
+	if !ok {
+		return 0, 0, false
+	}
+	total := max(l.spent, min(report.Spent, l.tokens))
+	spent, l.spent = total-l.spent, total
+	if report.Close {
+		rest = l.tokens - l.spent
+		l.closed = true
+		delete(a.batches, key)
+	}
+	return spent, rest, true
+}
+
+// Tick expires batches and claims of all customers; instances that stopped asking are forgotten.
+func (c *Coordinator) Tick(now time.Time) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for _, a := range c.accounts {
+		if len(a.batches)+len(a.queue) > 0 {
+			a.expire(now, c.options.freeExpired)
+		}
+	}
+	maps.DeleteFunc(c.sessions, func(_ string, s *session) bool {
+		return now.Sub(s.seen) > sessionMemory
+	})
+}
+
+// Demand returns the report to the leader: every customer with demand, ordered by name.
+func (c *Coordinator) Demand(now time.Time) share.Report {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	report := share.Report{DataCentre: c.options.DataCentre}
+	for _, name := range slices.Sorted(maps.Keys(c.accounts)) {
+		a := c.accounts[name]
+		d := share.Demand{Customer: name, Rate: a.demand.decay(now), Largest: a.largest.get(now)}
+		for _, q := range a.queue {
+			d.Waiting += q.tokens
+		}
+		if d.Rate >= leastDemand || d.Waiting > 0 {
+			report.Items = append(report.Items, d)
+		}
+	}
+	return report
+}
+
+// SetOutlook records what the shares can become, from the leader's answer to a report.
+func (c *Coordinator) SetOutlook(now time.Time, answer share.Answer) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for _, o := range answer.Items {
+		a := c.account(now, o.Customer)
+		a.prospect = prospect{rate: o.Rate, burst: o.Burst, until: now.Add(outlookLife)}
+	}
+}
+
+// Unconfirmed returns the shares whose decrease is in full effect here: no more than the smaller burst is
+// available or lent. They may be confirmed once a majority of the keepers has recorded them.
+func (c *Coordinator) Unconfirmed(now time.Time) (list []registry.Share) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if now.Before(c.opens) {
+		return nil // batches of the predecessor may still be in use
+	}
+	for _, name := range slices.Sorted(maps.Keys(c.accounts)) {
+		a := c.accounts[name]
+		if a.share.Epoch == 0 || a.share.Confirmed {
+			continue
+		}
+		a.expire(now, c.options.freeExpired)
+		if a.bucket.Within() {
+			list = append(list, a.share)
+		}
+	}
+	return list
+}
--- /dev/null
+++ b/internal/limit/admit/giveback.go
@@ -0,0 +1,114 @@
+package admit
+
+import (
+	"maps"
+	"slices"
+	"time"
+)
+
+// composeReturn returns the unanswered report, or a new one; nil when there is nothing to report. With all set
+// every batch is returned.
+func (h *holder) composeReturn(now time.Time, all bool) *ReturnRequest {
+	if h.giveBack.pending != nil {
+		return h.giveBack.pending
+	}
+	if h.epoch == 0 {
+		return nil // nothing was borrowed
+	}
+	req := ReturnRequest{}
+	for _, name := range slices.Sorted(maps.Keys(h.dirty)) {
+		w := h.dirty[name]
+		w.expire(now)
+		if item, ok := h.returnItem(now, w, all); ok {
+			req.Items = append(req.Items, item)
+		}
+		h.tidy(now, w)
+		if len(req.Items) == maxItems {
+			break
+		}
+	}
+	if len(req.Items) == 0 {
+		return nil
+	}
+	h.giveBack.sequence++
+	req.Header = Header{Epoch: h.epoch, Incarnation: h.incarnation, Sequence: h.giveBack.sequence}
+	h.giveBack.pending, h.giveBack.sentAt = &req, now
+	return &req
+}
+
+// tidy forgets a wallet that holds nothing.
+func (h *holder) tidy(now time.Time, w *wallet) {
+	if len(w.batches) > 0 || w.current != nil || len(w.credits) > 0 {
+		return
+	}
+	if !w.empty(now) {
+		return
+	}
+	delete(h.dirty, w.customer)
+	delete(h.asking, w.customer)
+	delete(h.wallets, w.customer)
+}
+
+func (h *holder) returnItem(now time.Time, w *wallet, all bool) (item ReturnItem, ok bool) {
+	item.Customer = w.customer
+	idle := all || (len(w.waiters) == 0 && now.Sub(w.used) >= h.options.Idle)
+	keep := w.batches[:0]
+	for _, b := range w.batches {
+		last := idle || b.deadline.Sub(now) <= closeLead
+		if b.id != 0 && (last || b.spent != b.reported) {
+			item.Batches = append(item.Batches, BatchReport{ID: b.id, Spent: b.spent, Close: last})
+			b.reported = b.spent
+		}
+		if !last || b.id == 0 {
+			keep = append(keep, b)
+			continue
+		}
+		w.available -= b.remaining
+	}
+	clear(w.batches[len(keep):])
+	w.batches = keep
+	if len(keep) == 0 {
+		w.available = 0
+	}
+	if len(item.Batches) > 0 && w.current != nil {
+		w.current.composed = true
+		h.reports[w.customer] = w.current
+		w.current = nil
+	}
+	if w.current != nil && w.current.open == 0 {
+		w.current = nil // everything was taken back
+	}
+	item.Credits = w.takeCredits()
+	return item, len(item.Batches)+len(item.Credits) > 0
+}
+
+func (w *wallet) takeCredits() (list []Credit) {
+	for _, r := range w.credits {
+		list = append(list, Credit{Mark: r.mark, Tokens: r.unused, Close: r.open == 0})
+		r.unused, r.listed = 0, false
+	}
+	w.credits = nil
+	return list
+}
+
+// applyReturn applies the reply to the unanswered report.
+func (h *holder) applyReturn(req *ReturnRequest, reply ReturnReply) {
+	if h.giveBack.pending != req || reply.Epoch < h.epoch {
+		return
+	}
+	if reply.Reset {
+		h.reset(reply.Epoch)
+		return
+	}
+	for _, answer := range reply.Items {
+		r, ok := h.reports[answer.Customer]
+		w := h.wallets[answer.Customer]
+		if !ok || w == nil {
+			continue
+		}
+		r.mark = answer.Mark
+		w.list(r)
+	}
+	clear(h.reports)
+	h.giveBack.pending = nil
+}
--- /dev/null
+++ b/internal/limit/admit/leader.go
@@ -0,0 +1,144 @@
+package admit
+
+import (
+	"context"
+	"log/slog"
+	"sync"
+	"time"
+
+	"lycheevale/internal/base/event"
+	"lycheevale/internal/base/refusal"
+	"lycheevale/internal/limit/share"
+	"lycheevale/internal/state/registry"
+	"lycheevale/internal/wire/peer"
+)
+
+// Leader moves shares towards demand. It runs on every voter and acts only while that voter leads the
+// configuration log. It is safe for concurrent use.
+type Leader struct {
+	options   LeaderOptions
+	mu        sync.Mutex
+	allocator *share.Allocator
+	leading   bool
+}
+
+// LeaderOptions are the settings of a Leader.
+type LeaderOptions struct {
+	Now     func() time.Time
+	Leading func() bool
+	Input   func() share.Input // the applied configuration
+	Propose func(ctx context.Context, c registry.Command) error
+	NewID   func() string // of a request
+	Every   time.Duration // between plans
+	Logger  *slog.Logger
+}
+
+// LeaderOption sets one of the LeaderOptions.
+type LeaderOption func(*LeaderOptions)
+
+// WithLeaderClock sets the monotonic clock.
+func WithLeaderClock(now func() time.Time) LeaderOption {
+	return func(o *LeaderOptions) { o.Now = now }
+}
+
+// WithLog sets whether this voter leads, its applied configuration, how a change is proposed, and the source of
+// request identifiers.
+func WithLog(leading func() bool, input func() share.Input,
+	propose func(ctx context.Context, c registry.Command) error, newID func() string,
+) LeaderOption {
+	return func(o *LeaderOptions) { o.Leading, o.Input, o.Propose, o.NewID = leading, input, propose, newID }
+}
+
+// WithLeaderLogger sets the logger.
+func WithLeaderLogger(l *slog.Logger) LeaderOption {
+	return func(o *LeaderOptions) { o.Logger = l }
+}
+
+// planEvery is shorter than a demand report, so that a confirmed decrease is used soon.
+const planEvery = 250 * time.Millisecond
+
+// operatorName is recorded as the author of changes of shares.
+const operatorName = "limit/share"
+
+// NewLeader returns a leader that never leads unless WithLog is given.
+func NewLeader(opts ...LeaderOption) *Leader {
+	o := LeaderOptions{
+		Now:     time.Now,
+		Leading: func() bool { return false },
+		Every:   planEvery,
+	}
+	for _, opt := range opts {
+		opt(&o)
+	}
+	return &Leader{options: o, allocator: share.New()}
+}
+
+// Handle registers the messages of coordinators.
+func (l *Leader) Handle(mux *peer.Mux) {
+	mux.Handle(MethodDemand, peer.Typed(l.Demand))
+	mux.Handle(MethodConfirm, peer.Typed(l.Confirm))
+}
+
+// Demand handles Limit.Demand.
+func (l *Leader) Demand(_ context.Context, _ string, r share.Report) (answer share.Answer, err error) {
+	if !l.options.Leading() {
+		return answer, refusal.New(refusal.Unavailable, "this instance does not lead the configuration log")
+	}
+	in := l.options.Input()
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	now := l.options.Now()
+	l.allocator.Report(now, r)
+	return l.allocator.Outlook(now, in, r), nil
+}
+
+// Confirm handles Limit.Confirm.
+func (l *Leader) Confirm(ctx context.Context, _ string, req ConfirmRequest) (none struct{}, err error) {
+	if !l.options.Leading() {
+		return none, refusal.New(refusal.Unavailable, "this instance does not lead the configuration log")
+	}
+	in := l.options.Input()
+	return none, l.propose(ctx, in.Revision, share.Confirm(in.Shares, req.Shares))
+}
+
+// Run plans until ctx ends.
+func (l *Leader) Run(ctx context.Context) error {
+	for pause(ctx, l.options.Every) == nil {
+		_ = l.Step(ctx) // a rejected plan is made again from the newer configuration
+	}
+	return nil
+}
+
+// Step makes and proposes one plan. The expected revision makes the log reject a plan that is based on an older
+// configuration, so two leaders cannot give away the same tokens.
+func (l *Leader) Step(ctx context.Context) error {
+	changes, revision := l.plan()
+	return l.propose(ctx, revision, changes)
+}
+
+func (l *Leader) plan() (changes []registry.Object, revision uint64) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	leading := l.options.Leading()
+	if !leading {
+		l.leading = false
+		return nil, 0
+	}
+	if !l.leading {
+		l.allocator = share.New() // what another leader did meanwhile is unknown
+		l.leading = true
+	}
+	in := l.options.Input()
+	return l.allocator.Plan(l.options.Now(), in), in.Revision
+}
+
+func (l *Leader) propose(ctx context.Context, revision uint64, changes []registry.Object) error {
+	if len(changes) == 0 {
+		return nil
+	}
+	event.Log(ctx, l.options.Logger, event.LimitMoved, slog.Int("Shares", len(sharesOf(changes))))
+	return l.options.Propose(ctx, registry.Command{
+		RequestID: l.options.NewID(), ExpectedRevision: revision, Operator: operatorName, At: l.options.Now(),
+		Changes: changes,
+	})
+}
--- /dev/null
+++ b/internal/limit/admit/messages.go
@@ -0,0 +1,113 @@
+package admit
+
+import "time"
+
+// Methods of the messages of this package.
+const (
+	MethodBorrow  = "Limit.Borrow"
+	MethodReturn  = "Limit.Return"
+	MethodDemand  = "Limit.Demand"
+	MethodConfirm = "Limit.Confirm"
+)
+
+// Header identifies a message of an instance. An instance has at most one unanswered message of each method;
+// it resends that message unchanged until it is answered.
+type Header struct {
+	Epoch       uint64 `json:"Epoch"`       // coordinator's term as the instance knows it, 0 when unknown
+	Incarnation uint64 `json:"Incarnation"` // grows with each start and each new session of the instance
+	Sequence    uint64 `json:"Sequence"`    // from 1 in each session and method
+}
+
+// Answer is the common part of replies.
+type Answer struct {
+	Epoch uint64 `json:"Epoch"`
+	Reset bool   `json:"Reset,omitempty"` // nothing was applied; the instance starts a new session at Epoch
+}
+
+// BorrowRequest asks for tokens. Times are lengths because clocks of instances are not compared.
+type BorrowRequest struct {
+	Header
+	Items []BorrowItem `json:"Items,omitempty"`
+}
+
+// BorrowItem concerns one customer; an item without claims asks for the state of earlier claims.
+type BorrowItem struct {
+	Customer  string   `json:"Customer"`
+	Claims    []Claim  `json:"Claims,omitempty"`
+	Cancelled []uint64 `json:"Cancelled,omitempty"` // claims that are no longer wanted
+	Prefetch  float64  `json:"Prefetch,omitempty"`  // tokens wanted beyond the claims
+}
+
+// Claim is a request that waits for tokens.
+type Claim struct {
+	ID     uint64        `json:"ID"`
+	Tokens float64       `json:"Tokens"`
+	Left   time.Duration `json:"Left"` // time until the request's deadline
+}
+
+// BorrowReply answers a BorrowRequest.
+type BorrowReply struct {
+	Answer
+	Items []BorrowAnswer `json:"Items,omitempty"`
+}
+
+// BorrowAnswer concerns one customer.
+type BorrowAnswer struct {
+	Customer string         `json:"Customer"`
+	Batch    *Batch         `json:"Batch,omitempty"`
+	Granted  []uint64       `json:"Granted,omitempty"` // claims that the batch covers
+	Refused  []RefusedClaim `json:"Refused,omitempty"`
+	Next     time.Duration  `json:"Next,omitempty"` // time until the next claim of the instance may be granted
+}
+
+// Batch is a number of lent tokens.
+type Batch struct {
+	ID     uint64        `json:"ID"`
+	Tokens float64       `json:"Tokens"`
+	Life   time.Duration `json:"Life"` // counted by the instance from the first sending of its request
+}
+
+// RefusedClaim is a claim that cannot be granted before its deadline.
+type RefusedClaim struct {
+	ID    uint64        `json:"ID"`
+	Retry time.Duration `json:"Retry,omitempty"` // 0 when no time is known
+}
+
+// ReturnRequest reports use of batches and returns tokens.
+type ReturnRequest struct {
+	Header
+	Items []ReturnItem `json:"Items,omitempty"`
+}
+
+// ReturnItem concerns one customer.
+type ReturnItem struct {
+	Customer string        `json:"Customer"`
+	Batches  []BatchReport `json:"Batches,omitempty"`
+	Credits  []Credit      `json:"Credits,omitempty"`
+}
+
+// BatchReport tells how much of a batch is spent; the rest of a closed batch is returned.
+type BatchReport struct {
+	ID    uint64  `json:"ID"`
+	Spent float64 `json:"Spent"` // total since the batch was lent
+	Close bool    `json:"Close,omitempty"`
+}
+
+// Credit returns the unused remainder of reservations that were reported as spent under Mark.
+type Credit struct {
+	Mark   uint64  `json:"Mark"`
+	Tokens float64 `json:"Tokens"`
+	Close  bool    `json:"Close,omitempty"` // the last credit of this mark
+}
+
+// ReturnReply answers a ReturnRequest.
+type ReturnReply struct {
+	Answer
+	Items []ReturnAnswer `json:"Items,omitempty"`
+}
+
+// ReturnAnswer gives the mark under which the reported spending of a customer can be credited later.
+type ReturnAnswer struct {
+	Customer string `json:"Customer"`
+	Mark     uint64 `json:"Mark,omitempty"`
+}
--- /dev/null
+++ b/internal/limit/admit/options.go
@@ -0,0 +1,177 @@
+package admit
+
+import (
+	"context"
+	"log/slog"
+	"time"
+
+	"lycheevale/internal/state/registry"
+	"lycheevale/internal/wire/peer"
+)
+
+const (
+	// batchLife is long against a round trip within a data centre (about 2 ms) and short enough that the
+	// batches of a lost instance, and the pause after a takeover, cost a customer one second of its rate.
+	batchLife = time.Second
+	// batchMargin covers the rate difference of two monotonic clocks (500 ppm would need 0.5 ms).
+	batchMargin = 50 * time.Millisecond
+	// holderSilence is four times the longest poll: an instance that misses that many is taken for lost.
+	holderSilence = time.Second
+	// shortestPoll and longestPoll bound how often an instance asks for the state of its claims.
+	shortestPoll = 20 * time.Millisecond
+	longestPoll  = 250 * time.Millisecond
+	// moveTime is the time in which the shares follow demand: one report, one plan, confirmation, increase.
+	moveTime = 2 * time.Second
+	// outlookLife is six reports; afterwards the leader is taken for unreachable and only the own share counts.
+	outlookLife = 3 * time.Second
+	// peakMemory is how long the largest claim is remembered.
+	peakMemory = 5 * time.Second
+	// longestWait bounds computed waits.
+	longestWait = 24 * time.Hour
+	// sessionMemory is how long an instance that does not ask keeps its session.
+	sessionMemory = 10 * time.Minute
+	// maxQueue bounds the claims of one customer in one data centre.
+	maxQueue = 4096
+	// leastDemand is the demand in tokens per second below which a customer is idle.
+	leastDemand = 0.01
+	// prefetchShare of the level may be lent without a claim, so that many instances cannot strand a burst.
+	prefetchShare = 0.125
+	// reportEvery is how often use is reported: the coordinator cannot refill what it believes to be unspent.
+	reportEvery = 100 * time.Millisecond
+	// closeLead before its deadline a batch is returned; it covers two reports and a resend.
+	closeLead = 300 * time.Millisecond
+	// idleReturn is how long a customer's tokens stay unused before they are returned.
+	idleReturn = 300 * time.Millisecond
+	// prefetchHorizon is the demand that an instance holds ready; it covers a borrow and its resend.
+	prefetchHorizon = 200 * time.Millisecond
+	// walletMemory is how long an instance remembers the demand of an idle customer.
+	walletMemory = 5 * time.Second
+	// resendAfter is many round trips within a data centre.
+	resendAfter = 100 * time.Millisecond
+	// longestRequest is the wait of a request whose context has no deadline.
+	longestRequest = 30 * time.Second
+	// maxItems bounds one message to about 100 KB.
+	maxItems = 1024
+	// maxWaiters bounds the waiting requests of one customer at one instance.
+	maxWaiters = 1024
+	// shortageSlack in tokens is below any request and above the rounding of sums.
+	shortageSlack = 1e-6
+	// openGrants bounds the credit history of a customer to 4 KB; a report of each of nine instances every
+	// 100 ms fills it in 2.8 s, after which neighbours are joined.
+	openGrants = 256
+)
+
+// CoordinatorOptions are the settings of a Coordinator.
+type CoordinatorOptions struct {
+	DataCentre    string
+	Life          time.Duration             // of a batch
+	Margin        time.Duration             // added to Life by the coordinator
+	Silence       time.Duration             // after which an instance's claims no longer hold up others
+	PrefetchShare float64                   // of the level
+	Grants        int                       // bound of the credit history of a customer
+	Recorded      map[string]registry.Share // by customer, the newest shares that the keepers recorded
+
+	// Mutations switch off one protecting rule each; only tests set them.
+	naiveCredit bool // credit up to the burst at settlement
+	fullStart   bool // start with a full bucket
+	applyResent bool // apply resent messages again
+	freeExpired bool // give back the batches of lost instances
+	earlyOpen   bool // refill before the predecessor's batches have expired
+}
+
+// CoordinatorOption sets one of the CoordinatorOptions.
+type CoordinatorOption func(*CoordinatorOptions)
+
+func defaultCoordinatorOptions() CoordinatorOptions {
+	return CoordinatorOptions{
+		Life: batchLife, Margin: batchMargin, Silence: holderSilence, PrefetchShare: prefetchShare, Grants: openGrants,
+	}
+}
+
+// WithDataCentre sets the name of the data centre.
+func WithDataCentre(name string) CoordinatorOption {
+	return func(o *CoordinatorOptions) { o.DataCentre = name }
+}
+
+// WithRecorded sets the shares that a majority of the keepers recorded, read after winning the lease. They
+// keep a new coordinator with an old configuration from using a share that was already reduced.
+func WithRecorded(shares []registry.Share) CoordinatorOption {
+	return func(o *CoordinatorOptions) {
+		o.Recorded = map[string]registry.Share{}
+		for _, s := range shares {
+			o.Recorded[s.Customer] = s
+		}
+	}
+}
+
+// WithBatchLife sets the life of a batch; all coordinators of a data centre use the same.
+func WithBatchLife(life, margin time.Duration) CoordinatorOption {
+	return func(o *CoordinatorOptions) { o.Life, o.Margin = life, margin }
+}
+
+// Options are the settings of an Admission.
+type Options struct {
+	Now         func() time.Time // monotonic
+	Incarnation uint64           // of this process; higher than that of any earlier one with the same name
+	Limit       func(customer string) (limit registry.Customer, ok bool)
+	Coordinator func() (name string, ok bool) // of this data centre
+	Call        peer.Caller
+	Logger      *slog.Logger
+	Report      time.Duration // between reports of use
+	Horizon     time.Duration // of demand that is held ready
+	Idle        time.Duration // after which unused tokens are returned
+	Resend      time.Duration // after which an unanswered message is sent again
+
+	lateLife bool // mutation: counts the life of a batch from its arrival
+}
+
+// Option sets one of the Options.
+type Option func(*Options)
+
+func defaultOptions() Options {
+	return Options{
+		Now:         time.Now,
+		Incarnation: 1,
+		Limit:       func(string) (registry.Customer, bool) { return registry.Customer{}, false },
+		Coordinator: func() (string, bool) { return "", false },
+		Call: func(context.Context, string, string, any, any) error {
+			return Error.New("no links to other instances")
+		},
+		Report: reportEvery, Horizon: prefetchHorizon, Idle: idleReturn, Resend: resendAfter,
+	}
+}
+
+// WithNow sets the clock, which must be monotonic.
+func WithNow(now func() time.Time) Option {
+	return func(o *Options) { o.Now = now }
+}
+
+// WithIncarnation sets the number of this start of the instance, higher than that of any earlier one.
+func WithIncarnation(n uint64) Option {
+	return func(o *Options) { o.Incarnation = n }
+}
+
+// WithLimit sets the lookup of a customer's limit; ok is false for a customer that is not configured.
+func WithLimit(f func(customer string) (limit registry.Customer, ok bool)) Option {
+	return func(o *Options) { o.Limit = f }
+}
+
+// WithCoordinator sets the lookup of the data centre's coordinator.
+func WithCoordinator(f func() (name string, ok bool)) Option {
+	return func(o *Options) { o.Coordinator = f }
+}
+
+// WithCall sets how messages are sent.
+func WithCall(c peer.Caller) Option {
+	return func(o *Options) { o.Call = c }
+}
+
+// WithLogger sets the logger.
+func WithLogger(l *slog.Logger) Option {
+	return func(o *Options) { o.Logger = l }
+}
+
+// WithReport sets the time between reports of use and the demand horizon that is held ready.
+func WithReport(every, horizon time.Duration) Option {
+	return func(o *Options) { o.Report, o.Horizon = every, horizon }
+}
--- /dev/null
+++ b/internal/limit/admit/sim_test.go
@@ -0,0 +1,368 @@
+package admit
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"strconv"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"lycheevale/internal/limit/share"
+	"lycheevale/internal/state/registry"
+)
+
+const (
+	simCustomer = "banksia"
+	simBurst    = 100.0
+)
+
+// world is a fleet of two data centres in virtual time. Every process has its own clock origin, drawn at each
+// start, so a comparison of times of two processes would fail at once.
+type world struct {
+	random     *rand.Rand
+	steps      int
+	now        time.Time
+	queue      []timed
+	instances  []*simInstance
+	centres    []*simCentre
+	names      []string
+	allocator  *share.Allocator
+	allocOpts  []share.Option
+	coordOpts  []CoordinatorOption
+	lateLife   bool
+	shares     []registry.Share
+	history    [][]registry.Share
+	revision   uint64
+	epoch      uint64
+	admissions int
+	ticks      int
+	rate       float64
+	delays     []int   // milliseconds
+	reliable   bool    // no message is lost
+	duplicates int     // of every message
+	faults     int     // kind of fault, or more than any kind for all of them
+	level      float64 // of the exact central bucket with final costs
+	last       time.Time
+	err        error
+}
+
+type timed struct {
+	at  time.Time
+	run func()
+}
+
+type simInstance struct {
+	name    string
+	centre  *simCentre
+	holder  *holder
+	starts  uint64
+	offset  time.Duration
+	waiting []simWaiter
+	open    []simReservation
+}
+
+type simWaiter struct {
+	q     *waiter
+	final float64
+}
+
+type simReservation struct {
+	s     *spending
+	final float64
+}
+
+type simCentre struct {
+	name        string
+	coordinator *Coordinator
+	offset      time.Duration
+	cut         bool // from the leader
+	recorded    []registry.Share
+}
+
+type mutation struct {
+	name       string
+	coordinate func(*CoordinatorOptions)
+	allocate   []share.Option
+	lateLife   bool
+	centres    int          // 1 for one data centre with two instances, 0 for a drawn number
+	play       func(*world) // a schedule that needs the rule, nil for drawn ones
+}
+
+func newWorld(seed [32]byte, steps int, m mutation) *world {
+	w := &world{
+		random: rand.New(rand.NewChaCha8(seed)), steps: steps, now: time.Unix(1e9, 0), allocOpts: m.allocate, lateLife: m.lateLife, level: simBurst,
+		coordOpts: []CoordinatorOption{WithBatchLife(batchLife, batchMargin)},
+	}
+	if m.coordinate != nil {
+		w.coordOpts = append(w.coordOpts, m.coordinate)
+	}
+	w.last = w.now
+	w.rate = []float64{20, 100}[w.draw(0, 1)]
+	w.delays = [][]int{{1, 2, 5}, {1, 5, 120, 400}, {400, 900}}[w.draw(0, 2)]
+	w.faults = w.draw(0, 5)
+	w.allocator = share.New(w.allocOpts...)
+	for d := range 1 + (1-m.centres)*w.draw(0, 1) {
+		c := &simCentre{name: "dc" + strconv.Itoa(d)}
+		w.centres, w.names = append(w.centres, c), append(w.names, c.name)
+		for range 1 + max(m.centres, w.draw(0, 1)) {
+			i := &simInstance{name: "i" + strconv.Itoa(len(w.instances)), centre: c}
+			w.instances = append(w.instances, i)
+			w.startInstance(i)
+		}
+	}
+	w.plan()
+	for _, c := range w.centres {
+		w.startCoordinator(c)
+	}
+	w.deliver(8 * time.Second) // fills the buckets
+	return w
+}
+
+// draw returns a number with an even distribution, which rapid's own generators do not have: they prefer small
+// numbers and then most schedules are idle.
+func (w *world) draw(low, high int) int {
+	return low + w.random.IntN(high-low+1)
+}
+
+func (w *world) startInstance(i *simInstance) {
+	o := defaultOptions()
+	i.starts++
+	o.Incarnation, o.lateLife = i.starts<<32, w.lateLife
+	i.offset = time.Duration(w.draw(-1e6, 1e6)) * time.Second
+	i.holder, i.open, i.waiting = newHolder(o), nil, nil
+}
+
+// startCoordinator replaces the coordinator by one without memory whose configuration may be old.
+func (w *world) startCoordinator(c *simCentre) {
+	w.epoch++
+	c.offset = time.Duration(w.draw(-1e6, 1e6)) * time.Second
+	now := w.now.Add(c.offset)
+	opts := slices.Concat(w.coordOpts, []CoordinatorOption{WithDataCentre(c.name), WithRecorded(c.recorded)})
+	c.coordinator = NewCoordinator(now, w.epoch, opts...)
+	c.coordinator.SetCustomer(now, simCustomer, registry.Customer{Rate: w.rate, Burst: simBurst})
+	old := w.history[len(w.history)-1-w.draw(0, min(2, len(w.history)-1))]
+	w.setShares(c, old)
+}
+
+func (w *world) setShares(c *simCentre, shares []registry.Share) {
+	for _, s := range shares {
+		if s.DataCentre == c.name {
+			c.coordinator.SetShare(w.now.Add(c.offset), s)
+		}
+	}
+}
+
+// send delivers with delay, loss, duplication and thereby reordering.
+func (w *world) send(run func()) {
+	if !w.reliable && w.draw(0, 9) == 0 {
+		return
+	}
+	for range 1 + w.duplicates + w.draw(0, 5)/5 {
+		delay := time.Duration(w.delays[w.draw(0, len(w.delays)-1)]) * time.Millisecond
+		w.queue = append(w.queue, timed{w.now.Add(delay), run})
+	}
+	slices.SortStableFunc(w.queue, func(a, b timed) int { return a.at.Compare(b.at) })
+}
+
+// advance lets the instances exchange messages every 100 ms, and the leader plan every 500 ms.
+func (w *world) advance(d time.Duration) {
+	for ; d > 0 && w.err == nil; d -= 100 * time.Millisecond {
+		w.deliver(min(d, 100*time.Millisecond))
+		for _, i := range w.instances {
+			w.exchange(i, true)
+		}
+		if w.ticks++; w.ticks%5 == 0 {
+			w.plan()
+		}
+	}
+}
+
+func (w *world) deliver(d time.Duration) {
+	end := w.now.Add(d)
+	for len(w.queue) > 0 && !w.queue[0].at.After(end) {
+		e := w.queue[0]
+		w.queue = w.queue[1:]
+		w.now = e.at
+		e.run()
+		w.collect()
+	}
+	w.now = end
+}
+
+func (w *world) exchange(i *simInstance, report bool) {
+	c, h := i.centre, i.holder
+	now := func() time.Time { return w.now.Add(i.offset) }
+	if b := h.composeBorrow(now()); b != nil {
+		w.send(func() {
+			reply := c.coordinator.Borrow(w.now.Add(c.offset), i.name, *b)
+			w.send(func() { h.applyBorrow(now(), b, reply) })
+		})
+	}
+	if !report {
+		return
+	}
+	if r := h.composeReturn(now(), false); r != nil {
+		w.send(func() {
+			reply := c.coordinator.Return(w.now.Add(c.offset), i.name, *r)
+			w.send(func() { h.applyReturn(r, reply) })
+		})
+	}
+}
+
+// plan lets the leader work on the reports that reach it.
+func (w *world) plan() {
+	for _, c := range w.centres {
+		if c.coordinator == nil || c.cut {
+			continue
+		}
+		now := w.now.Add(c.offset)
+		w.allocator.Report(w.now, c.coordinator.Demand(now))
+		confirmed := c.coordinator.Unconfirmed(now)
+		if len(confirmed) > 0 {
+			c.recorded = confirmed
+			w.send(func() { w.apply(share.Confirm(w.shares, confirmed)) })
+		}
+	}
+	w.apply(w.allocator.Plan(w.now, share.Input{
+		Revision: w.revision, DataCentres: w.names, Shares: w.shares,
+		Customers: map[string]registry.Customer{simCustomer: {Rate: w.rate, Burst: simBurst}},
+	}))
+	for _, c := range w.centres {
+		if c.coordinator != nil && !c.cut {
+			shares := w.shares
+			w.send(func() { w.setShares(c, shares) })
+		}
+	}
+}
+
+func (w *world) apply(changes []registry.Object) {
+	if len(changes) == 0 && len(w.history) > 0 {
+		return
+	}
+	w.revision++
+	w.shares = slices.Clone(w.shares)
+	for _, o := range changes {
+		i := slices.IndexFunc(w.shares, func(s registry.Share) bool { return share.Name(s) == o.Name })
+		if i < 0 {
+			w.shares = append(w.shares, *o.Share)
+		} else {
+			w.shares[i] = *o.Share
+		}
+	}
+	w.history = append(w.history, w.shares)
+}
+
+func (w *world) reserve(i *simInstance) {
+	n := float64(w.draw(1, 50))
+	left := time.Duration(w.draw(0, 4000)) * time.Millisecond
+	w.request(i, n, n*[]float64{0, 0.5, 1, 1}[w.draw(0, 3)], left)
+}
+
+func (w *world) request(i *simInstance, n, final float64, left time.Duration) {
+	now := w.now.Add(i.offset)
+	s, q := i.holder.reserve(now, simCustomer, n, now.Add(left))
+	if s != nil {
+		w.admit(i, s, final)
+	} else {
+		i.waiting = append(i.waiting, simWaiter{q, final})
+	}
+}
+
+// collect notes requests whose wait has ended.
+func (w *world) collect() {
+	for _, i := range w.instances {
+		i.waiting = slices.DeleteFunc(i.waiting, func(x simWaiter) bool {
+			select {
+			case o := <-x.q.done:
+				if o.spending != nil {
+					w.admit(i, o.spending, x.final)
+				}
+				return true
+			default:
+			}
+			overdue := w.now.Add(i.offset).After(x.q.deadline)
+			return overdue && i.holder.cancel(w.now.Add(i.offset), simCustomer, x.q)
+		})
+	}
+}
+
+// admit charges the final cost to the exact central bucket at the time of admission.
+func (w *world) admit(i *simInstance, s *spending, final float64) {
+	w.level = min(simBurst, w.level+w.rate*w.now.Sub(w.last).Seconds()) - final
+	w.last = w.now
+	w.admissions++
+	if w.level < -1e-6 && w.err == nil {
+		w.err = fmt.Errorf("%v tokens over the exact bucket", -w.level)
+	}
+	i.open = append(i.open, simReservation{s, final})
+}
+
+func (w *world) settle(i *simInstance) {
+	if len(i.open) == 0 {
+		return
+	}
+	k := w.draw(0, len(i.open)-1)
+	i.holder.settle(w.now.Add(i.offset), i.open[k].s, i.open[k].final)
+	i.open = slices.Delete(i.open, k, k+1)
+	w.collect()
+}
+
+func drawWorld(t *rapid.T, m mutation) *world {
+	seed := [32]byte(rapid.SliceOfN(rapid.Byte(), 32, 32).Draw(t, "seed"))
+	return newWorld(seed, rapid.IntRange(20, 80).Draw(t, "steps"), m)
+}
+
+// run plays one schedule and returns the first violation.
+func (w *world) run() error {
+	faults := []int{0, 1, 4}[w.draw(0, 2)]
+	for range w.steps {
+		i := w.instances[w.draw(0, len(w.instances)-1)]
+		action := w.draw(0, 59)
+		if action < faults {
+			w.fault(i)
+		}
+		switch {
+		case action < 12:
+			w.settle(i)
+		case action < 24:
+			w.reserve(i)
+		case action < 34: // requests everywhere at once
+			for _, i := range w.instances {
+				for range 4 {
+					w.reserve(i)
+				}
+			}
+		case action < 38:
+			w.advance(time.Duration(w.draw(500, 6000)) * time.Millisecond)
+		default:
+			w.advance(time.Duration(w.draw(0, 150)) * time.Millisecond)
+		}
+		w.collect()
+		for _, i := range w.instances {
+			w.exchange(i, false)
+		}
+		if w.err != nil {
+			return w.err
+		}
+	}
+	return nil
+}
+
+func (w *world) fault(i *simInstance) {
+	kind := w.faults
+	if kind > 3 {
+		kind = w.draw(0, 3)
+	}
+	switch kind {
+	case 0:
+		w.startInstance(i)
+	case 1:
+		w.startCoordinator(i.centre)
+	case 2:
+		i.centre.cut = !i.centre.cut
+	case 3:
+		w.allocator = share.New(w.allocOpts...)
+	}
+}
--- /dev/null
+++ b/internal/limit/admit/wallet.go
@@ -0,0 +1,234 @@
+package admit
+
+import (
+	"cmp"
+	"slices"
+	"time"
+)
+
+// wallet is what an instance holds for one customer.
+type wallet struct {
+	customer  string
+	batches   []*held // by deadline
+	available float64 // tokens of all batches that are not spent
+	waiters   []*waiter
+	cancelled []uint64
+	current   *report // collects spending that was not yet reported
+	credits   []*report
+	demand    meter
+	used      time.Time // last spending
+	poll      time.Time // when to ask for the state of claims, zero without claims
+}
+
+// held is one batch.
+type held struct {
+	id        uint64
+	remaining float64
+	spent     float64
+	reported  float64 // part of spent that was put into a ReturnRequest
+	deadline  time.Time
+}
+
+// waiter is a request that waits for tokens.
+type waiter struct {
+	id       uint64
+	tokens   float64
+	claimed  float64 // asked for at the coordinator, 0 when its tokens are held
+	sent     bool
+	deadline time.Time
+	answered bool         // the coordinator knows the claim
+	done     chan outcome // has room for one outcome
+}
+
+// outcome ends the wait of a request.
+type outcome struct {
+	spending *spending // nil when refused
+	retryAt  time.Time
+}
+
+// report is spending that is counted at the coordinator as one grant.
+type report struct {
+	composed bool    // part of a ReturnRequest; spending can no longer be taken back from it
+	mark     uint64  // 0 when nothing can be credited, or not yet
+	open     int     // reservations that are not settled
+	unused   float64 // to be credited
+	listed   bool    // in the wallet's credits
+}
+
+// spending is the state of a reservation.
+type spending struct {
+	wallet  *wallet
+	report  *report
+	left    float64 // reserved
+	settled bool
+	parts   []part
+	room    [2]part // keeps parts of the usual size within the allocation
+}
+
+// part is what a reservation took from one batch.
+type part struct {
+	batch  *held
+	tokens float64
+}
+
+// expire drops batches whose deadline has passed. The coordinator counts them as spent at that time, so the
+// unreported spending of the wallet can no longer be credited under a later mark.
+func (w *wallet) expire(now time.Time) {
+	keep := w.batches[:0]
+	for _, b := range w.batches {
+		if now.Before(b.deadline) {
+			keep = append(keep, b)
+			continue
+		}
+		w.available -= b.remaining
+		if b.spent > b.reported {
+			w.abandon()
+		}
+	}
+	clear(w.batches[len(keep):])
+	w.batches = keep
+	if len(keep) == 0 {
+		w.available = 0 // without the rounding error of many sums
+	}
+}
+
+// abandon gives up crediting what was spent since the last report.
+func (w *wallet) abandon() {
+	if w.current != nil {
+		w.current.composed = true
+		w.current = nil
+	}
+}
+
+// add takes a batch that was lent.
+func (w *wallet) add(b *held) {
+	i, _ := slices.BinarySearchFunc(w.batches, b, func(x, y *held) int { return cmp.Compare(x.deadline.Sub(y.deadline), 0) })
+	w.batches = slices.Insert(w.batches, i, b)
+	w.available += b.remaining
+}
+
+// spend takes n tokens, which are available, from the batches that expire first.
+func (w *wallet) spend(now time.Time, n float64) *spending {
+	r := &spending{wallet: w, left: n}
+	r.parts = r.room[:0]
+	w.used = now
+	w.demand.add(now, n)
+	rest, old := n, false
+	for _, b := range w.batches {
+		t := min(rest, b.remaining)
+		if t <= 0 {
+			continue
+		}
+		b.remaining -= t
+		b.spent += t
+		w.available -= t
+		r.parts = append(r.parts, part{b, t})
+		old = old || b.id == 0
+		rest -= t
+		if rest <= 0 {
+			break
+		}
+	}
+	r.report = w.reportFor(old)
+	r.report.open++
+	return r
+}
+
+// reportFor returns the report that collects new spending. Spending from batches of an earlier session is never
+// reported and thus never credited.
+func (w *wallet) reportFor(old bool) *report {
+	if old {
+		return &report{composed: true}
+	}
+	if w.current == nil {
+		w.current = &report{}
+	}
+	return w.current
+}
+
+// undo gives unreported spending back to the batches; what belongs to an expired batch is lost, because the
+// coordinator counts it as spent.
+func (w *wallet) undo(now time.Time, r *spending, n float64) {
+	for i := len(r.parts) - 1; i >= 0 && n > 0; i-- {
+		p := &r.parts[i]
+		t := min(n, p.tokens)
+		n -= t
+		p.tokens -= t
+		if !now.Before(p.batch.deadline) {
+			continue
+		}
+		p.batch.spent -= t
+		p.batch.remaining += t
+		w.available += t
+	}
+}
+
+// settle returns unused tokens of a reservation.
+func (w *wallet) settle(now time.Time, r *spending, unused float64) {
+	w.demand.add(now, -unused)
+	r.report.open--
+	if !r.report.composed {
+		w.undo(now, r, unused)
+		return
+	}
+	r.report.unused += unused
+	w.list(r.report)
+}
+
+// list notes that a report has something to credit.
+func (w *wallet) list(r *report) {
+	if r.listed || r.mark == 0 || (r.unused <= 0 && r.open > 0) {
+		return
+	}
+	r.listed = true
+	w.credits = append(w.credits, r)
+}
+
+// shortage returns the tokens that waiting requests need beyond what is held and claimed.
+func (w *wallet) shortage() float64 {
+	short := -w.available
+	for _, q := range w.waiters {
+		short += q.tokens - q.claimed
+	}
+	return short
+}
+
+// serve ends the wait of requests in order as far as the tokens reach.
+func (w *wallet) serve(now time.Time) {
+	for len(w.waiters) > 0 && w.waiters[0].tokens <= w.available {
+		q := w.waiters[0]
+		w.waiters = slices.Delete(w.waiters, 0, 1)
+		if q.claimed > 0 && q.sent {
+			w.cancelled = append(w.cancelled, q.id)
+		}
+		q.done <- outcome{spending: w.spend(now, q.tokens)}
+	}
+}
+
+// remove takes a request out of the queue and reports whether it was there.
+func (w *wallet) remove(q *waiter) bool {
+	i := slices.Index(w.waiters, q)
+	if i < 0 {
+		return false
+	}
+	w.waiters = slices.Delete(w.waiters, i, i+1)
+	if q.claimed > 0 && q.sent {
+		w.cancelled = append(w.cancelled, q.id)
+	}
+	return true
+}
+
+// waiter returns the waiting request with the identifier.
+func (w *wallet) waiter(id uint64) *waiter {
+	i := slices.IndexFunc(w.waiters, func(q *waiter) bool { return q.id == id })
+	if i < 0 {
+		return nil
+	}
+	return w.waiters[i]
+}
+
+// empty reports whether the wallet can be forgotten.
+func (w *wallet) empty(now time.Time) bool {
+	return len(w.batches) == 0 && len(w.waiters) == 0 && w.current == nil && len(w.credits) == 0 &&
+		len(w.cancelled) == 0 && now.Sub(w.used) > walletMemory
+}
--- /dev/null
+++ b/internal/limit/share/options.go
@@ -0,0 +1,57 @@
+package share
+
+import "time"
+
+const (
+	// decayTime averages demand that falls, so that a pause of a fraction of a second moves nothing.
+	decayTime = 1500 * time.Millisecond
+	// reportSilence is six reports at 500 ms.
+	reportSilence = 3 * time.Second
+	// planPause lets a decrease show its effect before the next one, so that plans do not chase each other.
+	planPause = time.Second
+	// backlogTime turns waiting tokens into a rate that would clear them in this time.
+	backlogTime = 2 * time.Second
+	// leastShare of an even share stays at each data centre, so that a first request there need not wait for a move.
+	leastShare = 0.1
+	// leastMove as part of an even share: smaller moves cost a log entry and gain nothing.
+	leastMove = 0.1
+	// leastRate in tokens per second below which a demand is forgotten.
+	leastRate = 1e-3
+)
+
+// Options are the settings of an Allocator.
+type Options struct {
+	Minimum float64       // part of an even share that each data centre keeps, 0 to 1
+	Move    float64       // part of an even share below which nothing moves
+	Decay   time.Duration // time constant of falling demand
+	Silence time.Duration // age of the last report after which a data centre counts as cut off
+	Pause   time.Duration // between decreases of one customer
+	Backlog time.Duration // in which waiting tokens should be served
+
+	earlyIncrease bool // mutation for tests: gives away what an unconfirmed decrease will free
+}
+
+// Option sets one of the Options.
+type Option func(*Options)
+
+func defaultOptions() Options {
+	return Options{
+		Minimum: leastShare, Move: leastMove, Decay: decayTime, Silence: reportSilence, Pause: planPause,
+		Backlog: backlogTime,
+	}
+}
+
+// WithMinimum sets the part of an even share that each data centre keeps.
+func WithMinimum(part float64) Option {
+	return func(o *Options) { o.Minimum = part }
+}
+
+// WithSilence sets after which time without a report a data centre counts as cut off.
+func WithSilence(d time.Duration) Option {
+	return func(o *Options) { o.Silence = d }
+}
+
+// WithEarlyIncrease switches off the wait for confirmation, so that a test can show that its check detects this.
+func WithEarlyIncrease() Option {
+	return func(o *Options) { o.earlyIncrease = true }
+}
--- /dev/null
+++ b/internal/limit/share/plan.go
@@ -0,0 +1,220 @@
+package share
+
+import (
+	"cmp"
+	"maps"
+	"math"
+	"slices"
+	"time"
+
+	"lycheevale/internal/state/registry"
+)
+
+// plan is the split of one customer's limit at one moment.
+type plan struct {
+	a      *Allocator
+	name   string
+	limit  registry.Customer
+	shares map[string]registry.Share
+	rows   []row  // data centres that can change, by name
+	fixed  amount // of data centres that are cut off or not listed
+}
+
+// row is one reachable data centre.
+type row struct {
+	centre  string
+	current registry.Share
+	exists  bool
+	demand  demand
+	target  amount
+}
+
+func (a *Allocator) prepare(now time.Time, name string, limit registry.Customer, centres []string,
+	shares map[string]registry.Share,
+) *plan {
+	p := &plan{a: a, name: name, limit: limit, shares: shares}
+	for _, centre := range slices.Sorted(slices.Values(centres)) {
+		s, exists := shares[centre]
+		if !a.Reachable(now, centre) && len(shares) > 0 {
+			continue
+		}
+		if !exists {
+			s = registry.Share{Customer: name, DataCentre: centre, Confirmed: true}
+		}
+		k := key{name, centre}
+		d := a.demands[k]
+		d.rate = a.decayed(now, k)
+		p.rows = append(p.rows, row{centre: centre, current: s, exists: exists, demand: d})
+	}
+	for _, centre := range slices.Sorted(maps.Keys(shares)) {
+		s := shares[centre]
+		if !slices.ContainsFunc(p.rows, func(r row) bool { return r.centre == centre }) {
+			p.fixed.rate += s.Rate
+			p.fixed.burst += s.Burst
+		}
+	}
+	p.aim(len(centres))
+	return p
+}
+
+func (a *Allocator) decayed(now time.Time, k key) float64 {
+	d := a.demands[k]
+	return d.rate * math.Exp(-max(0, now.Sub(d.at).Seconds())/a.options.Decay.Seconds())
+}
+
+// aim computes the targets: demand first, in proportion when it exceeds the rate, and what is left evenly.
+func (p *plan) aim(centres int) {
+	n := float64(len(p.rows))
+	if n == 0 {
+		return
+	}
+	rate, burst := max(0, p.limit.Rate-p.fixed.rate), max(0, p.limit.Burst-p.fixed.burst)
+	least := p.a.options.Minimum / float64(max(1, centres))
+	leastRate, leastBurst := min(least*p.limit.Rate, rate/n), min(least*p.limit.Burst, burst/n)
+	wanted := 0.0
+	for _, r := range p.rows {
+		wanted += max(leastRate, r.demand.rate)
+	}
+	rest := rate - n*leastRate
+	scale := 1.0
+	if wanted > rate && wanted > n*leastRate {
+		scale = rest / (wanted - n*leastRate)
+	}
+	spare := max(0, rate-wanted)
+	for i := range p.rows {
+		extra := max(0, p.rows[i].demand.rate-leastRate)
+		p.rows[i].target.rate = leastRate + extra*scale + spare/n
+	}
+	p.aimBurst(rate, burst, leastBurst)
+}
+
+// aimBurst gives each data centre its largest recent request, those with most waiting first, and divides the
+// rest like the rate.
+func (p *plan) aimBurst(rate, burst, least float64) {
+	rest := burst - least*float64(len(p.rows))
+	order := make([]int, len(p.rows))
+	for i := range order {
+		order[i] = i
+		p.rows[i].target.burst = least
+	}
+	slices.SortStableFunc(order, func(x, y int) int {
+		a, b := p.rows[x], p.rows[y]
+		return cmp.Or(cmp.Compare(b.demand.waiting, a.demand.waiting), cmp.Compare(b.current.Burst, a.current.Burst))
+	})
+	for _, i := range order {
+		r := &p.rows[i]
+		extra := max(0, min(rest, r.demand.largest-least))
+		r.target.burst += extra
+		rest -= extra
+	}
+	if rate <= 0 {
+		return
+	}
+	for i := range p.rows {
+		p.rows[i].target.burst += max(0, rest) * p.rows[i].target.rate / rate
+	}
+}
+
+// changes returns decreases, and increases from what is certainly free. A share never does both at once.
+func (p *plan) changes(now time.Time) (list []registry.Share) {
+	free := left(p.limit, p.shares)
+	usable := p.usable(free)
+	over := free.rate < -p.slack(p.limit.Rate) || free.burst < -p.slack(p.limit.Burst)
+	pause := now.Sub(p.a.moved[p.name]) < p.a.options.Pause
+	for i, r := range p.rows {
+		if !r.exists || !r.current.Confirmed || (pause && !over) {
+			continue
+		}
+		if s, ok := p.decrease(r, over); ok {
+			list = append(list, s)
+			p.rows[i].current.Confirmed = false
+			p.a.moved[p.name] = now
+		}
+	}
+	return append(list, p.increases(usable)...)
+}
+
+// usable subtracts what unconfirmed decreases have freed on paper only.
+func (p *plan) usable(free amount) amount {
+	if p.a.options.earlyIncrease {
+		return free
+	}
+	for _, centre := range slices.Sorted(maps.Keys(p.shares)) {
+		h := p.a.holds[key{p.name, centre}]
+		free.rate -= h.rate
+		free.burst -= h.burst
+	}
+	return free
+}
+
+func (p *plan) decrease(r row, over bool) (registry.Share, bool) {
+	s := r.current
+	threshold := amount{p.step(p.limit.Rate), p.step(p.limit.Burst)}
+	if over {
+		threshold = amount{}
+	}
+	cut := amount{s.Rate - r.target.rate, s.Burst - r.target.burst}
+	if cut.rate <= threshold.rate && cut.burst <= threshold.burst {
+		return s, false
+	}
+	s.Rate = min(s.Rate, r.target.rate)
+	s.Burst = min(s.Burst, r.target.burst)
+	s.Confirmed = false
+	return s, true
+}
+
+// step is the smallest move of a total.
+func (p *plan) step(total float64) float64 {
+	return p.a.options.Move * total / float64(max(1, len(p.shares)))
+}
+
+// slack covers rounding of sums.
+func (p *plan) slack(total float64) float64 { return total * 1e-9 }
+
+func (p *plan) increases(usable amount) (list []registry.Share) {
+	missing := amount{}
+	for _, r := range p.rows {
+		if r.current.Confirmed {
+			missing.rate += max(0, r.target.rate-r.current.Rate)
+			missing.burst += max(0, r.target.burst-r.current.Burst)
+		}
+	}
+	part := amount{p.part(usable.rate, missing.rate, p.limit.Rate), p.part(usable.burst, missing.burst, p.limit.Burst)}
+	for _, r := range p.rows {
+		if !r.current.Confirmed {
+			continue
+		}
+		s := r.current
+		s.Rate += max(0, r.target.rate-s.Rate) * part.rate
+		s.Burst += max(0, r.target.burst-s.Burst) * part.burst
+		small := s.Rate-r.current.Rate <= p.step(p.limit.Rate)/20 && s.Burst-r.current.Burst <= p.step(p.limit.Burst)/20
+		if r.exists && small {
+			continue
+		}
+		list = append(list, s)
+	}
+	return list
+}
+
+// part returns which part of the missing amount is usable; a rest for rounding is kept back.
+func (p *plan) part(usable, missing, total float64) float64 {
+	usable -= p.slack(total)
+	if usable <= 0 || missing <= 0 {
+		return 0
+	}
+	return min(1, usable/missing)
+}
+
+// outlook returns what the data centre gets when the others keep no more than their demand.
+func (p *plan) outlook(centre string) amount {
+	o := amount{p.limit.Rate - p.fixed.rate, p.limit.Burst - p.fixed.burst}
+	n := float64(max(1, len(p.shares)))
+	for _, r := range p.rows {
+		if r.centre == centre {
+			continue
+		}
+		o.rate -= max(r.demand.rate, p.a.options.Minimum*p.limit.Rate/n)
+		o.burst -= max(r.demand.largest, p.a.options.Minimum*p.limit.Burst/n)
+	}
+	return amount{max(0, o.rate), max(0, o.burst)}
+}
