place/budget: permits for loads from the weight store

Cause: the weight store serves eight transfers at full speed and slows in proportion beyond, over all endpoints. Change: a data centre's coordinator gives out permits with deadlines within its share of transfers and rate; refills and normal loads take turns, each by waiting work.

--- /dev/null
+++ b/internal/place/budget/budget.go
@@ -0,0 +1,276 @@
+// Package budget gives out permits for loads from the weight store within a data centre's share of its transfers
+// and rate. It is pure and not safe for concurrent use; the data centre's coordinator runs it.
+package budget
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"lycheevale/internal/limit/bucket"
+)
+
+// Key identifies a load: identifiers grow with each load of one start of an owner.
+type Key struct {
+	Owner       string `json:"Owner"`
+	Incarnation uint64 `json:"Incarnation"` // of the owner's process
+	ID          uint64 `json:"ID"`
+}
+
+// Request asks for a permit.
+type Request struct {
+	Key
+	Refill   bool      // of an engine that restarted empty
+	Work     float64   // tokens of the requests that wait for the adapter
+	Deadline time.Time // after which the load is no longer wanted
+}
+
+// Permit allows one load to run until the deadline of the coordinator's clock. An owner counts Life from the
+// first sending of its request, which ends earlier.
+type Permit struct {
+	Key
+	Life     time.Duration
+	Deadline time.Time
+}
+
+// Budget is the state of one coordinator.
+type Budget struct {
+	options Options
+	share   Share
+	rate    *bucket.Bucket
+	opens   time.Time
+	permits map[Key]Permit
+	queue   map[Key]*waiting
+	done    map[Key]time.Time // released, until when remembered
+	turn    float64           // grows with permits of normal loads, falls with those of refills
+	arrived uint64
+}
+
+type waiting struct {
+	Request
+	since   time.Time
+	arrival uint64
+}
+
+// New returns the budget of a new coordinator. It grants nothing before the permits of a predecessor, which it
+// does not know, have expired.
+func New(now time.Time, share Share, opts ...Option) *Budget {
+	o := Options{Life: permitLife, Margin: permitMargin, RefillPart: refillPart, MaxWait: longestWait}
+	for _, opt := range opts {
+		opt(&o)
+	}
+	b := &Budget{
+		options: o, share: share, opens: now.Add(o.Life + o.Margin),
+		permits: map[Key]Permit{}, queue: map[Key]*waiting{}, done: map[Key]time.Time{},
+	}
+	if o.openAtOnce {
+		b.opens = now
+	}
+	b.rate = bucket.New(b.opens, share.Rate, share.burst(), bucket.WithLevel(0))
+	return b
+}
+
+// SetShare changes the share. A smaller number of transfers is in effect once Within is true.
+func (b *Budget) SetShare(now time.Time, share Share) {
+	b.share = share
+	b.rate.SetLimits(now, share.Rate, share.burst())
+}
+
+// Within reports whether no more loads can be in transit than the share allows; only then may a coordinator
+// confirm a smaller share.
+func (b *Budget) Within(now time.Time) bool {
+	b.expire(now)
+	return !now.Before(b.opens) && len(b.permits) <= b.share.Transfers
+}
+
+// Acquire queues the load or returns its permit. A resend returns the same permit, or queues the load no second
+// time; it updates the waiting work. It is false while the load waits, and for a load that was released.
+func (b *Budget) Acquire(now time.Time, r Request) (p Permit, ok bool) {
+	b.expire(now)
+	if p, ok := b.permits[r.Key]; ok {
+		p.Life = max(0, p.Deadline.Sub(now)-b.options.Margin)
+		return p, true
+	}
+	if _, released := b.done[r.Key]; released || !now.Before(r.Deadline) {
+		return Permit{}, false
+	}
+	if w, ok := b.queue[r.Key]; ok {
+		w.Request = r
+	} else if len(b.queue) < maxQueue {
+		b.arrived++
+		b.queue[r.Key] = &waiting{Request: r, since: now, arrival: b.arrived}
+	}
+	for _, granted := range b.Decide(now) {
+		if granted.Key == r.Key {
+			return granted, true
+		}
+	}
+	return Permit{}, false
+}
+
+// Extend prolongs the permit of a load that is still running; it is false when the permit has expired.
+func (b *Budget) Extend(now time.Time, k Key) (p Permit, ok bool) {
+	b.expire(now)
+	if _, ok := b.permits[k]; !ok {
+		return Permit{}, false
+	}
+	p = b.permit(now, k)
+	b.permits[k] = p
+	return p, true
+}
+
+// Release ends a load, whether it succeeded or not, or takes it out of the queue. Resends have no effect.
+func (b *Budget) Release(now time.Time, k Key) {
+	b.expire(now)
+	delete(b.permits, k)
+	delete(b.queue, k)
+	if !b.options.forgetDone {
+		b.done[k] = now.Add(doneMemory)
+	}
+}
+
+// Restarted forgets the queued loads of earlier starts of an owner. Their permits stay until they expire: a
+// transfer that has begun goes on without the process that asked for it.
+func (b *Budget) Restarted(now time.Time, owner string, incarnation uint64) {
+	b.expire(now)
+	for k := range b.queue {
+		if k.Owner == owner && k.Incarnation < incarnation {
+			delete(b.queue, k)
+		}
+	}
+	for k := range b.permits {
+		if b.options.forgetLost && k.Owner == owner && k.Incarnation < incarnation {
+			delete(b.permits, k)
+		}
+	}
+}
+
+// Decide grants permits to waiting loads in order, as far as the share allows; each is returned once, and again
+// to a resend of Acquire.
+func (b *Budget) Decide(now time.Time) (granted []Permit) {
+	b.expire(now)
+	if now.Before(b.opens) || len(b.permits) >= b.share.Transfers || b.rate.Level(now) < 1 {
+		return nil
+	}
+	order := b.order(now)
+	for len(b.permits) < b.share.Transfers && (len(order.aged)+len(order.normal)+len(order.refill)) > 0 {
+		if _, ok := b.rate.Take(now, 1); !ok {
+			break
+		}
+		w := b.pick(&order)
+		delete(b.queue, w.Key)
+		p := b.permit(now, w.Key)
+		b.permits[w.Key] = p
+		granted = append(granted, p)
+	}
+	return granted
+}
+
+func (b *Budget) permit(now time.Time, k Key) Permit {
+	return Permit{Key: k, Life: b.options.Life, Deadline: now.Add(b.options.Life + b.options.Margin)}
+}
+
+// NextWake returns when Decide may have something to grant, zero when nothing waits or only a release helps.
+func (b *Budget) NextWake(now time.Time) (at time.Time) {
+	if len(b.queue) == 0 {
+		return time.Time{}
+	}
+	at, never := b.rate.When(now, 1)
+	if never {
+		return time.Time{}
+	}
+	if at.Before(b.opens) {
+		at = b.opens
+	}
+	if len(b.permits) < b.share.Transfers {
+		return at
+	}
+	var free time.Time
+	for _, p := range b.permits {
+		if free.IsZero() || p.Deadline.Before(free) {
+			free = p.Deadline
+		}
+	}
+	if free.After(at) {
+		return free
+	}
+	return at
+}
+
+// InTransit returns the number of permits in use.
+func (b *Budget) InTransit() int { return len(b.permits) }
+
+// Waiting returns the number of waiting loads.
+func (b *Budget) Waiting() int { return len(b.queue) }
+
+// expire frees the permits of lost owners and forgets loads that are no longer wanted.
+func (b *Budget) expire(now time.Time) {
+	for k, p := range b.permits {
+		if !now.Before(p.Deadline) {
+			delete(b.permits, k)
+		}
+	}
+	for k, w := range b.queue {
+		if !now.Before(w.Deadline) {
+			delete(b.queue, k)
+		}
+	}
+	for k, until := range b.done {
+		if !now.Before(until) {
+			delete(b.done, k)
+		}
+	}
+}
+
+// classes are the waiting loads, each list in the order in which it is served.
+type classes struct {
+	aged   []*waiting // waited too long, oldest first
+	normal []*waiting
+	refill []*waiting
+}
+
+func (b *Budget) order(now time.Time) (c classes) {
+	for _, w := range b.queue {
+		switch {
+		case now.Sub(w.since) >= b.options.MaxWait && !w.Refill:
+			c.aged = append(c.aged, w)
+		case w.Refill:
+			c.refill = append(c.refill, w)
+		default:
+			c.normal = append(c.normal, w)
+		}
+	}
+	slices.SortFunc(c.aged, func(x, y *waiting) int { return cmp.Compare(x.arrival, y.arrival) })
+	byWork := func(x, y *waiting) int {
+		return cmp.Or(cmp.Compare(y.Work, x.Work), x.Deadline.Compare(y.Deadline), cmp.Compare(x.arrival, y.arrival))
+	}
+	slices.SortFunc(c.normal, byWork)
+	slices.SortFunc(c.refill, byWork)
+	return c
+}
+
+// pick takes the next load. While normal loads and refills both wait, each gets its part of the permits.
+func (b *Budget) pick(c *classes) *waiting {
+	normal := &c.normal
+	if len(c.aged) > 0 {
+		normal = &c.aged
+	}
+	if len(c.refill) == 0 {
+		return shift(normal)
+	}
+	if len(*normal) == 0 || b.options.refillFirst {
+		return shift(&c.refill)
+	}
+	if b.turn >= 0 {
+		b.turn -= 1 - b.options.RefillPart
+		return shift(&c.refill)
+	}
+	b.turn += b.options.RefillPart
+	return shift(normal)
+}
+
+func shift(list *[]*waiting) *waiting {
+	first := (*list)[0]
+	*list = (*list)[1:]
+	return first
+}
