Validate and index configuration objects in the registry

Cause: the first version accepted any object, scanned all objects for a list and remembered results for ever.

--- /dev/null
+++ b/internal/state/registry/delta.go
@@ -0,0 +1,153 @@
+package registry
+
+import (
+	"encoding/json"
+	"maps"
+	"slices"
+
+	"lycheevale/internal/state/retention"
+)
+
+// Delta brings a copy of the configuration from one revision to a later one.
+type Delta struct {
+	From     uint64   `json:"From"`
+	To       uint64   `json:"To"`
+	Snapshot bool     `json:"Snapshot,omitempty"` // Objects is the whole configuration; From does not matter
+	Objects  []Object `json:"Objects"`
+}
+
+// DeltaSince returns the changes after the revision, or a snapshot where the history no longer reaches back.
+func (r *Registry) DeltaSince(revision uint64) Delta {
+	r.mu.RLock()
+	defer r.mu.RUnlock()
+	if revision < r.since {
+		return r.snapshotDelta()
+	}
+	d := Delta{From: revision, To: r.revision}
+	seen := map[ID]bool{}
+	for i := len(r.history) - 1; i >= 0 && r.history[i].revision > revision; i-- {
+		id := r.history[i].id
+		if seen[id] {
+			continue
+		}
+		seen[id] = true
+		o, ok := r.object(id)
+		if !ok {
+			o = Object{Kind: id.Kind, Name: id.Name, Revision: r.history[i].revision, Deleted: true}
+		}
+		d.Objects = append(d.Objects, o)
+	}
+	slices.Reverse(d.Objects)
+	return d
+}
+
+func (r *Registry) snapshotDelta() Delta {
+	d := Delta{To: r.revision, Snapshot: true, Objects: r.allObjects()}
+	for _, name := range slices.Sorted(maps.Keys(r.withdrawn)) {
+		d.Objects = append(d.Objects, Object{Kind: KindKey, Name: name, Deleted: true})
+	}
+	return d
+}
+
+func (r *Registry) allObjects() (all []Object) {
+	for _, kind := range slices.Sorted(maps.Keys(r.tables)) {
+		r.tables[kind].scan("", "", func(o Object) bool {
+			all = append(all, o)
+			return true
+		})
+	}
+	return all
+}
+
+// Install brings a copy without a log to the delta's revision; it never goes back.
+func (r *Registry) Install(d Delta) error {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if d.To <= r.revision && r.options.Rules.ForwardOnly {
+		return ErrStale
+	}
+	if !d.Snapshot && d.From != r.revision {
+		return ErrGap
+	}
+	if d.Snapshot {
+		// Keys that are known to be gone stay gone, even if a snapshot omitted them.
+		withdrawn := r.withdrawn
+		r.clear()
+		r.withdrawn = withdrawn
+		r.since = d.To
+	}
+	r.revision = d.To
+	for _, o := range d.Objects {
+		if r.tables[o.Kind] != nil {
+			r.put(o)
+		}
+	}
+	if d.Snapshot {
+		r.history = nil
+	}
+	r.trimHistory()
+	return nil
+}
+
+// stored is the JSON form of a snapshot of the state machine.
+type stored struct {
+	Revision  uint64
+	Clock     retention.Clock
+	Objects   []Object
+	Withdrawn []string
+	Held      map[string]hold
+	Results   map[string]Result
+	Order     []remembered
+}
+
+// Snapshot encodes the whole state, including remembered results.
+func (r *Registry) Snapshot() (data []byte, err error) {
+	r.mu.RLock()
+	defer r.mu.RUnlock()
+	data, err = json.Marshal(stored{
+		Revision: r.revision, Clock: r.clock, Objects: r.allObjects(), Held: r.held,
+		Withdrawn: slices.Sorted(maps.Keys(r.withdrawn)), Results: r.results, Order: r.order,
+	})
+	return data, Error.Wrap(err)
+}
+
+// Restore replaces the state by a snapshot.
+func (r *Registry) Restore(data []byte) error {
+	var s stored
+	if err := json.Unmarshal(data, &s); err != nil {
+		return Error.Wrap(err)
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.clear()
+	r.revision, r.since, r.clock = s.Revision, s.Revision, s.Clock
+	for _, o := range s.Objects {
+		if r.tables[o.Kind] == nil {
+			return Error.New("snapshot holds unknown kind %q", o.Kind)
+		}
+		r.put(o)
+	}
+	for _, name := range s.Withdrawn {
+		r.withdrawn[name] = struct{}{}
+	}
+	for name, h := range s.Held {
+		r.held[name] = h
+	}
+	for id, result := range s.Results {
+		r.results[id] = result
+	}
+	r.order, r.history = s.Order, nil
+	return nil
+}
+
+// ApplyEntry applies an encoded Command and returns the encoded Result; it is the form a voter's state machine needs.
+func (r *Registry) ApplyEntry(data []byte) []byte {
+	var c Command
+	result := Result{Code: CodeInvalid, Error: "the command is not valid JSON"}
+	if err := json.Unmarshal(data, &c); err == nil {
+		result = r.Apply(c)
+	}
+	// Result holds only strings, numbers and booleans, which always have a JSON form.
+	encoded, _ := json.Marshal(result)
+	return encoded
+}
--- a/internal/state/registry/object.go
+++ b/internal/state/registry/object.go
@@ -137,7 +137,9 @@
 
 // Result answers a command; a resend with the same RequestID receives the first result again.
 type Result struct {
-	Revision uint64 `json:"Revision"`
-	Error    string `json:"Error,omitempty"`
-	Conflict bool   `json:"Conflict,omitempty"` // ExpectedRevision was no longer current
+	Revision uint64    `json:"Revision"`
+	Error    string    `json:"Error,omitempty"`
+	Conflict bool      `json:"Conflict,omitempty"` // ExpectedRevision was no longer current
+	Code     ErrorCode `json:"Code,omitempty"`
+	Object   ID        `json:"Object,omitzero"` // object that was the reason
 }
--- a/internal/state/registry/registry.go
+++ b/internal/state/registry/registry.go
@@ -1,30 +1,71 @@
+// Package registry holds the configuration objects and the state machine that applies changes to them.
 package registry
 
 import (
 	"fmt"
-	"maps"
 	"slices"
 	"strings"
 	"sync"
+	"time"
+
+	"lycheevale/internal/state/retention"
 )
 
 // ID identifies an object.
 type ID struct {
-	Kind Kind
-	Name string
+	Kind Kind   `json:"Kind,omitempty"`
+	Name string `json:"Name,omitempty"`
 }
 
-// Registry is the configuration at one revision; it is safe for concurrent use.
+// Registry is the configuration at one revision; it is safe for concurrent use. Specs of returned objects are shared
+// and must not be modified.
 type Registry struct {
-	mu       sync.RWMutex
+	options Options
+
+	mu        sync.RWMutex
+	revision  uint64
+	clock     retention.Clock
+	tables    map[Kind]*table
+	referrers map[ID]int          // number of objects that need the object
+	routes    map[string]string   // service of "method path"
+	held      map[string]hold     // largest share that a data centre may be using, by name of the share
+	withdrawn map[string]struct{} // identifiers of deleted keys
+	results   map[string]Result
+	order     []remembered // results in the order of their commands
+	history   []changed
+	since     uint64 // history is complete after this revision
+}
+
+type remembered struct {
+	RequestID string
+	Deadline  time.Time
+}
+
+type changed struct {
 	revision uint64
-	objects  map[ID]Object
-	answers  map[string]Result
+	id       ID
 }
 
 // New returns an empty registry at revision 0.
-func New() *Registry {
-	return &Registry{objects: map[ID]Object{}, answers: map[string]Result{}}
+func New(opts ...Option) *Registry {
+	r := &Registry{options: defaults()}
+	for _, opt := range opts {
+		opt(&r.options)
+	}
+	r.clear()
+	return r
+}
+
+func (r *Registry) clear() {
+	r.tables = map[Kind]*table{}
+	for _, kind := range []Kind{
+		KindCustomer, KindKey, KindModel, KindAdapter, KindVersion, KindService, KindVoter, KindShare,
+	} {
+		r.tables[kind] = newTable()
+	}
+	r.referrers, r.routes, r.held = map[ID]int{}, map[string]string{}, map[string]hold{}
+	r.withdrawn, r.results = map[string]struct{}{}, map[string]Result{}
+	r.order, r.history = nil, nil
 }
 
 // Revision returns the revision of the last applied change.
@@ -38,55 +79,145 @@
 func (r *Registry) Get(kind Kind, name string) (Object, bool) {
 	r.mu.RLock()
 	defer r.mu.RUnlock()
-	o, ok := r.objects[ID{kind, name}]
-	return o, ok && !o.Deleted
+	return r.object(ID{kind, name})
+}
+
+func (r *Registry) object(id ID) (Object, bool) {
+	t := r.tables[id.Kind]
+	if t == nil {
+		return Object{}, false
+	}
+	o, ok := t.objects[id.Name]
+	return o, ok
 }
 
 // List returns the objects of a kind in the order of their names.
-func (r *Registry) List(kind Kind) []Object {
+func (r *Registry) List(kind Kind) []Object { return r.Page(kind, "", "", 0) }
+
+// Page returns up to limit objects whose names start with prefix and follow after; a limit of 0 means all.
+func (r *Registry) Page(kind Kind, prefix, after string, limit int) (page []Object) {
 	r.mu.RLock()
 	defer r.mu.RUnlock()
-	var list []Object
-	for _, o := range r.objects {
-		if o.Kind == kind && !o.Deleted {
-			list = append(list, o)
-		}
+	t := r.tables[kind]
+	if t == nil {
+		return nil
+	}
+	t.scan(prefix, after, func(o Object) bool {
+		page = append(page, o)
+		return len(page) != limit
+	})
+	return page
+}
+
+// Count returns the number of objects of a kind.
+func (r *Registry) Count(kind Kind) int {
+	r.mu.RLock()
+	defer r.mu.RUnlock()
+	if t := r.tables[kind]; t != nil {
+		return len(t.objects)
 	}
-	slices.SortFunc(list, func(a, b Object) int { return strings.Compare(a.Name, b.Name) })
-	return list
+	return 0
+}
+
+// Withdrawn tells whether the key was withdrawn or deleted.
+func (r *Registry) Withdrawn(key string) bool {
+	r.mu.RLock()
+	defer r.mu.RUnlock()
+	_, gone := r.withdrawn[key]
+	o, ok := r.object(ID{KindKey, key})
+	return gone || (ok && o.Key.Withdrawn)
 }
 
 // Apply applies the command whole or not at all.
 func (r *Registry) Apply(c Command) Result {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if first, seen := r.answers[c.RequestID]; seen && c.RequestID != "" {
+	now := r.clock.Advance(c.At)
+	r.forget(now)
+	if first, seen := r.results[c.RequestID]; seen && r.options.Rules.RememberResults {
 		return first
 	}
 	result := r.apply(c)
 	if c.RequestID != "" {
-		r.answers[c.RequestID] = result
+		r.results[c.RequestID] = result
+		r.order = append(r.order, remembered{c.RequestID, now.Add(r.options.Retention)})
 	}
 	return result
 }
 
+// forget drops results after their deadline and the oldest ones beyond the limit.
+func (r *Registry) forget(now time.Time) {
+	for len(r.order) > 0 && (len(r.order) >= r.options.MaxResults || !now.Before(r.order[0].Deadline)) {
+		delete(r.results, r.order[0].RequestID)
+		r.order = r.order[1:]
+	}
+}
+
 func (r *Registry) apply(c Command) Result {
-	if c.ExpectedRevision != 0 && c.ExpectedRevision != r.revision {
+	if c.ExpectedRevision != 0 && c.ExpectedRevision != r.revision && r.options.Rules.ExpectedRevision {
 		return Result{
-			Revision: r.revision, Conflict: true,
+			Revision: r.revision, Conflict: true, Code: CodeConflict,
 			Error: fmt.Sprintf("expected revision %d, current revision is %d", c.ExpectedRevision, r.revision),
 		}
 	}
-	next := make(map[ID]Object, len(c.Changes))
+	changes := make([]Object, 0, len(c.Changes))
 	for _, o := range c.Changes {
+		o = clone(o)
 		o.Revision = r.revision + 1
-		next[ID{o.Kind, o.Name}] = o
+		changes = append(changes, o)
+	}
+	if err := r.check(changes); err != nil {
+		return Result{Revision: r.revision, Error: err.Message, Code: err.Code, Object: err.Object}
 	}
-	maps.Copy(r.objects, next)
 	r.revision++
+	for _, o := range changes {
+		r.put(o)
+	}
+	r.trimHistory()
 	return Result{Revision: r.revision}
 }
 
+// put replaces or removes one object and keeps all indexes.
+func (r *Registry) put(o Object) {
+	id := ID{o.Kind, o.Name}
+	old, existed := r.object(id)
+	if existed {
+		r.count(old, -1)
+	}
+	if o.Kind == KindShare {
+		r.hold(o)
+	}
+	if o.Deleted {
+		r.tables[o.Kind].remove(o.Name)
+		if o.Kind == KindKey {
+			r.withdrawn[o.Name] = struct{}{}
+		}
+	} else {
+		r.tables[o.Kind].set(o)
+		r.count(o, 1)
+	}
+	r.history = append(r.history, changed{r.revision, id})
+}
+
+func (r *Registry) count(o Object, n int) {
+	for _, id := range references(o) {
+		r.referrers[id] += n
+		if r.referrers[id] == 0 {
+			delete(r.referrers, id)
+		}
+	}
+	if o.Service == nil {
+		return
+	}
+	for _, route := range o.Service.Routes {
+		if n > 0 {
+			r.routes[route.Method+" "+route.Path] = o.Name
+		} else {
+			delete(r.routes, route.Method+" "+route.Path)
+		}
+	}
+}
+
 // ModelRef is what a caller named in the model field, resolved against the configuration.
 type ModelRef struct {
 	Model    string
@@ -97,18 +228,20 @@
 
 // Resolve finds the adapter and version, or base model, that a caller's model name means.
 func (r *Registry) Resolve(name string) (ref ModelRef, ok bool) {
-	adapterName, version, _ := strings.Cut(name, "@")
-	if _, isModel := r.Get(KindModel, name); isModel {
+	r.mu.RLock()
+	defer r.mu.RUnlock()
+	if _, isModel := r.object(ID{KindModel, name}); isModel {
 		return ModelRef{Model: name}, true
 	}
-	o, found := r.Get(KindAdapter, adapterName)
-	if !found {
+	adapterName, version, explicit := strings.Cut(name, "@")
+	o, found := r.object(ID{KindAdapter, adapterName})
+	if !found || (explicit && version == "") {
 		return ModelRef{}, false
 	}
-	if version == "" {
+	if !explicit {
 		version = o.Adapter.DefaultVersion
 	}
-	v, found := r.Get(KindVersion, adapterName+"@"+version)
+	v, found := r.object(ID{KindVersion, adapterName + "@" + version})
 	if !found || v.Version.State != VersionActive {
 		return ModelRef{}, false
 	}
@@ -118,3 +251,17 @@
 	}
 	return ref, true
 }
+
+func (r *Registry) trimHistory() {
+	excess := len(r.history) - r.options.MaxHistory
+	if excess <= 0 {
+		return
+	}
+	// A revision is dropped whole, because a delta must not lack objects of a revision it starts in.
+	r.since = r.history[excess-1].revision
+	kept := slices.IndexFunc(r.history, func(c changed) bool { return c.revision > r.since })
+	if kept < 0 {
+		kept = len(r.history)
+	}
+	r.history = r.history[kept:]
+}
--- /dev/null
+++ b/internal/state/registry/validate.go
@@ -0,0 +1,178 @@
+package registry
+
+import (
+	"encoding/hex"
+	"math"
+	"regexp"
+	"slices"
+	"strings"
+)
+
+// maxChanges bounds one command, so that a single entry of the log stays small enough to replicate in one message.
+const maxChanges = 10_000
+
+// plainName is the form of all names but those of versions and shares, which join two of them.
+var plainName = regexp.MustCompile(`^[A-Za-z0-9][A-Za-z0-9._-]{0,127}$`)
+
+var methods = []string{"GET", "HEAD", "POST", "PUT", "PATCH", "DELETE", "OPTIONS"}
+
+// checkFields checks everything that needs no other object.
+func checkFields(o Object) *ChangeError {
+	id := ID{o.Kind, o.Name}
+	invalid := func(format string, args ...any) *ChangeError { return reject(CodeInvalid, id, format, args...) }
+	if !validName(o) {
+		return invalid("the name is not valid")
+	}
+	specs := o.specs()
+	if o.Deleted {
+		if len(specs) > 0 {
+			return invalid("a deleted object has no spec")
+		}
+		return nil
+	}
+	if !slices.Equal(specs, []Kind{o.Kind}) {
+		return invalid("the specs are %v, want exactly the one of the kind", specs)
+	}
+	switch o.Kind {
+	case KindCustomer:
+		if !positive(o.Customer.Rate) || !positive(o.Customer.Burst) {
+			return invalid("rate and burst must be positive")
+		}
+	case KindKey:
+		if b, err := hex.DecodeString(o.Key.Hash); err != nil || len(b) != 32 {
+			return invalid("the hash is not a hexadecimal SHA-256")
+		}
+	case KindVersion:
+		return checkVersion(o, invalid)
+	case KindService:
+		return checkService(o.Service, invalid)
+	case KindVoter:
+		if !o.Voter.Address.IsValid() || !plainName.MatchString(o.Voter.DataCentre) {
+			return invalid("address and data centre are required")
+		}
+	case KindShare:
+		return checkShare(o, invalid)
+	}
+	return nil
+}
+
+func (o Object) specs() (kinds []Kind) {
+	set := map[Kind]bool{
+		KindCustomer: o.Customer != nil, KindKey: o.Key != nil, KindModel: o.Model != nil, KindAdapter: o.Adapter != nil,
+		KindVersion: o.Version != nil, KindService: o.Service != nil, KindVoter: o.Voter != nil, KindShare: o.Share != nil,
+	}
+	for kind, present := range set {
+		if present {
+			kinds = append(kinds, kind)
+		}
+	}
+	slices.Sort(kinds)
+	return kinds
+}
+
+func validName(o Object) bool {
+	separator := map[Kind]string{KindVersion: "@", KindShare: "/"}[o.Kind]
+	if separator == "" {
+		return plainName.MatchString(o.Name)
+	}
+	left, right, ok := strings.Cut(o.Name, separator)
+	return ok && plainName.MatchString(left) && plainName.MatchString(right)
+}
+
+func positive(f float64) bool { return f > 0 && !math.IsInf(f, 0) }
+
+type invalidFunc func(format string, args ...any) *ChangeError
+
+func checkVersion(o Object, invalid invalidFunc) *ChangeError {
+	adapter, _, _ := strings.Cut(o.Name, "@")
+	switch {
+	case o.Version.Adapter != adapter:
+		return invalid("the name does not start with adapter %q", o.Version.Adapter)
+	case o.Version.Source == "":
+		return invalid("the source is required")
+	case o.Version.State != VersionActive && o.Version.State != VersionWithdrawn:
+		return invalid("unknown state %q", o.Version.State)
+	}
+	return nil
+}
+
+func checkService(s *Service, invalid invalidFunc) *ChangeError {
+	if s.Objective.Availability < 0 || s.Objective.Availability > 1 || s.Objective.FirstTokenMS < 0 {
+		return invalid("the objective is out of range")
+	}
+	switch s.Kind {
+	case ServiceModel:
+		if len(s.Routes) > 0 {
+			return invalid("a model service has no routes")
+		}
+	case ServicePlain:
+		if s.Model != "" || len(s.Routes) == 0 {
+			return invalid("a plain service has routes and no model")
+		}
+	default:
+		return invalid("unknown service kind %q", s.Kind)
+	}
+	for _, r := range s.Routes {
+		if !slices.Contains(methods, r.Method) || !strings.HasPrefix(r.Path, "/") {
+			return invalid("route %s %s is not valid", r.Method, r.Path)
+		}
+	}
+	return nil
+}
+
+func checkShare(o Object, invalid invalidFunc) *ChangeError {
+	s := o.Share
+	switch {
+	case o.Name != s.Customer+"/"+s.DataCentre:
+		return invalid("the name is not customer/data centre")
+	case !(s.Rate >= 0) || !(s.Burst >= 0) || math.IsInf(s.Rate, 0) || math.IsInf(s.Burst, 0):
+		return invalid("rate and burst must not be negative")
+	case s.Epoch == 0:
+		return invalid("the epoch starts at 1")
+	}
+	return nil
+}
+
+// checkTransition compares an object with the one it replaces.
+func (r *Registry) checkTransition(o Object) *ChangeError {
+	id := ID{o.Kind, o.Name}
+	if o.Kind == KindKey && r.options.Rules.KeepWithdrawn {
+		if _, gone := r.withdrawn[o.Name]; gone && !o.Deleted {
+			return reject(CodeWithdrawn, id, "a withdrawn key cannot come back")
+		}
+	}
+	old, exists := r.object(id)
+	switch {
+	case o.Deleted && !exists:
+		return reject(CodeMissing, id, "the object does not exist")
+	case o.Deleted || !exists:
+		return nil
+	case o.Key != nil && (o.Key.Customer != old.Key.Customer || o.Key.Hash != old.Key.Hash):
+		return reject(CodeImmutable, id, "customer and hash of a key cannot change")
+	case o.Key != nil && old.Key.Withdrawn && !o.Key.Withdrawn && r.options.Rules.KeepWithdrawn:
+		return reject(CodeWithdrawn, id, "a withdrawn key cannot come back")
+	case o.Version != nil && o.Version.Source != old.Version.Source:
+		return reject(CodeImmutable, id, "the source of a version cannot change")
+	case o.Adapter != nil && (o.Adapter.Customer != old.Adapter.Customer || o.Adapter.Model != old.Adapter.Model):
+		return reject(CodeImmutable, id, "customer and model of an adapter cannot change")
+	case o.Share != nil:
+		return checkEpoch(id, *old.Share, *o.Share)
+	}
+	return nil
+}
+
+// checkEpoch ties each confirmation to the exact share that the data centre has recorded.
+func checkEpoch(id ID, old, next Share) *ChangeError {
+	same := old.Rate == next.Rate && old.Burst == next.Burst
+	switch {
+	case same && next.Epoch != old.Epoch:
+		return reject(CodeInvalid, id, "the epoch changes only with the share")
+	case !same && next.Epoch != old.Epoch+1:
+		return reject(CodeInvalid, id, "epoch %d does not follow epoch %d", next.Epoch, old.Epoch)
+	case !same && next.Confirmed:
+		return reject(CodeInvalid, id, "a changed share is not confirmed yet")
+	case same && old.Confirmed && !next.Confirmed:
+		return reject(CodeInvalid, id, "a confirmation cannot be taken back")
+	}
+	return nil
+}
