--- /dev/null
+++ b/internal/place/route/options.go
@@ -0,0 +1,43 @@
+package route
+
+import "time"
+
+// Options are the settings of a Router. docs/placement.md gives the measurements behind the defaults.
+type Options struct {
+	DataCentre   string        // the entry's own
+	Entries      int           // entries of the data centre, which share its callers evenly
+	LoadTime     time.Duration // time that a request waits for a load
+	Latency      time.Duration // one way between data centres
+	PricePerByte time.Duration // delay that is worth as much as sending one byte over a slow link
+	HalfLife     time.Duration // half-life of the usage count of an adapter
+	FillTarget   float64       // share of an endpoint's places that one adapter may take before it gets a replica
+	Hysteresis   float64       // factor by which an adapter's rate must pass the threshold to change its home
+	Fresh        time.Duration // age up to which an answer's load counts
+}
+
+// Option sets one of the Options.
+type Option func(*Options)
+
+// Defaults returns the settings that New starts from.
+func Defaults() Options {
+	return Options{
+		Entries:      1,
+		LoadTime:     250 * time.Millisecond,
+		Latency:      30 * time.Millisecond,
+		PricePerByte: time.Microsecond,
+		HalfLife:     2 * time.Minute,
+		FillTarget:   0.5,
+		Hysteresis:   1.5,
+		Fresh:        5 * time.Second,
+	}
+}
+
+// WithOptions replaces all settings.
+func WithOptions(all Options) Option {
+	return func(o *Options) { *o = all }
+}
+
+// WithDataCentre sets the entry's own data centre.
+func WithDataCentre(name string) Option {
+	return func(o *Options) { o.DataCentre = name }
+}
--- /dev/null
+++ b/internal/place/route/route.go
@@ -0,0 +1,340 @@
+// Package route chooses the endpoint for a request at an entry. It is pure and works from what owners returned
+// with earlier answers, which may be stale. It is not safe for concurrent use.
+package route
+
+import (
+	"math"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// Candidate is an endpoint of the request's model that accepts work.
+type Candidate struct {
+	Endpoint   string
+	DataCentre string
+}
+
+// Candidates holds the endpoints of one model, prepared for many choices.
+type Candidates struct {
+	centres []centre
+}
+
+type centre struct {
+	name  string
+	hash  uint64
+	nodes []node
+}
+
+type node struct {
+	name string
+	hash uint64
+}
+
+// Prepare groups the endpoints of one model by data centre.
+func Prepare(candidates []Candidate) *Candidates {
+	c := &Candidates{}
+	for _, one := range candidates {
+		i := slices.IndexFunc(c.centres, func(d centre) bool { return d.name == one.DataCentre })
+		if i < 0 {
+			i = len(c.centres)
+			c.centres = append(c.centres, centre{name: one.DataCentre, hash: xxhash.Sum64String(one.DataCentre)})
+		}
+		c.centres[i].nodes = append(c.centres[i].nodes, node{one.Endpoint, xxhash.Sum64String(one.Endpoint)})
+	}
+	slices.SortFunc(c.centres, func(a, b centre) int { return strings.Compare(a.name, b.name) })
+	return c
+}
+
+// Request is what the choice depends on.
+type Request struct {
+	ID      string
+	Adapter string   // with its version; empty for the base model
+	Bytes   int      // expected bytes of request and response, billed between data centres
+	Exclude []string // endpoints that already refused the request
+}
+
+// Answer is what an owner returned with a response.
+type Answer struct {
+	Endpoint  string
+	Load      float64       // running and waiting requests over batch places
+	Places    int           // batch places of the endpoint
+	Wait      time.Duration // estimated wait for a place
+	Service   time.Duration // mean time from dispatch to end
+	SlotValue float64       // uses per second of the adapter that a load would evict
+}
+
+// Choice is the endpoint for a request.
+type Choice struct {
+	Endpoint   string
+	DataCentre string
+	Remote     bool
+}
+
+type observed struct {
+	Answer
+	at   time.Time
+	sent int // requests sent there since the answer
+}
+
+type usage struct {
+	count  float64
+	at     time.Time
+	shared bool // uses its home among all data centres
+}
+
+// Router is the state of one entry's choices.
+type Router struct {
+	options  Options
+	seen     map[string]*observed
+	adapters map[string]*usage
+	keys     []string
+	cursor   int
+}
+
+// New returns a router that knows nothing of loads and popularity.
+func New(opts ...Option) *Router {
+	r := &Router{options: Defaults(), seen: map[string]*observed{}, adapters: map[string]*usage{}}
+	for _, opt := range opts {
+		opt(&r.options)
+	}
+	return r
+}
+
+// Observe takes what an owner returned.
+func (r *Router) Observe(now time.Time, a Answer) {
+	r.seen[a.Endpoint] = &observed{Answer: a, at: now}
+}
+
+// Choose returns the endpoint for a request; ok is false when there is no candidate.
+func (r *Router) Choose(now time.Time, q Request, c *Candidates) (choice Choice, ok bool) {
+	rate, u := r.count(now, q.Adapter)
+	local := slices.IndexFunc(c.centres, func(d centre) bool { return d.name == r.options.DataCentre })
+	hash := xxhash.Sum64String(q.Adapter)
+	home := r.homeCentre(hash, c)
+	where := local
+	if local < 0 || home != local && q.Adapter != "" && r.shares(rate, q, u, &c.centres[local]) {
+		where = home
+	}
+	if where >= 0 {
+		choice, ok = r.within(now, q, hash, rate, &c.centres[where])
+	}
+	if ok && !r.relieves(now, q, choice) {
+		return r.sent(choice), true
+	}
+	if other, found := r.elsewhere(now, q, hash, rate, c, where); found && (!ok || r.better(now, q, other, choice)) {
+		return r.sent(other), true
+	}
+	if !ok {
+		return Choice{}, false
+	}
+	return r.sent(choice), true
+}
+
+// count adds one use and returns the adapter's uses per second in the whole data centre.
+func (r *Router) count(now time.Time, adapter string) (float64, *usage) {
+	u, known := r.adapters[adapter]
+	if !known {
+		r.sweep(now)
+		u = &usage{at: now}
+		r.adapters[adapter] = u
+		r.keys = append(r.keys, adapter)
+	}
+	u.count = r.decayed(now, u) + 1
+	u.at = now
+	return math.Ln2 * u.count / r.options.HalfLife.Seconds() * float64(max(r.options.Entries, 1)), u
+}
+
+func (r *Router) decayed(now time.Time, u *usage) float64 {
+	return u.count * math.Exp2(-now.Sub(u.at).Seconds()/r.options.HalfLife.Seconds())
+}
+
+// sweep forgets idle adapters, two per new one, so that no choice scans all of them.
+func (r *Router) sweep(now time.Time) {
+	const entries, idleUses = 2, 0.05
+	for range min(entries, len(r.keys)) {
+		r.cursor = (r.cursor + 1) % len(r.keys)
+		key := r.keys[r.cursor]
+		if r.decayed(now, r.adapters[key]) > idleUses {
+			continue
+		}
+		delete(r.adapters, key)
+		last := len(r.keys) - 1
+		r.keys[r.cursor] = r.keys[last]
+		r.keys = r.keys[:last]
+		if last == 0 {
+			return
+		}
+	}
+}
+
+func (r *Router) homeCentre(hash uint64, c *Candidates) int {
+	best, highest := -1, uint64(0)
+	for i := range c.centres {
+		if score := mix(hash ^ c.centres[i].hash); best < 0 || score > highest {
+			best, highest = i, score
+		}
+	}
+	return best
+}
+
+// mix spreads the bits of a combined hash (finalizer of SplitMix64).
+func mix(x uint64) uint64 {
+	x ^= x >> 30
+	x *= 0xbf58476d1ce4e5b9
+	x ^= x >> 27
+	x *= 0x94d049bb133111eb
+	return x ^ x>>31
+}
+
+// shares tells whether the adapter is used too rarely here for a slot of this data centre: the delay and the bytes
+// of sending its requests to its home cost less than the loads that its slot saves other adapters.
+func (r *Router) shares(rate float64, q Request, u *usage, local *centre) bool {
+	value, known := 0.0, 0
+	for _, n := range local.nodes {
+		if o := r.seen[n.name]; o != nil {
+			value += o.SlotValue
+			known++
+		}
+	}
+	if known == 0 {
+		return u.shared
+	}
+	crossing := r.crossing(q).Seconds() * rate
+	saved := r.options.LoadTime.Seconds() * value / float64(known)
+	if u.shared {
+		u.shared = crossing < saved*r.options.Hysteresis
+	} else {
+		u.shared = crossing*r.options.Hysteresis < saved
+	}
+	return u.shared
+}
+
+// crossing is the cost of one request to another data centre in delay.
+func (r *Router) crossing(q Request) time.Duration {
+	return 2*r.options.Latency + time.Duration(q.Bytes)*r.options.PricePerByte
+}
+
+// within chooses among the first k endpoints of the ranking in a data centre: the less loaded of two random ones.
+func (r *Router) within(now time.Time, q Request, hash uint64, rate float64, d *centre) (Choice, bool) {
+	const most = 16
+	var top [most]ranked
+	k := min(r.replicas(now, q, rate, d), most)
+	n := 0
+	for i := range d.nodes {
+		if slices.Contains(q.Exclude, d.nodes[i].name) {
+			continue
+		}
+		n = insert(top[:k], n, ranked{mix(hash ^ d.nodes[i].hash), d.nodes[i].name})
+	}
+	if n == 0 {
+		return Choice{}, false
+	}
+	random := mix(xxhash.Sum64String(q.ID))
+	a := top[random%uint64(n)].name
+	b := top[(random>>32)%uint64(n)].name
+	if r.load(now, b) < r.load(now, a) {
+		a = b
+	}
+	return Choice{Endpoint: a, DataCentre: d.name, Remote: d.name != r.options.DataCentre}, true
+}
+
+type ranked struct {
+	score uint64
+	name  string
+}
+
+// insert keeps the highest scores in descending order and returns their number.
+func insert(top []ranked, n int, x ranked) int {
+	if n < len(top) {
+		top[n] = x
+		n++
+	} else if x.score > top[n-1].score {
+		top[n-1] = x
+	}
+	for i := n - 1; i > 0 && top[i].score > top[i-1].score; i-- {
+		top[i], top[i-1] = top[i-1], top[i]
+	}
+	return n
+}
+
+// replicas is the number of endpoints that the adapter's demand needs, and one more while the first of them is
+// too full; the base model needs no slot and uses all.
+func (r *Router) replicas(now time.Time, q Request, rate float64, d *centre) int {
+	if q.Adapter == "" {
+		return len(d.nodes)
+	}
+	places, service := 0, 0.0
+	full := 0
+	for _, n := range d.nodes {
+		o := r.seen[n.name]
+		if o == nil {
+			continue
+		}
+		places = max(places, o.Places)
+		service = max(service, o.Service.Seconds())
+		if r.load(now, n.name) > 1 {
+			full++
+		}
+	}
+	if places == 0 {
+		return 1
+	}
+	k := int(math.Ceil(rate * service / (r.options.FillTarget * float64(places))))
+	if full > 0 && full < len(d.nodes) {
+		k++
+	}
+	return min(max(k, 1), len(d.nodes))
+}
+
+// load estimates an endpoint's load: the last answer and what this entry and its peers sent since.
+func (r *Router) load(now time.Time, endpoint string) float64 {
+	const unknown = 0.5
+	o := r.seen[endpoint]
+	if o == nil || now.Sub(o.at) > r.options.Fresh {
+		return unknown
+	}
+	return o.Load + float64(o.sent*max(r.options.Entries, 1))/float64(max(o.Places, 1))
+}
+
+// wait estimates the time that a request waits for a place.
+func (r *Router) wait(now time.Time, endpoint string) time.Duration {
+	o := r.seen[endpoint]
+	if o == nil {
+		return 0
+	}
+	return time.Duration(max(r.load(now, endpoint)-1, 0) * float64(o.Service))
+}
+
+// relieves tells whether the choice is so full that another data centre is worth a look.
+func (r *Router) relieves(now time.Time, q Request, c Choice) bool {
+	return r.wait(now, c.Endpoint) > r.crossing(q)+r.options.LoadTime
+}
+
+// elsewhere returns the least loaded choice in the other data centres.
+func (r *Router) elsewhere(now time.Time, q Request, hash uint64, rate float64, c *Candidates, except int) (best Choice, ok bool) {
+	for i := range c.centres {
+		if i == except {
+			continue
+		}
+		one, found := r.within(now, q, hash, rate, &c.centres[i])
+		if found && (!ok || r.load(now, one.Endpoint) < r.load(now, best.Endpoint)) {
+			best, ok = one, true
+		}
+	}
+	return best, ok
+}
+
+// better tells whether going to another data centre pays for its delay, its bytes and a possible load there.
+func (r *Router) better(now time.Time, q Request, other, chosen Choice) bool {
+	return r.wait(now, other.Endpoint)+r.crossing(q)+r.options.LoadTime < r.wait(now, chosen.Endpoint)
+}
+
+func (r *Router) sent(c Choice) Choice {
+	if o := r.seen[c.Endpoint]; o != nil {
+		o.sent++
+	}
+	return c
+}
--- a/internal/place/scheduler/options.go
+++ b/internal/place/scheduler/options.go
@@ -2,15 +2,81 @@
 
 import "time"
 
-// Options are the settings of a Scheduler.
+// Rule names a protecting rule that a test can switch off to prove that its check finds the violation.
+type Rule int
+
+// Rules that protect promises.
+const (
+	ProtectInUse       Rule = iota // no eviction of an adapter in use
+	ProtectWaiting                 // no eviction of an adapter with accepted work
+	ExactVersion                   // versions are distinct
+	FairShares                     // start-time fair queueing between customers
+	LimitFailures                  // backoff and end of failed loads
+	CheckIncarnation               // observations of an earlier incarnation are ignored
+	BudgetLoads                    // loads wait for permits
+	RefuseEarly                    // requests that cannot meet their deadline are refused on arrival
+	ProtectNewArrivals             // a slot is freed for a customer that all slots are closed to
+	ruleCount
+)
+
+// Options are the settings of a Scheduler. docs/placement.md gives the measurements behind the defaults.
 type Options struct {
-	LoadTime time.Duration // time of one load at full speed
-	MaxLoads int           // loads in transit at once
+	LoadTime     time.Duration // time of one load at full speed
+	LoadInterval time.Duration // mean time between permits for this owner, used to estimate waits for loads
+	MaxLoads     int           // loads in transit at once
+
+	// Permit asks the data centre's weight store budget for one load; a refusal names the next time to ask.
+	Permit func(now time.Time, l LoadOrder) (ok bool, retryAt time.Time)
+	// Weight returns a customer's share in fair queueing.
+	Weight func(customer string) float64
+
+	FastHalfLife  time.Duration // half-life of the usage count that follows conversations
+	SlowHalfLife  time.Duration // half-life of the usage count that follows popularity
+	FastWeight    float64       // weight of the fast estimate of uses per second against the slow one
+	ReplicaValue  float64       // share of an adapter's value that one of several copies keeps in eviction
+	CreditTokens  float64       // tokens that a customer may lag behind the others and still catch up
+	WorkBonus     time.Duration // a load counts as this much more urgent for each waiting request
+	PrefetchGain  float64       // a prefetched adapter must be worth this many times its victim
+	CopyGap       float64       // batch fill difference within which a cached prefix decides the endpoint
+	PrefixLimit   int           // prefixes remembered for each endpoint
+	MaxFailures   int           // failed loads of an adapter in a row before its requests are refused
+	FailureDelay  time.Duration // delay after the first failed load, doubled with each further one
+	QuarantineFor time.Duration // time for which requests are refused after MaxFailures
+
+	disabled [ruleCount]bool
 }
 
 // Option sets one of the Options.
 type Option func(*Options)
 
+// Defaults returns the settings that New starts from.
+func Defaults() Options {
+	return Options{
+		LoadTime:      250 * time.Millisecond,
+		LoadInterval:  250 * time.Millisecond,
+		MaxLoads:      8,
+		Permit:        func(time.Time, LoadOrder) (bool, time.Time) { return true, time.Time{} },
+		Weight:        func(string) float64 { return 1 },
+		FastHalfLife:  10 * time.Second,
+		SlowHalfLife:  5 * time.Minute,
+		FastWeight:    1,
+		ReplicaValue:  0.25,
+		CreditTokens:  4000,
+		WorkBonus:     500 * time.Millisecond,
+		PrefetchGain:  1.5,
+		CopyGap:       0.25,
+		PrefixLimit:   1024,
+		MaxFailures:   3,
+		FailureDelay:  100 * time.Millisecond,
+		QuarantineFor: 5 * time.Second,
+	}
+}
+
+// WithOptions replaces all settings.
+func WithOptions(all Options) Option {
+	return func(o *Options) { *o = all }
+}
+
 // WithLoadTime sets the time of one load at full speed.
 func WithLoadTime(d time.Duration) Option {
 	return func(o *Options) { o.LoadTime = d }
@@ -20,3 +86,18 @@
 func WithMaxLoads(n int) Option {
 	return func(o *Options) { o.MaxLoads = n }
 }
+
+// WithPermit sets the callback that asks the weight store budget.
+func WithPermit(f func(now time.Time, l LoadOrder) (bool, time.Time)) Option {
+	return func(o *Options) { o.Permit = f }
+}
+
+// WithWeight sets the share of each customer in fair queueing.
+func WithWeight(f func(customer string) float64) Option {
+	return func(o *Options) { o.Weight = f }
+}
+
+// WithoutRule switches a protecting rule off; for tests only.
+func WithoutRule(r Rule) Option {
+	return func(o *Options) { o.disabled[r] = true }
+}
--- /dev/null
+++ b/internal/place/scheduler/prefix.go
@@ -0,0 +1,54 @@
+package scheduler
+
+import "time"
+
+// prefixes is what the owner believes an endpoint caches. It is a hint for breaking ties: cache events are late
+// and can be lost, so the set is bounded, filled by own dispatches and cleared on a gap in the events.
+type prefixes struct {
+	known    map[uint64]struct{}
+	order    []uint64
+	sequence uint64
+}
+
+func (p *prefixes) reset() {
+	p.known = map[uint64]struct{}{}
+	p.order = p.order[:0]
+}
+
+func (p *prefixes) has(hash uint64) bool {
+	if hash == 0 {
+		return false
+	}
+	_, ok := p.known[hash]
+	return ok
+}
+
+func (p *prefixes) add(hash uint64, limit int) {
+	if hash == 0 || p.has(hash) {
+		return
+	}
+	if len(p.order) >= limit {
+		delete(p.known, p.order[0])
+		p.order = p.order[1:]
+	}
+	p.known[hash] = struct{}{}
+	p.order = append(p.order, hash)
+}
+
+// Cached takes a cache event. After a gap nothing is known of what left the cache, so the set starts anew; a late
+// event of an earlier sequence number is ignored.
+func (s *Scheduler) Cached(_ time.Time, c CacheEvent) {
+	e := s.byName[c.Endpoint]
+	if e == nil || e.Incarnation != c.Incarnation || c.Sequence <= e.prefixes.sequence {
+		return
+	}
+	if e.prefixes.sequence != 0 && c.Sequence != e.prefixes.sequence+1 {
+		e.prefixes.reset()
+	}
+	e.prefixes.sequence = c.Sequence
+	if c.Removed {
+		delete(e.prefixes.known, c.Prefix)
+		return
+	}
+	e.prefixes.add(c.Prefix, s.options.PrefixLimit)
+}
--- /dev/null
+++ b/internal/place/scheduler/queue.go
@@ -0,0 +1,238 @@
+package scheduler
+
+import (
+	"container/heap"
+	"time"
+
+	"lycheevale/internal/base/refusal"
+)
+
+// ordered is a heap whose items know their position, so that any of them can be removed or moved.
+type ordered[T any] struct {
+	items []T
+	less  func(a, b T) bool
+	index func(T) *int
+}
+
+func (o *ordered[T]) Len() int           { return len(o.items) }
+func (o *ordered[T]) Less(i, j int) bool { return o.less(o.items[i], o.items[j]) }
+
+func (o *ordered[T]) Swap(i, j int) {
+	o.items[i], o.items[j] = o.items[j], o.items[i]
+	*o.index(o.items[i]) = i
+	*o.index(o.items[j]) = j
+}
+
+// Push implements heap.Interface.
+func (o *ordered[T]) Push(x any) {
+	item := x.(T)
+	*o.index(item) = len(o.items)
+	o.items = append(o.items, item)
+}
+
+// Pop implements heap.Interface.
+func (o *ordered[T]) Pop() any {
+	var none T
+	last := len(o.items) - 1
+	item := o.items[last]
+	o.items[last] = none
+	o.items = o.items[:last]
+	*o.index(item) = -1
+	return item
+}
+
+func (o *ordered[T]) remove(item T) {
+	if i := *o.index(item); i >= 0 {
+		heap.Remove(o, i)
+	}
+}
+
+// item is one waiting request.
+type item struct {
+	Request
+	group    *group
+	index    int // in the group
+	checkAt  time.Time
+	deadline int // index in the heap of deadlines
+}
+
+// group is the waiting requests of one customer for one adapter, with the same endpoint allowed.
+type group struct {
+	customer *customer
+	adapter  *adapter
+	pin      string
+	items    ordered[*item]
+	wanted   int // index in the customer's heap of wanted loads, -1 when covered
+}
+
+type groupKey struct {
+	customer *customer
+	adapter  *adapter
+	pin      string
+}
+
+// customer holds the tags of start-time fair queueing, in tokens by weight for service and in loads for loads.
+type customer struct {
+	name       string
+	weight     float64
+	finish     float64
+	loadFinish float64
+	waiting    int
+	running    int
+	wanted     ordered[*group]
+}
+
+func (s *Scheduler) customer(name string) *customer {
+	if c, ok := s.customers[name]; ok {
+		return c
+	}
+	c := &customer{name: name, weight: max(s.options.Weight(name), 1e-6)}
+	c.wanted = ordered[*group]{less: s.moreUrgent, index: func(g *group) *int { return &g.wanted }}
+	s.customers[name] = c
+	return c
+}
+
+func urgent(a, b *item) bool {
+	if a.Priority != b.Priority {
+		return a.Priority > b.Priority
+	}
+	return a.Deadline.Before(b.Deadline)
+}
+
+// moreUrgent orders loads within a customer by deadline and waiting work.
+func (s *Scheduler) moreUrgent(a, b *group) bool {
+	return s.urgency(a).Before(s.urgency(b))
+}
+
+func (s *Scheduler) urgency(g *group) time.Time {
+	return g.items.items[0].Deadline.Add(-time.Duration(g.items.Len()) * s.options.WorkBonus)
+}
+
+func (s *Scheduler) group(c *customer, a *adapter, pin string) *group {
+	k := groupKey{c, a, pin}
+	if g, ok := s.groups[k]; ok {
+		return g
+	}
+	g := &group{customer: c, adapter: a, pin: pin, wanted: -1}
+	g.items = ordered[*item]{less: urgent, index: func(i *item) *int { return &i.index }}
+	s.groups[k] = g
+	a.groups = append(a.groups, g)
+	return g
+}
+
+// enqueue adds a request to its group.
+func (s *Scheduler) enqueue(r Request, a *adapter) *item {
+	c := s.customer(r.Customer)
+	if c.waiting == 0 {
+		c.finish = max(c.finish, s.virtual)
+		s.backlogged += c.weight
+	}
+	g := s.group(c, a, r.Endpoint)
+	it := &item{Request: r, group: g, checkAt: r.Deadline.Add(-s.options.LoadTime)}
+	heap.Push(&g.items, it)
+	heap.Push(&s.deadlines, it)
+	s.items[r.ID] = it
+	c.waiting++
+	a.waiting++
+	s.waiting++
+	s.cover(g)
+	return it
+}
+
+// dequeue removes a waiting request and forgets a group that became empty.
+func (s *Scheduler) dequeue(it *item) {
+	g := it.group
+	g.items.remove(it)
+	s.deadlines.remove(it)
+	delete(s.items, it.ID)
+	g.customer.waiting--
+	if g.customer.waiting == 0 {
+		s.backlogged -= g.customer.weight
+	}
+	g.adapter.waiting--
+	s.waiting--
+	s.cover(g)
+	if g.items.Len() > 0 {
+		return
+	}
+	delete(s.groups, groupKey{g.customer, g.adapter, g.pin})
+	for i, other := range g.adapter.groups {
+		if other == g {
+			last := len(g.adapter.groups) - 1
+			g.adapter.groups[i] = g.adapter.groups[last]
+			g.adapter.groups[last] = nil
+			g.adapter.groups = g.adapter.groups[:last]
+			break
+		}
+	}
+	s.forget(g.customer)
+}
+
+// forget drops a customer without work whose tags no longer matter.
+func (s *Scheduler) forget(c *customer) {
+	if c.waiting == 0 && c.running == 0 && c.finish <= s.virtual && c.loadFinish <= s.loadVirtual {
+		delete(s.customers, c.name)
+	}
+}
+
+// startTag is the virtual time at which the customer's next request would start. A customer whose requests
+// waited for a load may catch up by CreditTokens only, so that it does not block the others afterwards.
+func (s *Scheduler) startTag(c *customer) float64 {
+	return max(c.finish, s.virtual-s.options.CreditTokens)
+}
+
+// before tells whether the first request of a goes before that of b.
+func (s *Scheduler) before(a, b *group) bool {
+	if b == nil {
+		return true
+	}
+	if s.options.disabled[FairShares] {
+		return a.items.items[0].Arrived.Before(b.items.items[0].Arrived)
+	}
+	if a.customer == b.customer {
+		return urgent(a.items.items[0], b.items.items[0])
+	}
+	ta, tb := s.startTag(a.customer), s.startTag(b.customer)
+	if ta != tb {
+		return ta < tb
+	}
+	return urgent(a.items.items[0], b.items.items[0])
+}
+
+// charge moves the customer's tag by the expected cost of a request that is dispatched.
+func (s *Scheduler) charge(c *customer, tokens float64) {
+	start := s.startTag(c)
+	s.virtual = max(s.virtual, start)
+	c.finish = start + tokens/c.weight
+}
+
+func withdrawnError(a *adapter) *refusal.Error {
+	return refusal.New(refusal.Unavailable, "version %q of adapter %q is withdrawn", a.key.ref.Version, a.key.ref.Adapter)
+}
+
+// refuse ends a waiting request.
+func (s *Scheduler) refuse(it *item, err *refusal.Error) {
+	s.dequeue(it)
+	s.actions = append(s.actions, Action{Kind: Refuse, ID: it.ID, Err: err})
+}
+
+// expire refuses requests whose deadline passed, or passes before a load that has not started could end.
+func (s *Scheduler) expire(now time.Time) {
+	for s.deadlines.Len() > 0 {
+		it := s.deadlines.items[0]
+		if it.checkAt.After(now) {
+			return
+		}
+		switch {
+		case !it.Deadline.After(now):
+			err := refusal.New(refusal.DeadlineExceeded, "no endpoint was free before the deadline")
+			s.refuse(it, err.WithRetryAt(now.Add(s.placeWait(it.group.customer))))
+		case it.group.wanted >= 0 || it.group.adapter.delayed:
+			err := refusal.New(refusal.DeadlineExceeded, "the adapter cannot be loaded before the deadline")
+			s.refuse(it, err.WithRetryAt(now.Add(s.loadWait(it.group))))
+		default:
+			it.checkAt = it.Deadline
+			heap.Fix(&s.deadlines, it.deadline)
+		}
+	}
+}
--- a/internal/place/scheduler/scheduler.go
+++ b/internal/place/scheduler/scheduler.go
@@ -1,6 +1,9 @@
 // Package scheduler decides for an owner which waiting request runs on which endpoint and which adapters are
 // loaded and evicted. It is pure: time and observations go in, actions come out. It is not safe for
 // concurrent use.
+//
+// No decision scans the adapters or the waiting requests: a dispatch looks at the slots of endpoints with free
+// places, a load at the customers that want one and the slots of the owner's endpoints.
 package scheduler
 
 import (
@@ -13,219 +16,334 @@
 // Scheduler is the state of one owner's decisions.
 type Scheduler struct {
 	options   Options
-	endpoints map[string]*endpoint
-	queue     []Request
-	running   map[string]assignment
-	loads     int
-}
+	origin    time.Time
+	endpoints []*endpoint // by name
+	byName    map[string]*endpoint
+	customers map[string]*customer
+	adapters  map[adapterKey]*adapter
+	list      []*adapter
+	cursor    int
+	groups    map[groupKey]*group
+	items     map[string]*item
+	running   map[string]*run
+	deadlines ordered[*item]
+	dirty     []*endpoint
+	actions   []Action
 
-type endpoint struct {
-	Endpoint
-	inUse    map[AdapterRef]int
-	resident map[AdapterRef]time.Time // last use
-	loading  map[AdapterRef]bool
-	running  int
+	backlogged  float64 // weight of the customers with waiting requests
+	virtual     float64 // virtual time of service, tokens by weight
+	loadVirtual float64 // virtual time of loads
+	wanting     []*customer
+	wantedCount int
+	waiting     int
+	delayed     []*adapter
+	pressured   []*adapter
+	hints       []*adapter
+	loads       int
+	permitAt    time.Time
+	lastValue   float64
+	service     float64 // mean seconds from dispatch to end
+	outputShare float64 // mean share of MaxTokens that is generated
+	commands    map[string]*command
+	pending     []*command
+	unloads     []*slot
+	closing     *slot
 }
 
-type assignment struct {
-	endpoint string
+// run is one dispatched request.
+type run struct {
+	customer *customer
+	slot     *slot
 	request  Request
+	charged  float64
+	at       time.Time
 }
 
 // New returns a scheduler without endpoints.
 func New(opts ...Option) *Scheduler {
-	o := Options{LoadTime: 250 * time.Millisecond, MaxLoads: 8}
+	s := &Scheduler{
+		options:   Defaults(),
+		byName:    map[string]*endpoint{},
+		customers: map[string]*customer{},
+		adapters:  map[adapterKey]*adapter{},
+		groups:    map[groupKey]*group{},
+		items:     map[string]*item{},
+		running:   map[string]*run{},
+		commands:  map[string]*command{},
+		service:   1, outputShare: 0.5,
+	}
 	for _, opt := range opts {
-		opt(&o)
+		opt(&s.options)
 	}
-	return &Scheduler{options: o, endpoints: map[string]*endpoint{}, running: map[string]assignment{}}
+	s.deadlines = ordered[*item]{
+		less:  func(a, b *item) bool { return a.checkAt.Before(b.checkAt) },
+		index: func(i *item) *int { return &i.deadline },
+	}
+	return s
 }
 
-// SetEndpoint adds an endpoint or replaces what is known of it; a new incarnation starts empty.
-func (s *Scheduler) SetEndpoint(now time.Time, e Endpoint) {
-	old, known := s.endpoints[e.Name]
-	if known && old.Incarnation == e.Incarnation {
-		old.Draining = e.Draining
-		return
+func (s *Scheduler) seconds(now time.Time) float64 {
+	if s.origin.IsZero() {
+		s.origin = now
+	}
+	return now.Sub(s.origin).Seconds()
+}
+
+// Submit queues a request or refuses it at once when it cannot be dispatched before its deadline.
+func (s *Scheduler) Submit(now time.Time, r Request) error {
+	if !r.Deadline.After(now) {
+		return refusal.New(refusal.DeadlineExceeded, "deadline has passed")
+	}
+	if _, known := s.items[r.ID]; known || s.running[r.ID] != nil {
+		return refusal.New(refusal.Conflict, "request %q is already known", r.ID)
+	}
+	s.sweep(now)
+	a := s.adapter(now, r.Model, r.Adapter)
+	if a.withdrawn {
+		return withdrawnError(a)
 	}
-	next := &endpoint{
-		Endpoint: e, inUse: map[AdapterRef]int{}, resident: map[AdapterRef]time.Time{}, loading: map[AdapterRef]bool{},
+	if s.quarantined(now, a) {
+		return s.failedError(a)
 	}
-	for _, a := range e.Resident {
-		next.resident[a] = now
+	a.use.add(s.seconds(now), &s.options)
+	it := s.enqueue(r, a)
+	if err := s.tooLate(now, it); err != nil {
+		s.dequeue(it)
+		return err
 	}
-	s.endpoints[e.Name] = next
-	if known {
-		s.loads -= len(old.loading)
+	for _, c := range a.copies {
+		if c.ready() {
+			s.markDirty(c.endpoint)
+		}
 	}
+	return nil
 }
 
-// RemoveEndpoint forgets an endpoint.
-func (s *Scheduler) RemoveEndpoint(_ time.Time, name string) {
-	if e, ok := s.endpoints[name]; ok {
-		s.loads -= len(e.loading)
-		delete(s.endpoints, name)
+// tooLate refuses a request whose estimated start lies after its deadline.
+func (s *Scheduler) tooLate(now time.Time, it *item) error {
+	if s.options.disabled[RefuseEarly] {
+		return nil
+	}
+	left := it.Deadline.Sub(now)
+	if wait := s.placeWait(it.group.customer); wait > left {
+		err := refusal.New(refusal.Overloaded, "the customer's waiting requests take until after the deadline")
+		return err.WithRetryAt(now.Add(wait - left))
+	}
+	if it.group.wanted < 0 {
+		return nil
 	}
+	if wait := s.loadWait(it.group); wait > left {
+		err := refusal.New(refusal.Overloaded, "the adapter cannot be loaded before the deadline")
+		return err.WithRetryAt(now.Add(wait - left))
+	}
+	return nil
 }
 
-// Submit queues a request or refuses it.
-func (s *Scheduler) Submit(now time.Time, r Request) error {
-	if !r.Deadline.After(now) {
-		return refusal.New(refusal.DeadlineExceeded, "deadline has passed")
+// placeWait estimates the time until all requests waiting for the customer have been dispatched, when it gets its
+// fair share of the places that become free. It errs towards too short: a request refused on it had no chance.
+func (s *Scheduler) placeWait(c *customer) time.Duration {
+	places, free := 0, 0
+	for _, e := range s.endpoints {
+		if e.accepts() {
+			places += e.BatchSize
+			free += max(e.free(), 0)
+		}
 	}
-	s.queue = append(s.queue, r)
-	return nil
+	queued := c.waiting - 1 - free
+	if queued <= 0 || places == 0 {
+		return 0
+	}
+	rate := float64(places) / max(s.service, 1e-3) * c.weight / max(s.backlogged, c.weight)
+	return time.Duration(float64(queued) / rate * float64(time.Second))
+}
+
+// loadWait estimates the time until a load for the group ends, when its customer gets a fair share of loads.
+func (s *Scheduler) loadWait(g *group) time.Duration {
+	ahead := 0
+	for _, c := range s.wanting {
+		ahead += min(c.wanted.Len(), g.customer.wanted.Len())
+	}
+	wait := s.options.LoadTime + time.Duration(max(ahead-1, 0))*s.options.LoadInterval
+	return wait
 }
 
 // Cancel forgets a waiting request; a running one ends by Finished.
 func (s *Scheduler) Cancel(_ time.Time, id string) {
-	s.queue = slices.DeleteFunc(s.queue, func(r Request) bool { return r.ID == id })
+	if it, ok := s.items[id]; ok {
+		s.dequeue(it)
+	}
 }
 
-// Finished frees what a dispatched request used.
+// Finished frees what a dispatched request used and settles its cost.
 func (s *Scheduler) Finished(now time.Time, f Finish) {
-	a, ok := s.running[f.ID]
+	r, ok := s.running[f.ID]
 	if !ok {
 		return
 	}
 	delete(s.running, f.ID)
-	e, ok := s.endpoints[a.endpoint]
-	if !ok {
+	r.customer.running--
+	r.customer.finish += (float64(f.Tokens) - r.charged) / r.customer.weight
+	s.forget(r.customer)
+	if !f.Failed {
+		s.learn(now, r, f)
+	}
+	r.slot.inUse--
+	e := r.slot.endpoint
+	if e.gone {
 		return
 	}
+	if r.slot.adapter.withdrawn {
+		s.unloadWithdrawn(r.slot.adapter)
+	}
 	e.running--
-	e.inUse[a.request.Adapter]--
-	e.resident[a.request.Adapter] = now
+	e.history.add(now, e.running)
+	s.markDirty(e)
 }
 
-// Loaded ends a load.
-func (s *Scheduler) Loaded(now time.Time, l LoadResult) {
-	e, ok := s.endpoints[l.Endpoint]
-	if !ok || e.Incarnation != l.Incarnation || !e.loading[l.Adapter] {
-		return
-	}
-	delete(e.loading, l.Adapter)
-	s.loads--
-	if !l.Failed {
-		e.resident[l.Adapter] = now
+// learn follows the mean service time and the share of MaxTokens that is generated.
+func (s *Scheduler) learn(now time.Time, r *run, f Finish) {
+	const weight = 0.02
+	s.service += weight * (now.Sub(r.at).Seconds() - s.service)
+	if r.request.MaxTokens > 0 {
+		share := float64(f.Tokens-r.request.PromptTokens) / float64(r.request.MaxTokens)
+		s.outputShare += weight * (min(max(share, 0), 1) - s.outputShare)
 	}
 }
 
-// Report takes an engine's load report.
-func (s *Scheduler) Report(time.Time, LoadReport) {}
+func (s *Scheduler) act(e *endpoint, a Action) {
+	a.Endpoint = e.Name
+	a.Incarnation = e.Incarnation
+	a.Fence = e.Fence
+	s.actions = append(s.actions, a)
+}
+
+// Decide returns the actions to take now. The slice is valid until the next call.
+func (s *Scheduler) Decide(now time.Time) []Action {
+	clear(s.actions)
+	s.actions = s.actions[:0]
+	s.expire(now)
+	s.dispatch(now)
+	s.unload()
+	s.load(now)
+	s.runCommands()
+	return s.actions
+}
 
 // NextWake returns when Decide has something to do without a new observation; zero when never.
 func (s *Scheduler) NextWake() time.Time {
-	var at time.Time
-	for _, r := range s.queue {
-		if at.IsZero() || r.Deadline.Before(at) {
-			at = r.Deadline
+	at := s.permitAt
+	consider := func(t time.Time) {
+		if !t.IsZero() && (at.IsZero() || t.Before(at)) {
+			at = t
 		}
 	}
+	if s.deadlines.Len() > 0 {
+		consider(s.deadlines.items[0].checkAt)
+	}
+	for _, a := range s.delayed {
+		consider(a.retryAt)
+	}
 	return at
 }
 
-// Decide returns the actions to take now.
-func (s *Scheduler) Decide(now time.Time) []Action {
-	var actions []Action
-	var waiting []Request
-	for _, r := range s.queue {
-		action, done := s.decideOne(now, r)
-		if action.Kind != "" {
-			actions = append(actions, action)
-		}
-		if !done {
-			waiting = append(waiting, r)
-		}
+func (s *Scheduler) markDirty(e *endpoint) {
+	if !e.dirty {
+		e.dirty = true
+		s.dirty = append(s.dirty, e)
 	}
-	s.queue = waiting
-	return actions
 }
 
-func (s *Scheduler) decideOne(now time.Time, r Request) (action Action, done bool) {
-	if !r.Deadline.After(now) {
-		err := refusal.New(refusal.DeadlineExceeded, "no endpoint was free before the deadline")
-		return Action{Kind: Refuse, ID: r.ID, Err: err}, true
-	}
-	if e := s.residentEndpoint(r); e != nil {
-		e.running++
-		e.inUse[r.Adapter]++
-		s.running[r.ID] = assignment{e.Name, r}
-		return Action{Kind: Dispatch, ID: r.ID, Endpoint: e.Name, Adapter: r.Adapter}, true
-	}
-	return s.load(r), false
-}
-
-func (s *Scheduler) residentEndpoint(r Request) *endpoint {
-	var best *endpoint
-	for _, name := range s.names() {
-		e := s.endpoints[name]
-		_, resident := e.resident[r.Adapter]
-		usable := e.allowed(r) && (resident || r.Adapter.Base()) && e.running < e.BatchSize
-		if usable && (best == nil || e.running < best.running) {
-			best = e
+// dispatch fills free places: the request by fairness and deadline over all endpoints that may have work, then the
+// endpoint among those where its adapter is resident.
+func (s *Scheduler) dispatch(now time.Time) {
+	for len(s.dirty) > 0 {
+		var best *group
+		for i := 0; i < len(s.dirty); i++ {
+			e := s.dirty[i]
+			g := s.first(e)
+			if g == nil || e.free() <= 0 {
+				s.notePressure(e, g)
+				e.dirty = false
+				s.dirty = slices.Delete(s.dirty, i, i+1)
+				i--
+				continue
+			}
+			if s.before(g, best) {
+				best = g
+			}
+		}
+		if best != nil {
+			s.start(now, best)
 		}
 	}
-	return best
-}
-
-func (e *endpoint) allowed(r Request) bool {
-	return e.Model == r.Model && !e.Draining && (r.Endpoint == "" || r.Endpoint == e.Name)
 }
 
-func (s *Scheduler) names() []string {
-	names := make([]string, 0, len(s.endpoints))
-	for name := range s.endpoints {
-		names = append(names, name)
+// first returns the group that goes first on the endpoint.
+func (s *Scheduler) first(e *endpoint) (best *group) {
+	if !e.accepts() {
+		return nil
 	}
-	slices.Sort(names)
-	return names
-}
-
-// load orders a load for the request unless one is running or the adapter is resident on a busy endpoint.
-func (s *Scheduler) load(r Request) Action {
-	var target *endpoint
-	for _, name := range s.names() {
-		e := s.endpoints[name]
-		if !e.allowed(r) {
+	for _, c := range e.slots {
+		if c.adapter.waiting == 0 || !c.ready() {
 			continue
 		}
-		if _, resident := e.resident[r.Adapter]; resident || e.loading[r.Adapter] {
-			return Action{}
-		}
-		if target == nil || e.running < target.running {
-			target = e
+		for _, g := range c.adapter.groups {
+			if g.pin != "" && g.pin != e.Name {
+				continue
+			}
+			if s.before(g, best) {
+				best = g
+			}
 		}
 	}
-	if target == nil || s.loads >= s.options.MaxLoads {
-		return Action{}
-	}
-	evict, ok := target.victim()
-	if !ok {
-		return Action{}
-	}
-	if !evict.Base() {
-		delete(target.resident, evict)
+	return best
+}
+
+func (s *Scheduler) notePressure(e *endpoint, g *group) {
+	if g == nil || e.free() > 0 || g.adapter.pressured || g.adapter.key.ref.Base() || g.pin != "" || len(s.endpoints) < 2 {
+		return
 	}
-	target.loading[r.Adapter] = true
-	s.loads++
-	return Action{Kind: Load, Endpoint: target.Name, Adapter: r.Adapter, Evict: evict}
+	g.adapter.pressured = true
+	s.pressured = append(s.pressured, g.adapter)
 }
 
-// victim returns the least recently used adapter that is not in use, or the zero value when a slot is free.
-func (e *endpoint) victim() (AdapterRef, bool) {
-	if len(e.resident)+len(e.loading) < e.Slots {
-		return AdapterRef{}, true
+// start dispatches the first request of the group.
+func (s *Scheduler) start(now time.Time, g *group) {
+	it := g.items.items[0]
+	c := s.place(g, it)
+	g.customer.running++ // before dequeue, which forgets customers without work
+	s.dequeue(it)
+	if c.state == slotClosing {
+		c.quota--
+		s.coverAll(g.adapter)
 	}
-	var victim AdapterRef
-	var oldest time.Time
-	for a, used := range e.resident {
-		if a.Base() || e.inUse[a] > 0 {
+	e := c.endpoint
+	expected := float64(it.PromptTokens) + float64(it.MaxTokens)*s.outputShare
+	s.charge(g.customer, expected)
+	c.inUse++
+	e.running++
+	e.history.add(now, e.running)
+	e.prefixes.add(it.PrefixHash, s.options.PrefixLimit)
+	s.running[it.ID] = &run{customer: g.customer, slot: c, request: it.Request, charged: expected, at: now}
+	s.act(e, Action{Kind: Dispatch, ID: it.ID, Priority: it.Priority, Adapter: it.Adapter})
+}
+
+// place returns the slot for a request: the emptiest endpoint, or within CopyGap one that caches its prefix.
+func (s *Scheduler) place(g *group, it *item) *slot {
+	var best *slot
+	var bestCost float64
+	for _, c := range g.adapter.copies {
+		e := c.endpoint
+		if !c.ready() || !e.accepts() || e.free() <= 0 || g.pin != "" && g.pin != e.Name {
 			continue
 		}
-		if victim.Base() || used.Before(oldest) {
-			victim, oldest = a, used
+		cost := e.fill()
+		if e.prefixes.has(it.PrefixHash) {
+			cost -= s.options.CopyGap
+		}
+		if best == nil || cost < bestCost {
+			best, bestCost = c, cost
 		}
 	}
-	return victim, !victim.Base()
+	return best
 }
--- /dev/null
+++ b/internal/place/scheduler/slot.go
@@ -0,0 +1,287 @@
+package scheduler
+
+import (
+	"math"
+	"slices"
+	"time"
+)
+
+// slotState is a plain enum instead of an fsm.FSM: a slot changes state on the path of each load and is read for
+// each dispatch, where an event lookup under a mutex and its allocations would dominate the decision.
+type slotState uint8
+
+const (
+	slotLoading slotState = iota
+	slotResident
+	slotClosing // serves the work accepted before, then becomes free
+)
+
+// slot is one adapter on one endpoint.
+type slot struct {
+	adapter  *adapter
+	endpoint *endpoint
+	state    slotState
+	inUse    int
+	quota    int // dispatches left while closing
+	since    time.Time
+}
+
+func (c *slot) ready() bool {
+	return c.state == slotResident || c.state == slotClosing && c.quota > 0
+}
+
+// usage counts uses with exponential decay over two time scales.
+type usage struct {
+	fast, slow float64
+	at         float64
+}
+
+func (u *usage) decay(now float64, o *Options) {
+	dt := now - u.at
+	if dt <= 0 {
+		return
+	}
+	u.fast *= math.Exp2(-dt / o.FastHalfLife.Seconds())
+	u.slow *= math.Exp2(-dt / o.SlowHalfLife.Seconds())
+	u.at = now
+}
+
+func (u *usage) add(now float64, o *Options) {
+	u.decay(now, o)
+	u.fast++
+	u.slow++
+}
+
+// rate is the expected number of uses per second.
+func (u *usage) rate(now float64, o *Options) float64 {
+	u.decay(now, o)
+	return math.Ln2 * (o.FastWeight*u.fast/o.FastHalfLife.Seconds() + u.slow/o.SlowHalfLife.Seconds())
+}
+
+type adapterKey struct {
+	model string
+	ref   AdapterRef
+}
+
+type failure struct {
+	endpoint string
+	until    time.Time
+}
+
+// adapter is one version of an adapter, or the base model.
+type adapter struct {
+	key       adapterKey
+	use       usage
+	groups    []*group
+	copies    []*slot
+	waiting   int
+	position  int // in the scheduler's list of adapters
+	failures  int
+	failedOn  []failure
+	retryAt   time.Time
+	delayed   bool // waits for retryAt
+	pressured bool // listed for a further replica
+	hinted    bool // listed for prefetch
+	withdrawn bool
+}
+
+func (s *Scheduler) adapter(now time.Time, model string, ref AdapterRef) *adapter {
+	k := adapterKey{model, ref}
+	if s.options.disabled[ExactVersion] {
+		k.ref.Version = ""
+	}
+	if a, ok := s.adapters[k]; ok {
+		return a
+	}
+	a := &adapter{key: k, position: len(s.list)}
+	a.use.at = s.seconds(now)
+	s.adapters[k] = a
+	s.list = append(s.list, a)
+	return a
+}
+
+// sweep forgets idle adapters, two entries per call, so that no call scans all of them.
+func (s *Scheduler) sweep(now time.Time) {
+	const entries = 2
+	const idleUses = 0.01
+	for range min(entries, len(s.list)) {
+		s.cursor = (s.cursor + 1) % len(s.list)
+		a := s.list[s.cursor]
+		a.use.decay(s.seconds(now), &s.options)
+		idle := a.waiting == 0 && len(a.copies) == 0 && a.use.slow < idleUses && a.use.fast < idleUses
+		if !idle || a.failures > 0 || a.withdrawn || a.hinted || a.pressured {
+			continue
+		}
+		last := s.list[len(s.list)-1]
+		s.list[s.cursor] = last
+		last.position = s.cursor
+		s.list[len(s.list)-1] = nil
+		s.list = s.list[:len(s.list)-1]
+		delete(s.adapters, a.key)
+		if len(s.list) == 0 {
+			return
+		}
+	}
+}
+
+// endpoint is the owner's view of one engine.
+type endpoint struct {
+	Endpoint
+	slots    []*slot // the first one is the base model, which needs no adapter slot
+	running  int
+	external int // running requests that this owner did not dispatch
+	loading  int
+	dirty    bool
+	gone     bool
+	history  history
+	prefixes prefixes
+	command  *command
+}
+
+func (e *endpoint) used() int { return len(e.slots) - 1 }
+
+func (e *endpoint) free() int { return e.BatchSize - e.running - e.external }
+
+func (e *endpoint) accepts() bool { return !e.Draining && e.command == nil && !e.gone }
+
+func (e *endpoint) fill() float64 {
+	return float64(e.running+e.external) / float64(max(e.BatchSize, 1))
+}
+
+func (s *Scheduler) addSlot(e *endpoint, a *adapter, state slotState, now time.Time) *slot {
+	c := &slot{adapter: a, endpoint: e, state: state, since: now}
+	e.slots = append(e.slots, c)
+	a.copies = append(a.copies, c)
+	return c
+}
+
+func (s *Scheduler) dropSlot(c *slot) {
+	e, a := c.endpoint, c.adapter
+	if c.state == slotLoading {
+		e.loading--
+		s.loads--
+	}
+	if s.closing == c {
+		s.closing = nil
+	}
+	e.slots = slices.DeleteFunc(e.slots, func(other *slot) bool { return other == c })
+	a.copies = slices.DeleteFunc(a.copies, func(other *slot) bool { return other == c })
+	s.coverAll(a)
+}
+
+func (e *endpoint) find(a *adapter) *slot {
+	for _, c := range a.copies {
+		if c.endpoint == e {
+			return c
+		}
+	}
+	return nil
+}
+
+// evictable tells whether no promise keeps the adapter in its slot.
+func (s *Scheduler) evictable(c *slot) bool {
+	o := &s.options
+	if c.adapter.key.ref.Base() || c.state == slotLoading {
+		return false
+	}
+	if c.inUse > 0 && !o.disabled[ProtectInUse] {
+		return false
+	}
+	if c.state == slotClosing {
+		return c.quota == 0
+	}
+	return !s.accepted(c) || o.disabled[ProtectWaiting]
+}
+
+// accepted tells whether a waiting request counts on the slot.
+func (s *Scheduler) accepted(c *slot) bool {
+	for _, g := range c.adapter.groups {
+		if g.items.Len() > 0 && (g.pin == "" || g.pin == c.endpoint.Name) {
+			return true
+		}
+	}
+	return false
+}
+
+// value is the expected number of uses per second that evicting the slot would turn into loads.
+func (s *Scheduler) value(now time.Time, c *slot) float64 {
+	if c.adapter.withdrawn {
+		return -1
+	}
+	v := s.expectedUse(now, c.adapter)
+	if len(c.adapter.copies) > 1 {
+		v *= s.options.ReplicaValue
+	}
+	return v
+}
+
+func (s *Scheduler) expectedUse(now time.Time, a *adapter) float64 {
+	return a.use.rate(s.seconds(now), &s.options)
+}
+
+// victim returns the slot to evict for a load and its value; no slot and a value of zero when one is free.
+func (s *Scheduler) victim(now time.Time, e *endpoint) (victim *slot, value float64, ok bool) {
+	if e.used() < e.Slots {
+		return nil, 0, true
+	}
+	for _, c := range e.slots[1:] {
+		if !s.evictable(c) {
+			continue
+		}
+		if v := s.value(now, c); victim == nil || v < value {
+			victim, value = c, v
+		}
+	}
+	return victim, value, victim != nil
+}
+
+// closeSlot frees a slot for a customer that every slot is closed to: the one with the least accepted work serves
+// that work and no other. Without it a customer with much waiting work could hold all slots for good.
+func (s *Scheduler) closeSlot(endpoints []*endpoint, g *group) {
+	if s.options.disabled[ProtectNewArrivals] || s.closing != nil {
+		return
+	}
+	var best *slot
+	for _, e := range endpoints {
+		if !e.accepts() || e.Model != g.adapter.key.model || g.pin != "" && g.pin != e.Name {
+			continue
+		}
+		for _, c := range e.slots[1:] {
+			if c.state != slotResident {
+				continue
+			}
+			if best == nil || c.inUse+c.adapter.waiting < best.inUse+best.adapter.waiting {
+				best = c
+			}
+		}
+	}
+	if best == nil {
+		return
+	}
+	best.state = slotClosing
+	best.quota = best.adapter.waiting
+	s.closing = best
+	s.coverAll(best.adapter)
+}
+
+// reopen lets a closing slot take new work again when no other adapter wants its place.
+func (s *Scheduler) reopen() {
+	c := s.closing
+	if c == nil {
+		return
+	}
+	own := 0
+	for _, g := range c.adapter.groups {
+		if g.wanted >= 0 {
+			own++
+		}
+	}
+	if s.wantedCount > own {
+		return
+	}
+	s.closing = nil
+	c.state = slotResident
+	c.quota = 0
+	s.markDirty(c.endpoint)
+	s.coverAll(c.adapter)
+}
--- a/internal/place/scheduler/types.go
+++ b/internal/place/scheduler/types.go
@@ -22,8 +22,9 @@
 	MaxTokens    int
 	Priority     int // higher first within a customer and passed to the engine
 	Arrived      time.Time
-	Deadline     time.Time
-	Endpoint     string // the only endpoint allowed, empty for any
+	Deadline     time.Time // latest time of dispatch
+	Endpoint     string    // the only endpoint allowed, empty for any
+	Preferred    string    // the entry's choice; a load for the request goes there where it costs no more
 }
 
 // Cost returns the upper bound of the tokens that the request uses.
@@ -38,6 +39,7 @@
 	BatchSize   int // requests decoded at once
 	Resident    []AdapterRef
 	Draining    bool
+	Fence       uint64 // fencing number of the ownership, copied into every action for the endpoint
 }
 
 // Finish tells that a dispatched request ended.
@@ -74,14 +76,46 @@
 	Load     ActionKind = "Load"
 	Unload   ActionKind = "Unload"
 	Refuse   ActionKind = "Refuse"
+	SetModel ActionKind = "SetModel"
+	SetRole  ActionKind = "SetRole"
 )
 
 // Action is one decision of the scheduler.
 type Action struct {
-	Kind     ActionKind
-	ID       string // request, for Dispatch and Refuse
-	Endpoint string
-	Adapter  AdapterRef // for Load and Unload
-	Evict    AdapterRef // for Load, zero when a slot is free
-	Err      error      // for Refuse
+	Kind        ActionKind
+	ID          string // request for Dispatch and Refuse, command for SetModel and SetRole
+	Endpoint    string
+	Incarnation uint64     // of the endpoint; an engine of another incarnation must not run the action
+	Fence       uint64     // fencing number of the ownership, or the command's own if that is higher
+	Priority    int        // for Dispatch, passed to the engine
+	Adapter     AdapterRef // for Dispatch, Load and Unload
+	Evict       AdapterRef // for Load, zero when a slot is free
+	Value       string     // model for SetModel, role for SetRole
+	Speculative bool       // Load without a waiting request
+	Err         error      // for Refuse
+}
+
+// LoadOrder describes a load for which the budget is asked for a permit.
+type LoadOrder struct {
+	Endpoint    string
+	Adapter     AdapterRef
+	Speculative bool // prefetch or replica: granted only from budget that no waiting request needs
+}
+
+// CacheEvent is an engine's note that a prompt prefix entered or left its cache.
+type CacheEvent struct {
+	Endpoint    string
+	Incarnation uint64
+	Sequence    uint64 // increases by one with each event of an incarnation
+	Prefix      uint64
+	Removed     bool
+}
+
+// View is what the owner returns to entries with each answer.
+type View struct {
+	Load      float64       // running and waiting requests over batch places
+	Wait      time.Duration // estimated wait of a new request whose adapter is resident
+	Service   time.Duration // mean time from dispatch to end
+	SlotValue float64       // expected uses per second of the adapter that a load would evict
+	Resident  bool          // the request's adapter is resident or being loaded
 }
