--- a/internal/place/model/result.go
+++ b/internal/place/model/result.go
@@ -28,13 +28,15 @@
 	steps      int
 	stepTokens int
 	prefixHits int
-	batch      int
+
+	phaseN, phaseStalled [2]int // before the burst and during it
+	batch                int
 }
 
-func newResult(site Site) *Result {
+func newResult(site Site, sc Scenario) *Result {
 	n := len(site.Shares)
 	return &Result{
-		Site: site.Name, Violations: map[string]int{}, Codes: map[refusal.Code]int{}, batch: site.BatchSize,
+		Site: site.Name, Scenario: sc, Violations: map[string]int{}, Codes: map[refusal.Code]int{}, batch: site.BatchSize,
 		counts: make([]int, n), sums: make([]time.Duration, n), CustomerTime: make([]time.Duration, n),
 	}
 }
@@ -44,20 +46,38 @@
 		return false
 	}
 	r.Requests++
+	r.countPhase(a)
+	if a.call.OverRate {
+		return true
+	}
+	r.Within++
 	if a.stalled {
 		r.Stalled++
 	}
-	if !a.call.OverRate {
-		r.Within++
-	}
 	return true
 }
 
+func (r *Result) countPhase(a *attempt) {
+	phase := 0
+	if a.call.OverRate {
+		return
+	}
+	if a.call.At >= r.Scenario.BurstAt {
+		phase = 1
+	}
+	r.phaseN[phase]++
+	if a.stalled {
+		r.phaseStalled[phase]++
+	}
+}
+
 func (r *Result) completed(a *attempt, end time.Duration, site Site) {
 	if !r.count(a) {
 		return
 	}
-	r.FirstToken = append(r.FirstToken, a.first-a.call.At)
+	if !a.call.OverRate {
+		r.FirstToken = append(r.FirstToken, a.first-a.call.At)
+	}
 	if a.remote {
 		r.RemoteBytes += int64(site.BytesPerToken * (a.call.Prompt + 2*a.call.Output))
 	}
@@ -75,8 +95,8 @@
 	}
 }
 
-func (r *Result) close(policy string, sc Scenario) {
-	r.Policy, r.Scenario = policy, sc
+func (r *Result) close(policy string) {
+	r.Policy = policy
 	slices.Sort(r.FirstToken)
 	for i, n := range r.counts {
 		if n > 0 {
@@ -85,8 +105,8 @@
 	}
 }
 
-// StallShare is the share of requests that waited for a load.
-func (r *Result) StallShare() float64 { return share(r.Stalled, r.Requests) }
+// StallShare is the share of requests of customers within their rate that waited for a load.
+func (r *Result) StallShare() float64 { return share(r.Stalled, r.Within) }
 
 // FalseShare is the share of refused requests of customers within their rate.
 func (r *Result) FalseShare() float64 { return share(r.FalseRefused, r.Within) }
--- a/internal/place/model/sim.go
+++ b/internal/place/model/sim.go
@@ -99,7 +99,7 @@
 
 // Run runs one policy through one scenario.
 func Run(site Site, sc Scenario, p Policy) *Result {
-	s := &simulation{site: site, scenario: sc, policy: p, byName: map[string]*engine{}, result: newResult(site)}
+	s := &simulation{site: site, scenario: sc, policy: p, byName: map[string]*engine{}, result: newResult(site, sc)}
 	s.random = rand.New(rand.NewPCG(sc.Seed, 77))
 	s.store = &store{sim: s}
 	s.budget = &budget{sim: s}
@@ -123,7 +123,7 @@
 		e.call()
 	}
 	s.result.Loads = s.store.loads
-	s.result.close(s.policy.Name, sc)
+	s.result.close(s.policy.Name)
 	return s.result
 }
 
--- a/internal/place/route/options.go
+++ b/internal/place/route/options.go
@@ -6,7 +6,7 @@
 type Options struct {
 	DataCentre   string        // the entry's own
 	Entries      int           // entries of the data centre, which share its callers evenly
-	LoadTime     time.Duration // time that a request waits for a load
+	LoadCost     time.Duration // delay that is worth as much as one load
 	Latency      time.Duration // one way between data centres
 	PricePerByte time.Duration // delay that is worth as much as sending one byte over a slow link
 	HalfLife     time.Duration // half-life of the usage count of an adapter
@@ -22,10 +22,10 @@
 func Defaults() Options {
 	return Options{
 		Entries:      1,
-		LoadTime:     250 * time.Millisecond,
+		LoadCost:     2 * time.Second,
 		Latency:      30 * time.Millisecond,
 		PricePerByte: time.Microsecond,
-		HalfLife:     2 * time.Minute,
+		HalfLife:     10 * time.Minute,
 		FillTarget:   0.5,
 		Hysteresis:   1.5,
 		Fresh:        5 * time.Second,
--- a/internal/place/route/route.go
+++ b/internal/place/route/route.go
@@ -203,7 +203,7 @@
 		return u.shared
 	}
 	crossing := r.crossing(q).Seconds() * rate
-	saved := r.options.LoadTime.Seconds() * value / float64(known)
+	saved := r.options.LoadCost.Seconds() * value / float64(known)
 	if u.shared {
 		u.shared = crossing < saved*r.options.Hysteresis
 	} else {
@@ -310,7 +310,7 @@
 
 // relieves tells whether the choice is so full that another data centre is worth a look.
 func (r *Router) relieves(now time.Time, q Request, c Choice) bool {
-	return r.wait(now, c.Endpoint) > r.crossing(q)+r.options.LoadTime
+	return r.wait(now, c.Endpoint) > r.crossing(q)+r.options.LoadCost
 }
 
 // elsewhere returns the least loaded choice in the other data centres.
@@ -329,7 +329,7 @@
 
 // better tells whether going to another data centre pays for its delay, its bytes and a possible load there.
 func (r *Router) better(now time.Time, q Request, other, chosen Choice) bool {
-	return r.wait(now, other.Endpoint)+r.crossing(q)+r.options.LoadTime < r.wait(now, chosen.Endpoint)
+	return r.wait(now, other.Endpoint)+r.crossing(q)+r.options.LoadCost < r.wait(now, chosen.Endpoint)
 }
 
 func (r *Router) sent(c Choice) Choice {
--- a/internal/place/scheduler/endpoint.go
+++ b/internal/place/scheduler/endpoint.go
@@ -22,6 +22,7 @@
 		s.lose(now, old)
 	}
 	s.byName[e.Name] = next
+	s.slots += e.Slots
 	s.endpoints = append(s.endpoints, next)
 	slices.SortFunc(s.endpoints, func(a, b *endpoint) int { return strings.Compare(a.Name, b.Name) })
 	s.addSlot(next, s.adapter(now, e.Model, AdapterRef{}), slotResident, now)
@@ -36,6 +37,7 @@
 
 func (s *Scheduler) update(old *endpoint, e Endpoint) {
 	old.Draining = e.Draining
+	s.slots += e.Slots - old.Slots
 	old.Slots = e.Slots
 	old.BatchSize = e.BatchSize
 	old.Fence = max(old.Fence, e.Fence)
@@ -61,6 +63,7 @@
 // waiting requests are loaded first, in order of waiting work.
 func (s *Scheduler) lose(now time.Time, e *endpoint) {
 	e.gone = true
+	s.slots -= e.Slots
 	delete(s.byName, e.Name)
 	s.endpoints = slices.DeleteFunc(s.endpoints, func(other *endpoint) bool { return other == e })
 	s.dirty = slices.DeleteFunc(s.dirty, func(other *endpoint) bool { return other == e })
--- a/internal/place/scheduler/load.go
+++ b/internal/place/scheduler/load.go
@@ -76,11 +76,18 @@
 			break
 		}
 	}
+	const interval = 200 * time.Millisecond // between looks at the hints
+	due := !now.Before(s.hintAt)
+	if due {
+		s.hintAt = now.Add(interval)
+	}
 	if len(s.wanting) > 0 {
 		return
 	}
 	s.loadReplicas(now)
-	s.loadHints(now)
+	if due {
+		s.loadHints(now)
+	}
 }
 
 // loadWanted orders the next load by fairness between customers; false when none is possible now.
@@ -99,7 +106,7 @@
 		start := max(c.loadFinish, s.loadVirtual-1)
 		s.loadVirtual = max(s.loadVirtual, start)
 		c.loadFinish = start + 1/c.weight
-		s.order(now, e, g.adapter, victim, false)
+		s.order(now, e, g.adapter, victim, g.customer)
 		return true
 	}
 	return false
@@ -128,7 +135,7 @@
 		if g != nil && g.pin != "" && g.pin != e.Name {
 			continue
 		}
-		v, worth, ok := s.victim(now, e)
+		v, worth, ok := s.victim(now, e, g)
 		if !ok {
 			continue
 		}
@@ -150,16 +157,17 @@
 	return slices.ContainsFunc(a.failedOn, func(f failure) bool { return f.endpoint == endpoint && f.until.After(now) })
 }
 
-// order emits the load and takes its slot.
-func (s *Scheduler) order(now time.Time, e *endpoint, a *adapter, victim *slot, speculative bool) {
-	action := Action{Kind: Load, Adapter: a.key.ref, Speculative: speculative}
+// order emits the load and takes its slot, for no customer when it is speculative.
+func (s *Scheduler) order(now time.Time, e *endpoint, a *adapter, victim *slot, holder *customer) {
+	action := Action{Kind: Load, Adapter: a.key.ref, Speculative: holder == nil}
 	if victim != nil {
 		action.Evict = victim.adapter.key.ref
 		s.lastValue = s.value(now, victim)
 		s.dropSlot(victim)
+		s.hint(victim.adapter)
 	}
 	s.act(e, action)
-	s.addSlot(e, a, slotLoading, now)
+	s.hold(s.addSlot(e, a, slotLoading, now), holder)
 	e.loading++
 	s.loads++
 	s.coverAll(a)
@@ -176,7 +184,7 @@
 				if s.loads >= s.options.MaxLoads || !s.permitted(now, e, a, true) {
 					return
 				}
-				s.order(now, e, a, victim, true)
+				s.order(now, e, a, victim, nil)
 			}
 		}
 		a.pressured = false
@@ -199,31 +207,43 @@
 	return wait > s.options.LoadTime.Seconds()
 }
 
-// hint lists an adapter for prefetch.
+// hint lists an adapter that is not resident for prefetch; the oldest entry makes room.
 func (s *Scheduler) hint(a *adapter) {
-	const hintLimit = 256
-	if a.hinted || a.withdrawn || a.key.ref.Base() || len(s.hints) >= hintLimit {
+	const hintLimit = 128
+	if a.hinted || a.withdrawn || a.key.ref.Base() {
 		return
 	}
+	if len(s.hints) >= hintLimit {
+		s.hints[0].hinted = false
+		s.hints = slices.Delete(s.hints, 0, 1)
+	}
 	a.hinted = true
 	s.hints = append(s.hints, a)
 }
 
-// loadHints prefetches adapters that are expected to be used more often than what they evict.
+// loadHints prefetches the adapter that is expected to be used most if it is worth more than what it evicts.
 func (s *Scheduler) loadHints(now time.Time) {
-	for len(s.hints) > 0 {
-		a := s.hints[0]
-		if len(a.copies) == 0 && !a.withdrawn && !a.delayed && a.failures == 0 {
-			e, victim, value := s.target(now, a, nil)
-			if e != nil && value*s.options.PrefetchGain < s.expectedUse(now, a) {
-				if s.loads >= s.options.MaxLoads || !s.permitted(now, e, a, true) {
-					return
-				}
-				s.order(now, e, a, victim, true)
-			}
+	if len(s.hints) == 0 || s.loads >= s.options.MaxLoads {
+		return
+	}
+	var best *adapter
+	highest := 0.0
+	s.hints = slices.DeleteFunc(s.hints, func(a *adapter) bool {
+		if len(a.copies) > 0 || a.withdrawn || a.delayed || a.failures > 0 {
+			a.hinted = false
+			return true
 		}
-		a.hinted = false
-		s.hints = slices.Delete(s.hints, 0, 1)
+		if v := s.expectedUse(now, a); v > highest {
+			best, highest = a, v
+		}
+		return false
+	})
+	if best == nil {
+		return
+	}
+	e, victim, value := s.target(now, best, nil)
+	if e != nil && value*s.options.PrefetchGain < highest && s.permitted(now, e, best, true) {
+		s.order(now, e, best, victim, nil)
 	}
 }
 
@@ -232,7 +252,7 @@
 func (s *Scheduler) Expect(now time.Time, model string, ref AdapterRef, uses float64) {
 	a := s.adapter(now, model, ref)
 	a.use.decay(s.seconds(now), &s.options)
-	a.use.slow += uses
+	a.use.count += uses
 	s.hint(a)
 }
 
--- a/internal/place/scheduler/options.go
+++ b/internal/place/scheduler/options.go
@@ -30,10 +30,11 @@
 	// Weight returns a customer's share in fair queueing.
 	Weight func(customer string) float64
 
-	FastHalfLife  time.Duration // half-life of the usage count that follows conversations
-	SlowHalfLife  time.Duration // half-life of the usage count that follows popularity
-	FastWeight    float64       // weight of the fast estimate of uses per second against the slow one
+	HalfLife      time.Duration // half-life of the usage count that follows popularity
+	TurnGap       time.Duration // mean time between the requests of a conversation
+	OpenShare     float64       // share of requests that are followed by another of the same conversation
 	ReplicaValue  float64       // share of an adapter's value that one of several copies keeps in eviction
+	ForeignValue  float64       // factor on the value of others' slots for a customer that holds more than its share
 	CreditTokens  float64       // tokens that a customer may lag behind the others and still catch up
 	WorkBonus     time.Duration // a load counts as this much more urgent for each waiting request
 	PrefetchGain  float64       // a prefetched adapter must be worth this many times its victim
@@ -57,13 +58,14 @@
 		MaxLoads:      8,
 		Permit:        func(time.Time, LoadOrder) (bool, time.Time) { return true, time.Time{} },
 		Weight:        func(string) float64 { return 1 },
-		FastHalfLife:  10 * time.Second,
-		SlowHalfLife:  5 * time.Minute,
-		FastWeight:    1,
+		HalfLife:      15 * time.Minute,
+		TurnGap:       12 * time.Second,
+		OpenShare:     0.75,
 		ReplicaValue:  0.25,
+		ForeignValue:  4,
 		CreditTokens:  4000,
 		WorkBonus:     500 * time.Millisecond,
-		PrefetchGain:  1.5,
+		PrefetchGain:  4,
 		CopyGap:       0.25,
 		PrefixLimit:   1024,
 		MaxFailures:   3,
--- a/internal/place/scheduler/queue.go
+++ b/internal/place/scheduler/queue.go
@@ -79,6 +79,7 @@
 	loadFinish float64
 	waiting    int
 	running    int
+	slots      int // held
 	wanted     ordered[*group]
 }
 
@@ -89,6 +90,7 @@
 	c := &customer{name: name, weight: max(s.options.Weight(name), 1e-6)}
 	c.wanted = ordered[*group]{less: s.moreUrgent, index: func(g *group) *int { return &g.wanted }}
 	s.customers[name] = c
+	s.weights += c.weight
 	return c
 }
 
@@ -170,7 +172,9 @@
 
 // forget drops a customer without work whose tags no longer matter.
 func (s *Scheduler) forget(c *customer) {
-	if c.waiting == 0 && c.running == 0 && c.finish <= s.virtual && c.loadFinish <= s.loadVirtual {
+	idle := c.waiting == 0 && c.running == 0 && c.slots == 0
+	if idle && c.finish <= s.virtual && c.loadFinish <= s.loadVirtual && s.customers[c.name] == c {
+		s.weights -= c.weight
 		delete(s.customers, c.name)
 	}
 }
--- a/internal/place/scheduler/scheduler.go
+++ b/internal/place/scheduler/scheduler.go
@@ -30,6 +30,8 @@
 	dirty     []*endpoint
 	actions   []Action
 
+	weights     float64 // weight of all customers known
+	slots       int     // of all endpoints
 	backlogged  float64 // weight of the customers with waiting requests
 	virtual     float64 // virtual time of service, tokens by weight
 	loadVirtual float64 // virtual time of loads
@@ -39,6 +41,7 @@
 	delayed     []*adapter
 	pressured   []*adapter
 	hints       []*adapter
+	hintAt      time.Time
 	loads       int
 	permitAt    time.Time
 	lastValue   float64
@@ -105,7 +108,6 @@
 	if s.quarantined(now, a) {
 		return s.failedError(a)
 	}
-	a.use.add(s.seconds(now), &s.options)
 	it := s.enqueue(r, a)
 	if err := s.tooLate(now, it); err != nil {
 		s.dequeue(it)
@@ -243,6 +245,9 @@
 	for _, a := range s.delayed {
 		consider(a.retryAt)
 	}
+	if len(s.hints) > 0 {
+		consider(s.hintAt)
+	}
 	return at
 }
 
@@ -321,6 +326,7 @@
 	expected := float64(it.PromptTokens) + float64(it.MaxTokens)*s.outputShare
 	s.charge(g.customer, expected)
 	c.inUse++
+	g.adapter.use.add(s.seconds(now), &s.options)
 	e.running++
 	e.history.add(now, e.running)
 	e.prefixes.add(it.PrefixHash, s.options.PrefixLimit)
--- a/internal/place/scheduler/slot.go
+++ b/internal/place/scheduler/slot.go
@@ -22,7 +22,8 @@
 	endpoint *endpoint
 	state    slotState
 	inUse    int
-	quota    int // dispatches left while closing
+	quota    int       // dispatches left while closing
+	holder   *customer // that the adapter was loaded for
 	since    time.Time
 }
 
@@ -30,10 +31,11 @@
 	return c.state == slotResident || c.state == slotClosing && c.quota > 0
 }
 
-// usage counts uses with exponential decay over two time scales.
+// usage counts uses with exponential decay and remembers the last one.
 type usage struct {
-	fast, slow float64
-	at         float64
+	count float64
+	at    float64 // seconds of the last decay
+	last  float64 // seconds of the last use
 }
 
 func (u *usage) decay(now float64, o *Options) {
@@ -41,21 +43,24 @@
 	if dt <= 0 {
 		return
 	}
-	u.fast *= math.Exp2(-dt / o.FastHalfLife.Seconds())
-	u.slow *= math.Exp2(-dt / o.SlowHalfLife.Seconds())
+	u.count *= math.Exp2(-dt / o.HalfLife.Seconds())
 	u.at = now
 }
 
 func (u *usage) add(now float64, o *Options) {
 	u.decay(now, o)
-	u.fast++
-	u.slow++
+	u.count++
+	u.last = now
 }
 
-// rate is the expected number of uses per second.
+// rate is the expected number of uses per second: the popularity, and the next request of a conversation if the
+// last use was so recent that one is probably open.
 func (u *usage) rate(now float64, o *Options) float64 {
 	u.decay(now, o)
-	return math.Ln2 * (o.FastWeight*u.fast/o.FastHalfLife.Seconds() + u.slow/o.SlowHalfLife.Seconds())
+	popularity := math.Ln2 * u.count / o.HalfLife.Seconds()
+	gap := o.TurnGap.Seconds()
+	odds := o.OpenShare * math.Exp(-(now-u.last)/gap)
+	return popularity + odds/(odds+1-o.OpenShare)/gap
 }
 
 type adapterKey struct {
@@ -95,6 +100,7 @@
 	}
 	a := &adapter{key: k, position: len(s.list)}
 	a.use.at = s.seconds(now)
+	a.use.last = math.Inf(-1)
 	s.adapters[k] = a
 	s.list = append(s.list, a)
 	return a
@@ -108,7 +114,7 @@
 		s.cursor = (s.cursor + 1) % len(s.list)
 		a := s.list[s.cursor]
 		a.use.decay(s.seconds(now), &s.options)
-		idle := a.waiting == 0 && len(a.copies) == 0 && a.use.slow < idleUses && a.use.fast < idleUses
+		idle := a.waiting == 0 && len(a.copies) == 0 && a.use.count < idleUses
 		if !idle || a.failures > 0 || a.withdrawn || a.hinted || a.pressured {
 			continue
 		}
@@ -164,6 +170,7 @@
 	if s.closing == c {
 		s.closing = nil
 	}
+	s.hold(c, nil)
 	e.slots = slices.DeleteFunc(e.slots, func(other *slot) bool { return other == c })
 	a.copies = slices.DeleteFunc(a.copies, func(other *slot) bool { return other == c })
 	s.coverAll(a)
@@ -219,16 +226,39 @@
 	return a.use.rate(s.seconds(now), &s.options)
 }
 
+// hold counts the slot for the customer.
+func (s *Scheduler) hold(c *slot, holder *customer) {
+	if old := c.holder; old != nil {
+		old.slots--
+		s.forget(old)
+	}
+	c.holder = holder
+	if holder != nil {
+		holder.slots++
+	}
+}
+
+// overSlots tells whether the customer holds more than its share of the slots.
+func (s *Scheduler) overSlots(c *customer) bool {
+	const tolerated = 1
+	return float64(c.slots) > c.weight/s.weights*float64(s.slots)+tolerated
+}
+
 // victim returns the slot to evict for a load and its value; no slot and a value of zero when one is free.
-func (s *Scheduler) victim(now time.Time, e *endpoint) (victim *slot, value float64, ok bool) {
+func (s *Scheduler) victim(now time.Time, e *endpoint, g *group) (victim *slot, value float64, ok bool) {
 	if e.used() < e.Slots {
 		return nil, 0, true
 	}
+	over := g != nil && s.overSlots(g.customer) && !s.options.disabled[FairShares]
 	for _, c := range e.slots[1:] {
 		if !s.evictable(c) {
 			continue
 		}
-		if v := s.value(now, c); victim == nil || v < value {
+		v := s.value(now, c)
+		if over && c.holder != g.customer {
+			v *= s.options.ForeignValue
+		}
+		if victim == nil || v < value {
 			victim, value = c, v
 		}
 	}
