Add the pure packages of membership

Cause: owners, coordinator and endpoints had no rules for who may act, and until when. Change: detector, directory, lease and assign as pure packages with seeded schedules and a mutation for each rule. Two faults were found by the schedules and mended: a directory that forgot that a removed endpoint was leaving, and a detector that missed its bound by rounding.

--- /dev/null
+++ b/internal/member/assign/entry.go
@@ -0,0 +1,113 @@
+package assign
+
+import (
+	"context"
+	"time"
+
+	"github.com/looplab/fsm"
+)
+
+// State is the state of an endpoint in the table.
+type State string
+
+// States of an endpoint. An endpoint is Unknown to a new coordinator until it is reported or every
+// lease of the predecessor has ended; Lapsed waits for the commands of an owner that did not renew.
+const (
+	Unknown   State = "Unknown"
+	Free      State = "Free"
+	Assigned  State = "Assigned"
+	Releasing State = "Releasing"
+	Lapsed    State = "Lapsed"
+)
+
+// Events of an endpoint in the table.
+const (
+	eventReport  = "Report"
+	eventAssign  = "Assign"
+	eventDrain   = "Drain"
+	eventRelease = "Release"
+	eventLapse   = "Lapse"
+	eventElapse  = "Elapse"
+)
+
+// entry is one endpoint. Its owner may act until deadline; a new one may start at notBefore.
+type entry struct {
+	Endpoint
+	state       State
+	announced   bool // by the endpoint, as opposed to reported by an owner only
+	inherited   bool // not assigned by this table yet
+	owner       string
+	incarnation uint64
+	fence       uint64
+	deadline    time.Time
+	notBefore   time.Time
+	offerUntil  time.Time // end of the time in which an assignment is offered to its owner
+	seen        bool      // the owner has listed the endpoint as held
+	dropped     bool      // the owner has lost it, so that it is neither offered nor renewed
+}
+
+// newLife returns the transition table that all entries of a table share.
+func newLife() *fsm.FSM {
+	owned := []string{string(Assigned), string(Releasing)}
+	return fsm.NewFSM(string(Unknown), fsm.Events{
+		{Name: eventReport, Src: []string{string(Unknown), string(Assigned)}, Dst: string(Assigned)},
+		{Name: eventAssign, Src: []string{string(Free)}, Dst: string(Assigned)},
+		{Name: eventDrain, Src: []string{string(Assigned)}, Dst: string(Releasing)},
+		{Name: eventRelease, Src: owned, Dst: string(Free)},
+		{Name: eventLapse, Src: owned, Dst: string(Lapsed)},
+		{Name: eventElapse, Src: []string{string(Unknown), string(Lapsed)}, Dst: string(Free)},
+	}, nil)
+}
+
+// step applies an event to an entry and tells whether its state allows the event.
+func (t *Table) step(e *entry, event string) bool {
+	t.life.SetState(string(e.state))
+	if !t.life.Can(event) {
+		return false
+	}
+	_ = t.life.Event(context.Background(), event) // a transition to the same state is reported as an error
+	e.state = State(t.life.Current())
+	return true
+}
+
+// owned tells whether the entry belongs to an owner that may act.
+func (e *entry) owned() bool {
+	return e.state == Assigned || e.state == Releasing
+}
+
+// offered tells whether the entry is to be granted to its owner at now.
+func (e *entry) offered(now time.Time) bool {
+	return e.owned() && !e.dropped && (e.seen || now.Before(e.offerUntil))
+}
+
+// extend moves the deadline to the end of a lease that is renewed at now.
+func (t *Table) extend(now time.Time, e *entry) {
+	if deadline := now.Add(t.options.wait()); deadline.After(e.deadline) {
+		e.deadline = deadline
+	}
+}
+
+// setOwner moves an entry in the index of owners.
+func (t *Table) setOwner(e *entry, owner string, incarnation uint64) {
+	if e.owner != "" {
+		delete(t.byOwner[e.owner], e.Name)
+	}
+	e.owner, e.incarnation = owner, incarnation
+	if owner == "" {
+		return
+	}
+	if t.byOwner[owner] == nil {
+		t.byOwner[owner] = map[string]*entry{}
+	}
+	t.byOwner[owner][e.Name] = e
+}
+
+// free ends the ownership of an entry; one that is not announced any more is removed.
+func (t *Table) free(e *entry) {
+	t.setOwner(e, "", 0)
+	e.seen, e.dropped = false, false
+	e.deadline = time.Time{}
+	if !e.announced {
+		delete(t.entries, e.Name)
+	}
+}
--- /dev/null
+++ b/internal/member/directory/directory.go
@@ -0,0 +1,261 @@
+// Package directory holds the endpoints and instances that are known in a data centre.
+package directory
+
+import (
+	"context"
+	"maps"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/looplab/fsm"
+)
+
+// maxText bounds each text field of an announcement in bytes, so that the number of entries bounds
+// the memory of the directory.
+const maxText = 128
+
+// maxFence bounds fencing numbers, so that a faulty endpoint cannot use up all higher ones.
+const maxFence = 1 << 62
+
+// Events of the life cycle of an endpoint.
+const (
+	announceServing = "AnnounceServing"
+	announceLeaving = "AnnounceLeaving"
+	restart         = "Restart"
+)
+
+// Directory is a pure table; it is not safe for concurrent use.
+type Directory struct {
+	options       Options
+	life          *fsm.FSM
+	endpoints     map[string]Endpoint
+	instances     map[string]Instance
+	pastEndpoints memory
+	pastInstances memory
+}
+
+// New returns an empty directory.
+func New(opts ...Option) *Directory {
+	o := defaults()
+	for _, opt := range opts {
+		opt(&o)
+	}
+	return &Directory{
+		options:       o,
+		life:          newLife(o.LeavingIsFinal()),
+		endpoints:     map[string]Endpoint{},
+		instances:     map[string]Instance{},
+		pastEndpoints: newMemory(o.MaxEndpoints),
+		pastInstances: newMemory(o.MaxInstances),
+	}
+}
+
+// newLife returns the transition table of endpoints. One machine serves all endpoints of a
+// directory, because a machine each would cost several KiB per endpoint.
+func newLife(leavingIsFinal bool) *fsm.FSM {
+	events := fsm.Events{
+		{Name: announceServing, Src: []string{string(Serving)}, Dst: string(Serving)},
+		{Name: announceLeaving, Src: []string{string(Serving), string(Draining)}, Dst: string(Draining)},
+		{Name: restart, Src: []string{string(Serving), string(Draining)}, Dst: string(Serving)},
+	}
+	if !leavingIsFinal {
+		events = append(events, fsm.EventDesc{Name: announceServing, Src: []string{string(Draining)}, Dst: string(Serving)})
+	}
+	return fsm.NewFSM(string(Serving), events, nil)
+}
+
+// next returns the state after an event; an event that is not allowed in a state leaves it.
+func (d *Directory) next(s State, event string) State {
+	d.life.SetState(string(s))
+	if d.life.Can(event) {
+		_ = d.life.Event(context.Background(), event) // a transition to the same state is reported as an error
+	}
+	return State(d.life.Current())
+}
+
+// Announce records an announcement and tells whether it changed the entry apart from its deadline.
+// Errors are ErrInvalid, ErrIncomplete, ErrForeign, ErrOutdated, ErrConflict and ErrFull.
+func (d *Directory) Announce(now time.Time, a Announcement) (changed bool, err error) {
+	defer func() { err = Error.Wrap(err) }()
+	if err := d.check(a); err != nil {
+		return false, err
+	}
+	old, known := d.endpoints[a.Name]
+	if !known {
+		return d.add(now, a)
+	}
+	if d.options.IgnoreOlder(old.Incarnation, a.Incarnation) {
+		return false, ErrOutdated
+	}
+	if a.Incarnation == old.Incarnation && a.Address != old.Address {
+		return false, ErrConflict
+	}
+	e := d.merge(now, old, a)
+	d.endpoints[a.Name] = e
+	return e.Announcement != old.Announcement, nil
+}
+
+func (d *Directory) check(a Announcement) error {
+	for _, text := range []string{a.Name, a.DataCentre, a.Service, a.Model} {
+		if len(text) > maxText {
+			return ErrInvalid
+		}
+	}
+	switch {
+	case a.Name == "" || a.Slots < 0 || a.BatchSize < 0 || a.HighestFence > maxFence || (a.Kind != Engine && a.Kind != Plain):
+		return ErrInvalid
+	case !a.Address.IsValid() || a.Incarnation == 0:
+		return ErrIncomplete
+	case d.options.DataCentre != "" && a.DataCentre != d.options.DataCentre:
+		return ErrForeign
+	}
+	return nil
+}
+
+func (d *Directory) add(now time.Time, a Announcement) (bool, error) {
+	p := d.pastEndpoints.entries[a.Name]
+	if d.options.IgnoreOlder(p.incarnation, a.Incarnation) {
+		return false, ErrOutdated
+	}
+	if len(d.endpoints) >= d.options.MaxEndpoints {
+		return false, ErrFull
+	}
+	old := Endpoint{State: Serving, NoWorkAfter: p.noWorkAfter}
+	if !p.noWorkAfter.IsZero() {
+		old.State = Draining
+	}
+	old.Incarnation, old.HighestFence = p.incarnation, p.fence
+	delete(d.pastEndpoints.entries, a.Name)
+	d.endpoints[a.Name] = d.merge(now, old, a)
+	return true, nil
+}
+
+func (d *Directory) merge(now time.Time, old Endpoint, a Announcement) Endpoint {
+	e := Endpoint{Announcement: a, State: old.State, NoWorkAfter: old.NoWorkAfter}
+	if a.Incarnation != old.Incarnation {
+		e.State = d.next(e.State, restart)
+	}
+	event := announceServing
+	if a.Leaving {
+		event = announceLeaving
+	}
+	e.State = d.next(e.State, event)
+	e.Leaving = e.State == Draining
+	switch {
+	case !e.Leaving:
+		e.NoWorkAfter = time.Time{}
+	case e.NoWorkAfter.IsZero():
+		e.NoWorkAfter = now.Add(d.options.Grace)
+	}
+	// A fence that was seen before a restart still binds: commands with it may be under way.
+	e.HighestFence = max(a.HighestFence, old.HighestFence)
+	e.Deadline = later(old.Deadline, now.Add(d.options.EndpointLifetime))
+	return e
+}
+
+// Heartbeat records a sign of life of an instance and tells whether it changed the entry apart from
+// its deadline. Errors are ErrInvalid, ErrIncomplete, ErrOutdated and ErrFull.
+func (d *Directory) Heartbeat(now time.Time, i Instance) (changed bool, err error) {
+	defer func() { err = Error.Wrap(err) }()
+	switch {
+	case i.Name == "" || len(i.Name) > maxText:
+		return false, ErrInvalid
+	case !i.Address.IsValid() || i.Incarnation == 0:
+		return false, ErrIncomplete
+	}
+	old, known := d.instances[i.Name]
+	incarnation := old.Incarnation
+	if !known {
+		incarnation = d.pastInstances.entries[i.Name].incarnation
+	}
+	if d.options.IgnoreOlder(incarnation, i.Incarnation) {
+		return false, ErrOutdated
+	}
+	if !known && len(d.instances) >= d.options.MaxInstances {
+		return false, ErrFull
+	}
+	i.Leaving = i.Leaving || (known && old.Leaving && old.Incarnation == i.Incarnation && d.options.LeavingIsFinal())
+	i.Deadline = later(old.Deadline, now.Add(d.options.InstanceLifetime))
+	delete(d.pastInstances.entries, i.Name)
+	d.instances[i.Name] = i
+	old.Deadline = i.Deadline
+	return i != old, nil
+}
+
+// Incarnation returns the highest incarnation known of an instance, or 0.
+func (d *Directory) Incarnation(instance string) uint64 {
+	if i, ok := d.instances[instance]; ok {
+		return i.Incarnation
+	}
+	return d.pastInstances.entries[instance].incarnation
+}
+
+// Refresh moves the deadline of an endpoint whose incarnation is the known one and tells whether it is.
+func (d *Directory) Refresh(now time.Time, name string, incarnation uint64) bool {
+	e, ok := d.endpoints[name]
+	if !ok || e.Incarnation != incarnation {
+		return false
+	}
+	e.Deadline = later(e.Deadline, now.Add(d.options.EndpointLifetime))
+	d.endpoints[name] = e
+	return true
+}
+
+// Endpoint returns the entry of an endpoint.
+func (d *Directory) Endpoint(name string) (Endpoint, bool) {
+	e, ok := d.endpoints[name]
+	return e, ok
+}
+
+// Instance returns the entry of an instance.
+func (d *Directory) Instance(name string) (Instance, bool) {
+	i, ok := d.instances[name]
+	return i, ok
+}
+
+// Forget removes an instance that has stopped; its incarnation stays remembered.
+func (d *Directory) Forget(now time.Time, instance string) {
+	if i, ok := d.instances[instance]; ok {
+		d.pastInstances.put(instance, past{incarnation: i.Incarnation, until: now.Add(d.options.Memory)})
+		delete(d.instances, instance)
+	}
+}
+
+// Expire removes the entries whose deadline has passed and returns their names in order.
+func (d *Directory) Expire(now time.Time) (r Removed) {
+	for name, e := range d.endpoints {
+		if !now.Before(e.Deadline) {
+			d.pastEndpoints.put(name, past{e.Incarnation, e.HighestFence, e.NoWorkAfter, now.Add(d.options.Memory)})
+			delete(d.endpoints, name)
+			r.Endpoints = append(r.Endpoints, name)
+		}
+	}
+	for name, i := range d.instances {
+		if !now.Before(i.Deadline) {
+			d.pastInstances.put(name, past{incarnation: i.Incarnation, until: now.Add(d.options.Memory)})
+			delete(d.instances, name)
+			r.Instances = append(r.Instances, name)
+		}
+	}
+	d.pastEndpoints.expire(now)
+	d.pastInstances.expire(now)
+	slices.Sort(r.Endpoints)
+	slices.Sort(r.Instances)
+	return r
+}
+
+// Snapshot returns a copy of all entries, including those that Expire has not removed yet.
+func (d *Directory) Snapshot() Snapshot {
+	return Snapshot{
+		Endpoints: slices.SortedFunc(maps.Values(d.endpoints), func(a, b Endpoint) int { return strings.Compare(a.Name, b.Name) }),
+		Instances: slices.SortedFunc(maps.Values(d.instances), func(a, b Instance) int { return strings.Compare(a.Name, b.Name) }),
+	}
+}
+
+func later(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
+}
--- /dev/null
+++ b/internal/member/directory/directory_test.go
@@ -0,0 +1,175 @@
+package directory_test
+
+import (
+	"flag"
+	"fmt"
+	"net/netip"
+	"os"
+	"testing"
+	"time"
+
+	"github.com/frankban/quicktest"
+	"pgregory.net/rapid"
+
+	"lycheevale/internal/member/directory"
+)
+
+// seed makes each run of CI draw the same schedules.
+const seed = "20261204"
+
+func TestMain(m *testing.M) {
+	flag.Parse()
+	for name, value := range map[string]string{"rapid.seed": seed, "rapid.checks": "1000", "rapid.nofailfile": "true"} {
+		if err := flag.Set(name, value); err != nil {
+			panic(err)
+		}
+	}
+	code := m.Run()
+	if code != 0 {
+		fmt.Println("rapid seed:", seed)
+	}
+	os.Exit(code)
+}
+
+var (
+	epoch   = time.Date(2026, 12, 4, 0, 0, 0, 0, time.UTC)
+	address = netip.MustParseAddrPort("127.0.0.1:9000")
+)
+
+func announcement(name string, incarnation uint64) directory.Announcement {
+	return directory.Announcement{Name: name, DataCentre: "suva-a", Address: address, Incarnation: incarnation, Kind: directory.Engine}
+}
+
+// endpoints is the number of endpoints in a schedule. The limit of the directory is not lower, since
+// it may forget removed endpoints beyond its limit.
+const endpoints = 5
+
+// schedule announces endpoints in any order and returns the violation it finds.
+func schedule(opts ...directory.Option) *rapid.Generator[error] {
+	return rapid.Custom(func(t *rapid.T) error {
+		d := directory.New(append([]directory.Option{directory.WithLimits(endpoints, 1)}, opts...)...)
+		now := epoch
+		highest, fences := map[string]uint64{}, map[string]uint64{}
+		left := map[string]time.Time{}
+		for range rapid.IntRange(1, 40).Draw(t, "steps") {
+			now = now.Add(time.Duration(rapid.IntRange(0, 3000).Draw(t, "wait")) * time.Millisecond)
+			a := announcement(fmt.Sprint("e", rapid.IntRange(1, endpoints).Draw(t, "endpoint")), uint64(rapid.IntRange(1, 4).Draw(t, "incarnation")))
+			a.Leaving, a.HighestFence = rapid.Bool().Draw(t, "leaving"), uint64(rapid.IntRange(0, 9).Draw(t, "fence"))
+			d.Expire(now)
+			_, err := d.Announce(now, a)
+			e, _ := d.Endpoint(a.Name)
+			key := fmt.Sprint(a.Name, "/", a.Incarnation)
+			if err == nil {
+				fences[a.Name] = max(fences[a.Name], a.HighestFence)
+				if _, seen := left[key]; a.Leaving && !seen {
+					left[key] = now
+				}
+			}
+			at, leaving := left[key]
+			switch {
+			case err == nil && a.Incarnation < highest[a.Name]:
+				return fmt.Errorf("%s: incarnation %d after %d", a.Name, a.Incarnation, highest[a.Name])
+			case err == nil && e.HighestFence != fences[a.Name]:
+				return fmt.Errorf("%s: fence %d instead of %d", a.Name, e.HighestFence, fences[a.Name])
+			case err == nil && leaving && e.AcceptsWork(now) && now.Sub(at) >= 2*time.Second:
+				return fmt.Errorf("%s accepts work %v after it announced that it leaves", key, now.Sub(at))
+			}
+			if err == nil {
+				highest[a.Name] = a.Incarnation
+			}
+		}
+		return nil
+	})
+}
+
+// Guards against delayed announcements that bring back an older incarnation or a leaving endpoint.
+func TestAnnouncementsInAnyOrder(t *testing.T) {
+	g := schedule()
+	rapid.Check(t, func(rt *rapid.T) {
+		if err := g.Draw(rt, "violation"); err != nil {
+			rt.Fatal(err)
+		}
+	})
+}
+
+// Guards against a check that could not detect the violation it is there for.
+func TestMutationsAreDetected(t *testing.T) {
+	for name, opt := range map[string]directory.Option{
+		"ignore older":     directory.WithIgnoreOlder(func(uint64, uint64) bool { return false }),
+		"leaving is final": directory.WithLeavingIsFinal(func() bool { return false }),
+		"grace":            directory.WithGrace(time.Hour),
+	} {
+		t.Run(name, func(t *testing.T) {
+			g := schedule(opt)
+			for i := range 1000 {
+				if g.Example(i) != nil {
+					return
+				}
+			}
+			t.Fatal("no violation found")
+		})
+	}
+}
+
+// Guards against an expired entry that returns by a message that was delayed since.
+func TestRemovedIncarnationIsRemembered(t *testing.T) {
+	c := quicktest.New(t)
+	d := directory.New()
+	_, err := d.Announce(epoch, announcement("e", 2))
+	c.Assert(err, quicktest.IsNil)
+	_, err = d.Heartbeat(epoch, directory.Instance{Name: "i", Address: address, Incarnation: 5})
+	c.Assert(err, quicktest.IsNil)
+	c.Assert(d.Expire(epoch.Add(9*time.Second)), quicktest.DeepEquals, directory.Removed{})
+	now := epoch.Add(10 * time.Second)
+	c.Assert(d.Expire(now), quicktest.DeepEquals, directory.Removed{Endpoints: []string{"e"}, Instances: []string{"i"}})
+	_, err = d.Announce(now, announcement("e", 1))
+	c.Assert(err, quicktest.ErrorIs, directory.ErrOutdated)
+	_, err = d.Heartbeat(now, directory.Instance{Name: "i", Address: address, Incarnation: 4})
+	c.Assert(err, quicktest.ErrorIs, directory.ErrOutdated)
+	d.Expire(now.Add(3 * time.Minute))
+	changed, err := d.Announce(now.Add(3*time.Minute), announcement("e", 1))
+	c.Assert(err, quicktest.IsNil)
+	c.Assert(changed, quicktest.IsTrue)
+}
+
+// Guards against memory that grows with each name that was ever announced.
+func TestPastIsBounded(t *testing.T) {
+	c := quicktest.New(t)
+	d := directory.New(directory.WithLimits(1, 1))
+	for i, name := range []string{"e", "f"} {
+		at := epoch.Add(time.Duration(i) * 20 * time.Second)
+		d.Expire(at)
+		_, err := d.Announce(at, announcement(name, 2))
+		c.Assert(err, quicktest.IsNil)
+	}
+	now := epoch.Add(40 * time.Second)
+	d.Expire(now)
+	_, err := d.Announce(now, announcement("f", 1))
+	c.Check(err, quicktest.ErrorIs, directory.ErrOutdated)
+	_, err = d.Announce(now, announcement("e", 1))
+	c.Check(err, quicktest.IsNil)
+}
+
+// Guards against announcements that cannot be served or would exhaust memory or fencing numbers.
+func TestRefusals(t *testing.T) {
+	c := quicktest.New(t)
+	d := directory.New(directory.WithDataCentre("suva-a"), directory.WithLimits(1, 1))
+	for want, edit := range map[error]func(*directory.Announcement){
+		directory.ErrInvalid:    func(a *directory.Announcement) { a.HighestFence = 1 << 63 },
+		directory.ErrIncomplete: func(a *directory.Announcement) { a.Address = netip.AddrPort{} },
+		directory.ErrForeign:    func(a *directory.Announcement) { a.DataCentre = "labasa-a" },
+	} {
+		a := announcement("e", 1)
+		edit(&a)
+		_, err := d.Announce(epoch, a)
+		c.Check(err, quicktest.ErrorIs, want)
+	}
+	_, err := d.Announce(epoch, announcement("e", 1))
+	c.Assert(err, quicktest.IsNil)
+	_, err = d.Announce(epoch, announcement("f", 1))
+	c.Check(err, quicktest.ErrorIs, directory.ErrFull)
+	moved := announcement("e", 1)
+	moved.Address = netip.MustParseAddrPort("127.0.0.1:9001")
+	_, err = d.Announce(epoch, moved)
+	c.Check(err, quicktest.ErrorIs, directory.ErrConflict)
+}
--- /dev/null
+++ b/internal/member/lease/lease_test.go
@@ -0,0 +1,257 @@
+package lease_test
+
+import (
+	"cmp"
+	"flag"
+	"fmt"
+	"math/rand/v2"
+	"os"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/frankban/quicktest"
+	"pgregory.net/rapid"
+
+	"lycheevale/internal/member/lease"
+)
+
+// seed makes each run of CI draw the same schedules.
+const seed = "20261204"
+
+func TestMain(m *testing.M) {
+	flag.Parse()
+	for name, value := range map[string]string{"rapid.seed": seed, "rapid.checks": "2500", "rapid.nofailfile": "true"} {
+		if err := flag.Set(name, value); err != nil {
+			panic(err)
+		}
+	}
+	code := m.Run()
+	if code != 0 {
+		fmt.Println("rapid seed:", seed)
+	}
+	os.Exit(code)
+}
+
+var epoch = time.Date(2026, 12, 4, 0, 0, 0, 0, time.UTC)
+
+// keeper runs on a clock that is up to the drift bound fast or slow.
+type keeper struct {
+	name     string
+	rate     float64
+	life     uint64
+	acceptor *lease.Acceptor
+	proposer *lease.Proposer
+	cut      bool
+}
+
+type message struct {
+	at      time.Duration
+	deliver func()
+}
+
+// world holds keepers and a network that loses, delays, repeats and reorders messages.
+type world struct {
+	random  *rand.Rand
+	now     time.Duration
+	keepers []*keeper
+	queue   []message
+	loss    float64
+	delay   time.Duration
+	opts    []lease.Option
+	crashed bool
+	highest uint64
+	held    int
+}
+
+func (w *world) clock(k *keeper) time.Time {
+	return epoch.Add(time.Duration(float64(w.now) * k.rate))
+}
+
+func (w *world) start(k *keeper) {
+	k.life++
+	k.acceptor = lease.NewAcceptor(w.clock(k), w.opts...)
+	k.proposer = lease.NewProposer(w.clock(k), k.name, k.life, len(w.keepers), w.opts...)
+}
+
+func (w *world) send(from, to *keeper, f func()) {
+	for range 1 + w.random.IntN(10)/9 {
+		if from != to && w.random.Float64() < w.loss {
+			continue
+		}
+		d := time.Duration(w.random.Int64N(int64(w.delay)))
+		if w.random.IntN(50) == 0 {
+			d *= 20
+		}
+		w.queue = append(w.queue, message{w.now + d, func() {
+			if from == to || (!from.cut && !to.cut) {
+				f()
+			}
+		}})
+	}
+}
+
+func (w *world) output(k *keeper, out lease.Output) {
+	proposer := k.proposer
+	for _, to := range w.keepers {
+		w.send(k, to, func() {
+			switch {
+			case out.Prepare != nil:
+				if p, err := to.acceptor.Prepare(w.clock(to), *out.Prepare); err == nil {
+					w.send(to, k, func() { w.output(k, proposer.Promise(w.clock(k), to.name, p)) })
+				}
+			case out.Accept != nil:
+				if a, err := to.acceptor.Accept(w.clock(to), *out.Accept); err == nil {
+					w.send(to, k, func() { w.output(k, proposer.Accepted(w.clock(k), to.name, a)) })
+				}
+			}
+		})
+	}
+}
+
+func (w *world) advance(d time.Duration) error {
+	for end := w.now + d; w.now < end; {
+		w.now += 10 * time.Millisecond
+		slices.SortStableFunc(w.queue, func(a, b message) int { return cmp.Compare(a.at, b.at) })
+		for len(w.queue) > 0 && w.queue[0].at <= w.now {
+			next := w.queue[0]
+			w.queue = w.queue[1:]
+			next.deliver()
+		}
+		for _, k := range w.keepers {
+			holder := k.acceptor.Holder(w.clock(k))
+			if out := k.proposer.Tick(w.clock(k), holder != "" && holder != k.name); out != (lease.Output{}) {
+				w.output(k, out)
+			}
+		}
+		if err := w.check(); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// check reports two keepers that act at once, or a fencing number that does not rise.
+func (w *world) check() error {
+	var holders []string
+	for _, k := range w.keepers {
+		if !k.proposer.Holds(w.clock(k)) {
+			continue
+		}
+		holders = append(holders, k.name)
+		floor, limit := k.proposer.Fences()
+		if fence := floor + 1; fence <= limit {
+			if fence <= w.highest && !w.crashed {
+				return fmt.Errorf("%v: fence %d after %d", w.now, fence, w.highest)
+			}
+			w.highest = max(w.highest, fence)
+			k.proposer.Use(fence)
+		}
+	}
+	if len(holders) > 1 {
+		return fmt.Errorf("%v: %v hold the lease", w.now, holders)
+	}
+	w.held += len(holders)
+	return nil
+}
+
+func (w *world) act(action, i int) {
+	k := w.keepers[i%len(w.keepers)]
+	switch action {
+	case 0:
+		k.cut = !k.cut
+	case 1:
+		w.crashed = true
+		w.start(k)
+	case 2:
+		ballot := k.proposer.Resign(w.clock(k))
+		for _, to := range w.keepers {
+			w.send(k, to, func() { to.acceptor.Release(ballot) })
+		}
+	}
+}
+
+// schedule runs one drawn schedule and returns the violation it finds.
+func schedule(opts ...lease.Option) *rapid.Generator[error] {
+	return rapid.Custom(func(t *rapid.T) error {
+		network := rapid.SliceOfN(rapid.Byte(), 32, 32).Draw(t, "network")
+		w := &world{random: rand.New(rand.NewChaCha8([32]byte(network)))}
+		w.loss = rapid.SampledFrom([]float64{0, 0.05, 0.3}).Draw(t, "loss")
+		w.delay = rapid.SampledFrom([]time.Duration{2, 60, 400}).Draw(t, "delay") * time.Millisecond
+		w.opts = append([]lease.Option{lease.WithLength(time.Second), lease.WithMargin(20 * time.Millisecond), lease.WithAttempt(200 * time.Millisecond),
+			lease.WithDrift(0.01), lease.WithReserve(50), lease.WithRandom(w.random.Float64)}, opts...)
+		w.keepers = make([]*keeper, rapid.SampledFrom([]int{3, 5}).Draw(t, "keepers"))
+		for i := range w.keepers {
+			w.keepers[i] = &keeper{name: fmt.Sprint("k", i), rate: 0.99 + 0.02*w.random.Float64()}
+		}
+		for _, k := range w.keepers {
+			w.start(k)
+		}
+		if err := w.advance(1200 * time.Millisecond); err != nil {
+			return err
+		}
+		for range rapid.IntRange(3, 12).Draw(t, "steps") {
+			w.act(rapid.IntRange(0, 4).Draw(t, "action"), rapid.IntRange(0, 4).Draw(t, "keeper"))
+			if err := w.advance(time.Duration(rapid.IntRange(1, 40).Draw(t, "wait")) * 10 * time.Millisecond); err != nil {
+				return err
+			}
+		}
+		return nil
+	})
+}
+
+// Guards against two coordinators and against fencing numbers that fall.
+func TestOneHolder(t *testing.T) {
+	g := schedule()
+	rapid.Check(t, func(rt *rapid.T) {
+		if err := g.Draw(rt, "violation"); err != nil {
+			rt.Fatal(err)
+		}
+	})
+}
+
+// Guards against a check that could not detect the violation it is there for.
+func TestMutationsAreDetected(t *testing.T) {
+	off := func() bool { return false }
+	for name, rules := range map[string]lease.Option{
+		"exclusive grant":  func(o *lease.Options) { o.Exclusive = off },
+		"silence":          func(o *lease.Options) { o.Silence = off },
+		"stop at deadline": func(o *lease.Options) { o.StopEarly = off },
+		"margin and drift": func(o *lease.Options) { o.Margin, o.Drift = -300*time.Millisecond, 0 },
+		"fence floor":      func(o *lease.Options) { o.LearnFence = off },
+	} {
+		t.Run(name, func(t *testing.T) {
+			g := schedule(rules)
+			for i := range 3000 {
+				if err := g.Example(i); err != nil {
+					t.Logf("schedule %d: %v", i, err)
+					return
+				}
+			}
+			t.Fatal("no violation found")
+		})
+	}
+}
+
+// Guards against a lease that is never obtained, lost without a fault, or not taken over in time.
+func TestLiveness(t *testing.T) {
+	c := quicktest.New(t)
+	w := &world{random: rand.New(rand.NewPCG(1, 1)), delay: 2 * time.Millisecond}
+	w.opts = []lease.Option{lease.WithRandom(w.random.Float64)}
+	for i := range 5 {
+		w.keepers = append(w.keepers, &keeper{name: fmt.Sprint("k", i), rate: 1})
+	}
+	for _, k := range w.keepers {
+		w.start(k)
+	}
+	c.Assert(w.advance(6*time.Second), quicktest.IsNil)
+	before := w.held
+	c.Assert(w.advance(60*time.Second), quicktest.IsNil)
+	c.Assert(w.held-before, quicktest.Equals, 6000)
+	for _, k := range w.keepers {
+		k.cut = k.proposer.Holds(w.clock(k))
+	}
+	before = w.held
+	c.Assert(w.advance(10*time.Second), quicktest.IsNil)
+	c.Assert(w.held-before > 500, quicktest.IsTrue, quicktest.Commentf("held for %d of 1000 ticks", w.held-before))
+}
