Add the membership runtime of an instance

Cause: nothing joined detector, directory, lease and assignment over the links between instances. Change: member/node with renewals by digest, coordinator lease, versioned view deltas, announcements accepted anywhere and callbacks for owned endpoints; events 5001 to 5011.

--- a/internal/base/event/member.go
+++ b/internal/base/event/member.go
@@ -1,5 +1,32 @@
 package event
 
+import "log/slog"
+
 // Events 5000 to 5999: membership and leases.
+const (
+	CoordinatorStarted  ID = 5001
+	CoordinatorStopped  ID = 5002
+	InstanceGone        ID = 5003
+	EndpointGone        ID = 5004
+	EndpointAssigned    ID = 5005
+	LeaseAcquired       ID = 5006
+	LeaseDraining       ID = 5007
+	LeaseLost           ID = 5008
+	RenewalFailed       ID = 5009
+	IncarnationOutdated ID = 5010
+	AnnouncementRefused ID = 5011
+)
 
-var memberEvents = []Entry{}
+var memberEvents = []Entry{
+	{CoordinatorStarted, slog.LevelInfo, "instance is coordinator of its data centre", "None."},
+	{CoordinatorStopped, slog.LevelInfo, "instance is no longer coordinator", "Several in a minute: check the network between the keepers."},
+	{InstanceGone, slog.LevelWarn, "instance stopped renewing", "None if it was stopped; otherwise check its host."},
+	{EndpointGone, slog.LevelWarn, "endpoint stopped announcing itself", "None if it was stopped; otherwise check its host."},
+	{EndpointAssigned, slog.LevelInfo, "endpoint assigned to an owner", "None."},
+	{LeaseAcquired, slog.LevelInfo, "endpoint lease acquired", "None."},
+	{LeaseDraining, slog.LevelInfo, "endpoint is drained for another owner", "None."},
+	{LeaseLost, slog.LevelWarn, "endpoint lease lost", "Repeated: check the links to the coordinator (event 5009)."},
+	{RenewalFailed, slog.LevelWarn, "renewal with the coordinator failed", "Repeated: check that a majority of the keepers is up and reachable."},
+	{IncarnationOutdated, slog.LevelWarn, "a higher incarnation of this instance is known", "Once: the wall clock was set back. Repeated: two processes use the same name."},
+	{AnnouncementRefused, slog.LevelWarn, "announcement of an endpoint refused", "Read the error; two endpoints with one name is the usual cause."},
+}
--- a/internal/member/assign/assign.go
+++ b/internal/member/assign/assign.go
@@ -20,6 +20,7 @@
 	entries   map[string]*entry
 	byOwner   map[string]map[string]*entry
 	instances map[string]*instance
+	changed   bool // an owner has changed
 }
 
 // instance is an owner by its last renewal.
@@ -260,3 +261,23 @@
 func (t *Table) names() []string {
 	return slices.Sorted(maps.Keys(t.entries))
 }
+
+// Owned returns the endpoints of an owner in the order of their names.
+func (t *Table) Owned(owner string) []string {
+	return slices.Sorted(maps.Keys(t.byOwner[owner]))
+}
+
+// Owner returns the owner of an endpoint, or an empty string while no owner may act.
+func (t *Table) Owner(endpoint string) string {
+	if e, ok := t.entries[endpoint]; ok && e.owned() {
+		return e.owner
+	}
+	return ""
+}
+
+// Changed tells whether an owner has changed since the last call.
+func (t *Table) Changed() bool {
+	changed := t.changed
+	t.changed = false
+	return changed
+}
--- a/internal/member/assign/entry.go
+++ b/internal/member/assign/entry.go
@@ -66,6 +66,7 @@
 		return false
 	}
 	_ = t.life.Event(context.Background(), event) // a transition to the same state is reported as an error
+	t.changed = true
 	e.state = State(t.life.Current())
 	return true
 }
--- a/internal/member/assign/holder.go
+++ b/internal/member/assign/holder.go
@@ -37,6 +37,7 @@
 	sequence    uint64
 	answered    uint64
 	leaving     bool
+	told        bool
 	needFull    bool
 	held        map[string]*holding
 	lost        map[string]lostFence
@@ -61,6 +62,7 @@
 	at       time.Time
 	held     []Held
 	released int
+	leaving  bool
 }
 
 // NewHolder returns the holder of one life of an instance.
@@ -91,7 +93,7 @@
 	if r.Full {
 		r.Held = held
 	}
-	h.sent[h.sequence] = sent{at: now, held: held, released: len(h.stopped)}
+	h.sent[h.sequence] = sent{at: now, held: held, released: len(h.stopped), leaving: h.leaving}
 	return r
 }
 
@@ -110,6 +112,34 @@
 	h.leaving = true
 }
 
+// Leaving tells whether the instance releases all endpoints.
+func (h *Holder) Leaving() bool {
+	return h.leaving
+}
+
+// Told tells whether a table has answered a renewal that asked to release all endpoints; it then
+// grants no more.
+func (h *Holder) Told() bool {
+	return h.told
+}
+
+// Holding is an endpoint held by the owner, which may act until Deadline.
+type Holding struct {
+	Held
+	Deadline time.Time
+}
+
+// List returns the endpoints on which the owner may act at now, in the order of their names.
+func (h *Holder) List(now time.Time) []Holding {
+	var all []Holding
+	for _, e := range h.list() {
+		if _, ok := h.Acts(now, e.Endpoint); ok {
+			all = append(all, Holding{e, h.held[e.Endpoint].deadline})
+		}
+	}
+	return all
+}
+
 // Reply takes the answer to the renewal with the given sequence. An answer that is older than one
 // already taken is ignored.
 func (h *Holder) Reply(now time.Time, sequence uint64, r Reply) []Event {
@@ -139,6 +169,7 @@
 // settle removes what the answered renewal and earlier ones have reported as released.
 func (h *Holder) settle(sequence uint64, s sent) {
 	h.answered = sequence
+	h.told = h.told || s.leaving
 	h.stopped = slices.Delete(h.stopped, 0, s.released)
 	for number, other := range h.sent {
 		if number <= sequence {
--- /dev/null
+++ b/internal/member/node/messages.go
@@ -0,0 +1,88 @@
+package node
+
+import (
+	"encoding/binary"
+	"net/netip"
+
+	"github.com/cespare/xxhash/v2"
+
+	"lycheevale/internal/member/assign"
+	"lycheevale/internal/member/directory"
+	"lycheevale/internal/member/lease"
+)
+
+// Methods between instances of a data centre.
+const (
+	methodPrepare   = "Lease.Prepare"
+	methodAccept    = "Lease.Accept"
+	methodRelease   = "Lease.Release"
+	methodHeartbeat = "Member.Heartbeat"
+	methodRenew     = "Member.Renew"
+	methodAnnounce  = "Member.Announce"
+	methodView      = "Member.View"
+)
+
+// releaseLease ends the grants of a keeper that stops.
+type releaseLease struct {
+	Ballot lease.Ballot `json:"Ballot"`
+}
+
+// heartbeat tells a keeper that the instance lives.
+type heartbeat struct {
+	Incarnation uint64 `json:"Incarnation"`
+}
+
+// heartbeatReply names the coordinator as far as the keeper knows.
+type heartbeatReply struct {
+	Coordinator string `json:"Coordinator,omitempty"`
+}
+
+// renew is the periodic message of an instance to the coordinator. Alive is a digest of the
+// endpoints that have announced themselves to the instance; Endpoints lists them when asked for.
+type renew struct {
+	assign.Renewal
+	View      ViewID                   `json:"View"`
+	Alive     uint64                   `json:"Alive"`
+	Address   *netip.AddrPort          `json:"Address,omitempty"`
+	Endpoints []directory.Announcement `json:"Endpoints,omitempty"`
+}
+
+// renewReply answers renew. Details describes the granted endpoints, Leaving names those that leave.
+type renewReply struct {
+	assign.Reply
+	NotCoordinator bool                     `json:"NotCoordinator,omitempty"`
+	Coordinator    string                   `json:"Coordinator,omitempty"`
+	Outdated       uint64                   `json:"Outdated,omitempty"` // known incarnation, if it is higher
+	NeedAlive      bool                     `json:"NeedAlive,omitempty"`
+	Details        []directory.Announcement `json:"Details,omitempty"`
+	Leaving        []string                 `json:"Leaving,omitempty"`
+}
+
+// announce passes a new or changed announcement to the coordinator.
+type announce struct {
+	Endpoint directory.Announcement `json:"Endpoint"`
+}
+
+// empty is an answer without content.
+type empty struct{}
+
+// viewReply states which view the instance has now.
+type viewReply struct {
+	View ViewID `json:"View"`
+}
+
+// aliveDigest returns a hash of the announcements that an instance has heard; names are in order.
+func aliveDigest(endpoints []directory.Endpoint) uint64 {
+	h := xxhash.New()
+	var b []byte
+	for _, e := range endpoints {
+		b = append(b[:0], e.Name...)
+		b = binary.BigEndian.AppendUint64(b, e.Incarnation)
+		b = binary.BigEndian.AppendUint64(b, e.HighestFence)
+		if e.Leaving {
+			b = append(b, 1)
+		}
+		_, _ = h.Write(append(b, 0))
+	}
+	return h.Sum64()
+}
--- /dev/null
+++ b/internal/member/node/schedule_test.go
@@ -0,0 +1,184 @@
+package node_test
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"lycheevale/internal/member/assign"
+	"lycheevale/internal/member/lease"
+	"lycheevale/internal/member/node"
+)
+
+// plan is one drawn schedule.
+type plan struct {
+	network []byte
+	loss    float64
+	delay   time.Duration
+	steps   []step
+}
+
+type step struct {
+	fault, target int
+	wait          time.Duration
+}
+
+var plans = rapid.Custom(func(t *rapid.T) plan {
+	return plan{
+		network: rapid.SliceOfN(rapid.Byte(), 32, 32).Draw(t, "network"),
+		loss:    rapid.SampledFrom([]float64{0, 0.05, 0.2}).Draw(t, "loss"),
+		delay:   rapid.SampledFrom([]time.Duration{2, 50, 300}).Draw(t, "delay") * time.Millisecond,
+		steps: rapid.SliceOfN(rapid.Custom(func(t *rapid.T) step {
+			return step{
+				fault:  rapid.IntRange(0, 5).Draw(t, "fault"),
+				target: rapid.IntRange(0, 2).Draw(t, "target"),
+				wait:   time.Duration(rapid.IntRange(1, 80).Draw(t, "wait")) * 100 * time.Millisecond,
+			}
+		}), 2, 6).Draw(t, "steps"),
+	}
+})
+
+// checker holds what the checks compare with.
+type checker struct {
+	c      *cluster
+	fences map[string]uint64
+	left   map[string]time.Time
+	bound  time.Duration // on the time from an endpoint's announcement that it leaves to its last new work
+}
+
+// watch advances virtual time and checks the invariants in short steps.
+func (k *checker) watch(d time.Duration) error {
+	for end := time.Now().Add(d); time.Now().Before(end); {
+		for i := range 3 {
+			a := endpoint(i)
+			a.HighestFence = k.fences[a.Name]
+			_, a.Leaving = k.left[a.Name]
+			in := k.c.instances[(i+1)%len(k.c.instances)]
+			in.node.Announce(k.c.ctx, a)
+		}
+		for range 10 {
+			time.Sleep(100 * time.Millisecond)
+			synctest.Wait()
+			if err := k.check(); err != nil {
+				return err
+			}
+		}
+	}
+	return nil
+}
+
+func (k *checker) check() error {
+	var coordinators []string
+	owners := map[string]string{}
+	for _, in := range k.c.instances {
+		if _, ok := in.node.IsCoordinator(); ok {
+			coordinators = append(coordinators, in.name)
+		}
+		for _, o := range in.node.Owned() {
+			if other, taken := owners[o.Name]; taken {
+				return fmt.Errorf("%s and %s own %s", other, in.name, o.Name)
+			}
+			owners[o.Name] = in.name
+			if o.Fence < k.fences[o.Name] {
+				return fmt.Errorf("%s owns %s with fence %d after %d", in.name, o.Name, o.Fence, k.fences[o.Name])
+			}
+			at, leaving := k.left[o.Name]
+			if leaving && time.Since(at) > k.bound && (o.NoWorkAfter.IsZero() || o.NoWorkAfter.After(time.Now())) {
+				return fmt.Errorf("%s gives work to %s %v after it announced that it leaves", in.name, o.Name, time.Since(at))
+			}
+			k.fences[o.Name] = o.Fence
+		}
+	}
+	if len(coordinators) > 1 {
+		return fmt.Errorf("%v are coordinators", coordinators)
+	}
+	return nil
+}
+
+func (k *checker) fault(s step) {
+	switch s.fault {
+	case 0:
+		k.c.mu.Lock()
+		k.c.instances[s.target].cut = !k.c.instances[s.target].cut
+		k.c.mu.Unlock()
+	case 1:
+		k.c.crash(s.target)
+	case 2:
+		k.c.wall += time.Duration(s.target-1) * time.Hour
+		k.c.crash(s.target)
+	case 3:
+		k.left[endpoint(s.target).Name] = time.Now()
+	case 4:
+		in := k.c.instances[s.target]
+		if !in.leaves {
+			in.leaves = true
+			k.c.wg.Go(func() {
+				ctx, cancel := context.WithTimeout(k.c.ctx, time.Minute)
+				defer cancel()
+				in.node.Leave(ctx)
+			})
+		}
+	}
+}
+
+// execute runs a plan in virtual time and returns the violation it finds.
+func execute(t *testing.T, p plan, opts ...node.Option) (err error) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		c := newCluster(ctx, rand.New(rand.NewChaCha8([32]byte(p.network))), 3, 3, opts...)
+		defer c.wg.Wait()
+		defer cancel()
+		// The coordinator learns of it or forgets the endpoint, then the owner learns of it or loses
+		// the endpoint, and then the grace passes.
+		timing := node.TimingFor(3)
+		bound := 2*timing.Length + timing.Interval + timing.Grace + time.Second
+		k := &checker{c: c, fences: map[string]uint64{}, left: map[string]time.Time{}, bound: bound}
+		if err = k.watch(14 * time.Second); err != nil {
+			return
+		}
+		c.mu.Lock()
+		c.loss, c.delay = p.loss, p.delay
+		c.mu.Unlock()
+		for _, s := range p.steps {
+			k.fault(s)
+			if err = k.watch(s.wait); err != nil {
+				return
+			}
+		}
+	})
+	return err
+}
+
+// Guards against two coordinators, two owners, falling fencing numbers and assignments of endpoints
+// that leave, in the whole runtime.
+func TestInvariantsUnderFaults(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		if err := execute(t, plans.Draw(rt, "plan")); err != nil {
+			rt.Fatal(err)
+		}
+	})
+}
+
+// Guards against a check that could not detect the violation it is there for.
+func TestMutationsAreDetected(t *testing.T) {
+	off := func() bool { return false }
+	for name, opt := range map[string]node.Option{
+		"two coordinators": func(o *node.Options) { o.Lease = []lease.Option{func(o *lease.Options) { o.Exclusive = off }} },
+		"two owners":       func(o *node.Options) { o.Assign = []assign.Option{func(o *assign.Options) { o.StopEarly = off }} },
+	} {
+		t.Run(name, func(t *testing.T) {
+			for i := range 100 {
+				if err := execute(t, plans.Example(i), opt); err != nil {
+					t.Logf("plan %d: %v", i, err)
+					return
+				}
+			}
+			t.Fatal("no violation found")
+		})
+	}
+}
