Make the links between instances fit for production

Cause: the thin version held one mutex while dialling, had no TLS, no liveness check and no bounds, and a link that went silent blocked its callers for good. Change: framed streams with bounded queues and probes, a target per instance that dials in the background with backoff, mutual TLS with reloaded keys, names checked against certificates, deadlines and refusals carried, counters by method and reach; events 7001 to 7005.

--- /dev/null
+++ b/internal/wire/peer/counting.go
@@ -0,0 +1,81 @@
+package peer
+
+import (
+	"sync"
+	"sync/atomic"
+
+	"github.com/sourcegraph/jsonrpc2"
+)
+
+// counting attributes the frames of one link to methods. jsonrpc2 calls the hooks of a message right
+// before it is written and right after it was read, so that the size and the method meet here.
+type counting struct {
+	node *Node
+	peer atomic.Pointer[string]
+
+	mu      sync.Mutex
+	serving map[jsonrpc2.ID]string // methods of the calls that await our answer
+	sending string                 // method of the message about to be written
+	size    int                    // of the message just read
+}
+
+func newCounting(n *Node, s *stream) *counting {
+	c := &counting{node: n, serving: map[jsonrpc2.ID]string{}}
+	s.pings = func(d direction) { c.count(pingMethod, d, headerSize) }
+	s.counting = func(d direction, size int) {
+		c.mu.Lock()
+		defer c.mu.Unlock()
+		if d == received {
+			c.size = size
+			return
+		}
+		c.count(c.sending, sent, size)
+	}
+	return c
+}
+
+func (c *counting) count(method string, d direction, size int) {
+	wide := false
+	if name := c.peer.Load(); name != nil {
+		wide = c.node.options.Wide(*name)
+	}
+	c.node.meter.count(method, d, wide, size)
+}
+
+func (c *counting) options() []jsonrpc2.ConnOpt {
+	return []jsonrpc2.ConnOpt{jsonrpc2.OnSend(c.onSend), jsonrpc2.OnRecv(c.onReceive), jsonrpc2.SetLogger(noLog{})}
+}
+
+func (c *counting) onSend(req *jsonrpc2.Request, resp *jsonrpc2.Response) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if req != nil {
+		c.sending = req.Method
+		return
+	}
+	c.sending = unknownMethod
+	if method, ok := c.serving[resp.ID]; ok {
+		c.sending = method
+		delete(c.serving, resp.ID)
+	}
+}
+
+func (c *counting) onReceive(req *jsonrpc2.Request, resp *jsonrpc2.Response) {
+	method := unknownMethod
+	if req != nil && (resp != nil || req.Method == helloMethod || c.node.options.Mux.Has(req.Method)) {
+		method = req.Method
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if resp == nil && !req.Notif {
+		c.serving[req.ID] = method
+	}
+	c.count(method, received, c.size)
+}
+
+// noLog drops the notes of jsonrpc2, such as those on answers that came after the deadline of the
+// call; events 7000 to 7999 state why a link was lost.
+type noLog struct{}
+
+// Printf implements jsonrpc2.Logger.
+func (noLog) Printf(string, ...any) {}
--- /dev/null
+++ b/internal/wire/peer/errors.go
@@ -0,0 +1,101 @@
+package peer
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"time"
+
+	"github.com/sourcegraph/jsonrpc2"
+	"github.com/zeebo/errs"
+
+	"lycheevale/internal/base/refusal"
+)
+
+// Error is the class of errors of this package.
+var Error = errs.Class("peer")
+
+// Reasons for a failed call; test with errors.Is.
+var (
+	ErrClosed          = errs.New("node is closed")
+	ErrUnknownInstance = errs.New("address of the instance is unknown")
+	ErrQueueFull       = errs.New("queue of the link is full")
+	ErrTooLarge        = errs.New("message exceeds the size limit")
+	ErrInsecure        = errs.New("TLS is required for addresses other than loopback")
+	ErrWrongName       = errs.New("the other side has another name")
+	ErrLinkLost        = errs.New("link was lost before the answer")
+	ErrSilent          = errs.New("link went silent")
+	ErrReplaced        = errs.New("link was replaced by a newer one")
+	ErrBusy            = errs.New("the other side has too many calls in progress")
+)
+
+// Codes of errors in answers, from the range that JSON-RPC leaves to implementations.
+const (
+	codeBusy    = -32001
+	codeRefusal = -32002
+)
+
+// UnreachableError states that an instance cannot be dialled; no attempt is made before RetryAt.
+type UnreachableError struct {
+	Instance string
+	RetryAt  time.Time
+	Cause    error
+}
+
+// Error implements error.
+func (e *UnreachableError) Error() string {
+	return fmt.Sprintf("instance %q is unreachable: %v", e.Instance, e.Cause)
+}
+
+// Unwrap returns the error of the last attempt.
+func (e *UnreachableError) Unwrap() error {
+	return e.Cause
+}
+
+// NotSent tells whether a failed call has certainly not reached a handler.
+func NotSent(err error) bool {
+	var unreachable *UnreachableError
+	if errors.As(err, &unreachable) {
+		return true
+	}
+	for _, e := range []error{ErrClosed, ErrUnknownInstance, ErrQueueFull, ErrTooLarge, ErrInsecure, ErrBusy} {
+		if errors.Is(err, e) {
+			return true
+		}
+	}
+	return false
+}
+
+// toRPC converts the error of a handler for the answer; refusals keep their type.
+func toRPC(err error) *jsonrpc2.Error {
+	var rpc *jsonrpc2.Error
+	if errors.As(err, &rpc) {
+		return rpc
+	}
+	var refused *refusal.Error
+	if errors.As(err, &refused) {
+		e := &jsonrpc2.Error{Code: codeRefusal, Message: refused.Message}
+		e.SetError(refused)
+		return e
+	}
+	return &jsonrpc2.Error{Code: jsonrpc2.CodeInternalError, Message: err.Error()}
+}
+
+// fromRPC converts the error of an answer back.
+func fromRPC(err error) error {
+	var rpc *jsonrpc2.Error
+	switch {
+	case errors.Is(err, jsonrpc2.ErrClosed):
+		return ErrLinkLost
+	case !errors.As(err, &rpc):
+		return err
+	case rpc.Code == codeBusy:
+		return ErrBusy
+	case rpc.Code == codeRefusal && rpc.Data != nil:
+		var refused refusal.Error
+		if json.Unmarshal(*rpc.Data, &refused) == nil {
+			return &refused
+		}
+	}
+	return err
+}
--- /dev/null
+++ b/internal/wire/peer/keys.go
@@ -0,0 +1,119 @@
+package peer
+
+import (
+	"crypto/tls"
+	"crypto/x509"
+	"os"
+	"sync"
+	"time"
+)
+
+// Keys holds the certificate of this instance and the authority that signs those of all instances.
+// The files are read again when they change, so that keys can be replaced without a restart: new
+// links use the new ones. It is safe for concurrent use.
+type Keys struct {
+	certificate, key, authority string
+
+	mu      sync.Mutex
+	stamp   [3]stamp
+	pair    tls.Certificate
+	pool    *x509.CertPool
+	failure error // of the last reload
+}
+
+// stamp tells whether a file has changed.
+type stamp struct {
+	modified time.Time
+	size     int64
+}
+
+// LoadKeys reads the PEM files of the certificate, its key and the authority.
+func LoadKeys(certificate, key, authority string) (k *Keys, err error) {
+	defer func() { err = Error.Wrap(err) }()
+	k = &Keys{certificate: certificate, key: key, authority: authority}
+	if k.stamp, err = k.stamps(); err != nil {
+		return nil, err
+	}
+	if err := k.read(); err != nil {
+		return nil, err
+	}
+	return k, nil
+}
+
+// Failure returns the error of the last reload; the previous keys then stay in use.
+func (k *Keys) Failure() error {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return k.failure
+}
+
+func (k *Keys) stamps() (s [3]stamp, err error) {
+	for i, file := range []string{k.certificate, k.key, k.authority} {
+		info, err := os.Stat(file)
+		if err != nil {
+			return s, err
+		}
+		s[i] = stamp{info.ModTime(), info.Size()}
+	}
+	return s, nil
+}
+
+func (k *Keys) read() error {
+	pair, err := tls.LoadX509KeyPair(k.certificate, k.key)
+	if err != nil {
+		return err
+	}
+	pem, err := os.ReadFile(k.authority)
+	if err != nil {
+		return err
+	}
+	pool := x509.NewCertPool()
+	if !pool.AppendCertsFromPEM(pem) {
+		return Error.New("file %s holds no certificate", k.authority)
+	}
+	k.pair, k.pool = pair, pool
+	return nil
+}
+
+// current returns the keys after a reload if a file has changed. A failed reload, as in the middle
+// of a replacement of the files, is tried again with the next link.
+func (k *Keys) current() (tls.Certificate, *x509.CertPool) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	now, err := k.stamps()
+	if err == nil && now != k.stamp {
+		if err = k.read(); err == nil {
+			k.stamp = now
+		}
+	}
+	k.failure = err
+	return k.pair, k.pool
+}
+
+// server returns the configuration of accepted links, which reads the keys for each handshake.
+func (k *Keys) server() *tls.Config {
+	return &tls.Config{
+		MinVersion: tls.VersionTLS13,
+		GetConfigForClient: func(*tls.ClientHelloInfo) (*tls.Config, error) {
+			pair, pool := k.current()
+			return &tls.Config{
+				MinVersion:             tls.VersionTLS13,
+				Certificates:           []tls.Certificate{pair},
+				ClientCAs:              pool,
+				ClientAuth:             tls.RequireAndVerifyClientCert,
+				SessionTicketsDisabled: true, // a resumed session would outlive replaced keys
+			}, nil
+		},
+	}
+}
+
+// client returns the configuration of a link to the instance with the given name.
+func (k *Keys) client(name string) *tls.Config {
+	pair, pool := k.current()
+	return &tls.Config{
+		MinVersion:   tls.VersionTLS13,
+		Certificates: []tls.Certificate{pair},
+		RootCAs:      pool,
+		ServerName:   name,
+	}
+}
--- a/internal/wire/peer/mux.go
+++ b/internal/wire/peer/mux.go
@@ -36,6 +36,14 @@
 	m.handlers[method] = h
 }
 
+// Has tells whether a method has a handler.
+func (m *Mux) Has(method string) bool {
+	m.mu.RLock()
+	defer m.mu.RUnlock()
+	_, ok := m.handlers[method]
+	return ok
+}
+
 // Serve answers one call.
 func (m *Mux) Serve(ctx context.Context, from, method string, params json.RawMessage) (any, error) {
 	m.mu.RLock()
--- a/internal/wire/peer/peer.go
+++ b/internal/wire/peer/peer.go
@@ -1,112 +1,138 @@
-// Package peer carries control messages between instances as JSON-RPC 2.0 over TCP.
+// Package peer carries control messages between instances as JSON-RPC 2.0 over TCP. Each instance
+// dials the links for its own calls, so that a pair that calls in both directions has two links, and
+// no choice between crossing links has to be made.
 package peer
 
 import (
 	"context"
 	"encoding/json"
-	"fmt"
-	"log/slog"
+	"errors"
 	"net"
 	"net/netip"
 	"sync"
 
-	"github.com/sourcegraph/jsonrpc2"
-	"github.com/zeebo/errs"
 	"golang.org/x/sync/errgroup"
 )
 
-// Error is the class of errors of this package.
-var Error = errs.Class("peer")
-
-// helloMethod introduces the dialling instance on a new connection.
-const helloMethod = "Peer.Hello"
-
-type hello struct {
-	Name string `json:"Name"`
-}
-
 // Node is this instance's end of all links.
 type Node struct {
 	options Options
-	mu      sync.Mutex
-	links   map[string]*jsonrpc2.Conn
+	process uint64 // tells two lives of this instance apart
+	meter   *meter
 	ready   chan struct{}
 	address netip.AddrPort
+	ctx     context.Context
+	cancel  context.CancelFunc
+
+	mu       sync.Mutex // never held while dialling
+	group    errgroup.Group
+	ended    bool
+	targets  map[string]*target
+	incoming map[string]*incoming // by the name of the other side
+	accepted int
+	number   uint64 // of links dialled
 }
 
 // New returns a node that listens on a free loopback port unless told otherwise.
 func New(opts ...Option) *Node {
-	o := Options{
-		Listen:  netip.MustParseAddrPort("127.0.0.1:0"),
-		Resolve: func(string) (netip.AddrPort, bool) { return netip.AddrPort{}, false },
-		Mux:     NewMux(),
-		Logger:  slog.Default(),
-	}
-	for _, opt := range opts {
-		opt(&o)
-	}
-	return &Node{options: o, links: map[string]*jsonrpc2.Conn{}, ready: make(chan struct{})}
+	n := &Node{
+		options:  build(opts),
+		ready:    make(chan struct{}),
+		targets:  map[string]*target{},
+		incoming: map[string]*incoming{},
+	}
+	n.process = uint64(n.options.Now().UnixNano())
+	n.meter = newMeter(n.options.Scope)
+	n.ctx, n.cancel = context.WithCancel(context.Background())
+	return n
 }
 
-// Address waits for the listener and returns its address.
+// Address waits for the listener and returns its address, which is not valid if Run has failed.
 func (n *Node) Address() netip.AddrPort {
 	<-n.ready
 	return n.address
 }
 
-// Run accepts links until ctx ends.
+// Run accepts links until ctx ends, and then closes all links.
 func (n *Node) Run(ctx context.Context) (err error) {
 	defer func() { err = Error.Wrap(err) }()
-	listener, err := net.ListenTCP("tcp", net.TCPAddrFromAddrPort(n.options.Listen))
+	listener, err := n.listen()
+	close(n.ready)
 	if err != nil {
 		return err
 	}
-	n.address = listener.Addr().(*net.TCPAddr).AddrPort()
-	close(n.ready)
-	group, ctx := errgroup.WithContext(ctx)
-	group.Go(func() error {
-		<-ctx.Done()
-		n.closeLinks()
-		return listener.Close()
+	stop := context.AfterFunc(ctx, func() {
+		n.end()
+		_ = listener.Close()
 	})
-	for {
-		conn, err := listener.Accept()
-		if err != nil {
-			break
-		}
-		in := &incoming{node: n}
-		link := jsonrpc2.NewConn(ctx, jsonrpc2.NewPlainObjectStream(conn), jsonrpc2.AsyncHandler(in))
-		group.Go(func() error {
-			select {
-			case <-ctx.Done():
-			case <-link.DisconnectNotify():
-			}
-			_ = link.Close()
-			return nil
-		})
-	}
-	return group.Wait()
+	defer stop()
+	err = n.acceptAll(listener)
+	n.end()
+	if ctx.Err() != nil && errors.Is(err, net.ErrClosed) {
+		err = nil
+	}
+	return errors.Join(err, n.group.Wait())
+}
+
+func (n *Node) listen() (net.Listener, error) {
+	if n.options.Keys == nil && !n.options.Listen.Addr().IsLoopback() {
+		return nil, ErrInsecure
+	}
+	listener, err := n.options.ListenTCP(n.options.Listen)
+	if err != nil {
+		return nil, err
+	}
+	n.address = n.options.Listen
+	if a, ok := listener.Addr().(*net.TCPAddr); ok {
+		n.address = a.AddrPort()
+	}
+	return listener, nil
 }
 
-func (n *Node) closeLinks() {
+// end closes all links and lets no new goroutine start.
+func (n *Node) end() {
+	n.mu.Lock()
+	n.ended = true
+	n.mu.Unlock()
+	n.cancel()
+}
+
+// spawn starts f in the group of the node, unless the node has ended.
+func (n *Node) spawn(f func()) bool {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	for _, link := range n.links {
-		_ = link.Close()
+	if n.ended {
+		return false
 	}
+	n.group.Go(func() error {
+		f()
+		return nil
+	})
+	return true
 }
 
-// Call implements Caller; a call to the node's own name is served in process.
+// Call implements Caller; a call to the node's own name is served in process. Without a deadline in
+// ctx, a default one applies. The deadline is carried to the other side. NotSent tells which errors
+// prove that no handler was reached.
 func (n *Node) Call(ctx context.Context, to, method string, params, result any) (err error) {
 	defer func() { err = Error.Wrap(err) }()
+	if _, ok := ctx.Deadline(); !ok {
+		limited, cancel := context.WithTimeout(ctx, n.options.CallTimeout)
+		defer cancel()
+		ctx = limited
+	}
 	if to == n.options.Name {
 		return n.callLocal(ctx, method, params, result)
 	}
-	link, err := n.link(ctx, to)
+	t, err := n.target(to)
 	if err != nil {
 		return err
 	}
-	return link.Call(ctx, method, params, result)
+	l, err := t.get(ctx)
+	if err != nil {
+		return err
+	}
+	return l.call(ctx, method, params, result)
 }
 
 func (n *Node) callLocal(ctx context.Context, method string, params, result any) error {
@@ -125,72 +151,29 @@
 	return json.Unmarshal(raw, result)
 }
 
-func (n *Node) link(ctx context.Context, to string) (*jsonrpc2.Conn, error) {
+// target returns the state of the links to an instance; the first call needs a known address.
+func (n *Node) target(name string) (*target, error) {
 	n.mu.Lock()
-	defer n.mu.Unlock()
-	if link, ok := n.links[to]; ok {
-		select {
-		case <-link.DisconnectNotify():
-		default:
-			return link, nil
-		}
-	}
-	address, ok := n.options.Resolve(to)
-	if !ok {
-		return nil, fmt.Errorf("address of instance %q is unknown", to)
-	}
-	var d net.Dialer
-	conn, err := d.DialContext(ctx, "tcp", address.String())
-	if err != nil {
-		return nil, err
+	t, ok := n.targets[name]
+	n.mu.Unlock()
+	if ok {
+		return t, nil
 	}
-	link := jsonrpc2.NewConn(context.WithoutCancel(ctx), jsonrpc2.NewPlainObjectStream(conn), &incoming{node: n, from: to})
-	if err := link.Notify(ctx, helloMethod, hello{Name: n.options.Name}); err != nil {
-		return nil, err
+	if _, known := n.options.Resolve(name); !known {
+		return nil, ErrUnknownInstance
 	}
-	n.links[to] = link
-	return link, nil
-}
-
-// incoming serves the calls of one connection.
-type incoming struct {
-	node *Node
-	mu   sync.Mutex
-	from string
-}
-
-// Handle implements jsonrpc2.Handler.
-func (i *incoming) Handle(ctx context.Context, conn *jsonrpc2.Conn, req *jsonrpc2.Request) {
-	var params json.RawMessage
-	if req.Params != nil {
-		params = *req.Params
-	}
-	if req.Method == helloMethod {
-		var h hello
-		if json.Unmarshal(params, &h) == nil {
-			i.mu.Lock()
-			i.from = h.Name
-			i.mu.Unlock()
-		}
-		return
-	}
-	i.mu.Lock()
-	from := i.from
-	i.mu.Unlock()
-	result, err := i.node.options.Mux.Serve(ctx, from, req.Method, params)
-	if req.Notif {
-		return
-	}
-	if err != nil {
-		_ = conn.ReplyWithError(ctx, req.ID, toRPC(err))
-		return
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if t, ok = n.targets[name]; !ok {
+		t = newTarget(n, name)
+		n.targets[name] = t
 	}
-	_ = conn.Reply(ctx, req.ID, result)
+	return t, nil
 }
 
-func toRPC(err error) *jsonrpc2.Error {
-	if e, ok := err.(*jsonrpc2.Error); ok {
-		return e
-	}
-	return &jsonrpc2.Error{Code: jsonrpc2.CodeInternalError, Message: err.Error()}
+func (n *Node) nextNumber() uint64 {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.number++
+	return n.number
 }
--- /dev/null
+++ b/internal/wire/peer/serve.go
@@ -0,0 +1,255 @@
+package peer
+
+import (
+	"context"
+	"crypto/tls"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"log/slog"
+	"net"
+	"runtime/debug"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/sourcegraph/jsonrpc2"
+
+	"lycheevale/internal/base/event"
+)
+
+const (
+	// acceptPause is the wait after a failed accept, as when file descriptors run out.
+	acceptPause = 50 * time.Millisecond
+	// acceptedPatience makes the dialling side probe first, so that one probe serves both sides.
+	acceptedPatience = 2
+)
+
+func (n *Node) acceptAll(listener net.Listener) error {
+	for {
+		conn, err := listener.Accept()
+		if errors.Is(err, net.ErrClosed) {
+			return err
+		}
+		if err != nil {
+			event.Log(n.ctx, n.options.Logger, event.AcceptFailed, slog.Any("Error", err))
+			if !sleep(n.ctx, acceptPause) {
+				return net.ErrClosed
+			}
+			continue
+		}
+		if !n.admit() {
+			event.Log(n.ctx, n.options.Logger, event.AcceptFailed, slog.String("Error", "too many links"))
+			_ = conn.Close()
+			continue
+		}
+		if !n.spawn(func() { n.accept(conn) }) {
+			_ = conn.Close()
+		}
+	}
+}
+
+func (n *Node) admit() bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if n.accepted >= n.options.MaxLinks {
+		return false
+	}
+	n.accepted++
+	return true
+}
+
+// accept serves one link until it is closed.
+func (n *Node) accept(conn net.Conn) {
+	defer func() {
+		n.mu.Lock()
+		n.accepted--
+		n.mu.Unlock()
+	}()
+	if n.options.Keys != nil {
+		secure := tls.Server(conn, n.options.Keys.server())
+		ctx, cancel := context.WithTimeout(n.ctx, n.options.Handshake)
+		err := secure.HandshakeContext(ctx)
+		cancel()
+		if err != nil {
+			event.Log(n.ctx, n.options.Logger, event.LinkRefused, slog.String("Address", conn.RemoteAddr().String()), slog.Any("Error", err))
+			_ = conn.Close()
+			return
+		}
+		conn = secure
+	}
+	in := newIncoming(n, conn)
+	in.run()
+}
+
+// incoming serves the calls of one accepted link.
+type incoming struct {
+	node    *Node
+	raw     net.Conn
+	stream  *stream
+	count   *counting
+	serving chan struct{} // one place for each call being served
+	hello   atomic.Pointer[hello]
+	wg      sync.WaitGroup
+}
+
+func newIncoming(n *Node, conn net.Conn) *incoming {
+	in := &incoming{
+		node:    n,
+		raw:     conn,
+		stream:  newStream(conn, &n.options, acceptedPatience*n.options.IdlePing),
+		serving: make(chan struct{}, n.options.MaxServing),
+	}
+	in.count = newCounting(n, in.stream)
+	return in
+}
+
+func (in *incoming) run() {
+	n := in.node
+	ctx, cancel := context.WithCancel(n.ctx)
+	defer cancel()
+	early := time.AfterFunc(n.options.Handshake, func() {
+		if in.hello.Load() == nil {
+			_ = in.stream.fail(ErrSilent)
+		}
+	})
+	defer early.Stop()
+	conn := jsonrpc2.NewConn(ctx, in.stream, in, in.count.options()...)
+	in.stream.run(ctx)
+	_ = conn.Close()
+	n.forget(in)
+	cancel()
+	in.wg.Wait()
+}
+
+// Handle implements jsonrpc2.Handler; it runs in the reader of the link and does not block.
+func (in *incoming) Handle(ctx context.Context, conn *jsonrpc2.Conn, req *jsonrpc2.Request) {
+	if req.Method == helloMethod {
+		in.introduce(ctx, conn, req)
+		return
+	}
+	from := in.hello.Load()
+	if from == nil || req.Notif {
+		_ = in.stream.fail(ErrWrongName)
+		return
+	}
+	select {
+	case in.serving <- struct{}{}:
+	default:
+		_ = conn.ReplyWithError(ctx, req.ID, &jsonrpc2.Error{Code: codeBusy, Message: ErrBusy.Error()})
+		return
+	}
+	in.wg.Add(1)
+	started := in.node.spawn(func() {
+		defer in.wg.Done()
+		defer func() { <-in.serving }()
+		in.serve(ctx, conn, req, from.Name)
+	})
+	if !started {
+		in.wg.Done()
+	}
+}
+
+// serve answers one call within the deadline of the caller.
+func (in *incoming) serve(ctx context.Context, conn *jsonrpc2.Conn, req *jsonrpc2.Request, from string) {
+	var m meta
+	if req.Meta != nil {
+		_ = json.Unmarshal(*req.Meta, &m) // without a valid deadline, the default one applies
+	}
+	limit := in.node.options.CallTimeout
+	if within := time.Duration(m.Within) * time.Microsecond; within > 0 {
+		limit = min(limit, within)
+	}
+	ctx, cancel := context.WithTimeout(ctx, limit)
+	defer cancel()
+	result, err := in.handle(ctx, from, req)
+	if err == nil {
+		err = conn.Reply(ctx, req.ID, result)
+	}
+	if err != nil {
+		_ = conn.ReplyWithError(ctx, req.ID, toRPC(err)) // fails only if the link is lost or its queue is full
+	}
+}
+
+func (in *incoming) handle(ctx context.Context, from string, req *jsonrpc2.Request) (result any, err error) {
+	defer func() {
+		if v := recover(); v != nil {
+			event.Log(ctx, in.node.options.Logger, event.HandlerPanicked, slog.String("Method", req.Method),
+				slog.Any("Value", v), slog.String("Stack", string(debug.Stack())))
+			err = fmt.Errorf("handler of %s failed", req.Method)
+		}
+	}()
+	var params json.RawMessage
+	if req.Params != nil {
+		params = *req.Params
+	}
+	return in.node.options.Mux.Serve(ctx, from, req.Method, params)
+}
+
+// introduce takes the hello of the other side, which must match its certificate.
+func (in *incoming) introduce(ctx context.Context, conn *jsonrpc2.Conn, req *jsonrpc2.Request) {
+	var h hello
+	err := ErrWrongName
+	if req.Params != nil && in.hello.Load() == nil {
+		err = json.Unmarshal(*req.Params, &h)
+	}
+	if err == nil {
+		err = in.verify(h.Name)
+	}
+	if err == nil {
+		err = in.node.adopt(in, h)
+	}
+	if err != nil {
+		event.Log(ctx, in.node.options.Logger, event.LinkRefused, slog.String("Address", in.raw.RemoteAddr().String()),
+			slog.String("Instance", h.Name), slog.Any("Error", err))
+		_ = in.stream.fail(err)
+		return
+	}
+	in.stream.limit.Store(int64(in.node.options.MaxMessage))
+	if err := conn.Reply(ctx, req.ID, welcome{Name: in.node.options.Name}); err != nil {
+		_ = in.stream.fail(err)
+	}
+}
+
+func (in *incoming) verify(name string) error {
+	if name == "" {
+		return ErrWrongName
+	}
+	secure, ok := in.raw.(*tls.Conn)
+	if !ok {
+		return nil
+	}
+	certificates := secure.ConnectionState().PeerCertificates
+	if len(certificates) == 0 || certificates[0].VerifyHostname(name) != nil {
+		return ErrWrongName
+	}
+	return nil
+}
+
+// adopt makes a link the one of its name. The dialling side uses one link at a time, so that an
+// older one is closed; a hello that was overtaken by a later link of the same process is refused.
+func (n *Node) adopt(in *incoming, h hello) error {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	old := n.incoming[h.Name]
+	if old != nil {
+		was := old.hello.Load()
+		if was.Process == h.Process && was.Number > h.Number {
+			return ErrReplaced
+		}
+		_ = old.stream.fail(ErrReplaced)
+	}
+	in.hello.Store(&h)
+	in.count.peer.Store(&h.Name)
+	n.incoming[h.Name] = in
+	return nil
+}
+
+func (n *Node) forget(in *incoming) {
+	h := in.hello.Load()
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if h != nil && n.incoming[h.Name] == in {
+		delete(n.incoming, h.Name)
+	}
+}
