Hand endpoints over by drain and release, with fencing and adapters in use

Cause: the owner knew neither planned hand-over nor requests that an earlier owner still runs on the engine, so a new owner could evict an adapter in use. Change: drain and release report when nothing is in flight; commands carry the fencing number and the incarnation of the decision; slots used by an earlier owner's requests stay out of scheduling until a report shows them idle.

--- a/internal/fake/engine/command.go
+++ b/internal/fake/engine/command.go
@@ -84,6 +84,10 @@
 	}
 	e.mu.Lock()
 	incarnation := e.state.Incarnation
+	if _, resident := e.resident[c.Target]; resident {
+		e.mu.Unlock()
+		return 0, nil
+	}
 	if c.Evict != "" {
 		e.evict(c.Evict)
 	}
--- a/internal/serve/engine/engine.go
+++ b/internal/serve/engine/engine.go
@@ -63,7 +63,7 @@
 type Answer struct {
 	Attempt  string
 	Endpoint string // set by owners, not by engines
-	Load     int    // requests waiting or running at the owner's endpoint, set by owners
+	View     string // value of HeaderView, set by owners
 	body     io.ReadCloser
 	client   *Client
 }
@@ -114,9 +114,9 @@
 		_ = resp.Body.Close()
 		return nil, Foreign.New("asked attempt %s on %s, got attempt %s on %s", attempt, model, got, served)
 	}
-	load, _ := strconv.Atoi(resp.Header.Get(HeaderLoad))
+	h := resp.Header
 	return &Answer{
-		Attempt: attempt, Endpoint: resp.Header.Get(HeaderEndpoint), Load: load, body: resp.Body, client: c,
+		Attempt: attempt, Endpoint: h.Get(HeaderEndpoint), View: h.Get(HeaderView), body: resp.Body, client: c,
 	}, nil
 }
 
--- a/internal/serve/engine/protocol.go
+++ b/internal/serve/engine/protocol.go
@@ -3,8 +3,9 @@
 package engine
 
 import (
-	"net/netip"
 	"time"
+
+	"lycheevale/internal/member/directory"
 )
 
 // Header names of the engine protocol.
@@ -12,41 +13,25 @@
 	HeaderAttempt  = "X-Attempt-Id" // sent by the caller of the engine and repeated by the engine
 	HeaderModel    = "X-Served-Model"
 	HeaderPriority = "X-Priority"
-	HeaderDeadline = "X-Deadline"    // RFC 3339 with nanoseconds
-	HeaderNotRun   = "X-Not-Run"     // "true" on a rejection of a request that was not started
-	HeaderEventID  = "Last-Event-ID" // last event received, on resume
-	HeaderEndpoint = "X-Endpoint"    // endpoint that serves the attempt, set by owners
-	HeaderLoad     = "X-Endpoint-Load"
+	HeaderDeadline = "X-Deadline"      // RFC 3339 with nanoseconds
+	HeaderNotRun   = "X-Not-Run"       // "true" on a rejection of a request that was not started
+	HeaderEventID  = "Last-Event-ID"   // last event received, on resume
+	HeaderEndpoint = "X-Endpoint"      // endpoint that serves the attempt, set by owners
+	HeaderView     = "X-Endpoint-View" // scheduler.View as JSON, set by owners
 )
 
 // DoneMarker is the data of the event that ends a complete stream.
 const DoneMarker = "[DONE]"
 
-// Kind tells how an endpoint is used.
-type Kind string
+// Announcement is what an endpoint posts to any instance of its data centre about once a second.
+type Announcement = directory.Announcement
 
 // Kinds of endpoints.
 const (
-	KindEngine Kind = "Engine"
-	KindPlain  Kind = "Plain"
+	KindEngine = directory.Engine
+	KindPlain  = directory.Plain
 )
 
-// Announcement is what an endpoint posts to any instance of its data centre about once a second.
-type Announcement struct {
-	Name          string         `json:"Name"`
-	DataCentre    string         `json:"DataCentre"`
-	Address       netip.AddrPort `json:"Address"`
-	Incarnation   uint64         `json:"Incarnation"`
-	Kind          Kind           `json:"Kind"`
-	Service       string         `json:"Service"`
-	Model         string         `json:"Model,omitempty"`
-	Slots         int            `json:"Slots,omitempty"`
-	BatchSize     int            `json:"BatchSize,omitempty"`
-	ChecksFencing bool           `json:"ChecksFencing,omitempty"`
-	HighestFence  uint64         `json:"HighestFence,omitempty"`
-	Leaving       bool           `json:"Leaving,omitempty"`
-}
-
 // State is an engine's own account of itself, current when it answers.
 type State struct {
 	Name         string         `json:"Name"`
--- /dev/null
+++ b/internal/serve/owner/command.go
@@ -0,0 +1,109 @@
+package owner
+
+import (
+	"context"
+	"log/slog"
+	"time"
+
+	"github.com/google/uuid"
+
+	"lycheevale/internal/base/event"
+	"lycheevale/internal/place/scheduler"
+	"lycheevale/internal/serve/engine"
+)
+
+var commandKinds = map[scheduler.ActionKind]engine.CommandKind{
+	scheduler.Load:     engine.LoadAdapter,
+	scheduler.Unload:   engine.UnloadAdapter,
+	scheduler.SetModel: engine.LoadModel,
+	scheduler.SetRole:  engine.ChangeRole,
+}
+
+// command sends one control command and tells the scheduler how it ended.
+func (o *Owner) command(e *ownedEndpoint, a scheduler.Action) {
+	c := o.describeCommand(a)
+	err := o.send(e, a, c)
+	o.logCommand(a, err)
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	now := o.options.Now()
+	switch a.Kind {
+	case scheduler.Load:
+		o.options.LoadEnded(a.Endpoint, a.Adapter)
+		o.scheduler.Loaded(now, scheduler.LoadResult{
+			Endpoint: a.Endpoint, Adapter: a.Adapter, Incarnation: a.Incarnation, Failed: err != nil,
+		})
+	case scheduler.SetModel, scheduler.SetRole:
+		o.scheduler.CommandEnded(now, scheduler.CommandResult{ID: a.ID, Incarnation: a.Incarnation, Failed: err != nil})
+	}
+	e.commands--
+	o.checkStopped(e)
+	o.poke()
+}
+
+func (o *Owner) describeCommand(a scheduler.Action) engine.Command {
+	c := engine.Command{
+		ID: a.ID, Kind: commandKinds[a.Kind], Fence: a.Fence, Deadline: o.options.Now().Add(o.options.LoadTimeout),
+		Target: a.Value,
+	}
+	if c.ID == "" {
+		c.ID = uuid.NewString()
+	}
+	if !a.Adapter.Base() {
+		c.Target = target(a.Adapter, "")
+		c.Source = o.options.Source(a.Adapter)
+	}
+	if !a.Evict.Base() {
+		c.Evict = target(a.Evict, "")
+	}
+	return c
+}
+
+// send gives the command to the engine unless the lease has ended or the engine has restarted since the decision.
+// An engine that ignores fencing numbers is protected by the deadline alone, which the next owner waits out.
+func (o *Owner) send(e *ownedEndpoint, a scheduler.Action, c engine.Command) error {
+	o.mu.Lock()
+	grant := e.grant
+	o.mu.Unlock()
+	switch {
+	case o.expired(grant, o.options.Now()):
+		return engine.StaleFence.New("lease of %s has ended", e.name)
+	case grant.Endpoint.Incarnation != a.Incarnation:
+		return engine.LoadFailure.New("endpoint %s has restarted", e.name)
+	}
+	c.Fence = max(c.Fence, grant.Fence)
+	ctx, cancel := context.WithTimeout(o.ctx, o.options.LoadTimeout)
+	defer cancel()
+	return e.client.Order(ctx, c)
+}
+
+func (o *Owner) logCommand(a scheduler.Action, err error) {
+	if err == nil {
+		return
+	}
+	id := event.LoadFailed
+	if engine.StaleFence.Has(err) {
+		id = event.OrderRefused
+	}
+	event.Log(o.ctx, o.options.Logger, id, slog.String("Endpoint", a.Endpoint),
+		slog.String("Adapter", target(a.Adapter, "")), slog.Any("Error", err))
+}
+
+// Command gives an operator's command, to load a model or to change the role, to an owned endpoint. A resend with
+// the same ID returns the state of the first.
+func (o *Owner) Command(c scheduler.Command) (state string, err error) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	defer o.poke()
+	return o.scheduler.Command(o.options.Now(), c)
+}
+
+// unloadForeign frees the slot of an adapter that only the previous owner used and that has become idle.
+func (o *Owner) unloadForeign(ctx context.Context, e *ownedEndpoint, name string, fence uint64) error {
+	ctx, cancel := context.WithTimeout(ctx, o.options.ProbeTimeout)
+	defer cancel()
+	return e.client.Order(ctx, engine.Command{
+		ID: uuid.NewString(), Kind: engine.UnloadAdapter, Fence: fence, Target: name,
+		Deadline: o.options.Now().Add(time.Second),
+	})
+}
--- a/internal/serve/owner/endpoint.go
+++ b/internal/serve/owner/endpoint.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"log/slog"
+	"slices"
 	"time"
 
 	"lycheevale/internal/base/event"
@@ -10,57 +11,115 @@
 	"lycheevale/internal/serve/engine"
 )
 
-// Acquire starts owning an endpoint, or renews or updates what is owned already. Run must have started.
+type ownedEndpoint struct {
+	name     string
+	grant    Grant
+	client   *engine.Client
+	cancel   context.CancelFunc
+	known    bool // the scheduler knows the endpoint
+	missed   int  // failed polls in a row
+	own      map[string]int
+	commands int                 // in flight
+	foreign  map[string]struct{} // adapters that requests of an earlier owner still use
+	stopped  func()              // called once nothing that must end is in flight; nil unless stopping
+	drain    bool                // running requests must end too
+}
+
+// Acquire starts owning an endpoint, or updates what is owned already. Run must have started.
 func (o *Owner) Acquire(g Grant) {
 	<-o.started
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	if e, ok := o.endpoints[g.Endpoint.Name]; ok && e.grant.Fence == g.Fence && e.grant.Endpoint.Address == g.Endpoint.Address {
-		leaving := g.Endpoint.Leaving != e.grant.Endpoint.Leaving
-		g.Endpoint.Incarnation = e.grant.Endpoint.Incarnation
-		e.grant = g
-		if leaving && e.known {
-			o.scheduler.SetEndpoint(o.options.Now(), describe(g, nil))
-		}
+	name := g.Endpoint.Name
+	old, ok := o.endpoints[name]
+	if ok && old.grant.Fence == g.Fence && old.grant.Endpoint.Address == g.Endpoint.Address {
+		o.renew(old, g)
 		return
-	} else if ok {
-		o.drop(g.Endpoint.Name, e)
+	}
+	if ok {
+		o.drop(old)
 	}
 	ctx, cancel := context.WithCancel(o.ctx)
-	e := &ownedEndpoint{grant: g, client: o.options.Client(g.Endpoint.Address), cancel: cancel}
-	o.endpoints[g.Endpoint.Name] = e
+	e := &ownedEndpoint{
+		name: name, grant: g, client: o.options.Client(g.Endpoint.Address), cancel: cancel, own: map[string]int{},
+	}
+	o.endpoints[name] = e
 	o.group.Go(func() error { return o.poll(ctx, e) })
-	event.Log(ctx, o.options.Logger, event.EndpointAcquired, slog.String("Endpoint", g.Endpoint.Name),
+	event.Log(ctx, o.options.Logger, event.EndpointAcquired, slog.String("Endpoint", name),
 		slog.Uint64("Fence", g.Fence))
 }
 
-// Release stops owning an endpoint; running streams end on their own.
-func (o *Owner) Release(name string) {
+// renew keeps the incarnation that was read from the engine, which is newer than any announcement.
+func (o *Owner) renew(e *ownedEndpoint, g Grant) {
+	g.Endpoint.Incarnation = e.grant.Endpoint.Incarnation
+	changed := g.NoWorkAfter != e.grant.NoWorkAfter
+	e.grant = g
+	if changed && e.known {
+		o.describe(e)
+	}
+}
+
+// Drain gives the endpoint no new work and calls stopped when its running requests and commands have ended.
+func (o *Owner) Drain(name string, stopped func()) { o.stop(name, true, stopped) }
+
+// Release stops owning the endpoint at once and calls stopped when no command is in flight. Running streams end on
+// their own; the next owner does not evict what they use.
+func (o *Owner) Release(name string, stopped func()) { o.stop(name, false, stopped) }
+
+func (o *Owner) stop(name string, drain bool, stopped func()) {
+	<-o.started
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	if e, ok := o.endpoints[name]; ok {
-		o.drop(name, e)
-		event.Log(o.ctx, o.options.Logger, event.EndpointReleased, slog.String("Endpoint", name))
+	e, ok := o.endpoints[name]
+	if !ok {
+		o.group.Go(func() error { stopped(); return nil })
+		return
+	}
+	e.stopped, e.drain = stopped, drain
+	if drain {
+		if e.known {
+			o.describe(e)
+		}
+		o.refuseWaiting(name)
+	} else {
+		o.drop(e)
+	}
+	o.checkStopped(e)
+}
+
+// checkStopped reports an endpoint that is being given up once nothing that must end is in flight.
+func (o *Owner) checkStopped(e *ownedEndpoint) {
+	busy := e.commands > 0
+	for _, n := range e.own {
+		busy = busy || e.drain && n > 0
+	}
+	if e.stopped == nil || busy {
+		return
 	}
+	stopped := e.stopped
+	e.stopped = nil
+	if o.endpoints[e.name] == e {
+		o.drop(e)
+	}
+	o.group.Go(func() error { stopped(); return nil })
 }
 
-func (o *Owner) drop(name string, e *ownedEndpoint) {
+func (o *Owner) drop(e *ownedEndpoint) {
 	e.cancel()
-	delete(o.endpoints, name)
-	o.scheduler.RemoveEndpoint(o.options.Now(), name)
-	o.refuseWaiting(name)
+	delete(o.endpoints, e.name)
+	o.scheduler.RemoveEndpoint(o.options.Now(), e.name)
+	o.refuseWaiting(e.name)
+	event.Log(o.ctx, o.options.Logger, event.EndpointReleased, slog.String("Endpoint", e.name))
 }
 
-// describe turns a grant and the engine's state into what the scheduler knows; state may be nil.
-func describe(g Grant, state *engine.State) scheduler.Endpoint {
-	d := scheduler.Endpoint{
-		Name: g.Endpoint.Name, Model: g.Endpoint.Model, Incarnation: g.Endpoint.Incarnation,
-		Slots: g.Endpoint.Slots, BatchSize: g.Endpoint.BatchSize, Draining: g.Endpoint.Leaving,
-	}
-	if state != nil {
-		d.Resident = refs(state.Resident)
-	}
-	return d
+// describe tells the scheduler what is known of the endpoint, with the resident adapters where they were read.
+func (o *Owner) describe(e *ownedEndpoint, resident ...string) {
+	g := e.grant
+	o.scheduler.SetEndpoint(o.options.Now(), scheduler.Endpoint{
+		Name: e.name, Model: g.Endpoint.Model, Incarnation: g.Endpoint.Incarnation, Fence: g.Fence,
+		Slots: max(0, g.Endpoint.Slots-len(e.foreign)), BatchSize: g.Endpoint.BatchSize,
+		Draining: !g.NoWorkAfter.IsZero() || e.stopped != nil, Resident: refs(resident),
+	})
 }
 
 func refs(names []string) []scheduler.AdapterRef {
@@ -99,6 +158,9 @@
 	if ctx.Err() != nil {
 		return
 	}
+	if err == nil && known {
+		o.freeForeign(callCtx, e, state)
+	}
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	defer o.poke()
@@ -107,20 +169,69 @@
 		return
 	}
 	e.missed = 0
-	now := o.options.Now()
 	if known && state.Incarnation == e.grant.Endpoint.Incarnation {
-		o.scheduler.Report(now, scheduler.LoadReport{
-			Endpoint: state.Name, Incarnation: state.Incarnation, Running: state.Running, Waiting: state.Waiting,
+		o.scheduler.Report(o.options.Now(), scheduler.LoadReport{
+			Endpoint: e.name, Incarnation: state.Incarnation, Running: state.Running, Waiting: state.Waiting,
 			At: state.MeasuredAt, Resident: refs(state.Resident),
 		})
 		return
 	}
 	if known {
-		event.Log(ctx, o.options.Logger, event.EndpointRestarted, slog.String("Endpoint", state.Name))
+		// A load report may be older than the restart; the state is read on the next poll.
+		event.Log(ctx, o.options.Logger, event.EndpointRestarted, slog.String("Endpoint", e.name))
+		o.forget(e)
+		return
 	}
+	o.learn(e, state)
+}
+
+// forget takes the endpoint out of scheduling until its state is read again.
+func (o *Owner) forget(e *ownedEndpoint) {
+	e.known = false
+	e.foreign = nil
+	o.scheduler.RemoveEndpoint(o.options.Now(), e.name)
+}
+
+// learn takes the engine's real state before the first command. Slots whose adapters are used by requests of an
+// earlier owner are kept out of scheduling, because an adapter in use must not be evicted.
+func (o *Owner) learn(e *ownedEndpoint, state engine.State) {
 	e.known = true
 	e.grant.Endpoint.Incarnation = state.Incarnation
-	o.scheduler.SetEndpoint(now, describe(e.grant, &state))
+	e.grant.Endpoint.Model = state.Model
+	e.foreign = map[string]struct{}{}
+	for name, n := range state.InUse {
+		if n > e.own[name] && name != state.Model {
+			e.foreign[name] = struct{}{}
+		}
+	}
+	o.describe(e, slices.DeleteFunc(slices.Clone(state.Resident), func(name string) bool {
+		_, foreign := e.foreign[name]
+		return foreign
+	})...)
+}
+
+// freeForeign unloads adapters that only an earlier owner's requests used, once a report shows them idle.
+func (o *Owner) freeForeign(ctx context.Context, e *ownedEndpoint, state engine.State) {
+	o.mu.Lock()
+	var idle []string
+	for name := range e.foreign {
+		if state.InUse[name] == 0 && state.Incarnation == e.grant.Endpoint.Incarnation {
+			idle = append(idle, name)
+		}
+	}
+	grant := e.grant
+	o.mu.Unlock()
+	for _, name := range idle {
+		if o.expired(grant, o.options.Now()) || o.unloadForeign(ctx, e, name, grant.Fence) != nil {
+			continue
+		}
+		o.mu.Lock()
+		if _, ok := e.foreign[name]; ok && e.known {
+			delete(e.foreign, name)
+			o.describe(e)
+		}
+		o.mu.Unlock()
+	}
 }
 
 // miss counts a failed poll and takes the endpoint out of scheduling after several.
@@ -129,12 +240,11 @@
 	if e.missed < o.options.MissedPolls {
 		return
 	}
-	o.refuseWaiting(e.grant.Endpoint.Name)
+	o.refuseWaiting(e.name)
 	if !e.known {
 		return
 	}
-	e.known = false
-	o.scheduler.RemoveEndpoint(o.options.Now(), e.grant.Endpoint.Name)
+	o.forget(e)
 	e.client.CloseIdle()
-	event.Log(ctx, o.options.Logger, event.EndpointSilent, slog.String("Endpoint", e.grant.Endpoint.Name))
+	event.Log(ctx, o.options.Logger, event.EndpointSilent, slog.String("Endpoint", e.name))
 }
--- a/internal/serve/owner/options.go
+++ b/internal/serve/owner/options.go
@@ -18,10 +18,12 @@
 	PollInterval time.Duration // between two load reports of an endpoint
 	IdleTimeout  time.Duration // without any event on a stream
 	ProbeTimeout time.Duration
-	LoadTimeout  time.Duration // deadline of a load command
-	LeaseMargin  time.Duration // stop before the lease deadline
-	MaxResumes   int           // for each stream
-	MissedPolls  int           // failed polls in a row until an endpoint counts as silent
+	LoadTimeout  time.Duration                       // deadline of a load command
+	LeaseMargin  time.Duration                       // stop before the lease deadline
+	MaxResumes   int                                 // for each stream
+	MissedPolls  int                                 // failed polls in a row until an endpoint counts as silent
+	Source       func(a scheduler.AdapterRef) string // identifier in the weight store
+	LoadEnded    func(endpoint string, a scheduler.AdapterRef)
 }
 
 // Option sets one of the Options.
@@ -52,11 +54,23 @@
 	return func(o *Options) { o.PollInterval = d }
 }
 
+// WithSource sets where the weights of an adapter's version are in the weight store.
+func WithSource(f func(a scheduler.AdapterRef) string) Option {
+	return func(o *Options) { o.Source = f }
+}
+
+// WithLoadEnded sets a function that is called when a load command has ended; it must not block.
+func WithLoadEnded(f func(endpoint string, a scheduler.AdapterRef)) Option {
+	return func(o *Options) { o.LoadEnded = f }
+}
+
 func defaults() Options {
 	return Options{
 		Logger: slog.Default(), Scheduler: scheduler.New(), Now: time.Now,
 		Client:       func(a netip.AddrPort) *engine.Client { return engine.New(a) },
 		PollInterval: 250 * time.Millisecond, IdleTimeout: 2 * time.Second, ProbeTimeout: 500 * time.Millisecond,
 		LoadTimeout: 5 * time.Second, LeaseMargin: 200 * time.Millisecond, MaxResumes: 3, MissedPolls: 4,
+		Source:    func(a scheduler.AdapterRef) string { return target(a, "") },
+		LoadEnded: func(string, scheduler.AdapterRef) {},
 	}
 }
--- a/internal/serve/owner/owner.go
+++ b/internal/serve/owner/owner.go
@@ -4,15 +4,12 @@
 
 import (
 	"context"
-	"log/slog"
 	"strings"
 	"sync"
 	"time"
 
-	"github.com/google/uuid"
 	"golang.org/x/sync/errgroup"
 
-	"lycheevale/internal/base/event"
 	"lycheevale/internal/base/refusal"
 	"lycheevale/internal/place/scheduler"
 	"lycheevale/internal/serve/engine"
@@ -51,9 +48,10 @@
 
 // Grant is the right to give commands to an endpoint until a deadline.
 type Grant struct {
-	Endpoint engine.Announcement
-	Fence    uint64
-	Deadline time.Time
+	Endpoint    engine.Announcement
+	Fence       uint64
+	Deadline    time.Time
+	NoWorkAfter time.Time // zero unless the endpoint leaves
 }
 
 // Owner owns endpoints; it is safe for concurrent use.
@@ -63,6 +61,7 @@
 	scheduler *scheduler.Scheduler
 	endpoints map[string]*ownedEndpoint
 	waiting   map[string]waiter
+	running   map[string]running // by attempt
 	wake      chan struct{}
 	group     *errgroup.Group
 	ctx       context.Context // of the group, ends when Run does
@@ -81,12 +80,10 @@
 	err      error
 }
 
-type ownedEndpoint struct {
-	grant  Grant
-	client *engine.Client
-	cancel context.CancelFunc
-	known  bool // the scheduler knows the endpoint
-	missed int
+// running is an attempt that was placed and has not finished.
+type running struct {
+	endpoint *ownedEndpoint
+	target   string
 }
 
 // New returns an owner without endpoints; Run makes it work.
@@ -97,7 +94,7 @@
 	}
 	return &Owner{
 		options: o, scheduler: o.Scheduler, endpoints: map[string]*ownedEndpoint{},
-		waiting: map[string]waiter{}, wake: make(chan struct{}, 1), started: make(chan struct{}),
+		waiting: map[string]waiter{}, running: map[string]running{}, wake: make(chan struct{}, 1), started: make(chan struct{}),
 	}
 }
 
@@ -144,13 +141,19 @@
 }
 
 func (o *Owner) act(a scheduler.Action) {
+	e := o.endpoints[a.Endpoint]
 	switch a.Kind {
 	case scheduler.Dispatch:
-		o.place(a.ID, placement{endpoint: o.endpoints[a.Endpoint]})
+		if e != nil {
+			o.running[a.ID] = running{e, target(a.Adapter, e.grant.Endpoint.Model)}
+			e.own[target(a.Adapter, e.grant.Endpoint.Model)]++
+		}
+		o.place(a.ID, placement{endpoint: e})
 	case scheduler.Refuse:
 		o.place(a.ID, placement{err: a.Err})
-	case scheduler.Load, scheduler.Unload:
-		if e := o.endpoints[a.Endpoint]; e != nil {
+	default:
+		if e != nil {
+			e.commands++
 			o.group.Go(func() error { o.command(e, a); return nil })
 		}
 	}
@@ -180,54 +183,6 @@
 	return ok && (e.known || e.missed < o.options.MissedPolls)
 }
 
-// command sends one control command and tells the scheduler how it ended.
-func (o *Owner) command(e *ownedEndpoint, a scheduler.Action) {
-	now := o.options.Now()
-	o.mu.Lock()
-	grant := e.grant
-	o.mu.Unlock()
-	c := engine.Command{
-		ID: uuid.NewString(), Kind: engine.LoadAdapter, Fence: grant.Fence, Deadline: now.Add(o.options.LoadTimeout),
-		Target: target(a.Adapter, ""), Source: target(a.Adapter, ""),
-	}
-	if a.Kind == scheduler.Unload {
-		c.Kind = engine.UnloadAdapter
-	}
-	if !a.Evict.Base() {
-		c.Evict = target(a.Evict, "")
-	}
-	ctx, cancel := context.WithDeadline(o.ctx, c.Deadline)
-	defer cancel()
-	var err error
-	if o.expired(grant, now) {
-		err = engine.StaleFence.New("lease of %s has ended", grant.Endpoint.Name)
-	} else {
-		err = e.client.Order(ctx, c)
-	}
-	o.logCommand(a, err)
-	if a.Kind == scheduler.Unload {
-		return
-	}
-	o.mu.Lock()
-	o.scheduler.Loaded(o.options.Now(), scheduler.LoadResult{
-		Endpoint: a.Endpoint, Adapter: a.Adapter, Incarnation: grant.Endpoint.Incarnation, Failed: err != nil,
-	})
-	o.mu.Unlock()
-	o.poke()
-}
-
-func (o *Owner) logCommand(a scheduler.Action, err error) {
-	if err == nil {
-		return
-	}
-	id := event.LoadFailed
-	if engine.StaleFence.Has(err) {
-		id = event.OrderRefused
-	}
-	event.Log(o.ctx, o.options.Logger, id, slog.String("Endpoint", a.Endpoint),
-		slog.String("Adapter", target(a.Adapter, "")), slog.Any("Error", err))
-}
-
 func (o *Owner) expired(g Grant, now time.Time) bool {
 	return !now.Before(g.Deadline.Add(-o.options.LeaseMargin))
 }
@@ -283,6 +238,7 @@
 		return nil, p.err
 	}
 	if p.endpoint == nil {
+		o.finish(r.Attempt, 0, true)
 		return nil, refusal.New(refusal.Unavailable, "endpoint is no longer owned here")
 	}
 	o.mu.Lock()
@@ -290,7 +246,7 @@
 	o.mu.Unlock()
 	if o.expired(grant, o.options.Now()) {
 		o.finish(r.Attempt, 0, true)
-		return nil, refusal.New(refusal.Unavailable, "lease of endpoint %s has ended", grant.Endpoint.Name)
+		return nil, refusal.New(refusal.Unavailable, "lease of endpoint %s has ended", p.endpoint.name)
 	}
 	return p.endpoint, nil
 }
@@ -314,14 +270,25 @@
 
 func (o *Owner) finish(attempt string, tokens int, failed bool) {
 	o.mu.Lock()
+	defer o.mu.Unlock()
 	o.scheduler.Finished(o.options.Now(), scheduler.Finish{ID: attempt, Tokens: tokens, Failed: failed})
-	o.mu.Unlock()
+	if r, ok := o.running[attempt]; ok {
+		delete(o.running, attempt)
+		r.endpoint.own[r.target]--
+		o.checkStopped(r.endpoint)
+	}
 	o.poke()
 }
 
-// Load returns the number of owned endpoints and of waiting requests.
-func (o *Owner) Load() (endpoints, waiting int) {
+func (o *Owner) view(endpoint string, ref scheduler.AdapterRef) scheduler.View {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return o.scheduler.View(o.options.Now(), endpoint, ref)
+}
+
+// Waiting returns the number of queued requests.
+func (o *Owner) Waiting() int {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	return len(o.endpoints), len(o.waiting)
+	return len(o.waiting)
 }
--- a/internal/serve/owner/remote.go
+++ b/internal/serve/owner/remote.go
@@ -7,10 +7,10 @@
 	"io"
 	"net/http"
 	"net/netip"
-	"strconv"
 	"time"
 
 	"lycheevale/internal/base/refusal"
+	"lycheevale/internal/place/scheduler"
 	"lycheevale/internal/serve/engine"
 )
 
@@ -54,7 +54,9 @@
 	h.Set(engine.HeaderAttempt, stream.Attempt)
 	h.Set(engine.HeaderModel, request.Target())
 	h.Set(engine.HeaderEndpoint, stream.Endpoint)
-	h.Set(engine.HeaderLoad, strconv.Itoa(stream.Load))
+	if view, err := json.Marshal(stream.View); err == nil {
+		h.Set(engine.HeaderView, string(view))
+	}
 	copyEvents(w, stream)
 }
 
@@ -153,10 +155,13 @@
 		cancel()
 		return nil, remoteError(err)
 	}
+	var view scheduler.View
+	// A view that cannot be read only costs the router an observation.
+	_ = json.Unmarshal([]byte(answer.View), &view)
 	watch := newWatchdog(ctx, m.idle)
 	stop := context.AfterFunc(watch.ctx, answer.Close)
 	return &Stream{
-		Attempt: r.Attempt, Endpoint: answer.Endpoint, Load: answer.Load,
+		Attempt: r.Attempt, Endpoint: answer.Endpoint, View: view,
 		events: func(yield func(engine.Event, error) bool) {
 			for e, err := range answer.Events() {
 				watch.reset()
--- a/internal/serve/owner/stream.go
+++ b/internal/serve/owner/stream.go
@@ -11,6 +11,7 @@
 
 	"lycheevale/internal/base/event"
 	"lycheevale/internal/base/refusal"
+	"lycheevale/internal/place/scheduler"
 	"lycheevale/internal/serve/engine"
 )
 
@@ -21,7 +22,7 @@
 type Stream struct {
 	Attempt  string
 	Endpoint string
-	Load     int // requests on the endpoint
+	View     scheduler.View // for the router of the entry
 	events   iter.Seq2[engine.Event, error]
 	close    func()
 }
@@ -60,9 +61,8 @@
 		return nil, t.refuse(err)
 	}
 	t.answer = answer
-	_, load := o.Load()
 	return &Stream{
-		Attempt: r.Attempt, Endpoint: e.grant.Endpoint.Name, Load: load, events: t.events, close: t.close,
+		Attempt: r.Attempt, Endpoint: e.name, View: o.view(e.name, r.Adapter), events: t.events, close: t.close,
 	}, nil
 }
 
@@ -145,7 +145,7 @@
 	}
 	t.endpoint.client.CloseIdle()
 	event.Log(t.ctx, o.options.Logger, event.ConnectionSilent,
-		slog.String("Endpoint", t.endpoint.grant.Endpoint.Name))
+		slog.String("Endpoint", t.endpoint.name))
 	return true
 }
 
