Add the listener for streams between instances

Cause: owners accept attempts over HTTP/2, which cannot share the socket of the control links. Change: setting Listen.Streams, encrypted with the keys of TLS.Peers.

--- a/internal/base/settings/check.go
+++ b/internal/base/settings/check.go
@@ -93,7 +93,7 @@
 }
 
 func (l Listen) each() []listener {
-	return []listener{{"Callers", l.Callers}, {"Operators", l.Operators}, {"Peers", l.Peers}}
+	return []listener{{"Callers", l.Callers}, {"Operators", l.Operators}, {"Peers", l.Peers}, {"Streams", l.Streams}}
 }
 
 func (s Settings) checkMembers(fs *faults) {
@@ -154,6 +154,7 @@
 	}
 	encrypted := map[string]bool{
 		"Callers": s.TLS.Callers != (ServerTLS{}), "Operators": s.TLS.Operators != (ServerTLS{}), "Peers": p != (PeerTLS{}),
+		"Streams": p != (PeerTLS{}),
 	}
 	for _, l := range s.Listen.each() {
 		exposed := l.address.IsValid() && !l.address.Addr().IsLoopback()
--- a/internal/base/settings/settings.go
+++ b/internal/base/settings/settings.go
@@ -43,6 +43,7 @@
 	Callers   netip.AddrPort `yaml:"Callers"`
 	Operators netip.AddrPort `yaml:"Operators"`
 	Peers     netip.AddrPort `yaml:"Peers"`
+	Streams   netip.AddrPort `yaml:"Streams"`
 }
 
 // Member is an instance that this one knows from its settings.
@@ -133,6 +134,7 @@
 			Callers:   netip.MustParseAddrPort("127.0.0.1:8080"),
 			Operators: netip.MustParseAddrPort("127.0.0.1:8081"),
 			Peers:     netip.MustParseAddrPort("127.0.0.1:8082"),
+			Streams:   netip.MustParseAddrPort("127.0.0.1:8083"),
 		},
 		Policy: PolicyAdaptive,
 		Limits: Limits{
--- a/internal/node/instance/options.go
+++ b/internal/node/instance/options.go
@@ -1,43 +1,70 @@
 package instance
 
 import (
+	"context"
 	"log/slog"
+	"net"
 	"net/netip"
 	"time"
 
+	"github.com/uber-go/tally/v4"
+
+	"lycheevale/internal/place/scheduler"
 	"lycheevale/internal/state/registry"
 )
 
-// Options are the settings of an Instance.
+// Options are what an instance takes besides its settings.
 type Options struct {
-	Name       string
-	DataCentre string
-	Callers    netip.AddrPort // address for callers and announcements
-	Logger     *slog.Logger
-	Registry   *registry.Registry
-	DrainWait  time.Duration // between readiness going down and the listener closing
-	StopBound  time.Duration // longest graceful shutdown
+	Logger    *slog.Logger
+	Scope     tally.Scope
+	Now       func() time.Time // monotonic
+	Wall      func() time.Time
+	Listen    func(at netip.AddrPort) (net.Listener, error)
+	Dial      func(ctx context.Context, network, address string) (net.Conn, error)
+	Bootstrap []registry.Object // first configuration of a deployment without any
+	Scheduler []scheduler.Option
 }
 
 // Option sets one of the Options.
 type Option func(*Options)
 
-// WithName sets the name of the instance and its data centre.
-func WithName(name, dataCentre string) Option {
-	return func(o *Options) { o.Name, o.DataCentre = name, dataCentre }
+// WithLogger sets the logger.
+func WithLogger(l *slog.Logger) Option {
+	return func(o *Options) { o.Logger = l }
 }
 
-// WithCallers sets the address that callers connect to.
-func WithCallers(a netip.AddrPort) Option {
-	return func(o *Options) { o.Callers = a }
+// WithScope sets where metrics are counted.
+func WithScope(s tally.Scope) Option {
+	return func(o *Options) { o.Scope = s }
 }
 
-// WithLogger sets the logger.
-func WithLogger(l *slog.Logger) Option {
-	return func(o *Options) { o.Logger = l }
+// WithNetwork replaces the functions that open listeners and connections.
+func WithNetwork(listen func(at netip.AddrPort) (net.Listener, error),
+	dial func(ctx context.Context, network, address string) (net.Conn, error),
+) Option {
+	return func(o *Options) { o.Listen, o.Dial = listen, dial }
+}
+
+// WithBootstrap sets the configuration that is proposed once when the log of a new deployment is empty.
+func WithBootstrap(objects []registry.Object) Option {
+	return func(o *Options) { o.Bootstrap = objects }
 }
 
-// WithRegistry sets the configuration that the instance starts with.
-func WithRegistry(r *registry.Registry) Option {
-	return func(o *Options) { o.Registry = r }
+// WithScheduler adds options of the scheduler.
+func WithScheduler(opts ...scheduler.Option) Option {
+	return func(o *Options) { o.Scheduler = append(o.Scheduler, opts...) }
+}
+
+// dialTimeout bounds the opening of a connection.
+const dialTimeout = time.Second
+
+func defaults() Options {
+	return Options{
+		Logger: slog.Default(),
+		Scope:  tally.NoopScope,
+		Now:    time.Now,
+		Wall:   time.Now,
+		Listen: func(at netip.AddrPort) (net.Listener, error) { return net.Listen("tcp", at.String()) },
+		Dial:   (&net.Dialer{Timeout: dialTimeout}).DialContext,
+	}
 }
