Add the voter runtime

Cause: the core needs a disk, a state machine, peer messages and a way to propose from any instance.

--- /dev/null
+++ b/internal/state/voter/join.go
@@ -0,0 +1,123 @@
+package voter
+
+import (
+	"context"
+	"log/slog"
+	"slices"
+	"time"
+
+	"lycheevale/internal/base/event"
+	"lycheevale/internal/state/consensus"
+)
+
+// joinInterval is the time between two attempts to join and between two steps of the leader's membership changes.
+const joinInterval = 500 * time.Millisecond
+
+// maintain joins a voter without membership and lets the leader bring the members in line with the wanted voters.
+func (l *loop) maintain(ctx context.Context) {
+	if l.now().Before(l.nextJoin) {
+		return
+	}
+	l.nextJoin = l.now().Add(joinInterval)
+	s := l.replica.Status()
+	if s.Role == consensus.Leader {
+		l.reconcile(ctx, s)
+		return
+	}
+	if !s.Config.Voter(l.replica.ID()) {
+		l.group.Go(func() error {
+			l.voter.join(ctx, l.replica.ID())
+			return nil
+		})
+	}
+}
+
+// join asks all wanted voters. If every one of them has no log, the first by name creates it; a voter that lost its
+// disk can therefore not create a second log while another one remembers the first.
+func (v *Voter) join(ctx context.Context, id string) {
+	event.Log(ctx, v.options.Logger, event.VoterNotMember, slog.String("Group", v.options.Group))
+	ctx, cancel := context.WithTimeout(ctx, v.options.CallTimeout)
+	defer cancel()
+	peers := slices.Sorted(slices.Values(v.options.Peers()))
+	members := make([]consensus.Member, 0, len(peers))
+	for _, name := range peers {
+		if name == v.options.Name {
+			members = append(members, consensus.Member{ID: id, Name: name})
+			continue
+		}
+		var answer joinResult
+		params := joinParams{Group: v.options.Group, ID: id, Name: v.options.Name}
+		if err := v.options.Call(ctx, name, joinMethod, params, &answer); err == nil && answer.Empty {
+			members = append(members, consensus.Member{ID: answer.ID, Name: name})
+		}
+	}
+	if len(peers) == 0 || len(members) < len(peers) || peers[0] != v.options.Name {
+		return
+	}
+	_ = v.post(ctx, func(ctx context.Context, l *loop) {
+		// Failure means that a log has appeared since, or that the disk has failed, which Flush reports.
+		if err := l.replica.Bootstrap(l.now(), consensus.Config{Members: members}); err == nil {
+			event.Log(ctx, v.options.Logger, event.LogBootstrapped, slog.String("Group", v.options.Group),
+				slog.Int("Voters", len(members)))
+		}
+	})
+}
+
+// receiveJoin tells a joining voter whether a log exists, and adds it as a learner if this voter leads.
+func (v *Voter) receiveJoin(ctx context.Context, p joinParams) (result joinResult, err error) {
+	done := make(chan joinResult, 1)
+	err = v.post(ctx, func(ctx context.Context, l *loop) {
+		s := l.replica.Status()
+		member := consensus.Member{ID: p.ID, Name: p.Name}
+		known := slices.ContainsFunc(s.Config.Members, func(m consensus.Member) bool { return m.ID == p.ID })
+		if s.Role == consensus.Leader && !known && slices.Contains(v.options.Peers(), p.Name) {
+			l.change(ctx, consensus.Change{Kind: consensus.AddLearner, Member: member})
+		}
+		done <- joinResult{ID: l.replica.ID(), Empty: s.Last == 0, Leader: leaderName(s)}
+	})
+	if err != nil {
+		return joinResult{}, err
+	}
+	select {
+	case result = <-done:
+		return result, nil
+	case <-ctx.Done():
+		return joinResult{}, ctx.Err()
+	case <-v.stopped:
+		return joinResult{}, ErrStopped
+	}
+}
+
+// reconcile takes at most one step: it promotes a learner that has caught up, or removes a member that another
+// identity of the same instance has replaced, or one that is no longer wanted once all wanted ones vote.
+func (l *loop) reconcile(ctx context.Context, s consensus.Status) {
+	for _, m := range s.Config.Members {
+		if m.Learner && s.Match[m.ID] >= s.Commit {
+			l.change(ctx, consensus.Change{Kind: consensus.Promote, Member: m})
+			return
+		}
+	}
+	wanted := l.voter.options.Peers()
+	complete := !slices.ContainsFunc(wanted, func(name string) bool {
+		return !slices.ContainsFunc(s.Config.Members, func(m consensus.Member) bool { return m.Name == name && !m.Learner })
+	})
+	for i, m := range s.Config.Members {
+		replaced := slices.ContainsFunc(s.Config.Members[i+1:], func(later consensus.Member) bool {
+			return later.Name == m.Name && !later.Learner
+		})
+		if replaced || (complete && len(wanted) > 0 && !slices.Contains(wanted, m.Name)) {
+			l.change(ctx, consensus.Change{Kind: consensus.Remove, Member: m})
+			return
+		}
+	}
+}
+
+// change proposes a membership change; a refused one is tried again by the next reconcile or join.
+func (l *loop) change(ctx context.Context, change consensus.Change) {
+	if err := l.replica.ChangeMember(l.now(), change); err != nil {
+		return
+	}
+	event.Log(ctx, l.voter.options.Logger, event.MemberChanged, slog.String("Group", l.voter.options.Group),
+		slog.String("Change", string(change.Kind)), slog.String("Instance", change.Member.Name),
+		slog.String("Identity", change.Member.ID))
+}
--- /dev/null
+++ b/internal/state/voter/voter.go
@@ -0,0 +1,326 @@
+// Package voter runs one replicated log on an instance with a disk: the consensus core, its records, a state machine
+// and the messages between voters.
+package voter
+
+import (
+	"context"
+	"log/slog"
+	"slices"
+	"sync"
+	"time"
+
+	"golang.org/x/sync/errgroup"
+
+	"lycheevale/internal/base/event"
+	"lycheevale/internal/state/consensus"
+	"lycheevale/internal/state/record"
+)
+
+// Voter is this instance's part of one log.
+type Voter struct {
+	options Options
+	client  *Client
+	inputs  chan input
+	stopped chan struct{}
+
+	mu         sync.Mutex
+	status     Status
+	assemblies map[string]*assembly
+}
+
+// Status describes a voter at one moment.
+type Status struct {
+	consensus.Status
+	Applied uint64
+	Leader  string // instance name, "" if unknown
+	Cuts    []record.Cut
+	Err     error // why the voter stopped
+}
+
+// input runs in the loop; all inputs that are waiting share one sync.
+type input func(ctx context.Context, l *loop)
+
+// loop is the state owned by the goroutine of Run.
+type loop struct {
+	voter     *Voter
+	replica   *Replica
+	proposals []request
+	waiting   map[uint64]waiter
+	outboxes  map[string]*outbox
+	senders   map[string]string // instance names by identity, of voters that have written
+	group     *errgroup.Group
+	nextJoin  time.Time
+	role      consensus.Role
+}
+
+type request struct {
+	data []byte
+	done chan<- proposed
+}
+
+type waiter struct {
+	term uint64
+	done chan<- proposed
+}
+
+// New returns a voter; Run starts it.
+func New(opts ...Option) *Voter {
+	o := defaults()
+	for _, opt := range opts {
+		opt(&o)
+	}
+	if o.Peers == nil {
+		o.Peers = func() []string { return []string{o.Name} }
+	}
+	v := &Voter{
+		options: o, inputs: make(chan input, o.MaxBatch), stopped: make(chan struct{}), assemblies: map[string]*assembly{},
+	}
+	v.client = NewClient(v.callLocal, o.Group, o.Peers)
+	return v
+}
+
+// callLocal serves calls to this instance without the network.
+func (v *Voter) callLocal(ctx context.Context, to, method string, params, result any) (err error) {
+	if to == v.options.Name {
+		*result.(*proposed), err = v.receiveProposal(ctx, to, params.(proposal))
+		return err
+	}
+	return v.options.Call(ctx, to, method, params, result)
+}
+
+// Propose returns the state machine's result of the data, wherever the leader is; see Client.Propose.
+func (v *Voter) Propose(ctx context.Context, data []byte) (result []byte, err error) {
+	return v.client.Propose(ctx, data)
+}
+
+// Status returns the latest state.
+func (v *Voter) Status() Status {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	return v.status
+}
+
+// Run opens the data directory and takes part in the log until ctx ends or the disk fails.
+func (v *Voter) Run(ctx context.Context) (err error) {
+	defer func() {
+		err = Error.Wrap(err)
+		if err != nil {
+			event.Log(ctx, v.options.Logger, event.VoterFailed, slog.String("Group", v.options.Group), slog.Any("Error", err))
+		}
+		v.mu.Lock()
+		v.status.Err = err
+		v.mu.Unlock()
+		close(v.stopped)
+	}()
+	store, err := record.Open(v.options.Dir, v.options.Records...)
+	if err != nil {
+		return err
+	}
+	defer func() { _ = store.Close() }()
+	v.mu.Lock()
+	v.status.Cuts = store.Cuts()
+	v.mu.Unlock()
+	for _, cut := range store.Cuts() {
+		event.Log(ctx, v.options.Logger, event.LogTailCut, slog.String("Group", v.options.Group),
+			slog.String("File", cut.File), slog.Int64("Offset", cut.Offset), slog.Int64("Bytes", cut.Bytes))
+	}
+	replicaOptions := v.options.Replica
+	now := v.options.Now()
+	replicaOptions.Consensus = slices.Concat(
+		[]consensus.Option{consensus.WithSeed(uint64(now.UnixNano()))}, replicaOptions.Consensus)
+	replica, err := OpenReplica(now, store, v.options.Machine, replicaOptions)
+	if err != nil {
+		return err
+	}
+	event.Log(ctx, v.options.Logger, event.VoterStarted, slog.String("Group", v.options.Group),
+		slog.String("Identity", replica.ID()), slog.Uint64("Applied", replica.Applied()))
+	group, ctx := errgroup.WithContext(ctx)
+	l := &loop{
+		voter: v, replica: replica, waiting: map[uint64]waiter{}, outboxes: map[string]*outbox{},
+		senders: map[string]string{}, group: group,
+	}
+	group.Go(func() error { return l.run(ctx) })
+	return group.Wait()
+}
+
+func (l *loop) run(ctx context.Context) error {
+	defer l.failWaiting()
+	ticker := time.NewTicker(l.voter.options.Tick)
+	defer ticker.Stop()
+	l.publish(ctx)
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-ticker.C:
+			l.replica.Tick(l.now())
+			l.maintain(ctx)
+		case in := <-l.voter.inputs:
+			in(ctx, l)
+		}
+		for n := len(l.voter.inputs); n > 0; n-- {
+			in := <-l.voter.inputs
+			in(ctx, l)
+		}
+		if err := l.flush(ctx); err != nil {
+			return err
+		}
+	}
+}
+
+func (l *loop) now() time.Time { return l.voter.options.Now() }
+
+// flush proposes the waiting data as one batch, syncs once and delivers the effects.
+func (l *loop) flush(ctx context.Context) error {
+	l.proposeWaiting()
+	effects, err := l.replica.Flush()
+	if err != nil {
+		return err
+	}
+	l.publish(ctx)
+	for _, m := range effects.Messages {
+		if err := l.send(ctx, m); err != nil {
+			return err
+		}
+	}
+	for _, a := range effects.Applied {
+		w, ok := l.waiting[a.Index]
+		if !ok {
+			continue
+		}
+		delete(l.waiting, a.Index)
+		answer := proposed{Outcome: outcomeUnknown}
+		if w.term == a.Term {
+			answer = proposed{Outcome: outcomeDone, Result: a.Result}
+		}
+		w.done <- answer
+	}
+	if effects.Installed {
+		event.Log(ctx, l.voter.options.Logger, event.SnapshotInstalled, slog.String("Group", l.voter.options.Group))
+		l.failWaiting()
+	}
+	return nil
+}
+
+func (l *loop) proposeWaiting() {
+	requests := l.proposals
+	l.proposals = nil
+	if len(requests) == 0 {
+		return
+	}
+	var data [][]byte
+	for _, r := range requests {
+		data = append(data, r.data)
+	}
+	first, err := l.replica.Propose(l.now(), data...)
+	status := l.replica.Status()
+	for i, r := range requests {
+		if err != nil {
+			r.done <- proposed{Outcome: outcomeElsewhere, Leader: leaderName(status)}
+			continue
+		}
+		l.waiting[first+uint64(i)] = waiter{term: status.Term, done: r.done}
+	}
+}
+
+// failWaiting ends proposals of which the result cannot be seen any more.
+func (l *loop) failWaiting() {
+	for index, w := range l.waiting {
+		w.done <- proposed{Outcome: outcomeUnknown}
+		delete(l.waiting, index)
+	}
+}
+
+func leaderName(s consensus.Status) string {
+	for _, m := range s.Config.Members {
+		if m.ID == s.Leader {
+			return m.Name
+		}
+	}
+	return ""
+}
+
+func (l *loop) publish(ctx context.Context) {
+	s := l.replica.Status()
+	v := l.voter
+	v.mu.Lock()
+	v.status.Status, v.status.Applied, v.status.Leader = s, l.replica.Applied(), leaderName(s)
+	v.mu.Unlock()
+	if s.Role != l.role {
+		l.role = s.Role
+		event.Log(ctx, v.options.Logger, event.VoterRoleChanged, slog.String("Group", v.options.Group),
+			slog.String("Role", string(s.Role)), slog.Uint64("Term", s.Term))
+	}
+}
+
+// send queues the message for the instance that holds the addressed identity.
+func (l *loop) send(ctx context.Context, m consensus.Message) error {
+	name := ""
+	for _, member := range l.replica.Status().Config.Members {
+		if member.ID == m.To {
+			name = member.Name
+		}
+	}
+	if name == "" {
+		// A voter that has no configuration yet answers the leader that wrote to it.
+		name = l.senders[m.To]
+	}
+	if name == "" || name == l.voter.options.Name {
+		return nil
+	}
+	m, err := l.replica.Fill(m)
+	if err != nil {
+		return err
+	}
+	b := l.outboxes[name]
+	if b == nil {
+		b = &outbox{voter: l.voter, name: name, queue: make(chan consensus.Message, maxQueued)}
+		l.outboxes[name] = b
+		l.group.Go(func() error { return b.run(ctx) })
+	}
+	b.put(m)
+	return nil
+}
+
+// post hands an input to the loop.
+func (v *Voter) post(ctx context.Context, in input) error {
+	select {
+	case v.inputs <- in:
+		return nil
+	case <-v.stopped:
+		return ErrStopped
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
+func (v *Voter) receive(ctx context.Context, from string, messages []consensus.Message) error {
+	return v.post(ctx, func(_ context.Context, l *loop) {
+		for _, m := range messages {
+			l.senders[m.From] = from
+			l.replica.Step(l.now(), m)
+		}
+	})
+}
+
+// receiveProposal proposes data if this voter leads.
+func (v *Voter) receiveProposal(ctx context.Context, _ string, p proposal) (proposed, error) {
+	if len(p.Data) > MaxProposalBytes {
+		return proposed{Outcome: outcomeTooLarge}, nil
+	}
+	done := make(chan proposed, 1)
+	err := v.post(ctx, func(_ context.Context, l *loop) {
+		l.proposals = append(l.proposals, request{p.Data, done})
+	})
+	if err != nil {
+		return proposed{}, err
+	}
+	select {
+	case answer := <-done:
+		return answer, nil
+	case <-v.stopped:
+		return proposed{Outcome: outcomeUnknown}, nil
+	case <-ctx.Done():
+		return proposed{}, ctx.Err()
+	}
+}
--- /dev/null
+++ b/internal/state/voter/voter_test.go
@@ -0,0 +1,228 @@
+package voter_test
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"log/slog"
+	"os"
+	"path/filepath"
+	"slices"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"golang.org/x/sync/errgroup"
+
+	"lycheevale/internal/state/consensus"
+	"lycheevale/internal/state/record"
+	"lycheevale/internal/state/registry"
+	"lycheevale/internal/state/voter"
+	"lycheevale/internal/wire/peer"
+)
+
+// target is the time in which an accepted change takes effect today (design, P12).
+const target = 2 * time.Second
+
+// cluster runs voters over a network with a one-way delay, in virtual time.
+type cluster struct {
+	t     *testing.T
+	dir   string
+	delay time.Duration
+	names []string
+	mu    sync.Mutex
+	nodes map[string]*node
+}
+
+type node struct {
+	voter    *voter.Voter
+	registry *registry.Registry
+	mux      *peer.Mux
+	stop     context.CancelFunc
+	done     chan struct{}
+}
+
+func (c *cluster) node(name string) *node {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.nodes[name]
+}
+
+// caller delivers calls as JSON, like the links between instances.
+func (c *cluster) caller(from string) peer.Caller {
+	return func(ctx context.Context, to, method string, params, result any) error {
+		raw, err := json.Marshal(params)
+		if err != nil {
+			return err
+		}
+		time.Sleep(c.delay)
+		n := c.node(to)
+		if n == nil || c.node(from) == nil {
+			return fmt.Errorf("%s is unreachable", to)
+		}
+		answer, err := n.mux.Serve(ctx, from, method, raw)
+		time.Sleep(c.delay)
+		if err != nil || result == nil {
+			return err
+		}
+		raw, _ = json.Marshal(answer)
+		return json.Unmarshal(raw, result)
+	}
+}
+
+func (c *cluster) start(name string) {
+	r := registry.New()
+	n := &node{registry: r, mux: peer.NewMux(), done: make(chan struct{})}
+	// The disk's own waiting time is not virtual, and this test does not crash the machine.
+	disk := record.OSDisk()
+	disk.SyncDir = func(string) error { return nil }
+	create := disk.Create
+	disk.Create = func(name string) (record.File, error) {
+		f, err := create(name)
+		f.Sync = func() error { return nil }
+		return f, err
+	}
+	n.voter = voter.New(
+		voter.WithGroup("Config"), voter.WithName(name), voter.WithDir(filepath.Join(c.dir, name)),
+		voter.WithRecords(record.WithDisk(disk), record.WithSegmentBytes(4096)),
+		voter.WithMachine(voter.StateMachine{Apply: r.ApplyEntry, Snapshot: r.Snapshot, Restore: r.Restore}),
+		voter.WithCaller(c.caller(name)), voter.WithPeers(func() []string { return c.names }),
+		voter.WithSnapshotEvery(20, 5), voter.WithLogger(slog.New(slog.NewTextHandler(io.Discard, nil))),
+	)
+	voter.NewRouter(n.mux).Add(n.mux, n.voter)
+	ctx, cancel := context.WithCancel(context.Background())
+	n.stop = cancel
+	group := errgroup.Group{}
+	group.Go(func() error {
+		defer close(n.done)
+		err := n.voter.Run(ctx)
+		if err != nil {
+			c.t.Errorf("voter %s: %v", name, err)
+		}
+		return err
+	})
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.nodes[name] = n
+}
+
+func (c *cluster) kill(name string) {
+	n := c.node(name)
+	c.mu.Lock()
+	delete(c.nodes, name)
+	c.mu.Unlock()
+	n.stop()
+	<-n.done
+}
+
+func (c *cluster) change(from string, id int) registry.Result {
+	ctx, cancel := context.WithTimeout(context.Background(), 20*time.Second)
+	defer cancel()
+	command := registry.Command{RequestID: fmt.Sprint(id), At: time.Now(), Changes: []registry.Object{
+		{Kind: registry.KindModel, Name: fmt.Sprint("m", id), Model: &registry.Model{}},
+	}}
+	data, _ := json.Marshal(command)
+	raw, err := c.node(from).voter.Propose(ctx, data)
+	qt.Assert(c.t, err, qt.IsNil)
+	var result registry.Result
+	qt.Assert(c.t, json.Unmarshal(raw, &result), qt.IsNil)
+	return result
+}
+
+func (c *cluster) leader() string {
+	for _, name := range c.names {
+		if n := c.node(name); n != nil && n.voter.Status().Role == consensus.Leader {
+			return name
+		}
+	}
+	return ""
+}
+
+func (c *cluster) voters() (ids []string) {
+	return c.node(c.leader()).voter.Status().Config.Voters()
+}
+
+func newCluster(t *testing.T, delay time.Duration) *cluster {
+	c := &cluster{t: t, dir: t.TempDir(), delay: delay, names: []string{"a", "b", "c"}, nodes: map[string]*node{}}
+	for _, name := range c.names {
+		c.start(name)
+	}
+	time.Sleep(10 * time.Second)
+	qt.Assert(t, c.leader(), qt.Not(qt.Equals), "")
+	return c
+}
+
+func (c *cluster) stopAll() {
+	for _, name := range c.names {
+		if c.node(name) != nil {
+			c.kill(name)
+		}
+	}
+}
+
+// Guards against a change that takes longer than its target, over links inside a region and between regions.
+func TestChangeMeetsTarget(t *testing.T) {
+	for _, delay := range []time.Duration{time.Millisecond, 30 * time.Millisecond} {
+		synctest.Test(t, func(t *testing.T) {
+			c := newCluster(t, delay)
+			defer c.stopAll()
+			var slowest time.Duration
+			var mu sync.Mutex
+			group := errgroup.Group{}
+			for i := range 60 {
+				group.Go(func() error {
+					start := time.Now()
+					c.change(c.names[i%3], i)
+					mu.Lock()
+					defer mu.Unlock()
+					slowest = max(slowest, time.Since(start))
+					return nil
+				})
+				time.Sleep(7 * time.Millisecond)
+			}
+			_ = group.Wait()
+			t.Logf("one-way delay %v: slowest of 60 changes took %v of virtual time", delay, slowest)
+			qt.Assert(t, slowest < target, qt.IsTrue)
+		})
+	}
+}
+
+// Guards against losing changes or the quorum when voters lose their disks one directly after the other.
+func TestVotersLoseDisks(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newCluster(t, 30*time.Millisecond)
+		defer c.stopAll()
+		first := c.voters()
+		id := 0
+		for ; id < 50; id++ {
+			c.change("a", id)
+		}
+		for _, name := range []string{"b", "a"} {
+			c.kill(name)
+			qt.Assert(t, os.RemoveAll(filepath.Join(c.dir, name)), qt.IsNil)
+			c.change("c", id)
+			id++
+			c.start(name)
+			time.Sleep(15 * time.Second)
+		}
+		qt.Assert(t, c.voters(), qt.HasLen, 3)
+		kept := 0
+		for _, identity := range c.voters() {
+			if slices.Contains(first, identity) {
+				kept++
+			}
+		}
+		qt.Assert(t, kept, qt.Equals, 1)
+		before := c.change("a", id).Revision
+		c.kill("c")
+		c.start("c") // restarts from its disk
+		time.Sleep(10 * time.Second)
+		qt.Assert(t, c.change("b", 3).Revision, qt.Equals, uint64(4)) // a resend of change 3
+		for _, name := range c.names {
+			qt.Assert(t, c.node(name).registry.Revision(), qt.Equals, before, qt.Commentf("voter %s", name))
+		}
+	})
+}
