--- a/internal/base/event/instance.go
+++ b/internal/base/event/instance.go
@@ -9,6 +9,8 @@
 	InstanceDraining ID = 1003
 	InstanceStopped  ID = 1004
 	InstanceFailed   ID = 1005
+	HandOverFailed   ID = 1006
+	BootstrapFailed  ID = 1007
 )
 
 var instanceEvents = []Entry{
@@ -16,5 +18,7 @@
 	{InstanceReady, slog.LevelInfo, "instance is ready", "None."},
 	{InstanceDraining, slog.LevelInfo, "instance is draining", "None; running requests end first."},
 	{InstanceStopped, slog.LevelInfo, "instance stopped", "None."},
+	{HandOverFailed, slog.LevelWarn, "endpoints were not handed over before the bound", "Raise Shutdown.Bound; the leases end on their own."},
+	{BootstrapFailed, slog.LevelError, "first configuration was not accepted", "Read the error and correct the objects."},
 	{InstanceFailed, slog.LevelError, "instance failed", "Read the error; restart after mending its cause."},
 }
--- /dev/null
+++ b/internal/fake/deployment/deployment.go
@@ -0,0 +1,283 @@
+// Package deployment starts a small deployment with stand-ins in one process, on real loopback sockets or on an
+// in-memory network. The demo and the tests of failures use it.
+package deployment
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"net/http"
+	"net/netip"
+	"path/filepath"
+	"time"
+
+	"github.com/zeebo/errs"
+	"golang.org/x/sync/errgroup"
+
+	"lycheevale/internal/base/settings"
+	fakeengine "lycheevale/internal/fake/engine"
+	fakeservice "lycheevale/internal/fake/service"
+	fakestore "lycheevale/internal/fake/store"
+	"lycheevale/internal/node/instance"
+	"lycheevale/internal/serve/engine"
+)
+
+// Error is the class of errors of this package.
+var Error = errs.Class("deployment")
+
+// Ports of an instance.
+const (
+	portCallers   = 8080
+	portOperators = 8081
+	portPeers     = 8082
+	portStreams   = 8083
+	portEndpoint  = 9000
+)
+
+// Instance is a running instance with its settings.
+type Instance struct {
+	*instance.Instance
+	Settings settings.Settings
+	Host     netip.Addr
+	stop     context.CancelFunc
+	done     chan struct{}
+	err      error
+}
+
+// Endpoint is a running stand-in.
+type Endpoint struct {
+	Name       string
+	DataCentre string
+	Address    netip.AddrPort
+	Engine     *fakeengine.Engine   // nil for a plain endpoint
+	Service    *fakeservice.Service // nil for an engine
+	Kill       context.CancelFunc
+}
+
+// Deployment is a running set of instances and stand-ins.
+type Deployment struct {
+	Options   Options
+	Instances []*Instance
+	Endpoints []*Endpoint
+	Store     *fakestore.Store
+	group     *errgroup.Group
+	ctx       context.Context
+	stop      context.CancelFunc
+}
+
+// Start opens all listeners and starts all parts.
+func Start(ctx context.Context, opts ...Option) (d *Deployment, err error) {
+	defer func() { err = Error.Wrap(err) }()
+	o := defaults()
+	for _, opt := range opts {
+		opt(&o)
+	}
+	if o.Listen == nil {
+		o.Listen = func(at netip.AddrPort) (net.Listener, error) { return net.Listen("tcp", at.String()) }
+		o.Dialer = func(netip.Addr) func(context.Context, string, string) (net.Conn, error) {
+			return (&net.Dialer{Timeout: time.Second}).DialContext
+		}
+	}
+	ctx, stop := context.WithCancel(ctx)
+	group, ctx := errgroup.WithContext(ctx)
+	d = &Deployment{Options: o, Store: fakestore.New(), group: group, ctx: ctx, stop: stop}
+	for dc := range o.DataCentres {
+		for n := range o.Instances {
+			i, err := d.prepare(dc, n)
+			if err != nil {
+				return nil, err
+			}
+			d.Instances = append(d.Instances, i)
+		}
+	}
+	d.introduce()
+	for _, i := range d.Instances {
+		if err := d.launch(i); err != nil {
+			return nil, err
+		}
+	}
+	return d, d.startEndpoints()
+}
+
+// Stop ends everything gracefully and returns the first error.
+func (d *Deployment) Stop() error {
+	for _, i := range d.Instances {
+		i.stop()
+	}
+	for _, i := range d.Instances {
+		<-i.done
+	}
+	d.stop()
+	return d.group.Wait()
+}
+
+// prepare makes the settings of an instance; the first of each data centre is a voter.
+func (d *Deployment) prepare(dc, n int) (*Instance, error) {
+	o := d.Options
+	host, err := o.Place(KindInstance, dc, n)
+	if err != nil {
+		return nil, err
+	}
+	s := settings.Defaults()
+	s.Name = fmt.Sprintf("%s-entry-%d", o.DataCentres[dc], n+1)
+	s.DataCentre, s.Region = o.DataCentres[dc], o.DataCentres[dc]
+	s.Listen = settings.Listen{
+		Callers: d.at(host, portCallers), Operators: d.at(host, portOperators), Peers: d.at(host, portPeers),
+		Streams: d.at(host, portStreams),
+	}
+	s.Shutdown.LoadBalancer = 100 * time.Millisecond
+	if n == 0 {
+		s.DataFolder = filepath.Join(o.DataFolder, s.Name)
+	}
+	o.Settings(&s)
+	return &Instance{Settings: s, Host: host}, nil
+}
+
+func (d *Deployment) at(host netip.Addr, port uint16) netip.AddrPort {
+	return netip.AddrPortFrom(host, port)
+}
+
+// introduce writes the keepers, voters and peers into all settings.
+func (d *Deployment) introduce() {
+	for _, i := range d.Instances {
+		for _, other := range d.Instances {
+			m := settings.Member{
+				Name: other.Settings.Name, Address: other.Settings.Listen.Peers, DataCentre: other.Settings.DataCentre,
+			}
+			if m.DataCentre == i.Settings.DataCentre {
+				i.Settings.Keepers = append(i.Settings.Keepers, m)
+			}
+			if other.Settings.DataFolder != "" {
+				i.Settings.Voters = append(i.Settings.Voters, m)
+			}
+			if m.Name != i.Settings.Name {
+				i.Settings.Peers = append(i.Settings.Peers, m)
+			}
+		}
+	}
+}
+
+func (d *Deployment) launch(i *Instance) (err error) {
+	opts := append([]instance.Option{
+		instance.WithLogger(d.Options.Logger), instance.WithNetwork(d.Options.Listen, d.Options.Dialer(i.Host)),
+		instance.WithBootstrap(d.Options.Objects),
+	}, d.Options.Instance...)
+	i.Instance, err = instance.New(i.Settings, opts...)
+	if err != nil {
+		return err
+	}
+	ctx, stop := context.WithCancel(d.ctx)
+	i.stop, i.done = stop, make(chan struct{})
+	d.group.Go(func() error {
+		defer close(i.done)
+		i.err = i.Run(ctx)
+		return i.err
+	})
+	return nil
+}
+
+// StopInstance stops an instance gracefully and waits for its end.
+func (d *Deployment) StopInstance(i *Instance) error {
+	i.stop()
+	<-i.done
+	return i.err
+}
+
+// Restart starts a stopped instance again with its settings and what is on its disk.
+func (d *Deployment) Restart(i *Instance) error { return d.launch(i) }
+
+func (d *Deployment) startEndpoints() error {
+	o := d.Options
+	for dc, name := range o.DataCentres {
+		for n := range o.Engines {
+			engineName := fmt.Sprintf("%s-engine-%d", name, n+1)
+			e := fakeengine.New(append([]fakeengine.Option{
+				fakeengine.WithName(engineName, name), fakeengine.WithModel(o.Model, o.Model),
+				fakeengine.WithFetch(d.Store.Fetch),
+			}, o.EngineOptions(engineName)...)...)
+			if err := d.serve(KindEngine, dc, n, &Endpoint{Name: engineName, Engine: e}, e, e.Announcement); err != nil {
+				return err
+			}
+		}
+		for n := range o.Services {
+			s := fakeservice.New(fmt.Sprintf("%s-%s-%d", name, o.Service, n+1))
+			announcement := d.plainAnnouncement(s.Name, name)
+			if err := d.serve(KindService, dc, n, &Endpoint{Name: s.Name, Service: s}, s, announcement); err != nil {
+				return err
+			}
+		}
+	}
+	return nil
+}
+
+func (d *Deployment) plainAnnouncement(name, dataCentre string) func(netip.AddrPort) engine.Announcement {
+	incarnation := uint64(time.Now().UnixNano())
+	return func(a netip.AddrPort) engine.Announcement {
+		return engine.Announcement{
+			Name: name, DataCentre: dataCentre, Address: a, Incarnation: incarnation, Kind: engine.KindPlain,
+			Service: d.Options.Service,
+		}
+	}
+}
+
+// serve listens for a stand-in and announces it to the instances of its data centre.
+func (d *Deployment) serve(kind Kind, dc, n int, e *Endpoint, h http.Handler,
+	announcement func(netip.AddrPort) engine.Announcement,
+) error {
+	host, err := d.Options.Place(kind, dc, n)
+	if err != nil {
+		return err
+	}
+	e.DataCentre, e.Address = d.Options.DataCentres[dc], d.at(host, portEndpoint)
+	listener, err := d.Options.Listen(e.Address)
+	if err != nil {
+		return err
+	}
+	ctx, kill := context.WithCancel(d.ctx)
+	e.Kill = kill
+	server := &http.Server{Handler: h, ReadHeaderTimeout: time.Second}
+	client := &http.Client{Transport: &http.Transport{DialContext: d.Options.Dialer(host)}}
+	d.group.Go(func() error {
+		if err := server.Serve(listener); err != http.ErrServerClosed {
+			return err
+		}
+		return nil
+	})
+	d.group.Go(func() error {
+		<-ctx.Done()
+		client.CloseIdleConnections()
+		return server.Close()
+	})
+	d.group.Go(func() error {
+		return fakeengine.Announce(ctx, client, d.addresses(e.DataCentre), func() engine.Announcement {
+			return announcement(e.Address)
+		})
+	})
+	d.Endpoints = append(d.Endpoints, e)
+	return nil
+}
+
+func (d *Deployment) addresses(dataCentre string) (list []netip.AddrPort) {
+	for _, i := range d.Instances {
+		if i.Settings.DataCentre == dataCentre {
+			list = append(list, i.Settings.Listen.Callers)
+		}
+	}
+	return list
+}
+
+// WaitReady waits until every instance is ready and every engine is owned.
+func (d *Deployment) WaitReady(ctx context.Context) error {
+	for _, i := range d.Instances {
+		for !i.Ready() || !i.Serving(d.Options.Engines) {
+			select {
+			case <-ctx.Done():
+				return context.Cause(ctx)
+			case <-d.ctx.Done():
+				return context.Cause(d.ctx)
+			case <-time.After(20 * time.Millisecond):
+			}
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/fake/deployment/options.go
@@ -0,0 +1,68 @@
+package deployment
+
+import (
+	"context"
+	"log/slog"
+	"net"
+	"net/netip"
+
+	"lycheevale/internal/base/settings"
+	fakeengine "lycheevale/internal/fake/engine"
+	"lycheevale/internal/fake/network"
+	"lycheevale/internal/node/instance"
+	"lycheevale/internal/state/registry"
+)
+
+// Options are the settings of a Deployment.
+type Options struct {
+	DataCentres   []string
+	Instances     int // in each data centre
+	Engines       int // in each data centre
+	Services      int // plain endpoints in each data centre
+	Service       string
+	Model         string
+	Objects       []registry.Object
+	DataFolder    string // of all voters, one folder each
+	Logger        *slog.Logger
+	Listen        func(at netip.AddrPort) (net.Listener, error)
+	Dialer        func(from netip.Addr) func(ctx context.Context, network, address string) (net.Conn, error)
+	Place         func(kind Kind, dataCentre, number int) (netip.Addr, error) // address of a host
+	EngineOptions func(name string) []fakeengine.Option
+	Settings      func(s *settings.Settings)
+	Instance      []instance.Option
+}
+
+// Kind names what runs on a host.
+type Kind byte
+
+// Kinds of hosts.
+const (
+	KindInstance Kind = 1
+	KindEngine   Kind = 2
+	KindService  Kind = 3
+	KindCaller   Kind = 4
+)
+
+// Option sets one of the Options.
+type Option func(*Options)
+
+// With sets options by a function.
+func With(f func(*Options)) Option { return f }
+
+// WithNetwork places all hosts on an in-memory network.
+func WithNetwork(n *network.Network) Option {
+	return func(o *Options) { o.Listen, o.Dialer = n.Listen, n.Dialer }
+}
+
+func defaults() Options {
+	return Options{
+		DataCentres: []string{"brisbane-a", "townsville-a", "toowoomba-a"}, Instances: 1, Engines: 3, Services: 1,
+		Service: "ledger", Model: "quill", Logger: slog.New(slog.DiscardHandler), Place: place,
+		EngineOptions: func(string) []fakeengine.Option { return nil }, Settings: func(*settings.Settings) {},
+	}
+}
+
+// place gives every host an own loopback address, as plain text between instances is allowed there only.
+func place(kind Kind, dataCentre, number int) (netip.Addr, error) {
+	return netip.AddrFrom4([4]byte{127, byte(dataCentre + 1), byte(kind), byte(number + 1)}), nil
+}
--- a/internal/fake/engine/command.go
+++ b/internal/fake/engine/command.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"encoding/json"
+	"io"
 	"net/http"
 	"net/netip"
 	"time"
@@ -130,9 +131,8 @@
 	}
 }
 
-// Announce posts announcements made by the function to the instances until ctx ends.
-func Announce(ctx context.Context, to []netip.AddrPort, make func() engine.Announcement) error {
-	client := http.Client{Timeout: announceInterval}
+// Announce posts announcements made by the function to the instances in turn until ctx ends.
+func Announce(ctx context.Context, client *http.Client, to []netip.AddrPort, make func() engine.Announcement) error {
 	ticker := time.NewTicker(announceInterval)
 	defer ticker.Stop()
 	for i := 0; ; i++ {
@@ -141,10 +141,7 @@
 			return err
 		}
 		target := to[i%len(to)]
-		if resp, err := client.Post("http://"+target.String()+"/v1/endpoints/announce", "application/json",
-			bytes.NewReader(raw)); err == nil {
-			_ = resp.Body.Close()
-		}
+		post(ctx, client, target, raw)
 		select {
 		case <-ctx.Done():
 			return nil
@@ -152,3 +149,18 @@
 		}
 	}
 }
+
+func post(ctx context.Context, client *http.Client, to netip.AddrPort, raw []byte) {
+	ctx, cancel := context.WithTimeout(ctx, announceInterval)
+	defer cancel()
+	url := "http://" + to.String() + "/v1/endpoints/announce"
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, url, bytes.NewReader(raw))
+	if err != nil {
+		return
+	}
+	req.Header.Set("Content-Type", "application/json")
+	if resp, err := client.Do(req); err == nil {
+		_, _ = io.Copy(io.Discard, resp.Body)
+		_ = resp.Body.Close()
+	}
+}
--- /dev/null
+++ b/internal/node/instance/duties.go
@@ -0,0 +1,298 @@
+package instance
+
+import (
+	"context"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/google/uuid"
+	"golang.org/x/sync/errgroup"
+
+	"lycheevale/internal/limit/admit"
+	"lycheevale/internal/limit/share"
+	"lycheevale/internal/place/budget"
+	"lycheevale/internal/state/registry"
+	"lycheevale/internal/wire/peer"
+)
+
+// dutyInterval is the time between two looks at the coordinator's lease and at the configuration.
+const dutyInterval = 100 * time.Millisecond
+
+// duties are what an instance does while it is the coordinator of its data centre: it lends tokens and permits. On
+// voters the leader of the configuration log also moves shares between data centres.
+type duties struct {
+	instance *Instance
+	records  *shareRecords
+	mu       sync.Mutex
+	term     uint64
+	lending  *admit.Server // nil unless this instance is the coordinator
+	coord    *admit.Coordinator
+	store    *budget.Server
+	stop     context.CancelFunc
+	revision uint64
+	applied  bool // the shares of a revision were applied in this term
+}
+
+func newDuties(i *Instance) *duties {
+	d := &duties{instance: i, records: newShareRecords(i)}
+	admit.HandleCoordinator(i.mux, func() (*admit.Server, bool) {
+		d.mu.Lock()
+		defer d.mu.Unlock()
+		return d.lending, d.lending != nil
+	})
+	budget.Handle(i.mux, func() (*budget.Server, bool) {
+		d.mu.Lock()
+		defer d.mu.Unlock()
+		return d.store, d.store != nil
+	})
+	return d
+}
+
+func (d *duties) run(ctx context.Context) error {
+	group, ctx := errgroup.WithContext(ctx)
+	group.Go(func() error { return d.watch(ctx, group) })
+	if d.instance.state.config != nil {
+		leader := d.newLeader()
+		group.Go(func() error { return leader.Run(ctx) })
+	}
+	return group.Wait()
+}
+
+func (d *duties) newLeader() *admit.Leader {
+	i := d.instance
+	leader := admit.NewLeader(admit.WithLeaderClock(i.options.Now), admit.WithLeaderLogger(i.options.Logger),
+		admit.WithLog(i.state.leading, d.shareInput, d.proposeShares, uuid.NewString))
+	leader.Handle(i.mux)
+	return leader
+}
+
+// shareInput is the configuration from which shares are planned.
+func (d *duties) shareInput() share.Input {
+	reg := d.instance.state.registry
+	in := share.Input{
+		Revision: reg.Revision(), DataCentres: d.instance.dataCentres(), Customers: map[string]registry.Customer{},
+	}
+	for _, o := range reg.List(registry.KindCustomer) {
+		in.Customers[o.Name] = *o.Customer
+	}
+	for _, o := range reg.List(registry.KindShare) {
+		in.Shares = append(in.Shares, *o.Share)
+	}
+	return in
+}
+
+func (d *duties) proposeShares(ctx context.Context, c registry.Command) error {
+	c.At = d.instance.options.Wall()
+	result, err := d.instance.state.change(ctx, c)
+	if err != nil {
+		return err
+	}
+	return result.Err()
+}
+
+// dataCentres lists the data centres of the deployment in order.
+func (i *Instance) dataCentres() []string {
+	names := []string{i.settings.DataCentre}
+	for _, m := range slices.Concat(i.settings.Peers, i.settings.Voters) {
+		names = append(names, m.DataCentre)
+	}
+	slices.Sort(names)
+	return slices.Compact(names)
+}
+
+// watch starts and stops the coordinator's parts with its lease.
+func (d *duties) watch(ctx context.Context, group *errgroup.Group) error {
+	ticker := time.NewTicker(dutyInterval)
+	defer ticker.Stop()
+	defer d.resign()
+	for {
+		term, ok := d.instance.members.IsCoordinator()
+		switch {
+		case !ok:
+			d.resign()
+		case term != d.term || d.lending == nil:
+			d.resign()
+			d.assume(ctx, group, term)
+		}
+		d.apply()
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-ticker.C:
+		}
+	}
+}
+
+func (d *duties) resign() {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.stop != nil {
+		d.stop()
+	}
+	d.stop, d.lending, d.coord, d.store, d.applied = nil, nil, nil, nil, false
+}
+
+// assume starts the coordinator of a term. It waits for the shares that a majority of the keepers has recorded: with
+// an older configuration this instance would lend what another data centre has been given since.
+func (d *duties) assume(ctx context.Context, group *errgroup.Group, term uint64) {
+	i := d.instance
+	recorded, ok := d.records.read(ctx)
+	if !ok {
+		return
+	}
+	now := i.options.Now()
+	active := func(time.Time) bool {
+		current, ok := i.members.IsCoordinator()
+		return ok && current == term
+	}
+	coord := admit.NewCoordinator(now, term, admit.WithDataCentre(i.settings.DataCentre), admit.WithRecorded(recorded))
+	server := admit.NewServer(coord, admit.WithActive(active), admit.WithServerClock(i.options.Now),
+		admit.WithServerLogger(i.options.Logger), admit.WithRecord(d.records.write),
+		admit.WithLeader(i.state.leader, i.links.Call))
+	runCtx, stop := context.WithCancel(ctx)
+	d.mu.Lock()
+	d.term, d.coord, d.lending, d.stop = term, coord, server, stop
+	d.store = budget.NewServer(budget.New(now, i.storeShare()), i.options.Now, active)
+	d.mu.Unlock()
+	group.Go(func() error { return server.Run(runCtx) })
+}
+
+// storeShare is the part of the weight store that this data centre may use, the same sum on every instance.
+func (i *Instance) storeShare() budget.Share {
+	var weights []budget.Weight
+	for _, name := range i.dataCentres() {
+		weights = append(weights, budget.Weight{DataCentre: name, Weight: 1})
+	}
+	return budget.Split(budget.StoreTransfers, budget.StoreRate, weights)[i.settings.DataCentre]
+}
+
+// apply passes the configuration on to the coordinator when it has changed.
+func (d *duties) apply() {
+	reg := d.instance.state.registry
+	revision := reg.Revision()
+	if d.coord == nil || d.applied && revision == d.revision {
+		return
+	}
+	now := d.instance.options.Now()
+	for _, o := range reg.List(registry.KindCustomer) {
+		d.coord.SetCustomer(now, o.Name, *o.Customer)
+	}
+	for _, o := range reg.List(registry.KindShare) {
+		if o.Share.DataCentre == d.instance.settings.DataCentre {
+			d.coord.SetShare(now, *o.Share)
+		}
+	}
+	d.revision, d.applied = revision, true
+}
+
+// shareRecords are the smaller shares that the keepers of a data centre remember for its next coordinator.
+type shareRecords struct {
+	instance *Instance
+	mu       sync.Mutex
+	shares   map[string]registry.Share // by customer
+}
+
+// Methods between the coordinator and the keepers.
+const (
+	methodRecordShares = "Limit.Record"
+	methodReadShares   = "Limit.Recorded"
+)
+
+// recordWait bounds one exchange with all keepers.
+const recordWait = 500 * time.Millisecond
+
+type recordedShares struct {
+	Complete bool             `json:"Complete"` // this keeper has not forgotten anything
+	Shares   []registry.Share `json:"Shares,omitempty"`
+}
+
+func newShareRecords(i *Instance) *shareRecords {
+	r := &shareRecords{instance: i, shares: map[string]registry.Share{}}
+	i.mux.Handle(methodRecordShares, peer.Typed(func(_ context.Context, _ string, p recordedShares) (struct{}, error) {
+		r.mu.Lock()
+		defer r.mu.Unlock()
+		for _, s := range p.Shares {
+			if s.Epoch >= r.shares[s.Customer].Epoch {
+				r.shares[s.Customer] = s
+			}
+		}
+		return struct{}{}, nil
+	}))
+	i.mux.Handle(methodReadShares, peer.Typed(func(context.Context, string, struct{}) (recordedShares, error) {
+		r.mu.Lock()
+		defer r.mu.Unlock()
+		p := recordedShares{Complete: i.state.fresh()}
+		for _, s := range r.shares {
+			p.Shares = append(p.Shares, s)
+		}
+		return p, nil
+	}))
+	return r
+}
+
+// write records the shares at a majority of the keepers.
+func (r *shareRecords) write(ctx context.Context, shares []registry.Share) error {
+	stored := 0
+	r.each(ctx, func(ctx context.Context, keeper string) {
+		err := r.instance.links.Call(ctx, keeper, methodRecordShares, recordedShares{Shares: shares}, nil)
+		if err == nil {
+			r.mu.Lock()
+			defer r.mu.Unlock()
+			stored++
+		}
+	})
+	if stored <= len(r.keepers())/2 {
+		return Error.New("%d of %d keepers recorded the shares", stored, len(r.keepers()))
+	}
+	return nil
+}
+
+// read returns the newest shares that a majority of the keepers remembers. A keeper that restarted counts only once
+// it has the configuration from the voters, because the log holds every smaller share before it is recorded.
+func (r *shareRecords) read(ctx context.Context) (newest []registry.Share, ok bool) {
+	answers := 0
+	best := map[string]registry.Share{}
+	r.each(ctx, func(ctx context.Context, keeper string) {
+		var p recordedShares
+		if r.instance.links.Call(ctx, keeper, methodReadShares, struct{}{}, &p) != nil || !p.Complete {
+			return
+		}
+		r.mu.Lock()
+		defer r.mu.Unlock()
+		answers++
+		for _, s := range p.Shares {
+			if s.Epoch >= best[s.Customer].Epoch {
+				best[s.Customer] = s
+			}
+		}
+	})
+	for _, s := range best {
+		newest = append(newest, s)
+	}
+	return newest, answers > len(r.keepers())/2
+}
+
+func (r *shareRecords) keepers() []string {
+	var names []string
+	for _, k := range r.instance.settings.Keepers {
+		names = append(names, k.Name)
+	}
+	if len(names) == 0 {
+		names = []string{r.instance.settings.Name}
+	}
+	return names
+}
+
+func (r *shareRecords) each(ctx context.Context, f func(ctx context.Context, keeper string)) {
+	ctx, cancel := context.WithTimeout(ctx, recordWait)
+	defer cancel()
+	var group errgroup.Group
+	for _, keeper := range r.keepers() {
+		group.Go(func() error {
+			f(ctx, keeper)
+			return nil
+		})
+	}
+	_ = group.Wait()
+}
--- a/internal/node/instance/instance.go
+++ b/internal/node/instance/instance.go
@@ -1,13 +1,14 @@
-// Package instance wires up one instance of the system.
+// Package instance wires up one instance of the system from its settings.
 package instance
 
 import (
 	"context"
-	"encoding/json"
 	"log/slog"
 	"net"
 	"net/http"
 	"net/netip"
+	"path/filepath"
+	"slices"
 	"sync/atomic"
 	"time"
 
@@ -15,134 +16,290 @@
 	"golang.org/x/sync/errgroup"
 
 	"lycheevale/internal/base/event"
+	"lycheevale/internal/base/settings"
+	"lycheevale/internal/limit/admit"
+	"lycheevale/internal/member/node"
+	"lycheevale/internal/place/scheduler"
 	"lycheevale/internal/serve/caller"
 	"lycheevale/internal/serve/engine"
+	"lycheevale/internal/serve/operator"
 	"lycheevale/internal/serve/owner"
-	"lycheevale/internal/state/registry"
+	"lycheevale/internal/wire/peer"
 )
 
 // Error is the class of errors of this package.
 var Error = errs.Class("instance")
 
-// Limits of the HTTP server for callers.
-const (
-	maxHeaderBytes    = 32 << 10
-	readHeaderTimeout = 5 * time.Second
-	readTimeout       = 30 * time.Second
-	maxAnnouncement   = 4 << 10 // bytes
-)
-
 // Instance is one process of the system.
 type Instance struct {
-	options  Options
-	owner    *owner.Owner
-	caller   *caller.Server
-	targets  *targets
-	ready    atomic.Bool
-	listener net.Listener
+	settings    settings.Settings
+	options     Options
+	started     time.Time
+	keys        *peer.Keys
+	mux         *peer.Mux
+	links       *peer.Node
+	state       *state
+	members     *node.Node
+	owner       *owner.Owner
+	targets     *targets
+	admit       *admit.Admission
+	permits     *permits
+	duties      *duties
+	caller      *caller.Server
+	credentials *operator.Credentials
+	audit       *operator.Audit
+	closeAudit  func() error // nil without a file
+	ready       atomic.Bool
+	draining    atomic.Bool
+	callers     net.Listener
+	streams     net.Listener
+	operate     net.Listener
 }
 
 // New returns an instance and opens its listeners.
-func New(opts ...Option) (i *Instance, err error) {
+func New(s settings.Settings, opts ...Option) (i *Instance, err error) {
 	defer func() { err = Error.Wrap(err) }()
-	o := Options{
-		Name: "instance-1", DataCentre: "dc-a", Callers: netip.MustParseAddrPort("127.0.0.1:0"), Logger: slog.Default(),
-		Registry: registry.New(), StopBound: time.Minute,
-	}
+	o := defaults()
 	for _, opt := range opts {
 		opt(&o)
 	}
-	listener, err := net.Listen("tcp", o.Callers.String())
+	i = &Instance{settings: s, options: o, started: o.Wall(), mux: peer.NewMux()}
+	if err := i.loadKeys(); err != nil {
+		return nil, err
+	}
+	i.links = i.newLinks()
+	i.state, err = newState(s, o, i.mux, i.links.Call)
 	if err != nil {
 		return nil, err
 	}
-	i = &Instance{options: o, listener: listener, owner: owner.New(owner.WithLogger(o.Logger))}
-	i.targets = newTargets(i.owner)
-	i.caller = caller.New(caller.With(func(c *caller.Options) {
-		c.Logger = o.Logger
-		c.Registry = o.Registry
+	i.members = i.newMembers()
+	i.permits = newPermits(s.Name, o, i.coordinator, i.links.Call)
+	i.owner = i.newOwner()
+	i.targets = newTargets(i)
+	i.admit = admit.New(admit.WithNow(o.Now), admit.WithLimit(i.state.limit), admit.WithCoordinator(i.coordinator),
+		admit.WithCall(i.links.Call), admit.WithLogger(o.Logger), admit.WithIncarnation(uint64(o.Wall().UnixNano())))
+	i.duties = newDuties(i)
+	i.caller = i.newCaller()
+	i.describe()
+	if err := i.openOperators(); err != nil {
+		return nil, err
+	}
+	return i, i.listen()
+}
+
+func (i *Instance) loadKeys() (err error) {
+	p := i.settings.TLS.Peers
+	if p.CertificateFile == "" {
+		return nil
+	}
+	i.keys, err = peer.LoadKeys(p.CertificateFile, p.KeyFile, p.AuthorityFile)
+	return err
+}
+
+func (i *Instance) newLinks() *peer.Node {
+	centres := map[string]string{}
+	for _, m := range slices.Concat(i.settings.Keepers, i.settings.Peers, i.settings.Voters) {
+		centres[m.Name] = m.DataCentre
+	}
+	opts := []peer.Option{
+		peer.WithName(i.settings.Name), peer.WithMux(i.mux), peer.WithListen(i.settings.Listen.Peers),
+		peer.WithResolve(i.resolve), peer.WithLogger(i.options.Logger), peer.WithScope(i.options.Scope),
+		peer.WithListenTCP(i.options.Listen), peer.WithNow(i.options.Now),
+		peer.WithDial(func(ctx context.Context, to netip.AddrPort) (net.Conn, error) {
+			return i.options.Dial(ctx, "tcp", to.String())
+		}),
+		peer.WithWide(func(name string) bool {
+			centre, known := centres[name]
+			return known && centre != i.settings.DataCentre
+		}),
+	}
+	if i.keys != nil {
+		opts = append(opts, peer.WithKeys(i.keys))
+	}
+	return peer.New(opts...)
+}
+
+// resolve finds an instance in the settings first and in the view of the data centre otherwise.
+func (i *Instance) resolve(name string) (netip.AddrPort, bool) {
+	for _, m := range slices.Concat(i.settings.Keepers, i.settings.Peers, i.settings.Voters) {
+		if m.Name == name {
+			return m.Address, true
+		}
+	}
+	return i.members.Resolve(name)
+}
+
+func (i *Instance) coordinator() (string, bool) {
+	name := i.members.View().Coordinator
+	return name, name != ""
+}
+
+func (i *Instance) newMembers() *node.Node {
+	keepers := map[string]netip.AddrPort{}
+	for _, k := range i.settings.Keepers {
+		keepers[k.Name] = k.Address
+	}
+	if len(keepers) == 0 {
+		keepers[i.settings.Name] = i.settings.Listen.Peers
+	}
+	return node.New(node.WithName(i.settings.Name), node.WithDataCentre(i.settings.DataCentre),
+		node.WithAddress(i.settings.Listen.Peers), node.WithKeepers(keepers), node.WithCaller(i.links.Call),
+		node.WithMux(i.mux), node.WithLogger(i.options.Logger), node.WithClocks(i.options.Now, i.options.Wall),
+		node.WithCallbacks(node.Callbacks{
+			Acquired: i.acquire,
+			Renewed:  i.acquire,
+			Leaving:  i.acquire,
+			Drain:    func(o node.Owned) { i.owner.Drain(o.Name, i.stopped(o)) },
+			Released: func(o node.Owned) { i.owner.Release(o.Name, i.stopped(o)) },
+		}))
+}
+
+// acquire passes engines on to the owner; plain endpoints need none, because nothing on them can be evicted.
+func (i *Instance) acquire(o node.Owned) {
+	if o.Kind != engine.KindEngine {
+		return
+	}
+	i.owner.Acquire(owner.Grant{
+		Endpoint: o.Announcement, Fence: o.Fence, Deadline: o.Deadline, NoWorkAfter: o.NoWorkAfter,
+	})
+}
+
+func (i *Instance) stopped(o node.Owned) func() {
+	return func() { i.members.Stopped(o.Name, o.Fence) }
+}
+
+func (i *Instance) newOwner() *owner.Owner {
+	transport := engine.NewTransport()
+	transport.DialContext = i.options.Dial
+	opts := append([]scheduler.Option{scheduler.WithPermit(i.permits.ask)}, i.options.Scheduler...)
+	o := owner.New(owner.WithLogger(i.options.Logger), owner.WithScheduler(scheduler.New(opts...)),
+		owner.WithSource(i.state.source), owner.WithLoadEnded(i.permits.release),
+		owner.WithClient(func(a netip.AddrPort) *engine.Client { return engine.New(a, engine.WithTransport(transport)) }))
+	i.permits.granted = o.Wake
+	return o
+}
+
+func (i *Instance) newCaller() *caller.Server {
+	return caller.New(caller.With(func(c *caller.Options) {
+		c.Logger = i.options.Logger
+		c.Registry = i.state.registry
+		c.Now = i.options.Now
+		c.Withdrawn = i.state.withdrawn
+		c.Stale = i.state.stale
+		c.Reserve = i.reserve
 		c.Choose = i.targets.choose
 		c.ChoosePlain = i.targets.choosePlain
+		c.Claim = i.state.claim
+		c.MaxBody = i.settings.Limits.BodyBytes
+		c.DefaultTimeout = i.settings.Timeouts.Request
+		c.WriteTimeout = i.settings.Timeouts.Write
+		c.PlainTransport = &http.Transport{DialContext: i.options.Dial, DisableKeepAlives: true, DisableCompression: true}
 	}))
-	return i, nil
 }
 
-// Address returns where callers reach the instance.
-func (i *Instance) Address() netip.AddrPort {
-	return i.listener.Addr().(*net.TCPAddr).AddrPort()
+func (i *Instance) reserve(ctx context.Context, customer string, tokens int) (caller.Reservation, error) {
+	r, err := i.admit.Reserve(ctx, customer, float64(tokens))
+	return caller.Reservation{Settle: func(used int) { r.Settle(float64(used)) }}, err
 }
 
+func (i *Instance) listen() (err error) {
+	listen := i.settings.Listen
+	if i.callers, err = i.options.Listen(listen.Callers); err != nil {
+		return err
+	}
+	if i.streams, err = i.options.Listen(listen.Streams); err != nil {
+		return err
+	}
+	i.operate, err = i.options.Listen(listen.Operators)
+	return err
+}
+
+// Address returns where callers reach the instance.
+func (i *Instance) Address() netip.AddrPort { return addressOf(i.callers) }
+
+// OperatorAddress returns where operators reach the instance.
+func (i *Instance) OperatorAddress() netip.AddrPort { return addressOf(i.operate) }
+
+func addressOf(l net.Listener) netip.AddrPort { return l.Addr().(*net.TCPAddr).AddrPort() }
+
+// Ready tells whether the instance accepts callers.
+func (i *Instance) Ready() bool { return i.ready.Load() }
+
 // Run serves until ctx ends and then shuts down gracefully.
 func (i *Instance) Run(ctx context.Context) (err error) {
 	defer func() { err = Error.Wrap(err) }()
-	event.Log(ctx, i.options.Logger, event.InstanceStarted, slog.String("Instance", i.options.Name),
+	event.Log(ctx, i.options.Logger, event.InstanceStarted, slog.String("Instance", i.settings.Name),
 		slog.String("Address", i.Address().String()))
 	work, stopWork := context.WithCancel(context.WithoutCancel(ctx))
 	defer stopWork()
 	group, work := errgroup.WithContext(work)
-	group.Go(func() error { return i.owner.Run(work) })
-	group.Go(func() error { return i.caller.Run(work) })
-	server := &http.Server{
-		Handler: i.handler(), MaxHeaderBytes: maxHeaderBytes, ReadHeaderTimeout: readHeaderTimeout,
-		ReadTimeout: readTimeout, ErrorLog: slog.NewLogLogger(i.options.Logger.Handler(), slog.LevelDebug),
+	servers := i.servers(work)
+	for _, run := range slices.Concat(i.runners(), servers.runners()) {
+		group.Go(func() error { return run(work) })
 	}
-	group.Go(func() error {
-		if err := server.Serve(i.listener); err != http.ErrServerClosed {
-			return err
-		}
-		return nil
-	})
+	group.Go(func() error { return i.watchReady(work) })
 	group.Go(func() error {
 		select {
 		case <-ctx.Done():
 		case <-work.Done():
 		}
 		defer stopWork()
-		return i.drain(work, server)
+		return i.drain(work, servers)
 	})
-	i.ready.Store(true)
-	event.Log(ctx, i.options.Logger, event.InstanceReady, slog.String("Instance", i.options.Name))
 	err = group.Wait()
-	event.Log(ctx, i.options.Logger, event.InstanceStopped, slog.String("Instance", i.options.Name))
+	if i.closeAudit != nil {
+		err = errs.Combine(err, i.closeAudit())
+	}
+	event.Log(ctx, i.options.Logger, event.InstanceStopped, slog.String("Instance", i.settings.Name))
 	return err
 }
 
-// drain lowers readiness, waits for the balancer, and ends when no request is running.
-func (i *Instance) drain(ctx context.Context, server *http.Server) error {
-	i.ready.Store(false)
-	event.Log(ctx, i.options.Logger, event.InstanceDraining, slog.String("Instance", i.options.Name))
-	ctx, cancel := context.WithTimeout(ctx, i.options.StopBound)
-	defer cancel()
-	select {
-	case <-ctx.Done():
-	case <-time.After(i.options.DrainWait):
-	}
-	return server.Shutdown(ctx)
+// runners returns the parts in the order of their dependence; all end when their context does.
+func (i *Instance) runners() []func(context.Context) error {
+	return slices.Concat([]func(context.Context) error{
+		i.links.Run, i.owner.Run, i.members.Run, i.admit.Run, i.permits.run, i.duties.run, i.caller.Run, i.targets.run,
+	}, i.state.runners())
 }
 
-func (i *Instance) handler() http.Handler {
-	mux := http.NewServeMux()
-	mux.HandleFunc("GET /healthz", func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusNoContent) })
-	mux.HandleFunc("GET /readyz", i.showReady)
-	mux.HandleFunc("POST /v1/endpoints/announce", i.announce)
-	mux.Handle("/", i.caller)
-	return mux
-}
+// readyInterval is the time between two checks of readiness.
+const readyInterval = 50 * time.Millisecond
 
-func (i *Instance) showReady(w http.ResponseWriter, _ *http.Request) {
-	if !i.ready.Load() {
-		w.WriteHeader(http.StatusServiceUnavailable)
-		return
+// watchReady raises readiness once the configuration and the withdrawn keys are known.
+func (i *Instance) watchReady(ctx context.Context) error {
+	ticker := time.NewTicker(readyInterval)
+	defer ticker.Stop()
+	for !i.state.known() {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-ticker.C:
+		}
+	}
+	if !i.draining.Load() {
+		i.ready.Store(true)
+		event.Log(ctx, i.options.Logger, event.InstanceReady, slog.String("Instance", i.settings.Name))
 	}
-	w.WriteHeader(http.StatusNoContent)
+	return nil
 }
 
-func (i *Instance) announce(w http.ResponseWriter, r *http.Request) {
-	var a engine.Announcement
-	if err := json.NewDecoder(http.MaxBytesReader(w, r.Body, maxAnnouncement)).Decode(&a); err != nil {
-		http.Error(w, err.Error(), http.StatusBadRequest)
-		return
+// drain lowers readiness, waits for the load balancer, lets running requests end and hands over the endpoints. The
+// rest of the instance stops when it returns, at the latest after Shutdown.Bound.
+func (i *Instance) drain(ctx context.Context, servers *servers) error {
+	i.draining.Store(true)
+	i.ready.Store(false)
+	event.Log(ctx, i.options.Logger, event.InstanceDraining, slog.String("Instance", i.settings.Name))
+	ctx, cancel := context.WithTimeout(ctx, i.settings.Shutdown.Bound)
+	defer cancel()
+	select {
+	case <-ctx.Done():
+	case <-time.After(i.settings.Shutdown.LoadBalancer):
 	}
-	i.targets.announce(time.Now(), a)
-	w.WriteHeader(http.StatusNoContent)
+	err := servers.shutdown(ctx, servers.callers)
+	// Other entries' streams on endpoints owned here end during the hand-over of these endpoints.
+	if leaveErr := i.members.Leave(ctx); leaveErr != nil {
+		event.Log(ctx, i.options.Logger, event.HandOverFailed, slog.Any("Error", leaveErr))
+	}
+	return errs.Combine(err, servers.shutdown(ctx, servers.streams), servers.shutdown(ctx, servers.operators))
 }
+
+func dataDir(s settings.Settings, group string) string { return filepath.Join(s.DataFolder, group) }
--- /dev/null
+++ b/internal/node/instance/operator.go
@@ -0,0 +1,215 @@
+package instance
+
+import (
+	"context"
+	"net/http"
+	"slices"
+	"time"
+
+	"lycheevale/internal/base/refusal"
+	"lycheevale/internal/base/settings"
+	"lycheevale/internal/member/node"
+	"lycheevale/internal/serve/engine"
+	"lycheevale/internal/serve/operator"
+	"lycheevale/internal/state/registry"
+	"lycheevale/internal/tool/daemoncmd"
+	"lycheevale/internal/wire/peer"
+)
+
+// watchInterval is the time between two looks for new revisions on behalf of a watching operator.
+const watchInterval = 100 * time.Millisecond
+
+// describe answers other instances about this one.
+func (i *Instance) describe() {
+	i.mux.Handle(describeMethod, peer.Typed(func(context.Context, string, struct{}) (Description, error) {
+		return Description{
+			Name: i.settings.Name, DataCentre: i.settings.DataCentre, Region: i.settings.Region,
+			Streams: i.settings.Listen.Streams, Revision: i.state.registry.Revision(), Roles: i.roles(),
+		}, nil
+	}))
+}
+
+func (i *Instance) roles() []string {
+	roles := []string{"Entry", "Owner"}
+	if i.state.config != nil {
+		roles = append(roles, "Voter")
+	}
+	if _, ok := i.members.IsCoordinator(); ok {
+		roles = append(roles, "Coordinator")
+	}
+	return roles
+}
+
+func (i *Instance) operatorHandler() http.Handler {
+	return operator.New(append(i.operatorOptions(), operator.WithSystem(i.system()),
+		operator.WithLogger(i.options.Logger))...).Handler()
+}
+
+func (i *Instance) operatorOptions() []operator.Option {
+	t, l := i.settings.Timeouts, i.settings.Limits
+	return []operator.Option{
+		operator.WithCredentials(i.credentials), operator.WithAudit(i.audit),
+		operator.WithLimits(l.OperatorBodyBytes, l.HeaderBytes),
+		operator.WithTimeouts(t.HeaderRead, t.BodyRead, t.Write, t.Idle, t.Change),
+	}
+}
+
+func (i *Instance) openOperators() (err error) {
+	i.credentials = operator.NewCredentials()
+	if path := i.settings.Operators.CredentialsFile; path != "" {
+		if i.credentials, err = operator.LoadCredentials(path); err != nil {
+			return err
+		}
+	}
+	i.audit = operator.NewAudit(nil)
+	if path := i.settings.Operators.AuditFile; path != "" {
+		i.audit, i.closeAudit, err = operator.OpenAudit(path)
+	}
+	return err
+}
+
+func (i *Instance) system() operator.System {
+	reg := i.state.registry
+	return operator.System{
+		Propose:   i.propose,
+		Withdraw:  i.withdraw,
+		Objects:   reg.List,
+		Object:    reg.Get,
+		Revision:  reg.Revision,
+		Status:    i.status,
+		Endpoints: i.endpoints,
+		Watch:     i.watch,
+	}
+}
+
+// propose commits a change and waits until ctx ends for the instances to apply it.
+func (i *Instance) propose(ctx context.Context, c registry.Command) (out operator.Outcome, err error) {
+	result, err := i.state.change(ctx, c)
+	if err != nil {
+		return out, refusal.New(refusal.Unavailable, "change could not be committed: %v", err).WithUnknown()
+	}
+	out.Result = result
+	if result.Err() == nil {
+		out.InForce, out.Unreached = i.awaitInForce(ctx, result.Revision)
+	}
+	return out, nil
+}
+
+// withdraw marks the key in the log; it stops working here and at every instance that is reached before that.
+func (i *Instance) withdraw(ctx context.Context, keyID string) (out operator.Outcome, err error) {
+	o, ok := i.state.registry.Get(registry.KindKey, keyID)
+	if !ok {
+		return out, refusal.New(refusal.NotFound, "key %q does not exist", keyID)
+	}
+	spec := *o.Key
+	spec.Withdrawn = true
+	return i.propose(ctx, registry.Command{
+		RequestID: "withdraw/" + keyID, Operator: "withdraw", At: i.options.Wall(),
+		Changes: []registry.Object{{Kind: registry.KindKey, Name: keyID, Key: &spec}},
+	})
+}
+
+// awaitInForce asks the instances that this one knows for their revision until all have applied it or ctx ends.
+func (i *Instance) awaitInForce(ctx context.Context, revision uint64) (inForce, unreached []string) {
+	pending := i.known()
+	for {
+		var left []string
+		for _, name := range pending {
+			var d Description
+			if i.links.Call(ctx, name, describeMethod, struct{}{}, &d) == nil && d.Revision >= revision {
+				inForce = append(inForce, name)
+			} else {
+				left = append(left, name)
+			}
+		}
+		pending = left
+		if len(pending) == 0 {
+			return inForce, nil
+		}
+		select {
+		case <-ctx.Done():
+			return inForce, pending
+		case <-time.After(watchInterval):
+		}
+	}
+}
+
+// known lists this instance, those of its view and those of its settings.
+func (i *Instance) known() []string {
+	names := []string{i.settings.Name}
+	for _, m := range i.members.View().Instances {
+		names = append(names, m.Name)
+	}
+	for _, list := range [][]settings.Member{i.settings.Peers, i.settings.Voters, i.settings.Keepers} {
+		for _, m := range list {
+			names = append(names, m.Name)
+		}
+	}
+	slices.Sort(names)
+	return slices.Compact(names)
+}
+
+func (i *Instance) status(ctx context.Context) (s operator.Status, err error) {
+	s = operator.Status{
+		Instance: i.settings.Name, DataCentre: i.settings.DataCentre, Region: i.settings.Region,
+		Version: daemoncmd.VersionText(), Started: i.started, Ready: i.Ready(), Draining: i.draining.Load(),
+		Revision: i.state.registry.Revision(), Coordinator: i.members.View().Coordinator, Owned: len(i.members.Owned()),
+	}
+	s.Leader, _ = i.state.leader()
+	for _, name := range i.known() {
+		s.Members = append(s.Members, i.memberStatus(ctx, name))
+	}
+	return s, nil
+}
+
+func (i *Instance) memberStatus(ctx context.Context, name string) operator.Member {
+	ctx, cancel := context.WithTimeout(ctx, describeWait)
+	defer cancel()
+	address, _ := i.resolve(name)
+	m := operator.Member{Name: name, Address: address}
+	var d Description
+	if i.links.Call(ctx, name, describeMethod, struct{}{}, &d) == nil {
+		m.Reachable, m.DataCentre, m.Revision, m.Roles = true, d.DataCentre, d.Revision, d.Roles
+	}
+	return m
+}
+
+func (i *Instance) endpoints(context.Context) (list []operator.Endpoint, err error) {
+	for _, e := range i.members.View().Endpoints {
+		list = append(list, operator.Endpoint{
+			Name: e.Name, Service: e.Service, Model: e.Model, DataCentre: e.DataCentre, Address: e.Address,
+			State: endpointState(e), Owner: e.Owner, Incarnation: e.Incarnation, Slots: e.Slots,
+		})
+	}
+	return list, nil
+}
+
+func endpointState(e node.Endpoint) string {
+	switch {
+	case !e.NoWorkAfter.IsZero():
+		return "Leaving"
+	case e.Kind == engine.KindEngine && e.Owner == "":
+		return "Unowned"
+	}
+	return "Serving"
+}
+
+// watch sends every change after a revision until ctx ends or send fails.
+func (i *Instance) watch(ctx context.Context, from uint64, send func(operator.WatchEvent) error) error {
+	ticker := time.NewTicker(watchInterval)
+	defer ticker.Stop()
+	for {
+		if i.state.registry.Revision() > from {
+			delta := i.state.registry.DeltaSince(from)
+			if err := send(operator.WatchEvent{Revision: delta.To, Objects: delta.Objects}); err != nil {
+				return err
+			}
+			from = delta.To
+		}
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-ticker.C:
+		}
+	}
+}
--- /dev/null
+++ b/internal/node/instance/servers.go
@@ -0,0 +1,135 @@
+package instance
+
+import (
+	"context"
+	"encoding/json"
+	"log/slog"
+	"net"
+	"net/http"
+
+	"github.com/zeebo/errs"
+
+	"lycheevale/internal/base/refusal"
+	"lycheevale/internal/base/settings"
+	"lycheevale/internal/serve/engine"
+	"lycheevale/internal/serve/owner"
+)
+
+// maxAnnouncement bounds the body of an announcement, in bytes.
+const maxAnnouncement = 4 << 10
+
+// servers are the HTTP servers of an instance.
+type servers struct {
+	callers, streams, operators *http.Server
+	instance                    *Instance
+}
+
+func (i *Instance) servers(ctx context.Context) *servers {
+	errorLog := slog.NewLogLogger(i.options.Logger.Handler(), slog.LevelDebug)
+	base := func(net.Listener) context.Context { return ctx }
+	t := i.settings.Timeouts
+	callers := &http.Server{
+		Handler: i.callerHandler(), MaxHeaderBytes: i.settings.Limits.HeaderBytes, ReadHeaderTimeout: t.HeaderRead,
+		ReadTimeout: t.BodyRead, IdleTimeout: t.Idle, ErrorLog: errorLog, BaseContext: base,
+	}
+	streams := &http.Server{Handler: i.owner.Handler(), ReadHeaderTimeout: t.HeaderRead, ErrorLog: errorLog, BaseContext: base}
+	owner.Configure(streams)
+	if i.keys != nil {
+		streams.TLSConfig = i.keys.Server()
+	}
+	operators := &http.Server{
+		Handler: i.operatorHandler(), ReadHeaderTimeout: t.HeaderRead, IdleTimeout: t.Idle, ErrorLog: errorLog, BaseContext: base,
+	}
+	return &servers{callers: callers, streams: streams, operators: operators, instance: i}
+}
+
+func (s *servers) runners() []func(context.Context) error {
+	i := s.instance
+	return []func(context.Context) error{
+		func(context.Context) error { return serve(s.callers, i.callers, i.settings.TLS.Callers) },
+		func(context.Context) error { return serveStreams(s.streams, i.streams) },
+		func(context.Context) error { return serve(s.operators, i.operate, i.settings.TLS.Operators) },
+	}
+}
+
+func serve(s *http.Server, l net.Listener, files settings.ServerTLS) (err error) {
+	if files.CertificateFile != "" {
+		err = s.ServeTLS(l, files.CertificateFile, files.KeyFile)
+	} else {
+		err = s.Serve(l)
+	}
+	return ignoreClosed(err)
+}
+
+// serveStreams takes its certificates from TLSConfig, which follows the files.
+func serveStreams(s *http.Server, l net.Listener) error {
+	if s.TLSConfig != nil {
+		return ignoreClosed(s.ServeTLS(l, "", ""))
+	}
+	return ignoreClosed(s.Serve(l))
+}
+
+func ignoreClosed(err error) error {
+	if err == http.ErrServerClosed {
+		return nil
+	}
+	return err
+}
+
+// shutdown lets running requests end; those that still run at the end of ctx are interrupted.
+func (s *servers) shutdown(ctx context.Context, server *http.Server) error {
+	err := server.Shutdown(ctx)
+	if err == nil {
+		return nil
+	}
+	return errs.Combine(err, server.Close())
+}
+
+func (i *Instance) callerHandler() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET /healthz", func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusNoContent) })
+	mux.HandleFunc("GET /readyz", i.showReady)
+	mux.HandleFunc("POST /v1/endpoints/announce", i.announce)
+	mux.Handle("/", i.caller)
+	return mux
+}
+
+func (i *Instance) showReady(w http.ResponseWriter, _ *http.Request) {
+	if !i.ready.Load() {
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
+	w.WriteHeader(http.StatusNoContent)
+}
+
+// announced tells an endpoint which instance to send its next announcement to.
+type announced struct {
+	Owner string `json:"Owner"`
+}
+
+func (i *Instance) announce(w http.ResponseWriter, r *http.Request) {
+	var a engine.Announcement
+	if err := json.NewDecoder(http.MaxBytesReader(w, r.Body, maxAnnouncement)).Decode(&a); err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	ctx, cancel := context.WithTimeout(r.Context(), i.settings.Timeouts.PeerCall)
+	defer cancel()
+	name, err := i.members.Announce(ctx, a)
+	if err != nil {
+		http.Error(w, err.Error(), refusal.New(refusal.Unavailable, "").Status)
+		return
+	}
+	w.Header().Set("Content-Type", "application/json")
+	_ = json.NewEncoder(w).Encode(announced{Owner: name})
+}
+
+// streamTransport returns the transport for streams of the owner with the given name.
+func (i *Instance) streamTransport(name string) *http.Transport {
+	t := owner.NewTransport()
+	t.DialContext = i.options.Dial
+	if i.keys != nil {
+		t.TLSClientConfig = i.keys.Client(name)
+	}
+	return t
+}
--- /dev/null
+++ b/internal/node/instance/state.go
@@ -0,0 +1,249 @@
+package instance
+
+import (
+	"context"
+	"encoding/json"
+	"log/slog"
+	"slices"
+	"time"
+
+	"github.com/google/uuid"
+
+	"lycheevale/internal/base/event"
+	"lycheevale/internal/base/refusal"
+	"lycheevale/internal/base/settings"
+	"lycheevale/internal/place/scheduler"
+	"lycheevale/internal/serve/caller"
+	"lycheevale/internal/state/claims"
+	"lycheevale/internal/state/consensus"
+	"lycheevale/internal/state/registry"
+	"lycheevale/internal/state/voter"
+	"lycheevale/internal/wire/peer"
+)
+
+// Names of the replicated logs.
+const (
+	configGroup = "Config"
+	claimGroup  = "Claim"
+)
+
+// claimWait bounds the commit of a claim; a wide-area round trip and an election fit in.
+const claimWait = 3 * time.Second
+
+// state is this instance's part of the replicated state: the configuration, the withdrawn keys and the claims.
+type state struct {
+	settings settings.Settings
+	options  Options
+	registry *registry.Registry
+	config   *voter.Voter // nil on instances without a vote
+	claims   *voter.Voter
+	propose  func(ctx context.Context, data []byte) ([]byte, error)
+	claimLog func(ctx context.Context, data []byte) ([]byte, error)
+}
+
+func newState(s settings.Settings, o Options, mux *peer.Mux, call peer.Caller) (*state, error) {
+	st := &state{settings: s, options: o, registry: registry.New()}
+	switch {
+	case len(s.Voters) == 0 && s.DataFolder == "":
+		st.useMemory()
+	case len(s.Voters) == 0 || slices.ContainsFunc(s.Voters, func(m settings.Member) bool { return m.Name == s.Name }):
+		st.vote(mux, call)
+	default:
+		st.propose = voter.NewClient(call, configGroup, st.voters).Propose
+		st.claimLog = voter.NewClient(call, claimGroup, st.voters).Propose
+	}
+	return st, nil
+}
+
+// useMemory keeps everything in this process, for trials without a disk.
+func (st *state) useMemory() {
+	c := claims.New()
+	st.propose = func(_ context.Context, data []byte) ([]byte, error) { return st.registry.ApplyEntry(data), nil }
+	st.claimLog = func(_ context.Context, data []byte) ([]byte, error) { return c.ApplyEntry(data), nil }
+}
+
+func (st *state) vote(mux *peer.Mux, call peer.Caller) {
+	router := voter.NewRouter(mux)
+	c := claims.New()
+	machines := map[string]voter.StateMachine{
+		configGroup: {Apply: st.registry.ApplyEntry, Snapshot: st.registry.Snapshot, Restore: st.registry.Restore},
+		claimGroup:  {Apply: c.ApplyEntry, Snapshot: c.Snapshot, Restore: c.Restore},
+	}
+	open := func(group string) *voter.Voter {
+		v := voter.New(voter.WithGroup(group), voter.WithName(st.settings.Name), voter.WithDir(dataDir(st.settings, group)),
+			voter.WithMachine(machines[group]), voter.WithCaller(call), voter.WithPeers(st.voters),
+			voter.WithLogger(st.options.Logger))
+		router.Add(mux, v)
+		return v
+	}
+	st.config, st.claims = open(configGroup), open(claimGroup)
+	st.propose, st.claimLog = st.config.Propose, st.claims.Propose
+}
+
+// voters lists the voters of the settings; the configuration may replace them.
+func (st *state) voters() []string {
+	var names []string
+	for _, o := range st.registry.List(registry.KindVoter) {
+		names = append(names, o.Name)
+	}
+	if len(names) > 0 {
+		return names
+	}
+	for _, m := range st.settings.Voters {
+		names = append(names, m.Name)
+	}
+	if len(names) == 0 {
+		names = []string{st.settings.Name}
+	}
+	return names
+}
+
+func (st *state) runners() []func(context.Context) error {
+	runners := []func(context.Context) error{st.bootstrap}
+	if st.config != nil {
+		runners = append(runners, st.config.Run, st.claims.Run)
+	}
+	return runners
+}
+
+// bootstrapID makes the first configuration of a deployment apply once, whichever instances propose it.
+const bootstrapID = "bootstrap"
+
+func (st *state) bootstrap(ctx context.Context) error {
+	if len(st.options.Bootstrap) == 0 {
+		return nil
+	}
+	result, err := st.change(ctx, registry.Command{
+		RequestID: bootstrapID, Operator: bootstrapID, At: st.options.Wall(), Changes: st.options.Bootstrap,
+	})
+	if err == nil {
+		err = result.Err()
+	}
+	if err != nil && ctx.Err() == nil {
+		event.Log(ctx, st.options.Logger, event.BootstrapFailed, slog.Any("Error", err))
+	}
+	return nil
+}
+
+// change proposes a command and returns its result once it is applied at the leader.
+func (st *state) change(ctx context.Context, c registry.Command) (result registry.Result, err error) {
+	data, err := json.Marshal(c)
+	if err != nil {
+		return result, err
+	}
+	raw, err := st.propose(ctx, data)
+	if err != nil {
+		return result, err
+	}
+	err = json.Unmarshal(raw, &result)
+	return result, err
+}
+
+// known tells whether the instance has a configuration and the withdrawn keys.
+func (st *state) known() bool { return st.registry.Revision() > 0 }
+
+func (st *state) withdrawn(keyID string) bool { return st.registry.Withdrawn(keyID) }
+
+func (st *state) stale() bool { return false }
+
+// fresh tells whether the configuration came from the voters since this instance started.
+func (st *state) fresh() bool { return st.known() }
+
+// leading tells whether this instance leads the configuration log.
+func (st *state) leading() bool {
+	return st.config != nil && st.config.Status().Role == consensus.Leader
+}
+
+// leader returns the instance that leads the configuration log, as far as it is known here.
+func (st *state) leader() (name string, ok bool) {
+	if st.config == nil {
+		return "", false
+	}
+	name = st.config.Status().Leader
+	return name, name != ""
+}
+
+func (st *state) limit(customer string) (registry.Customer, bool) {
+	o, ok := st.registry.Get(registry.KindCustomer, customer)
+	if !ok {
+		return registry.Customer{}, false
+	}
+	return *o.Customer, true
+}
+
+// source finds the weights of an adapter's version.
+func (st *state) source(a scheduler.AdapterRef) string {
+	if o, ok := st.registry.Get(registry.KindVersion, a.Adapter+"@"+a.Version); ok {
+		return o.Version.Source
+	}
+	return ""
+}
+
+// claim implements the claim filter with the replicated log.
+func (st *state) claim(ctx context.Context, customer, key, fingerprint string) (c caller.Claim, err error) {
+	command := claims.Command{
+		Op: claims.OpClaim, Key: claims.Key{Customer: customer, Identifier: key}, Attempt: uuid.NewString(),
+		Fingerprint: fingerprint, At: st.options.Wall(),
+	}
+	result, err := st.proposeClaim(ctx, command)
+	if err != nil {
+		// The claim may be recorded, but nothing was sent to an endpoint and this attempt never will be.
+		_, _ = st.end(ctx, command, claims.OpRelease, nil)
+		return c, refusal.New(refusal.Unavailable, "claims cannot be recorded at the moment: %v", err)
+	}
+	switch result.Outcome {
+	case claims.Granted:
+		return st.granted(command), nil
+	case claims.Finished:
+		return stored(result.Response)
+	case claims.InProgress:
+		return c, refusal.New(refusal.OutcomeUnknown, "an earlier request with this Idempotency-Key has no known outcome")
+	case claims.Mismatch:
+		return c, refusal.New(refusal.Conflict, "this Idempotency-Key was used for another request")
+	case claims.Full:
+		return c, refusal.New(refusal.Overloaded, "too many identifiers are remembered")
+	default:
+		return c, refusal.New(refusal.BadRequest, "claim was not accepted: %s", result.Outcome)
+	}
+}
+
+func stored(r *claims.Response) (c caller.Claim, err error) {
+	if r == nil || r.Omitted {
+		return c, refusal.New(refusal.Conflict, "the request has run before; its response was too long to keep").WithUnknown()
+	}
+	return caller.Claim{Stored: &caller.StoredResponse{Status: r.Status, ContentType: r.ContentType, Body: r.Body}}, nil
+}
+
+func (st *state) granted(command claims.Command) caller.Claim {
+	return caller.Claim{
+		Finish: func(ctx context.Context, r *caller.StoredResponse) error {
+			_, err := st.end(ctx, command, claims.OpFinish,
+				&claims.Response{Status: r.Status, ContentType: r.ContentType, Body: r.Body})
+			return err
+		},
+		Release: func(ctx context.Context) error {
+			_, err := st.end(ctx, command, claims.OpRelease, nil)
+			return err
+		},
+	}
+}
+
+func (st *state) end(ctx context.Context, command claims.Command, op claims.Op, r *claims.Response) (claims.Result, error) {
+	command.Op, command.Response, command.At = op, r, st.options.Wall()
+	return st.proposeClaim(context.WithoutCancel(ctx), command)
+}
+
+func (st *state) proposeClaim(ctx context.Context, command claims.Command) (result claims.Result, err error) {
+	ctx, cancel := context.WithTimeout(ctx, claimWait)
+	defer cancel()
+	data, err := json.Marshal(command)
+	if err != nil {
+		return result, err
+	}
+	raw, err := st.claimLog(ctx, data)
+	if err != nil {
+		return result, err
+	}
+	err = json.Unmarshal(raw, &result)
+	return result, err
+}
--- a/internal/node/instance/targets.go
+++ b/internal/node/instance/targets.go
@@ -2,96 +2,219 @@
 
 import (
 	"cmp"
+	"context"
+	"net/http"
+	"net/netip"
 	"slices"
 	"sync"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
-
 	"lycheevale/internal/base/refusal"
+	"lycheevale/internal/base/settings"
+	"lycheevale/internal/member/node"
+	"lycheevale/internal/place/route"
 	"lycheevale/internal/serve/caller"
 	"lycheevale/internal/serve/engine"
 	"lycheevale/internal/serve/owner"
+	"lycheevale/internal/wire/peer"
 )
 
-// announcementLife is how long an endpoint counts as present after an announcement.
-const announcementLife = 3 * time.Second
+// Figures of the choice of endpoints.
+const (
+	bytesPerToken  = 200 // of a streamed event, for the cost of slow links
+	remoteIdle     = 8 * time.Second
+	refreshEvery   = 100 * time.Millisecond
+	describeWait   = time.Second
+	describeMethod = "Instance.Describe"
+)
 
-// targets knows the endpoints that were announced to this instance.
+// targets chooses endpoints and reaches their owners.
 type targets struct {
+	settings  settings.Settings
+	members   *node.Node
 	owner     *owner.Owner
+	call      peer.Caller
+	transport func(name string) *http.Transport // to the instance with the name
 	mu        sync.Mutex
-	endpoints map[string]*knownEndpoint
+	router    *route.Router
+	view      node.ViewID
+	byModel   map[string]*route.Candidates
+	owners    map[string]node.Endpoint // by endpoint
+	plain     map[string][]node.Endpoint
+	running   map[string]int // plain requests by endpoint
+	remotes   map[string]remoteOwner
 }
 
-type knownEndpoint struct {
-	engine.Announcement
-	deadline time.Time
-	running  int
+type remoteOwner struct {
+	address   netip.AddrPort // of its peer listener, which changes with a replacement
+	remote    *owner.Remote
+	transport *http.Transport
 }
 
-func newTargets(o *owner.Owner) *targets {
-	return &targets{owner: o, endpoints: map[string]*knownEndpoint{}}
+func newTargets(i *Instance) *targets {
+	t := &targets{
+		settings: i.settings, members: i.members, owner: i.owner, call: i.links.Call, transport: i.streamTransport,
+		router: route.New(route.WithDataCentre(i.settings.DataCentre)), running: map[string]int{},
+		remotes: map[string]remoteOwner{},
+	}
+	t.rebuild(i.members.View())
+	return t
+}
+
+// run follows the view of the data centre.
+func (t *targets) run(ctx context.Context) error {
+	ticker := time.NewTicker(refreshEvery)
+	defer ticker.Stop()
+	defer t.closeIdle()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-ticker.C:
+			t.refresh()
+		}
+	}
 }
 
-func (t *targets) announce(now time.Time, a engine.Announcement) {
+func (t *targets) refresh() {
+	view := t.members.View()
 	t.mu.Lock()
-	e, ok := t.endpoints[a.Name]
-	if !ok {
-		e = &knownEndpoint{}
-		t.endpoints[a.Name] = e
+	defer t.mu.Unlock()
+	if view.ID != t.view {
+		t.rebuild(view)
 	}
-	e.Announcement = a
-	e.deadline = now.Add(announcementLife)
-	t.mu.Unlock()
-	if a.Kind == engine.KindEngine {
-		t.owner.Acquire(owner.Grant{Endpoint: a, Fence: 1, Deadline: now.Add(announcementLife)})
+}
+
+func (t *targets) rebuild(view node.View) {
+	t.view = view.ID
+	t.owners, t.plain = map[string]node.Endpoint{}, map[string][]node.Endpoint{}
+	candidates := map[string][]route.Candidate{}
+	for _, e := range view.Endpoints {
+		switch {
+		case !e.NoWorkAfter.IsZero():
+		case e.Kind == engine.KindPlain:
+			t.plain[e.Service] = append(t.plain[e.Service], e)
+		case e.Owner != "":
+			t.owners[e.Name] = e
+			candidates[e.Model] = append(candidates[e.Model], route.Candidate{Endpoint: e.Name, DataCentre: e.DataCentre})
+		}
+	}
+	t.byModel = map[string]*route.Candidates{}
+	for model, list := range candidates {
+		t.byModel[model] = route.Prepare(list)
 	}
 }
 
-// choose picks the engine with the highest rendezvous weight for the adapter.
+// choose picks the endpoint of a completion.
 func (t *targets) choose(now time.Time, r owner.Request, tried []string) (caller.Target, error) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	var best *knownEndpoint
-	var bestWeight uint64
-	for _, e := range t.endpoints {
-		usable := e.Kind == engine.KindEngine && e.Model == r.Model && e.deadline.After(now) && !e.Leaving
-		if !usable || slices.Contains(tried, e.Name) {
-			continue
-		}
-		if weight := xxhash.Sum64String(e.Name + "/" + r.Target()); best == nil || weight > bestWeight {
-			best, bestWeight = e, weight
-		}
+	candidates := t.byModel[r.Model]
+	if candidates == nil {
+		return caller.Target{}, refusal.New(refusal.Unavailable, "no endpoint of model %s is available", r.Model)
+	}
+	q := route.Request{ID: r.Attempt, Bytes: len(r.Body) + r.MaxTokens*bytesPerToken, Exclude: tried}
+	if !r.Adapter.Base() {
+		q.Adapter = r.Target()
 	}
-	if best == nil {
+	choice, ok := t.router.Choose(now, q, candidates)
+	if !ok {
 		return caller.Target{}, refusal.New(refusal.Unavailable, "no endpoint of model %s is available", r.Model)
 	}
-	return caller.Target{Endpoint: best.Name, Dispatch: t.owner.Dispatch}, nil
+	e := t.owners[choice.Endpoint]
+	return caller.Target{Endpoint: e.Name, Dispatch: func(ctx context.Context, r owner.Request) (*owner.Stream, error) {
+		return t.dispatch(ctx, e, r)
+	}}, nil
 }
 
-// choosePlain picks the endpoint of the service with the fewest running requests.
-func (t *targets) choosePlain(service string, tried []string) (caller.PlainTarget, error) {
+func (t *targets) dispatch(ctx context.Context, e node.Endpoint, r owner.Request) (stream *owner.Stream, err error) {
+	if e.Owner == t.settings.Name {
+		stream, err = t.owner.Dispatch(ctx, r)
+	} else {
+		var remote *owner.Remote
+		if remote, err = t.remote(ctx, e); err != nil {
+			return nil, err
+		}
+		stream, err = remote.Dispatch(ctx, r)
+	}
+	if err != nil {
+		return nil, err
+	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	now := time.Now()
-	var usable []*knownEndpoint
-	for _, e := range t.endpoints {
-		if e.Kind == engine.KindPlain && e.Service == service && e.deadline.After(now) && !e.Leaving &&
-			!slices.Contains(tried, e.Name) {
-			usable = append(usable, e)
-		}
+	v := stream.View
+	t.router.Observe(time.Now(), route.Answer{
+		Endpoint: stream.Endpoint, Load: v.Load, Places: e.BatchSize, Wait: v.Wait, Service: v.Service, SlotValue: v.SlotValue,
+	})
+	return stream, nil
+}
+
+// Description is what an instance tells others about itself.
+type Description struct {
+	Name       string         `json:"Name"`
+	DataCentre string         `json:"DataCentre"`
+	Region     string         `json:"Region"`
+	Streams    netip.AddrPort `json:"Streams"`
+	Revision   uint64         `json:"Revision"`
+	Roles      []string       `json:"Roles"`
+}
+
+// remote returns the way to another owner, whose address for streams is asked for once.
+func (t *targets) remote(ctx context.Context, e node.Endpoint) (*owner.Remote, error) {
+	t.mu.Lock()
+	known, ok := t.remotes[e.Owner]
+	t.mu.Unlock()
+	if ok && known.address == e.OwnerAddress {
+		return known.remote, nil
+	}
+	ctx, cancel := context.WithTimeout(ctx, describeWait)
+	defer cancel()
+	var d Description
+	if err := t.call(ctx, e.Owner, describeMethod, struct{}{}, &d); err != nil {
+		return nil, refusal.New(refusal.Unavailable, "owner %s cannot be reached: %v", e.Owner, err)
+	}
+	transport := t.transport(e.Owner)
+	next := remoteOwner{e.OwnerAddress, owner.NewRemote(d.Streams, remoteIdle, transport), transport}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.remotes[e.Owner] = next
+	return next.remote, nil
+}
+
+func (t *targets) closeIdle() {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for _, r := range t.remotes {
+		r.transport.CloseIdleConnections()
 	}
+}
+
+// choosePlain picks the endpoint of the service with the fewest requests of this entry.
+func (t *targets) choosePlain(service string, tried []string) (caller.PlainTarget, error) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	usable := slices.DeleteFunc(slices.Clone(t.plain[service]), func(e node.Endpoint) bool {
+		return slices.Contains(tried, e.Name)
+	})
 	if len(usable) == 0 {
 		return caller.PlainTarget{}, refusal.New(refusal.Unavailable, "no endpoint of service %s is available", service)
 	}
-	best := slices.MinFunc(usable, func(a, b *knownEndpoint) int {
-		return cmp.Or(cmp.Compare(a.running, b.running), cmp.Compare(a.Name, b.Name))
+	best := slices.MinFunc(usable, func(a, b node.Endpoint) int {
+		return cmp.Or(cmp.Compare(t.running[a.Name], t.running[b.Name]), cmp.Compare(a.Name, b.Name))
 	})
-	best.running++
+	t.running[best.Name]++
 	return caller.PlainTarget{Endpoint: best.Name, Address: best.Address.String(), Done: func() {
 		t.mu.Lock()
 		defer t.mu.Unlock()
-		best.running--
+		if t.running[best.Name]--; t.running[best.Name] == 0 {
+			delete(t.running, best.Name)
+		}
 	}}, nil
 }
+
+// Serving tells whether at least n engines of the data centre have an owner.
+func (i *Instance) Serving(n int) bool {
+	i.targets.mu.Lock()
+	defer i.targets.mu.Unlock()
+	return len(i.targets.owners) >= n
+}
--- a/internal/serve/owner/owner.go
+++ b/internal/serve/owner/owner.go
@@ -123,6 +123,9 @@
 	}
 }
 
+// Wake makes the owner decide again, for instance when a permit was granted.
+func (o *Owner) Wake() { o.poke() }
+
 func (o *Owner) poke() {
 	select {
 	case o.wake <- struct{}{}:
--- a/internal/tool/demo/config.go
+++ b/internal/tool/demo/config.go
@@ -4,21 +4,17 @@
 	"crypto/sha256"
 	"encoding/hex"
 	"fmt"
-	"time"
 
 	"lycheevale/internal/state/registry"
 )
 
 // Sizes of the built-in deployment, shaped as the Banksia reference user's.
 const (
-	enginesPerDataCentre = 3
-	adapters             = 30
-	model                = "quill"
-	service              = "ledger"
+	adapters = 30
+	model    = "quill"
+	service  = "ledger"
 )
 
-var dataCentres = []string{"brisbane-a", "townsville-a", "toowoomba-a"}
-
 // customers of the demo and the secrets of their keys; the keys work on loopback deployments of the demo only.
 var customers = []struct {
 	name, keyID, secret string
@@ -72,9 +68,3 @@
 	}
 	return objects
 }
-
-func newRegistry() *registry.Registry {
-	r := registry.New()
-	r.Apply(registry.Command{RequestID: "demo", Operator: "demo", At: time.Now(), Changes: Changes()})
-	return r
-}
--- a/internal/tool/demo/demo.go
+++ b/internal/tool/demo/demo.go
@@ -7,21 +7,16 @@
 	"encoding/json"
 	"fmt"
 	"io"
-	"net"
 	"net/http"
 	"net/netip"
+	"os"
 	"strings"
 	"text/tabwriter"
 	"time"
 
 	"github.com/zeebo/errs"
-	"golang.org/x/sync/errgroup"
 
-	fakeengine "lycheevale/internal/fake/engine"
-	fakeservice "lycheevale/internal/fake/service"
-	fakestore "lycheevale/internal/fake/store"
-	"lycheevale/internal/node/instance"
-	"lycheevale/internal/serve/engine"
+	"lycheevale/internal/fake/deployment"
 )
 
 // Error is the class of errors of this package.
@@ -30,14 +25,6 @@
 // maxTokens is the length of each demo answer in tokens.
 const maxTokens = 6
 
-// Deployment is a running set of instances and stand-ins.
-type Deployment struct {
-	Instances []*instance.Instance
-	Engines   []*fakeengine.Engine
-	Services  []*fakeservice.Service
-	group     *errgroup.Group
-}
-
 // Run starts the deployment, sends its requests and prints who served what.
 func Run(ctx context.Context, opts ...Option) (err error) {
 	defer func() { err = Error.Wrap(err) }()
@@ -45,107 +32,32 @@
 	for _, opt := range opts {
 		opt(&o)
 	}
-	ctx, stop := context.WithCancel(ctx)
-	defer stop()
-	d, err := Start(ctx, o)
+	folder, err := os.MkdirTemp("", "lycheevale-demo-")
 	if err != nil {
 		return err
 	}
-	if err := d.waitForModels(ctx); err != nil {
+	defer func() { err = errs.Combine(err, os.RemoveAll(folder)) }()
+	d, err := deployment.Start(context.WithoutCancel(ctx), deployment.With(func(p *deployment.Options) {
+		p.Logger, p.Objects, p.DataFolder, p.Service, p.Model = o.Logger, Changes(), folder, service, model
+	}))
+	if err != nil {
 		return err
 	}
-	if err := d.sendAll(ctx, o); err != nil {
+	defer func() { err = errs.Combine(err, d.Stop()) }()
+	if err := d.WaitReady(ctx); err != nil {
 		return err
 	}
-	if o.Stay {
-		d.printHints(o.Out)
-		<-ctx.Done()
-	}
-	stop()
-	return d.group.Wait()
-}
-
-// Start opens all sockets and starts all parts; they end when ctx does.
-func Start(ctx context.Context, o Options) (d *Deployment, err error) {
-	group, ctx := errgroup.WithContext(ctx)
-	d = &Deployment{group: group}
-	store := fakestore.New()
-	reg := newRegistry()
-	for n, dc := range dataCentres {
-		i, err := instance.New(instance.WithName(fmt.Sprintf("entry-%d", n+1), dc), instance.WithRegistry(reg),
-			instance.WithLogger(o.Logger))
-		if err != nil {
-			return nil, err
-		}
-		d.Instances = append(d.Instances, i)
-		group.Go(func() error { return i.Run(ctx) })
-		for k := range enginesPerDataCentre {
-			e := fakeengine.New(fakeengine.WithName(fmt.Sprintf("%s-engine-%d", dc, k+1), dc),
-				fakeengine.WithModel(model, model), fakeengine.WithFetch(store.Fetch))
-			d.Engines = append(d.Engines, e)
-			if err := d.serve(ctx, e, i.Address(), e.Announcement); err != nil {
-				return nil, err
-			}
-		}
-		s := fakeservice.New(fmt.Sprintf("%s-ledger", dc))
-		d.Services = append(d.Services, s)
-		if err := d.serve(ctx, s, i.Address(), plainAnnouncement(s.Name, dc)); err != nil {
-			return nil, err
-		}
-	}
-	return d, nil
-}
-
-func plainAnnouncement(name, dataCentre string) func(netip.AddrPort) engine.Announcement {
-	return func(a netip.AddrPort) engine.Announcement {
-		return engine.Announcement{
-			Name: name, DataCentre: dataCentre, Address: a, Incarnation: 1, Kind: engine.KindPlain, Service: service,
-		}
-	}
-}
-
-// serve listens for a stand-in and announces it to the instance.
-func (d *Deployment) serve(ctx context.Context, h http.Handler, to netip.AddrPort,
-	announcement func(netip.AddrPort) engine.Announcement,
-) error {
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
+	if err := sendAll(ctx, d, o); err != nil {
 		return err
 	}
-	address := listener.Addr().(*net.TCPAddr).AddrPort()
-	server := &http.Server{Handler: h, ReadHeaderTimeout: time.Second}
-	d.group.Go(func() error {
-		if err := server.Serve(listener); err != http.ErrServerClosed {
-			return err
-		}
-		return nil
-	})
-	d.group.Go(func() error {
+	if o.Stay {
+		printHints(o.Out, d)
 		<-ctx.Done()
-		return server.Close()
-	})
-	d.group.Go(func() error {
-		return fakeengine.Announce(ctx, []netip.AddrPort{to}, func() engine.Announcement { return announcement(address) })
-	})
-	return nil
-}
-
-// waitForModels sends a request to each instance until it is served, because endpoints announce themselves late.
-func (d *Deployment) waitForModels(ctx context.Context) error {
-	for _, i := range d.Instances {
-		for {
-			if _, err := complete(ctx, i.Address(), 0, model); err == nil {
-				break
-			} else if ctx.Err() != nil {
-				return err
-			}
-			time.Sleep(20 * time.Millisecond)
-		}
 	}
 	return nil
 }
 
-func (d *Deployment) sendAll(ctx context.Context, o Options) error {
+func sendAll(ctx context.Context, d *deployment.Deployment, o Options) error {
 	table := tabwriter.NewWriter(o.Out, 0, 0, 2, ' ', 0)
 	_, _ = fmt.Fprintln(table, "ENTRY\tCUSTOMER\tADAPTER\tTIME\tANSWER")
 	for n := range o.Requests {
@@ -156,7 +68,7 @@
 		if err != nil {
 			return err
 		}
-		_, _ = fmt.Fprintf(table, "entry-%d\t%s\t%s\t%s\t%s\n", i+1, customers[n%len(customers)].name, owned,
+		_, _ = fmt.Fprintf(table, "%s\t%s\t%s\t%s\t%s\n", d.Instances[i].Settings.Name, customers[n%len(customers)].name, owned,
 			time.Since(begin).Round(time.Millisecond), strings.TrimSpace(text))
 	}
 	if err := table.Flush(); err != nil {
@@ -215,7 +127,7 @@
 	return raw, err
 }
 
-func (d *Deployment) printHints(w io.Writer) {
+func printHints(w io.Writer, d *deployment.Deployment) {
 	_, _ = fmt.Fprintln(w, "\nThe deployment stays up until interrupted. Try:")
 	for _, i := range d.Instances {
 		_, _ = fmt.Fprintf(w, "  curl -s http://%s/v1/models -H 'Authorization: Bearer %s'\n", i.Address(), Key(0))
--- a/internal/wire/peer/keys.go
+++ b/internal/wire/peer/keys.go
@@ -90,6 +90,12 @@
 	return k.pair, k.pool
 }
 
+// Server returns the configuration of a server for other instances, which reads the keys for each handshake.
+func (k *Keys) Server() *tls.Config { return k.server() }
+
+// Client returns the configuration of connections to the instance with the given name.
+func (k *Keys) Client(name string) *tls.Config { return k.client(name) }
+
 // server returns the configuration of accepted links, which reads the keys for each handshake.
 func (k *Keys) server() *tls.Config {
 	return &tls.Config{
