Distribute the configuration through relays

Cause: instances without disks need each change within seconds and must never go back to an older revision.

--- /dev/null
+++ b/internal/state/feed/feed.go
@@ -0,0 +1,317 @@
+// Package feed distributes the configuration from voters through relays to all instances by deltas and snapshots, and
+// reports back where a revision is in effect.
+package feed
+
+import (
+	"context"
+	"encoding/json"
+	"log/slog"
+	"sync"
+	"time"
+
+	"github.com/zeebo/errs"
+	"golang.org/x/sync/errgroup"
+
+	"lycheevale/internal/base/event"
+	"lycheevale/internal/state/registry"
+	"lycheevale/internal/wire/peer"
+)
+
+// Error is the class of errors of this package.
+var Error = errs.Class("feed")
+
+// Methods between instances.
+const (
+	subscribeMethod = "Feed.Subscribe"
+	pushMethod      = "Feed.Push"
+	ackMethod       = "Feed.Ack"
+	reportMethod    = "Feed.Report"
+)
+
+type subscribeParams struct {
+	DataCentre string `json:"DataCentre"`
+	Revision   uint64 `json:"Revision"`
+	Report     Report `json:"Report,omitempty"`
+}
+
+type subscribeResult struct {
+	Revision uint64          `json:"Revision"`
+	Age      time.Duration   `json:"Age"`             // since a voter knew that this is current
+	Delta    json.RawMessage `json:"Delta,omitempty"` // absent if there is nothing newer
+}
+
+type pushParams struct {
+	Age   time.Duration   `json:"Age"`
+	Delta json.RawMessage `json:"Delta"`
+}
+
+type pushResult struct {
+	Revision uint64 `json:"Revision"`
+}
+
+type ackParams struct {
+	Revision   uint64 `json:"Revision"`
+	DataCentre string `json:"DataCentre"`
+	Report     Report `json:"Report,omitempty"`
+}
+
+// reportResult is a voter's own revision and what it knows of others.
+type reportResult struct {
+	Revision uint64 `json:"Revision"`
+	Report   Report `json:"Report"`
+}
+
+type empty struct{}
+
+// Counters count what a node has sent, in calls and in bytes of JSON.
+type Counters struct {
+	Pushes        uint64
+	PushBytes     uint64
+	Snapshots     uint64
+	SnapshotBytes uint64
+	Reports       uint64
+}
+
+// Node is one instance's part of the distribution: it subscribes to a source and is a source itself.
+type Node struct {
+	options Options
+	wake    chan struct{}
+
+	mu       sync.Mutex
+	hub      *hub
+	source   string
+	tries    int
+	preferAt time.Time // next time to try the preferred source again
+	freshAt  time.Time // when a voter knew that the configuration here was current
+	reported uint64    // last revision reported for all subscribers
+	encoded  encoded
+	counters Counters
+
+	install sync.Mutex // keeps deltas and their callbacks in order
+}
+
+// encoded is the last delta that was sent; most subscribers need the same one.
+type encoded struct {
+	from, to uint64
+	data     json.RawMessage
+	snapshot bool
+}
+
+// New returns a node; Register and Run start it.
+func New(opts ...Option) *Node {
+	o := defaults()
+	for _, opt := range opts {
+		opt(&o)
+	}
+	return &Node{options: o, wake: make(chan struct{}, 1), hub: newHub(o.Lease, o.Forget)}
+}
+
+// Register offers the methods of the distribution to peers.
+func (n *Node) Register(mux *peer.Mux) {
+	mux.Handle(subscribeMethod, peer.Typed(n.receiveSubscribe))
+	mux.Handle(pushMethod, peer.Typed(n.receivePush))
+	mux.Handle(ackMethod, peer.Typed(n.receiveAck))
+	mux.Handle(reportMethod, peer.Typed(func(context.Context, string, empty) (reportResult, error) {
+		return reportResult{Revision: n.options.Registry.Revision(), Report: n.Report()}, nil
+	}))
+}
+
+// Run renews the subscription and pushes changes until ctx ends.
+func (n *Node) Run(ctx context.Context) error {
+	group, ctx := errgroup.WithContext(ctx)
+	group.Go(func() error {
+		ticker := time.NewTicker(n.options.Interval)
+		defer ticker.Stop()
+		for n.Poll(ctx); ; n.Poll(ctx) {
+			select {
+			case <-ctx.Done():
+				return nil
+			case <-ticker.C:
+			}
+		}
+	})
+	group.Go(func() error {
+		pushes := errgroup.Group{}
+		for {
+			select {
+			case <-ctx.Done():
+				return pushes.Wait()
+			case <-n.wake:
+			}
+			for _, push := range n.Pushes(ctx) {
+				pushes.Go(func() error {
+					push()
+					return nil
+				})
+			}
+		}
+	})
+	return group.Wait()
+}
+
+// Changed makes the node push; a voter calls it after its log has changed the registry.
+func (n *Node) Changed() {
+	select {
+	case n.wake <- struct{}{}:
+	default:
+	}
+}
+
+// Report returns where which revision is in effect, as far as this node's subscribers tell.
+func (n *Node) Report() Report {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.hub.report(n.options.Now(), n.options.DataCentre, n.options.Registry.Revision())
+}
+
+// Counters returns what the node has sent so far.
+func (n *Node) Counters() Counters {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.counters
+}
+
+// FreshAt returns when a voter knew that the configuration here was current; zero if never. An instance compares it
+// with a deadline for customers that set StrictKeys.
+func (n *Node) FreshAt() time.Time {
+	if n.options.Age != nil {
+		return n.options.Now().Add(-n.options.Age())
+	}
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.freshAt
+}
+
+// longestAge stands for no contact at all.
+const longestAge = 24 * time.Hour
+
+// age is what this node tells its subscribers.
+func (n *Node) age() time.Duration { return min(n.options.Now().Sub(n.FreshAt()), longestAge) }
+
+// Pushes returns one function for each subscriber that lacks changes; each makes one call.
+func (n *Node) Pushes(ctx context.Context) (pushes []func()) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	for _, name := range n.hub.next(n.options.Now(), n.options.Registry.Revision()) {
+		pushes = append(pushes, func() { n.push(ctx, name) })
+	}
+	return pushes
+}
+
+func (n *Node) push(ctx context.Context, name string) {
+	n.mu.Lock()
+	c := n.hub.children[name]
+	if c == nil {
+		n.mu.Unlock()
+		return
+	}
+	e, err := n.encode(c.revision)
+	n.mu.Unlock()
+	var answer pushResult
+	if err == nil {
+		err = n.call(ctx, name, pushMethod, pushParams{Age: n.age(), Delta: e.data}, &answer)
+	}
+	n.mu.Lock()
+	n.hub.pushed(n.options.Now(), name, answer.Revision, err == nil)
+	n.mu.Unlock()
+	if err == nil {
+		// Changes may have come while the push was on its way.
+		n.Changed()
+		n.acknowledge(ctx)
+	}
+}
+
+// encode returns the delta after the revision; n.mu is held.
+func (n *Node) encode(from uint64) (e encoded, err error) {
+	if n.encoded.to != n.options.Registry.Revision() || n.encoded.from != from || n.encoded.data == nil {
+		d := n.options.Registry.DeltaSince(from)
+		data, err := json.Marshal(d)
+		if err != nil {
+			return encoded{}, Error.Wrap(err)
+		}
+		n.encoded = encoded{from: from, to: d.To, data: data, snapshot: d.Snapshot}
+	}
+	if n.encoded.snapshot {
+		n.counters.Snapshots++
+		n.counters.SnapshotBytes += uint64(len(n.encoded.data))
+	} else {
+		n.counters.Pushes++
+		n.counters.PushBytes += uint64(len(n.encoded.data))
+	}
+	return n.encoded, nil
+}
+
+func (n *Node) call(ctx context.Context, to, method string, params, result any) error {
+	ctx, cancel := context.WithTimeout(ctx, n.options.Timeout)
+	defer cancel()
+	return n.options.Call(ctx, to, method, params, result)
+}
+
+func (n *Node) receiveSubscribe(_ context.Context, from string, p subscribeParams) (result subscribeResult, err error) {
+	result.Age = n.age()
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.hub.renew(n.options.Now(), from, p.DataCentre, p.Revision, p.Report)
+	result.Revision = n.options.Registry.Revision()
+	if result.Revision > p.Revision {
+		e, err := n.encode(p.Revision)
+		if err != nil {
+			return subscribeResult{}, err
+		}
+		result.Delta = e.data
+	}
+	return result, nil
+}
+
+func (n *Node) receivePush(_ context.Context, from string, p pushParams) (pushResult, error) {
+	n.mu.Lock()
+	current := n.source
+	n.mu.Unlock()
+	if current == from {
+		if err := n.apply(p.Delta); err != nil {
+			return pushResult{}, err
+		}
+		n.noteFresh(p.Age)
+	}
+	return pushResult{Revision: n.options.Registry.Revision()}, nil
+}
+
+func (n *Node) receiveAck(_ context.Context, from string, p ackParams) (empty, error) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.hub.renew(n.options.Now(), from, p.DataCentre, p.Revision, p.Report)
+	return empty{}, nil
+}
+
+// apply installs a delta; one that is not newer than the configuration here changes nothing.
+func (n *Node) apply(raw json.RawMessage) error {
+	var d registry.Delta
+	if err := json.Unmarshal(raw, &d); err != nil {
+		return Error.Wrap(err)
+	}
+	n.install.Lock()
+	defer n.install.Unlock()
+	switch err := n.options.Registry.Install(d); err {
+	case nil:
+	case registry.ErrStale:
+		return nil
+	default:
+		return Error.Wrap(err)
+	}
+	n.options.Installed(d)
+	n.Changed()
+	return nil
+}
+
+func (n *Node) noteFresh(age time.Duration) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if at := n.options.Now().Add(-age); at.After(n.freshAt) {
+		n.freshAt = at
+	}
+}
+
+func (n *Node) log(ctx context.Context, id event.ID, source string) {
+	event.Log(ctx, n.options.Logger, id, slog.String("Source", source),
+		slog.Uint64("Revision", n.options.Registry.Revision()))
+}
--- /dev/null
+++ b/internal/state/feed/feed_test.go
@@ -0,0 +1,195 @@
+package feed_test
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"log/slog"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"golang.org/x/sync/errgroup"
+
+	"lycheevale/internal/state/feed"
+	"lycheevale/internal/state/registry"
+	"lycheevale/internal/wire/peer"
+)
+
+// target is the time in which a change takes effect everywhere today (design, P12).
+const target = 2 * time.Second
+
+// fleet runs nodes over a network with a one-way delay, in virtual time.
+type fleet struct {
+	delay time.Duration
+	mu    sync.Mutex
+	muxes map[string]*peer.Mux
+	nodes map[string]*feed.Node
+	regs  map[string]*registry.Registry
+	bytes atomic.Int64
+}
+
+func (f *fleet) caller(from string) peer.Caller {
+	return func(ctx context.Context, to, method string, params, result any) error {
+		raw, _ := json.Marshal(params)
+		time.Sleep(f.delay)
+		f.mu.Lock()
+		mux := f.muxes[to]
+		f.bytes.Add(int64(len(raw)))
+		f.mu.Unlock()
+		if mux == nil {
+			time.Sleep(f.delay)
+			return errors.New("unreachable")
+		}
+		answer, err := mux.Serve(ctx, from, method, raw)
+		time.Sleep(f.delay)
+		if err != nil || result == nil {
+			return err
+		}
+		raw, _ = json.Marshal(answer)
+		f.mu.Lock()
+		f.bytes.Add(int64(len(raw)))
+		f.mu.Unlock()
+		return json.Unmarshal(raw, result)
+	}
+}
+
+func (f *fleet) add(name, dataCentre string, opts ...feed.Option) {
+	r, mux := registry.New(), peer.NewMux()
+	n := feed.New(append([]feed.Option{
+		feed.WithName(name, dataCentre), feed.WithRegistry(r), feed.WithCaller(f.caller(name)),
+		feed.WithLogger(slog.New(slog.NewTextHandler(io.Discard, nil))),
+	}, opts...)...)
+	n.Register(mux)
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.muxes[name], f.nodes[name], f.regs[name] = mux, n, r
+}
+
+// newFleet has one voter and, in each of two data centres, one relay and some instances.
+func newFleet(delay time.Duration, instances int) *fleet {
+	f := &fleet{
+		delay: delay, muxes: map[string]*peer.Mux{}, nodes: map[string]*feed.Node{}, regs: map[string]*registry.Registry{},
+	}
+	f.add("voter", "brisbane-a", feed.WithAge(func() time.Duration { return 0 }))
+	for _, dc := range []string{"suva-a", "labasa-a"} {
+		f.add(dc+"-relay", dc, feed.WithSources(func() []string { return []string{"voter"} }))
+		for i := range instances {
+			f.add(fmt.Sprint(dc, "-", i), dc, feed.WithSources(func() []string {
+				return []string{dc + "-relay", dc + "-0", "voter"}
+			}))
+		}
+	}
+	return f
+}
+
+func (f *fleet) run() (stop func()) {
+	ctx, cancel := context.WithCancel(context.Background())
+	var group errgroup.Group
+	for _, n := range f.nodes {
+		group.Go(func() error { return n.Run(ctx) })
+	}
+	return func() {
+		cancel()
+		_ = group.Wait()
+	}
+}
+
+func (f *fleet) change(i int) uint64 {
+	result := f.regs["voter"].Apply(registry.Command{Changes: []registry.Object{
+		{Kind: registry.KindModel, Name: fmt.Sprint("m", i), Model: &registry.Model{}},
+	}})
+	f.nodes["voter"].Changed()
+	return result.Revision
+}
+
+// Guards against a change that is not in force in time, and against a reply that hides an instance not reached.
+func TestChangeIsInForceInTime(t *testing.T) {
+	for _, delay := range []time.Duration{time.Millisecond, 30 * time.Millisecond} {
+		synctest.Test(t, func(t *testing.T) {
+			f := newFleet(delay, 8)
+			f.change(0)
+			defer f.run()()
+			time.Sleep(5 * time.Second)
+			start := time.Now()
+			ctx, cancel := context.WithTimeout(context.Background(), target)
+			defer cancel()
+			force := feed.Await(ctx, f.nodes["voter"], []string{"voter"}, f.change(1))
+			t.Logf("one-way delay %v: in force everywhere after %v of virtual time", delay, time.Since(start))
+			qt.Assert(t, force.Complete(), qt.IsTrue, qt.Commentf("%+v", force))
+			qt.Assert(t, force.InForce, qt.DeepEquals, []string{"brisbane-a", "labasa-a", "suva-a"})
+			for name, r := range f.regs {
+				qt.Assert(t, r.Revision(), qt.Equals, uint64(2), qt.Commentf("instance %s", name))
+			}
+
+			f.mu.Lock()
+			delete(f.muxes, "suva-a-3")
+			f.mu.Unlock()
+			ctx, cancel = context.WithTimeout(context.Background(), target)
+			defer cancel()
+			force = feed.Await(ctx, f.nodes["voter"], []string{"voter"}, f.change(2))
+			qt.Assert(t, force.NotReached, qt.DeepEquals, []string{"suva-a-3"})
+		})
+	}
+}
+
+// Guards against instances that stay on old configuration when their relay is lost, and against two instances that
+// keep each other as source while both are cut off from the voters.
+func TestRelayIsLost(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(time.Millisecond, 4)
+		defer f.run()()
+		time.Sleep(5 * time.Second)
+		f.mu.Lock()
+		delete(f.muxes, "suva-a-relay")
+		f.mu.Unlock()
+		time.Sleep(10 * time.Second)
+		f.change(1)
+		time.Sleep(target)
+		for i := range 4 {
+			name := fmt.Sprint("suva-a-", i)
+			qt.Assert(t, f.regs[name].Revision(), qt.Equals, uint64(1), qt.Commentf("instance %s", name))
+			age := time.Since(f.nodes[name].FreshAt())
+			qt.Assert(t, age < 5*time.Second, qt.IsTrue, qt.Commentf("instance %s: %v", name, age))
+		}
+	})
+}
+
+// Guards against a share of the instance's 12 KB per second (design 1.7) that the 16,000 changes a day would exceed.
+func TestBytesPerChangeAndInstance(t *testing.T) {
+	const changes, instances = 200, 20
+	const budget = 12_000 * 86_400 / 16_000
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(time.Millisecond, instances)
+		defer f.run()()
+		time.Sleep(5 * time.Second)
+		idle := int(f.bytes.Load())
+		time.Sleep(changes * 100 * time.Millisecond)
+		idle = int(f.bytes.Load()) - idle
+		before := int(f.bytes.Load())
+		for i := range changes {
+			f.change(i)
+			time.Sleep(100 * time.Millisecond)
+		}
+		each := (int(f.bytes.Load()) - before - idle) / changes / len(f.nodes)
+		idleRate := idle * 10 / changes / len(f.nodes)
+		t.Logf("%d bytes for each change and instance, %d bytes per second and instance when idle", each, idleRate)
+		qt.Assert(t, each < budget, qt.IsTrue)
+		qt.Assert(t, idleRate < 12_000, qt.IsTrue)
+	})
+}
+
+func ExampleNode_Report() {
+	r := registry.New()
+	n := feed.New(feed.WithName("a", "suva-a"), feed.WithRegistry(r))
+	r.Apply(registry.Command{Changes: []registry.Object{
+		{Kind: registry.KindModel, Name: "quill", Model: &registry.Model{}},
+	}})
+	fmt.Println(n.Report().Force(1).InForce)
+	// Output: [suva-a]
+}
