Add the remove-wins set of withdrawn keys

Cause: a withdrawn key must stop working everywhere within seconds, also where the log cannot be reached.

--- /dev/null
+++ b/internal/state/revoke/options.go
@@ -0,0 +1,69 @@
+package revoke
+
+import (
+	"context"
+	"errors"
+	"log/slog"
+	"time"
+
+	"lycheevale/internal/wire/peer"
+)
+
+// Options are the settings of a Node.
+type Options struct {
+	Name string
+	Call peer.Caller
+	// Local returns the other instances of the data centre.
+	Local func() []string
+	// Remote returns one instance of each other data centre, which passes pushes on in its own.
+	Remote    func() []string
+	Withdrawn func(ids []string) // called with identifiers that are new here
+	Logger    *slog.Logger
+	Interval  time.Duration // between two comparisons with a peer
+	Timeout   time.Duration // of one call
+}
+
+// Option sets one of the Options.
+type Option func(*Options)
+
+const (
+	defaultInterval = time.Second
+	// defaultTimeout leaves half of the 2 s target of a withdrawal to the push within the other data centre.
+	defaultTimeout = time.Second
+)
+
+var errNoCaller = errors.New("no caller is set")
+
+func defaults() Options {
+	none := func() []string { return nil }
+	return Options{
+		Call:  func(context.Context, string, string, any, any) error { return errNoCaller },
+		Local: none, Remote: none, Withdrawn: func([]string) {}, Logger: slog.Default(),
+		Interval: defaultInterval, Timeout: defaultTimeout,
+	}
+}
+
+// WithName sets the name of this instance.
+func WithName(name string) Option {
+	return func(o *Options) { o.Name = name }
+}
+
+// WithCaller sets how peers are called.
+func WithCaller(c peer.Caller) Option {
+	return func(o *Options) { o.Call = c }
+}
+
+// WithPeers sets the functions that return the instances of the data centre and one of each other data centre.
+func WithPeers(local, remote func() []string) Option {
+	return func(o *Options) { o.Local, o.Remote = local, remote }
+}
+
+// WithWithdrawn sets the function that is called with identifiers that are new here.
+func WithWithdrawn(f func(ids []string)) Option {
+	return func(o *Options) { o.Withdrawn = f }
+}
+
+// WithLogger sets the logger.
+func WithLogger(l *slog.Logger) Option {
+	return func(o *Options) { o.Logger = l }
+}
