--- a/internal/place/model/result.go
+++ b/internal/place/model/result.go
@@ -1,6 +1,7 @@
 package model
 
 import (
+	"fmt"
 	"slices"
 	"time"
 
@@ -21,7 +22,8 @@
 	Violations   map[string]int
 	CustomerTime []time.Duration // mean time to the last token by customer
 	Codes        map[refusal.Code]int
-	Longest      time.Duration // longest wait of a dispatched request at an owner
+	Messages     map[string]int // of false rejections
+	Longest      time.Duration  // longest wait of a dispatched request at an owner
 
 	counts     []int
 	sums       []time.Duration
@@ -36,7 +38,7 @@
 func newResult(site Site, sc Scenario) *Result {
 	n := len(site.Shares)
 	return &Result{
-		Site: site.Name, Scenario: sc, Violations: map[string]int{}, Codes: map[refusal.Code]int{}, batch: site.BatchSize,
+		Site: site.Name, Scenario: sc, Violations: map[string]int{}, Codes: map[refusal.Code]int{}, Messages: map[string]int{}, batch: site.BatchSize,
 		counts: make([]int, n), sums: make([]time.Duration, n), CustomerTime: make([]time.Duration, n),
 	}
 }
@@ -92,6 +94,7 @@
 	r.Codes[err.Code]++
 	if !a.call.OverRate {
 		r.FalseRefused++
+		r.Messages[fmt.Sprint(a.call.Customer, a.call.At.Round(time.Second), a.tries, err.Message)]++
 	}
 }
 
--- a/internal/place/route/options.go
+++ b/internal/place/route/options.go
@@ -22,7 +22,7 @@
 func Defaults() Options {
 	return Options{
 		Entries:      1,
-		LoadCost:     2 * time.Second,
+		LoadCost:     20 * time.Second,
 		Latency:      30 * time.Millisecond,
 		PricePerByte: time.Microsecond,
 		HalfLife:     10 * time.Minute,
--- a/internal/place/scheduler/load.go
+++ b/internal/place/scheduler/load.go
@@ -90,14 +90,15 @@
 	}
 }
 
-// loadWanted orders the next load by fairness between customers; false when none is possible now.
+// loadWanted orders the next load by fairness between customers; false when none is possible now. Loads are shared
+// equally, not by weight: a small customer needs few loads but more for each of its requests than a large one.
 func (s *Scheduler) loadWanted(now time.Time) bool {
-	slices.SortStableFunc(s.wanting, func(a, b *customer) int { return cmp.Compare(a.loadFinish, b.loadFinish) })
+	slices.SortStableFunc(s.wanting, s.loadOrder)
 	for _, c := range s.wanting {
 		g := c.wanted.items[0]
 		e, victim, _ := s.target(now, g.adapter, g)
 		if e == nil {
-			s.closeSlot(s.endpoints, g)
+			s.closeSlot(g)
 			continue
 		}
 		if !s.permitted(now, e, g.adapter, false) {
@@ -105,13 +106,24 @@
 		}
 		start := max(c.loadFinish, s.loadVirtual-1)
 		s.loadVirtual = max(s.loadVirtual, start)
-		c.loadFinish = start + 1/c.weight
+		c.loadFinish = start + 1
 		s.order(now, e, g.adapter, victim, g.customer)
 		return true
 	}
 	return false
 }
 
+// loadOrder compares customers that want loads: those above their share of slots come last.
+func (s *Scheduler) loadOrder(a, b *customer) int {
+	if overA, overB := s.overSlots(a), s.overSlots(b); overA != overB && !s.options.disabled[FairShares] {
+		if overA {
+			return 1
+		}
+		return -1
+	}
+	return cmp.Compare(a.loadFinish, b.loadFinish)
+}
+
 func (s *Scheduler) permitted(now time.Time, e *endpoint, a *adapter, speculative bool) bool {
 	if s.options.disabled[BudgetLoads] {
 		return true
--- a/internal/place/scheduler/queue.go
+++ b/internal/place/scheduler/queue.go
@@ -71,7 +71,7 @@
 	pin      string
 }
 
-// customer holds the tags of start-time fair queueing, in tokens by weight for service and in loads for loads.
+// customer holds the tags of start-time fair queueing, in tokens by weight for service and in loads for loads, which are shared equally.
 type customer struct {
 	name       string
 	weight     float64
--- a/internal/place/scheduler/scheduler.go
+++ b/internal/place/scheduler/scheduler.go
@@ -50,7 +50,7 @@
 	commands    map[string]*command
 	pending     []*command
 	unloads     []*slot
-	closing     *slot
+	closing     []*slot
 }
 
 // run is one dispatched request.
--- a/internal/place/scheduler/slot.go
+++ b/internal/place/scheduler/slot.go
@@ -167,8 +167,8 @@
 		e.loading--
 		s.loads--
 	}
-	if s.closing == c {
-		s.closing = nil
+	if c.state == slotClosing {
+		s.closing = slices.DeleteFunc(s.closing, func(other *slot) bool { return other == c })
 	}
 	s.hold(c, nil)
 	e.slots = slices.DeleteFunc(e.slots, func(other *slot) bool { return other == c })
@@ -238,10 +238,10 @@
 	}
 }
 
-// overSlots tells whether the customer holds more than its share of the slots.
+// overSlots tells whether the customer holds more than its share of the slots by weight and more than an equal one.
 func (s *Scheduler) overSlots(c *customer) bool {
-	const tolerated = 1
-	return float64(c.slots) > c.weight/s.weights*float64(s.slots)+tolerated
+	share := max(c.weight/s.weights, 1/float64(len(s.customers)))
+	return float64(c.slots) > share*float64(s.slots)
 }
 
 // victim returns the slot to evict for a load and its value; no slot and a value of zero when one is free.
@@ -265,14 +265,16 @@
 	return victim, value, victim != nil
 }
 
-// closeSlot frees a slot for a customer that every slot is closed to: the one with the least accepted work serves
-// that work and no other. Without it a customer with much waiting work could hold all slots for good.
-func (s *Scheduler) closeSlot(endpoints []*endpoint, g *group) {
-	if s.options.disabled[ProtectNewArrivals] || s.closing != nil {
+// closeSlot frees a slot for a customer that every slot is closed to: the one with the least accepted work, first of
+// customers above their share, serves that work and no other. Without it a customer with much waiting work could
+// hold all slots for good.
+func (s *Scheduler) closeSlot(g *group) {
+	if s.options.disabled[ProtectNewArrivals] || len(s.closing) >= max(len(s.wanting), 2) {
 		return
 	}
 	var best *slot
-	for _, e := range endpoints {
+	var lowest int
+	for _, e := range s.endpoints {
 		if !e.accepts() || e.Model != g.adapter.key.model || g.pin != "" && g.pin != e.Name {
 			continue
 		}
@@ -280,8 +282,12 @@
 			if c.state != slotResident {
 				continue
 			}
-			if best == nil || c.inUse+c.adapter.waiting < best.inUse+best.adapter.waiting {
-				best = c
+			work := c.inUse + c.adapter.waiting
+			if c.holder == nil || !s.overSlots(c.holder) {
+				work += e.BatchSize
+			}
+			if best == nil || work < lowest {
+				best, lowest = c, work
 			}
 		}
 	}
@@ -290,28 +296,31 @@
 	}
 	best.state = slotClosing
 	best.quota = best.adapter.waiting
-	s.closing = best
+	s.closing = append(s.closing, best)
 	s.coverAll(best.adapter)
 }
 
-// reopen lets a closing slot take new work again when no other adapter wants its place.
+// reopen lets closing slots take new work again when no other adapter wants a place.
 func (s *Scheduler) reopen() {
-	c := s.closing
-	if c == nil {
+	if len(s.closing) == 0 {
 		return
 	}
 	own := 0
-	for _, g := range c.adapter.groups {
-		if g.wanted >= 0 {
-			own++
+	for _, c := range s.closing {
+		for _, g := range c.adapter.groups {
+			if g.wanted >= 0 {
+				own++
+			}
 		}
 	}
 	if s.wantedCount > own {
 		return
 	}
-	s.closing = nil
-	c.state = slotResident
-	c.quota = 0
-	s.markDirty(c.endpoint)
-	s.coverAll(c.adapter)
+	for _, c := range s.closing {
+		c.state = slotResident
+		c.quota = 0
+		s.markDirty(c.endpoint)
+		s.coverAll(c.adapter)
+	}
+	s.closing = s.closing[:0]
 }
