--- a/internal/place/scheduler/load.go
+++ b/internal/place/scheduler/load.go
@@ -186,14 +186,15 @@
 }
 
 // loadReplicas loads a further copy of adapters whose requests wait longer for a batch place than a load takes,
-// on an endpoint with places left whose victim is worth less.
+// on an endpoint with places left whose victim is worth less. It uses the budget like a waiting request: with what
+// was left over, batches stayed emptier than without fair queueing (0.590 against 0.622 of the places at koro).
 func (s *Scheduler) loadReplicas(now time.Time) {
 	for len(s.pressured) > 0 {
 		a := s.pressured[0]
 		if s.worthCopy(now, a) {
 			e, victim, value := s.target(now, a, nil)
 			if e != nil && e.free() > 0 && value < s.expectedUse(now, a)/float64(len(a.copies)+1) {
-				if s.loads >= s.options.MaxLoads || !s.permitted(now, e, a, true) {
+				if s.loads >= s.options.MaxLoads || !s.permitted(now, e, a, false) {
 					return
 				}
 				s.order(now, e, a, victim, nil)
