Distribute configuration and withdrawals to instances without a vote

Cause: only voters had the configuration, and a withdrawal waited for the log. Change: feed and revocation set wired on every instance; a withdrawal is accepted anywhere and written to the log by the leader; strict keys follow the age of the feed; real sockets of a deployment use free ports.

--- a/internal/base/event/instance.go
+++ b/internal/base/event/instance.go
@@ -4,13 +4,14 @@
 
 // Events 1000 to 1999: life cycle of an instance.
 const (
-	InstanceStarted  ID = 1001
-	InstanceReady    ID = 1002
-	InstanceDraining ID = 1003
-	InstanceStopped  ID = 1004
-	InstanceFailed   ID = 1005
-	HandOverFailed   ID = 1006
-	BootstrapFailed  ID = 1007
+	InstanceStarted   ID = 1001
+	InstanceReady     ID = 1002
+	InstanceDraining  ID = 1003
+	InstanceStopped   ID = 1004
+	InstanceFailed    ID = 1005
+	HandOverFailed    ID = 1006
+	BootstrapFailed   ID = 1007
+	WithdrawalPending ID = 1008
 )
 
 var instanceEvents = []Entry{
@@ -20,5 +21,6 @@
 	{InstanceStopped, slog.LevelInfo, "instance stopped", "None."},
 	{HandOverFailed, slog.LevelWarn, "endpoints were not handed over before the bound", "Raise Shutdown.Bound; the leases end on their own."},
 	{BootstrapFailed, slog.LevelError, "first configuration was not accepted", "Read the error and correct the objects."},
+	{WithdrawalPending, slog.LevelWarn, "withdrawal of a key is not in the log yet", "Check that a majority of the voters is reachable."},
 	{InstanceFailed, slog.LevelError, "instance failed", "Read the error; restart after mending its cause."},
 }
--- a/internal/fake/deployment/deployment.go
+++ b/internal/fake/deployment/deployment.go
@@ -5,7 +5,6 @@
 import (
 	"context"
 	"fmt"
-	"net"
 	"net/http"
 	"net/netip"
 	"path/filepath"
@@ -73,10 +72,8 @@
 		opt(&o)
 	}
 	if o.Listen == nil {
-		o.Listen = func(at netip.AddrPort) (net.Listener, error) { return net.Listen("tcp", at.String()) }
-		o.Dialer = func(netip.Addr) func(context.Context, string, string) (net.Conn, error) {
-			return (&net.Dialer{Timeout: time.Second}).DialContext
-		}
+		real := newSockets()
+		o.Listen, o.Dialer, o.Reserve = real.listen, dialer, real.reserve
 	}
 	ctx, stop := context.WithCancel(ctx)
 	group, ctx := errgroup.WithContext(ctx)
@@ -121,9 +118,13 @@
 	s := settings.Defaults()
 	s.Name = fmt.Sprintf("%s-entry-%d", o.DataCentres[dc], n+1)
 	s.DataCentre, s.Region = o.DataCentres[dc], o.DataCentres[dc]
-	s.Listen = settings.Listen{
-		Callers: d.at(host, portCallers), Operators: d.at(host, portOperators), Peers: d.at(host, portPeers),
-		Streams: d.at(host, portStreams),
+	for port, address := range map[uint16]*netip.AddrPort{
+		portCallers: &s.Listen.Callers, portOperators: &s.Listen.Operators, portPeers: &s.Listen.Peers,
+		portStreams: &s.Listen.Streams,
+	} {
+		if *address, err = d.at(host, port); err != nil {
+			return nil, err
+		}
 	}
 	s.Shutdown.LoadBalancer = 100 * time.Millisecond
 	if n == 0 {
@@ -133,8 +134,12 @@
 	return &Instance{Settings: s, Host: host}, nil
 }
 
-func (d *Deployment) at(host netip.Addr, port uint16) netip.AddrPort {
-	return netip.AddrPortFrom(host, port)
+// at returns the address of a listener: the fixed port on an in-memory network, a free one on real sockets.
+func (d *Deployment) at(host netip.Addr, port uint16) (netip.AddrPort, error) {
+	if d.Options.Reserve != nil {
+		return d.Options.Reserve(host)
+	}
+	return netip.AddrPortFrom(host, port), nil
 }
 
 // introduce writes the keepers, voters and peers into all settings.
@@ -228,7 +233,10 @@
 	if err != nil {
 		return err
 	}
-	e.DataCentre, e.Address = d.Options.DataCentres[dc], d.at(host, portEndpoint)
+	e.DataCentre = d.Options.DataCentres[dc]
+	if e.Address, err = d.at(host, portEndpoint); err != nil {
+		return err
+	}
 	listener, err := d.Options.Listen(e.Address)
 	if err != nil {
 		return err
--- a/internal/fake/deployment/options.go
+++ b/internal/fake/deployment/options.go
@@ -26,6 +26,7 @@
 	Logger        *slog.Logger
 	Listen        func(at netip.AddrPort) (net.Listener, error)
 	Dialer        func(from netip.Addr) func(ctx context.Context, network, address string) (net.Conn, error)
+	Reserve       func(host netip.Addr) (netip.AddrPort, error)               // chooses ports; nil for fixed ones
 	Place         func(kind Kind, dataCentre, number int) (netip.Addr, error) // address of a host
 	EngineOptions func(name string) []fakeengine.Option
 	Settings      func(s *settings.Settings)
--- a/internal/node/instance/instance.go
+++ b/internal/node/instance/instance.go
@@ -68,10 +68,7 @@
 		return nil, err
 	}
 	i.links = i.newLinks()
-	i.state, err = newState(s, o, i.mux, i.links.Call)
-	if err != nil {
-		return nil, err
-	}
+	i.state = newState(s, o, i.mux, i.links.Call, func() node.View { return i.members.View() })
 	i.members = i.newMembers()
 	i.permits = newPermits(s.Name, o, i.coordinator, i.links.Call)
 	i.owner = i.newOwner()
--- a/internal/node/instance/operator.go
+++ b/internal/node/instance/operator.go
@@ -11,6 +11,7 @@
 	"lycheevale/internal/member/node"
 	"lycheevale/internal/serve/engine"
 	"lycheevale/internal/serve/operator"
+	"lycheevale/internal/state/feed"
 	"lycheevale/internal/state/registry"
 	"lycheevale/internal/tool/daemoncmd"
 	"lycheevale/internal/wire/peer"
@@ -22,8 +23,9 @@
 // describe answers other instances about this one.
 func (i *Instance) describe() {
 	i.mux.Handle(describeMethod, peer.Typed(func(context.Context, string, struct{}) (Description, error) {
+		leader, _ := i.state.leader()
 		return Description{
-			Name: i.settings.Name, DataCentre: i.settings.DataCentre, Region: i.settings.Region,
+			Leader: leader, Name: i.settings.Name, DataCentre: i.settings.DataCentre, Region: i.settings.Region,
 			Streams: i.settings.Listen.Streams, Revision: i.state.registry.Revision(), Roles: i.roles(),
 		}, nil
 	}))
@@ -95,43 +97,27 @@
 	return out, nil
 }
 
-// withdraw marks the key in the log; it stops working here and at every instance that is reached before that.
+// withdraw stops the key here and wherever a push reaches before it is written to the log. A withdrawal is accepted
+// without the log, for instance in a data centre that is cut off; the leader writes it as soon as it learns of it.
 func (i *Instance) withdraw(ctx context.Context, keyID string) (out operator.Outcome, err error) {
 	o, ok := i.state.registry.Get(registry.KindKey, keyID)
 	if !ok {
 		return out, refusal.New(refusal.NotFound, "key %q does not exist", keyID)
 	}
-	spec := *o.Key
-	spec.Withdrawn = true
-	return i.propose(ctx, registry.Command{
-		RequestID: "withdraw/" + keyID, Operator: "withdraw", At: i.options.Wall(),
-		Changes: []registry.Object{{Kind: registry.KindKey, Name: keyID, Key: &spec}},
-	})
+	reach := i.state.spread.revoke.Withdraw(ctx, keyID)
+	i.caller.Recheck(ctx)
+	out.InForce, out.Unreached = append(reach.Reached, i.settings.Name), reach.NotReached
+	out.Revision = i.state.registry.Revision()
+	if result, err := i.state.change(ctx, withdrawal(o, i.options.Wall())); err == nil {
+		out.Result = result
+	}
+	return out, nil
 }
 
-// awaitInForce asks the instances that this one knows for their revision until all have applied it or ctx ends.
+// awaitInForce waits until all instances have applied the revision or ctx ends.
 func (i *Instance) awaitInForce(ctx context.Context, revision uint64) (inForce, unreached []string) {
-	pending := i.known()
-	for {
-		var left []string
-		for _, name := range pending {
-			var d Description
-			if i.links.Call(ctx, name, describeMethod, struct{}{}, &d) == nil && d.Revision >= revision {
-				inForce = append(inForce, name)
-			} else {
-				left = append(left, name)
-			}
-		}
-		pending = left
-		if len(pending) == 0 {
-			return inForce, nil
-		}
-		select {
-		case <-ctx.Done():
-			return inForce, pending
-		case <-time.After(watchInterval):
-		}
-	}
+	force := feed.Await(ctx, i.state.spread.feed, i.state.voters(), revision)
+	return force.InForce, append(force.Pending, force.NotReached...)
 }
 
 // known lists this instance, those of its view and those of its settings.
--- a/internal/node/instance/state.go
+++ b/internal/node/instance/state.go
@@ -12,6 +12,7 @@
 	"lycheevale/internal/base/event"
 	"lycheevale/internal/base/refusal"
 	"lycheevale/internal/base/settings"
+	"lycheevale/internal/member/node"
 	"lycheevale/internal/place/scheduler"
 	"lycheevale/internal/serve/caller"
 	"lycheevale/internal/state/claims"
@@ -37,28 +38,48 @@
 	registry *registry.Registry
 	config   *voter.Voter // nil on instances without a vote
 	claims   *voter.Voter
+	votes    bool
 	propose  func(ctx context.Context, data []byte) ([]byte, error)
 	claimLog func(ctx context.Context, data []byte) ([]byte, error)
+	spread   *distribution
 }
 
-func newState(s settings.Settings, o Options, mux *peer.Mux, call peer.Caller) (*state, error) {
+func newState(s settings.Settings, o Options, mux *peer.Mux, call peer.Caller, members func() node.View) *state {
 	st := &state{settings: s, options: o, registry: registry.New()}
+	st.votes = len(s.Voters) == 0 || slices.ContainsFunc(s.Voters, func(m settings.Member) bool { return m.Name == s.Name })
+	st.spread = newDistribution(st, mux, call, members)
 	switch {
 	case len(s.Voters) == 0 && s.DataFolder == "":
 		st.useMemory()
-	case len(s.Voters) == 0 || slices.ContainsFunc(s.Voters, func(m settings.Member) bool { return m.Name == s.Name }):
+	case st.votes:
 		st.vote(mux, call)
 	default:
 		st.propose = voter.NewClient(call, configGroup, st.voters).Propose
 		st.claimLog = voter.NewClient(call, claimGroup, st.voters).Propose
 	}
-	return st, nil
+	return st
+}
+
+// own tells whether the configuration comes from this instance's own log.
+func (st *state) own() bool { return st.votes }
+
+// apply and restore are the state machine of the configuration log.
+func (st *state) apply(data []byte) []byte {
+	result := st.registry.ApplyEntry(data)
+	st.spread.logChanged()
+	return result
+}
+
+func (st *state) restore(data []byte) error {
+	err := st.registry.Restore(data)
+	st.spread.logChanged()
+	return err
 }
 
 // useMemory keeps everything in this process, for trials without a disk.
 func (st *state) useMemory() {
 	c := claims.New()
-	st.propose = func(_ context.Context, data []byte) ([]byte, error) { return st.registry.ApplyEntry(data), nil }
+	st.propose = func(_ context.Context, data []byte) ([]byte, error) { return st.apply(data), nil }
 	st.claimLog = func(_ context.Context, data []byte) ([]byte, error) { return c.ApplyEntry(data), nil }
 }
 
@@ -66,7 +87,7 @@
 	router := voter.NewRouter(mux)
 	c := claims.New()
 	machines := map[string]voter.StateMachine{
-		configGroup: {Apply: st.registry.ApplyEntry, Snapshot: st.registry.Snapshot, Restore: st.registry.Restore},
+		configGroup: {Apply: st.apply, Snapshot: st.registry.Snapshot, Restore: st.restore},
 		claimGroup:  {Apply: c.ApplyEntry, Snapshot: c.Snapshot, Restore: c.Restore},
 	}
 	open := func(group string) *voter.Voter {
@@ -99,7 +120,7 @@
 }
 
 func (st *state) runners() []func(context.Context) error {
-	runners := []func(context.Context) error{st.bootstrap}
+	runners := append(st.spread.runners(), st.bootstrap)
 	if st.config != nil {
 		runners = append(runners, st.config.Run, st.claims.Run)
 	}
@@ -140,14 +161,28 @@
 }
 
 // known tells whether the instance has a configuration and the withdrawn keys.
-func (st *state) known() bool { return st.registry.Revision() > 0 }
+func (st *state) known() bool { return st.registry.Revision() > 0 && st.spread.revoke.Ready() }
 
-func (st *state) withdrawn(keyID string) bool { return st.registry.Withdrawn(keyID) }
+func (st *state) withdrawn(keyID string) bool {
+	return st.spread.revoke.Withdrawn(keyID) || st.registry.Withdrawn(keyID)
+}
 
-func (st *state) stale() bool { return false }
+// stale tells that withdrawals made elsewhere may be unknown here.
+func (st *state) stale() bool {
+	limit := st.settings.Timeouts.StrictKeyLimit
+	if st.own() {
+		return st.spread.age() > limit
+	}
+	return st.options.Now().Sub(st.spread.feed.FreshAt()) > limit
+}
 
 // fresh tells whether the configuration came from the voters since this instance started.
-func (st *state) fresh() bool { return st.known() }
+func (st *state) fresh() bool {
+	if st.own() {
+		return st.config == nil || st.config.Status().Leader != ""
+	}
+	return !st.spread.feed.FreshAt().IsZero()
+}
 
 // leading tells whether this instance leads the configuration log.
 func (st *state) leading() bool {
@@ -156,10 +191,13 @@
 
 // leader returns the instance that leads the configuration log, as far as it is known here.
 func (st *state) leader() (name string, ok bool) {
-	if st.config == nil {
-		return "", false
+	if st.config != nil {
+		name = st.config.Status().Leader
+	} else {
+		st.spread.mu.Lock()
+		defer st.spread.mu.Unlock()
+		name = st.spread.leader
 	}
-	name = st.config.Status().Leader
 	return name, name != ""
 }
 
--- a/internal/node/instance/targets.go
+++ b/internal/node/instance/targets.go
@@ -157,6 +157,7 @@
 	Streams    netip.AddrPort `json:"Streams"`
 	Revision   uint64         `json:"Revision"`
 	Roles      []string       `json:"Roles"`
+	Leader     string         `json:"Leader,omitempty"` // of the configuration log, as a voter knows it
 }
 
 // remote returns the way to another owner, whose address for streams is asked for once.
