--- a/internal/tool/daemoncmd/daemoncmd.go
+++ b/internal/tool/daemoncmd/daemoncmd.go
@@ -2,8 +2,6 @@
 package daemoncmd
 
 import (
-	"crypto/tls"
-	"crypto/x509"
 	"errors"
 	"fmt"
 	"io"
@@ -68,21 +66,14 @@
 			all = append(all, fmt.Errorf("%s: %w", name, err))
 		}
 	}
-	pair := func(name, certificate, key string) {
-		if certificate == "" {
-			return
-		}
-		_, err := tls.LoadX509KeyPair(certificate, key)
-		check(name, err)
-	}
-	pair("TLS.Callers", s.TLS.Callers.CertificateFile, s.TLS.Callers.KeyFile)
-	pair("TLS.Operators", s.TLS.Operators.CertificateFile, s.TLS.Operators.KeyFile)
-	pair("TLS.Peers", s.TLS.Peers.CertificateFile, s.TLS.Peers.KeyFile)
-	if s.TLS.Peers.AuthorityFile != "" {
-		check("TLS.Peers.AuthorityFile", checkAuthority(s.TLS.Peers.AuthorityFile))
-	}
+	_, err := s.TLS.Callers.Load()
+	check("TLS.Callers", err)
+	_, err = s.TLS.Operators.Load()
+	check("TLS.Operators", err)
+	_, err = s.TLS.Peers.Load()
+	check("TLS.Peers", err)
 	if s.Operators.CredentialsFile != "" {
-		_, err := operator.LoadCredentials(s.Operators.CredentialsFile)
+		_, err = operator.LoadCredentials(s.Operators.CredentialsFile)
 		check("Operators.CredentialsFile", err)
 	}
 	if s.DataFolder != "" {
@@ -91,17 +82,6 @@
 	return errors.Join(all...)
 }
 
-func checkAuthority(path string) error {
-	data, err := os.ReadFile(path)
-	if err != nil {
-		return err
-	}
-	if !x509.NewCertPool().AppendCertsFromPEM(data) {
-		return fmt.Errorf("%s holds no certificate in PEM", path)
-	}
-	return nil
-}
-
 // checkFolder accepts a folder that does not exist yet, because the instance creates it.
 func checkFolder(path string) error {
 	info, err := os.Stat(path)
--- a/internal/tool/daemoncmd/daemoncmd_test.go
+++ b/internal/tool/daemoncmd/daemoncmd_test.go
@@ -29,7 +29,7 @@
 		{"Nam: a", `unknown field Nam`},
 		{"Operators: {CredentialsFile: /nowhere/operators.yaml}", "Operators.CredentialsFile: .*no such file"},
 		{"TLS: {Callers: {CertificateFile: /nowhere/c.pem, KeyFile: /nowhere/k.pem}}", "TLS.Callers: .*no such file"},
-		{"TLS: {Peers: {CertificateFile: /nowhere/c, KeyFile: /nowhere/k, AuthorityFile: " + path + "}}", "holds no certificate"},
+		{"TLS: {Peers: {CertificateFile: /nowhere/c, KeyFile: /nowhere/k, AuthorityFile: " + path + "}}", "TLS.Peers: .*no such file"},
 		{"DataFolder: " + path, "DataFolder: .*is not a folder"},
 	} {
 		c.Assert(os.WriteFile(path, []byte(test.text), 0o600), qt.IsNil)
