--- a/internal/serve/owner/remote.go
+++ b/internal/serve/owner/remote.go
@@ -7,10 +7,10 @@
 	"io"
 	"net/http"
 	"net/netip"
-	"strconv"
 	"time"
 
 	"lycheevale/internal/base/refusal"
+	"lycheevale/internal/place/scheduler"
 	"lycheevale/internal/serve/engine"
 )
 
@@ -54,7 +54,9 @@
 	h.Set(engine.HeaderAttempt, stream.Attempt)
 	h.Set(engine.HeaderModel, request.Target())
 	h.Set(engine.HeaderEndpoint, stream.Endpoint)
-	h.Set(engine.HeaderLoad, strconv.Itoa(stream.Load))
+	if view, err := json.Marshal(stream.View); err == nil {
+		h.Set(engine.HeaderView, string(view))
+	}
 	copyEvents(w, stream)
 }
 
@@ -101,9 +103,41 @@
 }
 
 // NewRemote returns a Remote for the instance at the address; a stream without events for longer than idle ends.
-func NewRemote(address netip.AddrPort, idle time.Duration, opts ...engine.Option) *Remote {
-	opts = append(opts, engine.WithDecodeError(readRefusal))
-	return &Remote{client: engine.New(address, opts...), idle: idle}
+// The transport must come from NewTransport.
+func NewRemote(address netip.AddrPort, idle time.Duration, transport *http.Transport) *Remote {
+	client := engine.New(address, engine.WithTransport(transport), engine.WithDecodeError(readRefusal))
+	return &Remote{client: client, idle: idle}
+}
+
+// pingAfter and pingTimeout find a connection between instances that went silent while streams are open.
+const (
+	pingAfter   = time.Second
+	pingTimeout = time.Second
+)
+
+// NewTransport returns a transport between instances. It uses HTTP/2, which carries all streams of two instances in
+// one connection with flow control for each, and so halves the memory of an open stream.
+func NewTransport() *http.Transport {
+	t := engine.NewTransport()
+	t.Protocols = protocols()
+	t.HTTP2 = &http.HTTP2Config{SendPingTimeout: pingAfter, PingTimeout: pingTimeout}
+	return t
+}
+
+// maxStreams bounds the streams of one connection between instances.
+const maxStreams = 4096
+
+// Configure makes a server speak the protocol that NewTransport uses.
+func Configure(s *http.Server) {
+	s.Protocols = protocols()
+	s.HTTP2 = &http.HTTP2Config{MaxConcurrentStreams: maxStreams}
+}
+
+func protocols() *http.Protocols {
+	p := new(http.Protocols)
+	p.SetUnencryptedHTTP2(true)
+	p.SetHTTP2(true)
+	return p
 }
 
 // Dispatch sends the attempt to the owner. Its errors are refusals.
@@ -121,10 +155,13 @@
 		cancel()
 		return nil, remoteError(err)
 	}
+	var view scheduler.View
+	// A view that cannot be read only costs the router an observation.
+	_ = json.Unmarshal([]byte(answer.View), &view)
 	watch := newWatchdog(ctx, m.idle)
 	stop := context.AfterFunc(watch.ctx, answer.Close)
 	return &Stream{
-		Attempt: r.Attempt, Endpoint: answer.Endpoint, Load: answer.Load,
+		Attempt: r.Attempt, Endpoint: answer.Endpoint, View: view,
 		events: func(yield func(engine.Event, error) bool) {
 			for e, err := range answer.Events() {
 				watch.reset()
