Generate the address for streams, and keep decisions of the log

Cause: generated settings left Listen.Streams on the loopback address, so that instances could not have sent each other requests; a refusal by the log after a lost answer was reported as unknown.

--- a/internal/base/settings/check.go
+++ b/internal/base/settings/check.go
@@ -5,6 +5,7 @@
 	"net/netip"
 	"regexp"
 	"slices"
+	"strings"
 	"time"
 
 	"lycheevale/internal/base/yamldoc"
@@ -82,9 +83,16 @@
 		}
 		seen[l.address] = l.name
 	}
-	if s.Listen.Peers.IsValid() && s.Listen.Peers.Addr().IsUnspecified() {
+	peers, streams := s.Listen.Peers.Addr(), s.Listen.Streams.Addr()
+	if peers.IsUnspecified() {
 		fs.add("Listen.Peers", "peers connect to this address as it is written", "must be the address of one interface")
 	}
+	if streams.IsUnspecified() {
+		fs.add("Listen.Streams", "peers connect to this address as it is written", "must be the address of one interface")
+	}
+	if s.Listen.Peers.IsValid() && s.Listen.Streams.IsValid() && peers.IsLoopback() != streams.IsLoopback() {
+		fs.add("Listen.Streams", "the same instances connect to both", "and Listen.Peers must both be on loopback addresses or neither")
+	}
 }
 
 type listener struct {
@@ -158,8 +166,9 @@
 	}
 	for _, l := range s.Listen.each() {
 		exposed := l.address.IsValid() && !l.address.Addr().IsLoopback()
+		field := strings.Replace(l.name, "Streams", "Peers", 1) // one certificate for both
 		if exposed && !encrypted[l.name] && !s.TLS.AllowPlaintext {
-			fs.add("TLS."+l.name, "set the files, or AllowPlaintext if the network is trusted",
+			fs.add("TLS."+field, "set the files, or AllowPlaintext if the network is trusted",
 				"is empty, but Listen.%s is %s, which is not a loopback address", l.name, l.address)
 		}
 	}
--- a/internal/base/settings/settings_test.go
+++ b/internal/base/settings/settings_test.go
@@ -1,6 +1,7 @@
 package settings_test
 
 import (
+	"bytes"
 	"fmt"
 	"net/netip"
 	"os"
@@ -60,6 +61,10 @@
 		{"keeper elsewhere", "Keepers:\n  - {Name: a, Address: '127.0.0.1:1', DataCentre: x}", `n:2:51: Keepers\[0\].DataCentre is "x".*`},
 		{"contradiction", "Peers:\n  - {Name: instance-1, Address: '127.0.0.1:1', DataCentre: x}",
 			`n:2:6: Peers\[0\] gives "instance-1" another address.*`},
+		{"streams on loopback", "Listen:\n  Peers: 10.0.0.1:8082\nTLS: {AllowPlaintext: true}",
+			`n:2:3: Listen.Streams and Listen.Peers must both be on loopback.*`},
+		{"streams unspecified", "Listen:\n  Streams: 0.0.0.0:8083\nTLS: {AllowPlaintext: true}",
+			`n:2:12: Listen.Streams must be the address of one interface(?s:.*)`},
 		{"plaintext", "Listen:\n  Callers: 10.0.0.1:80", `n:1:1: TLS.Callers is empty.*`},
 		{"half TLS", "TLS:\n  Callers:\n    KeyFile: k", `n:3:5: TLS.Callers needs both.*`},
 		{"half peer TLS", "TLS:\n  Peers:\n    KeyFile: k", `n:3:5: TLS.Peers needs.*`},
@@ -94,6 +99,15 @@
 	walk("", reflect.TypeFor[settings.Settings]())
 }
 
+// Guards against a level that is not applied.
+func TestLog(t *testing.T) {
+	var out bytes.Buffer
+	logger := settings.Log{Level: "Warn", Format: "Text"}.New(&out)
+	logger.Info("low")
+	logger.Warn("high")
+	qt.Assert(t, out.String(), qt.Matches, `time=\S+ level=WARN msg=high\n`)
+}
+
 // Guards against arbitrary files that crash the loader.
 func FuzzParse(f *testing.F) {
 	f.Add(settings.DefaultsYAML())
--- a/internal/serve/operator/change.go
+++ b/internal/serve/operator/change.go
@@ -39,6 +39,14 @@
 func (e *conflictError) Error() string { return e.refusal.Error() }
 func (e *conflictError) Unwrap() error { return e.refusal }
 
+// decidedError is the result of the log.
+type decidedError struct {
+	err error
+}
+
+func (e *decidedError) Error() string { return e.err.Error() }
+func (e *decidedError) Unwrap() error { return e.err }
+
 var requestIDPattern = regexp.MustCompile(`^[A-Za-z0-9._:-]{1,128}$`)
 
 func checkRequestID(id string) error {
@@ -159,9 +167,9 @@
 
 func resultError(result registry.Result) error {
 	if result.Conflict {
-		return conflict(result)
+		return &decidedError{conflict(result)}
 	}
-	return refusal.New(refusal.BadRequest, "%s", result.Error)
+	return &decidedError{refusal.New(refusal.BadRequest, "%v", result.Err())}
 }
 
 func (s *Server) logOutcome(ctx context.Context, record Record, outcome Outcome, err error) {
--- a/internal/serve/operator/http.go
+++ b/internal/serve/operator/http.go
@@ -129,6 +129,8 @@
 	if errors.As(err, &invalid) {
 		answer.Error.Faults = invalid.faults
 	}
+	var decided *decidedError
+	answer.Error.Decided = errors.As(err, &decided)
 	var conflict *conflictError
 	if errors.As(err, &conflict) {
 		answer.Revision = conflict.revision
--- a/internal/serve/operator/options.go
+++ b/internal/serve/operator/options.go
@@ -5,7 +5,6 @@
 	"log/slog"
 	"time"
 
-	"lycheevale/internal/base/settings"
 	"lycheevale/internal/state/registry"
 )
 
@@ -96,12 +95,10 @@
 	return func(o *Options) { o.BodyBytes, o.HeaderBytes = bodyBytes, headerBytes }
 }
 
-// WithSettings sets limits and timeouts from the settings of the instance.
-func WithSettings(s settings.Settings) Option {
+// WithTimeouts sets how long the parts of a request may take.
+func WithTimeouts(headerRead, bodyRead, write, idle, change time.Duration) Option {
 	return func(o *Options) {
-		o.BodyBytes, o.HeaderBytes = s.Limits.OperatorBodyBytes, s.Limits.HeaderBytes
-		o.HeaderRead, o.BodyRead, o.Write = s.Timeouts.HeaderRead, s.Timeouts.BodyRead, s.Timeouts.Write
-		o.Idle, o.Change = s.Timeouts.Idle, s.Timeouts.Change
+		o.HeaderRead, o.BodyRead, o.Write, o.Idle, o.Change = headerRead, bodyRead, write, idle, change
 	}
 }
 
--- a/internal/serve/operator/types.go
+++ b/internal/serve/operator/types.go
@@ -154,6 +154,8 @@
 	Message string       `json:"Message"`
 	RetryAt *time.Time   `json:"RetryAt,omitempty"`
 	Faults  []Fault      `json:"Faults,omitempty"`
+	// Decided tells that the log has decided, which holds for every request with the same RequestID.
+	Decided bool `json:"Decided,omitempty"`
 }
 
 // ErrorAnswer is the body of every answer with a status of 400 or more.
--- a/internal/tool/ctl/ctl_test.go
+++ b/internal/tool/ctl/ctl_test.go
@@ -187,6 +187,16 @@
 	code, _, errOut = s.run("models set other")
 	s.Assert(code, qt.Equals, exitcode.Unknown)
 	s.Assert(errOut, qt.Contains, "an earlier attempt may have succeeded")
+	// A refusal by the log settles it.
+	attempts = 0
+	s.fake.Before = func(registry.Command) error {
+		if attempts++; attempts == 1 {
+			return errors.New("leader lost")
+		}
+		return nil
+	}
+	code, _, _ = s.run("models set other --expected-revision 99")
+	s.Assert(code, qt.Equals, exitcode.Conflict)
 }
 
 // Guards against a change that is refused because of somebody else's object, and one that overwrites
--- a/internal/tool/ctl/retry.go
+++ b/internal/tool/ctl/retry.go
@@ -48,9 +48,9 @@
 		return err
 	}
 	e.RequestID = requestID
-	// The log answers a RequestID with the same result for ever, so a conflict settles the first
+	// The log answers a RequestID with the same result for ever, so its decision settles the first
 	// attempt too. Any other refusal says nothing about an attempt whose answer was lost.
-	if lost && e.Detail.Code != refusal.Conflict && e.Detail.Code != refusal.OutcomeUnknown {
+	if lost && !e.Detail.Decided && e.Detail.Code != refusal.OutcomeUnknown {
 		e.Detail.Message = fmt.Sprintf("an earlier attempt may have succeeded; the last one got %s: %s", e.Detail.Code, e.Detail.Message)
 		e.Detail.Code, e.Detail.Ran = refusal.OutcomeUnknown, refusal.Unknown
 	}
--- a/internal/tool/daemoncmd/daemoncmd.go
+++ b/internal/tool/daemoncmd/daemoncmd.go
@@ -2,6 +2,7 @@
 package daemoncmd
 
 import (
+	"crypto/tls"
 	"errors"
 	"fmt"
 	"io"
@@ -11,6 +12,7 @@
 	"lycheevale/internal/base/settings"
 	"lycheevale/internal/serve/operator"
 	"lycheevale/internal/tool/exitcode"
+	"lycheevale/internal/wire/peer"
 )
 
 // PrintDefaults writes the commented default settings and returns the exit code.
@@ -66,14 +68,20 @@
 			all = append(all, fmt.Errorf("%s: %w", name, err))
 		}
 	}
-	_, err := s.TLS.Callers.Load()
-	check("TLS.Callers", err)
-	_, err = s.TLS.Operators.Load()
-	check("TLS.Operators", err)
-	_, err = s.TLS.Peers.Load()
-	check("TLS.Peers", err)
+	pair := func(name string, files settings.ServerTLS) {
+		if files.CertificateFile != "" {
+			_, err := tls.LoadX509KeyPair(files.CertificateFile, files.KeyFile)
+			check(name, err)
+		}
+	}
+	pair("TLS.Callers", s.TLS.Callers)
+	pair("TLS.Operators", s.TLS.Operators)
+	if p := s.TLS.Peers; p.CertificateFile != "" {
+		_, err := peer.LoadKeys(p.CertificateFile, p.KeyFile, p.AuthorityFile)
+		check("TLS.Peers", err)
+	}
 	if s.Operators.CredentialsFile != "" {
-		_, err = operator.LoadCredentials(s.Operators.CredentialsFile)
+		_, err := operator.LoadCredentials(s.Operators.CredentialsFile)
 		check("Operators.CredentialsFile", err)
 	}
 	if s.DataFolder != "" {
--- a/internal/tool/questionnaire/questionnaire_test.go
+++ b/internal/tool/questionnaire/questionnaire_test.go
@@ -49,6 +49,7 @@
 				s, err := settings.Load(path)
 				c.Assert(err, qt.IsNil)
 				c.Assert(s.Voters, qt.HasLen, 3)
+				c.Assert(s.Listen.Streams.Addr().IsLoopback(), qt.IsFalse)
 				c.Assert(len(s.Peers), qt.Equals, len(files)-2)
 				if s.DataFolder != "" {
 					voters++
--- a/internal/tool/questionnaire/settings.go
+++ b/internal/tool/questionnaire/settings.go
@@ -15,6 +15,7 @@
 	callersPort   = 8080
 	operatorsPort = 8081
 	peersPort     = 8082
+	streamsPort   = 8083
 )
 
 const (
@@ -119,6 +120,7 @@
 	d.set("Listen.Callers", at(callersPort), "The load balancer sends callers here.")
 	d.set("Listen.Operators", at(operatorsPort), "Own port, so that the network can keep callers away from it.")
 	d.set("Listen.Peers", at(peersPort), "The address under which all other files list this instance.")
+	d.set("Listen.Streams", at(streamsPort), "Other instances send requests for endpoints that this one owns here.")
 }
 
 func (p plan) members(d *document, in instance) {
