--- a/internal/tool/daemoncmd/daemoncmd.go
+++ b/internal/tool/daemoncmd/daemoncmd.go
@@ -3,7 +3,6 @@
 
 import (
 	"crypto/tls"
-	"crypto/x509"
 	"errors"
 	"fmt"
 	"io"
@@ -13,6 +12,7 @@
 	"lycheevale/internal/base/settings"
 	"lycheevale/internal/serve/operator"
 	"lycheevale/internal/tool/exitcode"
+	"lycheevale/internal/wire/peer"
 )
 
 // PrintDefaults writes the commented default settings and returns the exit code.
@@ -68,18 +68,17 @@
 			all = append(all, fmt.Errorf("%s: %w", name, err))
 		}
 	}
-	pair := func(name, certificate, key string) {
-		if certificate == "" {
-			return
+	pair := func(name string, files settings.ServerTLS) {
+		if files.CertificateFile != "" {
+			_, err := tls.LoadX509KeyPair(files.CertificateFile, files.KeyFile)
+			check(name, err)
 		}
-		_, err := tls.LoadX509KeyPair(certificate, key)
-		check(name, err)
 	}
-	pair("TLS.Callers", s.TLS.Callers.CertificateFile, s.TLS.Callers.KeyFile)
-	pair("TLS.Operators", s.TLS.Operators.CertificateFile, s.TLS.Operators.KeyFile)
-	pair("TLS.Peers", s.TLS.Peers.CertificateFile, s.TLS.Peers.KeyFile)
-	if s.TLS.Peers.AuthorityFile != "" {
-		check("TLS.Peers.AuthorityFile", checkAuthority(s.TLS.Peers.AuthorityFile))
+	pair("TLS.Callers", s.TLS.Callers)
+	pair("TLS.Operators", s.TLS.Operators)
+	if p := s.TLS.Peers; p.CertificateFile != "" {
+		_, err := peer.LoadKeys(p.CertificateFile, p.KeyFile, p.AuthorityFile)
+		check("TLS.Peers", err)
 	}
 	if s.Operators.CredentialsFile != "" {
 		_, err := operator.LoadCredentials(s.Operators.CredentialsFile)
@@ -91,17 +90,6 @@
 	return errors.Join(all...)
 }
 
-func checkAuthority(path string) error {
-	data, err := os.ReadFile(path)
-	if err != nil {
-		return err
-	}
-	if !x509.NewCertPool().AppendCertsFromPEM(data) {
-		return fmt.Errorf("%s holds no certificate in PEM", path)
-	}
-	return nil
-}
-
 // checkFolder accepts a folder that does not exist yet, because the instance creates it.
 func checkFolder(path string) error {
 	info, err := os.Stat(path)
