--- a/internal/wire/peer/peer_test.go
+++ b/internal/wire/peer/peer_test.go
@@ -276,6 +276,7 @@
 		c.Assert(errors.As(err, &refused), quicktest.IsTrue, quicktest.Commentf("%v", err))
 		c.Check(*refused, quicktest.DeepEquals, *refusal.New(refusal.Conflict, "revision of a"))
 		c.Check(nodes["a"].Call(ctx, "d", "Refuse", text{}, nil), quicktest.ErrorIs, peer.ErrUnknownInstance)
+		synctest.Wait() // the other side counts an answer after it has been written
 		counters := scope.Snapshot().Counters()
 		for _, way := range []string{"Sent,Method=Refuse,Reach=WideArea", "Received,Method=Refuse,Reach=WideArea"} {
 			c.Check(counters["PeerMessages+Direction="+way].Value(), quicktest.Equals, int64(2))
