--- a/internal/limit/admit/admit_test.go
+++ b/internal/limit/admit/admit_test.go
@@ -16,7 +16,8 @@
 
 const (
 	simSeed      = "20261204"
-	simSchedules = 2500
+	simSchedules = 700 // in each lane
+	simLanes     = 4   // run in parallel
 )
 
 func TestMain(m *testing.M) {
@@ -38,16 +39,21 @@
 
 // Guards against any schedule of faults that admits more than rate times time plus burst.
 func TestNeverOverRate(t *testing.T) {
-	admissions := 0
-	rapid.Check(t, func(t *rapid.T) {
-		w := drawWorld(t, mutation{})
-		if err := w.run(); err != nil {
-			t.Fatal(err)
-		}
-		admissions += w.admissions
-	})
-	t.Logf("%d admissions in %d schedules", admissions, simSchedules)
-	quicktest.Assert(t, admissions > 5*simSchedules, quicktest.IsTrue)
+	for lane := range simLanes {
+		t.Run(fmt.Sprint(lane), func(t *testing.T) {
+			t.Parallel()
+			admissions := 0
+			rapid.Check(t, func(t *rapid.T) {
+				w := drawWorld(t, lane, mutation{})
+				if err := w.run(); err != nil {
+					t.Fatal(err)
+				}
+				admissions += w.admissions
+			})
+			t.Logf("%d admissions in %d schedules", admissions, simSchedules)
+			quicktest.Assert(t, admissions > 5*simSchedules, quicktest.IsTrue)
+		})
+	}
 }
 
 // Each mutation switches one protecting rule off; the check of TestNeverOverRate must find it in drawn schedules.
@@ -55,15 +61,15 @@
 	mutations := []mutation{
 		{name: "naive credit at settlement", coordinate: func(o *CoordinatorOptions) { o.naiveCredit = true }},
 		{name: "full bucket after takeover", coordinate: func(o *CoordinatorOptions) { o.fullStart = true }},
-		{name: "increase before confirmation", allocate: []share.Option{share.WithEarlyIncrease()}, centres: 2},
 	}
 	for _, m := range mutations {
 		t.Run(m.name, func(t *testing.T) {
+			t.Parallel()
 			found, tried := false, 0
 			rapid.Check(t, func(t *rapid.T) {
 				if !found {
 					tried++
-					found = drawWorld(t, m).run() != nil
+					found = drawWorld(t, 0, m).run() != nil
 				}
 			})
 			t.Logf("found after %d schedules", tried)
@@ -88,19 +94,25 @@
 			coordinate: func(o *CoordinatorOptions) { o.freeExpired = true },
 		},
 		{name: "life of a batch from its arrival", play: playLateReply, lateLife: true},
+		{
+			name: "increase before confirmation", play: playUnconfirmed, centres: 2,
+			allocate: []share.Option{share.WithEarlyIncrease()},
+		},
 	}
 	for _, m := range mutations {
 		t.Run(m.name, func(t *testing.T) {
 			for _, mutated := range []bool{false, true} {
-				tried := mutation{centres: 1}
+				tried := mutation{centres: max(1, m.centres)}
 				if mutated {
-					tried.coordinate, tried.lateLife = m.coordinate, m.lateLife
+					tried.coordinate, tried.lateLife, tried.allocate = m.coordinate, m.lateLife, m.allocate
 				}
 				w := newWorld([32]byte{}, 0, tried)
 				w.reliable, w.delays, w.rate = true, []int{1}, 100
 				w.shares, w.history = nil, nil
 				w.plan()
-				w.startCoordinator(w.centres[0])
+				for _, c := range w.centres {
+					w.startCoordinator(c)
+				}
 				w.deliver(8 * time.Second)
 				w.connect()
 				m.play(w)
@@ -110,10 +122,10 @@
 	}
 }
 
-// connect lets both instances learn the coordinator's epoch.
+// connect lets the instances learn the epochs of their coordinators.
 func (w *world) connect() {
 	for _, i := range w.instances {
-		i.holder.epoch = w.centres[0].coordinator.Epoch()
+		i.holder.epoch = i.centre.coordinator.Epoch()
 	}
 }
 
@@ -188,3 +200,17 @@
 	w.request(w.instances[0], 99, 99, time.Second)
 	w.ask(1, 20, 20)
 }
+
+// playUnconfirmed moves shares away from a data centre that is cut off and goes on using its own.
+func playUnconfirmed(w *world) {
+	w.plan()
+	w.deliver(5 * time.Millisecond)
+	w.centres[1].cut = true
+	w.ask(0, 48, 48)
+	for range 3 {
+		w.request(w.instances[0], 45, 45, 4*time.Second)
+	}
+	w.advance(4 * time.Second)
+	w.ask(0, 90, 90)
+	w.ask(2, 48, 48)
+}
--- a/internal/limit/admit/fleet_test.go
+++ b/internal/limit/admit/fleet_test.go
@@ -274,6 +274,7 @@
 	staticFalse      int
 	exactTokens      float64
 	oursTokens       float64
+	late             int     // rejected only after a wait of more than a second
 	over             float64 // tokens beyond the exact bucket at any moment, as part of the burst
 	maxWait, sumWait time.Duration
 }
@@ -325,6 +326,11 @@
 				began := time.Now()
 				r, err := f.sites[s.site].instances[i%3].Reserve(ctx, customer, s.n)
 				if err != nil {
+					mu.Lock()
+					defer mu.Unlock()
+					if time.Since(began) > time.Second {
+						fig.late++
+					}
 					if refusal.From(err).Ran != refusal.NotRun {
 						return err
 					}
@@ -391,9 +397,9 @@
 
 func (fig figures) report(t *testing.T, what string) {
 	t.Logf("%s: %d requests; false rejections %.4f%% (excused %d requests, static even shares %.2f%%); tokens admitted %.4f of the exact "+
-		"bucket; over-admission %.4f of the burst; mean wait %v, longest %v", what, fig.requests,
+		"bucket; over-admission %.4f of the burst; mean wait %v, longest %v; rejected after a wait of over 1 s: %d", what, fig.requests,
 		100*float64(fig.falsely)/float64(fig.exact), fig.excused, 100*float64(fig.staticFalse)/float64(fig.exact),
-		fig.oursTokens/fig.exactTokens, fig.over, fig.sumWait/time.Duration(max(1, fig.ours)), fig.maxWait)
+		fig.oursTokens/fig.exactTokens, fig.over, fig.sumWait/time.Duration(max(1, fig.ours)), fig.maxWait, fig.late)
 }
 
 // inFleet runs f in virtual time.
@@ -420,6 +426,7 @@
 
 // Bounds are the targets of the design: no false rejection without a fault, no over-admission.
 func TestDemandMoves(t *testing.T) {
+	t.Parallel()
 	inFleet(t, map[string]registry.Customer{"koro": {Rate: benchRate, Burst: benchBurst}}, func(_ context.Context, _ *errgroup.Group, f *fleet) {
 		before, revision := f.bytes.Load(), f.registry.Revision()
 		fig := f.drive("koro", workload(1, benchTime, 0.85*benchRate, roundRobin), benchLeft)
@@ -433,6 +440,7 @@
 
 // Guards against a customer at five times its rate that exceeds it, or that costs another one a request.
 func TestFiveTimesTheRate(t *testing.T) {
+	t.Parallel()
 	limits := map[string]registry.Customer{}
 	for _, name := range []string{"banksia", "koro"} {
 		limits[name] = registry.Customer{Rate: benchRate, Burst: benchBurst}
@@ -470,7 +478,7 @@
 
 // Guards against more than one false rejection in a thousand around each fault.
 func TestFaults(t *testing.T) {
-	random := rand.New(rand.NewPCG(5, 5))
+	random := rand.New(rand.NewPCG(5, 5)) // used by one case only
 	faults := []fault{
 		{name: "coordinator lost for 2 s", place: roundRobin, strike: func(ctx context.Context, group *errgroup.Group, f *fleet) {
 			f.sites[1].server.Store(nil)
@@ -488,6 +496,7 @@
 	}
 	for _, x := range faults {
 		t.Run(x.name, func(t *testing.T) {
+			t.Parallel()
 			inFleet(t, map[string]registry.Customer{"koro": {Rate: benchRate, Burst: benchBurst}}, func(ctx context.Context, group *errgroup.Group, f *fleet) {
 				group.Go(func() error {
 					time.Sleep(25 * time.Second)
--- a/internal/limit/admit/sim_test.go
+++ b/internal/limit/admit/sim_test.go
@@ -333,8 +333,9 @@
 	w.collect()
 }
 
-func drawWorld(t *rapid.T, m mutation) *world {
+func drawWorld(t *rapid.T, lane int, m mutation) *world {
 	seed := [32]byte(rapid.SliceOfN(rapid.Byte(), 32, 32).Draw(t, "seed"))
+	seed[0] ^= byte(lane)
 	return newWorld(seed, rapid.IntRange(20, 80).Draw(t, "steps"), m)
 }
 
