Test the state packages together under faults

Cause: durability, agreement and distribution depend on each other at crashes. Change: add simulated schedules over records, consensus, registry, claims, feed and revoke, and a mutation for each protecting rule; bound the parallel calls of a withdrawal's push; make NextChange a function.

--- a/internal/state/claims/claims.go
+++ b/internal/state/claims/claims.go
@@ -47,7 +47,7 @@
 	c := &Claims{
 		options: Options{
 			Retention: defaultRetention, MaxClaims: defaultMaxClaims, MaxResponse: defaultMaxResponse,
-			Rules: Rules{OneAttempt: true, ReleaseOwn: true, RememberRelease: true},
+			Rules: Rules{OneAttempt: true, ReleaseOwn: true},
 		},
 		claims: map[Key]*claim{},
 	}
@@ -107,7 +107,7 @@
 		return Result{Outcome: Mismatch}
 	case held.Response != nil:
 		return Result{Outcome: Finished, Response: held.Response}
-	case slices.Contains(held.Released, command.Attempt) && c.options.Rules.RememberRelease:
+	case slices.Contains(held.Released, command.Attempt):
 		return Result{Outcome: Released}
 	case held.Held && held.Attempt == command.Attempt:
 		return Result{Outcome: Granted}
--- a/internal/state/claims/options.go
+++ b/internal/state/claims/options.go
@@ -4,9 +4,8 @@
 
 // Rules are the protective rules; all are on by default, and only mutation tests switch one off.
 type Rules struct {
-	OneAttempt      bool // an identifier is granted to one attempt only
-	ReleaseOwn      bool // only the attempt that holds the claim releases it
-	RememberRelease bool // a repeated claim of a released attempt is refused
+	OneAttempt bool // an identifier is granted to one attempt only
+	ReleaseOwn bool // only the attempt that holds the claim releases it
 }
 
 // Options are the settings of Claims.
--- /dev/null
+++ b/internal/state/disk_test.go
@@ -0,0 +1,100 @@
+package state_test
+
+import (
+	"errors"
+	"io/fs"
+	"path/filepath"
+	"slices"
+
+	"lycheevale/internal/state/record"
+)
+
+// disk is a disk in memory that forgets at a crash what was not synced.
+type disk struct {
+	files map[string]*content
+	lost  bool
+}
+
+type content struct {
+	synced  []byte
+	pending []byte
+}
+
+var errLost = errors.New("lost disk")
+
+func newDisk() *disk { return &disk{files: map[string]*content{}} }
+
+// crash keeps, of each file, what was synced and a random beginning of what was not.
+func (d *disk) crash(draw func(int) int) {
+	names := make([]string, 0, len(d.files))
+	for name := range d.files {
+		names = append(names, name)
+	}
+	slices.Sort(names)
+	for _, name := range names {
+		f := d.files[name]
+		f.synced = append(f.synced, f.pending[:draw(len(f.pending)+1)]...)
+		f.pending = nil
+	}
+}
+
+func (d *disk) open(f *content) record.File {
+	return record.File{
+		Write: func(p []byte) (int, error) {
+			if d.lost {
+				return 0, errLost
+			}
+			f.pending = append(f.pending, p...)
+			return len(p), nil
+		},
+		Sync: func() error {
+			if d.lost {
+				return errLost
+			}
+			f.synced, f.pending = append(f.synced, f.pending...), nil
+			return nil
+		},
+		Close: func() error { return nil },
+	}
+}
+
+func (d *disk) operations() record.Disk {
+	return record.Disk{
+		MkdirAll: func(string) error { return nil },
+		Create: func(name string) (record.File, error) {
+			if d.files[name] != nil {
+				return record.File{}, fs.ErrExist
+			}
+			d.files[name] = &content{}
+			return d.open(d.files[name]), nil
+		},
+		Append: func(name string) (record.File, error) { return d.open(d.files[name]), nil },
+		ReadFile: func(name string) ([]byte, error) {
+			if d.files[name] == nil {
+				return nil, fs.ErrNotExist
+			}
+			return slices.Concat(d.files[name].synced, d.files[name].pending), nil
+		},
+		ReadDir: func(dir string) (names []string, err error) {
+			for name := range d.files {
+				names = append(names, filepath.Base(name))
+			}
+			return names, nil
+		},
+		Rename: func(from, to string) error {
+			d.files[to] = d.files[from]
+			delete(d.files, from)
+			return nil
+		},
+		Remove: func(name string) error {
+			delete(d.files, name)
+			return nil
+		},
+		Truncate: func(name string, size int64) error {
+			f := d.files[name]
+			f.synced, f.pending = slices.Concat(f.synced, f.pending)[:size], nil
+			return nil
+		},
+		SyncDir: func(string) error { return nil },
+	}
+}
--- a/internal/state/feed/options.go
+++ b/internal/state/feed/options.go
@@ -30,12 +30,6 @@
 	Timeout   time.Duration // of one call
 	MaxAge    time.Duration // a source with older knowledge is not kept while there are others
 	Now       func() time.Time
-	Rules     Rules
-}
-
-// Rules are the protective rules; all are on by default, and only mutation tests switch one off.
-type Rules struct {
-	RefuseBehind bool // a source that is behind is not accepted
 }
 
 // Option sets one of the Options.
@@ -61,7 +55,7 @@
 		Installed: func(registry.Delta) {},
 		Logger:    slog.Default(),
 		Interval:  defaultInterval, Lease: defaultLease, Forget: defaultForget, Timeout: defaultTimeout,
-		MaxAge: defaultMaxAge, Now: time.Now, Rules: Rules{RefuseBehind: true},
+		MaxAge: defaultMaxAge, Now: time.Now,
 	}
 }
 
@@ -104,8 +98,3 @@
 func WithNow(f func() time.Time) Option {
 	return func(o *Options) { o.Now = f }
 }
-
-// WithRules changes the protective rules for a mutation test.
-func WithRules(change func(*Rules)) Option {
-	return func(o *Options) { change(&o.Rules) }
-}
--- a/internal/state/feed/subscriber.go
+++ b/internal/state/feed/subscriber.go
@@ -57,7 +57,7 @@
 		n.log(ctx, event.FeedSourceLost, source)
 		return false
 	}
-	if answer.Revision < revision && n.options.Rules.RefuseBehind {
+	if answer.Revision < revision {
 		n.log(ctx, event.FeedSourceBehind, source)
 		return false
 	}
--- a/internal/state/revoke/options.go
+++ b/internal/state/revoke/options.go
@@ -21,6 +21,10 @@
 	Logger    *slog.Logger
 	Interval  time.Duration // between two comparisons with a peer
 	Timeout   time.Duration // of one call
+	Parallel  int           // calls of one push at a time
+	// CompareFirst is the protective rule that a restarted instance is ready only after it has compared its set
+	// with a peer; only mutation tests switch it off.
+	CompareFirst bool
 }
 
 // Option sets one of the Options.
@@ -32,6 +36,9 @@
 	defaultTimeout = time.Second
 )
 
+// defaultParallel bounds the calls of one push; with 1,100 instances the slowest waits for 18 others.
+const defaultParallel = 64
+
 var errNoCaller = errors.New("no caller is set")
 
 func defaults() Options {
@@ -39,7 +46,7 @@
 	return Options{
 		Call:  func(context.Context, string, string, any, any) error { return errNoCaller },
 		Local: none, Remote: none, Withdrawn: func([]string) {}, Logger: slog.Default(),
-		Interval: defaultInterval, Timeout: defaultTimeout,
+		Interval: defaultInterval, Timeout: defaultTimeout, Parallel: defaultParallel, CompareFirst: true,
 	}
 }
 
@@ -63,6 +70,11 @@
 	return func(o *Options) { o.Withdrawn = f }
 }
 
+// WithParallel sets how many calls a push makes at a time.
+func WithParallel(n int) Option {
+	return func(o *Options) { o.Parallel = n }
+}
+
 // WithLogger sets the logger.
 func WithLogger(l *slog.Logger) Option {
 	return func(o *Options) { o.Logger = l }
--- a/internal/state/revoke/revoke.go
+++ b/internal/state/revoke/revoke.go
@@ -117,7 +117,8 @@
 func (n *Node) Ready() bool {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	return n.ready || (len(n.options.Local()) == 0 && len(n.options.Remote()) == 0)
+	alone := len(n.options.Local()) == 0 && len(n.options.Remote()) == 0
+	return n.ready || alone || !n.options.CompareFirst
 }
 
 // Digest returns the digest of the set.
@@ -149,6 +150,7 @@
 func (n *Node) push(ctx context.Context, peers []string, p pushParams) (reach Reach) {
 	var mu sync.Mutex
 	var group errgroup.Group
+	group.SetLimit(n.options.Parallel)
 	for _, name := range peers {
 		if name == n.options.Name {
 			continue
--- /dev/null
+++ b/internal/state/simulation_test.go
@@ -0,0 +1,360 @@
+package state_test
+
+import (
+	"encoding/json"
+	"flag"
+	"fmt"
+	"math/rand/v2"
+	"os"
+	"slices"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"pgregory.net/rapid"
+
+	"lycheevale/internal/state/claims"
+	"lycheevale/internal/state/registry"
+	"lycheevale/internal/state/revoke"
+	"lycheevale/internal/state/voter"
+)
+
+// TestMain fixes the seed, so that every run of CI judges the same schedules; rapid prints the seed of a failure.
+func TestMain(m *testing.M) {
+	flag.Parse()
+	_ = flag.Set("rapid.seed", "20261204")
+	_ = flag.Set("rapid.checks", "1000")
+	_ = flag.Set("rapid.nofailfile", "true")
+	os.Exit(m.Run())
+}
+
+// history is what clients have been told, by the data that they sent.
+type history struct {
+	sent     [][]byte
+	results  map[string]string // first result of each change
+	models   map[string]uint64 // revision of each accepted model
+	winners  map[uint64]string // accepted change by the revision it expected
+	revoked  map[string]uint64 // revision by which each key was withdrawn
+	granted  map[claims.Key]string
+	released map[string]bool // attempts that gave up
+}
+
+func newHistory() history {
+	return history{
+		results: map[string]string{}, models: map[string]uint64{}, winners: map[uint64]string{},
+		revoked: map[string]uint64{}, granted: map[claims.Key]string{}, released: map[string]bool{},
+	}
+}
+
+// change sends a change: a new model, a key, or a withdrawal, sometimes on an expected revision, or resends one.
+func (w *world) change() {
+	if n := len(w.history.sent); n > 0 && w.draw(3) == 0 {
+		w.send(w.history.sent[w.draw(n)])
+		return
+	}
+	id := fmt.Sprint(len(w.history.sent))
+	h := w.hosts[voterNames[w.draw(3)]]
+	c := registry.Command{RequestID: id, At: w.now.Add(h.skew)}
+	if w.draw(2) == 0 {
+		c.ExpectedRevision = h.registry.Revision()
+	}
+	key := registry.Object{Kind: registry.KindKey, Name: fmt.Sprint("k", w.draw(3))}
+	switch w.draw(5) {
+	case 0:
+		key.Deleted = true
+		c.Changes = []registry.Object{key}
+	case 1, 2:
+		key.Key = &registry.Key{Customer: "c", Hash: strings.Repeat("00", 32), Withdrawn: w.draw(3) == 0}
+		customer := registry.Object{Kind: registry.KindCustomer, Name: "c", Customer: &registry.Customer{Rate: 1, Burst: 1}}
+		c.Changes = []registry.Object{customer, key}
+	default:
+		c.Changes = []registry.Object{{Kind: registry.KindModel, Name: "m" + id, Model: &registry.Model{}}}
+	}
+	data, _ := json.Marshal(c)
+	w.history.sent = append(w.history.sent, data)
+	w.send(data)
+}
+
+func (w *world) send(data []byte) {
+	w.propose(append([]byte{'r'}, data...), func(raw []byte) {
+		var c registry.Command
+		var result registry.Result
+		_, _ = json.Unmarshal(data, &c), json.Unmarshal(raw, &result)
+		w.noteChange(c, result)
+	})
+}
+
+func (w *world) noteChange(c registry.Command, result registry.Result) {
+	text := fmt.Sprint(result)
+	if first, told := w.history.results[c.RequestID]; told && first != text {
+		w.fail("resend of change %s got %s, first was %s", c.RequestID, text, first)
+	}
+	w.history.results[c.RequestID] = text
+	if result.Err() != nil {
+		return
+	}
+	if first, won := w.history.winners[c.ExpectedRevision]; won && first != c.RequestID && c.ExpectedRevision != 0 {
+		w.fail("changes %s and %s both won on revision %d", first, c.RequestID, c.ExpectedRevision)
+	}
+	w.history.winners[c.ExpectedRevision] = c.RequestID
+	for _, o := range c.Changes {
+		switch {
+		case o.Kind == registry.KindModel:
+			w.history.models[o.Name] = result.Revision
+		case o.Kind == registry.KindKey && (o.Deleted || o.Key.Withdrawn) && w.history.revoked[o.Name] == 0:
+			w.history.revoked[o.Name] = result.Revision
+		}
+	}
+}
+
+// order claims, finishes or releases one of a few identifiers.
+func (w *world) order() {
+	key := claims.Key{Customer: "c", Identifier: fmt.Sprint(w.draw(3))}
+	attempt := fmt.Sprint("a", w.draw(6))
+	op := []claims.Op{claims.OpClaim, claims.OpClaim, claims.OpFinish, claims.OpRelease}[w.draw(4)]
+	holds := w.history.granted[key] == attempt
+	switch {
+	case op == claims.OpRelease && holds && w.draw(2) == 0, op == claims.OpFinish && !holds:
+		op = claims.OpClaim
+	case op == claims.OpRelease:
+		// An attempt that gives up never sends, even if it learns later that it was granted the claim.
+		w.history.released[attempt+key.Identifier] = true
+	}
+	c := claims.Command{Op: op, Key: key, Attempt: attempt, Fingerprint: "f", At: w.now, Response: &claims.Response{}}
+	data, _ := json.Marshal(c)
+	w.propose(append([]byte{'c'}, data...), func(raw []byte) {
+		var result claims.Result
+		_ = json.Unmarshal(raw, &result)
+		if op != claims.OpClaim || result.Outcome != claims.Granted || w.history.released[attempt+key.Identifier] {
+			return
+		}
+		holder, taken := w.history.granted[key]
+		if taken && holder != attempt && !w.history.released[holder+key.Identifier] {
+			w.fail("identifier %s was granted to attempts %s and %s", key.Identifier, holder, attempt)
+		}
+		w.history.granted[key] = attempt
+	})
+}
+
+// step takes one random step.
+func (w *world) step() {
+	h := w.hosts[allNames[w.draw(len(allNames))]]
+	v := w.hosts[voterNames[w.draw(3)]]
+	switch kind := w.draw(64); {
+	case kind < 28 && len(w.network) > 0:
+		w.deliver(w.draw(min(len(w.network), 6)))
+	case kind < 36:
+		w.tick(v, time.Duration(w.draw(250))*time.Millisecond)
+	case kind < 42:
+		w.change()
+	case kind < 46:
+		w.order()
+	case kind < 49:
+		w.join()
+	case kind < 52:
+		h.feed.Poll(ctx)
+	case kind < 54:
+		for _, push := range h.feed.Pushes(ctx) {
+			push()
+		}
+	case kind < 56 && len(w.late) > 0:
+		i := w.draw(len(w.late))
+		_, _ = w.hosts[w.late[i].to].mux.Serve(ctx, w.late[i].from, w.late[i].method, w.late[i].params)
+	case kind < 58:
+		h.revoke.Compare(ctx)
+		w.checkReady(h)
+	case kind == 58 && w.draw(3) == 0:
+		h.revoke.Withdraw(ctx, fmt.Sprint("r", w.draw(4)))
+	case kind == 59:
+		h.cut = !h.cut && w.draw(2) == 0
+	case kind == 60:
+		h.skew += time.Duration(w.draw(7_200)-3_600) * time.Second
+	case kind == 61:
+		w.crash(h)
+	case kind == 62 && w.whole():
+		v.disk = newDisk()
+		w.start(v.name)
+	case kind == 63 && w.draw(4) == 0:
+		for _, name := range voterNames { // power loss of all voters
+			w.crash(w.hosts[name])
+		}
+	}
+}
+
+func (w *world) crash(h *host) {
+	if h.disk != nil {
+		h.disk.crash(w.draw)
+	}
+	w.start(h.name)
+}
+
+// check compares every instance with what clients have been told.
+func (w *world) check() {
+	for _, name := range allNames {
+		h := w.hosts[name]
+		revision := h.registry.Revision()
+		if revision < h.revision && h.disk == nil {
+			w.fail("the revision of %s went from %d to %d", name, h.revision, revision)
+		}
+		h.revision = revision
+		for model, at := range w.history.models {
+			o, ok := h.registry.Get(registry.KindModel, model)
+			if revision >= at && (!ok || o.Revision != at) {
+				w.fail("%s at revision %d lacks %s, accepted at revision %d", name, revision, model, at)
+			}
+		}
+		for key, at := range w.history.revoked {
+			if revision >= at && !h.registry.Withdrawn(key) {
+				w.fail("%s at revision %d accepts key %s, withdrawn at revision %d", name, revision, key, at)
+			}
+		}
+		for _, key := range []string{"k0", "k1", "k2", "r0", "r1", "r2", "r3"} {
+			withdrawn := h.revoke.Withdrawn(key)
+			if h.gone[key] && !withdrawn {
+				w.fail("key %s came back on %s", key, name)
+			}
+			h.gone[key] = withdrawn
+		}
+	}
+}
+
+// checkReady demands that an instance that becomes ready knows every key that all others know to be withdrawn.
+func (w *world) checkReady(h *host) {
+	if h.ready || !h.revoke.Ready() {
+		return
+	}
+	h.ready = true
+	for _, key := range []string{"r0", "r1", "r2", "r3"} {
+		known := 0
+		for _, name := range allNames {
+			if other := w.hosts[name]; other != nil && other != h && other.revoke != nil && other.revoke.Withdrawn(key) {
+				known++
+			}
+		}
+		if known == len(allNames)-1 && !h.revoke.Withdrawn(key) {
+			w.fail("%s is ready but does not know that key %s is withdrawn", h.name, key)
+		}
+	}
+}
+
+func (w *world) run(steps int) error {
+	w.settle(40)
+	w.lossy = true
+	for range steps {
+		if w.fault == nil {
+			w.step()
+			w.check()
+		}
+	}
+	return w.fault
+}
+
+// settle lets everything happen in order and without loss.
+func (w *world) settle(rounds int) {
+	w.lossy = false
+	for range rounds {
+		for _, name := range voterNames {
+			w.tick(w.hosts[name], 35*time.Millisecond)
+		}
+		for n := 0; len(w.network) > 0 && n < 200 && w.fault == nil; n++ {
+			w.deliver(0)
+		}
+	}
+}
+
+// converge ends all faults and demands that everything accepted is in force everywhere, and that changes work again.
+func (w *world) converge() error {
+	for _, name := range allNames {
+		w.hosts[name].cut = false
+	}
+	for range 12 {
+		w.settle(25)
+		w.join()
+	}
+	var last registry.Result
+	id := fmt.Sprint(len(w.history.sent))
+	c := registry.Command{RequestID: id, At: w.now, Changes: []registry.Object{
+		{Kind: registry.KindModel, Name: "m" + id, Model: &registry.Model{}},
+	}}
+	data, _ := json.Marshal(c)
+	w.propose(append([]byte{'r'}, data...), func(raw []byte) { _ = json.Unmarshal(raw, &last) })
+	w.settle(20)
+	for range 2 {
+		for _, name := range allNames {
+			w.hosts[name].feed.Poll(ctx)
+			for range 4 {
+				w.hosts[name].revoke.Compare(ctx)
+			}
+		}
+	}
+	w.check()
+	for _, name := range allNames {
+		h := w.hosts[name]
+		if last.Revision == 0 || h.registry.Revision() != last.Revision {
+			w.fail("%s is at revision %d after the faults ended, want %d", name, h.registry.Revision(), last.Revision)
+		}
+		if d := h.revoke.Digest(); d != w.hosts["v0"].revoke.Digest() {
+			w.fail("%s disagrees on withdrawn keys after the faults ended", name)
+		}
+	}
+	return w.fault
+}
+
+const shards = 8 // run in parallel
+
+// Guards against losing or reverting an accepted change, a withdrawn key that works again, an identifier granted
+// twice and a revision that goes down, under loss, delay, repetition, reordering, partitions, crashes with and without
+// disk and clock steps.
+func TestSchedules(t *testing.T) {
+	for shard := range uint64(shards) {
+		t.Run(fmt.Sprint(shard), func(t *testing.T) {
+			t.Parallel()
+			rapid.Check(t, func(t *rapid.T) {
+				seed := xxhash.Sum64(rapid.SliceOfN(rapid.Byte(), 16, 16).Draw(t, "seed"))
+				w := newWorld(rand.New(rand.NewPCG(seed, shard)).IntN, mutation{})
+				if err := w.run(120); err != nil {
+					t.Fatal(err)
+				}
+				if err := w.converge(); err != nil {
+					t.Fatal(err)
+				}
+			})
+		})
+	}
+}
+
+// Guards against checks that find nothing: with a rule off, some schedule must violate a promise.
+func TestMutationsAreFound(t *testing.T) {
+	mutations := map[string]mutation{
+		"SyncFirst": {replica: func(o *voter.ReplicaOptions) { o.SyncFirst = false }},
+		"NewIdentity": {replica: func(o *voter.ReplicaOptions) {
+			fresh := o.NewIdentity
+			o.NewIdentity = func() string { return strings.Split(fresh(), ".")[0] + ".old" }
+		}},
+		"RememberResults":  {registry: func(r *registry.Rules) { r.RememberResults = false }},
+		"ExpectedRevision": {registry: func(r *registry.Rules) { r.ExpectedRevision = false }},
+		"KeepWithdrawn":    {registry: func(r *registry.Rules) { r.KeepWithdrawn = false }},
+		"ForwardOnly":      {registry: func(r *registry.Rules) { r.ForwardOnly = false }},
+		"OneAttempt":       {claims: func(r *claims.Rules) { r.OneAttempt = false }},
+		"ReleaseOwn":       {claims: func(r *claims.Rules) { r.ReleaseOwn = false }},
+		"CompareFirst":     {revoke: func(o *revoke.Options) { o.CompareFirst = false }},
+	}
+	names := make([]string, 0, len(mutations))
+	for name := range mutations {
+		names = append(names, name)
+	}
+	slices.Sort(names)
+	for _, name := range names {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			for seed := range uint64(3000) {
+				if err := newWorld(rand.New(rand.NewPCG(seed, 99)).IntN, mutations[name]).run(400); err != nil {
+					t.Logf("seed %d: %v", seed, err)
+					return
+				}
+			}
+			t.Fatal("no schedule violates a promise although the rule is off")
+		})
+	}
+}
--- a/internal/state/voter/join.go
+++ b/internal/state/voter/join.go
@@ -88,28 +88,35 @@
 	}
 }
 
-// reconcile takes at most one step: it promotes a learner that has caught up, or removes a member that another
-// identity of the same instance has replaced, or one that is no longer wanted once all wanted ones vote.
+// reconcile takes at most one step towards the wanted voters.
 func (l *loop) reconcile(ctx context.Context, s consensus.Status) {
+	if change, needed := NextChange(s, l.voter.options.Peers()); needed {
+		l.change(ctx, change)
+	}
+}
+
+// NextChange returns the leader's next step towards the wanted voters: it promotes a learner that has caught up, or
+// removes a member that another identity of the same instance has replaced, or one that is no longer wanted once all
+// wanted ones vote.
+func NextChange(s consensus.Status, wanted []string) (change consensus.Change, needed bool) {
+	votes := func(m consensus.Member) bool { return !m.Learner }
 	for _, m := range s.Config.Members {
 		if m.Learner && s.Match[m.ID] >= s.Commit {
-			l.change(ctx, consensus.Change{Kind: consensus.Promote, Member: m})
-			return
+			return consensus.Change{Kind: consensus.Promote, Member: m}, true
 		}
 	}
-	wanted := l.voter.options.Peers()
-	complete := !slices.ContainsFunc(wanted, func(name string) bool {
-		return !slices.ContainsFunc(s.Config.Members, func(m consensus.Member) bool { return m.Name == name && !m.Learner })
+	complete := len(wanted) > 0 && !slices.ContainsFunc(wanted, func(name string) bool {
+		return !slices.ContainsFunc(s.Config.Members, func(m consensus.Member) bool { return m.Name == name && votes(m) })
 	})
 	for i, m := range s.Config.Members {
 		replaced := slices.ContainsFunc(s.Config.Members[i+1:], func(later consensus.Member) bool {
-			return later.Name == m.Name && !later.Learner
+			return later.Name == m.Name && votes(later)
 		})
-		if replaced || (complete && len(wanted) > 0 && !slices.Contains(wanted, m.Name)) {
-			l.change(ctx, consensus.Change{Kind: consensus.Remove, Member: m})
-			return
+		if replaced || (complete && !slices.Contains(wanted, m.Name)) {
+			return consensus.Change{Kind: consensus.Remove, Member: m}, true
 		}
 	}
+	return consensus.Change{}, false
 }
 
 // change proposes a membership change; a refused one is tried again by the next reconcile or join.
--- /dev/null
+++ b/internal/state/world_test.go
@@ -0,0 +1,341 @@
+package state_test
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"slices"
+	"strings"
+	"time"
+
+	"lycheevale/internal/state/claims"
+	"lycheevale/internal/state/consensus"
+	"lycheevale/internal/state/feed"
+	"lycheevale/internal/state/record"
+	"lycheevale/internal/state/registry"
+	"lycheevale/internal/state/revoke"
+	"lycheevale/internal/state/voter"
+	"lycheevale/internal/wire/peer"
+)
+
+// mutation switches protecting rules off.
+type mutation struct {
+	replica  func(*voter.ReplicaOptions)
+	registry func(*registry.Rules)
+	claims   func(*claims.Rules)
+	revoke   revoke.Option
+}
+
+var (
+	ctx        = context.Background()
+	voterNames = []string{"v0", "v1", "v2"}
+	leafNames  = []string{"i0", "i1"}
+	allNames   = slices.Concat(voterNames, leafNames)
+	epoch      = time.Unix(1_800_000_000, 0)
+)
+
+// world is a data centre of three voters and two instances without disks, in virtual time.
+type world struct {
+	draw     func(n int) int
+	mutation mutation
+	now      time.Time
+	hosts    map[string]*host
+	network  []envelope
+	late     []call // calls of feed and revoke that arrive once more, later
+	lossy    bool
+	fault    error
+	history  history
+	identity int
+}
+
+// host is one instance.
+type host struct {
+	name     string
+	skew     time.Duration // of its clock
+	cut      bool
+	disk     *disk
+	replica  *voter.Replica // nil on instances without a disk
+	registry *registry.Registry
+	claims   *claims.Claims
+	feed     *feed.Node
+	revoke   *revoke.Node
+	mux      *peer.Mux
+	revision uint64          // highest seen in this incarnation
+	gone     map[string]bool // keys seen withdrawn in this incarnation
+	ready    bool
+	waiting  map[uint64]proposal
+}
+
+type proposal struct {
+	term uint64
+	done func(result []byte)
+}
+
+type envelope struct {
+	to      string
+	message consensus.Message
+}
+
+type call struct {
+	from, to, method string
+	params           json.RawMessage
+}
+
+func newWorld(draw func(int) int, m mutation) *world {
+	w := &world{draw: draw, mutation: m, now: epoch, hosts: map[string]*host{}, history: newHistory()}
+	for _, name := range allNames {
+		h := &host{name: name, gone: map[string]bool{}}
+		if slices.Contains(voterNames, name) {
+			h.disk = newDisk()
+		}
+		w.hosts[name] = h
+		w.start(name)
+	}
+	var config consensus.Config
+	for _, name := range voterNames {
+		config.Members = append(config.Members, consensus.Member{ID: w.hosts[name].replica.ID(), Name: name})
+	}
+	if err := w.hosts["v0"].replica.Bootstrap(w.now, config); err != nil {
+		w.fail("bootstrap: %v", err)
+	}
+	return w
+}
+
+func (w *world) fail(format string, args ...any) {
+	if w.fault == nil {
+		w.fault = fmt.Errorf(format, args...)
+	}
+}
+
+// start starts an instance from what its disk holds; instances without disks start empty.
+func (w *world) start(name string) {
+	h := w.hosts[name]
+	rules := func(o *registry.Options) {
+		if w.mutation.registry != nil {
+			w.mutation.registry(&o.Rules)
+		}
+	}
+	h.registry = registry.New(registry.WithMaxHistory(6), rules)
+	h.claims = claims.New(func(o *claims.Options) {
+		if w.mutation.claims != nil {
+			w.mutation.claims(&o.Rules)
+		}
+	})
+	h.revision, h.gone, h.ready, h.waiting = 0, map[string]bool{}, false, map[uint64]proposal{}
+	h.mux = peer.NewMux()
+	others := slices.DeleteFunc(slices.Clone(allNames), func(n string) bool { return n == name })
+	revokeOptions := []revoke.Option{
+		revoke.WithName(name), revoke.WithCaller(w.caller(name)), revoke.WithLogger(nil),
+		revoke.WithParallel(1),
+		revoke.WithPeers(func() []string { return others }, func() []string { return nil }),
+	}
+	if w.mutation.revoke != nil {
+		revokeOptions = append(revokeOptions, w.mutation.revoke)
+	}
+	h.revoke = revoke.New(revokeOptions...)
+	feedOptions := []feed.Option{
+		feed.WithName(name, "suva-a"), feed.WithRegistry(h.registry), feed.WithCaller(w.caller(name)),
+		feed.WithLogger(nil), feed.WithInstalled(h.revoke.Observe),
+		feed.WithNow(func() time.Time { return w.now.Add(h.skew) }),
+	}
+	if h.disk != nil {
+		feedOptions = append(feedOptions, feed.WithAge(func() time.Duration { return 0 }))
+		w.openReplica(h)
+	} else {
+		feedOptions = append(feedOptions, feed.WithSources(func() []string { return others }))
+	}
+	h.feed = feed.New(feedOptions...)
+	h.feed.Register(h.mux)
+	h.revoke.Register(h.mux)
+	w.checkReady(h)
+}
+
+func (w *world) openReplica(h *host) {
+	store, err := record.Open("data", record.WithDisk(h.disk.operations()), record.WithSegmentBytes(600))
+	if err != nil {
+		w.fail("%s cannot open its records: %v", h.name, err)
+		return
+	}
+	w.identity++
+	o := voter.ReplicaOptions{
+		SnapshotEvery: 8, KeepEntries: 2, SyncFirst: true,
+		NewIdentity: func() string { return fmt.Sprint(h.name, ".", w.identity) },
+		Consensus:   []consensus.Option{consensus.WithSeed(uint64(w.identity))},
+	}
+	if w.mutation.replica != nil {
+		w.mutation.replica(&o)
+	}
+	h.replica, err = voter.OpenReplica(w.now, store, h.machine(), o)
+	if err != nil {
+		w.fail("%s cannot start: %v", h.name, err)
+	}
+}
+
+// machine joins both state machines in one log, so that a schedule exercises them together.
+func (h *host) machine() voter.StateMachine {
+	type both struct{ Registry, Claims []byte }
+	return voter.StateMachine{
+		Apply: func(data []byte) []byte {
+			if data[0] == 'c' {
+				return h.claims.ApplyEntry(data[1:])
+			}
+			before := h.registry.Revision()
+			result := h.registry.ApplyEntry(data[1:])
+			if h.revoke != nil && h.registry.Revision() > before {
+				h.revoke.Observe(h.registry.DeltaSince(before))
+			}
+			return result
+		},
+		Snapshot: func() ([]byte, error) {
+			r, err := h.registry.Snapshot()
+			c, claimsErr := h.claims.Snapshot()
+			b, _ := json.Marshal(both{r, c})
+			return b, errors.Join(err, claimsErr)
+		},
+		Restore: func(data []byte) error {
+			var b both
+			if err := json.Unmarshal(data, &b); err != nil {
+				return err
+			}
+			err := errors.Join(h.registry.Restore(b.Registry), h.claims.Restore(b.Claims))
+			for _, o := range h.registry.DeltaSince(0).Objects {
+				h.revoke.Observe(registry.Delta{Objects: []registry.Object{o}})
+			}
+			return err
+		},
+	}
+}
+
+func (w *world) reachable(from, to string) bool {
+	return !w.hosts[from].cut && !w.hosts[to].cut && (!w.lossy || w.draw(8) > 0)
+}
+
+// caller delivers at once, or not at all, and sometimes once more later, after newer calls.
+func (w *world) caller(from string) peer.Caller {
+	return func(_ context.Context, to, method string, params, result any) error {
+		raw, _ := json.Marshal(params)
+		if !w.reachable(from, to) {
+			return errLost
+		}
+		if w.lossy && w.draw(4) == 0 && (strings.HasSuffix(method, ".Push") || strings.HasSuffix(method, ".Ack")) {
+			w.late = append(w.late, call{from, to, method, raw})
+		}
+		answer, err := w.hosts[to].mux.Serve(ctx, from, method, raw)
+		if err != nil {
+			return err
+		}
+		if w.lossy && w.draw(10) == 0 {
+			return errLost // the reply is lost
+		}
+		if result == nil {
+			return nil
+		}
+		raw, _ = json.Marshal(answer)
+		return json.Unmarshal(raw, result)
+	}
+}
+
+// flush completes the inputs of a voter: writes, messages, results.
+func (w *world) flush(h *host) {
+	effects, err := h.replica.Flush()
+	if err != nil {
+		w.fail("%s: %v", h.name, err)
+		return
+	}
+	for _, m := range effects.Messages {
+		to := strings.Split(m.To, ".")[0]
+		if m, err = h.replica.Fill(m); err == nil && w.hosts[to] != nil && w.hosts[to].replica != nil {
+			w.network = append(w.network, envelope{to, m})
+		}
+	}
+	for _, a := range effects.Applied {
+		if p, ok := h.waiting[a.Index]; ok && p.term == a.Term {
+			p.done(a.Result)
+		}
+		delete(h.waiting, a.Index)
+	}
+}
+
+func (w *world) deliver(i int) {
+	e := w.network[i]
+	if w.draw(8) > 0 {
+		w.network = slices.Delete(w.network, i, i+1)
+	}
+	h := w.hosts[e.to]
+	from := strings.Split(e.message.From, ".")[0]
+	if !w.reachable(from, e.to) {
+		return
+	}
+	h.replica.Step(w.now.Add(h.skew), e.message)
+	w.flush(h)
+}
+
+func (w *world) tick(h *host, d time.Duration) {
+	w.now = w.now.Add(d)
+	h.replica.Tick(w.now.Add(h.skew))
+	w.flush(h)
+}
+
+func (w *world) leader() *host {
+	var leader *host
+	for _, name := range voterNames {
+		h := w.hosts[name]
+		if s := h.replica.Status(); s.Role == consensus.Leader && (leader == nil || s.Term > leader.replica.Status().Term) {
+			leader = h
+		}
+	}
+	return leader
+}
+
+// propose hands data to a voter that believes it leads.
+func (w *world) propose(data []byte, done func([]byte)) {
+	h := w.leader()
+	if h == nil {
+		return
+	}
+	index, err := h.replica.Propose(w.now.Add(h.skew), data)
+	if err == nil {
+		h.waiting[index] = proposal{h.replica.Status().Term, done}
+	}
+	w.flush(h)
+}
+
+// join brings in voters that lost their disks, as the runtime does.
+func (w *world) join() {
+	h := w.leader()
+	if h == nil {
+		return
+	}
+	s := h.replica.Status()
+	change, needed := voter.NextChange(s, voterNames)
+	for _, name := range voterNames {
+		id := w.hosts[name].replica.ID()
+		known := slices.ContainsFunc(s.Config.Members, func(m consensus.Member) bool { return m.ID == id })
+		if !known && !needed && w.reachable(name, h.name) {
+			change, needed = consensus.Change{Kind: consensus.AddLearner, Member: consensus.Member{ID: id, Name: name}}, true
+		}
+	}
+	if needed {
+		_ = h.replica.ChangeMember(w.now.Add(h.skew), change)
+		w.flush(h)
+	}
+}
+
+// whole tells whether every voter of the committed configuration still has its disk, so that one more may lose it.
+func (w *world) whole() bool {
+	h := w.leader()
+	if h == nil || h.cut {
+		return false
+	}
+	s := h.replica.Status()
+	if len(s.Config.Members) != len(voterNames) || s.Commit < s.Last {
+		return false
+	}
+	for _, m := range s.Config.Members {
+		if m.Learner || w.hosts[m.Name].replica.ID() != m.ID {
+			return false
+		}
+	}
+	return true
+}
