--- a/internal/place/baseline/baseline.go
+++ b/internal/place/baseline/baseline.go
@@ -219,7 +219,8 @@
 		if a.Base() || e.inUse[a] > 0 {
 			continue
 		}
-		if victim.Base() || used.Before(oldest) {
+		// Ties are broken by name, so that runs with one seed are equal.
+		if victim.Base() || used.Before(oldest) || used.Equal(oldest) && a.Adapter < victim.Adapter {
 			victim, oldest = a, used
 		}
 	}
--- a/internal/place/model/policy.go
+++ b/internal/place/model/policy.go
@@ -68,6 +68,18 @@
 	return Policy{Name: "least recently used", Scheduler: baselineScheduler}
 }
 
+// LeastRecentlyUsedShared is LeastRecentlyUsed with this repository's routing, to tell what routing alone brings:
+// the slot value that it reports makes entries send each adapter to one data centre.
+func LeastRecentlyUsedShared(routing route.Options) Policy {
+	p := Lychee("least recently used, routed", scheduler.Defaults(), routing)
+	p.Scheduler = func(site Site, permit Permit) Decider {
+		d := baselineScheduler(site, permit)
+		d.View = func(time.Time, string, scheduler.AdapterRef) scheduler.View { return scheduler.View{SlotValue: 1} }
+		return d
+	}
+	return p
+}
+
 // LeastLoaded sends each request to the endpoint of its data centre with the fewest requests, from exact counts;
 // eviction and order are those of LeastRecentlyUsed.
 func LeastLoaded() Policy {
--- a/internal/place/scheduler/queue.go
+++ b/internal/place/scheduler/queue.go
@@ -54,6 +54,7 @@
 	index    int // in the group
 	checkAt  time.Time
 	deadline int // index in the heap of deadlines
+	sequence uint64
 }
 
 // group is the waiting requests of one customer for one adapter, with the same endpoint allowed.
@@ -98,7 +99,10 @@
 	if a.Priority != b.Priority {
 		return a.Priority > b.Priority
 	}
-	return a.Deadline.Before(b.Deadline)
+	if !a.Deadline.Equal(b.Deadline) {
+		return a.Deadline.Before(b.Deadline)
+	}
+	return a.sequence < b.sequence
 }
 
 // moreUrgent orders loads within a customer by deadline and waiting work.
@@ -130,7 +134,8 @@
 		s.backlogged += c.weight
 	}
 	g := s.group(c, a, r.Endpoint)
-	it := &item{Request: r, group: g, checkAt: r.Deadline.Add(-s.options.LoadTime)}
+	s.sequence++
+	it := &item{Request: r, group: g, sequence: s.sequence, checkAt: r.Deadline.Add(-s.options.LoadTime)}
 	heap.Push(&g.items, it)
 	heap.Push(&s.deadlines, it)
 	s.items[r.ID] = it
@@ -191,7 +196,7 @@
 		return true
 	}
 	if s.options.disabled[FairShares] {
-		return a.items.items[0].Arrived.Before(b.items.items[0].Arrived)
+		return a.items.items[0].sequence < b.items.items[0].sequence
 	}
 	if a.customer == b.customer {
 		return urgent(a.items.items[0], b.items.items[0])
--- a/internal/place/scheduler/scheduler.go
+++ b/internal/place/scheduler/scheduler.go
@@ -27,8 +27,10 @@
 	items     map[string]*item
 	running   map[string]*run
 	deadlines ordered[*item]
+	sequence  uint64 // of the last request
 	dirty     []*endpoint
-	actions   []Action
+	actions   []Action // collected for the next return of Decide
+	returned  []Action
 
 	weights     float64 // weight of all customers known
 	slots       int     // of all endpoints
@@ -219,16 +221,17 @@
 	s.actions = append(s.actions, a)
 }
 
-// Decide returns the actions to take now. The slice is valid until the next call.
+// Decide returns the actions to take now, among them refusals that observations since the last call caused. The
+// slice is valid until the next call.
 func (s *Scheduler) Decide(now time.Time) []Action {
-	clear(s.actions)
-	s.actions = s.actions[:0]
 	s.expire(now)
 	s.dispatch(now)
 	s.unload()
 	s.load(now)
 	s.runCommands()
-	return s.actions
+	clear(s.returned)
+	s.actions, s.returned = s.returned[:0], s.actions
+	return s.returned
 }
 
 // NextWake returns when Decide has something to do without a new observation; zero when never.
--- /dev/null
+++ b/internal/place/scheduler/scheduler_test.go
@@ -0,0 +1,237 @@
+package scheduler_test
+
+import (
+	"errors"
+	"fmt"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"lycheevale/internal/base/refusal"
+	"lycheevale/internal/place/scheduler"
+)
+
+func ref(name string) scheduler.AdapterRef { return scheduler.AdapterRef{Adapter: name, Version: "1"} }
+
+func kinds(actions []scheduler.Action, kind scheduler.ActionKind) (found []scheduler.Action) {
+	for _, a := range actions {
+		if a.Kind == kind {
+			found = append(found, a)
+		}
+	}
+	return found
+}
+
+// Guards against one load per waiting request.
+func TestWaitingRequestsShareOneLoad(t *testing.T) {
+	w := newWorld()
+	for range 5 {
+		qt.Assert(t, w.submit("c", ref("x"), time.Second*5), qt.IsNil)
+	}
+	qt.Check(t, kinds(w.decide(), scheduler.Load), qt.HasLen, 1)
+	w.endLoad(0, false)
+	qt.Check(t, kinds(w.decide(), scheduler.Dispatch), qt.HasLen, places)
+}
+
+// failures lets every load fail for a minute and returns the number of loads and the final refusal.
+func failures(opts ...scheduler.Option) (loads int, last error) {
+	w := newWorld(opts...)
+	_ = w.submit("c", ref("x"), 50*time.Second)
+	for range 600 {
+		w.now = w.now.Add(100 * time.Millisecond)
+		for _, a := range w.decide() {
+			switch a.Kind {
+			case scheduler.Load:
+				loads++
+			case scheduler.Refuse:
+				last = a.Err
+			}
+		}
+		for len(w.loads) > 0 {
+			w.endLoad(0, true)
+		}
+	}
+	return loads, last
+}
+
+// Guards against a load loop and against a request that never learns that its adapter cannot be loaded.
+func TestFailedLoadsEndInRefusal(t *testing.T) {
+	loads, last := failures()
+	qt.Check(t, loads, qt.Equals, scheduler.Defaults().MaxFailures)
+	var r *refusal.Error
+	qt.Assert(t, errors.As(last, &r), qt.IsTrue)
+	qt.Check(t, r.Code, qt.Equals, refusal.Unavailable)
+	qt.Check(t, r.RetryAt.After(start), qt.IsTrue)
+	loads, _ = failures(scheduler.WithoutRule(scheduler.LimitFailures))
+	qt.Check(t, loads > scheduler.Defaults().MaxFailures, qt.IsTrue)
+}
+
+// Guards against a retry on the endpoint that just failed while another one is free.
+func TestFailedLoadIsRetriedElsewhere(t *testing.T) {
+	w := newWorld()
+	qt.Assert(t, w.submit("c", ref("x"), 10*time.Second), qt.IsNil)
+	first := kinds(w.decide(), scheduler.Load)[0].Endpoint
+	w.endLoad(0, true)
+	qt.Check(t, kinds(w.decide(), scheduler.Load), qt.HasLen, 0)
+	w.now = w.s.NextWake()
+	again := kinds(w.decide(), scheduler.Load)
+	qt.Assert(t, again, qt.HasLen, 1)
+	qt.Check(t, again[0].Endpoint, qt.Not(qt.Equals), first)
+}
+
+// Guards against holding requests that have no chance, and against refusals without the time to come back.
+func TestHopelessRequestsAreRefusedAtOnce(t *testing.T) {
+	flood := func(opts ...scheduler.Option) (err error) {
+		w := newWorld(opts...)
+		for range 200 {
+			err = errors.Join(err, w.submit("c", ref("x"), 2*time.Second))
+		}
+		return err
+	}
+	var r *refusal.Error
+	qt.Assert(t, errors.As(flood(), &r), qt.IsTrue)
+	qt.Check(t, r.Code, qt.Equals, refusal.Overloaded)
+	qt.Check(t, r.Ran, qt.Equals, refusal.NotRun)
+	qt.Check(t, r.RetryAt.After(start), qt.IsTrue)
+	qt.Check(t, flood(scheduler.WithoutRule(scheduler.RefuseEarly)), qt.IsNil)
+	w := newWorld()
+	qt.Check(t, w.submit("c", ref("x"), 100*time.Millisecond), qt.ErrorMatches, ".*cannot be loaded.*")
+}
+
+// served returns the dispatches of the quiet customer among the first ones when both have waiting work.
+func served(opts ...scheduler.Option) (quiet int) {
+	w := newWorld(opts...)
+	for i := range 40 {
+		_ = w.submit("loud", ref("x"), time.Hour-time.Duration(i)*time.Minute/10)
+	}
+	for range 8 {
+		w.now = w.now.Add(time.Millisecond)
+		_ = w.submit("quiet", ref("x"), time.Hour)
+	}
+	w.decide()
+	w.endLoad(0, false)
+	for len(w.order)+len(w.waiting) > 24 {
+		w.now = w.now.Add(time.Second)
+		for _, a := range kinds(w.decide(), scheduler.Dispatch) {
+			var n int
+			_, _ = fmt.Sscanf(a.ID, "r%d", &n)
+			if n > 40 {
+				quiet++
+			}
+		}
+		for len(w.order) > 0 {
+			w.finish(0)
+		}
+	}
+	return quiet
+}
+
+// Guards against a customer that waits behind all requests another one sent before.
+func TestFairSharesBetweenCustomers(t *testing.T) {
+	qt.Check(t, served(), qt.Equals, 8)
+	qt.Check(t, served(scheduler.WithoutRule(scheduler.FairShares)) < 8, qt.IsTrue)
+}
+
+// Guards against a stampede after a restart: loads follow the budget, the adapter with the most waiting work first.
+func TestRestartIsRefilledInOrderOfWork(t *testing.T) {
+	granted := 0
+	permit := func(now time.Time, _ scheduler.LoadOrder) (bool, time.Time) {
+		granted++
+		return granted <= 1, now.Add(time.Second)
+	}
+	w := newWorld(scheduler.WithPermit(permit))
+	for i, name := range []string{"few", "many", "some"} {
+		for range []int{1, 6, 3}[i] {
+			qt.Assert(t, w.submit("c", ref(name), 30*time.Second), qt.IsNil)
+		}
+	}
+	w.restart("a")
+	w.restart("b")
+	loads := kinds(w.s.Decide(w.now), scheduler.Load)
+	qt.Assert(t, loads, qt.HasLen, 1)
+	qt.Check(t, loads[0].Adapter, qt.Equals, ref("many"))
+	qt.Check(t, loads[0].Incarnation, qt.Equals, uint64(2))
+}
+
+// Guards against places counted twice when a late report includes requests that have ended since, and against
+// overfilling an engine that still runs an earlier owner's requests.
+func TestReportsAreCorrectedByOwnCount(t *testing.T) {
+	w := newWorld(scheduler.WithMaxLoads(1))
+	w.s.RemoveEndpoint(w.now, "b")
+	for range 2 * places {
+		qt.Assert(t, w.submit("c", scheduler.AdapterRef{}, time.Minute), qt.IsNil)
+	}
+	qt.Check(t, w.s.Decide(w.now), qt.HasLen, places)
+	measured := w.now
+	w.now = w.now.Add(time.Second)
+	for i := range places {
+		w.s.Finished(w.now, scheduler.Finish{ID: fmt.Sprint("r", i+1), Tokens: 10})
+	}
+	w.s.Report(w.now, scheduler.LoadReport{Endpoint: "a", Incarnation: 1, Running: places, At: measured})
+	qt.Check(t, w.s.Decide(w.now), qt.HasLen, places)
+	w.now = w.now.Add(time.Second)
+	w.s.Report(w.now, scheduler.LoadReport{Endpoint: "a", Incarnation: 1, Running: places + 2, At: w.now})
+	w.s.Finished(w.now, scheduler.Finish{ID: "r5", Tokens: 10})
+	qt.Assert(t, w.submit("c", scheduler.AdapterRef{}, time.Minute), qt.IsNil)
+	qt.Check(t, w.s.Decide(w.now), qt.HasLen, 0)
+}
+
+// Guards P10: a draining endpoint gets neither requests nor loads.
+func TestDrainingEndpointGetsNoWork(t *testing.T) {
+	w := newWorld()
+	for _, name := range []string{"a", "b"} {
+		w.s.SetEndpoint(w.now, scheduler.Endpoint{
+			Name: name, Model: model, Incarnation: 1, Slots: slots, BatchSize: places, Draining: true,
+		})
+	}
+	qt.Assert(t, w.submit("c", ref("x"), time.Minute), qt.IsNil)
+	qt.Assert(t, w.submit("c", scheduler.AdapterRef{}, time.Minute), qt.IsNil)
+	qt.Check(t, w.decide(), qt.HasLen, 0)
+}
+
+// Guards against a second effect of a command that is sent again and against commands of an earlier owner.
+func TestCommandsAreFencedAndIdempotent(t *testing.T) {
+	w := newWorld()
+	c := scheduler.Command{ID: "m1", Kind: scheduler.SetModel, Endpoint: "a", Value: "other", Fence: 7}
+	for range 2 {
+		state, err := w.s.Command(w.now, c)
+		qt.Check(t, err, qt.IsNil)
+		qt.Check(t, state, qt.Equals, scheduler.CommandWaiting)
+	}
+	issued := kinds(w.s.Decide(w.now), scheduler.SetModel)
+	qt.Assert(t, issued, qt.HasLen, 1)
+	qt.Check(t, issued[0].Fence, qt.Equals, uint64(7))
+	qt.Check(t, kinds(w.s.Decide(w.now), scheduler.SetModel), qt.HasLen, 0)
+	w.s.CommandEnded(w.now, scheduler.CommandResult{ID: "m1", Incarnation: 1})
+	state, err := w.s.Command(w.now, c)
+	qt.Check(t, state, qt.Equals, scheduler.CommandDone)
+	qt.Check(t, err, qt.IsNil)
+	_, err = w.s.Command(w.now, scheduler.Command{ID: "m2", Kind: scheduler.SetRole, Endpoint: "a", Value: "prefill", Fence: 6})
+	qt.Check(t, err, qt.ErrorMatches, ".*fencing number 6 is below 7.*")
+}
+
+// Guards against prefix affinity that follows events of a set it no longer knows, or outweighs a load difference.
+func TestPrefixAffinityBreaksTiesOnly(t *testing.T) {
+	w := newWorld()
+	send := func(id string, prefix uint64) string {
+		_ = w.s.Submit(w.now, scheduler.Request{
+			ID: id, Customer: "c", Model: model, PrefixHash: prefix, MaxTokens: 1, Deadline: w.now.Add(time.Minute),
+		})
+		return kinds(w.s.Decide(w.now), scheduler.Dispatch)[0].Endpoint
+	}
+	cached := func(sequence, prefix uint64) {
+		w.s.Cached(w.now, scheduler.CacheEvent{Endpoint: "b", Incarnation: 1, Sequence: sequence, Prefix: prefix})
+	}
+	cached(1, 9)
+	qt.Check(t, send("p1", 9), qt.Equals, "b")
+	qt.Check(t, send("p2", 9), qt.Equals, "a") // b is fuller by the bound
+	w.s.Finished(w.now, scheduler.Finish{ID: "p1"})
+	w.s.Finished(w.now, scheduler.Finish{ID: "p2"})
+	cached(2, 8)
+	qt.Check(t, send("p3", 8), qt.Equals, "b")
+	w.s.Finished(w.now, scheduler.Finish{ID: "p3"})
+	cached(5, 7) // a gap clears what is known
+	cached(4, 8) // late
+	qt.Check(t, send("p4", 8), qt.Equals, "a")
+}
