--- a/internal/node/instance/instance.go
+++ b/internal/node/instance/instance.go
@@ -46,6 +46,7 @@
 	permits     *permits
 	duties      *duties
 	caller      *caller.Server
+	metrics     metrics
 	credentials *operator.Credentials
 	audit       *operator.Audit
 	closeAudit  func() error // nil without a file
@@ -63,7 +64,7 @@
 	for _, opt := range opts {
 		opt(&o)
 	}
-	i = &Instance{settings: s, options: o, started: o.Wall(), mux: peer.NewMux()}
+	i = &Instance{settings: s, options: o, started: o.Wall(), mux: peer.NewMux(), metrics: newMetrics()}
 	if err := i.loadKeys(); err != nil {
 		return nil, err
 	}
@@ -100,7 +101,7 @@
 	}
 	opts := []peer.Option{
 		peer.WithName(i.settings.Name), peer.WithMux(i.mux), peer.WithListen(i.settings.Listen.Peers),
-		peer.WithResolve(i.resolve), peer.WithLogger(i.options.Logger), peer.WithScope(i.options.Scope),
+		peer.WithResolve(i.resolve), peer.WithLogger(i.options.Logger), peer.WithScope(i.metrics.scope),
 		peer.WithListenTCP(i.options.Listen), peer.WithNow(i.options.Now),
 		peer.WithDial(func(ctx context.Context, to netip.AddrPort) (net.Conn, error) {
 			return i.options.Dial(ctx, "tcp", to.String())
@@ -187,6 +188,7 @@
 		c.Choose = i.targets.choose
 		c.ChoosePlain = i.targets.choosePlain
 		c.Claim = i.state.claim
+		c.Observe = i.metrics.observe
 		c.MaxBody = i.settings.Limits.BodyBytes
 		c.DefaultTimeout = i.settings.Timeouts.Request
 		c.WriteTimeout = i.settings.Timeouts.Write
@@ -243,7 +245,7 @@
 		defer stopWork()
 		return i.drain(work, servers)
 	})
-	err = group.Wait()
+	err = errs.Combine(group.Wait(), i.metrics.closer.Close())
 	if i.closeAudit != nil {
 		err = errs.Combine(err, i.closeAudit())
 	}
--- /dev/null
+++ b/internal/node/instance/metrics.go
@@ -0,0 +1,53 @@
+package instance
+
+import (
+	"io"
+	"net/http"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/uber-go/tally/v4"
+	tallyprom "github.com/uber-go/tally/v4/prometheus"
+
+	"lycheevale/internal/serve/caller"
+)
+
+// reportInterval is the time between two copies of the counters to the reporter.
+const reportInterval = time.Second
+
+// metrics counts what the instance does and shows it to scrapers.
+type metrics struct {
+	scope   tally.Scope
+	handler http.Handler
+	closer  io.Closer
+}
+
+// newMetrics makes a registry for each instance, so that several can run in one process.
+func newMetrics() metrics {
+	registry := prometheus.NewRegistry()
+	reporter := tallyprom.NewReporter(tallyprom.Options{
+		Registerer: registry, Gatherer: registry, OnRegisterError: func(error) {},
+	})
+	scope, closer := tally.NewRootScope(tally.ScopeOptions{
+		Prefix: "Lycheevale", CachedReporter: reporter, Separator: tallyprom.DefaultSeparator,
+		SanitizeOptions: &tallyprom.DefaultSanitizerOpts,
+	}, reportInterval)
+	return metrics{scope: scope, handler: reporter.HTTPHandler(), closer: closer}
+}
+
+// observe counts a finished request.
+func (m metrics) observe(o caller.Outcome) {
+	code := string(o.Code)
+	if code == "" {
+		code = "OK"
+	}
+	scope := m.scope.Tagged(map[string]string{"Service": o.Service, "Customer": o.Customer})
+	scope.Tagged(map[string]string{"Code": code}).Counter("Requests").Inc(1)
+	scope.Counter("Tokens").Inc(int64(o.Tokens))
+	if !o.FirstToken.IsZero() {
+		scope.Timer("FirstToken").Record(o.FirstToken.Sub(o.Arrived))
+	}
+	if o.Stalled {
+		scope.Counter("LoadStalls").Inc(1)
+	}
+}
--- a/internal/node/instance/operator.go
+++ b/internal/node/instance/operator.go
@@ -6,6 +6,7 @@
 	"slices"
 	"time"
 
+	"lycheevale/internal/base/buildinfo"
 	"lycheevale/internal/base/refusal"
 	"lycheevale/internal/base/settings"
 	"lycheevale/internal/member/node"
@@ -13,7 +14,6 @@
 	"lycheevale/internal/serve/operator"
 	"lycheevale/internal/state/feed"
 	"lycheevale/internal/state/registry"
-	"lycheevale/internal/tool/daemoncmd"
 	"lycheevale/internal/wire/peer"
 )
 
@@ -43,8 +43,14 @@
 }
 
 func (i *Instance) operatorHandler() http.Handler {
-	return operator.New(append(i.operatorOptions(), operator.WithSystem(i.system()),
+	api := operator.New(append(i.operatorOptions(), operator.WithSystem(i.system()),
 		operator.WithLogger(i.options.Logger))...).Handler()
+	mux := http.NewServeMux()
+	mux.Handle("GET /metrics", i.metrics.handler)
+	mux.HandleFunc("GET /healthz", func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusNoContent) })
+	mux.HandleFunc("GET /readyz", i.showReady)
+	mux.Handle("/", api)
+	return mux
 }
 
 func (i *Instance) operatorOptions() []operator.Option {
@@ -138,7 +144,7 @@
 func (i *Instance) status(ctx context.Context) (s operator.Status, err error) {
 	s = operator.Status{
 		Instance: i.settings.Name, DataCentre: i.settings.DataCentre, Region: i.settings.Region,
-		Version: daemoncmd.VersionText(), Started: i.started, Ready: i.Ready(), Draining: i.draining.Load(),
+		Version: buildinfo.Text(), Started: i.started, Ready: i.Ready(), Draining: i.draining.Load(),
 		Revision: i.state.registry.Revision(), Coordinator: i.members.View().Coordinator, Owned: len(i.members.Owned()),
 	}
 	s.Leader, _ = i.state.leader()
--- a/internal/node/instance/options.go
+++ b/internal/node/instance/options.go
@@ -7,8 +7,6 @@
 	"net/netip"
 	"time"
 
-	"github.com/uber-go/tally/v4"
-
 	"lycheevale/internal/place/scheduler"
 	"lycheevale/internal/state/registry"
 )
@@ -16,7 +14,6 @@
 // Options are what an instance takes besides its settings.
 type Options struct {
 	Logger    *slog.Logger
-	Scope     tally.Scope
 	Now       func() time.Time // monotonic
 	Wall      func() time.Time
 	Listen    func(at netip.AddrPort) (net.Listener, error)
@@ -33,11 +30,6 @@
 	return func(o *Options) { o.Logger = l }
 }
 
-// WithScope sets where metrics are counted.
-func WithScope(s tally.Scope) Option {
-	return func(o *Options) { o.Scope = s }
-}
-
 // WithNetwork replaces the functions that open listeners and connections.
 func WithNetwork(listen func(at netip.AddrPort) (net.Listener, error),
 	dial func(ctx context.Context, network, address string) (net.Conn, error),
@@ -61,7 +53,6 @@
 func defaults() Options {
 	return Options{
 		Logger: slog.Default(),
-		Scope:  tally.NoopScope,
 		Now:    time.Now,
 		Wall:   time.Now,
 		Listen: func(at netip.AddrPort) (net.Listener, error) { return net.Listen("tcp", at.String()) },
--- a/internal/serve/caller/chunk.go
+++ b/internal/serve/caller/chunk.go
@@ -120,4 +120,5 @@
 	FirstToken time.Time
 	Ended      time.Time
 	Tokens     int
+	Stalled    bool // the request waited for its adapter to be loaded
 }
--- a/internal/serve/caller/relay.go
+++ b/internal/serve/caller/relay.go
@@ -91,7 +91,7 @@
 		return target.Endpoint, err
 	}
 	defer stream.Close()
-	x.outcome.Endpoint = stream.Endpoint
+	x.outcome.Endpoint, x.outcome.Stalled = stream.Endpoint, x.outcome.Stalled || stream.Stalled
 	out.attempts++
 	out.restart()
 	for e, err := range stream.Events() {
--- a/internal/serve/owner/owner.go
+++ b/internal/serve/owner/owner.go
@@ -198,11 +198,16 @@
 			cancel()
 		}
 	}()
+	stalled := !r.Adapter.Base() && !o.view(r.Endpoint, r.Adapter).Resident
 	e, err := o.await(ctx, r)
 	if err != nil {
 		return nil, err
 	}
-	return o.open(ctx, cancel, e, r)
+	stream, err = o.open(ctx, cancel, e, r)
+	if stream != nil {
+		stream.Stalled = stalled
+	}
+	return stream, err
 }
 
 // await waits until the scheduler has placed the request.
--- a/internal/serve/owner/remote.go
+++ b/internal/serve/owner/remote.go
@@ -23,6 +23,12 @@
 	headerRefusal  = "X-Refusal"  // refusal as JSON
 )
 
+// streamView is the value of engine.HeaderView.
+type streamView struct {
+	scheduler.View
+	Stalled bool
+}
+
 // maxDispatchBody bounds the body of a dispatched request in bytes.
 const maxDispatchBody = 8 << 20
 
@@ -54,7 +60,7 @@
 	h.Set(engine.HeaderAttempt, stream.Attempt)
 	h.Set(engine.HeaderModel, request.Target())
 	h.Set(engine.HeaderEndpoint, stream.Endpoint)
-	if view, err := json.Marshal(stream.View); err == nil {
+	if view, err := json.Marshal(streamView{stream.View, stream.Stalled}); err == nil {
 		h.Set(engine.HeaderView, string(view))
 	}
 	copyEvents(w, stream)
@@ -155,13 +161,13 @@
 		cancel()
 		return nil, remoteError(err)
 	}
-	var view scheduler.View
+	var view streamView
 	// A view that cannot be read only costs the router an observation.
 	_ = json.Unmarshal([]byte(answer.View), &view)
 	watch := newWatchdog(ctx, m.idle)
 	stop := context.AfterFunc(watch.ctx, answer.Close)
 	return &Stream{
-		Attempt: r.Attempt, Endpoint: answer.Endpoint, View: view,
+		Attempt: r.Attempt, Endpoint: answer.Endpoint, View: view.View, Stalled: view.Stalled,
 		events: func(yield func(engine.Event, error) bool) {
 			for e, err := range answer.Events() {
 				watch.reset()
--- a/internal/serve/owner/stream.go
+++ b/internal/serve/owner/stream.go
@@ -23,6 +23,7 @@
 	Attempt  string
 	Endpoint string
 	View     scheduler.View // for the router of the entry
+	Stalled  bool           // the request waited for its adapter to be loaded
 	events   iter.Seq2[engine.Event, error]
 	close    func()
 }
--- a/internal/tool/ctl/commands.go
+++ b/internal/tool/ctl/commands.go
@@ -6,10 +6,10 @@
 
 	"github.com/jessevdk/go-flags"
 
+	"lycheevale/internal/base/buildinfo"
 	"lycheevale/internal/base/yamldoc"
 	"lycheevale/internal/serve/operator"
 	"lycheevale/internal/state/registry"
-	"lycheevale/internal/tool/daemoncmd"
 )
 
 // command is one command with its help.
@@ -259,6 +259,6 @@
 
 // Execute implements flags.Commander.
 func (c *versionCommand) Execute([]string) error {
-	fmt.Fprintln(c.streams.Out, daemoncmd.VersionText())
+	fmt.Fprintln(c.streams.Out, buildinfo.Text())
 	return nil
 }
--- a/internal/tool/daemoncmd/daemoncmd.go
+++ b/internal/tool/daemoncmd/daemoncmd.go
@@ -7,8 +7,8 @@
 	"fmt"
 	"io"
 	"os"
-	"runtime/debug"
 
+	"lycheevale/internal/base/buildinfo"
 	"lycheevale/internal/base/settings"
 	"lycheevale/internal/serve/operator"
 	"lycheevale/internal/tool/exitcode"
@@ -25,25 +25,10 @@
 
 // Version writes the version of the program and returns the exit code.
 func Version(out io.Writer) int {
-	fmt.Fprintln(out, VersionText())
+	fmt.Fprintln(out, buildinfo.Text())
 	return exitcode.OK
 }
 
-// VersionText returns the version of the module and the commit that the program was built from.
-func VersionText() string {
-	info, ok := debug.ReadBuildInfo()
-	if !ok {
-		return "lycheevale (unknown version)"
-	}
-	text := "lycheevale " + info.Main.Version + " " + info.GoVersion
-	for _, s := range info.Settings {
-		if s.Key == "vcs.revision" || s.Key == "vcs.modified" {
-			text += " " + s.Key + "=" + s.Value
-		}
-	}
-	return text
-}
-
 // CheckConfig checks the settings file at path and the files that it names, writes all errors to
 // errOut and returns the exit code.
 func CheckConfig(path string, out, errOut io.Writer) int {
