--- a/internal/member/node/capacity_test.go
+++ b/internal/member/node/capacity_test.go
@@ -74,20 +74,25 @@
 	runtime.KeepAlive(kept)
 }
 
-// BenchmarkTables measures one second of a coordinator: the renewals of all instances and five decisions.
+// BenchmarkTables measures one second of a coordinator: renewals of all instances, refreshed announcements and
+// five decisions.
 func BenchmarkTables(b *testing.B) {
 	for _, instances := range []int{3, 30, 92} {
 		for _, endpoints := range []int{9, 300, 1000} {
 			b.Run(fmt.Sprintf("instances=%d/endpoints=%d", instances, endpoints), func(b *testing.B) {
 				bytes, s := heap(func() *tables { return fill(instances, endpoints) })
-				b.ReportMetric(float64(bytes), "heap-B")
 				for b.Loop() {
 					s.now = s.now.Add(time.Second)
 					s.renewAll()
+					for i := range endpoints {
+						s.directory.Refresh(s.now, endpoint(i).Name, 1)
+					}
 					for range 5 {
+						s.directory.Expire(s.now)
 						s.table.Decide(s.now)
 					}
 				}
+				b.ReportMetric(float64(bytes), "heap-B")
 			})
 		}
 	}
