Check fencing numbers and the grace in the whole runtime, and report unreadable keys

Cause: the check of the runtime did not notice equal fencing numbers of two owners, and nothing reported that replaced key files could not be read. Change: stricter check, two more mutations, event 7006.

--- a/internal/base/event/wire.go
+++ b/internal/base/event/wire.go
@@ -9,6 +9,7 @@
 	LinkRefused     ID = 7003
 	AcceptFailed    ID = 7004
 	HandlerPanicked ID = 7005
+	KeysFailed      ID = 7006
 )
 
 var wireEvents = []Entry{
@@ -17,4 +18,5 @@
 	{LinkRefused, slog.LevelWarn, "link of another instance refused", "Check that the certificate names the instance and is signed by the authority."},
 	{AcceptFailed, slog.LevelError, "link could not be accepted", "Raise the limit of file descriptors, or look for an instance that dials too often."},
 	{HandlerPanicked, slog.LevelError, "handler of a message panicked", "Report a bug with the stack."},
+	{KeysFailed, slog.LevelError, "changed keys cannot be read; the previous ones stay in use", "Correct the files of certificate, key and authority."},
 }
--- a/internal/member/node/capacity_test.go
+++ b/internal/member/node/capacity_test.go
@@ -54,14 +54,14 @@
 	return s
 }
 
-func heap(f func() *tables) (bytes uint64, kept *tables) {
+func heap(f func() *tables) (bytes int64, kept *tables) {
 	var before, after runtime.MemStats
 	runtime.GC()
 	runtime.ReadMemStats(&before)
 	kept = f()
 	runtime.GC()
 	runtime.ReadMemStats(&after)
-	return after.HeapAlloc - before.HeapAlloc, kept
+	return int64(after.HeapAlloc) - int64(before.HeapAlloc), kept
 }
 
 // Guards against tables that outgrow a node if one data centre holds the whole target size.
--- a/internal/member/node/schedule_test.go
+++ b/internal/member/node/schedule_test.go
@@ -47,6 +47,7 @@
 type checker struct {
 	c      *cluster
 	fences map[string]uint64
+	last   map[string]*instance // life of the last owner
 	left   map[string]time.Time
 	bound  time.Duration // on the time from an endpoint's announcement that it leaves to its last new work
 }
@@ -84,14 +85,14 @@
 				return fmt.Errorf("%s and %s own %s", other, in.name, o.Name)
 			}
 			owners[o.Name] = in.name
-			if o.Fence < k.fences[o.Name] {
-				return fmt.Errorf("%s owns %s with fence %d after %d", in.name, o.Name, o.Fence, k.fences[o.Name])
+			if last := k.last[o.Name]; o.Fence < k.fences[o.Name] || (last != nil && last != in && o.Fence == k.fences[o.Name]) {
+				return fmt.Errorf("%s owns %s with fence %d after %d of %s", in.name, o.Name, o.Fence, k.fences[o.Name], last.name)
 			}
 			at, leaving := k.left[o.Name]
 			if leaving && time.Since(at) > k.bound && (o.NoWorkAfter.IsZero() || o.NoWorkAfter.After(time.Now())) {
 				return fmt.Errorf("%s gives work to %s %v after it announced that it leaves", in.name, o.Name, time.Since(at))
 			}
-			k.fences[o.Name] = o.Fence
+			k.fences[o.Name], k.last[o.Name] = o.Fence, in
 		}
 	}
 	if len(coordinators) > 1 {
@@ -137,7 +138,7 @@
 		// the endpoint, and then the grace passes.
 		timing := node.TimingFor(3)
 		bound := 2*timing.Length + timing.Interval + timing.Grace + time.Second
-		k := &checker{c: c, fences: map[string]uint64{}, left: map[string]time.Time{}, bound: bound}
+		k := &checker{c: c, fences: map[string]uint64{}, last: map[string]*instance{}, left: map[string]time.Time{}, bound: bound}
 		if err = k.watch(14 * time.Second); err != nil {
 			return
 		}
@@ -169,7 +170,11 @@
 func TestMutationsAreDetected(t *testing.T) {
 	t.Parallel()
 	off := func() bool { return false }
+	slow := node.TimingFor(3)
+	slow.Grace = time.Hour
 	for name, opt := range map[string]node.Option{
+		"equal fences":     func(o *node.Options) { o.Assign = []assign.Option{func(o *assign.Options) { o.RaiseFence = off }} },
+		"no grace":         node.WithTiming(slow),
 		"two coordinators": func(o *node.Options) { o.Lease = []lease.Option{func(o *lease.Options) { o.Exclusive = off }} },
 		"two owners":       func(o *node.Options) { o.Assign = []assign.Option{func(o *assign.Options) { o.StopEarly = off }} },
 	} {
--- a/internal/wire/peer/link.go
+++ b/internal/wire/peer/link.go
@@ -177,6 +177,7 @@
 	}
 	if o.Keys != nil {
 		secure := tls.Client(conn, o.Keys.client(t.name))
+		t.node.logKeys()
 		if err := secure.HandshakeContext(ctx); err != nil {
 			return nil, errors.Join(err, conn.Close())
 		}
--- a/internal/wire/peer/serve.go
+++ b/internal/wire/peer/serve.go
@@ -71,6 +71,7 @@
 		ctx, cancel := context.WithTimeout(n.ctx, n.options.Handshake)
 		err := secure.HandshakeContext(ctx)
 		cancel()
+		n.logKeys()
 		if err != nil {
 			event.Log(n.ctx, n.options.Logger, event.LinkRefused, slog.String("Address", conn.RemoteAddr().String()), slog.Any("Error", err))
 			_ = conn.Close()
@@ -82,6 +83,13 @@
 	in.run()
 }
 
+// logKeys reports keys that could not be read again.
+func (n *Node) logKeys() {
+	if err := n.options.Keys.Failure(); err != nil {
+		event.Log(n.ctx, n.options.Logger, event.KeysFailed, slog.Any("Error", err))
+	}
+}
+
 // incoming serves the calls of one accepted link.
 type incoming struct {
 	node    *Node
--- a/internal/wire/peer/tls_test.go
+++ b/internal/wire/peer/tls_test.go
@@ -109,6 +109,11 @@
 	e := serveTCP(t, "e", next.keys(t.TempDir(), "e"), at)
 	c.Check(call(e, "b", 5*time.Second), quicktest.IsNil)
 	c.Check(bKeys.Failure(), quicktest.IsNil)
+
+	c.Assert(os.WriteFile(filepath.Join(dir, "cert.pem"), []byte("half"), 0o600), quicktest.IsNil)
+	g := serveTCP(t, "g", next.keys(t.TempDir(), "g"), at)
+	c.Check(call(g, "b", 5*time.Second), quicktest.IsNil)
+	c.Check(bKeys.Failure(), quicktest.IsNotNil)
 }
 
 // Guards against plain links to other hosts.
