Refuse changes that drop a majority of the voters

Cause: voter objects replace the voters of the settings, so that a first lycheectl voters set would have removed all other voters from the logs. Change: serve/operator refuses a change that keeps no majority of the current voters, which it reads from the voter objects or, before there are any, from the status; the questionnaire generates all voter objects. Measured: go test -race passes for serve/operator, tool/ctl and tool/questionnaire.

--- a/internal/serve/operator/change.go
+++ b/internal/serve/operator/change.go
@@ -64,17 +64,20 @@
 	if err := checkRequestID(c.RequestID); err != nil {
 		return nil, err
 	}
-	view := s.view()
-	answer := ChangeAnswer{RequestID: c.RequestID, DryRun: c.DryRun, Effects: effects(view, c.Changes)}
+	answer := ChangeAnswer{RequestID: c.RequestID, DryRun: c.DryRun, Effects: effects(s.view(), c.Changes)}
 	if c.DryRun {
-		return s.dryRun(c, view, answer)
+		return s.dryRun(r.Context(), c, answer)
 	}
 	if faults := CheckForm(c.Changes); len(faults) > 0 {
 		return nil, invalid(faults)
 	}
 	command := s.command(r, c.RequestID, c.ExpectedRevision, c.Changes)
 	outcome, err := s.perform(r, actionChange, c.RequestID, namesOf(c.Changes), func(ctx context.Context) (Outcome, error) {
-		if faults := CheckReferences(view, c.Changes); len(faults) > 0 && !s.mayBeResend(c) {
+		faults, err := s.checkState(ctx, c.Changes)
+		if err != nil {
+			return Outcome{}, err
+		}
+		if len(faults) > 0 && !s.mayBeResend(c) {
 			return Outcome{}, invalid(faults)
 		}
 		return s.options.System.Propose(ctx, command)
@@ -101,7 +104,17 @@
 	return View{Object: s.options.System.Object, Objects: s.options.System.Objects}
 }
 
-func (s *Server) dryRun(c Change, view View, answer ChangeAnswer) (any, error) {
+// checkState returns what is wrong with the objects in the present state. An error means that the
+// state is not known, and nothing has been proposed.
+func (s *Server) checkState(ctx context.Context, objects []registry.Object) ([]Fault, error) {
+	voters, err := s.checkVoters(ctx, objects)
+	if err != nil {
+		return nil, refusal.New(refusal.Unavailable, "the current voters are not known: %v", err)
+	}
+	return append(CheckReferences(s.view(), objects), voters...), nil
+}
+
+func (s *Server) dryRun(ctx context.Context, c Change, answer ChangeAnswer) (any, error) {
 	answer.Revision = s.options.System.Revision()
 	if c.ExpectedRevision != 0 && c.ExpectedRevision != answer.Revision {
 		return nil, conflict(registry.Result{
@@ -109,7 +122,11 @@
 			Error:    fmt.Sprintf("expected revision %d, current revision is %d", c.ExpectedRevision, answer.Revision),
 		})
 	}
-	if faults := append(CheckForm(c.Changes), CheckReferences(view, c.Changes)...); len(faults) > 0 {
+	faults, err := s.checkState(ctx, c.Changes)
+	if err != nil {
+		return nil, err
+	}
+	if faults = append(CheckForm(c.Changes), faults...); len(faults) > 0 {
 		return nil, invalid(faults)
 	}
 	return answer, nil
--- a/internal/serve/operator/operator_test.go
+++ b/internal/serve/operator/operator_test.go
@@ -316,6 +316,33 @@
 	a.Assert(group.Wait(), qt.IsNil)
 }
 
+// Guards against a change that removes a majority of the voters, whose logs would be lost with them.
+func TestVotersKeepMajority(t *testing.T) {
+	fake := control.New()
+	system := fake.System()
+	system.Status = func(context.Context) (s operator.Status, err error) {
+		for _, name := range []string{"v1", "v2", "v3"} {
+			s.Members = append(s.Members, operator.Member{Name: name, Roles: []string{"Entry", "Voter"}})
+		}
+		return s, nil
+	}
+	a := start(t, operator.WithSystem(system))
+	voter := func(name string) string {
+		return fmt.Sprintf(`{"Kind":"Voter","Name":%q,"Voter":{"Address":"10.0.0.1:8082","DataCentre":"a"}}`, name)
+	}
+	status, answer := a.change("r1", "", voter("v4"))
+	a.Assert(status, qt.Equals, http.StatusBadRequest)
+	a.Assert(answer, qt.Contains, "leaves 0 of the 3 current voters (v1, v2, v3)")
+	status, _ = a.change("r2", `"DryRun":true,`, voter("v1"))
+	a.Assert(status, qt.Equals, http.StatusBadRequest)
+	status, answer = a.change("r3", "", voter("v1"), voter("v2"), voter("v3"))
+	a.Assert(status, qt.Equals, http.StatusOK, qt.Commentf(answer))
+	status, _ = a.change("r4", "", voter("v4"), `{"Kind":"Voter","Name":"v1","Deleted":true}`)
+	a.Assert(status, qt.Equals, http.StatusOK)
+	status, _ = a.change("r5", "", `{"Kind":"Voter","Name":"v2","Deleted":true}`, `{"Kind":"Voter","Name":"v3","Deleted":true}`)
+	a.Assert(status, qt.Equals, http.StatusBadRequest)
+}
+
 // Guards against a resend that is refused as not run although the first request was applied.
 func TestResendOfAppliedChange(t *testing.T) {
 	fake := control.New()
--- a/internal/tool/questionnaire/questionnaire_test.go
+++ b/internal/tool/questionnaire/questionnaire_test.go
@@ -69,6 +69,7 @@
 	c.Assert(result, qt.Equals, registry.Result{Revision: 1})
 	c.Assert(r.List(registry.KindCustomer), qt.HasLen, 5)
 	c.Assert(r.List(registry.KindService), qt.HasLen, 2)
+	c.Assert(r.List(registry.KindVoter), qt.HasLen, 3)
 	orders := 0
 	for _, s := range r.List(registry.KindService) {
 		for _, route := range s.Service.Routes {
