Round numbers in tables

Change: tables show at most four decimals; JSON and YAML keep all. Measured: go test -race ./internal/tool/ctl passes.

--- a/internal/tool/ctl/ctl_test.go
+++ b/internal/tool/ctl/ctl_test.go
@@ -111,7 +111,7 @@
 		"get customers", "get customers -o json", "get adapters invites -o yaml", "services list", "versions list",
 		"get custmers", "get models none", "apply -f @/twice.yaml", "apply -f @/unknown.yaml", "apply -f @/form.yaml",
 		"apply -f @/orphan.yaml", "apply -f @/none.yaml", "customers set koro --rate 5",
-		"customers set koro --rate 5 --burst 50", "limits set koro --burst 60", "limits list", "models set koro-lm",
+		"customers set koro --rate 5.0000000001 --burst 50", "limits set koro --burst 60", "limits list", "models set koro-lm",
 		"versions set invites@1 --source other", "versions set invites@2 --source store/invites/2",
 		"adapters set invites --default-version 2", "delete versions invites@1", "models delete quill",
 		"voters set entry-1 --voter-address 10.2.0.1:8082 --data-centre suva-a", "voters list",
--- a/internal/tool/ctl/output.go
+++ b/internal/tool/ctl/output.go
@@ -4,6 +4,8 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"math"
+	"strconv"
 	"strings"
 	"text/tabwriter"
 	"time"
@@ -25,6 +27,9 @@
 	row := make([]string, 0, len(cells))
 	for _, c := range cells {
 		text := fmt.Sprint(c)
+		if number, ok := c.(float64); ok {
+			text = short(number)
+		}
 		if text == "" {
 			text = "-"
 		}
@@ -33,6 +38,12 @@
 	t.rows = append(t.rows, row)
 }
 
+// short rounds to four decimals: shares have the rounding errors of their sums.
+func short(number float64) string {
+	const steps = 1e4
+	return strconv.FormatFloat(math.Round(number*steps)/steps, 'f', -1, 64)
+}
+
 func (t *table) write(w io.Writer) error {
 	const gap = 2
 	tab := tabwriter.NewWriter(w, 0, 0, gap, ' ', 0)
