--- a/internal/place/scheduler/scheduler.go
+++ b/internal/place/scheduler/scheduler.go
@@ -157,8 +157,11 @@
 	if queued <= 0 || places == 0 {
 		return 0
 	}
-	rate := float64(places) / max(s.service, 1e-3) * c.weight / max(s.backlogged, c.weight)
-	return time.Duration(float64(queued) / rate * float64(time.Second))
+	// Others go first only as far as their shares and their waiting requests reach.
+	byShare := float64(queued) * max(s.backlogged, c.weight) / c.weight
+	byCount := float64(queued + s.waiting - c.waiting)
+	rate := float64(places) / max(s.service, 1e-3)
+	return time.Duration(min(byShare, byCount) / rate * float64(time.Second))
 }
 
 // loadWait estimates the time until a load for the group ends, when its customer gets a fair share of loads.
--- a/internal/tool/bench/options.go
+++ b/internal/tool/bench/options.go
@@ -9,6 +9,9 @@
 	Length   time.Duration // virtual time of one run
 	Report   string        // directory of the report, empty for none
 	Parallel int           // runs at once
+
+	Policies  []string // names of the policies to run, all when empty
+	AloneOnly string   // the only policy to run with faults and with each customer alone, all when empty
 }
 
 // Option sets one of the Options.
