--- a/internal/state/consensus/consensus.go
+++ b/internal/state/consensus/consensus.go
@@ -49,6 +49,7 @@
 	probe   bool      // the last matching entry is not known yet
 	waiting bool      // a message that probes is outstanding
 	install time.Time // a snapshot is on its way until then
+	target  uint64    // index of that snapshot
 }
 
 // New returns a core that continues from its stored state; all parts are zero for a new voter.
--- a/internal/state/consensus/replication.go
+++ b/internal/state/consensus/replication.go
@@ -163,9 +163,11 @@
 	}
 	if m.Index > p.match {
 		p.match = m.Index
-		p.install = time.Time{}
 		c.advanceCommit()
 	}
+	if m.Index >= p.target {
+		p.install = time.Time{}
+	}
 	p.probe, p.waiting = false, false
 	p.next = max(p.next, p.match+1)
 	if p.next <= c.log.last() && c.role == Leader && !c.clock.Before(p.install) {
@@ -240,6 +242,7 @@
 	}
 	p.install = c.clock.Add(snapshotElections * c.options.Election)
 	header := c.log.snapshot
+	p.target = header.Index
 	c.send(Message{Kind: InstallSnapshot, To: id, Snapshot: &header})
 }
 
--- a/internal/state/feed/feed.go
+++ b/internal/state/feed/feed.go
@@ -253,6 +253,10 @@
 	defer n.mu.Unlock()
 	n.hub.renew(n.options.Now(), from, p.DataCentre, p.Revision, p.Report)
 	result.Revision = n.options.Registry.Revision()
+	if n.source == from {
+		// Two instances that fed each other would stay together while cut off from all voters.
+		result.Age = longestAge
+	}
 	if result.Revision > p.Revision {
 		e, err := n.encode(p.Revision)
 		if err != nil {
--- a/internal/state/revoke/set.go
+++ b/internal/state/revoke/set.go
@@ -13,6 +13,7 @@
 	mu    sync.RWMutex
 	ids   map[string]struct{}
 	sums  [leafCount]uint64 // combined hashes of the identifiers in each leaf
+	group [groupCount]uint64
 	leafs [leafCount]map[string]struct{}
 }
 
@@ -48,7 +49,9 @@
 		s.ids[id] = struct{}{}
 		hash := xxhash.Sum64String(id)
 		leaf := hash % leafCount
+		s.group[leaf/leavesInEach] -= mix(s.sums[leaf] + leaf)
 		s.sums[leaf] ^= mix(hash)
+		s.group[leaf/leavesInEach] += mix(s.sums[leaf] + leaf)
 		if s.leafs[leaf] == nil {
 			s.leafs[leaf] = map[string]struct{}{}
 		}
@@ -85,8 +88,8 @@
 	s.mu.RLock()
 	defer s.mu.RUnlock()
 	d := Digest{Count: uint64(len(s.ids))}
-	for leaf, sum := range s.sums {
-		d.Sum += mix(sum + uint64(leaf))
+	for group, sum := range s.group {
+		d.Sum += mix(sum + uint64(group))
 	}
 	return d
 }
@@ -95,11 +98,7 @@
 func (s *Set) groups() []uint64 {
 	s.mu.RLock()
 	defer s.mu.RUnlock()
-	sums := make([]uint64, groupCount)
-	for leaf, sum := range s.sums {
-		sums[leaf/leavesInEach] += mix(sum + uint64(leaf))
-	}
-	return sums
+	return slices.Clone(s.group[:])
 }
 
 // leaves returns the sums of all leaves of the groups.
--- a/internal/state/world_test.go
+++ b/internal/state/world_test.go
@@ -265,6 +265,9 @@
 	h := w.hosts[e.to]
 	from := strings.Split(e.message.From, ".")[0]
 	if !w.reachable(from, e.to) {
+		if e.message.Kind == consensus.InstallSnapshot {
+			w.hosts[from].replica.SnapshotFailed(e.message.To) // the runtime sees the failed call
+		}
 		return
 	}
 	h.replica.Step(w.now.Add(h.skew), e.message)
