limit: report changes of demand only

Cause: a report of all 10,000 customers took 74 KB every half second over billed links. Change: reports list changed demand, every tenth lists all; a new leader asks for a full one before it moves shares.

--- a/internal/limit/admit/account.go
+++ b/internal/limit/admit/account.go
@@ -1,6 +1,7 @@
 package admit
 
 import (
+	"math"
 	"slices"
 	"time"
 
@@ -23,7 +24,7 @@
 	raised    []raised // increases of the burst, newest last
 	freed     float64  // tokens given up with the unconfirmed share
 	prospects []prospect
-	asked     time.Time // last claim
+	reported  share.Demand // last told to the leader
 }
 
 type batchKey struct {
@@ -187,12 +188,26 @@
 	a.prospects = append(a.prospects, p)
 }
 
-// expectOutlook assumes the whole limit for a customer whose demand begins, until the leader has answered.
+// expectOutlook assumes the whole limit for a customer that begins to wait, until the leader has answered.
 func (a *account) expectOutlook(now time.Time) {
-	if now.Sub(a.asked) > outlookMemory {
+	known := slices.ContainsFunc(a.prospects, func(p prospect) bool { return now.Before(p.until) })
+	if !known {
 		a.addOutlook(now, prospect{rate: a.limit.Rate, burst: a.limit.Burst})
 	}
-	a.asked = now
+}
+
+// report returns the demand, and whether the leader should hear of it although it is not asked for a full list.
+func (a *account) report(now time.Time, customer string) (d share.Demand, news bool) {
+	d = share.Demand{
+		Customer: customer, Rate: math.Round(a.demand.decay(now)), Largest: math.Ceil(a.largest.get(now)), Epoch: a.share.Epoch,
+	}
+	for _, q := range a.queue {
+		d.Waiting += math.Ceil(q.tokens)
+	}
+	sent := a.reported
+	news = d.Waiting > 0 || sent.Waiting > 0 || d.Epoch != sent.Epoch || d.Largest > sent.Largest ||
+		math.Abs(d.Rate-sent.Rate) > reportChange*max(d.Rate, sent.Rate)
+	return d, news
 }
 
 // setShare applies a share. With a smaller burst the same part of the level is given up, for another data
--- a/internal/limit/admit/coordinator.go
+++ b/internal/limit/admit/coordinator.go
@@ -24,6 +24,7 @@
 	sessions map[string]*session
 	nextID   uint64
 	marks    uint64
+	reports  uint64
 }
 
 // session is the state of the messages of one instance.
@@ -287,19 +288,22 @@
 	})
 }
 
-// Demand returns the report to the leader: every customer with demand, ordered by name.
+// Demand returns the report to the leader, ordered by name: customers whose demand has changed, and from time to
+// time all with demand, because reports can be lost.
 func (c *Coordinator) Demand(now time.Time) share.Report {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	report := share.Report{DataCentre: c.options.DataCentre}
+	report := share.Report{DataCentre: c.options.DataCentre, Full: c.reports%fullReport == 0}
+	c.reports++
 	for _, name := range slices.Sorted(maps.Keys(c.accounts)) {
 		a := c.accounts[name]
-		d := share.Demand{Customer: name, Rate: a.demand.decay(now), Largest: a.largest.get(now), Epoch: a.share.Epoch}
-		for _, q := range a.queue {
-			d.Waiting += q.tokens
-		}
-		if d.Rate >= leastDemand || d.Waiting > 0 {
+		d, news := a.report(now, name)
+		busy := d.Rate >= leastDemand || d.Waiting > 0
+		if (report.Full && busy) || (!report.Full && news) {
 			report.Items = append(report.Items, d)
+			a.reported = d
+		} else if report.Full {
+			a.reported = share.Demand{Epoch: a.share.Epoch}
 		}
 	}
 	return report
@@ -310,6 +314,9 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.led = now
+	if answer.Full {
+		c.reports = 0
+	}
 	for _, o := range answer.Items {
 		a := c.account(now, o.Customer)
 		a.addOutlook(now, prospect{rate: o.Rate, burst: o.Burst})
--- a/internal/limit/admit/holder.go
+++ b/internal/limit/admit/holder.go
@@ -194,6 +194,7 @@
 func (h *holder) applyAnswer(now, sentAt time.Time, answer BorrowAnswer) {
 	w := h.wallet(now, answer.Customer)
 	w.expire(now)
+	h.dirty[w.customer] = w // also a wallet that gets nothing is forgotten in time
 	if b := answer.Batch; b != nil {
 		life := b.Life.duration()
 		if h.options.lateLife {
@@ -202,7 +203,6 @@
 		if deadline := sentAt.Add(life); now.Before(deadline) {
 			w.add(&held{id: b.ID, remaining: b.Tokens, deadline: deadline})
 			w.used = now
-			h.dirty[w.customer] = w
 		}
 	}
 	for _, id := range answer.Granted {
--- a/internal/limit/admit/leader.go
+++ b/internal/limit/admit/leader.go
@@ -88,8 +88,10 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	now := l.options.Now()
-	l.allocator.Report(now, r)
-	return l.allocator.Outlook(now, in, r), nil
+	known := l.allocator.Report(now, r)
+	answer = l.allocator.Outlook(now, in, r)
+	answer.Full = !known
+	return answer, nil
 }
 
 // Confirm handles Limit.Confirm.
--- a/internal/limit/admit/options.go
+++ b/internal/limit/admit/options.go
@@ -36,8 +36,12 @@
 	sessionMemory = 10 * time.Minute
 	// maxQueue bounds the claims of one customer in one data centre.
 	maxQueue = 4096
+	// reportChange of a demand is told to the leader at once.
+	reportChange = 0.1
+	// fullReport is the number of reports after which one lists every customer with demand: each five seconds.
+	fullReport = 10
 	// leastDemand is the demand in tokens per second below which a customer is idle.
-	leastDemand = 0.01
+	leastDemand = 0.5
 	// prefetchShare of the level may be lent without a claim, so that many instances cannot strand a burst.
 	prefetchShare = 0.125
 	// reportEvery is how often use is reported: the coordinator cannot refill what it believes to be unspent.
--- a/internal/limit/admit/sim_test.go
+++ b/internal/limit/admit/sim_test.go
@@ -249,8 +249,9 @@
 func (w *world) demand(c *simCentre) {
 	coordinator := c.coordinator
 	report := coordinator.Demand(w.now.Add(c.offset))
-	w.allocator.Report(w.now, report)
+	known := w.allocator.Report(w.now, report)
 	answer := w.allocator.Outlook(w.now, w.input(), report)
+	answer.Full = !known
 	w.send(func() { coordinator.SetOutlook(w.now.Add(c.offset), answer) })
 }
 
--- a/internal/limit/share/share.go
+++ b/internal/limit/share/share.go
@@ -15,7 +15,8 @@
 // Report is what a data centre's coordinator tells the leader.
 type Report struct {
 	DataCentre string   `json:"DataCentre"`
-	Items      []Demand `json:"Items,omitempty"` // customers that are not listed have no demand
+	Full       bool     `json:"Full,omitempty"` // customers that are not listed have no demand; else it is unchanged
+	Items      []Demand `json:"Items,omitempty"`
 }
 
 // Demand is the recent use of one customer in one data centre.
@@ -35,6 +36,7 @@
 
 // Answer tells a data centre what its shares can become.
 type Answer struct {
+	Full  bool      `json:"Full,omitempty"` // the next report must be full
 	Items []Outlook `json:"Items,omitempty"`
 }
 
@@ -80,6 +82,7 @@
 type demand struct {
 	rate    float64 // tokens per second; rises at once and decays
 	latest  float64 // tokens per second as reported
+	steady  float64 // the same with what would clear the waiting tokens
 	largest float64
 	waiting float64
 	at      time.Time
@@ -98,28 +101,42 @@
 	}
 }
 
-// Report records the demand of a data centre; a report replaces the one before.
-func (a *Allocator) Report(now time.Time, r Report) {
+// Report records the demand of a data centre. It is false, and records nothing, for a report of changes only when
+// no full one is known: what is not listed would be taken for no demand.
+func (a *Allocator) Report(now time.Time, r Report) (ok bool) {
+	if !r.Full && !a.Reachable(now, r.DataCentre) {
+		return false
+	}
 	a.centres[r.DataCentre] = now
 	listed := map[string]bool{}
 	for _, d := range r.Items {
 		listed[d.Customer] = true
 		k := key{d.Customer, r.DataCentre}
-		rate := d.Rate + d.Waiting/a.options.Backlog.Seconds()
+		steady := d.Rate + d.Waiting/a.options.Backlog.Seconds()
 		a.demands[k] = demand{
-			rate: max(rate, a.decayed(now, k)), latest: d.Rate, largest: d.Largest, waiting: d.Waiting, at: now,
+			rate: max(steady, a.decayed(now, k)), latest: d.Rate, steady: steady, largest: d.Largest, waiting: d.Waiting,
+			at: now,
 		}
 	}
-	for k := range a.demands {
-		if k.centre != r.DataCentre || listed[k.customer] {
-			continue
-		}
-		rate := a.decayed(now, k)
-		a.demands[k] = demand{rate: rate, at: now}
-		if rate < leastRate {
-			delete(a.demands, k)
+	for k, d := range a.demands {
+		if k.centre == r.DataCentre && !listed[k.customer] {
+			a.age(now, k, d, r.Full)
 		}
 	}
+	return true
+}
+
+// age brings a demand that was not listed up to date.
+func (a *Allocator) age(now time.Time, k key, d demand, ended bool) {
+	if ended {
+		d.latest, d.steady, d.largest, d.waiting = 0, 0, 0, 0
+	}
+	d.rate = max(d.steady, a.decayed(now, k))
+	d.at = now
+	a.demands[k] = d
+	if d.rate < leastRate {
+		delete(a.demands, k)
+	}
 }
 
 // Reachable reports whether the data centre has reported lately; the share of another one stays its own.
--- a/internal/limit/share/share_test.go
+++ b/internal/limit/share/share_test.go
@@ -115,7 +115,7 @@
 	if e := w.effect[centre]; d.Rate > e.Rate {
 		d.Waiting = d.Rate - e.Rate
 	}
-	w.allocator.Report(w.now, share.Report{DataCentre: centre, Items: []share.Demand{d}})
+	w.allocator.Report(w.now, share.Report{DataCentre: centre, Full: true, Items: []share.Demand{d}})
 }
 
 func (w *world) confirm(centre string) {
@@ -236,6 +236,16 @@
 	c.Assert(w.effect["a"].Rate > 500, quicktest.IsTrue, quicktest.Commentf("rate %v", w.effect["a"].Rate))
 }
 
+// Guards against a new leader that takes a report of changes for the whole demand and moves shares away.
+func TestNewLeaderWaitsForFullReport(t *testing.T) {
+	c := quicktest.New(t)
+	w := newWorld()
+	c.Assert(w.allocator.Report(w.now, share.Report{DataCentre: "a"}), quicktest.IsFalse)
+	c.Assert(w.allocator.Reachable(w.now, "a"), quicktest.IsFalse)
+	c.Assert(w.allocator.Report(w.now, share.Report{DataCentre: "a", Full: true}), quicktest.IsTrue)
+	c.Assert(w.allocator.Report(w.now, share.Report{DataCentre: "a"}), quicktest.IsTrue)
+}
+
 // Guards against shares that outlive a lowered limit or a removed customer.
 func TestLimitLoweredAndCustomerRemoved(t *testing.T) {
 	c := quicktest.New(t)
