--- a/internal/limit/admit/cost_test.go
+++ b/internal/limit/admit/cost_test.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"github.com/frankban/quicktest"
+	"golang.org/x/sync/errgroup"
 
 	"lycheevale/internal/limit/share"
 	"lycheevale/internal/state/registry"
@@ -36,15 +37,15 @@
 		WithCall(peer.New(peer.WithName("c"), peer.WithMux(mux)).Call),
 	)
 	ctx, cancel := context.WithCancel(context.Background())
-	done := make(chan error)
-	go func() { done <- admission.Run(ctx) }()
+	var group errgroup.Group
+	group.Go(func() error { return admission.Run(ctx) })
 	reservation, err := admission.Reserve(ctx, "koro", 500)
 	fmt.Println(err)
 	reservation.Settle(120)
 	_, err = admission.Reserve(ctx, "koro", 20_000)
 	fmt.Println(err)
 	cancel()
-	fmt.Println(<-done)
+	fmt.Println(group.Wait())
 	// Output:
 	// <nil>
 	// OverRate (NotRun): the request needs 20000 tokens, the burst is 10000
--- /dev/null
+++ b/internal/limit/admit/reserve_test.go
@@ -0,0 +1,84 @@
+package admit
+
+import (
+	"context"
+	"errors"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/frankban/quicktest"
+	"golang.org/x/sync/errgroup"
+
+	"lycheevale/internal/base/refusal"
+	"lycheevale/internal/state/registry"
+)
+
+// Guards against each way in which Reserve must answer without the rate being the reason, and against answers
+// that come late or without the time to retry.
+func TestReserveOutcomes(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := quicktest.New(t)
+		limits := map[string]registry.Customer{"limited": {Rate: 10, Burst: 100}, "unlimited": {}}
+		coordinator := NewCoordinator(time.Now(), 1)
+		coordinator.SetCustomer(time.Now(), "limited", limits["limited"])
+		coordinator.SetShare(time.Now(), registry.Share{Customer: "limited", Rate: 10, Burst: 100, Epoch: 1, Confirmed: true})
+		server, up := NewServer(coordinator), true
+		a := New(
+			WithLimit(func(name string) (registry.Customer, bool) { l, ok := limits[name]; return l, ok }),
+			WithCoordinator(func() (string, bool) { return "c", true }),
+			WithCall(func(ctx context.Context, _, method string, params, result any) (err error) {
+				time.Sleep(time.Millisecond)
+				switch {
+				case !up:
+					return errors.New("down")
+				case method == MethodBorrow:
+					*result.(*BorrowReply), err = server.Borrow(ctx, "i", *params.(*BorrowRequest))
+				default:
+					*result.(*ReturnReply), err = server.Return(ctx, "i", *params.(*ReturnRequest))
+				}
+				return err
+			}))
+		ctx, stop := context.WithCancel(t.Context())
+		var group errgroup.Group
+		group.Go(func() error { return a.Run(ctx) })
+		time.Sleep(20 * time.Second)
+
+		reserve := func(customer string, tokens float64, left time.Duration) (*refusal.Error, time.Duration) {
+			ctx, cancel := context.WithTimeout(t.Context(), left)
+			defer cancel()
+			start := time.Now()
+			if _, err := a.Reserve(ctx, customer, tokens); err != nil {
+				return refusal.From(err), time.Since(start)
+			}
+			return nil, time.Since(start)
+		}
+		for _, customer := range []string{"", "unlimited"} {
+			err, waited := reserve(customer, 1e12, time.Second)
+			c.Check(err == nil && waited == 0, quicktest.IsTrue)
+		}
+		err, _ := reserve("unknown", 1, time.Second)
+		c.Check(err.Code, quicktest.Equals, refusal.NotPermitted)
+		err, _ = reserve("limited", -1, time.Second)
+		c.Check(err.Code, quicktest.Equals, refusal.BadRequest)
+		err, _ = reserve("limited", 101, time.Second)
+		c.Check(err.Code == refusal.OverRate && err.RetryAt.IsZero(), quicktest.IsTrue)
+
+		err, _ = reserve("limited", 95, time.Second)
+		c.Check(err == nil, quicktest.IsTrue)
+		time.Sleep(4 * time.Second) // the leader counts as unreachable: only the own share is judged
+		err, waited := reserve("limited", 95, 2*time.Second)
+		c.Assert(err, quicktest.IsNotNil)
+		c.Check(err.Code == refusal.OverRate && err.Ran == refusal.NotRun && waited < 100*time.Millisecond, quicktest.IsTrue)
+		wait := time.Until(err.RetryAt)
+		c.Check(wait > 4*time.Second && wait < 6*time.Second, quicktest.IsTrue, quicktest.Commentf("%v", wait))
+		err, waited = reserve("limited", 95, 10*time.Second) // there in time
+		c.Check(err == nil && waited > 4*time.Second && waited < 6*time.Second, quicktest.IsTrue, quicktest.Commentf("%v", waited))
+
+		up = false
+		err, waited = reserve("limited", 20, time.Second)
+		c.Check(err.Code == refusal.Unavailable && waited == time.Second, quicktest.IsTrue)
+		stop()
+		c.Check(group.Wait(), quicktest.IsNil)
+	})
+}
