limit/share: pass freed tokens on to the coordinator that applied the increase only

Cause: a coordinator that took over between an increase and the tokens that follow it accepted them although its predecessor had lent the refilled share; found by reasoning, shown by a played schedule. Change: reports carry the coordinator's term; tokens for another term are dropped.

--- a/internal/limit/admit/coordinator.go
+++ b/internal/limit/admit/coordinator.go
@@ -293,7 +293,7 @@
 func (c *Coordinator) Demand(now time.Time) share.Report {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	report := share.Report{DataCentre: c.options.DataCentre, Full: c.reports%fullReport == 0}
+	report := share.Report{DataCentre: c.options.DataCentre, Term: c.epoch, Full: c.reports%fullReport == 0}
 	c.reports++
 	for _, name := range slices.Sorted(maps.Keys(c.accounts)) {
 		a := c.accounts[name]
--- a/internal/limit/share/options.go
+++ b/internal/limit/share/options.go
@@ -38,6 +38,7 @@
 	Headroom float64       // factor on the latest demand of a data centre while requests wait at another
 	Needy    float64       // part of its share above which demand calls for more
 
+	anyTerm       bool // mutation for tests: passes tokens on to a later coordinator
 	earlyIncrease bool // mutation for tests: gives away what an unconfirmed decrease will free
 }
 
@@ -65,3 +66,8 @@
 func WithEarlyIncrease() Option {
 	return func(o *Options) { o.earlyIncrease = true }
 }
+
+// WithAnyTerm passes freed tokens on to later coordinators too, so that a test can show that its check detects this.
+func WithAnyTerm() Option {
+	return func(o *Options) { o.anyTerm = true }
+}
--- a/internal/limit/share/plan.go
+++ b/internal/limit/share/plan.go
@@ -228,6 +228,7 @@
 			continue
 		}
 		list = append(list, s)
+		p.a.planned[key{p.name, r.centre}] = p.a.terms[r.centre]
 	}
 	return list
 }
--- a/internal/limit/share/share.go
+++ b/internal/limit/share/share.go
@@ -15,6 +15,7 @@
 // Report is what a data centre's coordinator tells the leader.
 type Report struct {
 	DataCentre string   `json:"DataCentre"`
+	Term       uint64   `json:"Term"`           // of the coordinator
 	Full       bool     `json:"Full,omitempty"` // customers that are not listed have no demand; else it is unchanged
 	Items      []Demand `json:"Items,omitempty"`
 }
@@ -66,12 +67,21 @@
 type Allocator struct {
 	options Options
 	centres map[string]time.Time // last report
+	terms   map[string]uint64    // of the coordinators, from the last reports
+	planned map[key]uint64       // term for which the last increase was planned
 	demands map[key]demand
 	seen    map[key]registry.Share
 	holds   map[key]amount // freed by a decrease that is not confirmed
 	moved   map[string]time.Time
 	pool    map[string]float64 // tokens given up and not passed on, by customer
-	grants  map[key]Grant      // to be passed on with the next answer
+	grants  map[key]granted    // to be passed on with the next answer
+}
+
+// granted is a grant with the term of the coordinator that it is for. A later coordinator does not know what its
+// predecessor did with the increase, and could lend the tokens twice.
+type granted struct {
+	Grant
+	term uint64
 }
 
 type key struct{ customer, centre string }
@@ -97,17 +107,20 @@
 	return &Allocator{
 		options: o, centres: map[string]time.Time{}, demands: map[key]demand{}, seen: map[key]registry.Share{},
 		holds: map[key]amount{}, moved: map[string]time.Time{},
-		pool: map[string]float64{}, grants: map[key]Grant{},
+		pool: map[string]float64{}, grants: map[key]granted{},
+		terms: map[string]uint64{}, planned: map[key]uint64{},
 	}
 }
 
 // Report records the demand of a data centre. It is false, and records nothing, for a report of changes only when
-// no full one is known: what is not listed would be taken for no demand.
+// no full one is known: what is not listed would be taken for no demand. A replaced coordinator is ignored too.
 func (a *Allocator) Report(now time.Time, r Report) (ok bool) {
-	if !r.Full && !a.Reachable(now, r.DataCentre) {
+	late := r.Term < a.terms[r.DataCentre] // from a coordinator that has been replaced
+	if late || (!r.Full && !a.Reachable(now, r.DataCentre)) {
 		return false
 	}
 	a.centres[r.DataCentre] = now
+	a.terms[r.DataCentre] = r.Term
 	listed := map[string]bool{}
 	for _, d := range r.Items {
 		listed[d.Customer] = true
@@ -206,7 +219,9 @@
 		item := Outlook{Customer: d.Customer, Rate: o.rate, Burst: o.burst}
 		k := key{d.Customer, r.DataCentre}
 		if g, ok := a.grants[k]; ok && d.Epoch >= g.Epoch {
-			item.Grant = &g
+			if g.term == r.Term || a.options.anyTerm {
+				item.Grant = &g.Grant
+			}
 			delete(a.grants, k)
 		}
 		answer.Items = append(answer.Items, item)
@@ -232,7 +247,8 @@
 		a.pool[customer] = min(a.pool[customer], max(0, free.burst))
 	}
 	maps.DeleteFunc(a.pool, func(c string, tokens float64) bool { return tokens <= 0 || shares[c] == nil })
-	maps.DeleteFunc(a.grants, func(k key, _ Grant) bool { _, ok := current[k]; return !ok })
+	maps.DeleteFunc(a.grants, func(k key, _ granted) bool { _, ok := current[k]; return !ok })
+	maps.DeleteFunc(a.planned, func(k key, _ uint64) bool { return shares[k.customer] == nil })
 	maps.DeleteFunc(a.holds, func(k key, _ amount) bool { _, ok := current[k]; return !ok })
 	maps.DeleteFunc(a.moved, func(c string, _ time.Time) bool { _, ok := in.Customers[c]; return !ok })
 	a.seen = current
@@ -258,12 +274,13 @@
 // observeIncrease assigns tokens of the pool to a share whose burst has grown.
 func (a *Allocator) observeIncrease(k key, s registry.Share) {
 	old, known := a.seen[k]
-	if !known || s.Burst <= old.Burst || a.pool[k.customer] <= 0 {
+	term, planned := a.planned[k]
+	if !known || !planned || s.Burst <= old.Burst || a.pool[k.customer] <= 0 {
 		return
 	}
 	tokens := min(a.pool[k.customer], s.Burst-old.Burst)
 	a.pool[k.customer] -= tokens
-	a.grants[k] = Grant{Epoch: s.Epoch, Tokens: tokens}
+	a.grants[k] = granted{Grant{Epoch: s.Epoch, Tokens: tokens}, term}
 }
 
 // left returns what the shares leave of the limit; it is negative after the limit was lowered.
