--- a/internal/place/route/route.go
+++ b/internal/place/route/route.go
@@ -81,6 +81,7 @@
 
 type usage struct {
 	count  float64
+	recent float64 // count with the half-life recentHalfLife
 	at     time.Time
 	shared bool // uses its home among all data centres
 }
@@ -143,10 +144,16 @@
 		r.keys = append(r.keys, adapter)
 	}
 	u.count = r.decayed(now, u) + 1
+	u.recent = u.recent*math.Exp2(-now.Sub(u.at).Seconds()/recentHalfLife.Seconds()) + 1
 	u.at = now
-	return math.Ln2 * u.count / r.options.HalfLife.Seconds() * float64(max(r.options.Entries, 1)), u
+	rate := max(u.count/r.options.HalfLife.Seconds(), u.recent/recentHalfLife.Seconds())
+	return math.Ln2 * rate * float64(max(r.options.Entries, 1)), u
 }
 
+// recentHalfLife lets an adapter that becomes popular without warning get local slots and replicas within a minute;
+// with HalfLife alone its rate was underestimated for ten.
+const recentHalfLife = 30 * time.Second
+
 func (r *Router) decayed(now time.Time, u *usage) float64 {
 	return u.count * math.Exp2(-now.Sub(u.at).Seconds()/r.options.HalfLife.Seconds())
 }
--- a/internal/place/scheduler/load.go
+++ b/internal/place/scheduler/load.go
@@ -291,6 +291,9 @@
 	s.loads--
 	a.failures = 0
 	a.failedOn = nil
+	if a.withdrawn {
+		s.unloadWithdrawn(a)
+	}
 	s.markDirty(e)
 	s.coverAll(a)
 }
--- a/internal/place/scheduler/scheduler_test.go
+++ b/internal/place/scheduler/scheduler_test.go
@@ -34,6 +34,18 @@
 	qt.Check(t, kinds(w.decide(), scheduler.Dispatch), qt.HasLen, places)
 }
 
+// Guards against a withdrawn version that keeps its slot because its load ended after the withdrawal.
+func TestWithdrawnVersionIsUnloaded(t *testing.T) {
+	w := newWorld()
+	qt.Assert(t, w.submit("c", ref("x"), 5*time.Second), qt.IsNil)
+	w.decide()
+	w.s.Withdraw(w.now, model, ref("x"))
+	qt.Check(t, kinds(w.decide(), scheduler.Refuse), qt.HasLen, 1)
+	w.endLoad(0, false)
+	qt.Check(t, kinds(w.decide(), scheduler.Unload), qt.HasLen, 1)
+	qt.Check(t, w.submit("c", ref("x"), 5*time.Second), qt.ErrorMatches, ".*is withdrawn")
+}
+
 // failures lets every load fail for a minute and returns the number of loads and the final refusal.
 func failures(opts ...scheduler.Option) (loads int, last error) {
 	w := newWorld(opts...)
