Add the fault matrix

Cause: promises under faults were tested part by part, not in a whole deployment. Change: 13 faults at 20 steps of completions, orders and changes, over real program code on an in-memory network in virtual time, with all promises checked in each cell; trace points at each step.

--- a/internal/fake/deployment/deployment.go
+++ b/internal/fake/deployment/deployment.go
@@ -79,7 +79,11 @@
 	group, ctx := errgroup.WithContext(ctx)
 	d = &Deployment{Options: o, Store: fakestore.New(), group: group, ctx: ctx, stop: stop}
 	for dc := range o.DataCentres {
-		for n := range o.Instances {
+		count := o.Instances
+		if dc == 0 {
+			count += o.More
+		}
+		for n := range count {
 			i, err := d.prepare(dc, n)
 			if err != nil {
 				return nil, err
@@ -163,8 +167,12 @@
 }
 
 func (d *Deployment) launch(i *Instance) (err error) {
+	logger := d.Options.Logger
+	if d.Options.NewLogger != nil {
+		logger = d.Options.NewLogger(i.Settings.Name)
+	}
 	opts := append([]instance.Option{
-		instance.WithLogger(d.Options.Logger), instance.WithNetwork(d.Options.Listen, d.Options.Dialer(i.Host)),
+		instance.WithLogger(logger), instance.WithNetwork(d.Options.Listen, d.Options.Dialer(i.Host)),
 		instance.WithBootstrap(d.Options.Objects),
 	}, d.Options.Instance...)
 	i.Instance, err = instance.New(i.Settings, opts...)
--- a/internal/fake/deployment/options.go
+++ b/internal/fake/deployment/options.go
@@ -17,6 +17,7 @@
 type Options struct {
 	DataCentres   []string
 	Instances     int // in each data centre
+	More          int // additional instances in the first data centre
 	Engines       int // in each data centre
 	Services      int // plain endpoints in each data centre
 	Service       string
@@ -31,6 +32,7 @@
 	EngineOptions func(name string) []fakeengine.Option
 	Settings      func(s *settings.Settings)
 	Instance      []instance.Option
+	NewLogger     func(name string) *slog.Logger // nil for Logger everywhere
 }
 
 // Kind names what runs on a host.
--- a/internal/fake/network/network.go
+++ b/internal/fake/network/network.go
@@ -118,6 +118,13 @@
 	delete(n.cut, link{b, a})
 }
 
+// HealAll ends all cuts. Connections that lost bytes meanwhile stay silent.
+func (n *Network) HealAll() {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	clear(n.cut)
+}
+
 // Silence makes the open connections between two hosts drop everything for good; new ones work.
 func (n *Network) Silence(a, b netip.Addr) {
 	n.mu.Lock()
--- a/internal/fake/store/store.go
+++ b/internal/fake/store/store.go
@@ -19,6 +19,7 @@
 type Store struct {
 	LoadTime time.Duration             // time of one load at full speed
 	Interval time.Duration             // smallest time between two starts
+	Before   func(source string)       // called when a transfer starts
 	Fail     func(source string) error // non-nil error fails the load
 	mu       sync.Mutex
 	transit  int
@@ -40,6 +41,9 @@
 
 // Fetch returns when the weights have been transferred.
 func (s *Store) Fetch(ctx context.Context, source string) error {
+	if s.Before != nil {
+		s.Before(source)
+	}
 	delay := s.start()
 	defer s.end()
 	select {
--- a/internal/node/instance/distribution.go
+++ b/internal/node/instance/distribution.go
@@ -46,8 +46,9 @@
 	d.revoke = revoke.New(revoke.WithName(s.Name), revoke.WithCaller(call), revoke.WithLogger(o.Logger),
 		revoke.WithPeers(d.local, d.remote), revoke.WithWithdrawn(d.remember))
 	opts := []feed.Option{
-		feed.WithName(s.Name, s.DataCentre), feed.WithRegistry(st.registry), feed.WithCaller(call),
-		feed.WithLogger(o.Logger), feed.WithNow(o.Now), feed.WithInstalled(d.revoke.Observe), feed.WithSources(d.sources),
+		feed.WithName(s.Name, s.DataCentre), feed.WithRegistry(st.registry),
+		feed.WithCaller(st.traced(call, "Feed.Push", StepDistribute)),
+		feed.WithLogger(o.Logger), feed.WithNow(o.Now), feed.WithInstalled(d.installed), feed.WithSources(d.sources),
 	}
 	if st.own() {
 		opts = append(opts, feed.WithAge(d.age))
@@ -58,6 +59,12 @@
 	return d
 }
 
+// installed is called after a delta came from another instance.
+func (d *distribution) installed(delta registry.Delta) {
+	d.options.Trace(StepApply)
+	d.revoke.Observe(delta)
+}
+
 // logChanged is called after the log of this voter has changed the configuration.
 func (d *distribution) logChanged() {
 	d.mu.Lock()
--- a/internal/node/instance/instance.go
+++ b/internal/node/instance/instance.go
@@ -193,6 +193,7 @@
 		c.DefaultTimeout = i.settings.Timeouts.Request
 		c.WriteTimeout = i.settings.Timeouts.Write
 		c.PlainTransport = &http.Transport{DialContext: i.options.Dial, DisableKeepAlives: true, DisableCompression: true}
+		i.options.Caller(c)
 	}))
 }
 
--- a/internal/node/instance/operator.go
+++ b/internal/node/instance/operator.go
@@ -103,6 +103,27 @@
 	return out, nil
 }
 
+// Propose commits a change and waits until ctx ends for the instances to apply it.
+func (i *Instance) Propose(ctx context.Context, c registry.Command) (operator.Outcome, error) {
+	return i.propose(ctx, c)
+}
+
+// Withdraw stops a key here and wherever it can be reached.
+func (i *Instance) Withdraw(ctx context.Context, keyID string) (operator.Outcome, error) {
+	return i.withdraw(ctx, keyID)
+}
+
+// Revision returns the revision in force at this instance.
+func (i *Instance) Revision() uint64 { return i.state.registry.Revision() }
+
+// Object returns a configuration object in force at this instance.
+func (i *Instance) Object(kind registry.Kind, name string) (registry.Object, bool) {
+	return i.state.registry.Get(kind, name)
+}
+
+// Coordinator returns the coordinator of the data centre as this instance knows it.
+func (i *Instance) Coordinator() string { return i.members.View().Coordinator }
+
 // withdraw stops the key here and wherever a push reaches before it is written to the log. A withdrawal is accepted
 // without the log, for instance in a data centre that is cut off; the leader writes it as soon as it learns of it.
 func (i *Instance) withdraw(ctx context.Context, keyID string) (out operator.Outcome, err error) {
--- a/internal/node/instance/options.go
+++ b/internal/node/instance/options.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"lycheevale/internal/place/scheduler"
+	"lycheevale/internal/serve/caller"
 	"lycheevale/internal/state/registry"
 )
 
@@ -20,8 +21,22 @@
 	Dial      func(ctx context.Context, network, address string) (net.Conn, error)
 	Bootstrap []registry.Object // first configuration of a deployment without any
 	Scheduler []scheduler.Option
+	Caller    func(c *caller.Options) // changes the options of the callers' server
+	Trace     func(step Step)         // called at each step of a configuration change
 }
 
+// Step names a step of a configuration change for Trace.
+type Step string
+
+// Steps of a configuration change in their order.
+const (
+	StepPropose    Step = "propose"
+	StepReplicate  Step = "replicate"
+	StepCommit     Step = "commit"
+	StepDistribute Step = "distribute"
+	StepApply      Step = "apply"
+)
+
 // Option sets one of the Options.
 type Option func(*Options)
 
@@ -42,6 +57,16 @@
 	return func(o *Options) { o.Bootstrap = objects }
 }
 
+// WithCaller sets a function that changes the options of the callers' server.
+func WithCaller(f func(c *caller.Options)) Option {
+	return func(o *Options) { o.Caller = f }
+}
+
+// WithTrace sets a function that is called at each step of a configuration change.
+func WithTrace(f func(step Step)) Option {
+	return func(o *Options) { o.Trace = f }
+}
+
 // WithScheduler adds options of the scheduler.
 func WithScheduler(opts ...scheduler.Option) Option {
 	return func(o *Options) { o.Scheduler = append(o.Scheduler, opts...) }
@@ -57,5 +82,7 @@
 		Wall:   time.Now,
 		Listen: func(at netip.AddrPort) (net.Listener, error) { return net.Listen("tcp", at.String()) },
 		Dial:   (&net.Dialer{Timeout: dialTimeout}).DialContext,
+		Caller: func(*caller.Options) {},
+		Trace:  func(Step) {},
 	}
 }
--- a/internal/node/instance/state.go
+++ b/internal/node/instance/state.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"log/slog"
 	"slices"
+	"strings"
 	"time"
 
 	"github.com/google/uuid"
@@ -65,6 +66,7 @@
 
 // apply and restore are the state machine of the configuration log.
 func (st *state) apply(data []byte) []byte {
+	st.options.Trace(StepCommit)
 	result := st.registry.ApplyEntry(data)
 	st.spread.logChanged()
 	return result
@@ -84,6 +86,7 @@
 }
 
 func (st *state) vote(mux *peer.Mux, call peer.Caller) {
+	call = st.traced(call, "Consensus.", StepReplicate)
 	router := voter.NewRouter(mux)
 	c := claims.New()
 	machines := map[string]voter.StateMachine{
@@ -101,6 +104,16 @@
 	st.propose, st.claimLog = st.config.Propose, st.claims.Propose
 }
 
+// traced calls Trace before calls of methods with the prefix.
+func (st *state) traced(call peer.Caller, prefix string, step Step) peer.Caller {
+	return func(ctx context.Context, to, method string, params, result any) error {
+		if strings.HasPrefix(method, prefix) {
+			st.options.Trace(step)
+		}
+		return call(ctx, to, method, params, result)
+	}
+}
+
 // voters lists the voters of the settings; the configuration may replace them.
 func (st *state) voters() []string {
 	var names []string
@@ -152,6 +165,7 @@
 	if err != nil {
 		return result, err
 	}
+	st.options.Trace(StepPropose)
 	raw, err := st.propose(ctx, data)
 	if err != nil {
 		return result, err
--- a/internal/serve/caller/caller.go
+++ b/internal/serve/caller/caller.go
@@ -151,6 +151,7 @@
 
 // admit reserves the upper bound of the request's cost and waits for it up to the deadline.
 func (s *Server) admit(x *exchange) error {
+	s.options.Trace(x.r, StepAdmit)
 	if x.customer == "" {
 		x.reserved = Reservation{Settle: func(int) {}}
 		return nil
@@ -162,7 +163,10 @@
 	return err
 }
 
-func (s *Server) settle(x *exchange) { x.reserved.Settle(x.used) }
+func (s *Server) settle(x *exchange) {
+	s.options.Trace(x.r, StepSettle)
+	x.reserved.Settle(x.used)
+}
 
 func (s *Server) request(x *exchange, attempt string) owner.Request {
 	return owner.Request{
--- a/internal/serve/caller/identify.go
+++ b/internal/serve/caller/identify.go
@@ -17,6 +17,7 @@
 
 // identify finds the customer of the key that came with the request; no key means an anonymous caller.
 func (s *Server) identify(x *exchange) error {
+	s.options.Trace(x.r, StepIdentify)
 	key, err := presentedKey(x.r.Header)
 	if err != nil || key == "" {
 		return err
--- a/internal/serve/caller/options.go
+++ b/internal/serve/caller/options.go
@@ -42,8 +42,29 @@
 	Body        []byte `json:"Body"`
 }
 
+// Step names a step of a request for Trace.
+type Step string
+
+// Steps of a request in their order; StepClaim only has non-idempotent requests with an identifier.
+const (
+	StepIdentify  Step = "identify"
+	StepAdmit     Step = "admit"
+	StepClaim     Step = "claim"
+	StepChoose    Step = "choose"
+	StepDispatch  Step = "dispatch"
+	StepFirstByte Step = "first byte"
+	StepMidStream Step = "mid-stream"
+	StepEnd       Step = "end"
+	StepSettle    Step = "settle"
+)
+
+// midStreamEvent is the event of a stream at which StepMidStream is traced.
+const midStreamEvent = 4
+
 // Options are the settings and neighbours of a Server.
 type Options struct {
+	Trace func(r *http.Request, step Step) // called before each step
+
 	Logger         *slog.Logger
 	Registry       *registry.Registry
 	Now            func() time.Time
@@ -82,6 +103,7 @@
 			return Reservation{Settle: func(int) {}}, nil
 		},
 		Observe:        func(Outcome) {},
+		Trace:          func(*http.Request, Step) {},
 		PlainTransport: newPlainTransport(),
 		MaxBody:        4 << 20,
 		DefaultTimeout: time.Minute,
--- a/internal/serve/caller/plain.go
+++ b/internal/serve/caller/plain.go
@@ -161,6 +161,7 @@
 	if c.route.Idempotent || key == "" || s.options.Claim == nil {
 		return s.attempts(ctx, c)
 	}
+	s.options.Trace(c.r, StepClaim)
 	claim, err := s.options.Claim(ctx, c.customer, key, c.fingerprint())
 	if err != nil {
 		return nil, err
@@ -175,6 +176,7 @@
 	if err != nil {
 		return nil, err
 	}
+	s.options.Trace(c.r, StepEnd)
 	// The response is whole and true even if its record fails; a resend then learns that the outcome is unknown.
 	if err := claim.Finish(context.WithoutCancel(ctx), response); err != nil {
 		event.Log(ctx, s.options.Logger, event.OutcomeUncertain, slog.String("Request", c.id), slog.Any("Error", err))
@@ -218,6 +220,7 @@
 }
 
 func (s *Server) callOnce(ctx context.Context, c *plainCall, tried []string, n int) (*StoredResponse, string, error) {
+	s.options.Trace(c.r, StepChoose)
 	target, err := s.options.ChoosePlain(c.route.service, tried)
 	if err != nil {
 		return nil, "", err
@@ -242,6 +245,7 @@
 	attempt := uuid.NewString()
 	req.Header = plainHeader(c.r.Header)
 	req.Header.Set(engine.HeaderAttempt, attempt)
+	s.options.Trace(c.r, StepDispatch)
 	resp, err := s.options.PlainTransport.RoundTrip(req)
 	if err != nil {
 		return nil, plainError(err)
@@ -251,6 +255,7 @@
 		event.Log(ctx, s.options.Logger, event.AnswerDiscarded, slog.String("Endpoint", target.Endpoint))
 		return nil, refusal.New(refusal.OutcomeUnknown, "endpoint answered another request")
 	}
+	s.options.Trace(c.r, StepFirstByte)
 	body, err := io.ReadAll(io.LimitReader(resp.Body, maxPlainResponse+1))
 	if err != nil {
 		return nil, refusal.New(refusal.OutcomeUnknown, "answer was cut: %v", err)
--- a/internal/serve/caller/relay.go
+++ b/internal/serve/caller/relay.go
@@ -81,11 +81,13 @@
 	if err != nil {
 		return "", refusal.New(refusal.BadRequest, "%v", err)
 	}
+	s.options.Trace(x.r, StepChoose)
 	target, err := s.options.Choose(s.options.Now(), request, tried)
 	if err != nil {
 		return "", err
 	}
 	request.Endpoint = target.Endpoint
+	s.options.Trace(x.r, StepDispatch)
 	stream, err := target.Dispatch(ctx, request)
 	if err != nil {
 		return target.Endpoint, err
@@ -98,13 +100,24 @@
 		if err != nil {
 			return target.Endpoint, err
 		}
+		s.traceEvent(x, e)
 		if err := out.add(s.options.Now(), e); err != nil {
 			return target.Endpoint, err
 		}
 	}
+	s.options.Trace(x.r, StepEnd)
 	return target.Endpoint, nil
 }
 
+func (s *Server) traceEvent(x *exchange, e engine.Event) {
+	switch e.Seq {
+	case 1:
+		s.options.Trace(x.r, StepFirstByte)
+	case midStreamEvent:
+		s.options.Trace(x.r, StepMidStream)
+	}
+}
+
 // mayRetry allows another attempt where the request surely did not run or where running it again cannot show.
 func (s *Server) mayRetry(ctx context.Context, x *exchange, out *output, err error, n int) bool {
 	e := refusal.From(err)
--- a/internal/tool/demo/config.go
+++ b/internal/tool/demo/config.go
@@ -30,6 +30,17 @@
 	return fmt.Sprintf("lv_%s_%s", customers[index].keyID, customers[index].secret)
 }
 
+// KeyID returns the public identifier of the customer's key.
+func KeyID(index int) string { return customers[index].keyID }
+
+// Customers returns the names of the customers.
+func Customers() (names []string) {
+	for _, c := range customers {
+		names = append(names, c.name)
+	}
+	return names
+}
+
 func adapterName(n int) string { return fmt.Sprintf("draft-%02d", n) }
 
 // Changes returns the built-in configuration as objects.
--- /dev/null
+++ b/internal/tool/matrix/checks.go
@@ -0,0 +1,64 @@
+package matrix
+
+import (
+	"fmt"
+	"strings"
+
+	"lycheevale/internal/state/registry"
+	"lycheevale/internal/tool/demo"
+)
+
+// Evidence is what a cell leaves behind for the checks that look at the end only.
+type Evidence struct {
+	EvictedInUse int      // adapters evicted while requests used them
+	Received     []string // what endpoints received
+	Secrets      []string // that no endpoint may see
+	OrderRuns    int
+	LateWork     int             // requests sent to an endpoint long after it began to leave
+	Accepted     map[string]bool // accepted changes, and whether they are in force everywhere
+	Allowance    float64         // tokens that the busiest customer may have been given
+	Used         float64         // tokens that it was given
+}
+
+// Check returns the promises that the evidence breaks.
+func Check(e Evidence) (violations []string) {
+	add := func(broken bool, format string, args ...any) {
+		if broken {
+			violations = append(violations, fmt.Sprintf(format, args...))
+		}
+	}
+	add(e.EvictedInUse > 0, "P2: %d adapters were evicted while in use", e.EvictedInUse)
+	for _, secret := range e.Secrets {
+		for _, r := range e.Received {
+			add(strings.Contains(r, secret), "P4: an endpoint received a key: %s", r)
+		}
+	}
+	add(e.Used > e.Allowance, "P6: %g tokens were given, %g allowed", e.Used, e.Allowance)
+	add(e.OrderRuns > 1, "P9: the order ran %d times", e.OrderRuns)
+	add(e.LateWork > 0, "P10: a leaving endpoint got %d late requests", e.LateWork)
+	for name, everywhere := range e.Accepted {
+		add(!everywhere, "P12: the accepted change %s is not in force everywhere", name)
+	}
+	return violations
+}
+
+// violations collects what was seen while the cell ran and what the end shows.
+func (h *Harness) violations() []string {
+	e := Evidence{OrderRuns: h.runs(), Accepted: map[string]bool{}, Allowance: 1}
+	for _, p := range h.Endpoints {
+		if p.Engine != nil {
+			e.EvictedInUse += p.Engine.EvictedInUse()
+		}
+	}
+	for n := range demo.Customers() {
+		_, secret, _ := strings.Cut(strings.TrimPrefix(demo.Key(n), "lv_"), "_")
+		e.Secrets = append(e.Secrets, secret)
+	}
+	if _, ok := h.voter(0).Object(registry.KindAdapter, changeName); ok {
+		e.Accepted[changeName] = h.everywhere(changeName)
+	}
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	e.Received, e.LateWork = h.received, h.lateWork
+	return append(Check(e), h.watched...)
+}
