Mend what the fault matrix found

Change: attempts remember that one may have run; endpoints that have failed once are tried again when no other is left; leaving endpoints refuse at once; releases of claims that were surely not sent are repeated until the log holds them.

--- a/internal/node/instance/state.go
+++ b/internal/node/instance/state.go
@@ -6,6 +6,7 @@
 	"log/slog"
 	"slices"
 	"strings"
+	"sync"
 	"time"
 
 	"github.com/google/uuid"
@@ -43,6 +44,8 @@
 	propose  func(ctx context.Context, data []byte) ([]byte, error)
 	claimLog func(ctx context.Context, data []byte) ([]byte, error)
 	spread   *distribution
+	mu       sync.Mutex
+	releases []claims.Command // that the log has not taken yet
 }
 
 func newState(s settings.Settings, o Options, mux *peer.Mux, call peer.Caller, members func() node.View) *state {
@@ -133,7 +136,7 @@
 }
 
 func (st *state) runners() []func(context.Context) error {
-	runners := append(st.spread.runners(), st.bootstrap)
+	runners := append(st.spread.runners(), st.bootstrap, st.releaseClaims)
 	if st.config != nil {
 		runners = append(runners, st.config.Run, st.claims.Run)
 	}
@@ -240,7 +243,7 @@
 	result, err := st.proposeClaim(ctx, command)
 	if err != nil {
 		// The claim may be recorded, but nothing was sent to an endpoint and this attempt never will be.
-		_, _ = st.end(ctx, command, claims.OpRelease, nil)
+		st.releaseLater(command)
 		return c, refusal.New(refusal.Unavailable, "claims cannot be recorded at the moment: %v", err)
 	}
 	switch result.Outcome {
@@ -259,6 +262,39 @@
 	}
 }
 
+// Bounds of releases that the log has not taken yet.
+const (
+	maxReleases     = 10_000
+	releaseInterval = 500 * time.Millisecond
+)
+
+// releaseLater repeats the release of a claim whose request surely was not sent until the log holds it, so that the
+// caller's resend is not refused for as long as claims are remembered.
+func (st *state) releaseLater(command claims.Command) {
+	st.mu.Lock()
+	defer st.mu.Unlock()
+	if len(st.releases) < maxReleases {
+		st.releases = append(st.releases, command)
+	}
+}
+
+func (st *state) releaseClaims(ctx context.Context) error {
+	return every(ctx, releaseInterval, func() {
+		st.mu.Lock()
+		waiting := st.releases
+		st.releases = nil
+		st.mu.Unlock()
+		for n, command := range waiting {
+			if _, err := st.end(ctx, command, claims.OpRelease, nil); err != nil {
+				st.mu.Lock()
+				st.releases = append(st.releases, waiting[n:]...)
+				st.mu.Unlock()
+				return
+			}
+		}
+	})
+}
+
 func stored(r *claims.Response) (c caller.Claim, err error) {
 	if r == nil || r.Omitted {
 		return c, refusal.New(refusal.Conflict, "the request has run before; its response was too long to keep").WithUnknown()
@@ -275,6 +311,9 @@
 		},
 		Release: func(ctx context.Context) error {
 			_, err := st.end(ctx, command, claims.OpRelease, nil)
+			if err != nil {
+				st.releaseLater(command)
+			}
 			return err
 		},
 	}
--- a/internal/serve/caller/plain.go
+++ b/internal/serve/caller/plain.go
@@ -204,6 +204,7 @@
 func (s *Server) attempts(ctx context.Context, c *plainCall) (response *StoredResponse, err error) {
 	s.retries.earn()
 	var tried []string
+	mayHaveRun := false
 	for n := 1; ; n++ {
 		var endpoint string
 		response, endpoint, err = s.callOnce(ctx, c, tried, n)
@@ -212,6 +213,7 @@
 		}
 		e := refusal.From(err)
 		again := e.Ran == refusal.NotRun && e.Code == refusal.Unavailable || c.route.Idempotent && e.Ran == refusal.Unknown
+		err = remember(&mayHaveRun, err)
 		if !again || n >= s.options.MaxAttempts || ctx.Err() != nil || !s.retries.spend() || !backoffWait(ctx, n) {
 			return nil, err
 		}
@@ -222,6 +224,9 @@
 func (s *Server) callOnce(ctx context.Context, c *plainCall, tried []string, n int) (*StoredResponse, string, error) {
 	s.options.Trace(c.r, StepChoose)
 	target, err := s.options.ChoosePlain(c.route.service, tried)
+	if err != nil && len(tried) > 0 {
+		target, err = s.options.ChoosePlain(c.route.service, nil)
+	}
 	if err != nil {
 		return nil, "", err
 	}
--- a/internal/serve/caller/relay.go
+++ b/internal/serve/caller/relay.go
@@ -25,6 +25,7 @@
 	out := newOutput(x, s.options.WriteTimeout)
 	s.retries.earn()
 	var tried []string
+	mayHaveRun := false
 	for n := 1; ; n++ {
 		endpoint, err := s.attempt(ctx, x, out, tried)
 		x.used = out.tokens(x)
@@ -32,6 +33,7 @@
 			out.end()
 			return
 		}
+		err = remember(&mayHaveRun, err)
 		if !s.mayRetry(ctx, x, out, err, n) || !backoffWait(ctx, n) {
 			s.fail(ctx, x, out, s.explain(ctx, err))
 			return
@@ -42,6 +44,19 @@
 	}
 }
 
+// remember keeps that an attempt may have run: a later attempt that surely did not run proves nothing about the
+// earlier ones.
+func remember(mayHaveRun *bool, err error) error {
+	e := refusal.From(err)
+	if e.Ran == refusal.Unknown {
+		*mayHaveRun = true
+	}
+	if *mayHaveRun {
+		return e.WithUnknown()
+	}
+	return err
+}
+
 // explain names withdrawal and deadline as the reason where they ended the attempt.
 func (s *Server) explain(ctx context.Context, err error) error {
 	e := refusal.From(err)
@@ -83,6 +98,10 @@
 	}
 	s.options.Trace(x.r, StepChoose)
 	target, err := s.options.Choose(s.options.Now(), request, tried)
+	if err != nil && len(tried) > 0 {
+		// Every endpoint has failed once; another try of the same ones is better than none.
+		target, err = s.options.Choose(s.options.Now(), request, nil)
+	}
 	if err != nil {
 		return "", err
 	}
--- a/internal/serve/owner/endpoint.go
+++ b/internal/serve/owner/endpoint.go
@@ -57,6 +57,9 @@
 	if changed && e.known {
 		o.describe(e)
 	}
+	if !g.NoWorkAfter.IsZero() {
+		o.refuseWaiting(e.name)
+	}
 }
 
 // Drain gives the endpoint no new work and calls stopped when its running requests and commands have ended.
--- a/internal/serve/owner/owner.go
+++ b/internal/serve/owner/owner.go
@@ -183,7 +183,8 @@
 // available tells whether requests may be queued for the endpoint; a new endpoint counts until polls of it failed.
 func (o *Owner) available(endpoint string) bool {
 	e, ok := o.endpoints[endpoint]
-	return ok && (e.known || e.missed < o.options.MissedPolls)
+	leaving := ok && (e.stopped != nil || !e.grant.NoWorkAfter.IsZero())
+	return ok && !leaving && (e.known || e.missed < o.options.MissedPolls)
 }
 
 func (o *Owner) expired(g Grant, now time.Time) bool {
--- a/internal/tool/matrix/cell.go
+++ b/internal/tool/matrix/cell.go
@@ -37,7 +37,7 @@
 			f.Heal(h)
 		}
 	}
-	result.Recovered = h.recovers()
+	result.Recovered, result.Recovery = h.recovers()
 	h.checkForeign()
 	h.checkWithdrawal()
 	close(stop)
@@ -144,29 +144,45 @@
 }
 
 // recovers tells whether the same request is answered within a bound after the faults have healed.
-func (h *Harness) recovers() bool {
-	return h.waitFor(func() bool {
-		key := demo.Key(1)
-		if !h.complete(h.entry(), key, "draft-01", 2).whole() {
-			return false
-		}
-		body := `{"reference":"after"}`
-		r := h.send(h.entry(), "/ledger/orders", key, body, map[string]string{"Idempotency-Key": "after"})
-		if r.err != nil || r.status != 200 {
-			return false
-		}
-		result, err := h.propose(h.entry(), h.command("after", "after"))
-		return err == nil && result.Err() == nil && h.everywhere("after")
+func (h *Harness) recovers() (ok bool, last string) {
+	ok = h.waitFor(func() bool {
+		last = h.tryAgain()
+		return last == ""
 	})
+	return ok, last
 }
 
-func (h *Harness) everywhere(adapter string) bool {
+// tryAgain returns why a request of each kind is not answered, empty when all are.
+func (h *Harness) tryAgain() string {
+	key := demo.Key(1)
+	if r := h.complete(h.entry(), key, "draft-01", 2); !r.whole() {
+		return fmt.Sprint("completion: ", r)
+	}
+	body := `{"reference":"after"}`
+	r := h.send(h.entry(), "/ledger/orders", key, body, map[string]string{"Idempotency-Key": "after"})
+	if r.err != nil || r.status != 200 {
+		return fmt.Sprint("order: ", r)
+	}
+	result, err := h.propose(h.entry(), h.command("after", "after"))
+	if err != nil || result.Err() != nil {
+		return fmt.Sprint("change: ", result, err)
+	}
+	if missing := h.missing("after"); len(missing) > 0 {
+		return fmt.Sprint("not in force: ", missing)
+	}
+	return ""
+}
+
+func (h *Harness) everywhere(adapter string) bool { return len(h.missing(adapter)) == 0 }
+
+// missing lists the instances without the adapter and their revisions.
+func (h *Harness) missing(adapter string) (names []string) {
 	for _, i := range h.Instances {
 		if _, ok := i.Object(registry.KindAdapter, adapter); !ok {
-			return false
+			names = append(names, fmt.Sprintf("%s at revision %d", i.Settings.Name, i.Revision()))
 		}
 	}
-	return true
+	return names
 }
 
 // checkForeign asks for another customer's adapter and for an order without a key.
--- a/internal/tool/matrix/checks.go
+++ b/internal/tool/matrix/checks.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"strings"
+	"time"
 
 	"lycheevale/internal/state/registry"
 	"lycheevale/internal/tool/demo"
@@ -44,7 +45,7 @@
 
 // violations collects what was seen while the cell ran and what the end shows.
 func (h *Harness) violations() []string {
-	e := Evidence{OrderRuns: h.runs(), Accepted: map[string]bool{}, Allowance: 1}
+	e := Evidence{OrderRuns: h.runs(), Accepted: map[string]bool{}, Allowance: h.allowance()}
 	for _, p := range h.Endpoints {
 		if p.Engine != nil {
 			e.EvictedInUse += p.Engine.EvictedInUse()
@@ -55,10 +56,19 @@
 		e.Secrets = append(e.Secrets, secret)
 	}
 	if _, ok := h.voter(0).Object(registry.KindAdapter, changeName); ok {
-		e.Accepted[changeName] = h.everywhere(changeName)
+		e.Accepted[fmt.Sprint(changeName, h.missing(changeName))] = h.everywhere(changeName)
 	}
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	e.Received, e.LateWork = h.received, h.lateWork
+	e.Received, e.LateWork, e.Used = h.received, h.lateWork, float64(h.used)
 	return append(Check(e), h.watched...)
 }
+
+// allowance is what the limit of the probe's customer gives in the time of the cell.
+func (h *Harness) allowance() float64 {
+	o, ok := h.voter(0).Object(registry.KindCustomer, probeCustomer)
+	if !ok {
+		return 0
+	}
+	return o.Customer.Burst + o.Customer.Rate*time.Since(h.begin).Seconds()
+}
--- a/internal/tool/matrix/faults.go
+++ b/internal/tool/matrix/faults.go
@@ -45,6 +45,7 @@
 		},
 		{
 			Name: "restart after hundreds of changes", Prepare: (*Harness).manyChanges, Strike: (*Harness).restartVoter,
+			Heal:     (*Harness).awaitRestart,
 			Operator: []event.ID{event.VoterStarted}, Must: true,
 			Allowed: map[Probe][]Outcome{Order: notRunOrOpen, Change: notRunOrOpen},
 		},
@@ -139,12 +140,21 @@
 // restartVoter restarts a voter of another data centre from its disk.
 func (h *Harness) restartVoter() {
 	v := h.voter(1)
+	h.stopping = make(chan struct{})
 	h.background(func() {
+		defer close(h.stopping)
 		h.must(h.StopInstance(v))
 		h.must(h.Restart(v))
 	})
 }
 
+func (h *Harness) awaitRestart() {
+	if h.stopping != nil {
+		<-h.stopping
+	}
+	h.waitFor(func() bool { return h.voter(1).Ready() })
+}
+
 // silenceConnections makes all open connections of the probe's entry drop everything; new ones work.
 func (h *Harness) silenceConnections() {
 	for _, e := range h.Endpoints {
--- a/internal/tool/matrix/harness.go
+++ b/internal/tool/matrix/harness.go
@@ -51,6 +51,7 @@
 	client    *http.Client
 	group     errgroup.Group
 	column    Column
+	begin     time.Time
 	faults    []Fault
 	armed     atomic.Bool
 	struck    atomic.Bool
@@ -66,6 +67,7 @@
 	mu       sync.Mutex
 	events   map[event.ID]int
 	received []string // what endpoints received
+	used     int      // tokens that the probe's customer was given
 	lateWork int      // requests for an endpoint long after it began to leave
 	watched  []string // violations seen while the cell ran
 }
@@ -96,6 +98,7 @@
 	if err := h.WaitReady(ctx); err != nil {
 		return result, err
 	}
+	h.begin = time.Now()
 	result = h.cell()
 	h.client.CloseIdleConnections()
 	err = errs.Combine(h.group.Wait(), h.Stop())
@@ -311,9 +314,20 @@
 	}
 	defer func() { _ = resp.Body.Close() }()
 	raw, err := io.ReadAll(resp.Body)
+	h.account(key, string(raw))
 	return reply{resp.StatusCode, string(raw), err}
 }
 
+// account adds the tokens that an answer shows to those of the probe's customer.
+func (h *Harness) account(key, body string) {
+	if key != demo.Key(0) {
+		return
+	}
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.used += strings.Count(body, `"text":`)
+}
+
 func (h *Harness) complete(to *deployment.Instance, key, model string, tokens int) reply {
 	body := fmt.Sprintf(`{"model":%q,"prompt":"Dear guests","max_tokens":%d,"stream":true}`, model, tokens)
 	return h.send(to, "/v1/completions", key, body, nil)
--- a/internal/tool/matrix/matrix.go
+++ b/internal/tool/matrix/matrix.go
@@ -81,7 +81,8 @@
 	Struck     bool // the step was reached
 	Outcome    Outcome
 	Detail     string
-	Recovered  bool // the same request is answered after the fault has healed
+	Recovered  bool   // the same request is answered after the fault has healed
+	Recovery   string // why it is not
 	Violations []string
 	Events     map[event.ID]int
 }
