Add lycheectl report

Cause: the burn report had no command. Change: GET /v1/burn returns what an instance has counted (System.Burn), and lycheectl report adds the given instances up and names those that are missing.

--- a/internal/fake/control/control.go
+++ b/internal/fake/control/control.go
@@ -9,6 +9,7 @@
 
 	"lycheevale/internal/serve/operator"
 	"lycheevale/internal/state/registry"
+	"lycheevale/internal/tool/burn"
 )
 
 // Fake applies changes to a registry at once; its function fields inject faults.
@@ -41,6 +42,7 @@
 		Status:    f.status,
 		Endpoints: f.endpoints,
 		Watch:     f.watch,
+		Burn:      f.burn,
 	}
 }
 
@@ -93,6 +95,12 @@
 	}, nil
 }
 
+func (f *Fake) burn() burn.Snapshot {
+	r := burn.New()
+	r.Observe(time.Now(), burn.Outcome{Customer: "banksia", Service: "ledger"})
+	return r.Snapshot(time.Now())
+}
+
 func (f *Fake) endpoints(context.Context) ([]operator.Endpoint, error) {
 	return []operator.Endpoint{{
 		Name: "koro-lm-1", Service: "koro-chat", Model: "koro-lm", DataCentre: "suva-a",
--- a/internal/serve/operator/operator.go
+++ b/internal/serve/operator/operator.go
@@ -59,6 +59,7 @@
 	mux.Handle("GET /v1/limits", read.ThenFunc(s.answer(s.listLimits)))
 	mux.Handle("GET /v1/status", read.ThenFunc(s.answer(s.status)))
 	mux.Handle("GET /v1/endpoints", read.ThenFunc(s.answer(s.endpoints)))
+	mux.Handle("GET /v1/burn", read.ThenFunc(s.answer(s.burn)))
 	mux.Handle("GET /v1/audit", read.ThenFunc(s.answer(s.listAudit)))
 	mux.Handle("POST /v1/changes", write.ThenFunc(s.answer(s.change)))
 	mux.Handle("POST /v1/keys", write.ThenFunc(s.answer(s.issueKey)))
--- a/internal/serve/operator/options.go
+++ b/internal/serve/operator/options.go
@@ -6,9 +6,10 @@
 	"time"
 
 	"lycheevale/internal/state/registry"
+	"lycheevale/internal/tool/burn"
 )
 
-// System holds the functions through which the API reaches the system; all but Answered are required.
+// System holds the functions through which the API reaches the system; all but Answered and Burn are required.
 type System struct {
 	// Propose commits a change and waits, until ctx ends, for the instances to apply it.
 	Propose func(ctx context.Context, c registry.Command) (Outcome, error)
@@ -21,6 +22,8 @@
 	// Revision returns the revision that Objects and Object show.
 	Revision func() uint64
 	Status   func(ctx context.Context) (Status, error)
+	// Burn returns the outcomes that this instance has counted; optional.
+	Burn func() burn.Snapshot
 	// Answered tells that the configuration holds the result of a request; optional.
 	Answered func(requestID string) bool
 	// Endpoints returns the endpoints of this data centre.
--- a/internal/serve/operator/read.go
+++ b/internal/serve/operator/read.go
@@ -103,6 +103,13 @@
 	return Endpoints{Endpoints: append([]Endpoint{}, list...)}, err
 }
 
+func (s *Server) burn(*http.Request) (any, error) {
+	if s.options.System.Burn == nil {
+		return nil, refusal.New(refusal.NotFound, "this instance does not count outcomes")
+	}
+	return s.options.System.Burn(), nil
+}
+
 func (s *Server) listAudit(r *http.Request) (any, error) {
 	limit := maxRecent
 	if text := r.URL.Query().Get("Limit"); text != "" {
--- a/internal/tool/ctl/commands.go
+++ b/internal/tool/ctl/commands.go
@@ -47,6 +47,7 @@
 		command{"endpoints", "List the endpoints of the instance's data centre", "", &endpointsCommand{session: s}},
 		command{"watch", "Show changes as they take effect", "", &watchCommand{session: s}},
 		command{"audit", "Show who changed what and when", "", &auditCommand{session: s}},
+		command{"report", "Show how much of the services' error budgets is spent", "Adds up what the instances at all given addresses have counted.", &reportCommand{session: s}},
 		command{"operator-token", "Generate an operator's token", "Writes a new token to a file and its entry for the credentials file to the output.", &tokenCommand{session: s}},
 		command{"questionnaire", "Generate the configuration of a new team", "Asks about workloads, limits and regions, or reads the answers from a file, and writes settings for each instance and objects for apply.", &questionnaireCommand{session: s}},
 		command{"completion", "Print a completion script for a shell", "", &completionCommand{session: s}},
--- a/internal/tool/ctl/ctl_test.go
+++ b/internal/tool/ctl/ctl_test.go
@@ -321,6 +321,23 @@
 	s.Assert(s.fake.Registry.List(registry.KindAdapter), qt.HasLen, 3001)
 }
 
+// Guards against a report that leaves out an instance, or one that hides that it did.
+func TestReport(t *testing.T) {
+	s := start(t)
+	_, _, _ = s.run("apply -f @/objects.yaml")
+	code, out, errOut := s.run("report --retry-for 1s -o json --address " + s.url + " --address 127.0.0.1:1")
+	s.Assert(code, qt.Equals, exitcode.OK, qt.Commentf(errOut))
+	s.Assert(out, qt.Contains, `"Customer": "banksia"`)
+	s.Assert(out, qt.Contains, `"Requests": 2`)
+	s.Assert(out, qt.Contains, `"Objective": 0.999`)
+	s.Assert(errOut, qt.Contains, "The report does not include 127.0.0.1:1")
+	code, _, _ = s.run("report --html @/report.html")
+	s.Assert(code, qt.Equals, exitcode.OK)
+	page, err := os.ReadFile(filepath.Join(s.folder, "report.html"))
+	s.Assert(err, qt.IsNil)
+	s.Assert(string(page), qt.Contains, "banksia")
+}
+
 // Guards against a completion script whose request for candidates is not answered.
 func TestCompletion(t *testing.T) {
 	s := start(t)
