--- a/internal/tool/daemoncmd/run.go
+++ b/internal/tool/daemoncmd/run.go
@@ -33,7 +33,7 @@
 	defer stop()
 	// After the first signal the default handling is back, so that a second one ends the process.
 	context.AfterFunc(ctx, stop)
-	logger := newLogger(s.Log, out)
+	logger := s.Log.New(out)
 	i, err := instance.New(s, instance.WithLogger(logger))
 	if err == nil {
 		err = i.Run(ctx)
@@ -44,15 +44,3 @@
 	}
 	return exitcode.OK
 }
-
-func newLogger(l settings.Log, out io.Writer) *slog.Logger {
-	var level slog.Level
-	if err := level.UnmarshalText([]byte(l.Level)); err != nil {
-		level = slog.LevelInfo
-	}
-	options := &slog.HandlerOptions{Level: level}
-	if l.Format == "Text" {
-		return slog.New(slog.NewTextHandler(out, options))
-	}
-	return slog.New(slog.NewJSONHandler(out, options))
-}
