limit: apply a whole configuration to coordinator and allocator

Cause: every user would have written the loops over objects, and the handlers were bypassed in the fleet tests.

--- a/internal/limit/admit/coordinator.go
+++ b/internal/limit/admit/coordinator.go
@@ -78,6 +78,38 @@
 	a.setShare(c.usable(now), s)
 }
 
+// Sync applies the customers and shares of a configuration, given as the objects of these kinds that exist in it.
+// Shares of other data centres are ignored. A share that is missing was deleted: nothing more is lent of it.
+func (c *Coordinator) Sync(now time.Time, customers, shares []registry.Object) {
+	present := map[string]bool{}
+	for _, o := range shares {
+		if o.Share != nil && !o.Deleted && o.Share.DataCentre == c.options.DataCentre {
+			present[o.Share.Customer] = true
+			c.SetShare(now, *o.Share)
+		}
+	}
+	for _, o := range customers {
+		if o.Customer != nil && !o.Deleted {
+			c.SetCustomer(now, o.Name, *o.Customer)
+		}
+	}
+	for _, customer := range c.sharesBeside(present) {
+		c.RemoveShare(now, customer)
+	}
+}
+
+// sharesBeside returns the customers with a share in effect that are not present.
+func (c *Coordinator) sharesBeside(present map[string]bool) (list []string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for name, a := range c.accounts {
+		if a.share.Epoch != 0 && !present[name] {
+			list = append(list, name)
+		}
+	}
+	return list
+}
+
 // RemoveShare stops lending to a customer whose share was deleted.
 func (c *Coordinator) RemoveShare(now time.Time, customer string) {
 	c.mu.Lock()
--- a/internal/limit/admit/leader.go
+++ b/internal/limit/admit/leader.go
@@ -145,7 +145,7 @@
 	if len(changes) == 0 {
 		return nil
 	}
-	event.Log(ctx, l.options.Logger, event.LimitMoved, slog.Int("Shares", len(sharesOf(changes))))
+	event.Log(ctx, l.options.Logger, event.LimitMoved, slog.Int("Shares", len(changes)))
 	return l.options.Propose(ctx, registry.Command{
 		RequestID: l.options.NewID(), ExpectedRevision: revision, Operator: operatorName, At: l.options.Now(),
 		Changes: changes,
--- a/internal/limit/admit/serve.go
+++ b/internal/limit/admit/serve.go
@@ -4,7 +4,6 @@
 	"context"
 	"errors"
 	"log/slog"
-	"slices"
 	"time"
 
 	"golang.org/x/sync/errgroup"
@@ -199,13 +198,3 @@
 		return s.Return(ctx, from, req)
 	}))
 }
-
-// sharesOf returns the shares among objects.
-func sharesOf(objects []registry.Object) (list []registry.Share) {
-	for _, o := range objects {
-		if o.Share != nil && !o.Deleted {
-			list = append(list, *o.Share)
-		}
-	}
-	return slices.Clip(list)
-}
--- a/internal/limit/share/share.go
+++ b/internal/limit/share/share.go
@@ -63,6 +63,22 @@
 	Shares      []registry.Share
 }
 
+// NewInput returns the input for the customer and share objects that exist at a revision.
+func NewInput(revision uint64, centres []string, customers, shares []registry.Object) Input {
+	in := Input{Revision: revision, DataCentres: centres, Customers: map[string]registry.Customer{}}
+	for _, o := range customers {
+		if o.Customer != nil && !o.Deleted {
+			in.Customers[o.Name] = *o.Customer
+		}
+	}
+	for _, o := range shares {
+		if o.Share != nil && !o.Deleted {
+			in.Shares = append(in.Shares, *o.Share)
+		}
+	}
+	return in
+}
+
 // Allocator holds the demand and what it knows of decreases in progress.
 type Allocator struct {
 	options Options
