--- /dev/null
+++ b/internal/serve/owner/owner.go
@@ -0,0 +1,302 @@
+// Package owner runs the decisions of the scheduler for the endpoints that this instance owns: it queues requests,
+// sends control commands to engines and streams their answers.
+package owner
+
+import (
+	"context"
+	"strings"
+	"sync"
+	"time"
+
+	"golang.org/x/sync/errgroup"
+
+	"lycheevale/internal/base/refusal"
+	"lycheevale/internal/place/scheduler"
+	"lycheevale/internal/serve/engine"
+)
+
+// Request is one attempt at a completion.
+type Request struct {
+	Attempt      string               `json:"Attempt"`
+	Customer     string               `json:"Customer"`
+	Model        string               `json:"Model"` // base model
+	Adapter      scheduler.AdapterRef `json:"Adapter"`
+	Path         string               `json:"Path"`
+	PrefixHash   uint64               `json:"PrefixHash,omitempty"`
+	PromptTokens int                  `json:"PromptTokens"`
+	MaxTokens    int                  `json:"MaxTokens"`
+	Priority     int                  `json:"Priority,omitempty"`
+	Deadline     time.Time            `json:"Deadline"`
+	Endpoint     string               `json:"Endpoint,omitempty"` // the only endpoint allowed
+	Body         []byte               `json:"-"`
+}
+
+// Target is the model name that the engine is asked for.
+func (r Request) Target() string { return target(r.Adapter, r.Model) }
+
+func target(a scheduler.AdapterRef, model string) string {
+	if a.Base() {
+		return model
+	}
+	return a.Adapter + "@" + a.Version
+}
+
+func parseTarget(name string) scheduler.AdapterRef {
+	adapter, version, _ := strings.Cut(name, "@")
+	return scheduler.AdapterRef{Adapter: adapter, Version: version}
+}
+
+// Grant is the right to give commands to an endpoint until a deadline.
+type Grant struct {
+	Endpoint    engine.Announcement
+	Fence       uint64
+	Deadline    time.Time
+	NoWorkAfter time.Time // zero unless the endpoint leaves
+}
+
+// Owner owns endpoints; it is safe for concurrent use.
+type Owner struct {
+	options   Options
+	mu        sync.Mutex
+	scheduler *scheduler.Scheduler
+	endpoints map[string]*ownedEndpoint
+	waiting   map[string]waiter
+	running   map[string]running // by attempt
+	wake      chan struct{}
+	group     *errgroup.Group
+	ctx       context.Context // of the group, ends when Run does
+	started   chan struct{}
+}
+
+// waiter is a queued request; endpoint is the only one allowed, empty for any.
+type waiter struct {
+	endpoint string
+	placed   chan placement
+}
+
+// placement is the scheduler's decision on a waiting request.
+type placement struct {
+	endpoint *ownedEndpoint
+	err      error
+}
+
+// running is an attempt that was placed and has not finished.
+type running struct {
+	endpoint *ownedEndpoint
+	target   string
+}
+
+// New returns an owner without endpoints; Run makes it work.
+func New(opts ...Option) *Owner {
+	o := defaults()
+	for _, opt := range opts {
+		opt(&o)
+	}
+	return &Owner{
+		options: o, scheduler: o.Scheduler, endpoints: map[string]*ownedEndpoint{},
+		waiting: map[string]waiter{}, running: map[string]running{}, wake: make(chan struct{}, 1), started: make(chan struct{}),
+	}
+}
+
+// Run carries out decisions until ctx ends.
+func (o *Owner) Run(ctx context.Context) error {
+	group, ctx := errgroup.WithContext(ctx)
+	o.group, o.ctx = group, ctx
+	close(o.started)
+	group.Go(func() error { return o.loop(ctx) })
+	return group.Wait()
+}
+
+func (o *Owner) loop(ctx context.Context) error {
+	timer := time.NewTimer(time.Hour)
+	defer timer.Stop()
+	for {
+		if next := o.step(); !next.IsZero() {
+			timer.Reset(max(time.Millisecond, next.Sub(o.options.Now())))
+		}
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-o.wake:
+		case <-timer.C:
+		}
+	}
+}
+
+// Wake makes the owner decide again, for instance when a permit was granted.
+func (o *Owner) Wake() { o.poke() }
+
+func (o *Owner) poke() {
+	select {
+	case o.wake <- struct{}{}:
+	default:
+	}
+}
+
+// step carries out all decisions that are due and returns when the next one is.
+func (o *Owner) step() time.Time {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	for _, action := range o.scheduler.Decide(o.options.Now()) {
+		o.act(action)
+	}
+	return o.scheduler.NextWake()
+}
+
+func (o *Owner) act(a scheduler.Action) {
+	e := o.endpoints[a.Endpoint]
+	switch a.Kind {
+	case scheduler.Dispatch:
+		if e != nil {
+			o.running[a.ID] = running{e, target(a.Adapter, e.grant.Endpoint.Model)}
+			e.own[target(a.Adapter, e.grant.Endpoint.Model)]++
+		}
+		o.place(a.ID, placement{endpoint: e})
+	case scheduler.Refuse:
+		o.place(a.ID, placement{err: a.Err})
+	default:
+		if e != nil {
+			e.commands++
+			o.group.Go(func() error { o.command(e, a); return nil })
+		}
+	}
+}
+
+func (o *Owner) place(id string, p placement) {
+	if w, ok := o.waiting[id]; ok {
+		delete(o.waiting, id)
+		w.placed <- p
+	}
+}
+
+// refuseWaiting refuses the queued requests that may run only on the endpoint, so that their entries try another one
+// at once.
+func (o *Owner) refuseWaiting(endpoint string) {
+	for id, w := range o.waiting {
+		if w.endpoint == endpoint {
+			o.scheduler.Cancel(o.options.Now(), id)
+			o.place(id, placement{err: refusal.New(refusal.Unavailable, "endpoint %s is not available", endpoint)})
+		}
+	}
+}
+
+// available tells whether requests may be queued for the endpoint; a new endpoint counts until polls of it failed.
+func (o *Owner) available(endpoint string) bool {
+	e, ok := o.endpoints[endpoint]
+	return ok && (e.known || e.missed < o.options.MissedPolls)
+}
+
+func (o *Owner) expired(g Grant, now time.Time) bool {
+	return !now.Before(g.Deadline.Add(-o.options.LeaseMargin))
+}
+
+// Dispatch queues the request and returns its stream once an engine has accepted it.
+func (o *Owner) Dispatch(ctx context.Context, r Request) (stream *Stream, err error) {
+	ctx, cancel := context.WithDeadline(ctx, r.Deadline)
+	defer func() {
+		if stream == nil {
+			cancel()
+		}
+	}()
+	stalled := !r.Adapter.Base() && !o.view(r.Endpoint, r.Adapter).Resident
+	e, err := o.await(ctx, r)
+	if err != nil {
+		return nil, err
+	}
+	stream, err = o.open(ctx, cancel, e, r)
+	if stream != nil {
+		stream.Stalled = stalled
+	}
+	return stream, err
+}
+
+// await waits until the scheduler has placed the request.
+func (o *Owner) await(ctx context.Context, r Request) (*ownedEndpoint, error) {
+	ch := make(chan placement, 1)
+	now := o.options.Now()
+	o.mu.Lock()
+	if r.Endpoint != "" && !o.available(r.Endpoint) {
+		o.mu.Unlock()
+		return nil, refusal.New(refusal.Unavailable, "endpoint %s is not available", r.Endpoint)
+	}
+	err := o.scheduler.Submit(now, scheduler.Request{
+		ID: r.Attempt, Customer: r.Customer, Model: r.Model, Adapter: r.Adapter, PrefixHash: r.PrefixHash,
+		PromptTokens: r.PromptTokens, MaxTokens: r.MaxTokens, Priority: r.Priority, Arrived: now,
+		Deadline: r.Deadline, Endpoint: r.Endpoint,
+	})
+	if err == nil {
+		o.waiting[r.Attempt] = waiter{r.Endpoint, ch}
+	}
+	o.mu.Unlock()
+	if err != nil {
+		return nil, err
+	}
+	o.poke()
+	select {
+	case p := <-ch:
+		return o.accept(r, p)
+	case <-ctx.Done():
+		return nil, o.withdraw(ctx, r, ch)
+	}
+}
+
+// accept checks the placement against the lease, which may have ended while the request waited.
+func (o *Owner) accept(r Request, p placement) (*ownedEndpoint, error) {
+	if p.err != nil {
+		return nil, p.err
+	}
+	if p.endpoint == nil {
+		o.finish(r.Attempt, 0, true)
+		return nil, refusal.New(refusal.Unavailable, "endpoint is no longer owned here")
+	}
+	o.mu.Lock()
+	grant := p.endpoint.grant
+	o.mu.Unlock()
+	if o.expired(grant, o.options.Now()) {
+		o.finish(r.Attempt, 0, true)
+		return nil, refusal.New(refusal.Unavailable, "lease of endpoint %s has ended", p.endpoint.name)
+	}
+	return p.endpoint, nil
+}
+
+// withdraw takes back a request that its caller no longer waits for.
+func (o *Owner) withdraw(ctx context.Context, r Request, ch chan placement) error {
+	o.mu.Lock()
+	delete(o.waiting, r.Attempt)
+	o.scheduler.Cancel(o.options.Now(), r.Attempt)
+	o.mu.Unlock()
+	select {
+	case <-ch:
+		o.finish(r.Attempt, 0, true)
+	default:
+	}
+	if ctx.Err() == context.DeadlineExceeded {
+		return refusal.New(refusal.DeadlineExceeded, "no endpoint was free before the deadline")
+	}
+	return refusal.New(refusal.Unavailable, "caller has gone")
+}
+
+func (o *Owner) finish(attempt string, tokens int, failed bool) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.scheduler.Finished(o.options.Now(), scheduler.Finish{ID: attempt, Tokens: tokens, Failed: failed})
+	if r, ok := o.running[attempt]; ok {
+		delete(o.running, attempt)
+		r.endpoint.own[r.target]--
+		o.checkStopped(r.endpoint)
+	}
+	o.poke()
+}
+
+func (o *Owner) view(endpoint string, ref scheduler.AdapterRef) scheduler.View {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return o.scheduler.View(o.options.Now(), endpoint, ref)
+}
+
+// Waiting returns the number of queued requests.
+func (o *Owner) Waiting() int {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return len(o.waiting)
+}
