limit: end shares in two steps, isolate rejected changes

Cause: the registry refuses to delete a share in use, and one refused change rejects the whole plan, which would have stopped the moves of all customers. Change: shares are reduced to zero and confirmed before they are deleted; after a rejection a plan is proposed customer by customer for 20 steps.

--- a/internal/limit/admit/leader.go
+++ b/internal/limit/admit/leader.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"log/slog"
+	"slices"
+	"strings"
 	"sync"
 	"time"
 
@@ -20,8 +22,13 @@
 	mu        sync.Mutex
 	allocator *share.Allocator
 	leading   bool
+	singly    int // steps that propose the changes of one customer only
+	turn      int
 }
 
+// singleSteps follow a rejected plan: 5 s in which a customer whose change is always rejected holds up no other.
+const singleSteps = 20
+
 // LeaderOptions are the settings of a Leader.
 type LeaderOptions struct {
 	Now     func() time.Time
@@ -122,7 +129,38 @@
 // configuration, so two leaders cannot give away the same tokens.
 func (l *Leader) Step(ctx context.Context) error {
 	changes, revision := l.plan()
-	return l.propose(ctx, revision, changes)
+	err := l.propose(ctx, revision, l.choose(changes))
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if err != nil {
+		l.singly = singleSteps
+	}
+	return err
+}
+
+// choose returns the whole plan, or after a rejection the changes of one customer in turn.
+func (l *Leader) choose(changes []registry.Object) []registry.Object {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.singly == 0 || len(changes) == 0 {
+		return changes
+	}
+	l.singly--
+	l.turn++
+	var customers []string
+	for _, o := range changes {
+		customers = append(customers, customerOf(o))
+	}
+	slices.Sort(customers)
+	customers = slices.Compact(customers)
+	chosen := customers[l.turn%len(customers)]
+	return slices.DeleteFunc(changes, func(o registry.Object) bool { return customerOf(o) != chosen })
+}
+
+// customerOf returns the customer of a share's object, which is named customer/data centre.
+func customerOf(o registry.Object) string {
+	customer, _, _ := strings.Cut(o.Name, "/")
+	return customer
 }
 
 func (l *Leader) plan() (changes []registry.Object, revision uint64) {
--- a/internal/limit/admit/reserve_test.go
+++ b/internal/limit/admit/reserve_test.go
@@ -11,6 +11,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"lycheevale/internal/base/refusal"
+	"lycheevale/internal/limit/share"
 	"lycheevale/internal/state/registry"
 )
 
@@ -82,3 +83,28 @@
 		c.Check(group.Wait(), quicktest.IsNil)
 	})
 }
+
+// Guards against one customer whose change is always rejected and that holds up the shares of all others.
+func TestRejectedChangeHoldsUpNoOther(t *testing.T) {
+	in := share.Input{Revision: 1, DataCentres: []string{"a"}, Customers: map[string]registry.Customer{}}
+	for _, name := range []string{"bad", "good", "other"} {
+		in.Customers[name] = registry.Customer{Rate: 1, Burst: 1}
+	}
+	propose := func(_ context.Context, c registry.Command) error {
+		for _, o := range c.Changes {
+			if o.Share.Customer == "bad" {
+				return errors.New("rejected")
+			}
+		}
+		for _, o := range c.Changes {
+			in.Shares = append(in.Shares, *o.Share)
+		}
+		in.Revision++
+		return nil
+	}
+	l := NewLeader(WithLog(func() bool { return true }, func() share.Input { return in }, propose, func() string { return "" }))
+	for range 10 {
+		_ = l.Step(t.Context())
+	}
+	quicktest.Assert(t, in.Shares, quicktest.HasLen, 2)
+}
--- a/internal/limit/share/share.go
+++ b/internal/limit/share/share.go
@@ -310,10 +310,21 @@
 	return free
 }
 
-// obsolete returns the deletion of the shares of customers that no longer exist or have become unlimited.
+// obsolete ends the shares of customers that no longer exist or have become unlimited: first a decrease to zero,
+// and the deletion once that is confirmed.
 func obsolete(in Input) (changes []registry.Object) {
 	for _, s := range in.Shares {
-		if limit, ok := in.Customers[s.Customer]; !ok || Unlimited(limit) {
+		if limit, ok := in.Customers[s.Customer]; ok && !Unlimited(limit) {
+			continue
+		}
+		switch {
+		case s.Rate != 0 || s.Burst != 0:
+			if s.Confirmed {
+				s.Rate, s.Burst, s.Confirmed = 0, 0, false
+				s.Epoch = max(s.Epoch, in.Revision) + 1
+				changes = append(changes, object(s))
+			}
+		case s.Confirmed:
 			changes = append(changes, registry.Object{Kind: registry.KindShare, Name: Name(s), Deleted: true})
 		}
 	}
