--- a/internal/limit/share/share.go
+++ b/internal/limit/share/share.go
@@ -63,6 +63,22 @@
 	Shares      []registry.Share
 }
 
+// NewInput returns the input for the customer and share objects that exist at a revision.
+func NewInput(revision uint64, centres []string, customers, shares []registry.Object) Input {
+	in := Input{Revision: revision, DataCentres: centres, Customers: map[string]registry.Customer{}}
+	for _, o := range customers {
+		if o.Customer != nil && !o.Deleted {
+			in.Customers[o.Name] = *o.Customer
+		}
+	}
+	for _, o := range shares {
+		if o.Share != nil && !o.Deleted {
+			in.Shares = append(in.Shares, *o.Share)
+		}
+	}
+	return in
+}
+
 // Allocator holds the demand and what it knows of decreases in progress.
 type Allocator struct {
 	options Options
@@ -294,10 +310,21 @@
 	return free
 }
 
-// obsolete returns the deletion of the shares of customers that no longer exist or have become unlimited.
+// obsolete ends the shares of customers that no longer exist or have become unlimited: first a decrease to zero,
+// and the deletion once that is confirmed.
 func obsolete(in Input) (changes []registry.Object) {
 	for _, s := range in.Shares {
-		if limit, ok := in.Customers[s.Customer]; !ok || Unlimited(limit) {
+		if limit, ok := in.Customers[s.Customer]; ok && !Unlimited(limit) {
+			continue
+		}
+		switch {
+		case s.Rate != 0 || s.Burst != 0:
+			if s.Confirmed {
+				s.Rate, s.Burst, s.Confirmed = 0, 0, false
+				s.Epoch = max(s.Epoch, in.Revision) + 1
+				changes = append(changes, object(s))
+			}
+		case s.Confirmed:
 			changes = append(changes, registry.Object{Kind: registry.KindShare, Name: Name(s), Deleted: true})
 		}
 	}
