--- a/internal/state/feed/feed.go
+++ b/internal/state/feed/feed.go
@@ -310,6 +310,9 @@
 	default:
 		return Error.Wrap(err)
 	}
+	if d.Snapshot {
+		n.log(context.Background(), event.FeedSnapshotLoaded, n.Source())
+	}
 	n.options.Installed(d)
 	n.Changed()
 	return nil
--- a/internal/state/voter/example_test.go
+++ b/internal/state/voter/example_test.go
@@ -2,9 +2,13 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"os"
+	"testing"
+	"time"
 
+	qt "github.com/frankban/quicktest"
 	"golang.org/x/sync/errgroup"
 
 	"lycheevale/internal/state/voter"
@@ -32,3 +36,21 @@
 	_ = group.Wait()
 	// Output: 5 <nil>
 }
+
+// Guards against an unknown outcome that a caller takes for a proposal that surely was not made.
+func TestUnknownOutcomeIsNotNoLeader(t *testing.T) {
+	ctx, cancel := context.WithTimeout(context.Background(), 200*time.Millisecond)
+	defer cancel()
+	lost := false
+	call := func(_ context.Context, _, _ string, _, _ any) error {
+		if lost {
+			return voter.ErrNoLeader
+		}
+		lost = true
+		return errors.New("connection lost after the request")
+	}
+	c := voter.NewClient(call, "Config", func() []string { return []string{"a"} })
+	_, err := c.Propose(ctx, nil)
+	qt.Assert(t, err, qt.ErrorIs, voter.ErrOutcomeUnknown)
+	qt.Assert(t, errors.Is(err, voter.ErrNoLeader), qt.IsFalse)
+}
--- a/internal/state/voter/voter.go
+++ b/internal/state/voter/voter.go
@@ -51,6 +51,7 @@
 	group     *errgroup.Group
 	nextJoin  time.Time
 	role      consensus.Role
+	snapshot  uint64 // last one logged
 }
 
 type request struct {
@@ -246,6 +247,11 @@
 	v.mu.Lock()
 	v.status.Status, v.status.Applied, v.status.Leader = s, l.replica.Applied(), leaderName(s)
 	v.mu.Unlock()
+	if s.Snapshot > l.snapshot {
+		l.snapshot = s.Snapshot
+		event.Log(ctx, v.options.Logger, event.SnapshotStored, slog.String("Group", v.options.Group),
+			slog.Uint64("Index", s.Snapshot))
+	}
 	if s.Role != l.role {
 		l.role = s.Role
 		event.Log(ctx, v.options.Logger, event.VoterRoleChanged, slog.String("Group", v.options.Group),
