Give the two faults found by the schedules tests of their own

Change: update the position first; a source tells a subscriber that feeds it, which is refused at once; one test each.

--- a/internal/state/consensus/replication.go
+++ b/internal/state/consensus/replication.go
@@ -161,15 +161,16 @@
 		c.stepReject(m, p)
 		return
 	}
+	// The position is updated before the commit index is announced, or the announcement would start from the old one.
+	p.probe, p.waiting = false, false
+	p.next = max(p.next, m.Index+1)
+	if m.Index >= p.target {
+		p.install = time.Time{}
+	}
 	if m.Index > p.match {
 		p.match = m.Index
 		c.advanceCommit()
 	}
-	if m.Index >= p.target {
-		p.install = time.Time{}
-	}
-	p.probe, p.waiting = false, false
-	p.next = max(p.next, p.match+1)
 	if p.next <= c.log.last() && c.role == Leader && !c.clock.Before(p.install) {
 		c.sendAppend(m.From, p)
 	}
--- a/internal/state/consensus/rules_test.go
+++ b/internal/state/consensus/rules_test.go
@@ -175,6 +175,35 @@
 	}
 }
 
+// Guards against a snapshot sent to a voter that has just acknowledged newer entries: the voter then waited for the
+// next entries until the transfer had timed out.
+func TestAcknowledgementEndsProbing(t *testing.T) {
+	c := newCluster(nil, func(*consensus.Rules) {}, 3, 0)
+	c.settle(3 * time.Second)
+	leader := c.leader()
+	lagging, core := without(c.ids, leader)[0], c.nodes[leader].core
+	c.drop = func(m consensus.Message) bool { return m.To == lagging || m.From == lagging }
+	reply := func(index uint64, reject bool, hint uint64) []consensus.Message {
+		return core.Step(c.now, consensus.Message{
+			Kind: consensus.AppendReply, From: lagging, To: leader, Term: core.Status().Term,
+			Index: index, Reject: reject, Hint: hint,
+		}).Messages
+	}
+	first := core.Status().Last
+	for range 6 {
+		c.propose(leader)
+		c.settle(100 * time.Millisecond)
+	}
+	reply(core.Status().Last, true, first)
+	c.compact(leader)
+	c.propose(leader)
+	for _, m := range reply(core.Status().Last, false, 0) {
+		if m.Kind == consensus.InstallSnapshot {
+			t.Fatal("a snapshot is sent to a voter that stores all entries")
+		}
+	}
+}
+
 func ExampleCore_Propose() {
 	alone := consensus.Snapshot{Index: 1, Term: 1, Config: consensus.Config{Members: []consensus.Member{{ID: "a"}}}}
 	now := time.Unix(0, 0)
--- a/internal/state/feed/feed.go
+++ b/internal/state/feed/feed.go
@@ -39,6 +39,7 @@
 	Revision uint64          `json:"Revision"`
 	Age      time.Duration   `json:"Age"`             // since a voter knew that this is current
 	Delta    json.RawMessage `json:"Delta,omitempty"` // absent if there is nothing newer
+	Cycle    bool            `json:"Cycle,omitempty"` // the subscriber feeds this instance, so it cannot learn anything here
 }
 
 type pushParams struct {
@@ -261,10 +262,7 @@
 	defer n.mu.Unlock()
 	n.hub.renew(n.options.Now(), from, p.DataCentre, p.Revision, p.Report)
 	result.Revision = n.options.Registry.Revision()
-	if n.source == from {
-		// Two instances that fed each other would stay together while cut off from all voters.
-		result.Age = longestAge
-	}
+	result.Cycle = n.source == from
 	if result.Revision > p.Revision {
 		e, err := n.encode(p.Revision)
 		if err != nil {
--- a/internal/state/feed/feed_test.go
+++ b/internal/state/feed/feed_test.go
@@ -205,6 +205,23 @@
 	})
 }
 
+// Guards against two instances that feed each other and learn of changes only when their knowledge is too old.
+func TestInstancesDoNotFeedEachOther(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(time.Millisecond, 0)
+		f.add("a", "suva-a", feed.WithSources(func() []string { return []string{"b", "voter"} }))
+		f.add("b", "suva-a", feed.WithSources(func() []string { return []string{"a", "voter"} }))
+		defer f.run()()
+		time.Sleep(time.Second)
+		for i := range 30 {
+			revision := f.change(i)
+			time.Sleep(target)
+			got := []uint64{f.regs["a"].Revision(), f.regs["b"].Revision()}
+			qt.Assert(t, got, qt.DeepEquals, []uint64{revision, revision}, qt.Commentf("change %d", i))
+		}
+	})
+}
+
 func ExampleNode_Report() {
 	r := registry.New()
 	n := feed.New(feed.WithName("a", "suva-a"), feed.WithRegistry(r))
--- a/internal/state/feed/subscriber.go
+++ b/internal/state/feed/subscriber.go
@@ -68,7 +68,7 @@
 	return n.source
 }
 
-// subscribe makes one call; a source that is behind or out of contact is not accepted.
+// subscribe makes one call; a source that is behind, out of contact or fed by this node is not accepted.
 func (n *Node) subscribe(ctx context.Context, source string) (accepted, answered bool) {
 	revision := n.options.Registry.Revision()
 	params := subscribeParams{DataCentre: n.options.DataCentre, Revision: revision, Report: n.childReport()}
@@ -78,7 +78,7 @@
 		n.log(ctx, event.FeedSourceLost, source)
 		return false, false
 	}
-	if answer.Revision < revision {
+	if answer.Revision < revision || answer.Cycle {
 		n.log(ctx, event.FeedSourceBehind, source)
 		return false, true
 	}
