--- a/internal/state/feed/feed.go
+++ b/internal/state/feed/feed.go
@@ -26,6 +26,7 @@
 	pushMethod      = "Feed.Push"
 	ackMethod       = "Feed.Ack"
 	reportMethod    = "Feed.Report"
+	leaveMethod     = "Feed.Leave"
 )
 
 type subscribeParams struct {
@@ -38,6 +39,7 @@
 	Revision uint64          `json:"Revision"`
 	Age      time.Duration   `json:"Age"`             // since a voter knew that this is current
 	Delta    json.RawMessage `json:"Delta,omitempty"` // absent if there is nothing newer
+	Cycle    bool            `json:"Cycle,omitempty"` // the subscriber feeds this instance, so it cannot learn anything here
 }
 
 type pushParams struct {
@@ -81,6 +83,7 @@
 	hub      *hub
 	source   string
 	tries    int
+	chosenAt time.Time // when the source was chosen
 	preferAt time.Time // next time to try the preferred source again
 	freshAt  time.Time // when a voter knew that the configuration here was current
 	reported uint64    // last revision reported for all subscribers
@@ -111,6 +114,12 @@
 	mux.Handle(subscribeMethod, peer.Typed(n.receiveSubscribe))
 	mux.Handle(pushMethod, peer.Typed(n.receivePush))
 	mux.Handle(ackMethod, peer.Typed(n.receiveAck))
+	mux.Handle(leaveMethod, peer.Typed(func(_ context.Context, from string, _ empty) (empty, error) {
+		n.mu.Lock()
+		defer n.mu.Unlock()
+		delete(n.hub.children, from)
+		return empty{}, nil
+	}))
 	mux.Handle(reportMethod, peer.Typed(func(context.Context, string, empty) (reportResult, error) {
 		return reportResult{Revision: n.options.Registry.Revision(), Report: n.Report()}, nil
 	}))
@@ -253,10 +262,7 @@
 	defer n.mu.Unlock()
 	n.hub.renew(n.options.Now(), from, p.DataCentre, p.Revision, p.Report)
 	result.Revision = n.options.Registry.Revision()
-	if n.source == from {
-		// Two instances that fed each other would stay together while cut off from all voters.
-		result.Age = longestAge
-	}
+	result.Cycle = n.source == from
 	if result.Revision > p.Revision {
 		e, err := n.encode(p.Revision)
 		if err != nil {
@@ -302,6 +308,9 @@
 	default:
 		return Error.Wrap(err)
 	}
+	if d.Snapshot {
+		n.log(context.Background(), event.FeedSnapshotLoaded, n.Source())
+	}
 	n.options.Installed(d)
 	n.Changed()
 	return nil
