--- a/internal/place/model/sim.go
+++ b/internal/place/model/sim.go
@@ -111,9 +111,7 @@
 	}
 	calls := Generate(site, sc)
 	s.build()
-	for _, c := range calls {
-		s.after(c.At-s.now, func() { s.arrive(c) })
-	}
+	s.arriveNext(calls)
 	s.scheduleFaults()
 	s.scheduleReports()
 	end := sc.Length + 2*site.Deadline
@@ -165,6 +163,17 @@
 	return o
 }
 
+// arriveNext schedules one call at a time, which keeps the heap of events small.
+func (s *simulation) arriveNext(calls []*Call) {
+	if len(calls) == 0 {
+		return
+	}
+	s.after(calls[0].At-s.now, func() {
+		s.arriveNext(calls[1:])
+		s.arrive(calls[0])
+	})
+}
+
 // arrive takes a call at an entry of its data centre.
 func (s *simulation) arrive(c *Call) {
 	a := &attempt{call: c}
