--- a/internal/member/node/coordinator.go
+++ b/internal/member/node/coordinator.go
@@ -36,6 +36,7 @@
 type heardBy struct {
 	digest uint64
 	names  map[string]uint64 // incarnation by name
+	again  time.Time         // when to ask for the list again; zero unless an entry was refused
 }
 
 // follower is the state of pushing the view to an instance.
@@ -132,29 +133,37 @@
 // refresh takes what an instance has heard of endpoints and tells whether the digest is known.
 func (c *coordinator) refresh(now time.Time, from string, r renew) bool {
 	if r.Listed {
-		names := map[string]uint64{}
+		heard := heardBy{digest: r.Alive, names: map[string]uint64{}}
 		for _, a := range r.Endpoints {
-			c.announce(now, a)
-			names[a.Name] = a.Incarnation
+			if c.announce(now, a) {
+				heard.names[a.Name] = a.Incarnation
+			} else {
+				heard.again = now.Add(c.options.Timing.Length)
+			}
 		}
-		c.alive[from] = heardBy{digest: r.Alive, names: names}
+		c.alive[from] = heard
 		return true
 	}
 	heard, known := c.alive[from]
 	if !known || heard.digest != r.Alive {
 		return false
 	}
+	if !heard.again.IsZero() && !now.Before(heard.again) {
+		return false // what was refused may be acceptable by now
+	}
 	for name, incarnation := range heard.names {
-		c.directory.Refresh(now, name, incarnation)
+		if !c.directory.Refresh(now, name, incarnation) {
+			return false // another incarnation was announced elsewhere, or the entry has expired
+		}
 	}
 	return true
 }
 
-// announce takes an announcement that reached any instance.
-func (c *coordinator) announce(now time.Time, a directory.Announcement) {
+// announce takes an announcement that reached any instance and tells whether it counts.
+func (c *coordinator) announce(now time.Time, a directory.Announcement) bool {
 	changed, err := c.directory.Announce(now, a)
 	if err != nil {
-		return
+		return false
 	}
 	c.dirty = c.dirty || changed
 	e, _ := c.directory.Endpoint(a.Name)
@@ -164,6 +173,7 @@
 		ChecksFencing: e.ChecksFencing,
 		Leaving:       e.Leaving,
 	})
+	return true
 }
 
 // decide expires, assigns and publishes; it returns the new assignments.
--- a/internal/member/node/fault_test.go
+++ b/internal/member/node/fault_test.go
@@ -13,6 +13,7 @@
 
 	"github.com/frankban/quicktest"
 
+	"lycheevale/internal/member/directory"
 	"lycheevale/internal/member/node"
 	"lycheevale/internal/wire/peer"
 )
@@ -109,6 +110,47 @@
 	})
 }
 
+// Guards against a coordinator that stops, is elected again at once and leaves a gap when it exits.
+func TestLeavingCoordinatorStaysOut(t *testing.T) {
+	virtual(t, 3, 3, func(c *cluster) {
+		check := quicktest.New(t)
+		c.run(40*time.Second, 9)
+		leaver := c.coordinator()
+		ctx, cancel := context.WithTimeout(c.ctx, time.Minute)
+		defer cancel()
+		check.Assert(c.instances[leaver].node.Leave(ctx), quicktest.IsNil)
+		for range 100 {
+			time.Sleep(100 * time.Millisecond)
+			check.Assert(c.coordinator(), quicktest.Not(quicktest.Equals), leaver)
+		}
+		check.Check(c.coordinator() >= 0, quicktest.IsTrue)
+		check.Check(c.instances[leaver].node.Owned(), quicktest.HasLen, 0)
+	})
+}
+
+// Guards against an endpoint that stays unknown because the coordinator once refused it, here for an
+// incarnation below one that it still remembered.
+func TestRefusedEndpointIsAskedForAgain(t *testing.T) {
+	memory := func(o *node.Options) { o.Directory = []directory.Option{directory.WithMemory(30 * time.Second)} }
+	virtual(t, 3, 3, func(c *cluster) {
+		check := quicktest.New(t)
+		c.run(20*time.Second, 0)
+		other := (c.coordinator() + 1) % 3
+		announce := func(i int, incarnation uint64, d time.Duration) int {
+			a := endpoint(0)
+			a.Incarnation = incarnation
+			for end := time.Now().Add(d); time.Now().Before(end); time.Sleep(3 * time.Second) {
+				c.instances[i].node.Announce(c.ctx, a)
+			}
+			return len(c.instances[other].node.View().Endpoints)
+		}
+		check.Assert(announce(c.coordinator(), 2, 10*time.Second), quicktest.Equals, 1)
+		c.run(21*time.Second, 0)
+		check.Assert(announce(other, 1, 10*time.Second), quicktest.Equals, 0)
+		check.Check(announce(other, 1, 40*time.Second), quicktest.Equals, 1)
+	}, memory)
+}
+
 // Guards against an instance that is shut out after its wall clock was set back.
 func TestWallClockSetBack(t *testing.T) {
 	virtual(t, 3, 3, func(c *cluster) {
