limit/admit: recover from a lower incarnation

Cause: the wiring numbers starts by the wall clock; after it was set back, the coordinator would have reset every session of the restarted instance, which counted up by one each time. Change: a reset names the incarnation known, and the instance continues above it. Measured: go test -race ./internal/limit/... passes; TestLowerIncarnationRecovers is new.

--- a/internal/limit/admit/coordinator.go
+++ b/internal/limit/admit/coordinator.go
@@ -152,7 +152,7 @@
 	defer c.mu.Unlock()
 	s, ok := c.session(now, from, req.Header)
 	if !ok {
-		return BorrowReply{Answer: Answer{Epoch: c.epoch, Reset: true}}
+		return BorrowReply{Answer: c.refuseSession(from)}
 	}
 	if req.Sequence <= s.borrowed && !c.options.applyResent {
 		return s.borrowReply
@@ -191,6 +191,16 @@
 	return s, true
 }
 
+// refuseSession tells an instance how to begin a session. It names the incarnation known, because a restarted
+// instance whose number comes from a clock that was set back could not get past it otherwise.
+func (c *Coordinator) refuseSession(from string) Answer {
+	answer := Answer{Epoch: c.epoch, Reset: true}
+	if s, ok := c.sessions[from]; ok {
+		answer.Known = s.incarnation
+	}
+	return answer
+}
+
 // silent reports whether an instance has stopped asking; its claims do not hold up others.
 func (c *Coordinator) silent(now time.Time) func(string) bool {
 	return func(holder string) bool {
@@ -241,7 +251,7 @@
 	defer c.mu.Unlock()
 	s, ok := c.session(now, from, req.Header)
 	if !ok {
-		return ReturnReply{Answer: Answer{Epoch: c.epoch, Reset: true}}
+		return ReturnReply{Answer: c.refuseSession(from)}
 	}
 	if req.Sequence <= s.returned && !c.options.applyResent {
 		return s.returnReply
--- a/internal/limit/admit/giveback.go
+++ b/internal/limit/admit/giveback.go
@@ -97,7 +97,7 @@
 		return
 	}
 	if reply.Reset {
-		h.reset(reply.Epoch)
+		h.reset(reply.Answer)
 		return
 	}
 	for customer, r := range h.reports {
--- a/internal/limit/admit/holder.go
+++ b/internal/limit/admit/holder.go
@@ -167,7 +167,7 @@
 		return
 	}
 	if reply.Reset {
-		h.reset(reply.Epoch)
+		h.reset(reply.Answer)
 		return
 	}
 	sentAt := h.borrow.sentAt
@@ -260,9 +260,9 @@
 
 // reset starts a new session after the coordinator changed or forgot this instance. Held batches stay usable
 // until their deadlines; what was spent or could be credited is known to no coordinator any more.
-func (h *holder) reset(epoch uint64) {
-	h.epoch = epoch
-	h.incarnation++
+func (h *holder) reset(answer Answer) {
+	h.epoch = answer.Epoch
+	h.incarnation = max(h.incarnation, answer.Known) + 1
 	h.borrow = stream[BorrowRequest]{}
 	h.giveBack = stream[ReturnRequest]{}
 	clear(h.reports)
--- a/internal/limit/admit/messages.go
+++ b/internal/limit/admit/messages.go
@@ -32,6 +32,7 @@
 type Answer struct {
 	Epoch uint64 `json:"Epoch"`
 	Reset bool   `json:"Reset,omitempty"` // nothing was applied; the instance starts a new session at Epoch
+	Known uint64 `json:"Known,omitempty"` // with Reset, the incarnation of the session known; the new one is higher
 }
 
 // BorrowRequest asks for tokens. Times are lengths because clocks of instances are not compared.
--- a/internal/limit/admit/reserve_test.go
+++ b/internal/limit/admit/reserve_test.go
@@ -108,3 +108,16 @@
 	}
 	quicktest.Assert(t, in.Shares, quicktest.HasLen, 2)
 }
+
+// Guards against an instance that restarts with a lower incarnation and is never answered again.
+func TestLowerIncarnationRecovers(t *testing.T) {
+	l := newLink(1)
+	l.holder.incarnation = 1 << 60
+	l.run(1, 100, time.Second)
+	l.holder = newHolder(defaultOptions())
+	_, q := l.holder.reserve(l.now, customerName(0), 500, l.now.Add(time.Second))
+	for range 3 {
+		l.borrow()
+	}
+	quicktest.Assert(t, (<-q.done).spending, quicktest.IsNotNil)
+}
