End commands when their endpoint restarts

Cause: a command whose endpoint restarted stayed in progress for good, and the restart reset the fencing number to the announced one. Change: losing an endpoint fails its command; the highest fencing number seen is kept.

--- a/internal/place/scheduler/endpoint.go
+++ b/internal/place/scheduler/endpoint.go
@@ -20,6 +20,7 @@
 	next.Resident = nil
 	if old != nil {
 		s.lose(now, old)
+		next.Fence = max(next.Fence, old.Fence)
 	}
 	s.byName[e.Name] = next
 	s.slots += e.Slots
@@ -68,6 +69,9 @@
 	s.endpoints = slices.DeleteFunc(s.endpoints, func(other *endpoint) bool { return other == e })
 	s.dirty = slices.DeleteFunc(s.dirty, func(other *endpoint) bool { return other == e })
 	e.dirty = false
+	if e.command != nil {
+		e.command.event("fail")
+	}
 	for id, r := range s.running {
 		if r.slot.endpoint == e {
 			delete(s.running, id)
--- a/internal/place/scheduler/scheduler_test.go
+++ b/internal/place/scheduler/scheduler_test.go
@@ -223,6 +223,22 @@
 	qt.Check(t, err, qt.ErrorMatches, ".*fencing number 6 is below 7.*")
 }
 
+// Guards against a command that stays in progress after its endpoint restarted, and against a restart that resets the
+// fencing number.
+func TestRestartEndsCommands(t *testing.T) {
+	w := newWorld()
+	c := scheduler.Command{ID: "m1", Kind: scheduler.SetRole, Endpoint: "a", Value: "decode", Fence: 7}
+	_, err := w.s.Command(w.now, c)
+	qt.Assert(t, err, qt.IsNil)
+	w.restart("a")
+	state, err := w.s.Command(w.now, c)
+	qt.Check(t, err, qt.IsNil)
+	qt.Check(t, state, qt.Equals, scheduler.CommandFailed)
+	c.ID, c.Fence = "m2", 6
+	_, err = w.s.Command(w.now, c)
+	qt.Check(t, err, qt.ErrorMatches, ".*below 7.*")
+}
+
 // Guards against prefix affinity that follows events of a set it no longer knows, or outweighs a load difference.
 func TestPrefixAffinityBreaksTiesOnly(t *testing.T) {
 	w := newWorld()
