--- a/internal/base/settings/check.go
+++ b/internal/base/settings/check.go
@@ -181,7 +181,6 @@
 }
 
 func (s Settings) checkChoices(fs *faults) {
-	fs.choice("Policy", string(s.Policy), string(PolicyAdaptive), string(PolicyLeastLoaded), string(PolicyFirstIn))
 	fs.choice("Log.Level", s.Log.Level, "Debug", "Info", "Warn", "Error")
 	fs.choice("Log.Format", s.Log.Format, "JSON", "Text")
 }
--- a/internal/base/settings/settings.go
+++ b/internal/base/settings/settings.go
@@ -31,7 +31,7 @@
 	Voters     []Member  `yaml:"Voters"`
 	TLS        TLS       `yaml:"TLS"`
 	Operators  Operators `yaml:"Operators"`
-	Policy     Policy    `yaml:"Policy"`
+	PolicyFile string    `yaml:"PolicyFile"`
 	Limits     Limits    `yaml:"Limits"`
 	Timeouts   Timeouts  `yaml:"Timeouts"`
 	Shutdown   Shutdown  `yaml:"Shutdown"`
@@ -80,15 +80,7 @@
 	AuditFile       string `yaml:"AuditFile"`
 }
 
-// Policy names the set of rules for routing, queueing and eviction.
-type Policy string
 
-// Policies; the baselines exist for comparison and rollback.
-const (
-	PolicyAdaptive    Policy = "Adaptive"
-	PolicyLeastLoaded Policy = "LeastLoaded"
-	PolicyFirstIn     Policy = "FirstIn"
-)
 
 // Limits bound what a single request may occupy.
 type Limits struct {
@@ -136,7 +128,6 @@
 			Peers:     netip.MustParseAddrPort("127.0.0.1:8082"),
 			Streams:   netip.MustParseAddrPort("127.0.0.1:8083"),
 		},
-		Policy: PolicyAdaptive,
 		Limits: Limits{
 			BodyBytes: 4 << 20, HeaderBytes: 64 << 10, OperatorBodyBytes: 8 << 20, ResponseBytes: 16 << 20,
 			Connections: 10000,
