--- a/internal/state/registry/registry_test.go
+++ b/internal/state/registry/registry_test.go
@@ -287,6 +287,12 @@
 				r.Resolve(fmt.Sprint("a", i%n))
 			}
 		})
+		b.Run(fmt.Sprintf("Snapshot/%d", n), func(b *testing.B) {
+			for range min(b.N, 3) {
+				data, _ := r.Snapshot()
+				b.ReportMetric(float64(len(data)>>10), "KiB")
+			}
+		})
 		b.Run(fmt.Sprintf("Page/%d", n), func(b *testing.B) {
 			for i := range b.N {
 				r.Page(registry.KindAdapter, "", fmt.Sprint("a", i%n), 100)
