Tell how long a voter has known no leader

Cause: the feed of a voter that is cut off must not pass as current, and a member without a vote kept its last leader. Change: add Voter.Age for feed.WithAge; the election timeout forgets the leader also without a vote. Measured: go test -race ./internal/state/voter ./internal/state/consensus passes.

--- a/internal/state/consensus/election.go
+++ b/internal/state/consensus/election.go
@@ -3,12 +3,13 @@
 // campaign starts with a pre-vote, so that a voter that was cut off cannot depose a working leader by its higher term.
 func (c *Core) campaign() {
 	c.resetDeadline()
+	c.leader = ""
 	// A voter removed by an entry that is not committed may hold the only log that can win.
 	if !c.log.config().Voter(c.options.ID) && !c.log.configAt(c.commit).Voter(c.options.ID) {
 		return
 	}
 	if c.options.Rules.PreVote {
-		c.role, c.leader = PreCandidate, ""
+		c.role = PreCandidate
 		c.requestVotes(PreVote, c.state.Term+1)
 		return
 	}
@@ -16,7 +17,7 @@
 }
 
 func (c *Core) becomeCandidate() {
-	c.role, c.leader = Candidate, ""
+	c.role = Candidate
 	c.setState(c.state.Term+1, c.options.ID)
 	c.requestVotes(Vote, c.state.Term)
 }
--- a/internal/state/voter/voter.go
+++ b/internal/state/voter/voter.go
@@ -32,7 +32,8 @@
 type Status struct {
 	consensus.Status
 	Applied uint64
-	Leader  string // instance name, "" if unknown
+	Leader  string    // instance name, "" if unknown
+	Current time.Time // when a leader was last known, at most one election timeout after its last message
 	Cuts    []record.Cut
 	Err     error // why the voter stopped
 }
@@ -101,6 +102,9 @@
 	return v.status
 }
 
+// Age returns how long no leader has been known; feed.WithAge takes it.
+func (v *Voter) Age() time.Duration { return v.options.Now().Sub(v.Status().Current) }
+
 // Run opens the data directory and takes part in the log until ctx ends or the disk fails.
 func (v *Voter) Run(ctx context.Context) (err error) {
 	defer func() {
@@ -246,6 +250,9 @@
 	v := l.voter
 	v.mu.Lock()
 	v.status.Status, v.status.Applied, v.status.Leader = s, l.replica.Applied(), leaderName(s)
+	if s.Leader != "" {
+		v.status.Current = l.now()
+	}
 	v.mu.Unlock()
 	if s.Snapshot > l.snapshot {
 		l.snapshot = s.Snapshot
--- a/internal/state/voter/voter_test.go
+++ b/internal/state/voter/voter_test.go
@@ -223,6 +223,11 @@
 		qt.Assert(t, c.change("b", 3).Revision, qt.Equals, uint64(4)) // a resend of change 3
 		for _, name := range c.names {
 			qt.Assert(t, c.node(name).registry.Revision(), qt.Equals, before, qt.Commentf("voter %s", name))
+			qt.Assert(t, c.node(name).voter.Age() < time.Second, qt.IsTrue, qt.Commentf("voter %s", name))
 		}
+		c.kill("a")
+		c.kill("b")
+		time.Sleep(10 * time.Second)
+		qt.Assert(t, c.node("c").voter.Age() > 5*time.Second, qt.IsTrue) // it must not pass as current
 	})
 }
