--- a/internal/node/instance/distribution.go
+++ b/internal/node/instance/distribution.go
@@ -37,7 +37,6 @@
 	revision uint64          // up to which the log's withdrawals were observed
 	pending  map[string]bool // withdrawn keys that the log may not hold yet
 	leader   string          // of the configuration log, as a voter told
-	seen     time.Time       // when this voter last knew a leader
 }
 
 func newDistribution(st *state, mux *peer.Mux, call peer.Caller, members func() node.View) *distribution {
@@ -65,6 +64,14 @@
 	d.revoke.Observe(delta)
 }
 
+// logRestored is called after a snapshot replaced the configuration of this voter.
+func (d *distribution) logRestored() {
+	d.mu.Lock()
+	d.revision = 0
+	d.mu.Unlock()
+	d.logChanged()
+}
+
 // logChanged is called after the log of this voter has changed the configuration.
 func (d *distribution) logChanged() {
 	d.mu.Lock()
@@ -75,19 +82,12 @@
 	d.feed.Changed()
 }
 
-// age tells how long ago this voter knew that its log is current: a follower without a leader does not.
+// age tells how long ago this voter knew that its log is current.
 func (d *distribution) age() time.Duration {
-	now := d.options.Now()
 	if d.state.config == nil {
 		return 0
 	}
-	known := d.state.config.Status().Leader != ""
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	if known || d.seen.IsZero() {
-		d.seen = now
-	}
-	return now.Sub(d.seen)
+	return d.state.config.Age()
 }
 
 // sources lists where the configuration comes from: the voters for the relay, which is the coordinator's instance,
--- a/internal/node/instance/state.go
+++ b/internal/node/instance/state.go
@@ -77,7 +77,7 @@
 
 func (st *state) restore(data []byte) error {
 	err := st.registry.Restore(data)
-	st.spread.logChanged()
+	st.spread.logRestored()
 	return err
 }
 
