Save requests from silent links between instances, and clean up errors and property tests

Change: the question is asked again over a new link; servers of streams ping silent connections; seeded.Main and chain.As replace the copies; the tests over all state packages are in state/simulation.

--- a/internal/base/yamldoc/yamldoc.go
+++ b/internal/base/yamldoc/yamldoc.go
@@ -2,11 +2,12 @@
 package yamldoc
 
 import (
-	"errors"
 	"fmt"
 	"os"
 	"strings"
 
+	"lycheevale/internal/base/chain"
+
 	"github.com/goccy/go-yaml"
 	"github.com/goccy/go-yaml/ast"
 	"github.com/goccy/go-yaml/parser"
@@ -156,7 +157,7 @@
 	p := SourceError{File: file, Message: err.Error()}
 	var at *token.Token
 	var syntax yaml.Error
-	if errors.As(err, &syntax) {
+	if chain.As(err, &syntax) {
 		p.Message = syntax.GetMessage()
 		at = syntax.GetToken()
 	}
--- a/internal/limit/admit/admit.go
+++ b/internal/limit/admit/admit.go
@@ -4,7 +4,6 @@
 
 import (
 	"context"
-	"errors"
 	"math"
 	"sync"
 	"time"
@@ -115,7 +114,7 @@
 		return a.finish(customer, <-q.done)
 	}
 	switch {
-	case errors.Is(ctx.Err(), context.Canceled):
+	case errs.Is(ctx.Err(), context.Canceled):
 		return Reservation{}, refusal.New(refusal.DeadlineExceeded, "the request was cancelled while it waited for its rate")
 	case !answered || cut:
 		return Reservation{}, refusal.New(refusal.Unavailable, "the coordinator of rates cannot be reached")
@@ -156,7 +155,7 @@
 	group.Go(func() error { return a.runBorrow(ctx) })
 	group.Go(func() error { return a.runReturn(ctx) })
 	err = group.Wait()
-	if errors.Is(err, context.Canceled) {
+	if errs.Is(err, context.Canceled) {
 		err = nil
 	}
 	a.returnAll(context.WithoutCancel(ctx))
--- a/internal/limit/admit/admit_test.go
+++ b/internal/limit/admit/admit_test.go
@@ -1,13 +1,12 @@
 package admit
 
 import (
-	"errors"
-	"flag"
 	"fmt"
-	"os"
 	"testing"
 	"time"
 
+	"lycheevale/internal/base/seeded"
+
 	"github.com/frankban/quicktest"
 	"pgregory.net/rapid"
 
@@ -21,18 +20,7 @@
 	simLanes     = 4   // run in parallel
 )
 
-func TestMain(m *testing.M) {
-	flag.Parse()
-	err := errors.Join(flag.Set("rapid.seed", simSeed), flag.Set("rapid.checks", fmt.Sprint(simSchedules)), flag.Set("rapid.nofailfile", "true"))
-	if err != nil {
-		panic(err)
-	}
-	code := m.Run()
-	if code != 0 {
-		fmt.Println("rapid seed", simSeed)
-	}
-	os.Exit(code)
-}
+func TestMain(m *testing.M) { seeded.Main(m, simSeed, simSchedules) }
 
 // Guards against any schedule of faults that admits more than rate times time plus burst.
 func TestNeverOverRate(t *testing.T) {
--- a/internal/limit/admit/fleet_test.go
+++ b/internal/limit/admit/fleet_test.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"encoding/json"
-	"errors"
 	"fmt"
 	"math/rand/v2"
 	"strconv"
@@ -13,6 +12,8 @@
 	"testing/synctest"
 	"time"
 
+	"github.com/zeebo/errs"
+
 	"lycheevale/internal/base/knownred"
 
 	"github.com/frankban/quicktest"
@@ -58,7 +59,7 @@
 	stop      context.CancelFunc
 }
 
-var errLost = errors.New("message lost")
+var errLost = errs.New("message lost")
 
 func newFleet(ctx context.Context, group *errgroup.Group, limits map[string]registry.Customer) *fleet {
 	f := &fleet{registry: registry.New(), limits: limits, random: rand.New(rand.NewPCG(1, 2)), mux: peer.NewMux()}
@@ -127,7 +128,7 @@
 func (f *fleet) propose(_ context.Context, c registry.Command) error {
 	time.Sleep(logLatency)
 	if r := f.registry.Apply(c); r.Error != "" {
-		return errors.New(r.Error)
+		return errs.New("%s", r.Error)
 	}
 	return nil
 }
--- a/internal/limit/admit/reserve_test.go
+++ b/internal/limit/admit/reserve_test.go
@@ -2,11 +2,12 @@
 
 import (
 	"context"
-	"errors"
 	"testing"
 	"testing/synctest"
 	"time"
 
+	"github.com/zeebo/errs"
+
 	"github.com/frankban/quicktest"
 	"golang.org/x/sync/errgroup"
 
@@ -32,7 +33,7 @@
 				time.Sleep(time.Millisecond)
 				switch {
 				case !up:
-					return errors.New("down")
+					return errs.New("down")
 				case method == MethodBorrow:
 					*result.(*BorrowReply), err = server.Borrow(ctx, "i", *params.(*BorrowRequest))
 				default:
@@ -93,7 +94,7 @@
 	propose := func(_ context.Context, c registry.Command) error {
 		for _, o := range c.Changes {
 			if o.Share.Customer == "bad" {
-				return errors.New("rejected")
+				return errs.New("rejected")
 			}
 		}
 		for _, o := range c.Changes {
--- a/internal/limit/admit/serve.go
+++ b/internal/limit/admit/serve.go
@@ -2,10 +2,11 @@
 
 import (
 	"context"
-	"errors"
 	"log/slog"
 	"time"
 
+	"github.com/zeebo/errs"
+
 	"golang.org/x/sync/errgroup"
 
 	"lycheevale/internal/base/event"
@@ -112,7 +113,7 @@
 	event.Log(ctx, s.options.Logger, event.LimitTookOver, slog.Uint64("Epoch", s.coordinator.Epoch()))
 	for {
 		err := pause(ctx, s.options.Every)
-		if errors.Is(err, context.Canceled) {
+		if errs.Is(err, context.Canceled) {
 			return nil
 		}
 		if err != nil {
--- a/internal/limit/bucket/bucket_test.go
+++ b/internal/limit/bucket/bucket_test.go
@@ -1,14 +1,13 @@
 package bucket_test
 
 import (
-	"errors"
-	"flag"
 	"fmt"
 	"math"
-	"os"
 	"testing"
 	"time"
 
+	"lycheevale/internal/base/seeded"
+
 	"github.com/frankban/quicktest"
 	"pgregory.net/rapid"
 
@@ -17,18 +16,7 @@
 
 const seed = "20261204"
 
-func TestMain(m *testing.M) {
-	flag.Parse()
-	err := errors.Join(flag.Set("rapid.seed", seed), flag.Set("rapid.checks", "1500"), flag.Set("rapid.nofailfile", "true"))
-	if err != nil {
-		panic(err)
-	}
-	code := m.Run()
-	if code != 0 {
-		fmt.Println("rapid seed", seed)
-	}
-	os.Exit(code)
-}
+func TestMain(m *testing.M) { seeded.Main(m, seed, 1500) }
 
 func ExampleBucket() {
 	now := time.Unix(0, 0)
--- a/internal/limit/share/share_test.go
+++ b/internal/limit/share/share_test.go
@@ -1,15 +1,14 @@
 package share_test
 
 import (
-	"errors"
-	"flag"
 	"fmt"
 	"math/rand/v2"
-	"os"
 	"slices"
 	"testing"
 	"time"
 
+	"lycheevale/internal/base/seeded"
+
 	"github.com/frankban/quicktest"
 	"pgregory.net/rapid"
 
@@ -22,18 +21,7 @@
 	schedules = 1500
 )
 
-func TestMain(m *testing.M) {
-	flag.Parse()
-	err := errors.Join(flag.Set("rapid.seed", seed), flag.Set("rapid.checks", fmt.Sprint(schedules)), flag.Set("rapid.nofailfile", "true"))
-	if err != nil {
-		panic(err)
-	}
-	code := m.Run()
-	if code != 0 {
-		fmt.Println("rapid seed", seed)
-	}
-	os.Exit(code)
-}
+func TestMain(m *testing.M) { seeded.Main(m, seed, schedules) }
 
 func ExampleAllocator() {
 	a := share.New()
--- a/internal/member/detector/detector_test.go
+++ b/internal/member/detector/detector_test.go
@@ -1,13 +1,12 @@
 package detector_test
 
 import (
-	"flag"
-	"fmt"
 	"math/rand/v2"
-	"os"
 	"testing"
 	"time"
 
+	"lycheevale/internal/base/seeded"
+
 	"pgregory.net/rapid"
 
 	"lycheevale/internal/member/detector"
@@ -16,19 +15,7 @@
 // seed makes each run of CI draw the same schedules.
 const seed = "20261204"
 
-func TestMain(m *testing.M) {
-	flag.Parse()
-	for name, value := range map[string]string{"rapid.seed": seed, "rapid.checks": "500", "rapid.nofailfile": "true"} {
-		if err := flag.Set(name, value); err != nil {
-			panic(err)
-		}
-	}
-	code := m.Run()
-	if code != 0 {
-		fmt.Println("rapid seed:", seed)
-	}
-	os.Exit(code)
-}
+func TestMain(m *testing.M) { seeded.Main(m, seed, 500) }
 
 var epoch = time.Date(2026, 12, 4, 0, 0, 0, 0, time.UTC)
 
--- a/internal/member/directory/directory_test.go
+++ b/internal/member/directory/directory_test.go
@@ -1,13 +1,13 @@
 package directory_test
 
 import (
-	"flag"
 	"fmt"
 	"net/netip"
-	"os"
 	"testing"
 	"time"
 
+	"lycheevale/internal/base/seeded"
+
 	"github.com/frankban/quicktest"
 	"pgregory.net/rapid"
 
@@ -17,19 +17,7 @@
 // seed makes each run of CI draw the same schedules.
 const seed = "20261204"
 
-func TestMain(m *testing.M) {
-	flag.Parse()
-	for name, value := range map[string]string{"rapid.seed": seed, "rapid.checks": "1000", "rapid.nofailfile": "true"} {
-		if err := flag.Set(name, value); err != nil {
-			panic(err)
-		}
-	}
-	code := m.Run()
-	if code != 0 {
-		fmt.Println("rapid seed:", seed)
-	}
-	os.Exit(code)
-}
+func TestMain(m *testing.M) { seeded.Main(m, seed, 1000) }
 
 var (
 	epoch   = time.Date(2026, 12, 4, 0, 0, 0, 0, time.UTC)
--- a/internal/member/node/coordinator.go
+++ b/internal/member/node/coordinator.go
@@ -1,10 +1,11 @@
 package node
 
 import (
-	"errors"
 	"math/rand/v2"
 	"time"
 
+	"github.com/zeebo/errs"
+
 	"lycheevale/internal/member/assign"
 	"lycheevale/internal/member/detector"
 	"lycheevale/internal/member/directory"
@@ -94,7 +95,7 @@
 		return renewReply{Reply: assign.Reply{NeedFull: true}}
 	}
 	changed, err := c.directory.Heartbeat(now, directory.Instance{Name: from, Address: address, Incarnation: r.Incarnation, Leaving: r.Leaving})
-	if errors.Is(err, directory.ErrOutdated) {
+	if errs.Is(err, directory.ErrOutdated) {
 		return renewReply{Outdated: c.directory.Incarnation(from)}
 	}
 	c.dirty = c.dirty || changed || len(r.Released) > 0
@@ -103,7 +104,7 @@
 	c.follower(from).has = r.View
 	needAlive := !c.refresh(now, from, r)
 	reply, err := c.table.Renew(now, from, r.Renewal)
-	if errors.Is(err, assign.ErrOutdated) {
+	if errs.Is(err, assign.ErrOutdated) {
 		return renewReply{Outdated: c.table.Incarnation(from)}
 	}
 	if err != nil {
--- a/internal/member/node/node_test.go
+++ b/internal/member/node/node_test.go
@@ -3,18 +3,19 @@
 import (
 	"context"
 	"encoding/json"
-	"errors"
-	"flag"
 	"fmt"
 	"log/slog"
 	"math/rand/v2"
 	"net/netip"
-	"os"
 	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
 
+	"github.com/zeebo/errs"
+
+	"lycheevale/internal/base/seeded"
+
 	"github.com/frankban/quicktest"
 
 	"lycheevale/internal/member/directory"
@@ -25,19 +26,7 @@
 // seed makes each run of CI draw the same schedules.
 const seed = "20261204"
 
-func TestMain(m *testing.M) {
-	flag.Parse()
-	for name, value := range map[string]string{"rapid.seed": seed, "rapid.checks": "120", "rapid.nofailfile": "true"} {
-		if err := flag.Set(name, value); err != nil {
-			panic(err)
-		}
-	}
-	code := m.Run()
-	if code != 0 {
-		fmt.Println("rapid seed:", seed)
-	}
-	os.Exit(code)
-}
+func TestMain(m *testing.M) { seeded.Main(m, seed, 120) }
 
 // envelope is the size of the frames of one call and its answer apart from method, parameters and
 // result: 80 and 42 bytes.
@@ -46,7 +35,7 @@
 // headers is what TLS 1.3 (22), TCP with timestamps (32) and IPv4 (20) add to a call and its answer.
 const headers = 2 * (22 + 32 + 20)
 
-var errUnreachable = errors.New("unreachable")
+var errUnreachable = errs.New("unreachable")
 
 // instance is one life of an instance and the network's view of it.
 type instance struct {
--- a/internal/node/instance/targets.go
+++ b/internal/node/instance/targets.go
@@ -175,10 +175,8 @@
 	if ok && known.address == e.OwnerAddress {
 		return known.remote, nil
 	}
-	ctx, cancel := context.WithTimeout(ctx, describeWait)
-	defer cancel()
-	var d Description
-	if err := t.call(ctx, e.Owner, describeMethod, struct{}{}, &d); err != nil {
+	d, err := t.describe(ctx, e.Owner)
+	if err != nil {
 		return nil, refusal.New(refusal.Unavailable, "owner %s cannot be reached: %v", e.Owner, err)
 	}
 	transport := t.transport(e.Owner)
@@ -189,6 +187,21 @@
 	return next.remote, nil
 }
 
+// describe asks an instance about itself, a second time when the link has gone silent meanwhile: the next call opens
+// a new one.
+func (t *targets) describe(ctx context.Context, name string) (d Description, err error) {
+	const tries = 2
+	for range tries {
+		callCtx, cancel := context.WithTimeout(ctx, describeWait)
+		err = t.call(callCtx, name, describeMethod, struct{}{}, &d)
+		cancel()
+		if err == nil {
+			break
+		}
+	}
+	return d, err
+}
+
 func (t *targets) closeIdle() {
 	t.mu.Lock()
 	defer t.mu.Unlock()
--- a/internal/place/scheduler/promise_test.go
+++ b/internal/place/scheduler/promise_test.go
@@ -1,13 +1,13 @@
 package scheduler_test
 
 import (
-	"flag"
 	"fmt"
 	"math/rand/v2"
-	"os"
 	"testing"
 	"time"
 
+	"lycheevale/internal/base/seeded"
+
 	qt "github.com/frankban/quicktest"
 	"pgregory.net/rapid"
 
@@ -15,11 +15,7 @@
 )
 
 // A fixed seed gives the same verdict on every run.
-func TestMain(m *testing.M) {
-	flag.Parse()
-	_ = flag.Set("rapid.seed", "20260101")
-	os.Exit(m.Run())
-}
+func TestMain(m *testing.M) { seeded.Main(m, "20260101", 100) }
 
 var start = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
 
--- a/internal/place/scheduler/scheduler_test.go
+++ b/internal/place/scheduler/scheduler_test.go
@@ -1,11 +1,14 @@
 package scheduler_test
 
 import (
-	"errors"
 	"fmt"
 	"testing"
 	"time"
 
+	"github.com/zeebo/errs"
+
+	"lycheevale/internal/base/chain"
+
 	qt "github.com/frankban/quicktest"
 
 	"lycheevale/internal/base/refusal"
@@ -72,7 +75,7 @@
 	loads, last := failures()
 	qt.Check(t, loads, qt.Equals, scheduler.Defaults().MaxFailures)
 	var r *refusal.Error
-	qt.Assert(t, errors.As(last, &r), qt.IsTrue)
+	qt.Assert(t, chain.As(last, &r), qt.IsTrue)
 	qt.Check(t, r.Code, qt.Equals, refusal.Unavailable)
 	qt.Check(t, r.RetryAt.After(start), qt.IsTrue)
 	loads, _ = failures(scheduler.WithoutRule(scheduler.LimitFailures))
@@ -97,12 +100,12 @@
 	flood := func(opts ...scheduler.Option) (err error) {
 		w := newWorld(opts...)
 		for range 200 {
-			err = errors.Join(err, w.submit("c", ref("x"), 2*time.Second))
+			err = errs.Combine(err, w.submit("c", ref("x"), 2*time.Second))
 		}
 		return err
 	}
 	var r *refusal.Error
-	qt.Assert(t, errors.As(flood(), &r), qt.IsTrue)
+	qt.Assert(t, chain.As(flood(), &r), qt.IsTrue)
 	qt.Check(t, r.Code, qt.Equals, refusal.Overloaded)
 	qt.Check(t, r.Ran, qt.Equals, refusal.NotRun)
 	qt.Check(t, r.RetryAt.After(start), qt.IsTrue)
--- a/internal/serve/operator/change.go
+++ b/internal/serve/operator/change.go
@@ -2,12 +2,13 @@
 
 import (
 	"context"
-	"errors"
 	"fmt"
 	"log/slog"
 	"net/http"
 	"regexp"
 
+	"lycheevale/internal/base/chain"
+
 	"lycheevale/internal/base/event"
 	"lycheevale/internal/base/refusal"
 	"lycheevale/internal/state/registry"
@@ -193,7 +194,7 @@
 	id := event.ChangeApplied
 	var typed *refusal.Error
 	switch {
-	case errors.As(err, &typed) && typed.Ran == refusal.NotRun:
+	case chain.As(err, &typed) && typed.Ran == refusal.NotRun:
 		id = event.ChangeFailed
 	case err != nil:
 		id = event.ChangeUncertain
--- a/internal/serve/operator/http.go
+++ b/internal/serve/operator/http.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"encoding/json"
-	"errors"
 	"fmt"
 	"io"
 	"log/slog"
@@ -13,6 +12,10 @@
 	"runtime/debug"
 	"time"
 
+	"github.com/zeebo/errs"
+
+	"lycheevale/internal/base/chain"
+
 	"lycheevale/internal/base/event"
 	"lycheevale/internal/base/refusal"
 	"lycheevale/internal/base/yamldoc"
@@ -127,13 +130,13 @@
 		w.Header().Set("Retry-After", fmt.Sprintf("%.0f", (wait+time.Second-1).Truncate(time.Second).Seconds()))
 	}
 	var invalid *invalidError
-	if errors.As(err, &invalid) {
+	if chain.As(err, &invalid) {
 		answer.Error.Faults = invalid.faults
 	}
 	var decided *decidedError
-	answer.Error.Decided = errors.As(err, &decided)
+	answer.Error.Decided = chain.As(err, &decided)
 	var conflict *conflictError
-	if errors.As(err, &conflict) {
+	if chain.As(err, &conflict) {
 		answer.Revision = conflict.revision
 	}
 	write(w, e.Status, answer)
@@ -158,10 +161,10 @@
 	decoder.DisallowUnknownFields()
 	err := decoder.Decode(into)
 	if err == nil && decoder.Decode(&struct{}{}) != io.EOF {
-		err = errors.New("unexpected data after the JSON value")
+		err = errs.New("unexpected data after the JSON value")
 	}
 	var tooLarge *http.MaxBytesError
-	if errors.As(err, &tooLarge) {
+	if chain.As(err, &tooLarge) {
 		return refusal.New(refusal.TooLarge, "body is larger than %d bytes", tooLarge.Limit)
 	}
 	if err != nil {
--- a/internal/serve/operator/operator.go
+++ b/internal/serve/operator/operator.go
@@ -3,7 +3,6 @@
 
 import (
 	"context"
-	"errors"
 	"log/slog"
 	"net"
 	"net/http"
@@ -81,7 +80,7 @@
 		ErrorLog:          slog.NewLogLogger(s.options.Logger.Handler(), slog.LevelDebug),
 	}
 	group.Go(func() error {
-		if err := server.Serve(l); !errors.Is(err, http.ErrServerClosed) {
+		if err := server.Serve(l); !errs.Is(err, http.ErrServerClosed) {
 			return err
 		}
 		return nil
--- a/internal/serve/operator/operator_test.go
+++ b/internal/serve/operator/operator_test.go
@@ -5,7 +5,6 @@
 	"bytes"
 	"context"
 	"encoding/json"
-	"errors"
 	"fmt"
 	"io"
 	"log/slog"
@@ -18,6 +17,8 @@
 	"testing"
 	"time"
 
+	"github.com/zeebo/errs"
+
 	qt "github.com/frankban/quicktest"
 	"golang.org/x/sync/errgroup"
 
@@ -279,7 +280,7 @@
 // Guards against actions without a record, and records that claim an outcome nobody knows.
 func TestAudit(t *testing.T) {
 	a := start(t)
-	a.fake.After = func(registry.Command) error { return errors.New("leader lost") }
+	a.fake.After = func(registry.Command) error { return errs.New("leader lost") }
 	status, answer := a.change("r1", "", customer)
 	a.Assert(status, qt.Equals, http.StatusBadGateway)
 	a.Assert(answer, qt.Contains, `"Code":"OutcomeUnknown","Ran":"Unknown"`)
@@ -288,7 +289,7 @@
 	a.Assert(records[0].Stage, qt.Equals, operator.StageStarted)
 	a.Assert(records[0].Operator, qt.Equals, "alice")
 	a.Assert(records[1].Error, qt.Contains, "leader lost")
-	full := operator.NewAudit(func([]byte) error { return errors.New("disk full") })
+	full := operator.NewAudit(func([]byte) error { return errs.New("disk full") })
 	b := start(t, operator.WithAudit(full))
 	status, _ = b.change("r1", "", customer)
 	b.Assert(status, qt.Equals, http.StatusServiceUnavailable)
--- a/internal/serve/operator/references.go
+++ b/internal/serve/operator/references.go
@@ -1,12 +1,13 @@
 package operator
 
 import (
-	"errors"
 	"fmt"
 	"net/http"
 	"reflect"
 	"strings"
 
+	"github.com/zeebo/errs"
+
 	"lycheevale/internal/state/registry"
 )
 
@@ -186,7 +187,7 @@
 	defer func() {
 		if p := recover(); p != nil {
 			lines := strings.Split(fmt.Sprint(p), "\n") // the first one names files of the program
-			err = errors.New(lines[len(lines)-1])
+			err = errs.New("%s", lines[len(lines)-1])
 		}
 	}()
 	mux.HandleFunc(pattern, func(http.ResponseWriter, *http.Request) {})
--- a/internal/serve/owner/remote.go
+++ b/internal/serve/owner/remote.go
@@ -136,7 +136,8 @@
 // Configure makes a server speak the protocol that NewTransport uses.
 func Configure(s *http.Server) {
 	s.Protocols = protocols()
-	s.HTTP2 = &http.HTTP2Config{MaxConcurrentStreams: maxStreams}
+	// Without pings a connection that went silent would hold up a graceful shutdown until its bound.
+	s.HTTP2 = &http.HTTP2Config{MaxConcurrentStreams: maxStreams, SendPingTimeout: pingAfter, PingTimeout: pingTimeout}
 }
 
 func protocols() *http.Protocols {
--- a/internal/state/consensus/consensus.go
+++ b/internal/state/consensus/consensus.go
@@ -3,7 +3,6 @@
 package consensus
 
 import (
-	"errors"
 	"math/rand/v2"
 	"time"
 
@@ -15,10 +14,10 @@
 
 // Errors of proposals and membership changes; none of them has changed anything.
 var (
-	ErrNotLeader        = errors.New("this voter is not the leader")
-	ErrChangeInProgress = errors.New("another membership change is in progress")
-	ErrNotCaughtUp      = errors.New("the learner does not have all committed entries yet")
-	ErrBadChange        = errors.New("the membership change is not possible")
+	ErrNotLeader        = errs.New("this voter is not the leader")
+	ErrChangeInProgress = errs.New("another membership change is in progress")
+	ErrNotCaughtUp      = errs.New("the learner does not have all committed entries yet")
+	ErrBadChange        = errs.New("the membership change is not possible")
 )
 
 // Core is the state of one voter.
--- a/internal/state/consensus/consensus_test.go
+++ b/internal/state/consensus/consensus_test.go
@@ -1,14 +1,14 @@
 package consensus_test
 
 import (
-	"flag"
 	"fmt"
 	"math/rand/v2"
-	"os"
 	"slices"
 	"testing"
 	"time"
 
+	"lycheevale/internal/base/seeded"
+
 	"github.com/cespare/xxhash/v2"
 	"pgregory.net/rapid"
 
@@ -17,15 +17,7 @@
 
 // TestMain fixes the seed, so that every run of CI judges the same schedules; rapid prints the seed of a failure, and
 // a seed given on the command line replaces the fixed one.
-func TestMain(m *testing.M) {
-	for name, value := range map[string]string{
-		"rapid.seed": "20261204", "rapid.checks": "2000", "rapid.nofailfile": "true", "rapid.shrinktime": "2s",
-	} {
-		_ = flag.Set(name, value)
-	}
-	flag.Parse()
-	os.Exit(m.Run())
-}
+func TestMain(m *testing.M) { seeded.Main(m, "20261204", 2000) }
 
 var epoch = time.Unix(1_800_000_000, 0)
 
--- a/internal/state/consensus/rules_test.go
+++ b/internal/state/consensus/rules_test.go
@@ -1,11 +1,12 @@
 package consensus_test
 
 import (
-	"errors"
 	"fmt"
 	"testing"
 	"time"
 
+	"github.com/zeebo/errs"
+
 	"lycheevale/internal/state/consensus"
 )
 
@@ -95,7 +96,7 @@
 	c.only(leader)
 	c.settle(3 * time.Second)
 	if c.nodes[leader].core.Status().Role == consensus.Leader {
-		return errors.New("an isolated leader did not step down")
+		return errs.New("an isolated leader did not step down")
 	}
 	return nil
 }
@@ -141,7 +142,7 @@
 	_ = c.change(c.leader(), consensus.Change{Kind: consensus.AddLearner, Member: learner})
 	c.settle(time.Second)
 	if c.change(c.leader(), consensus.Change{Kind: consensus.Promote, Member: learner}) == nil {
-		return errors.New("an empty learner became a voter")
+		return errs.New("an empty learner became a voter")
 	}
 	return nil
 }
--- a/internal/state/doc.go
+++ /dev/null
@@ -1,2 +0,0 @@
-// Package state groups the durable and replicated state; its tests run all parts together under faults.
-package state
--- a/internal/state/feed/feed_test.go
+++ b/internal/state/feed/feed_test.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"encoding/json"
-	"errors"
 	"fmt"
 	"io"
 	"log/slog"
@@ -13,6 +12,8 @@
 	"testing/synctest"
 	"time"
 
+	"github.com/zeebo/errs"
+
 	qt "github.com/frankban/quicktest"
 	"golang.org/x/sync/errgroup"
 
@@ -44,7 +45,7 @@
 		f.mu.Unlock()
 		if mux == nil || cut {
 			time.Sleep(f.delay)
-			return errors.New("unreachable")
+			return errs.New("unreachable")
 		}
 		answer, err := mux.Serve(ctx, from, method, raw)
 		time.Sleep(f.delay)
--- a/internal/state/feed/options.go
+++ b/internal/state/feed/options.go
@@ -2,10 +2,11 @@
 
 import (
 	"context"
-	"errors"
 	"log/slog"
 	"time"
 
+	"github.com/zeebo/errs"
+
 	"lycheevale/internal/state/registry"
 	"lycheevale/internal/wire/peer"
 )
@@ -46,7 +47,7 @@
 	defaultMaxAge = 5 * time.Second
 )
 
-var errNoCaller = errors.New("no caller is set")
+var errNoCaller = errs.New("no caller is set")
 
 func defaults() Options {
 	return Options{
--- a/internal/state/record/errors.go
+++ b/internal/state/record/errors.go
@@ -1,7 +1,6 @@
 package record
 
 import (
-	"errors"
 	"fmt"
 
 	"github.com/zeebo/errs"
@@ -11,10 +10,10 @@
 var Error = errs.Class("record")
 
 // ErrFailed is returned after a failed write or sync: what reached the disk is unknown, so the store must be reopened.
-var ErrFailed = errors.New("store stopped after a failed disk operation")
+var ErrFailed = errs.New("store stopped after a failed disk operation")
 
 // ErrIdentityMissing is returned when a directory holds records but no identity file.
-var ErrIdentityMissing = errors.New("directory holds records but no identity file")
+var ErrIdentityMissing = errs.New("directory holds records but no identity file")
 
 // CorruptionError reports damaged data that had been synced; the store is not opened.
 type CorruptionError struct {
--- a/internal/state/record/record_test.go
+++ b/internal/state/record/record_test.go
@@ -1,12 +1,15 @@
 package record_test
 
 import (
-	"errors"
 	"fmt"
 	"os"
 	"path/filepath"
 	"testing"
 
+	"github.com/zeebo/errs"
+
+	"lycheevale/internal/base/chain"
+
 	qt "github.com/frankban/quicktest"
 
 	"lycheevale/internal/state/record"
@@ -103,7 +106,7 @@
 		qt.Assert(t, os.WriteFile(file, damaged, 0o600), qt.IsNil)
 		_, err := record.Open(dir)
 		var corruption *record.CorruptionError
-		qt.Assert(t, errors.As(err, &corruption), qt.IsTrue, qt.Commentf("offset %d: %v", at, err))
+		qt.Assert(t, chain.As(err, &corruption), qt.IsTrue, qt.Commentf("offset %d: %v", at, err))
 		qt.Assert(t, corruption.File, qt.Equals, filepath.Base(file))
 		qt.Assert(t, corruption.Offset, qt.Equals, int64(at/size*size))
 	}
@@ -137,16 +140,16 @@
 	qt.Assert(t, os.WriteFile(name, b, 0o600), qt.IsNil)
 	_, err := record.Open(dir)
 	var corruption *record.CorruptionError
-	qt.Assert(t, errors.As(err, &corruption), qt.IsTrue)
+	qt.Assert(t, chain.As(err, &corruption), qt.IsTrue)
 	qt.Assert(t, os.Remove(name), qt.IsNil)
 	qt.Assert(t, os.Remove(filepath.Join(dir, "identity")), qt.IsNil)
 	_, err = record.Open(dir)
-	qt.Assert(t, errors.Is(err, record.ErrIdentityMissing), qt.IsTrue)
+	qt.Assert(t, errs.Is(err, record.ErrIdentityMissing), qt.IsTrue)
 }
 
 // Guards against acknowledging after a failed disk operation, for each operation of the write path.
 func TestDiskFailureStopsTheStore(t *testing.T) {
-	lost := errors.New("lost disk")
+	lost := errs.New("lost disk")
 	faults := map[string]func(*record.File){
 		"short write": func(f *record.File) {
 			full := f.Write
--- a/internal/state/registry/errors.go
+++ b/internal/state/registry/errors.go
@@ -1,7 +1,6 @@
 package registry
 
 import (
-	"errors"
 	"fmt"
 
 	"github.com/zeebo/errs"
@@ -53,6 +52,6 @@
 
 // Errors of Install; the registry is unchanged.
 var (
-	ErrStale = errors.New("the delta does not reach beyond the current revision")
-	ErrGap   = errors.New("the delta starts at another revision")
+	ErrStale = errs.New("the delta does not reach beyond the current revision")
+	ErrGap   = errs.New("the delta starts at another revision")
 )
--- a/internal/state/registry/registry_test.go
+++ b/internal/state/registry/registry_test.go
@@ -2,15 +2,15 @@
 
 import (
 	"encoding/json"
-	"errors"
-	"flag"
 	"fmt"
 	"math/rand/v2"
-	"os"
 	"strings"
 	"testing"
 	"time"
 
+	"lycheevale/internal/base/chain"
+	"lycheevale/internal/base/seeded"
+
 	"github.com/cespare/xxhash/v2"
 	qt "github.com/frankban/quicktest"
 	"pgregory.net/rapid"
@@ -20,15 +20,7 @@
 
 // TestMain fixes the seed, so that every run of CI judges the same schedules; rapid prints the seed of a failure, and
 // a seed given on the command line replaces the fixed one.
-func TestMain(m *testing.M) {
-	for name, value := range map[string]string{
-		"rapid.seed": "20261204", "rapid.checks": "500", "rapid.nofailfile": "true", "rapid.shrinktime": "2s",
-	} {
-		_ = flag.Set(name, value)
-	}
-	flag.Parse()
-	os.Exit(m.Run())
-}
+func TestMain(m *testing.M) { seeded.Main(m, "20261204", 500) }
 
 var (
 	noon = time.Date(2026, 1, 1, 12, 0, 0, 0, time.UTC)
@@ -127,7 +119,7 @@
 			before, _ := r.Snapshot()
 			result := apply(r, c.changes...)
 			var rejected *registry.ChangeError
-			qt.Assert(t, errors.As(result.Err(), &rejected), qt.IsTrue)
+			qt.Assert(t, chain.As(result.Err(), &rejected), qt.IsTrue)
 			qt.Assert(t, rejected.Code, qt.Equals, c.code, qt.Commentf("%v", rejected))
 			after, _ := r.Snapshot()
 			qt.Assert(t, string(after), qt.Equals, string(before))
--- a/internal/state/revoke/options.go
+++ b/internal/state/revoke/options.go
@@ -2,10 +2,11 @@
 
 import (
 	"context"
-	"errors"
 	"log/slog"
 	"time"
 
+	"github.com/zeebo/errs"
+
 	"lycheevale/internal/wire/peer"
 )
 
@@ -39,7 +40,7 @@
 // defaultParallel bounds the calls of one push; with 1,100 instances the slowest waits for 18 others.
 const defaultParallel = 64
 
-var errNoCaller = errors.New("no caller is set")
+var errNoCaller = errs.New("no caller is set")
 
 func defaults() Options {
 	none := func() []string { return nil }
--- a/internal/state/revoke/revoke_test.go
+++ b/internal/state/revoke/revoke_test.go
@@ -3,11 +3,12 @@
 import (
 	"context"
 	"encoding/json"
-	"errors"
 	"fmt"
 	"slices"
 	"testing"
 
+	"github.com/zeebo/errs"
+
 	qt "github.com/frankban/quicktest"
 
 	"lycheevale/internal/state/registry"
@@ -25,7 +26,7 @@
 func (m *mesh) caller(from string) peer.Caller {
 	return func(ctx context.Context, to, method string, params, result any) error {
 		if m.down[from] || m.down[to] {
-			return errors.New("unreachable")
+			return errs.New("unreachable")
 		}
 		raw, _ := json.Marshal(params)
 		m.bytes += len(raw)
--- a/internal/state/disk_test.go
+++ b/internal/state/simulation/disk_test.go
@@ -1,11 +1,12 @@
-package state_test
+package simulation_test
 
 import (
-	"errors"
 	"io/fs"
 	"path/filepath"
 	"slices"
 
+	"github.com/zeebo/errs"
+
 	"lycheevale/internal/state/record"
 )
 
@@ -20,7 +21,7 @@
 	pending []byte
 }
 
-var errLost = errors.New("lost disk")
+var errLost = errs.New("lost disk")
 
 func newDisk() *disk { return &disk{files: map[string]*content{}} }
 
--- a/internal/state/simulation_test.go
+++ b/internal/state/simulation/simulation_test.go
@@ -1,17 +1,17 @@
-package state_test
+package simulation_test
 
 import (
 	"encoding/json"
-	"flag"
 	"fmt"
 	"math/rand/v2"
-	"os"
 	"runtime/debug"
 	"slices"
 	"strings"
 	"testing"
 	"time"
 
+	"lycheevale/internal/base/seeded"
+
 	"github.com/cespare/xxhash/v2"
 	"pgregory.net/rapid"
 
@@ -21,18 +21,10 @@
 	"lycheevale/internal/state/voter"
 )
 
-// TestMain fixes the seed, so that every run of CI judges the same schedules; rapid prints the seed of a failure, and
-// a seed given on the command line replaces the fixed one.
 func TestMain(m *testing.M) {
-	for name, value := range map[string]string{
-		"rapid.seed": "20261204", "rapid.checks": "1000", "rapid.nofailfile": "true", "rapid.shrinktime": "2s",
-	} {
-		_ = flag.Set(name, value)
-	}
-	flag.Parse()
 	// The schedules allocate much and keep little.
 	debug.SetGCPercent(800)
-	os.Exit(m.Run())
+	seeded.Main(m, "20261204", 1000)
 }
 
 // history is what clients have been told, by the data that they sent.
--- a/internal/state/world_test.go
+++ b/internal/state/simulation/world_test.go
@@ -1,14 +1,15 @@
-package state_test
+package simulation_test
 
 import (
 	"context"
 	"encoding/json"
-	"errors"
 	"fmt"
 	"slices"
 	"strings"
 	"time"
 
+	"github.com/zeebo/errs"
+
 	"lycheevale/internal/state/claims"
 	"lycheevale/internal/state/consensus"
 	"lycheevale/internal/state/feed"
@@ -192,14 +193,14 @@
 			r, err := h.registry.Snapshot()
 			c, claimsErr := h.claims.Snapshot()
 			b, _ := json.Marshal(both{r, c})
-			return b, errors.Join(err, claimsErr)
+			return b, errs.Combine(err, claimsErr)
 		},
 		Restore: func(data []byte) error {
 			var b both
 			if err := json.Unmarshal(data, &b); err != nil {
 				return err
 			}
-			err := errors.Join(h.registry.Restore(b.Registry), h.claims.Restore(b.Claims))
+			err := errs.Combine(h.registry.Restore(b.Registry), h.claims.Restore(b.Claims))
 			for _, o := range h.registry.DeltaSince(0).Objects {
 				h.revoke.Observe(registry.Delta{Objects: []registry.Object{o}})
 			}
--- a/internal/state/voter/client.go
+++ b/internal/state/voter/client.go
@@ -2,11 +2,12 @@
 
 import (
 	"context"
-	"errors"
 	"fmt"
 	"sync"
 	"time"
 
+	"github.com/zeebo/errs"
+
 	"github.com/cenkalti/backoff/v5"
 
 	"lycheevale/internal/wire/peer"
@@ -76,9 +77,9 @@
 		to := c.target(attempt)
 		result, err := c.try(ctx, to, data)
 		switch {
-		case err == nil || errors.Is(err, ErrTooLarge):
+		case err == nil || errs.Is(err, ErrTooLarge):
 			return result, err
-		case !errors.Is(err, ErrNoLeader):
+		case !errs.Is(err, ErrNoLeader):
 			failure = ErrOutcomeUnknown
 		}
 		select {
--- a/internal/state/voter/example_test.go
+++ b/internal/state/voter/example_test.go
@@ -2,12 +2,13 @@
 
 import (
 	"context"
-	"errors"
 	"fmt"
 	"os"
 	"testing"
 	"time"
 
+	"github.com/zeebo/errs"
+
 	qt "github.com/frankban/quicktest"
 	"golang.org/x/sync/errgroup"
 
@@ -47,10 +48,10 @@
 			return voter.ErrNoLeader
 		}
 		lost = true
-		return errors.New("connection lost after the request")
+		return errs.New("connection lost after the request")
 	}
 	c := voter.NewClient(call, "Config", func() []string { return []string{"a"} })
 	_, err := c.Propose(ctx, nil)
 	qt.Assert(t, err, qt.ErrorIs, voter.ErrOutcomeUnknown)
-	qt.Assert(t, errors.Is(err, voter.ErrNoLeader), qt.IsFalse)
+	qt.Assert(t, errs.Is(err, voter.ErrNoLeader), qt.IsFalse)
 }
--- a/internal/tool/ctl/apply.go
+++ b/internal/tool/ctl/apply.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"encoding/json"
-	"errors"
 	"fmt"
 	"io"
 	"maps"
@@ -13,6 +12,8 @@
 	"strings"
 	"time"
 
+	"lycheevale/internal/base/chain"
+
 	"lycheevale/internal/base/refusal"
 	"lycheevale/internal/serve/operator"
 	"lycheevale/internal/state/registry"
@@ -111,7 +112,7 @@
 	for rebase := 0; ; rebase++ {
 		answer, err := s.send(client, now, diff)
 		var call *CallError
-		moved := errors.As(err, &call) && call.Detail.Code == refusal.Conflict
+		moved := chain.As(err, &call) && call.Detail.Code == refusal.Conflict
 		if !moved || s.globals.Expected != 0 || s.globals.RequestID != "" || rebase == maxRebase {
 			if err != nil {
 				return err
--- a/internal/tool/ctl/client.go
+++ b/internal/tool/ctl/client.go
@@ -5,7 +5,6 @@
 	"context"
 	"crypto/tls"
 	"encoding/json"
-	"errors"
 	"fmt"
 	"io"
 	"net/http"
@@ -13,6 +12,8 @@
 	"net/netip"
 	"time"
 
+	"lycheevale/internal/base/chain"
+
 	"lycheevale/internal/base/refusal"
 	"lycheevale/internal/serve/operator"
 )
@@ -145,6 +146,6 @@
 }
 
 func asCall(err error) (e *CallError, ok bool) {
-	ok = errors.As(err, &e)
+	ok = chain.As(err, &e)
 	return e, ok
 }
--- a/internal/tool/ctl/ctl.go
+++ b/internal/tool/ctl/ctl.go
@@ -5,7 +5,6 @@
 	"context"
 	"crypto/tls"
 	"crypto/x509"
-	"errors"
 	"fmt"
 	"io"
 	"net/netip"
@@ -13,6 +12,8 @@
 	"strings"
 	"time"
 
+	"lycheevale/internal/base/chain"
+
 	"github.com/jessevdk/go-flags"
 
 	"lycheevale/internal/base/refusal"
@@ -173,17 +174,17 @@
 	switch {
 	case err == nil:
 		return exitcode.OK
-	case errors.As(err, &parse) && parse.Type == flags.ErrHelp:
+	case chain.As(err, &parse) && parse.Type == flags.ErrHelp:
 		fmt.Fprintln(s.streams.Out, parse.Message)
 		return exitcode.OK
-	case errors.As(err, &parse), errors.As(err, &badUsage):
+	case chain.As(err, &parse), chain.As(err, &badUsage):
 		s.notice("lycheectl: %v", err)
 		s.notice("lycheectl --help lists the commands; %s", activeHelp(parser))
 		return exitcode.Usage
-	case errors.As(err, &source), errors.As(err, &single), settings.Error.Has(err):
+	case chain.As(err, &source), chain.As(err, &single), settings.Error.Has(err):
 		s.notice("%v", err)
 		return exitcode.Invalid
-	case errors.As(err, &call):
+	case chain.As(err, &call):
 		return s.exitCall(call)
 	}
 	s.notice("lycheectl: %v", err)
--- a/internal/tool/ctl/ctl_test.go
+++ b/internal/tool/ctl/ctl_test.go
@@ -4,7 +4,6 @@
 	"bytes"
 	"context"
 	"encoding/pem"
-	"errors"
 	"fmt"
 	"io"
 	"log"
@@ -18,6 +17,8 @@
 	"sync/atomic"
 	"testing"
 
+	"github.com/zeebo/errs"
+
 	qt "github.com/frankban/quicktest"
 
 	"lycheevale/internal/base/golden"
@@ -155,7 +156,7 @@
 // Guards against an unknown outcome that is reported as a failure or a success.
 func TestUnknownOutcome(t *testing.T) {
 	s := start(t)
-	s.fake.After = func(registry.Command) error { return errors.New("leader lost") }
+	s.fake.After = func(registry.Command) error { return errs.New("leader lost") }
 	code, out, errOut := s.run("--retry-for 1s models set quill")
 	s.Assert(code, qt.Equals, exitcode.Unknown)
 	s.Assert(out, qt.Not(qt.Contains), "Committed")
@@ -180,7 +181,7 @@
 	attempts := 0
 	s.fake.Before = func(registry.Command) error {
 		if attempts++; attempts == 1 {
-			return errors.New("leader lost")
+			return errs.New("leader lost")
 		}
 		return refusal.New(refusal.BadRequest, "not valid")
 	}
@@ -191,7 +192,7 @@
 	attempts = 0
 	s.fake.Before = func(registry.Command) error {
 		if attempts++; attempts == 1 {
-			return errors.New("leader lost")
+			return errs.New("leader lost")
 		}
 		return nil
 	}
--- a/internal/tool/ctl/watch.go
+++ b/internal/tool/ctl/watch.go
@@ -4,7 +4,6 @@
 	"bufio"
 	"context"
 	"encoding/json"
-	"errors"
 	"fmt"
 	"io"
 	"net/http"
@@ -12,6 +11,8 @@
 	"strings"
 	"time"
 
+	"github.com/zeebo/errs"
+
 	"lycheevale/internal/base/refusal"
 	"lycheevale/internal/serve/operator"
 )
@@ -25,7 +26,7 @@
 )
 
 // errEnough ends a watch after the requested number of changes.
-var errEnough = errors.New("enough changes")
+var errEnough = errs.New("enough changes")
 
 type watchCommand struct {
 	*session
@@ -56,7 +57,7 @@
 		}
 		return nil
 	})
-	if errors.Is(err, errEnough) || c.ctx.Err() != nil {
+	if errs.Is(err, errEnough) || c.ctx.Err() != nil {
 		err = nil // ended as asked
 	}
 	return err
@@ -94,7 +95,7 @@
 			return nil // a connection that has worked begins a new series of attempts
 		})
 		if err != nil || ended != nil {
-			return errors.Join(err, ended)
+			return errs.Combine(err, ended)
 		}
 		c.next()
 		if err := pause(ctx, c.options.FirstWait); err != nil {
@@ -121,7 +122,7 @@
 	defer func() { _ = response.Body.Close() }()
 	if response.StatusCode != http.StatusOK {
 		data, err := io.ReadAll(io.LimitReader(response.Body, maxAnswerBytes))
-		return false, errors.Join(err, refused(response.StatusCode, data))
+		return false, errs.Combine(err, refused(response.StatusCode, data))
 	}
 	lines := bufio.NewScanner(response.Body)
 	lines.Buffer(nil, maxEventBytes)
--- a/internal/tool/daemoncmd/daemoncmd.go
+++ b/internal/tool/daemoncmd/daemoncmd.go
@@ -3,11 +3,12 @@
 
 import (
 	"crypto/tls"
-	"errors"
 	"fmt"
 	"io"
 	"os"
 
+	"github.com/zeebo/errs"
+
 	"lycheevale/internal/base/buildinfo"
 	"lycheevale/internal/base/settings"
 	"lycheevale/internal/serve/operator"
@@ -72,14 +73,14 @@
 	if s.DataFolder != "" {
 		check("DataFolder", checkFolder(s.DataFolder))
 	}
-	return errors.Join(all...)
+	return errs.Combine(all...)
 }
 
 // checkFolder accepts a folder that does not exist yet, because the instance creates it.
 func checkFolder(path string) error {
 	info, err := os.Stat(path)
 	switch {
-	case errors.Is(err, os.ErrNotExist):
+	case errs.Is(err, os.ErrNotExist):
 		return nil
 	case err != nil:
 		return err
--- a/internal/tool/questionnaire/ask.go
+++ b/internal/tool/questionnaire/ask.go
@@ -2,7 +2,6 @@
 
 import (
 	"bufio"
-	"errors"
 	"fmt"
 	"io"
 	"net/netip"
@@ -10,11 +9,13 @@
 	"strings"
 	"time"
 
+	"github.com/zeebo/errs"
+
 	"github.com/goccy/go-yaml"
 )
 
 // errNoMoreInput is reported when the input ends before the last question.
-var errNoMoreInput = errors.New("the input ended before the last question")
+var errNoMoreInput = errs.New("the input ended before the last question")
 
 // prompter asks questions; after the first error it asks no more and returns zero values.
 type prompter struct {
@@ -73,7 +74,7 @@
 		list = append(list, address)
 	}
 	if len(list) == 0 {
-		return nil, errors.New("at least one address is needed")
+		return nil, errs.New("at least one address is needed")
 	}
 	return list, nil
 }
@@ -109,7 +110,7 @@
 	}
 	fields := strings.Fields(text)
 	if len(fields) != 2 || !strings.HasPrefix(fields[1], "/") {
-		return r, errors.New("expected a method and a path")
+		return r, errs.New("expected a method and a path")
 	}
 	return Route{Method: strings.ToUpper(fields[0]), Path: fields[1]}, nil
 }
@@ -166,7 +167,7 @@
 	}
 	fmt.Fprint(p.out, question+": ")
 	if !p.lines.Scan() {
-		p.err = errors.Join(errNoMoreInput, p.lines.Err())
+		p.err = errs.Combine(errNoMoreInput, p.lines.Err())
 		return ""
 	}
 	if text := strings.TrimSpace(p.lines.Text()); text != "" {
@@ -194,7 +195,7 @@
 func (p *prompter) text(question, preset string) string {
 	return ask(p, question, preset, func(text string) (string, error) {
 		if text == "" {
-			return "", errors.New("an answer is needed")
+			return "", errs.New("an answer is needed")
 		}
 		return text, nil
 	})
@@ -216,7 +217,7 @@
 		case "n", "no":
 			return false, nil
 		}
-		return false, errors.New("expected yes or no")
+		return false, errs.New("expected yes or no")
 	})
 }
 
--- a/internal/wire/peer/errors.go
+++ b/internal/wire/peer/errors.go
@@ -2,10 +2,11 @@
 
 import (
 	"encoding/json"
-	"errors"
 	"fmt"
 	"time"
 
+	"lycheevale/internal/base/chain"
+
 	"github.com/sourcegraph/jsonrpc2"
 	"github.com/zeebo/errs"
 
@@ -55,11 +56,11 @@
 // NotSent tells whether a failed call has certainly not reached a handler.
 func NotSent(err error) bool {
 	var unreachable *UnreachableError
-	if errors.As(err, &unreachable) {
+	if chain.As(err, &unreachable) {
 		return true
 	}
 	for _, e := range []error{ErrClosed, ErrUnknownInstance, ErrQueueFull, ErrTooLarge, ErrInsecure, ErrBusy} {
-		if errors.Is(err, e) {
+		if errs.Is(err, e) {
 			return true
 		}
 	}
@@ -69,11 +70,11 @@
 // toRPC converts the error of a handler for the answer; refusals keep their type.
 func toRPC(err error) *jsonrpc2.Error {
 	var rpc *jsonrpc2.Error
-	if errors.As(err, &rpc) {
+	if chain.As(err, &rpc) {
 		return rpc
 	}
 	var refused *refusal.Error
-	if errors.As(err, &refused) {
+	if chain.As(err, &refused) {
 		e := &jsonrpc2.Error{Code: codeRefusal, Message: refused.Message}
 		e.SetError(refused)
 		return e
@@ -85,9 +86,9 @@
 func fromRPC(err error) error {
 	var rpc *jsonrpc2.Error
 	switch {
-	case errors.Is(err, jsonrpc2.ErrClosed):
+	case errs.Is(err, jsonrpc2.ErrClosed):
 		return ErrLinkLost
-	case !errors.As(err, &rpc):
+	case !chain.As(err, &rpc):
 		return err
 	case rpc.Code == codeBusy:
 		return ErrBusy
--- a/internal/wire/peer/link.go
+++ b/internal/wire/peer/link.go
@@ -3,13 +3,14 @@
 import (
 	"context"
 	"crypto/tls"
-	"errors"
 	"log/slog"
 	"net"
 	"sync"
 	"sync/atomic"
 	"time"
 
+	"github.com/zeebo/errs"
+
 	"github.com/cenkalti/backoff/v5"
 	"github.com/sourcegraph/jsonrpc2"
 
@@ -179,7 +180,7 @@
 		secure := tls.Client(conn, o.Keys.client(t.name))
 		t.node.logKeys()
 		if err := secure.HandshakeContext(ctx); err != nil {
-			return nil, errors.Join(err, conn.Close())
+			return nil, errs.Combine(err, conn.Close())
 		}
 		conn = secure
 	}
--- a/internal/wire/peer/peer.go
+++ b/internal/wire/peer/peer.go
@@ -6,11 +6,12 @@
 import (
 	"context"
 	"encoding/json"
-	"errors"
 	"net"
 	"net/netip"
 	"sync"
 
+	"github.com/zeebo/errs"
+
 	"golang.org/x/sync/errgroup"
 )
 
@@ -68,10 +69,10 @@
 	defer stop()
 	err = n.acceptAll(listener)
 	n.end()
-	if ctx.Err() != nil && errors.Is(err, net.ErrClosed) {
+	if ctx.Err() != nil && errs.Is(err, net.ErrClosed) {
 		err = nil
 	}
-	return errors.Join(err, n.group.Wait())
+	return errs.Combine(err, n.group.Wait())
 }
 
 func (n *Node) listen() (net.Listener, error) {
--- a/internal/wire/peer/peer_test.go
+++ b/internal/wire/peer/peer_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"errors"
 	"log/slog"
 	"net"
 	"net/netip"
@@ -13,6 +12,10 @@
 	"testing/synctest"
 	"time"
 
+	"github.com/zeebo/errs"
+
+	"lycheevale/internal/base/chain"
+
 	"github.com/frankban/quicktest"
 	"github.com/uber-go/tally/v4"
 
@@ -89,7 +92,7 @@
 		return nil, ctx.Err()
 	}
 	if l == nil {
-		return nil, errors.New("connection refused")
+		return nil, errs.New("connection refused")
 	}
 	a, b := net.Pipe()
 	silent := &atomic.Bool{}
@@ -204,7 +207,7 @@
 		c.Check(call(nodes["a"], "c", time.Millisecond), quicktest.IsNil)
 		err := <-done
 		var unreachable *peer.UnreachableError
-		c.Assert(errors.As(err, &unreachable), quicktest.IsTrue, quicktest.Commentf("%v", err))
+		c.Assert(chain.As(err, &unreachable), quicktest.IsTrue, quicktest.Commentf("%v", err))
 		c.Check(peer.NotSent(err), quicktest.IsTrue)
 		c.Check(unreachable.RetryAt.After(time.Now()), quicktest.IsTrue)
 		w.mu.Lock()
@@ -273,7 +276,7 @@
 		err := nodes["a"].Call(ctx, "b", "Refuse", text{}, nil)
 		c.Check(left, quicktest.Equals, 7*time.Second)
 		var refused *refusal.Error
-		c.Assert(errors.As(err, &refused), quicktest.IsTrue, quicktest.Commentf("%v", err))
+		c.Assert(chain.As(err, &refused), quicktest.IsTrue, quicktest.Commentf("%v", err))
 		c.Check(*refused, quicktest.DeepEquals, *refusal.New(refusal.Conflict, "revision of a"))
 		c.Check(nodes["a"].Call(ctx, "d", "Refuse", text{}, nil), quicktest.ErrorIs, peer.ErrUnknownInstance)
 		synctest.Wait() // the other side counts an answer after it has been written
--- a/internal/wire/peer/serve.go
+++ b/internal/wire/peer/serve.go
@@ -4,7 +4,6 @@
 	"context"
 	"crypto/tls"
 	"encoding/json"
-	"errors"
 	"fmt"
 	"log/slog"
 	"net"
@@ -13,6 +12,8 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/zeebo/errs"
+
 	"github.com/sourcegraph/jsonrpc2"
 
 	"lycheevale/internal/base/event"
@@ -28,7 +29,7 @@
 func (n *Node) acceptAll(listener net.Listener) error {
 	for {
 		conn, err := listener.Accept()
-		if errors.Is(err, net.ErrClosed) {
+		if errs.Is(err, net.ErrClosed) {
 			return err
 		}
 		if err != nil {
--- a/internal/wire/peer/stream.go
+++ b/internal/wire/peer/stream.go
@@ -5,12 +5,15 @@
 	"context"
 	"encoding/binary"
 	"encoding/json"
-	"errors"
 	"io"
 	"net"
 	"sync"
 	"sync/atomic"
 	"time"
+
+	"github.com/zeebo/errs"
+
+	"lycheevale/internal/base/chain"
 )
 
 // A frame is a header of four bytes and, unless it is a ping or a pong, as many bytes of JSON as the
@@ -226,7 +229,7 @@
 			return err
 		}
 		n, err := s.conn.Write(frame[:min(len(frame), writeChunk)])
-		if errors.Is(err, context.DeadlineExceeded) || isTimeout(err) {
+		if errs.Is(err, context.DeadlineExceeded) || isTimeout(err) {
 			return ErrSilent
 		}
 		if err != nil {
@@ -239,5 +242,5 @@
 
 func isTimeout(err error) bool {
 	var timeout net.Error
-	return errors.As(err, &timeout) && timeout.Timeout()
+	return chain.As(err, &timeout) && timeout.Timeout()
 }
