Follow the engines of other data centres, and end an owner without adding to a finished group

Cause: entries knew only the engines of their own data centre, while the measured policy sends requests for seldom used adapters to one home among all data centres. Change: each instance asks one instance of every other data centre for its owned engines, by hash; the router chooses among all. Owners refuse new tasks once they have ended.

--- a/internal/node/instance/instance.go
+++ b/internal/node/instance/instance.go
@@ -278,7 +278,7 @@
 // runners returns the parts in the order of their dependence; all end when their context does.
 func (i *Instance) runners() []func(context.Context) error {
 	return slices.Concat([]func(context.Context) error{
-		i.links.Run, i.owner.Run, i.members.Run, i.admit.Run, i.permits.run, i.duties.run, i.caller.Run, i.targets.run,
+		i.links.Run, i.owner.Run, i.members.Run, i.admit.Run, i.permits.run, i.duties.run, i.caller.Run, i.targets.run, i.targets.followRemote,
 	}, i.state.runners())
 }
 
--- a/internal/node/instance/targets.go
+++ b/internal/node/instance/targets.go
@@ -43,6 +43,7 @@
 	plain     map[string][]node.Endpoint
 	running   map[string]int // plain requests by endpoint
 	remotes   map[string]remoteOwner
+	centres   map[string]remoteCentre // other data centres
 }
 
 type remoteOwner struct {
@@ -55,8 +56,9 @@
 	t := &targets{
 		settings: i.settings, members: i.members, owner: i.owner, call: i.links.Call, transport: i.streamTransport,
 		router: newRouter(i), running: map[string]int{},
-		remotes: map[string]remoteOwner{},
+		remotes: map[string]remoteOwner{}, centres: map[string]remoteCentre{},
 	}
+	t.serveEndpoints(i.mux)
 	t.rebuild(i.members.View())
 	return t
 }
@@ -96,7 +98,11 @@
 	t.view = view.ID
 	t.owners, t.plain = map[string]node.Endpoint{}, map[string][]node.Endpoint{}
 	candidates := map[string][]route.Candidate{}
-	for _, e := range view.Endpoints {
+	endpoints := slices.Clone(view.Endpoints)
+	for _, centre := range t.centres {
+		endpoints = append(endpoints, centre.endpoints...)
+	}
+	for _, e := range endpoints {
 		switch {
 		case !e.NoWorkAfter.IsZero():
 		case e.Kind == engine.KindPlain:
@@ -237,5 +243,10 @@
 func (i *Instance) Serving(n int) bool {
 	i.targets.mu.Lock()
 	defer i.targets.mu.Unlock()
-	return len(i.targets.owners) >= n
+	for _, e := range i.targets.owners {
+		if isLocal(i.settings, e) {
+			n--
+		}
+	}
+	return n <= 0
 }
--- a/internal/serve/owner/endpoint.go
+++ b/internal/serve/owner/endpoint.go
@@ -44,7 +44,7 @@
 		name: name, grant: g, client: o.options.Client(g.Endpoint.Address), cancel: cancel, own: map[string]int{},
 	}
 	o.endpoints[name] = e
-	o.group.Go(func() error { return o.poll(ctx, e) })
+	o.spawn(func() { o.poll(ctx, e) })
 	event.Log(ctx, o.options.Logger, event.EndpointAcquired, slog.String("Endpoint", name),
 		slog.Uint64("Fence", g.Fence))
 }
@@ -75,7 +75,7 @@
 	defer o.mu.Unlock()
 	e, ok := o.endpoints[name]
 	if !ok {
-		o.group.Go(func() error { stopped(); return nil })
+		o.spawn(stopped)
 		return
 	}
 	e.stopped, e.drain = stopped, drain
@@ -104,7 +104,7 @@
 	if o.endpoints[e.name] == e {
 		o.drop(e)
 	}
-	o.group.Go(func() error { stopped(); return nil })
+	o.spawn(stopped)
 }
 
 func (o *Owner) drop(e *ownedEndpoint) {
@@ -134,14 +134,14 @@
 }
 
 // poll reads the endpoint's state first and its load reports after that, until ctx ends.
-func (o *Owner) poll(ctx context.Context, e *ownedEndpoint) error {
+func (o *Owner) poll(ctx context.Context, e *ownedEndpoint) {
 	ticker := time.NewTicker(o.options.PollInterval)
 	defer ticker.Stop()
 	for {
 		o.observe(ctx, e)
 		select {
 		case <-ctx.Done():
-			return nil
+			return
 		case <-ticker.C:
 		}
 	}
--- a/internal/serve/owner/owner.go
+++ b/internal/serve/owner/owner.go
@@ -68,6 +68,8 @@
 	group     *errgroup.Group
 	ctx       context.Context // of the group, ends when Run does
 	started   chan struct{}
+	spawnMu   sync.Mutex
+	ended     bool // nothing may be added to the group any more
 }
 
 // waiter is a queued request; endpoint is the only one allowed, empty for any.
@@ -106,10 +108,31 @@
 	group, ctx := errgroup.WithContext(ctx)
 	o.group, o.ctx = group, ctx
 	close(o.started)
-	group.Go(func() error { return o.loop(ctx) })
+	group.Go(func() error {
+		err := o.loop(ctx)
+		o.spawnMu.Lock()
+		defer o.spawnMu.Unlock()
+		o.ended = true
+		return err
+	})
 	return group.Wait()
 }
 
+// spawn runs f in the owner's group; it returns false, without running f, once the owner has ended. Adding to the group
+// while Run waits for its last member is not allowed.
+func (o *Owner) spawn(f func()) bool {
+	o.spawnMu.Lock()
+	defer o.spawnMu.Unlock()
+	if o.ended {
+		return false
+	}
+	o.group.Go(func() error {
+		f()
+		return nil
+	})
+	return true
+}
+
 func (o *Owner) loop(ctx context.Context) error {
 	timer := time.NewTimer(time.Hour)
 	defer timer.Stop()
@@ -160,7 +183,7 @@
 	default:
 		if e != nil {
 			e.commands++
-			o.group.Go(func() error { o.command(e, a); return nil })
+			o.spawn(func() { o.command(e, a) })
 		}
 	}
 }
--- a/internal/serve/owner/stream.go
+++ b/internal/serve/owner/stream.go
@@ -165,13 +165,15 @@
 			t.owner.finish(t.request.Attempt, int(t.last)+t.request.PromptTokens, false)
 			return
 		}
-		t.owner.group.Go(func() error {
+		release := func() {
 			ctx, cancel := context.WithTimeout(context.WithoutCancel(t.ctx), t.owner.options.ProbeTimeout)
 			defer cancel()
 			_ = t.endpoint.client.Cancel(ctx, t.request.Attempt)
 			t.owner.finish(t.request.Attempt, int(t.last)+t.request.PromptTokens, true)
-			return nil
-		})
+		}
+		if !t.owner.spawn(release) {
+			release()
+		}
 	})
 }
 
