Start the owner's group before others may add to it

Ruled out: the streams, whose tests only showed it. Change: owners open for grants after their loop is a member.

--- a/internal/serve/owner/owner.go
+++ b/internal/serve/owner/owner.go
@@ -107,7 +107,6 @@
 func (o *Owner) Run(ctx context.Context) error {
 	group, ctx := errgroup.WithContext(ctx)
 	o.group, o.ctx = group, ctx
-	close(o.started)
 	group.Go(func() error {
 		err := o.loop(ctx)
 		o.spawnMu.Lock()
@@ -115,6 +114,8 @@
 		o.ended = true
 		return err
 	})
+	// Only now, because the group must have a member before others are added while Run waits for it.
+	close(o.started)
 	return group.Wait()
 }
 
