--- a/internal/limit/admit/cost_test.go
+++ b/internal/limit/admit/cost_test.go
@@ -12,6 +12,7 @@
 	"github.com/frankban/quicktest"
 	"golang.org/x/sync/errgroup"
 
+	"lycheevale/internal/base/measure"
 	"lycheevale/internal/state/registry"
 	"lycheevale/internal/wire/peer"
 )
@@ -93,6 +94,7 @@
 	coordinator *Coordinator
 	holder      *holder
 	bytes       int
+	calls       int
 }
 
 func newLink(customers int) *link {
@@ -107,6 +109,7 @@
 }
 
 func (l *link) count(messages ...any) {
+	l.calls++
 	for _, m := range messages {
 		raw, _ := json.Marshal(m)
 		l.bytes += len(raw)
@@ -179,6 +182,29 @@
 	}
 }
 
+// BenchmarkControl measures, for docs/CAPACITY.md, the processor time and calls of a request at the instance and the
+// coordinator together, with the encoding of the messages and without the links.
+func BenchmarkControl(b *testing.B) {
+	const perSecond, length = 100, 20 * time.Second
+	for _, customers := range customerCounts {
+		b.Run(fmt.Sprint("customers=", customers), func(b *testing.B) {
+			var used time.Duration
+			calls := 0
+			for range b.N {
+				l := newLink(customers)
+				begin := measure.ProcessorTime(b)
+				l.run(customers, perSecond, length)
+				used += measure.ProcessorTime(b) - begin
+				calls += l.calls
+			}
+			requests := float64(b.N) * perSecond * length.Seconds()
+			b.ReportMetric(float64(used.Microseconds())/requests, "cpu-µs/request")
+			b.ReportMetric(float64(calls)/requests, "calls/request")
+			b.ReportMetric(0, "ns/op")
+		})
+	}
+}
+
 func heap() uint64 {
 	runtime.GC()
 	runtime.GC()
--- a/internal/wire/peer/tls_test.go
+++ b/internal/wire/peer/tls_test.go
@@ -19,6 +19,8 @@
 
 	"github.com/frankban/quicktest"
 
+	"lycheevale/internal/base/measure"
+
 	"lycheevale/internal/wire/peer"
 )
 
@@ -139,11 +141,16 @@
 			serveTCP(b, "b", bKeys, at)
 			b.ReportAllocs()
 			var got text
+			calls := 0
+			begin := measure.ProcessorTime(b)
 			for b.Loop() {
+				calls++
 				if err := a.Call(b.Context(), "b", "Echo", text{"x"}, &got); err != nil {
 					b.Fatal(err)
 				}
 			}
+			// Both ends, for docs/CAPACITY.md.
+			b.ReportMetric(float64((measure.ProcessorTime(b)-begin).Microseconds())/float64(calls), "cpu-µs/call")
 		})
 	}
 }
