--- a/internal/base/refusal/refusal.go
+++ b/internal/base/refusal/refusal.go
@@ -3,7 +3,9 @@
 
 import (
 	"fmt"
+	"maps"
 	"net/http"
+	"slices"
 	"time"
 
 	"github.com/zeebo/errs"
@@ -98,3 +100,6 @@
 	}
 	return New(OutcomeUnknown, "%v", err)
 }
+
+// Codes returns all codes in alphabetical order.
+func Codes() []Code { return slices.Sorted(maps.Keys(statuses)) }
