--- a/internal/state/feed/capacity_test.go
+++ b/internal/state/feed/capacity_test.go
@@ -11,6 +11,8 @@
 	"testing/synctest"
 	"time"
 
+	"lycheevale/internal/base/knownred"
+
 	qt "github.com/frankban/quicktest"
 	"golang.org/x/sync/errgroup"
 
@@ -48,7 +50,7 @@
 			if size != targetSize {
 				return
 			}
-			measure.Target(t, relay.bytes < trafficBudget, fmt.Sprintf("relay %.0f B/s, bound %d", relay.bytes, trafficBudget))
+			knownred.Target(t, relay.bytes < trafficBudget, "relay %.0f B/s, bound %d", relay.bytes, trafficBudget)
 		})
 	}
 }
@@ -129,8 +131,8 @@
 			cancel()
 			qt.Check(t, group.Wait(), qt.IsNil)
 			got := restarted.Count(registry.KindAdapter)
-			measure.Target(t, got == adapters && restarted.Revision() == source.Revision(),
-				fmt.Sprintf("%d of %d adapters arrived", got, adapters))
+			knownred.Target(t, got == adapters && restarted.Revision() == source.Revision(),
+				"%d of %d adapters arrived", got, adapters)
 		})
 	}
 }
--- a/internal/state/voter/capacity_test.go
+++ b/internal/state/voter/capacity_test.go
@@ -7,6 +7,8 @@
 	"testing/synctest"
 	"time"
 
+	"lycheevale/internal/base/knownred"
+
 	"lycheevale/internal/base/measure"
 
 	qt "github.com/frankban/quicktest"
@@ -57,7 +59,7 @@
 				busiest = rate(leader)
 			})
 			if perSecond == targetRate {
-				measure.Target(t, busiest < trafficBudget, fmt.Sprintf("leader %.0f B/s, bound %d", busiest, trafficBudget))
+				knownred.Target(t, busiest < trafficBudget, "leader %.0f B/s, bound %d", busiest, trafficBudget)
 			}
 		})
 	}
