--- a/internal/state/feed/feed.go
+++ b/internal/state/feed/feed.go
@@ -39,6 +39,7 @@
 	Revision uint64          `json:"Revision"`
 	Age      time.Duration   `json:"Age"`             // since a voter knew that this is current
 	Delta    json.RawMessage `json:"Delta,omitempty"` // absent if there is nothing newer
+	Large    *largeDelta     `json:"Large,omitempty"` // in place of Delta
 	Cycle    bool            `json:"Cycle,omitempty"` // the subscriber feeds this instance, so it cannot learn anything here
 }
 
@@ -88,6 +89,7 @@
 	freshAt  time.Time // when a voter knew that the configuration here was current
 	reported uint64    // last revision reported for all subscribers
 	encoded  encoded
+	kept     keptDelta
 	counters Counters
 
 	install sync.Mutex // keeps deltas and their callbacks in order
@@ -114,6 +116,7 @@
 	mux.Handle(subscribeMethod, peer.Typed(n.receiveSubscribe))
 	mux.Handle(pushMethod, peer.Typed(n.receivePush))
 	mux.Handle(ackMethod, peer.Typed(n.receiveAck))
+	mux.Handle(fetchMethod, peer.Typed(n.receiveFetch))
 	mux.Handle(leaveMethod, peer.Typed(func(_ context.Context, from string, _ empty) (empty, error) {
 		n.mu.Lock()
 		defer n.mu.Unlock()
@@ -215,6 +218,12 @@
 		return
 	}
 	e, err := n.encode(c.revision)
+	if err == nil && len(e.data) > maxInline {
+		// The subscriber fetches it in parts with its next renewal.
+		c.pushing = false
+		n.mu.Unlock()
+		return
+	}
 	n.mu.Unlock()
 	var answer pushResult
 	if err == nil {
@@ -268,7 +277,11 @@
 		if err != nil {
 			return subscribeResult{}, err
 		}
-		result.Delta = e.data
+		if len(e.data) > maxInline {
+			result.Large = n.keep(e)
+		} else {
+			result.Delta = e.data
+		}
 	}
 	return result, nil
 }
--- a/internal/state/feed/subscriber.go
+++ b/internal/state/feed/subscriber.go
@@ -82,6 +82,13 @@
 		n.log(ctx, event.FeedSourceBehind, source)
 		return false, true
 	}
+	if answer.Large != nil {
+		var err error
+		if answer.Delta, err = n.fetch(ctx, source, *answer.Large); err != nil {
+			n.log(ctx, event.FeedSourceLost, source)
+			return false, true
+		}
+	}
 	if len(answer.Delta) > 0 {
 		if err := n.apply(answer.Delta); err != nil {
 			n.log(ctx, event.FeedSourceLost, source)
