--- a/internal/limit/admit/reserve_test.go
+++ b/internal/limit/admit/reserve_test.go
@@ -2,11 +2,12 @@
 
 import (
 	"context"
-	"errors"
 	"testing"
 	"testing/synctest"
 	"time"
 
+	"github.com/zeebo/errs"
+
 	"github.com/frankban/quicktest"
 	"golang.org/x/sync/errgroup"
 
@@ -32,7 +33,7 @@
 				time.Sleep(time.Millisecond)
 				switch {
 				case !up:
-					return errors.New("down")
+					return errs.New("down")
 				case method == MethodBorrow:
 					*result.(*BorrowReply), err = server.Borrow(ctx, "i", *params.(*BorrowRequest))
 				default:
@@ -93,7 +94,7 @@
 	propose := func(_ context.Context, c registry.Command) error {
 		for _, o := range c.Changes {
 			if o.Share.Customer == "bad" {
-				return errors.New("rejected")
+				return errs.New("rejected")
 			}
 		}
 		for _, o := range c.Changes {
@@ -108,3 +109,16 @@
 	}
 	quicktest.Assert(t, in.Shares, quicktest.HasLen, 2)
 }
+
+// Guards against an instance that restarts with a lower incarnation and is never answered again.
+func TestLowerIncarnationRecovers(t *testing.T) {
+	l := newLink(1)
+	l.holder.incarnation = 1 << 60
+	l.run(1, 100, time.Second)
+	l.holder = newHolder(defaultOptions())
+	_, q := l.holder.reserve(l.now, customerName(0), 500, l.now.Add(time.Second))
+	for range 3 {
+		l.borrow()
+	}
+	quicktest.Assert(t, (<-q.done).spending, quicktest.IsNotNil)
+}
--- a/internal/state/feed/capacity_test.go
+++ b/internal/state/feed/capacity_test.go
@@ -14,6 +14,7 @@
 	qt "github.com/frankban/quicktest"
 	"golang.org/x/sync/errgroup"
 
+	"lycheevale/internal/base/knownred"
 	"lycheevale/internal/base/measure"
 	"lycheevale/internal/state/feed"
 	"lycheevale/internal/state/registry"
@@ -48,7 +49,7 @@
 			if size != targetSize {
 				return
 			}
-			measure.Target(t, relay.bytes < trafficBudget, fmt.Sprintf("relay %.0f B/s, bound %d", relay.bytes, trafficBudget))
+			knownred.Target(t, relay.bytes < trafficBudget, "relay %.0f B/s, bound %d", relay.bytes, trafficBudget)
 		})
 	}
 }
@@ -129,8 +130,8 @@
 			cancel()
 			qt.Check(t, group.Wait(), qt.IsNil)
 			got := restarted.Count(registry.KindAdapter)
-			measure.Target(t, got == adapters && restarted.Revision() == source.Revision(),
-				fmt.Sprintf("%d of %d adapters arrived", got, adapters))
+			knownred.Target(t, got == adapters && restarted.Revision() == source.Revision(),
+				"%d of %d adapters arrived", got, adapters)
 		})
 	}
 }
