--- a/internal/base/measure/measure.go
+++ b/internal/base/measure/measure.go
@@ -1,4 +1,4 @@
-// Package measure holds what the tests and benchmarks behind docs/CAPACITY.md share.
+// Package measure reads the processor time of the process for the benchmarks behind docs/CAPACITY.md.
 package measure
 
 import (
--- a/internal/state/voter/capacity_test.go
+++ b/internal/state/voter/capacity_test.go
@@ -8,7 +8,6 @@
 	"time"
 
 	"lycheevale/internal/base/knownred"
-
 	"lycheevale/internal/base/measure"
 
 	qt "github.com/frankban/quicktest"
