--- a/cmd/lycheevale/main_test.go
+++ b/cmd/lycheevale/main_test.go
@@ -30,7 +30,6 @@
 	settings []string
 	callers  []string
 	running  map[string]*exec.Cmd
-	token    string
 	operate  []string
 }
 
