Tell the burn recorder the objectives of services

Cause: an instance created its recorder without a lookup of objectives, so that no request counted as slow or stalled and lycheectl report showed the objective for first tokens as always met. Change: the recorder looks the objective up in the configuration in force.

--- a/internal/node/instance/instance.go
+++ b/internal/node/instance/instance.go
@@ -69,7 +69,7 @@
 	for _, opt := range opts {
 		opt(&o)
 	}
-	i = &Instance{settings: s, options: o, started: o.Wall(), mux: peer.NewMux(), metrics: newMetrics(), burn: burn.New()}
+	i = &Instance{settings: s, options: o, started: o.Wall(), mux: peer.NewMux(), metrics: newMetrics()}
 	if err := i.loadKeys(); err != nil {
 		return nil, err
 	}
@@ -81,6 +81,7 @@
 	}
 	i.links = i.newLinks()
 	i.state = newState(s, o, i.mux, i.links.Call, func() node.View { return i.members.View() })
+	i.burn = burn.New(burn.WithObjective(i.objective))
 	i.members = i.newMembers()
 	i.permits = newPermits(s.Name, o, i.coordinator, i.links.Call)
 	i.owner = i.newOwner()
--- a/internal/node/instance/metrics.go
+++ b/internal/node/instance/metrics.go
@@ -11,6 +11,7 @@
 
 	"lycheevale/internal/base/refusal"
 	"lycheevale/internal/serve/caller"
+	"lycheevale/internal/state/registry"
 	"lycheevale/internal/tool/burn"
 )
 
@@ -52,6 +53,14 @@
 	i.burn.Observe(i.options.Wall(), out)
 }
 
+// objective is that of a service in force, by which the burn report tells slow requests.
+func (i *Instance) objective(service string) (o registry.Objective) {
+	if found, ok := i.state.registry.Get(registry.KindService, service); ok {
+		o = found.Service.Objective
+	}
+	return o
+}
+
 // observe counts a finished request.
 func (m metrics) observe(o caller.Outcome) {
 	code := string(o.Code)
--- a/internal/tool/transcript/walkthrough_test.go
+++ b/internal/tool/transcript/walkthrough_test.go
@@ -30,6 +30,9 @@
 // time that the system may take.
 const patience = 2 * time.Minute
 
+// loadPatience ends the wait for load reports in a check that is known to fail.
+const loadPatience = 15 * time.Second
+
 const credentialsFile = "operators.yaml"
 
 // operatorDesk is a new operator with a folder, a shell's variables and, from the first export on, a deployment.
@@ -61,7 +64,7 @@
 func (d *operatorDesk) run(command transcript.Command) string {
 	switch words := command.Words; words[0] {
 	case "cat": // cat > FILE <<'END'
-		d.c.Assert(os.WriteFile(words[2], []byte(command.Document), 0o600), qt.IsNil)
+		writeFile(d.c, words[2], []byte(command.Document))
 		return ""
 	case "export":
 		if d.variables["ADDRESS"] == "" {
@@ -91,7 +94,7 @@
 			d.variables["KEY"], d.variables["KEY_ID"] = key[0], key[1]
 		}
 		if file != "" {
-			d.c.Assert(os.WriteFile(file, out.Bytes(), 0o600), qt.IsNil)
+			writeFile(d.c, file, out.Bytes())
 			out.Reset()
 		}
 		if code != exitcode.OK {
@@ -135,6 +138,10 @@
 	return transcript.Stable(output)
 }
 
+func writeFile(c *qt.C, path string, content []byte) {
+	c.Assert(os.WriteFile(path, content, 0o600), qt.IsNil)
+}
+
 // start starts the deployment that the walkthrough assumes, with the credentials made so far.
 func (d *operatorDesk) start() {
 	running, err := deployment.Start(context.WithoutCancel(d.c.Context()), deployment.With(func(o *deployment.Options) {
