--- a/internal/serve/caller/caller.go
+++ b/internal/serve/caller/caller.go
@@ -30,11 +30,11 @@
 
 // Server is the HTTP handler for callers.
 type Server struct {
-	options Options
-	handler http.Handler
-	plain   *plainRoutes
-	streams *streamTable
-	retries *retryBudget
+	options  Options
+	handler  http.Handler
+	services *serviceTable
+	streams  *streamTable
+	retries  *retryBudget
 }
 
 // New returns a server that works on an empty configuration unless options say otherwise.
@@ -43,7 +43,7 @@
 	for _, opt := range opts {
 		opt(&o)
 	}
-	s := &Server{options: o, plain: &plainRoutes{}, streams: newStreamTable(), retries: newRetryBudget(o.RetryBudget)}
+	s := &Server{options: o, services: &serviceTable{}, streams: newStreamTable(), retries: newRetryBudget(o.RetryBudget)}
 	mux := http.NewServeMux()
 	mux.HandleFunc("POST /v1/completions", s.complete)
 	mux.HandleFunc("POST /v1/chat/completions", s.complete)
--- a/internal/serve/caller/fuzz_test.go
+++ b/internal/serve/caller/fuzz_test.go
@@ -19,7 +19,7 @@
 		if err != nil {
 			return
 		}
-		out, err := c.forEngine("a@v1")
+		out, err := c.forEngine("a@v1", true)
 		if err != nil {
 			t.Fatal(err)
 		}
--- a/internal/serve/caller/identify.go
+++ b/internal/serve/caller/identify.go
@@ -85,7 +85,7 @@
 	if !ok {
 		return refusal.New(refusal.UnknownModel, "model %q does not exist or its version is not active", x.body.Model)
 	}
-	if ref.Customer != "" && ref.Customer != x.customer {
+	if ref.Customer != "" && ref.Customer != x.customer && s.options.Rules.CheckCustomer {
 		if x.customer == "" {
 			return refusal.New(refusal.NotPermitted, "model %q needs a key", x.body.Model)
 		}
--- a/internal/serve/caller/options.go
+++ b/internal/serve/caller/options.go
@@ -61,6 +61,15 @@
 // midStreamEvent is the event of a stream at which StepMidStream is traced.
 const midStreamEvent = 4
 
+// Rules are the protective rules; all are on by default, and only mutation tests switch one off.
+type Rules struct {
+	CheckCustomer bool // an adapter serves its own customer only
+	RemoveKeys    bool // no key leaves for an endpoint
+	RecheckKeys   bool // a running request ends when its key is withdrawn
+	RememberRuns  bool // an earlier attempt that may have run makes the outcome open
+	RunOnce       bool // a non-idempotent request that may have run is not sent again
+}
+
 // Options are the settings and neighbours of a Server.
 type Options struct {
 	Trace func(r *http.Request, step Step) // called before each step
@@ -85,6 +94,7 @@
 	RetryBudget    float64 // retries allowed for each request, on average
 	RecheckEvery   time.Duration
 	WriteTimeout   time.Duration // of one event to a caller
+	Rules          Rules
 }
 
 // Option sets one of the Options.
@@ -115,5 +125,6 @@
 		RetryBudget:    0.2,
 		RecheckEvery:   500 * time.Millisecond,
 		WriteTimeout:   10 * time.Second,
+		Rules:          Rules{CheckCustomer: true, RemoveKeys: true, RecheckKeys: true, RememberRuns: true, RunOnce: true},
 	}
 }
--- a/internal/serve/caller/parse.go
+++ b/internal/serve/caller/parse.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"encoding/json"
 	"io"
+	"maps"
 	"mime"
 	"net/http"
 	"net/url"
@@ -190,8 +191,11 @@
 }
 
 // forEngine returns the body for the engine: exact model, bounded output, always streamed, without keys.
-func (c *completion) forEngine(model string) ([]byte, error) {
-	fields := scrub(c.fields).(map[string]any)
+func (c *completion) forEngine(model string, removeKeys bool) ([]byte, error) {
+	fields := maps.Clone(c.fields)
+	if removeKeys {
+		fields = scrub(c.fields).(map[string]any)
+	}
 	fields["model"] = model
 	fields["stream"] = true
 	fields["max_tokens"] = c.MaxTokens
--- a/internal/serve/caller/plain.go
+++ b/internal/serve/caller/plain.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"cmp"
 	"context"
 	"crypto/sha256"
 	"encoding/hex"
@@ -39,13 +40,14 @@
 	}
 }
 
-// plainRoutes finds the service and route of a path; it is rebuilt when the configuration changes.
-type plainRoutes struct {
+// serviceTable finds the service and route of a path, and the service of a model; it is rebuilt when the configuration changes.
+type serviceTable struct {
 	mu       sync.Mutex
 	revision uint64
 	built    bool
 	mux      *http.ServeMux
 	routes   map[string]plainRoute
+	models   map[string]string // name of the service that a model belongs to
 }
 
 type plainRoute struct {
@@ -53,24 +55,37 @@
 	registry.Route
 }
 
-func (p *plainRoutes) find(reg *registry.Registry, r *http.Request) (plainRoute, bool) {
+func (p *serviceTable) find(reg *registry.Registry, r *http.Request) (plainRoute, bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	p.refresh(reg)
+	_, pattern := p.mux.Handler(r)
+	route, ok := p.routes[pattern]
+	return route, ok
+}
+
+// serviceOf returns the service of a model, or the model's own name when it belongs to none.
+func (p *serviceTable) serviceOf(reg *registry.Registry, model string) string {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.refresh(reg)
+	return cmp.Or(p.models[model], model)
+}
+
+func (p *serviceTable) refresh(reg *registry.Registry) {
 	if revision := reg.Revision(); !p.built || revision != p.revision {
 		p.rebuild(reg)
 		p.revision, p.built = revision, true
 	}
-	_, pattern := p.mux.Handler(r)
-	route, ok := p.routes[pattern]
-	return route, ok
 }
 
 // rebuild skips routes that conflict with an earlier one; the registry refuses such changes.
-func (p *plainRoutes) rebuild(reg *registry.Registry) {
+func (p *serviceTable) rebuild(reg *registry.Registry) {
 	p.mux = http.NewServeMux()
-	p.routes = map[string]plainRoute{}
+	p.routes, p.models = map[string]plainRoute{}, map[string]string{}
 	for _, o := range reg.List(registry.KindService) {
 		if o.Service.Kind != registry.ServicePlain {
+			p.models[o.Service.Model] = o.Name
 			continue
 		}
 		for _, route := range o.Service.Routes {
@@ -79,7 +94,7 @@
 	}
 }
 
-func (p *plainRoutes) addRoute(route plainRoute) {
+func (p *serviceTable) addRoute(route plainRoute) {
 	defer func() { _ = recover() }()
 	pattern := route.Method + " " + route.Path
 	p.mux.HandleFunc(pattern, func(http.ResponseWriter, *http.Request) {})
@@ -122,7 +137,7 @@
 
 func (c *plainCall) find(s *Server) filter {
 	return func(x *exchange) error {
-		route, ok := s.plain.find(s.options.Registry, x.r)
+		route, ok := s.services.find(s.options.Registry, x.r)
 		if !ok {
 			return refusal.New(refusal.NotFound, "no service has the route %s %s", x.r.Method, x.r.URL.Path)
 		}
@@ -211,8 +226,9 @@
 			return response, nil
 		}
 		e := refusal.From(err)
-		again := e.Ran == refusal.NotRun && e.Code == refusal.Unavailable || c.route.Idempotent && e.Ran == refusal.Unknown
-		err = remember(&mayHaveRun, err)
+		repeatable := c.route.Idempotent || !s.options.Rules.RunOnce
+		again := e.Ran == refusal.NotRun && e.Code == refusal.Unavailable || repeatable && e.Ran == refusal.Unknown
+		err = s.remember(&mayHaveRun, err)
 		if !again || n >= s.options.MaxAttempts || ctx.Err() != nil || !s.retries.spend() || !backoffWait(ctx, n) {
 			return nil, err
 		}
--- a/internal/serve/caller/relay.go
+++ b/internal/serve/caller/relay.go
@@ -33,7 +33,7 @@
 			out.end()
 			return
 		}
-		err = remember(&mayHaveRun, err)
+		err = s.remember(&mayHaveRun, err)
 		if !s.mayRetry(ctx, x, out, err, n) || !backoffWait(ctx, n) {
 			s.fail(ctx, x, out, s.explain(ctx, err))
 			return
@@ -46,12 +46,12 @@
 
 // remember keeps that an attempt may have run: a later attempt that surely did not run proves nothing about the
 // earlier ones.
-func remember(mayHaveRun *bool, err error) error {
+func (s *Server) remember(mayHaveRun *bool, err error) error {
 	e := refusal.From(err)
 	if e.Ran == refusal.Unknown {
 		*mayHaveRun = true
 	}
-	if *mayHaveRun {
+	if *mayHaveRun && s.options.Rules.RememberRuns {
 		return e.WithUnknown()
 	}
 	return err
@@ -92,7 +92,7 @@
 // attempt chooses an endpoint, dispatches to it and relays its answer.
 func (s *Server) attempt(ctx context.Context, x *exchange, out *output, tried []string) (endpoint string, err error) {
 	request := s.request(x, uuid.NewString())
-	request.Body, err = x.body.forEngine(request.Target())
+	request.Body, err = x.body.forEngine(request.Target(), s.options.Rules.RemoveKeys)
 	if err != nil {
 		return "", refusal.New(refusal.BadRequest, "%v", err)
 	}
--- a/internal/serve/caller/run.go
+++ b/internal/serve/caller/run.go
@@ -24,6 +24,9 @@
 
 // Recheck ends running requests whose key was withdrawn.
 func (s *Server) Recheck(ctx context.Context) {
+	if !s.options.Rules.RecheckKeys {
+		return
+	}
 	if ended := s.streams.recheck(); ended > 0 {
 		event.Log(ctx, s.options.Logger, event.StreamRevoked, slog.Int("Streams", ended))
 	}
@@ -36,7 +39,7 @@
 	x.outcome.Ended = s.options.Now()
 	x.outcome.Tokens = x.used
 	if x.outcome.Service == "" {
-		x.outcome.Service = x.ref.Model
+		x.outcome.Service = s.services.serviceOf(s.options.Registry, x.ref.Model)
 	}
 	s.options.Observe(x.outcome)
 }
