Show the work on endpoints to operators, and leave requests that callers gave up out of the error budget

Cause: lycheectl endpoints showed no resident adapters, requests and reports; a caller that disconnected in the middle of a stream counted as a failure of the service. Change: owners are asked for the work on their endpoints; outcomes of callers that have gone are not counted.

--- a/internal/node/instance/metrics.go
+++ b/internal/node/instance/metrics.go
@@ -41,6 +41,9 @@
 // observe hands a finished request to the metrics and to the burn report.
 func (i *Instance) observe(o caller.Outcome) {
 	i.metrics.observe(o)
+	if o.Cancelled {
+		return // what a caller gave up spends no error budget
+	}
 	out := burn.Outcome{Customer: o.Customer, Service: o.Service, Stalled: o.Stalled}
 	if o.Ran == refusal.Unknown {
 		out.Failed = true
--- a/internal/node/instance/operator.go
+++ b/internal/node/instance/operator.go
@@ -4,14 +4,18 @@
 	"context"
 	"net/http"
 	"slices"
+	"sync"
 	"time"
 
+	"golang.org/x/sync/errgroup"
+
 	"lycheevale/internal/base/buildinfo"
 	"lycheevale/internal/base/refusal"
 	"lycheevale/internal/base/settings"
 	"lycheevale/internal/member/node"
 	"lycheevale/internal/serve/engine"
 	"lycheevale/internal/serve/operator"
+	"lycheevale/internal/serve/owner"
 	"lycheevale/internal/state/feed"
 	"lycheevale/internal/state/registry"
 	"lycheevale/internal/tool/burn"
@@ -23,6 +27,9 @@
 
 // describe answers other instances about this one.
 func (i *Instance) describe() {
+	i.mux.Handle(methodLoads, peer.Typed(func(context.Context, string, struct{}) ([]owner.Load, error) {
+		return i.owner.Loads(), nil
+	}))
 	i.mux.Handle(describeMethod, peer.Typed(func(context.Context, string, struct{}) (Description, error) {
 		leader, _ := i.state.leader()
 		return Description{
@@ -191,16 +198,54 @@
 	return m
 }
 
-func (i *Instance) endpoints(context.Context) (list []operator.Endpoint, err error) {
-	for _, e := range i.members.View().Endpoints {
+func (i *Instance) endpoints(ctx context.Context) (list []operator.Endpoint, err error) {
+	view := i.members.View().Endpoints
+	loads := i.loads(ctx, view)
+	for _, e := range view {
+		l := loads[e.Name]
 		list = append(list, operator.Endpoint{
 			Name: e.Name, Service: e.Service, Model: e.Model, DataCentre: e.DataCentre, Address: e.Address,
 			State: endpointState(e), Owner: e.Owner, Incarnation: e.Incarnation, Slots: e.Slots,
+			Resident: l.Resident, Running: l.Running, Queued: l.Queued, Reported: l.Reported,
 		})
 	}
 	return list, nil
 }
 
+// methodLoads asks an owner for the work on its endpoints.
+const methodLoads = "Instance.Loads"
+
+// loads asks the owners at once; those of an owner that does not answer in time are left out.
+func (i *Instance) loads(ctx context.Context, view []node.Endpoint) map[string]owner.Load {
+	ctx, cancel := context.WithTimeout(ctx, describeWait)
+	defer cancel()
+	var owners []string
+	for _, e := range view {
+		if e.Owner != "" && !slices.Contains(owners, e.Owner) {
+			owners = append(owners, e.Owner)
+		}
+	}
+	var mu sync.Mutex
+	var group errgroup.Group
+	all := map[string]owner.Load{}
+	for _, name := range owners {
+		group.Go(func() error {
+			var loads []owner.Load
+			if i.links.Call(ctx, name, methodLoads, struct{}{}, &loads) != nil {
+				return nil
+			}
+			mu.Lock()
+			defer mu.Unlock()
+			for _, l := range loads {
+				all[l.Endpoint] = l
+			}
+			return nil
+		})
+	}
+	_ = group.Wait()
+	return all
+}
+
 func endpointState(e node.Endpoint) string {
 	switch {
 	case !e.NoWorkAfter.IsZero():
--- a/internal/serve/caller/chunk.go
+++ b/internal/serve/caller/chunk.go
@@ -121,5 +121,6 @@
 	FirstToken time.Time
 	Ended      time.Time
 	Tokens     int
+	Cancelled  bool // the caller has gone before the end
 	Stalled    bool // the request waited for its adapter to be loaded
 }
--- a/internal/serve/caller/relay.go
+++ b/internal/serve/caller/relay.go
@@ -75,6 +75,7 @@
 
 // fail answers with an error, or ends a stream that has begun with an error event and no end marker.
 func (s *Server) fail(ctx context.Context, x *exchange, out *output, err error) {
+	x.outcome.Cancelled = x.r.Context().Err() != nil
 	if !out.begun {
 		s.refuse(x, err)
 		return
--- a/internal/serve/owner/endpoint.go
+++ b/internal/serve/owner/endpoint.go
@@ -21,6 +21,7 @@
 	own      map[string]int
 	commands int                 // in flight
 	foreign  map[string]struct{} // adapters that requests of an earlier owner still use
+	report   engine.State        // the newest one
 	stopped  func()              // called once nothing that must end is in flight; nil unless stopping
 	drain    bool                // running requests must end too
 }
@@ -171,7 +172,7 @@
 		o.miss(ctx, e)
 		return
 	}
-	e.missed = 0
+	e.missed, e.report = 0, state
 	if known && state.Incarnation == e.grant.Endpoint.Incarnation {
 		o.scheduler.Report(o.options.Now(), scheduler.LoadReport{
 			Endpoint: e.name, Incarnation: state.Incarnation, Running: state.Running, Waiting: state.Waiting,
@@ -251,3 +252,31 @@
 	e.client.CloseIdle()
 	event.Log(ctx, o.options.Logger, event.EndpointSilent, slog.String("Endpoint", e.name))
 }
+
+// Load is what an owner knows of the work on one of its endpoints.
+type Load struct {
+	Endpoint string    `json:"Endpoint"`
+	Resident int       `json:"Resident"` // adapters in slots, by the endpoint's report
+	Running  int       `json:"Running"`  // requests placed by this owner
+	Queued   int       `json:"Queued"`   // requests that wait for this endpoint or, on any endpoint, for its model
+	Reported time.Time `json:"Reported"` // when the endpoint made its newest report; zero without one
+}
+
+// Loads returns the work on all owned endpoints.
+func (o *Owner) Loads() (loads []Load) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	for name, e := range o.endpoints {
+		l := Load{Endpoint: name, Resident: len(e.report.Resident), Reported: e.report.MeasuredAt}
+		for _, n := range e.own {
+			l.Running += n
+		}
+		for _, w := range o.waiting {
+			if w.endpoint == name || w.endpoint == "" && w.model == e.grant.Endpoint.Model {
+				l.Queued++
+			}
+		}
+		loads = append(loads, l)
+	}
+	return loads
+}
