End a shutdown that has nobody to hand over to when the leases have ended

Cause: when all instances of a data centre stop at once, each waited in the hand-over for its bound of two minutes. It also made each cell of the fault matrix 124 s of virtual time longer, and the matrix took over six minutes under the race detector. Change: the hand-over is given up after 8 s, longer than an owner's lease, once no request runs or waits; the matrix applies its 300 changes in parallel.

--- a/internal/node/instance/instance.go
+++ b/internal/node/instance/instance.go
@@ -318,10 +318,31 @@
 	}
 	err := servers.shutdown(ctx, servers.callers)
 	// Other entries' streams on endpoints owned here end during the hand-over of these endpoints.
-	if leaveErr := i.members.Leave(ctx); leaveErr != nil {
+	if leaveErr := i.leave(ctx); leaveErr != nil {
 		event.Log(ctx, i.options.Logger, event.HandOverFailed, slog.Any("Error", leaveErr))
 	}
 	return errs.Combine(err, servers.shutdown(ctx, servers.streams), servers.shutdown(ctx, servers.operators))
 }
 
+// leaveWait is longer than the lease of an owner in a small data centre. A hand-over that has not ended by then has
+// nobody to go to, for instance when all instances of a data centre stop at once; the leases then end on their own.
+const leaveWait = 8 * time.Second
+
+// leave hands the endpoints over once their running requests have ended.
+func (i *Instance) leave(ctx context.Context) error {
+	ctx, cancel := context.WithCancel(ctx)
+	var group errgroup.Group
+	group.Go(func() error {
+		begin := i.options.Now()
+		return every(ctx, readyInterval, func() {
+			if i.options.Now().Sub(begin) > leaveWait && i.owner.Idle() {
+				cancel()
+			}
+		})
+	})
+	err := i.members.Leave(ctx)
+	cancel()
+	return errs.Combine(err, group.Wait())
+}
+
 func dataDir(s settings.Settings, group string) string { return filepath.Join(s.DataFolder, group) }
--- a/internal/serve/owner/owner.go
+++ b/internal/serve/owner/owner.go
@@ -335,6 +335,13 @@
 	return o.scheduler.View(o.options.Now(), endpoint, ref)
 }
 
+// Idle tells whether no request is running or queued.
+func (o *Owner) Idle() bool {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return len(o.running) == 0 && len(o.waiting) == 0
+}
+
 // Waiting returns the number of queued requests.
 func (o *Owner) Waiting() int {
 	o.mu.Lock()
--- a/internal/tool/matrix/faults.go
+++ b/internal/tool/matrix/faults.go
@@ -4,6 +4,8 @@
 	"fmt"
 	"time"
 
+	"golang.org/x/sync/errgroup"
+
 	"lycheevale/internal/base/event"
 	"lycheevale/internal/state/registry"
 )
@@ -128,14 +130,19 @@
 
 func (h *Harness) returnSecondVoter() { h.healNetwork() }
 
-// manyChanges applies hundreds of changes before the probe.
+// manyChanges applies hundreds of changes before the probe, many at a time, since each waits until it is in force.
 func (h *Harness) manyChanges() {
-	const changes = 300
+	const changes, atOnce = 300, 60
+	var group errgroup.Group
+	group.SetLimit(atOnce)
 	for n := range changes {
 		name := fmt.Sprintf("many-%d", n)
-		_, err := h.propose(h.entry(), h.command(name, name))
-		h.must(err)
+		group.Go(func() error {
+			_, err := h.propose(h.entry(), h.command(name, name))
+			return err
+		})
 	}
+	h.must(group.Wait())
 }
 
 // restartVoter restarts a voter of another data centre from its disk.
