--- a/internal/serve/caller/identify.go
+++ b/internal/serve/caller/identify.go
@@ -85,6 +85,10 @@
 	if !ok {
 		return refusal.New(refusal.UnknownModel, "model %q does not exist or its version is not active", x.body.Model)
 	}
+	if ref.Adapter == "" && x.customer == "" {
+		// An anonymous caller has no rate, so it could take a base model from all customers.
+		return refusal.New(refusal.NotPermitted, "model %q needs a key", x.body.Model)
+	}
 	if ref.Customer != "" && ref.Customer != x.customer && s.options.Rules.CheckCustomer {
 		if x.customer == "" {
 			return refusal.New(refusal.NotPermitted, "model %q needs a key", x.body.Model)
@@ -122,7 +126,7 @@
 	OwnedBy string `json:"owned_by"`
 }
 
-// listModels lists the base models and the adapters that the caller may use.
+// listModels lists the base models, which need a key, and the adapters that the caller may use.
 func (s *Server) listModels(w http.ResponseWriter, r *http.Request) {
 	x, err := s.newExchange(w, r)
 	if err == nil {
@@ -133,7 +137,11 @@
 		return
 	}
 	list := modelList{Object: "list", Data: []modelItem{}}
-	for _, o := range s.options.Registry.List(registry.KindModel) {
+	models := s.options.Registry.List(registry.KindModel)
+	if x.customer == "" {
+		models = nil
+	}
+	for _, o := range models {
 		list.Data = append(list.Data, modelItem{ID: o.Name, Object: "model", OwnedBy: "lycheevale"})
 	}
 	for _, o := range s.options.Registry.List(registry.KindAdapter) {
--- a/internal/serve/caller/key_test.go
+++ b/internal/serve/caller/key_test.go
@@ -48,6 +48,8 @@
 		{"unknown key", "a", "lv_k9_secretone", 403},
 		{"malformed key", "a", "nonsense", 403},
 		{"open adapter without key", "open", "", 200},
+		{"base model without key", "quill", "", 403},
+		{"base model", "quill", key2, 200},
 		{"withdrawn version", "a@v0", key1, 404},
 		{"unknown version", "a@v9", key1, 404},
 		{"unknown model", "nothing", key1, 404},
