Count no call on a link that is being closed

Cause: the fault matrix reported a race in one of 338 cells: the reader of a closed link handed over a last message, whose call was added to a wait group that was being waited for. Change: calls begin under a lock that closing takes; the hand-over at the end of a cell waits 3 s.

--- a/internal/node/instance/instance.go
+++ b/internal/node/instance/instance.go
@@ -324,10 +324,6 @@
 	return errs.Combine(err, servers.shutdown(ctx, servers.streams), servers.shutdown(ctx, servers.operators))
 }
 
-// leaveWait is longer than the lease of an owner in a small data centre. A hand-over that has not ended by then has
-// nobody to go to, for instance when all instances of a data centre stop at once; the leases then end on their own.
-const leaveWait = 8 * time.Second
-
 // leave hands the endpoints over once their running requests have ended.
 func (i *Instance) leave(ctx context.Context) error {
 	ctx, cancel := context.WithCancel(ctx)
@@ -335,7 +331,7 @@
 	group.Go(func() error {
 		begin := i.options.Now()
 		return every(ctx, readyInterval, func() {
-			if i.options.Now().Sub(begin) > leaveWait && i.owner.Idle() {
+			if i.options.Now().Sub(begin) > i.options.LeaveWait && i.owner.Idle() {
 				cancel()
 			}
 		})
--- a/internal/node/instance/options.go
+++ b/internal/node/instance/options.go
@@ -22,6 +22,7 @@
 	Bootstrap []registry.Object // first configuration of a deployment without any
 	Scheduler []scheduler.Option
 	Caller    func(c *caller.Options) // changes the options of the callers' server
+	LeaveWait time.Duration           // for a hand-over that may have nobody to go to
 	Trace     func(step Step)         // called at each step of a configuration change
 }
 
@@ -62,6 +63,11 @@
 	return func(o *Options) { o.Caller = f }
 }
 
+// WithLeaveWait sets how long a hand-over without running requests may take; the leases then end on their own.
+func WithLeaveWait(d time.Duration) Option {
+	return func(o *Options) { o.LeaveWait = d }
+}
+
 // WithTrace sets a function that is called at each step of a configuration change.
 func WithTrace(f func(step Step)) Option {
 	return func(o *Options) { o.Trace = f }
@@ -75,14 +81,19 @@
 // dialTimeout bounds the opening of a connection.
 const dialTimeout = time.Second
 
+// leaveWait is longer than the lease of an owner in a small data centre. A hand-over that has not ended by then has
+// nobody to go to, for instance when all instances of a data centre stop at once.
+const leaveWait = 8 * time.Second
+
 func defaults() Options {
 	return Options{
-		Logger: slog.Default(),
-		Now:    time.Now,
-		Wall:   time.Now,
-		Listen: func(at netip.AddrPort) (net.Listener, error) { return net.Listen("tcp", at.String()) },
-		Dial:   (&net.Dialer{Timeout: dialTimeout}).DialContext,
-		Caller: func(*caller.Options) {},
-		Trace:  func(Step) {},
+		Logger:    slog.Default(),
+		Now:       time.Now,
+		Wall:      time.Now,
+		Listen:    func(at netip.AddrPort) (net.Listener, error) { return net.Listen("tcp", at.String()) },
+		Dial:      (&net.Dialer{Timeout: dialTimeout}).DialContext,
+		Caller:    func(*caller.Options) {},
+		Trace:     func(Step) {},
+		LeaveWait: leaveWait,
 	}
 }
--- a/internal/tool/matrix/harness.go
+++ b/internal/tool/matrix/harness.go
@@ -39,6 +39,7 @@
 	recoverWait   = 60 * time.Second
 	wideLatency   = 30 * time.Millisecond // between regions, one way
 	localLatency  = time.Millisecond
+	leaveWait     = 3 * time.Second // of a planned stop, and of all instances at the end of a cell
 )
 
 var callerHost = netip.MustParseAddr("127.9.9.9")
@@ -87,7 +88,7 @@
 		o.Objects, o.DataFolder, o.Instances, o.More, o.Engines, o.Services = demo.Changes(), folder, 1, 2, 2, 2
 		o.NewLogger = func(string) *slog.Logger { return slog.New(&eventCounter{h}) }
 		o.EngineOptions = func(string) []fakeengine.Option { return h.engineOptions() }
-		o.Instance = []instance.Option{instance.WithTrace(h.traceChange), instance.WithCaller(h.traceCaller)}
+		o.Instance = []instance.Option{instance.WithTrace(h.traceChange), instance.WithCaller(h.traceCaller), instance.WithLeaveWait(leaveWait)}
 	}))
 	if err != nil {
 		return result, err
--- a/internal/wire/peer/serve.go
+++ b/internal/wire/peer/serve.go
@@ -100,6 +100,8 @@
 	serving chan struct{} // one place for each call being served
 	hello   atomic.Pointer[hello]
 	wg      sync.WaitGroup
+	mu      sync.Mutex
+	closed  bool // no call may begin any more
 }
 
 func newIncoming(n *Node, conn net.Conn) *incoming {
@@ -128,9 +130,22 @@
 	_ = conn.Close()
 	n.forget(in)
 	cancel()
+	in.mu.Lock()
+	in.closed = true
+	in.mu.Unlock()
 	in.wg.Wait()
 }
 
+// begin counts a call, unless the link is being closed: the reader may still hand over a message that it had read.
+func (in *incoming) begin() bool {
+	in.mu.Lock()
+	defer in.mu.Unlock()
+	if !in.closed {
+		in.wg.Add(1)
+	}
+	return !in.closed
+}
+
 // Handle implements jsonrpc2.Handler; it runs in the reader of the link and does not block.
 func (in *incoming) Handle(ctx context.Context, conn *jsonrpc2.Conn, req *jsonrpc2.Request) {
 	if req.Method == helloMethod {
@@ -148,7 +163,9 @@
 		_ = conn.ReplyWithError(ctx, req.ID, &jsonrpc2.Error{Code: codeBusy, Message: ErrBusy.Error()})
 		return
 	}
-	in.wg.Add(1)
+	if !in.begin() {
+		return
+	}
 	started := in.node.spawn(func() {
 		defer in.wg.Done()
 		defer func() { <-in.serving }()
