--- a/internal/tool/burn/report.go
+++ b/internal/tool/burn/report.go
@@ -30,10 +30,11 @@
 // Status tells what a burn rate asks for.
 type Status string
 
-// A status is urgent when both short windows burn fast, and a warning when both long ones spend
-// the budget before its period ends.
+// A status is urgent when both short windows burn fast, a warning when both long ones spend the budget before its
+// period ends, and spent when the budget of three days is used up.
 const (
 	StatusOK      Status = "OK"
+	StatusSpent   Status = "Spent"
 	StatusWarning Status = "Warning"
 	StatusUrgent  Status = "Urgent"
 )
@@ -167,6 +168,8 @@
 		b.Status = StatusUrgent
 	case b.Burn[2].Rate >= slowBurn && b.Burn[3].Rate >= slowBurn:
 		b.Status = StatusWarning
+	case b.Left <= 0 && b.Reached < 1:
+		b.Status = StatusSpent
 	}
 	return b
 }
