Remove code that stood twice in the entry and the instance

Cause: the read-through found a refusal logged by two copies, the newest share of a customer chosen by two equal loops, and a group around a single goroutine. Change: noteRefusal and keepNewest serve both places; permits run without a group. Behaviour stays as it is.

--- a/internal/node/instance/duties.go
+++ b/internal/node/instance/duties.go
@@ -195,11 +195,7 @@
 	i.mux.Handle(methodRecordShares, peer.Typed(func(_ context.Context, _ string, p recordedShares) (struct{}, error) {
 		r.mu.Lock()
 		defer r.mu.Unlock()
-		for _, s := range p.Shares {
-			if s.Epoch >= r.shares[s.Customer].Epoch {
-				r.shares[s.Customer] = s
-			}
-		}
+		keepNewest(r.shares, p.Shares)
 		return struct{}{}, nil
 	}))
 	i.mux.Handle(methodReadShares, peer.Typed(func(context.Context, string, struct{}) (recordedShares, error) {
@@ -214,6 +210,15 @@
 	return r
 }
 
+// keepNewest takes the shares whose epoch is not below the one that is known for their customer.
+func keepNewest(known map[string]registry.Share, shares []registry.Share) {
+	for _, s := range shares {
+		if s.Epoch >= known[s.Customer].Epoch {
+			known[s.Customer] = s
+		}
+	}
+}
+
 // write records the shares at a majority of the keepers.
 func (r *shareRecords) write(ctx context.Context, shares []registry.Share) error {
 	stored := 0
@@ -244,11 +249,7 @@
 		r.mu.Lock()
 		defer r.mu.Unlock()
 		answers++
-		for _, s := range p.Shares {
-			if s.Epoch >= best[s.Customer].Epoch {
-				best[s.Customer] = s
-			}
-		}
+		keepNewest(best, p.Shares)
 	})
 	for _, s := range best {
 		newest = append(newest, s)
--- a/internal/node/instance/permits.go
+++ b/internal/node/instance/permits.go
@@ -5,8 +5,6 @@
 	"sync"
 	"time"
 
-	"golang.org/x/sync/errgroup"
-
 	"lycheevale/internal/place/budget"
 	"lycheevale/internal/place/scheduler"
 	"lycheevale/internal/wire/peer"
@@ -95,21 +93,17 @@
 }
 
 func (p *permits) run(ctx context.Context) error {
-	group, ctx := errgroup.WithContext(ctx)
-	group.Go(func() error {
-		ticker := time.NewTicker(permitPoll)
-		defer ticker.Stop()
-		for {
-			select {
-			case <-ctx.Done():
-				return nil
-			case <-ticker.C:
-			case <-p.wake:
-			}
-			p.exchange(ctx)
+	ticker := time.NewTicker(permitPoll)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-ticker.C:
+		case <-p.wake:
 		}
-	})
-	return group.Wait()
+		p.exchange(ctx)
+	}
 }
 
 // exchange sends what has ended and asks for what is wanted.
--- a/internal/serve/caller/caller.go
+++ b/internal/serve/caller/caller.go
@@ -186,11 +186,16 @@
 // refuse answers with an error in the shape that client libraries of this protocol parse.
 func (s *Server) refuse(x *exchange, err error) {
 	e := refusal.From(err)
+	s.noteRefusal(x, e)
+	s.writeError(x.w, e)
+}
+
+// noteRefusal logs a refusal and keeps it for accounting.
+func (s *Server) noteRefusal(x *exchange, e *refusal.Error) {
 	x.outcome.Code, x.outcome.Ran = e.Code, e.Ran
 	event.Log(x.r.Context(), s.options.Logger, event.RequestRefused, slog.String("Request", x.id),
 		slog.String("Customer", x.customer), slog.String("Code", string(e.Code)), slog.String("Ran", string(e.Ran)),
 		slog.String("Reason", e.Message))
-	s.writeError(x.w, e)
 }
 
 type errorBody struct {
--- a/internal/serve/caller/relay.go
+++ b/internal/serve/caller/relay.go
@@ -81,10 +81,7 @@
 		return
 	}
 	e := refusal.From(err)
-	x.outcome.Code, x.outcome.Ran = e.Code, e.Ran
-	event.Log(ctx, s.options.Logger, event.RequestRefused, slog.String("Request", x.id),
-		slog.String("Customer", x.customer), slog.String("Code", string(e.Code)), slog.String("Ran", string(e.Ran)),
-		slog.String("Reason", e.Message))
+	s.noteRefusal(x, e)
 	if x.r.Context().Err() == nil {
 		out.sendError(e)
 	}
