Give the process test addresses of its own and an end with logs

The test took ports from the system, released them and let the programs listen on them later; any other connection on the machine could take such a port in between, above all while a killed voter was down. The program that lost its port ended, and the test repeated its check until the limit, where no log is printed. Change: addresses in 127.64.0.0/10 that depend on the process of the test, outside the range of ports that the system gives out. The test fails at once when a program ends by itself, and one minute before the limit, with all logs.

--- a/cmd/lycheevale/main_test.go
+++ b/cmd/lycheevale/main_test.go
@@ -2,10 +2,10 @@
 
 import (
 	"bytes"
+	"context"
 	"encoding/json"
 	"fmt"
 	"io"
-	"net"
 	"net/http"
 	"os"
 	"os/exec"
@@ -22,28 +22,41 @@
 
 var centres = []string{"brisbane-a", "townsville-a", "toowoomba-a"}
 
+// process is one program of the deployment; ended receives the result of the program.
+type process struct {
+	*exec.Cmd
+	ended chan error
+}
+
 // processes is a deployment of real processes: three voters, and one engine and one plain service in each data centre.
 type processes struct {
 	*qt.C
 	t        *testing.T
+	ctx      context.Context
 	folder   string
 	settings []string
 	callers  []string
-	running  map[string]*exec.Cmd
+	running  map[string]*process
 	operate  []string
+	used     int
 }
 
-// freeAddress finds a port that is free now; another program may take it before it is used, which fails the test's
-// start and not its verdict about the product.
-func freeAddress(c *qt.C) string {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	c.Assert(err, qt.IsNil)
-	defer l.Close()
-	return l.Addr().String()
+// address returns a loopback address that only this run uses. A port that the system picks for 127.0.0.1 and that is
+// released again can be taken by any other connection on the machine before the instance listens on it.
+func (p *processes) address() string {
+	pid := os.Getpid()
+	p.used++
+	return fmt.Sprintf("127.%d.%d.%d:%d", 64+pid>>16&63, pid>>8&255, pid&255, 20000+p.used)
 }
 
 func start(t *testing.T) *processes {
-	p := &processes{C: qt.New(t), t: t, folder: t.TempDir(), running: map[string]*exec.Cmd{}}
+	p := &processes{C: qt.New(t), t: t, ctx: t.Context(), folder: t.TempDir(), running: map[string]*process{}}
+	if limit, ok := t.Deadline(); ok {
+		// The rest of the time is for the logs: a test that runs into the limit of go test prints none.
+		ctx, cancel := context.WithDeadline(p.ctx, limit.Add(-time.Minute))
+		t.Cleanup(cancel)
+		p.ctx = ctx
+	}
 	for _, name := range []string{"lycheevale", "lycheectl", "standin"} {
 		build := exec.Command("go", "build", "-o", p.path(name), "lycheevale/cmd/"+name)
 		out, err := build.CombinedOutput()
@@ -69,14 +82,14 @@
 	var members strings.Builder
 	peers := make([]string, len(centres))
 	for n, centre := range centres {
-		peers[n] = freeAddress(p.C)
+		peers[n] = p.address()
 		fmt.Fprintf(&members, "  - {Name: %s-1, Address: %q, DataCentre: %s}\n", centre, peers[n], centre)
 	}
 	for n, centre := range centres {
-		p.callers, p.operate = append(p.callers, freeAddress(p.C)), append(p.operate, freeAddress(p.C))
+		p.callers, p.operate = append(p.callers, p.address()), append(p.operate, p.address())
 		text := fmt.Sprintf("Name: %s-1\nDataCentre: %s\nRegion: %s\nDataFolder: %s\nListen: {Callers: %q, Operators: %q, Peers: %q, Streams: %q}\n"+
 			"Operators: {CredentialsFile: %s}\nShutdown: {LoadBalancer: 100ms}\nVoters:\n%sPeers:\n%s",
-			centre, centre, centre, p.path("data-"+centre), p.callers[n], p.operate[n], peers[n], freeAddress(p.C),
+			centre, centre, centre, p.path("data-"+centre), p.callers[n], p.operate[n], peers[n], p.address(),
 			p.path("operators.yaml"), members.String(), members.String())
 		file := p.path(centre + ".yaml")
 		p.Assert(os.WriteFile(file, []byte(text), 0o600), qt.IsNil)
@@ -85,22 +98,38 @@
 }
 
 func (p *processes) launch(name, program string, args ...string) {
-	c := exec.Command(p.path(program), args...)
-	var log bytes.Buffer
-	c.Stdout, c.Stderr = &log, &log
+	log, err := os.OpenFile(p.path(name+".log"), os.O_APPEND|os.O_CREATE|os.O_WRONLY, 0o600)
+	p.Assert(err, qt.IsNil)
+	defer log.Close()
+	c := &process{Cmd: exec.Command(p.path(program), args...), ended: make(chan error, 1)}
+	c.Stdout, c.Stderr = log, log
 	p.Assert(c.Start(), qt.IsNil)
+	go func() { c.ended <- c.Wait() }()
 	p.running[name] = c
-	p.t.Cleanup(func() {
+}
+
+func (p *processes) stopAll() {
+	for name, c := range p.running {
+		_ = c.Process.Kill()
+		<-c.ended
 		if p.t.Failed() {
-			p.t.Logf("%s:\n%s", name, log.String())
+			text, err := os.ReadFile(p.path(name + ".log"))
+			p.t.Logf("%s: %v\n%s", name, err, text)
 		}
-	})
+	}
 }
 
-func (p *processes) stopAll() {
-	for _, c := range p.running {
+// end takes a program that the test ends out of those that must run.
+func (p *processes) end(name string, signal os.Signal) error {
+	c := p.running[name]
+	delete(p.running, name)
+	p.Assert(c.Process.Signal(signal), qt.IsNil)
+	select {
+	case err := <-c.ended:
+		return err
+	case <-p.ctx.Done():
 		_ = c.Process.Kill()
-		_ = c.Wait()
+		return fmt.Errorf("%s did not end after signal %v", name, signal)
 	}
 }
 
@@ -114,7 +143,7 @@
 	}
 	p.Assert(os.WriteFile(p.path("objects.yaml"), file.Bytes(), 0o600), qt.IsNil)
 	p.eventually(func() string {
-		out, err := exec.Command(p.path("lycheectl"), "--address", p.operate[0], "--token-file", p.path("token"),
+		out, err := exec.CommandContext(p.ctx, p.path("lycheectl"), "--address", p.operate[0], "--token-file", p.path("token"),
 			"apply", "-f", p.path("objects.yaml")).CombinedOutput()
 		if err != nil {
 			return string(out)
@@ -123,12 +152,25 @@
 	})
 }
 
-// eventually repeats a check until it returns no problem; go test's own timeout ends a deployment that never gets there.
+// eventually repeats a check until it returns no problem. It fails at once when a program has ended by itself, and
+// shortly before go test's own timeout, with the last problem and the logs.
 func (p *processes) eventually(check func() string) {
 	for {
-		if check() == "" {
+		problem := check()
+		if problem == "" {
 			return
 		}
+		for name, c := range p.running {
+			select {
+			case err := <-c.ended:
+				c.ended <- err
+				p.t.Fatalf("%s ended by itself: %v", name, err)
+			default:
+			}
+		}
+		if p.ctx.Err() != nil {
+			p.t.Fatalf("not reached within the time of the test: %s", problem)
+		}
 		time.Sleep(100 * time.Millisecond)
 	}
 }
@@ -138,7 +180,7 @@
 }
 
 func (p *processes) post(n int, path, body, want string) (problem string) {
-	req, err := http.NewRequest("POST", "http://"+p.callers[n]+path, strings.NewReader(body))
+	req, err := http.NewRequestWithContext(p.ctx, "POST", "http://"+p.callers[n]+path, strings.NewReader(body))
 	p.Assert(err, qt.IsNil)
 	req.Header.Set("Content-Type", "application/json")
 	req.Header.Set("Authorization", "Bearer "+demo.Key(0))
@@ -164,16 +206,11 @@
 		p.eventually(func() string { return p.complete(n) })
 		p.eventually(func() string { return p.post(n, "/ledger/orders", `{"reference":"o"}`, `"runs":1}`) })
 	}
-	killed := p.running[centres[2]]
-	p.Assert(killed.Process.Kill(), qt.IsNil)
-	_ = killed.Wait()
+	p.Check(p.end(centres[2], syscall.SIGKILL), qt.ErrorMatches, "signal: killed")
 	p.eventually(func() string { return p.complete(0) })
 	p.apply()
 	p.launch(centres[2], "lycheevale", "run", "--config", p.settings[2])
 	p.eventually(func() string { return p.complete(2) })
-	stopped := p.running[centres[1]]
-	p.Assert(stopped.Process.Signal(syscall.SIGTERM), qt.IsNil)
-	p.Check(stopped.Wait(), qt.IsNil)
-	delete(p.running, centres[1])
+	p.Check(p.end(centres[1], syscall.SIGTERM), qt.IsNil)
 	p.eventually(func() string { return p.complete(0) })
 }
