Run random schedules of faults against whole deployments

Cause: log, distribution, withdrawal, leases, shares and claims had property tests of their own, and the matrix strikes once in each cell; nothing drove all of them together through faults that follow each other.

--- a/internal/fake/deployment/deployment.go
+++ b/internal/fake/deployment/deployment.go
@@ -188,6 +188,9 @@
 		instance.WithLogger(logger), instance.WithNetwork(d.Options.Listen, d.Options.Dialer(i.Host)),
 		instance.WithBootstrap(d.Options.Objects),
 	}, d.Options.Instance...)
+	if d.Options.Wall != nil {
+		opts = append(opts, instance.WithWall(d.Options.Wall(i.Settings.Name)))
+	}
 	started, err := instance.New(i.Settings, opts...)
 	if err != nil {
 		return err
--- a/internal/fake/deployment/options.go
+++ b/internal/fake/deployment/options.go
@@ -5,6 +5,7 @@
 	"log/slog"
 	"net"
 	"net/netip"
+	"time"
 
 	"lycheevale/internal/base/settings"
 	fakeengine "lycheevale/internal/fake/engine"
@@ -32,7 +33,8 @@
 	EngineOptions func(name string) []fakeengine.Option
 	Settings      func(s *settings.Settings)
 	Instance      []instance.Option
-	NewLogger     func(name string) *slog.Logger // nil for Logger everywhere
+	NewLogger     func(name string) *slog.Logger     // nil for Logger everywhere
+	Wall          func(name string) func() time.Time // wall clock of an instance; nil for the right time
 }
 
 // Kind names what runs on a host.
--- a/internal/fake/engine/options.go
+++ b/internal/fake/engine/options.go
@@ -19,6 +19,7 @@
 	ChecksFencing bool
 	Fetch         func(ctx context.Context, source string) error
 	Inspect       func(r *http.Request, body []byte) // sees everything received
+	Began         func(prompt string)                // sees every completion that begins to run
 	Faults        Faults
 }
 
@@ -71,6 +72,11 @@
 	return func(o *Options) { o.Inspect = f }
 }
 
+// WithBegan sets a function that sees the prompt of every completion that begins to run.
+func WithBegan(f func(prompt string)) Option {
+	return func(o *Options) { o.Began = f }
+}
+
 // WithFaults sets the faults.
 func WithFaults(f Faults) Option {
 	return func(o *Options) { o.Faults = f }
--- a/internal/fake/engine/stream.go
+++ b/internal/fake/engine/stream.go
@@ -57,6 +57,9 @@
 		return
 	}
 	defer e.finish(s)
+	if e.options.Began != nil {
+		e.options.Began(body.Prompt)
+	}
 	e.send(r.Context(), w, s, 0)
 }
 
--- a/internal/node/instance/options.go
+++ b/internal/node/instance/options.go
@@ -58,6 +58,11 @@
 	return func(o *Options) { o.Bootstrap = objects }
 }
 
+// WithWall sets the wall clock, for tests that step it.
+func WithWall(wall func() time.Time) Option {
+	return func(o *Options) { o.Wall = wall }
+}
+
 // WithCaller sets a function that changes the options of the callers' server.
 func WithCaller(f func(c *caller.Options)) Option {
 	return func(o *Options) { o.Caller = f }
--- a/internal/tool/matrix/cell.go
+++ b/internal/tool/matrix/cell.go
@@ -41,7 +41,7 @@
 	h.checkForeign()
 	h.checkWithdrawal()
 	close(stop)
-	result.Violations = h.violations()
+	result.Violations = h.violations(h.evidence())
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	result.Events = h.events
@@ -61,7 +61,7 @@
 func (h *Harness) probeCompletion() (Outcome, string) {
 	body := fmt.Sprintf(`{"model":%q,"prompt":"probe","max_tokens":%d,"stream":true}`, probeAdapter, probeTokens)
 	r := h.send(h.entry(), "/v1/completions", demo.Key(h.probeKey), body, map[string]string{probeHeader: "1"})
-	h.checkAnswer(r)
+	h.checkAnswer(r, probeAdapter, probeTokens)
 	switch {
 	case r.whole():
 		return Answered, ""
@@ -75,7 +75,7 @@
 }
 
 // checkAnswer checks that the tokens received are those of the right adapter, in order and each once.
-func (h *Harness) checkAnswer(r reply) {
+func (h *Harness) checkAnswer(r reply, adapter string, tokens int) {
 	seq := 0
 	for _, line := range strings.Split(r.body, "\n") {
 		_, text, ok := strings.Cut(line, `"text":"`)
@@ -83,12 +83,12 @@
 			continue
 		}
 		seq++
-		if want := fmt.Sprintf("%s@v1:%d ", probeAdapter, seq); !strings.HasPrefix(text, want) {
+		if want := fmt.Sprintf("%s@v1:%d ", adapter, seq); !strings.HasPrefix(text, want) {
 			h.violate("P1 and P7: token %d is not %q: %s", seq, want, line)
 		}
 	}
-	if r.whole() && seq != probeTokens {
-		h.violate("P7: a whole answer has %d of %d tokens", seq, probeTokens)
+	if r.whole() && seq != tokens {
+		h.violate("P7: a whole answer has %d of %d tokens", seq, tokens)
 	}
 }
 
@@ -101,16 +101,16 @@
 		if n == 0 {
 			headers[probeHeader] = "1"
 		}
-		before := h.runs()
+		before := h.runs(orderReference)
 		r := h.send(to, "/ledger/orders", demo.Key(h.probeKey), body, headers)
 		switch {
 		case r.err == nil && r.status == 200:
-			if h.runs() != 1 {
-				h.violate("P9: an answered order ran %d times", h.runs())
+			if h.runs(orderReference) != 1 {
+				h.violate("P9: an answered order ran %d times", h.runs(orderReference))
 			}
 			return Answered, ""
 		case r.ran() == "NotRun":
-			if before == 0 && h.runs() > 0 {
+			if before == 0 && h.runs(orderReference) > 0 {
 				h.violate("P8: an order that ran was refused as not run: %s", r.body)
 			}
 			outcome, detail = NotRun, r.body
@@ -121,10 +121,11 @@
 	return outcome, detail
 }
 
-func (h *Harness) runs() (runs int) {
+// runs counts how often the order with the reference ran.
+func (h *Harness) runs(reference string) (runs int) {
 	for _, e := range h.Endpoints {
 		if e.Service != nil {
-			runs += e.Service.Runs(orderReference)
+			runs += e.Service.Runs(reference)
 		}
 	}
 	return runs
@@ -216,7 +217,8 @@
 	}
 }
 
-// watchRevisions checks that no instance goes back to a lower revision while it runs.
+// watchRevisions checks that no instance goes back to a lower revision while it runs. One that starts anew without a
+// disk takes what its data centre has, which is less than before while the data centre is cut off.
 func (h *Harness) watchRevisions() chan struct{} {
 	stop := make(chan struct{})
 	highest := make([]uint64, len(h.Instances))
@@ -229,8 +231,11 @@
 				if i.Ready() && current[n] == i && revision < highest[n] {
 					h.violate("P12: %s went from revision %d back to %d", deployed.Settings.Name, highest[n], revision)
 				}
-				if i.Ready() {
-					highest[n], current[n] = max(highest[n], revision), i
+				switch {
+				case i.Ready() && current[n] == i:
+					highest[n] = max(highest[n], revision)
+				case i.Ready():
+					highest[n], current[n] = revision, i
 				}
 			}
 			select {
--- a/internal/tool/matrix/checks.go
+++ b/internal/tool/matrix/checks.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"strings"
 	"time"
 
@@ -43,9 +44,16 @@
 	return violations
 }
 
-// violations collects what was seen while the cell ran and what the end shows.
-func (h *Harness) violations() []string {
-	e := Evidence{OrderRuns: h.runs(), Accepted: map[string]bool{}, Allowance: h.allowance()}
+// violations returns what was seen while the deployment ran and what the evidence shows.
+func (h *Harness) violations(e Evidence) []string {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return append(Check(e), h.watched...)
+}
+
+// evidence collects what the end of a cell shows.
+func (h *Harness) evidence() Evidence {
+	e := Evidence{OrderRuns: h.runs(orderReference), Accepted: map[string]bool{}, Allowance: h.allowance()}
 	for _, p := range h.Endpoints {
 		if p.Engine != nil {
 			e.EvictedInUse += p.Engine.EvictedInUse()
@@ -60,8 +68,8 @@
 	}
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	e.Received, e.LateWork, e.Used = h.received, h.lateWork, float64(h.used)
-	return append(Check(e), h.watched...)
+	e.Received, e.LateWork, e.Used = slices.Clone(h.received), h.lateWork, float64(h.used)
+	return e
 }
 
 // allowance is what the limit of the probe's customer gives in the time of the cell.
--- a/internal/tool/matrix/harness.go
+++ b/internal/tool/matrix/harness.go
@@ -58,6 +58,7 @@
 	struck       atomic.Bool
 	failLoads    atomic.Int64
 	crossed      atomic.Int64
+	slower       atomic.Int64 // added to the latency between regions, in nanoseconds
 	probeKey     int
 	left         *deployment.Endpoint
 	leftAt       time.Time
@@ -66,6 +67,7 @@
 	restartBegun atomic.Bool // of a voter
 	restarted    chan struct{}
 	errors       chan error
+	observe      func(r *http.Request, body []byte) // sees what endpoints receive; nil for nothing
 
 	mu       sync.Mutex
 	events   map[event.ID]int
@@ -77,21 +79,36 @@
 
 // Run runs a cell; folder takes the disks of the voters.
 func Run(ctx context.Context, cell Cell, folder string) (result Result, err error) {
+	h, err := start(ctx, folder, demo.Changes(), nil)
+	if err != nil {
+		return result, err
+	}
+	h.column, h.faults = cell.Column, cell.Faults
+	result = h.cell()
+	return result, h.end()
+}
+
+// start starts a deployment with the objects as its configuration and waits until it is ready; observe, if it is set,
+// sees all that endpoints receive.
+func start(ctx context.Context, folder string, objects []registry.Object, observe func(*http.Request, []byte),
+	opts ...deployment.Option,
+) (h *Harness, err error) {
 	n := network.New()
-	n.Latency = latency
-	h := &Harness{
-		ctx: ctx, net: n, column: cell.Column, faults: cell.Faults, events: map[event.ID]int{}, errors: make(chan error, 64),
+	h = &Harness{
+		ctx: ctx, net: n, observe: observe, events: map[event.ID]int{}, errors: make(chan error, 64),
 		stopped: make(chan struct{}), restarted: make(chan struct{}),
 		client: &http.Client{Transport: &http.Transport{DialContext: n.Dialer(callerHost)}},
 	}
-	h.Deployment, err = deployment.Start(ctx, deployment.WithNetwork(n), deployment.With(func(o *deployment.Options) {
-		o.Objects, o.DataFolder, o.Instances, o.More, o.Engines, o.Services = demo.Changes(), folder, 1, 2, 2, 2
+	n.Latency = h.latency
+	opts = append([]deployment.Option{deployment.WithNetwork(n), deployment.With(func(o *deployment.Options) {
+		o.Objects, o.DataFolder, o.Instances, o.More, o.Engines, o.Services = objects, folder, 1, 2, 2, 2
 		o.NewLogger = func(string) *slog.Logger { return slog.New(&eventCounter{h}) }
 		o.EngineOptions = func(string) []fakeengine.Option { return h.engineOptions() }
 		o.Instance = []instance.Option{instance.WithTrace(h.traceChange), instance.WithCaller(h.traceCaller), instance.WithLeaveWait(leaveWait)}
-	}))
+	})}, opts...)
+	h.Deployment, err = deployment.Start(ctx, opts...)
 	if err != nil {
-		return result, err
+		return nil, err
 	}
 	for _, e := range h.Endpoints {
 		if e.Service != nil {
@@ -100,24 +117,28 @@
 	}
 	h.Store.Before = func(source string) { h.trace(Completion, stepLoad, strings.HasPrefix(source, probeAdapter+"/")) }
 	if err := h.WaitReady(ctx); err != nil {
-		return result, err
+		return nil, err
 	}
 	h.begin = time.Now()
-	result = h.cell()
+	return h, nil
+}
+
+// end stops the deployment and returns all errors of its parts.
+func (h *Harness) end() error {
 	h.client.CloseIdleConnections()
-	err = errs.Combine(h.group.Wait(), h.Stop())
-	n.Close()
+	err := errs.Combine(h.group.Wait(), h.Stop())
+	h.net.Close()
 	close(h.errors)
 	for e := range h.errors {
 		err = errs.Combine(err, e)
 	}
-	return result, err
+	return err
 }
 
-func latency(from, to netip.Addr) time.Duration {
+func (h *Harness) latency(from, to netip.Addr) time.Duration {
 	a, b := from.As4(), to.As4()
 	if a[1] != b[1] && from != callerHost && to != callerHost {
-		return wideLatency
+		return wideLatency + time.Duration(h.slower.Load())
 	}
 	return localLatency
 }
@@ -234,6 +255,9 @@
 
 // inspect records what an endpoint received.
 func (h *Harness) inspect(r *http.Request, body []byte) {
+	if h.observe != nil {
+		h.observe(r, body)
+	}
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	if strings.HasSuffix(r.URL.Path, "completions") || strings.HasPrefix(r.URL.Path, "/ledger") {
--- a/internal/tool/matrix/matrix_test.go
+++ b/internal/tool/matrix/matrix_test.go
@@ -119,3 +119,20 @@
 		qt.Check(t, strings.HasPrefix(found[0], promise), qt.IsTrue)
 	}
 }
+
+// Guards the promises against faults that follow each other at random while requests, orders, changes and withdrawals
+// go on: log, distribution, withdrawal, ownership, limits and claims together, with clock steps and a lost disk.
+func TestSchedules(t *testing.T) {
+	for seed := range uint64(schedules) {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			t.Parallel()
+			folder := t.TempDir()
+			synctest.Test(t, func(t *testing.T) {
+				violations, steps, err := matrix.RunSchedule(t.Context(), seed, folder)
+				t.Log(steps[len(steps)-1])
+				qt.Check(t, err, qt.IsNil)
+				qt.Check(t, violations, qt.HasLen, 0, qt.Commentf("%s", strings.Join(steps, "\n")))
+			})
+		})
+	}
+}
