Reuse connections to engines after whole answers

Cause: the answer was closed at its end marker, before the end of the body, so that the transport closed the connection, and a later request opened a new one. The caller's end marker was also written only after the stream had been closed. Change: a whole answer is drained to the end of its body in the owner's group, bounded by the idle deadline and apart from the request's context. The end marker goes to the caller before the stream is closed.

--- a/internal/serve/caller/answer_test.go
+++ b/internal/serve/caller/answer_test.go
@@ -104,6 +104,24 @@
 	})
 }
 
+// Guards against a new connection to the engine for each request. The first request runs beside a poll, which needs a
+// connection of its own.
+func TestConnectionsToEnginesAreReused(t *testing.T) {
+	run(t, nil, func(r *rig) {
+		send := func(tokens int) {
+			_, whole := r.do("POST", "/v1/completions", key1, stream("a", tokens, "")).tokens()
+			r.Check(whole, qt.IsTrue)
+			time.Sleep(10 * time.Millisecond)
+		}
+		send(30)
+		before := r.dials.Load()
+		for range 10 {
+			send(3)
+		}
+		r.Check(r.dials.Load(), qt.Equals, before)
+	})
+}
+
 // Guards against work that goes on in the engine for a caller that has gone.
 func TestCancellationReachesEngine(t *testing.T) {
 	run(t, nil, func(r *rig) {
--- a/internal/serve/caller/relay.go
+++ b/internal/serve/caller/relay.go
@@ -30,7 +30,6 @@
 		endpoint, err := s.attempt(ctx, x, out, tried)
 		x.used = out.tokens(x)
 		if err == nil {
-			out.end()
 			return
 		}
 		err = s.remember(&mayHaveRun, err)
@@ -129,6 +128,7 @@
 		}
 	}
 	s.options.Trace(x.r, StepEnd)
+	out.end() // before the stream is closed, so that the caller does not wait for that
 	return target.Endpoint, nil
 }
 
--- a/internal/serve/caller/rig_test.go
+++ b/internal/serve/caller/rig_test.go
@@ -9,10 +9,12 @@
 	"fmt"
 	"io"
 	"log/slog"
+	"net"
 	"net/http"
 	"net/netip"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -59,7 +61,8 @@
 	received  []string // everything that any endpoint received
 	faults    fakeengine.Faults
 	change    []func(*caller.Options)
-	order     []int // engines in the order of preference
+	order     []int        // engines in the order of preference
+	dials     atomic.Int64 // connections opened to engines
 }
 
 // run executes the test inside a bubble with virtual time.
@@ -118,7 +121,11 @@
 	logger := slog.New(slog.DiscardHandler)
 	r.owner = owner.New(owner.WithLogger(logger), owner.WithClient(func(a netip.AddrPort) *engine.Client {
 		transport := engine.NewTransport()
-		transport.DialContext = r.net.Dialer(entryIP)
+		dial := r.net.Dialer(entryIP)
+		transport.DialContext = func(ctx context.Context, network, address string) (net.Conn, error) {
+			r.dials.Add(1)
+			return dial(ctx, network, address)
+		}
 		return engine.New(a, engine.WithTransport(transport))
 	}))
 	r.group.Go(func() error { return r.owner.Run(r.ctx) })
--- a/internal/serve/engine/engine.go
+++ b/internal/serve/engine/engine.go
@@ -37,6 +37,9 @@
 // maxErrorBody bounds what is read of an error response, in bytes.
 const maxErrorBody = 4 << 10
 
+// maxDrain bounds what is read after the end marker, in bytes.
+const maxDrain = 4 << 10
+
 // Client talks to one engine and is safe for concurrent use.
 type Client struct {
 	options Options
@@ -71,6 +74,13 @@
 // Close releases the connection of the answer.
 func (a *Answer) Close() { _ = a.body.Close() }
 
+// Drain reads what follows the end marker up to the end of the body and closes the answer. The transport reuses a
+// connection only after the end of the body, which the engine sends after the marker.
+func (a *Answer) Drain() {
+	_, _ = io.CopyN(io.Discard, a.body, maxDrain)
+	a.Close()
+}
+
 // Complete starts an attempt. Errors of class NotRun prove that the engine did not run it.
 func (c *Client) Complete(ctx context.Context, a Attempt) (answer *Answer, err error) {
 	req, err := http.NewRequestWithContext(ctx, http.MethodPost, c.base+a.Path, bytes.NewReader(a.Body))
--- a/internal/serve/owner/stream.go
+++ b/internal/serve/owner/stream.go
@@ -151,9 +151,23 @@
 }
 
 func (t *transfer) close() {
+	// The connection is drained for its next request beyond the end of this one, whose caller need not wait for it.
+	t.watch.detach()
+	if !t.complete || !t.owner.spawn(t.drain) {
+		t.release()
+	}
+	t.free(!t.complete)
+}
+
+// drain makes the connection of a complete answer reusable; the idle deadline bounds it.
+func (t *transfer) drain() {
+	t.answer.Drain()
+	t.release()
+}
+
+func (t *transfer) release() {
 	t.watch.stop()
 	t.answer.Close()
-	t.free(!t.complete)
 }
 
 // free gives back the place in the batch; an attempt that did not end is cancelled on the engine first, so that
@@ -177,22 +191,27 @@
 	})
 }
 
-// watchdog ends a context when it is not reset for a while.
+// watchdog ends a context when it is not reset for a while, or when the parent ends before detach is called.
 type watchdog struct {
 	ctx    context.Context
 	cancel context.CancelCauseFunc
+	detach func() bool
 	timer  *time.Timer
 	idle   time.Duration
 }
 
 func newWatchdog(parent context.Context, idle time.Duration) *watchdog {
-	ctx, cancel := context.WithCancelCause(parent)
-	return &watchdog{ctx: ctx, cancel: cancel, idle: idle, timer: time.AfterFunc(idle, func() { cancel(errIdle) })}
+	ctx, cancel := context.WithCancelCause(context.WithoutCancel(parent))
+	return &watchdog{
+		ctx: ctx, cancel: cancel, idle: idle, timer: time.AfterFunc(idle, func() { cancel(errIdle) }),
+		detach: context.AfterFunc(parent, func() { cancel(context.Cause(parent)) }),
+	}
 }
 
 func (w *watchdog) reset() { w.timer.Reset(w.idle) }
 
 func (w *watchdog) stop() {
+	w.detach()
 	w.timer.Stop()
 	w.cancel(context.Canceled)
 }
