Decide on a request in its own goroutine

Cause: a request woke the owner's loop and waited for it to place the request: two hand-overs between goroutines before the engine was called, and one more wake-up of the loop when the request finished. Change: submitting and finishing run the due decisions under the owner's lock; the loop is woken only when its timer has to be set to an earlier time.

--- a/internal/serve/owner/owner.go
+++ b/internal/serve/owner/owner.go
@@ -65,6 +65,7 @@
 	waiting   map[string]waiter
 	running   map[string]running // by attempt
 	wake      chan struct{}
+	wakeAt    time.Time // when the loop decides next without being woken; zero for never
 	group     *errgroup.Group
 	ctx       context.Context // of the group, ends when Run does
 	started   chan struct{}
@@ -164,10 +165,25 @@
 func (o *Owner) step() time.Time {
 	o.mu.Lock()
 	defer o.mu.Unlock()
+	o.decide()
+	o.wakeAt = o.scheduler.NextWake()
+	return o.wakeAt
+}
+
+// decide carries out the decisions that are due.
+func (o *Owner) decide() {
 	for _, action := range o.scheduler.Decide(o.options.Now()) {
 		o.act(action)
 	}
-	return o.scheduler.NextWake()
+}
+
+// decideNow decides in the goroutine of a request, which so need not wait for the loop to be scheduled; the loop is
+// woken only to set its timer to an earlier time.
+func (o *Owner) decideNow() {
+	o.decide()
+	if next := o.scheduler.NextWake(); !next.IsZero() && (o.wakeAt.IsZero() || next.Before(o.wakeAt)) {
+		o.poke()
+	}
 }
 
 func (o *Owner) act(a scheduler.Action) {
@@ -267,12 +283,12 @@
 	})
 	if err == nil {
 		o.waiting[r.Attempt] = waiter{r.Endpoint, r.Model, ch}
+		o.decideNow()
 	}
 	o.mu.Unlock()
 	if err != nil {
 		return nil, err
 	}
-	o.poke()
 	select {
 	case p := <-ch:
 		return o.accept(r, p)
@@ -326,7 +342,7 @@
 		r.endpoint.own[r.target]--
 		o.checkStopped(r.endpoint)
 	}
-	o.poke()
+	o.decideNow()
 }
 
 func (o *Owner) view(endpoint string, ref scheduler.AdapterRef) scheduler.View {
