--- a/internal/fake/engine/options.go
+++ b/internal/fake/engine/options.go
@@ -27,6 +27,7 @@
 	CutAfter   func(attempt string) int              // events after which the stream breaks, 0 for never
 	SilentFrom func(attempt string) uint64           // sequence number from which nothing more is sent, 0 for never
 	Answer     func(attempt string) string           // attempt identifier put on the answer
+	Serve      func(model string) string             // model that runs in place of the one asked for
 	Duplicate  func(attempt string, seq uint64) bool // sends an event twice
 	HeaderWait func(attempt string) time.Duration    // delay before the first byte of the answer
 	FailLoad   func(target string) error             // fails a load
--- a/internal/fake/engine/stream.go
+++ b/internal/fake/engine/stream.go
@@ -48,6 +48,9 @@
 		refuse(w, http.StatusBadRequest, err.Error())
 		return
 	}
+	if serve := e.options.Faults.Serve; serve != nil {
+		body.Model = serve(body.Model)
+	}
 	s := &stream{
 		attempt: r.Header.Get(engine.HeaderAttempt), model: body.Model, chat: body.Messages != nil,
 		prompt: promptTokens(body), total: max(1, body.MaxTokens), seed: body.Seed, done: make(chan struct{}),
--- a/internal/serve/caller/rig_test.go
+++ b/internal/serve/caller/rig_test.go
@@ -61,6 +61,8 @@
 	received  []string // everything that any endpoint received
 	faults    fakeengine.Faults
 	change    []func(*caller.Options)
+	engine    engine.Rules
+	ownerRule owner.Rules
 	order     []int        // engines in the order of preference
 	dials     atomic.Int64 // connections opened to engines
 }
@@ -69,7 +71,8 @@
 func run(t *testing.T, prepare func(*rig), test func(*rig)) {
 	t.Helper()
 	synctest.Test(t, func(t *testing.T) {
-		r := &rig{C: qt.New(t), t: t, net: network.New(), registry: testRegistry(), withdrawn: map[string]bool{}, order: []int{0, 1}}
+		r := &rig{C: qt.New(t), t: t, net: network.New(), registry: testRegistry(), withdrawn: map[string]bool{}, order: []int{0, 1},
+			engine: engine.AllRules(), ownerRule: owner.AllRules()}
 		if prepare != nil {
 			prepare(r)
 		}
@@ -119,14 +122,14 @@
 
 func (r *rig) start() {
 	logger := slog.New(slog.DiscardHandler)
-	r.owner = owner.New(owner.WithLogger(logger), owner.WithClient(func(a netip.AddrPort) *engine.Client {
+	r.owner = owner.New(owner.WithLogger(logger), owner.WithRules(r.ownerRule), owner.WithClient(func(a netip.AddrPort) *engine.Client {
 		transport := engine.NewTransport()
 		dial := r.net.Dialer(entryIP)
 		transport.DialContext = func(ctx context.Context, network, address string) (net.Conn, error) {
 			r.dials.Add(1)
 			return dial(ctx, network, address)
 		}
-		return engine.New(a, engine.WithTransport(transport))
+		return engine.New(a, engine.WithTransport(transport), engine.WithRules(r.engine))
 	}))
 	r.group.Go(func() error { return r.owner.Run(r.ctx) })
 	for n := range 2 {
--- a/internal/serve/engine/engine.go
+++ b/internal/serve/engine/engine.go
@@ -46,7 +46,7 @@
 
 // New returns a client of the engine at the address.
 func New(address netip.AddrPort, opts ...Option) *Client {
-	o := Options{MaxEventSize: defaultMaxEventSize, DecodeError: statusError}
+	o := Options{Rules: AllRules(), MaxEventSize: defaultMaxEventSize, DecodeError: statusError}
 	for _, opt := range opts {
 		opt(&o)
 	}
@@ -117,7 +117,8 @@
 		return nil, c.options.DecodeError(resp)
 	}
 	got, served := resp.Header.Get(HeaderAttempt), resp.Header.Get(HeaderModel)
-	if got != attempt || served != model {
+	rules := c.options.Rules
+	if got != attempt && rules.CheckAttempt || served != model && rules.CheckModel {
 		_ = resp.Body.Close()
 		return nil, Foreign.New("asked attempt %s on %s, got attempt %s on %s", attempt, model, got, served)
 	}
--- a/internal/serve/engine/events.go
+++ b/internal/serve/engine/events.go
@@ -30,12 +30,15 @@
 				return
 			}
 		}
-		yield(Event{}, r.end())
+		if r.rules.NeedMarker {
+			yield(Event{}, r.end())
+		}
 	}
 }
 
 // eventReader reads server-sent events without allocating for each of them.
 type eventReader struct {
+	rules   Rules
 	attempt string
 	limit   int // bytes of one event
 	lines   *bufio.Scanner
@@ -46,7 +49,8 @@
 }
 
 func newEventReader(a *Answer, beforeWait func()) *eventReader {
-	r := &eventReader{attempt: a.Attempt, limit: a.client.options.MaxEventSize}
+	o := a.client.options
+	r := &eventReader{rules: o.Rules, attempt: a.Attempt, limit: o.MaxEventSize}
 	r.lines = bufio.NewScanner(waitReader{a.body, beforeWait})
 	r.lines.Buffer(make([]byte, eventBufferBytes), r.limit)
 	r.lines.Split(r.splitLine)
@@ -127,7 +131,7 @@
 // event checks the identifier, which is the attempt and the sequence number joined by a slash.
 func (r *eventReader) event() (Event, error) {
 	attempt, number, found := bytes.Cut(r.id, []byte("/"))
-	if !found || string(attempt) != r.attempt {
+	if !found || string(attempt) != r.attempt && r.rules.CheckAttempt {
 		return Event{}, Foreign.New("event %q in the stream of attempt %s", r.id, r.attempt)
 	}
 	seq, err := strconv.ParseUint(string(number), 10, 64)
--- a/internal/serve/engine/options.go
+++ b/internal/serve/engine/options.go
@@ -14,8 +14,19 @@
 	bufferBytes         = 1 << 10 // of a connection, each way
 )
 
+// Rules are the protective rules; all are on by default, and only mutation tests switch one off.
+type Rules struct {
+	CheckModel   bool // an answer names the model that its attempt asked for
+	CheckAttempt bool // an answer and its events carry the identifier of the attempt
+	NeedMarker   bool // an answer without its end marker is cut
+}
+
+// AllRules returns the rules with all of them on.
+func AllRules() Rules { return Rules{CheckModel: true, CheckAttempt: true, NeedMarker: true} }
+
 // Options are the settings of a Client.
 type Options struct {
+	Rules        Rules
 	Transport    *http.Transport
 	MaxEventSize int // bytes
 	DecodeError  func(resp *http.Response) error
@@ -29,6 +40,11 @@
 	return func(o *Options) { o.Transport = t }
 }
 
+// WithRules sets the protective rules; mutation tests use it to switch one off.
+func WithRules(r Rules) Option {
+	return func(o *Options) { o.Rules = r }
+}
+
 // WithMaxEventSize sets the largest accepted event in bytes.
 func WithMaxEventSize(n int) Option {
 	return func(o *Options) { o.MaxEventSize = n }
--- a/internal/serve/owner/options.go
+++ b/internal/serve/owner/options.go
@@ -9,8 +9,17 @@
 	"lycheevale/internal/serve/engine"
 )
 
+// Rules are the protective rules; all are on by default, and only mutation tests switch one off.
+type Rules struct {
+	CheckOrder bool // repeated events are dropped, and a gap counts as a cut
+}
+
+// AllRules returns the rules with all of them on.
+func AllRules() Rules { return Rules{CheckOrder: true} }
+
 // Options are the settings of an Owner.
 type Options struct {
+	Rules        Rules
 	Logger       *slog.Logger
 	Scheduler    *scheduler.Scheduler
 	Now          func() time.Time
@@ -34,6 +43,11 @@
 	return func(o *Options) { o.Logger = l }
 }
 
+// WithRules sets the protective rules; mutation tests use it to switch one off.
+func WithRules(r Rules) Option {
+	return func(o *Options) { o.Rules = r }
+}
+
 // WithScheduler sets the scheduler, which the owner then uses alone.
 func WithScheduler(s *scheduler.Scheduler) Option {
 	return func(o *Options) { o.Scheduler = s }
@@ -66,7 +80,7 @@
 
 func defaults() Options {
 	return Options{
-		Logger: slog.Default(), Scheduler: scheduler.New(), Now: time.Now,
+		Rules: AllRules(), Logger: slog.Default(), Scheduler: scheduler.New(), Now: time.Now,
 		Client:       func(a netip.AddrPort) *engine.Client { return engine.New(a) },
 		PollInterval: 250 * time.Millisecond, IdleTimeout: 2 * time.Second, ProbeTimeout: 500 * time.Millisecond,
 		LoadTimeout: 5 * time.Second, LeaseMargin: 200 * time.Millisecond, MaxResumes: 3, MissedPolls: 4,
--- a/internal/serve/owner/stream.go
+++ b/internal/serve/owner/stream.go
@@ -99,13 +99,14 @@
 
 // pass yields the events of the current answer. Repeated events are dropped and a gap counts as a cut.
 func (t *transfer) pass(beforeWait func(), yield func(engine.Event, error) bool) (err error, goOn bool) { //nolint:revive,staticcheck // the error is a value here
+	check := t.owner.options.Rules.CheckOrder
 	for e, err := range t.answer.Events(beforeWait) {
 		switch {
 		case err != nil:
 			return err, true
-		case e.Seq <= t.last:
+		case check && e.Seq <= t.last:
 			continue
-		case e.Seq > t.last+1:
+		case check && e.Seq > t.last+1:
 			return engine.Cut.New("event %d follows event %d", e.Seq, t.last), true
 		}
 		t.watch.reset()
