Show that a planned stop must let running requests end

Change: the option Finish of an instance, on by default; without it the servers are closed at once. TestPlannedStopInterruptsNothing stops an entry during a stream of 200 tokens there and one at the other instance of the data centre.

--- a/internal/node/instance/options.go
+++ b/internal/node/instance/options.go
@@ -24,6 +24,7 @@
 	Caller    func(c *caller.Options) // changes the options of the callers' server
 	LeaveWait time.Duration           // for a hand-over that may have nobody to go to
 	Trace     func(step Step)         // called at each step of a configuration change
+	Finish    bool                    // a planned stop lets running requests end; only mutation tests switch it off
 }
 
 // Step names a step of a configuration change for Trace.
@@ -73,6 +74,11 @@
 	return func(o *Options) { o.Trace = f }
 }
 
+// WithFinish sets whether a planned stop lets running requests end; mutation tests use it to show that it must.
+func WithFinish(finish bool) Option {
+	return func(o *Options) { o.Finish = finish }
+}
+
 // WithScheduler adds options of the scheduler.
 func WithScheduler(opts ...scheduler.Option) Option {
 	return func(o *Options) { o.Scheduler = append(o.Scheduler, opts...) }
@@ -95,5 +101,6 @@
 		Caller:    func(*caller.Options) {},
 		Trace:     func(Step) {},
 		LeaveWait: leaveWait,
+		Finish:    true,
 	}
 }
--- a/internal/node/instance/servers.go
+++ b/internal/node/instance/servers.go
@@ -78,6 +78,9 @@
 
 // shutdown lets running requests end; those that still run at the end of ctx are interrupted.
 func (s *servers) shutdown(ctx context.Context, server *http.Server) error {
+	if !s.instance.options.Finish {
+		return server.Close()
+	}
 	err := server.Shutdown(ctx)
 	if err == nil {
 		return nil
--- a/internal/node/instance/system_test.go
+++ b/internal/node/instance/system_test.go
@@ -13,9 +13,12 @@
 	"time"
 
 	qt "github.com/frankban/quicktest"
+	"golang.org/x/sync/errgroup"
 
 	"lycheevale/internal/fake/deployment"
+	fakeengine "lycheevale/internal/fake/engine"
 	"lycheevale/internal/fake/network"
+	"lycheevale/internal/node/instance"
 	"lycheevale/internal/tool/demo"
 )
 
@@ -81,6 +84,37 @@
 	return fmt.Sprintf(`{"model":%q,"prompt":"Dear guests","max_tokens":%d,"stream":true}`, adapter, tokens)
 }
 
+// Guards against a planned stop that interrupts a running request, at its entry or at the owner of its endpoint, and
+// against a check that cannot see it: without the rule the request at the entry is cut.
+func TestPlannedStopInterruptsNothing(t *testing.T) {
+	const tokens = 200
+	for _, finish := range []bool{true, false} {
+		runSystem(t, func(s *system) {
+			texts := make([]string, 2)
+			var group errgroup.Group
+			for n := range texts {
+				group.Go(func() error {
+					_, texts[n] = s.post(s.Instances[n], "/v1/completions", completion("draft-00", tokens))
+					return nil
+				})
+			}
+			time.Sleep(time.Second)
+			s.Check(s.StopInstance(s.Instances[1]), qt.IsNil)
+			s.Check(group.Wait(), qt.IsNil)
+			whole := func(text string) bool {
+				return strings.HasSuffix(text, "[DONE]\n\n") && strings.Count(text, `"text":`) == tokens
+			}
+			s.Check(whole(texts[1]), qt.Equals, finish, qt.Commentf("%.200s", texts[1]))
+			s.Check(whole(texts[0]) || !finish, qt.IsTrue, qt.Commentf("%.200s", texts[0]))
+		}, deployment.With(func(o *deployment.Options) {
+			o.Instance = []instance.Option{instance.WithFinish(finish)}
+			o.EngineOptions = func(string) []fakeengine.Option {
+				return []fakeengine.Option{fakeengine.WithStepTime(20 * time.Millisecond)}
+			}
+		}))
+	}
+}
+
 // Guards against a break between the parts of a whole deployment with its real latencies.
 func TestDeploymentServes(t *testing.T) {
 	runSystem(t, func(s *system) {
