Open further connections between two instances under many streams

Cause: at each end of an HTTP/2 connection one goroutine moves the frames of all its streams, so that 256 streams in step waited for each other. Change: a Remote opens a further connection when 32 streams are in use on each of the others, up to eight; under little load there is one as before.

--- a/internal/node/instance/targets.go
+++ b/internal/node/instance/targets.go
@@ -47,9 +47,8 @@
 }
 
 type remoteOwner struct {
-	address   netip.AddrPort // of its peer listener, which changes with a replacement
-	remote    *owner.Remote
-	transport *http.Transport
+	address netip.AddrPort // of its peer listener, which changes with a replacement
+	remote  *owner.Remote
 }
 
 func newTargets(i *Instance) *targets {
@@ -185,8 +184,7 @@
 	if err != nil {
 		return nil, refusal.New(refusal.Unavailable, "owner %s cannot be reached: %v", e.Owner, err)
 	}
-	transport := t.transport(e.Owner)
-	next := remoteOwner{e.OwnerAddress, owner.NewRemote(d.Streams, remoteIdle, transport), transport}
+	next := remoteOwner{e.OwnerAddress, owner.NewRemote(d.Streams, remoteIdle, t.transport(e.Owner))}
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.remotes[e.Owner] = next
@@ -212,7 +210,7 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	for _, r := range t.remotes {
-		r.transport.CloseIdleConnections()
+		r.remote.CloseIdle()
 	}
 }
 
--- a/internal/serve/owner/remote.go
+++ b/internal/serve/owner/remote.go
@@ -7,6 +7,7 @@
 	"iter"
 	"net/http"
 	"net/netip"
+	"sync/atomic"
 	"time"
 
 	"lycheevale/internal/base/refusal"
@@ -109,17 +110,61 @@
 	return &e
 }
 
+// Connections to one instance: one goroutine at each end of a connection moves the frames of all its streams, so that
+// many streams need several connections. A further one is opened only when the others are in use.
+const (
+	maxConnections    = 8
+	streamsConnection = 32 // in use at once, before a further connection is opened
+)
+
 // Remote dispatches to the owner at another instance and is safe for concurrent use.
 type Remote struct {
-	client *engine.Client
-	idle   time.Duration
+	idle        time.Duration
+	connections [maxConnections]connection
+}
+
+// connection is a client with a transport of its own, which keeps one connection.
+type connection struct {
+	client  *engine.Client
+	streams atomic.Int64
 }
 
 // NewRemote returns a Remote for the instance at the address; a stream without events for longer than idle ends.
 // The transport must come from NewTransport.
 func NewRemote(address netip.AddrPort, idle time.Duration, transport *http.Transport) *Remote {
-	client := engine.New(address, engine.WithTransport(transport), engine.WithDecodeError(readRefusal))
-	return &Remote{client: client, idle: idle}
+	m := &Remote{idle: idle}
+	for n := range m.connections {
+		if n > 0 {
+			transport = transport.Clone()
+		}
+		m.connections[n].client = engine.New(address, engine.WithTransport(transport), engine.WithDecodeError(readRefusal))
+	}
+	return m
+}
+
+// CloseIdle closes the connections that carry no stream.
+func (m *Remote) CloseIdle() {
+	for n := range m.connections {
+		m.connections[n].client.CloseIdle()
+	}
+}
+
+// take returns the first connection that is not in use by enough streams, or else the one with the fewest.
+func (m *Remote) take() *connection {
+	least := &m.connections[0]
+	for n := range m.connections {
+		c := &m.connections[n]
+		open := c.streams.Load()
+		if open < streamsConnection {
+			least = c
+			break
+		}
+		if open < least.streams.Load() {
+			least = c
+		}
+	}
+	least.streams.Add(1)
+	return least
 }
 
 // pingAfter and pingTimeout find a connection between instances that went silent while streams are open.
@@ -128,8 +173,8 @@
 	pingTimeout = time.Second
 )
 
-// NewTransport returns a transport between instances. It uses HTTP/2, which carries all streams of two instances in
-// one connection with flow control for each, and so halves the memory of an open stream.
+// NewTransport returns a transport between instances. It uses HTTP/2, which carries many streams in one connection
+// with flow control for each, takes less memory for an open stream and finds silent connections by pings.
 func NewTransport() *http.Transport {
 	t := engine.NewTransport()
 	t.Protocols = protocols()
@@ -161,11 +206,13 @@
 		return nil, refusal.New(refusal.BadRequest, "%v", err)
 	}
 	ctx, cancel := context.WithDeadline(ctx, r.Deadline)
-	answer, err := m.client.Complete(ctx, engine.Attempt{
+	c := m.take()
+	answer, err := c.client.Complete(ctx, engine.Attempt{
 		ID: r.Attempt, Path: dispatchPath, Model: r.Target(), Priority: r.Priority, Deadline: r.Deadline, Body: r.Body,
 		Header: map[string][]string{headerDispatch: {string(raw)}},
 	})
 	if err != nil {
+		c.streams.Add(-1)
 		cancel()
 		return nil, remoteError(err)
 	}
@@ -194,6 +241,7 @@
 			watch.stop()
 			cancel()
 			answer.Close()
+			c.streams.Add(-1)
 		},
 	}, nil
 }
