--- a/internal/serve/engine/engine.go
+++ b/internal/serve/engine/engine.go
@@ -6,15 +6,12 @@
 	"encoding/json"
 	"fmt"
 	"io"
-	"iter"
 	"net"
 	"net/http"
 	"net/netip"
 	"strconv"
-	"strings"
 	"time"
 
-	"github.com/tmaxmax/go-sse"
 	"github.com/zeebo/errs"
 )
 
@@ -37,6 +34,9 @@
 // maxErrorBody bounds what is read of an error response, in bytes.
 const maxErrorBody = 4 << 10
 
+// maxDrain bounds what is read after the end marker, in bytes.
+const maxDrain = 4 << 10
+
 // Client talks to one engine and is safe for concurrent use.
 type Client struct {
 	options Options
@@ -46,7 +46,7 @@
 
 // New returns a client of the engine at the address.
 func New(address netip.AddrPort, opts ...Option) *Client {
-	o := Options{MaxEventSize: defaultMaxEventSize, DecodeError: statusError}
+	o := Options{Rules: AllRules(), MaxEventSize: defaultMaxEventSize, DecodeError: statusError}
 	for _, opt := range opts {
 		opt(&o)
 	}
@@ -71,6 +71,13 @@
 // Close releases the connection of the answer.
 func (a *Answer) Close() { _ = a.body.Close() }
 
+// Drain reads what follows the end marker up to the end of the body and closes the answer. The transport reuses a
+// connection only after the end of the body, which the engine sends after the marker.
+func (a *Answer) Drain() {
+	_, _ = io.CopyN(io.Discard, a.body, maxDrain)
+	a.Close()
+}
+
 // Complete starts an attempt. Errors of class NotRun prove that the engine did not run it.
 func (c *Client) Complete(ctx context.Context, a Attempt) (answer *Answer, err error) {
 	req, err := http.NewRequestWithContext(ctx, http.MethodPost, c.base+a.Path, bytes.NewReader(a.Body))
@@ -110,7 +117,8 @@
 		return nil, c.options.DecodeError(resp)
 	}
 	got, served := resp.Header.Get(HeaderAttempt), resp.Header.Get(HeaderModel)
-	if got != attempt || served != model {
+	rules := c.options.Rules
+	if got != attempt && rules.CheckAttempt || served != model && rules.CheckModel {
 		_ = resp.Body.Close()
 		return nil, Foreign.New("asked attempt %s on %s, got attempt %s on %s", attempt, model, got, served)
 	}
@@ -139,45 +147,6 @@
 	return Error.Wrap(err)
 }
 
-// Events yields the events of the answer up to the end marker, which is not yielded. A stream that ends
-// without it yields an error of class Cut, an event of another attempt one of class Foreign.
-func (a *Answer) Events() iter.Seq2[Event, error] {
-	return func(yield func(Event, error) bool) {
-		config := sse.ReadConfig{MaxEventSize: a.client.options.MaxEventSize}
-		for raw, err := range sse.Read(a.body, &config) {
-			if err != nil {
-				yield(Event{}, Cut.Wrap(err))
-				return
-			}
-			event, err := a.decode(raw)
-			if err != nil {
-				yield(Event{}, err)
-				return
-			}
-			if event.Data == DoneMarker {
-				return
-			}
-			if !yield(event, nil) {
-				return
-			}
-		}
-		yield(Event{}, Cut.New("end of stream"))
-	}
-}
-
-// decode splits the event identifier, which is the attempt and the sequence number joined by a slash.
-func (a *Answer) decode(raw sse.Event) (Event, error) {
-	attempt, number, found := strings.Cut(raw.LastEventID, "/")
-	if !found || attempt != a.Attempt {
-		return Event{}, Foreign.New("event %q in the stream of attempt %s", raw.LastEventID, a.Attempt)
-	}
-	seq, err := strconv.ParseUint(number, 10, 64)
-	if err != nil {
-		return Event{}, Foreign.Wrap(err)
-	}
-	return Event{Seq: seq, Data: raw.Data}, nil
-}
-
 // State reads the engine's current state.
 func (c *Client) State(ctx context.Context) (state State, err error) {
 	err = c.call(ctx, http.MethodGet, "/v1/state", nil, &state)
--- a/internal/serve/owner/remote.go
+++ b/internal/serve/owner/remote.go
@@ -3,10 +3,11 @@
 import (
 	"context"
 	"encoding/json"
-	"fmt"
 	"io"
+	"iter"
 	"net/http"
 	"net/netip"
+	"sync/atomic"
 	"time"
 
 	"lycheevale/internal/base/refusal"
@@ -69,21 +70,28 @@
 // copyEvents writes the stream; an error aborts the connection, so that the reader sees a cut stream.
 func copyEvents(w http.ResponseWriter, stream *Stream) {
 	flusher := http.NewResponseController(w)
-	_ = flusher.Flush()
+	unsent := true // the header at first
+	flush := func() {
+		if unsent {
+			unsent = false
+			_ = flusher.Flush()
+		}
+	}
 	var last uint64
-	for e, err := range stream.Events() {
+	var buffer []byte
+	write := func(e engine.Event) {
+		unsent, last = true, e.Seq
+		buffer = engine.AppendEvent(buffer[:0], stream.Attempt, e)
+		_, _ = w.Write(buffer)
+	}
+	for e, err := range stream.Events(flush) {
 		if err != nil {
+			flush()
 			panic(http.ErrAbortHandler)
 		}
-		last = e.Seq
-		writeEvent(w, stream.Attempt, e)
-		_ = flusher.Flush()
+		write(e)
 	}
-	writeEvent(w, stream.Attempt, engine.Event{Seq: last + 1, Data: engine.DoneMarker})
-}
-
-func writeEvent(w io.Writer, attempt string, e engine.Event) {
-	_, _ = fmt.Fprintf(w, "id: %s/%d\ndata: %s\n\n", attempt, e.Seq, e.Data)
+	write(engine.Event{Seq: last + 1, Data: []byte(engine.DoneMarker)})
 }
 
 func writeRefusal(w http.ResponseWriter, e *refusal.Error) {
@@ -102,17 +110,61 @@
 	return &e
 }
 
+// Connections to one instance: one goroutine at each end of a connection moves the frames of all its streams, so that
+// many streams need several connections. A further one is opened only when the others are in use.
+const (
+	maxConnections    = 8
+	streamsConnection = 32 // in use at once, before a further connection is opened
+)
+
 // Remote dispatches to the owner at another instance and is safe for concurrent use.
 type Remote struct {
-	client *engine.Client
-	idle   time.Duration
+	idle        time.Duration
+	connections [maxConnections]connection
+}
+
+// connection is a client with a transport of its own, which keeps one connection.
+type connection struct {
+	client  *engine.Client
+	streams atomic.Int64
 }
 
 // NewRemote returns a Remote for the instance at the address; a stream without events for longer than idle ends.
 // The transport must come from NewTransport.
 func NewRemote(address netip.AddrPort, idle time.Duration, transport *http.Transport) *Remote {
-	client := engine.New(address, engine.WithTransport(transport), engine.WithDecodeError(readRefusal))
-	return &Remote{client: client, idle: idle}
+	m := &Remote{idle: idle}
+	for n := range m.connections {
+		if n > 0 {
+			transport = transport.Clone()
+		}
+		m.connections[n].client = engine.New(address, engine.WithTransport(transport), engine.WithDecodeError(readRefusal))
+	}
+	return m
+}
+
+// CloseIdle closes the connections that carry no stream.
+func (m *Remote) CloseIdle() {
+	for n := range m.connections {
+		m.connections[n].client.CloseIdle()
+	}
+}
+
+// take returns the first connection that is not in use by enough streams, or else the one with the fewest.
+func (m *Remote) take() *connection {
+	least := &m.connections[0]
+	for n := range m.connections {
+		c := &m.connections[n]
+		open := c.streams.Load()
+		if open < streamsConnection {
+			least = c
+			break
+		}
+		if open < least.streams.Load() {
+			least = c
+		}
+	}
+	least.streams.Add(1)
+	return least
 }
 
 // pingAfter and pingTimeout find a connection between instances that went silent while streams are open.
@@ -121,8 +173,8 @@
 	pingTimeout = time.Second
 )
 
-// NewTransport returns a transport between instances. It uses HTTP/2, which carries all streams of two instances in
-// one connection with flow control for each, and so halves the memory of an open stream.
+// NewTransport returns a transport between instances. It uses HTTP/2, which carries many streams in one connection
+// with flow control for each, takes less memory for an open stream and finds silent connections by pings.
 func NewTransport() *http.Transport {
 	t := engine.NewTransport()
 	t.Protocols = protocols()
@@ -154,11 +206,13 @@
 		return nil, refusal.New(refusal.BadRequest, "%v", err)
 	}
 	ctx, cancel := context.WithDeadline(ctx, r.Deadline)
-	answer, err := m.client.Complete(ctx, engine.Attempt{
+	c := m.take()
+	answer, err := c.client.Complete(ctx, engine.Attempt{
 		ID: r.Attempt, Path: dispatchPath, Model: r.Target(), Priority: r.Priority, Deadline: r.Deadline, Body: r.Body,
 		Header: map[string][]string{headerDispatch: {string(raw)}},
 	})
 	if err != nil {
+		c.streams.Add(-1)
 		cancel()
 		return nil, remoteError(err)
 	}
@@ -169,14 +223,16 @@
 	stop := context.AfterFunc(watch.ctx, answer.Close)
 	return &Stream{
 		Attempt: r.Attempt, Endpoint: answer.Endpoint, View: view.View, Stalled: view.Stalled,
-		events: func(yield func(engine.Event, error) bool) {
-			for e, err := range answer.Events() {
-				watch.reset()
-				if err != nil {
-					err = refusal.New(refusal.OutcomeUnknown, "%v", err)
-				}
-				if !yield(e, err) {
-					return
+		events: func(beforeWait func()) iter.Seq2[engine.Event, error] {
+			return func(yield func(engine.Event, error) bool) {
+				for e, err := range answer.Events(beforeWait) {
+					watch.reset()
+					if err != nil {
+						err = refusal.New(refusal.OutcomeUnknown, "%v", err)
+					}
+					if !yield(e, err) {
+						return
+					}
 				}
 			}
 		},
@@ -185,6 +241,7 @@
 			watch.stop()
 			cancel()
 			answer.Close()
+			c.streams.Add(-1)
 		},
 	}, nil
 }
--- a/internal/serve/owner/stream.go
+++ b/internal/serve/owner/stream.go
@@ -24,12 +24,15 @@
 	Endpoint string
 	View     scheduler.View // for the router of the entry
 	Stalled  bool           // the request waited for its adapter to be loaded
-	events   iter.Seq2[engine.Event, error]
+	events   func(beforeWait func()) iter.Seq2[engine.Event, error]
 	close    func()
 }
 
-// Events yields each event once and in order; it ends without error only at the end marker.
-func (s *Stream) Events() iter.Seq2[engine.Event, error] { return s.events }
+// Events yields each event once and in order; it ends without error only at the end marker. The function beforeWait,
+// which may be nil, is called when all events that have arrived were yielded, before the next ones are waited for.
+func (s *Stream) Events(beforeWait func()) iter.Seq2[engine.Event, error] {
+	return s.events(beforeWait)
+}
 
 // Close frees what the attempt holds and cancels it on the engine if it has not ended.
 func (s *Stream) Close() { s.close() }
@@ -75,32 +78,35 @@
 	return refusal.New(refusal.OutcomeUnknown, "%v", err)
 }
 
-func (t *transfer) events(yield func(engine.Event, error) bool) {
-	for {
-		err, goOn := t.pass(yield)
-		if !goOn {
-			return
-		}
-		if err == nil {
-			t.complete = true
-			return
-		}
-		if err = t.resume(err); err != nil {
-			yield(engine.Event{}, t.refuse(err))
-			return
+func (t *transfer) events(beforeWait func()) iter.Seq2[engine.Event, error] {
+	return func(yield func(engine.Event, error) bool) {
+		for {
+			err, goOn := t.pass(beforeWait, yield)
+			if !goOn {
+				return
+			}
+			if err == nil {
+				t.complete = true
+				return
+			}
+			if err = t.resume(err); err != nil {
+				yield(engine.Event{}, t.refuse(err))
+				return
+			}
 		}
 	}
 }
 
 // pass yields the events of the current answer. Repeated events are dropped and a gap counts as a cut.
-func (t *transfer) pass(yield func(engine.Event, error) bool) (err error, goOn bool) { //nolint:revive,staticcheck // the error is a value here
-	for e, err := range t.answer.Events() {
+func (t *transfer) pass(beforeWait func(), yield func(engine.Event, error) bool) (err error, goOn bool) { //nolint:revive,staticcheck // the error is a value here
+	check := t.owner.options.Rules.CheckOrder
+	for e, err := range t.answer.Events(beforeWait) {
 		switch {
 		case err != nil:
 			return err, true
-		case e.Seq <= t.last:
+		case check && e.Seq <= t.last:
 			continue
-		case e.Seq > t.last+1:
+		case check && e.Seq > t.last+1:
 			return engine.Cut.New("event %d follows event %d", e.Seq, t.last), true
 		}
 		t.watch.reset()
@@ -151,9 +157,23 @@
 }
 
 func (t *transfer) close() {
+	// The connection is drained for its next request beyond the end of this one, whose caller need not wait for it.
+	t.watch.detach()
+	if !t.complete || !t.owner.spawn(t.drain) {
+		t.release()
+	}
+	t.free(!t.complete)
+}
+
+// drain makes the connection of a complete answer reusable; the idle deadline bounds it.
+func (t *transfer) drain() {
+	t.answer.Drain()
+	t.release()
+}
+
+func (t *transfer) release() {
 	t.watch.stop()
 	t.answer.Close()
-	t.free(!t.complete)
 }
 
 // free gives back the place in the batch; an attempt that did not end is cancelled on the engine first, so that
@@ -177,22 +197,27 @@
 	})
 }
 
-// watchdog ends a context when it is not reset for a while.
+// watchdog ends a context when it is not reset for a while, or when the parent ends before detach is called.
 type watchdog struct {
 	ctx    context.Context
 	cancel context.CancelCauseFunc
+	detach func() bool
 	timer  *time.Timer
 	idle   time.Duration
 }
 
 func newWatchdog(parent context.Context, idle time.Duration) *watchdog {
-	ctx, cancel := context.WithCancelCause(parent)
-	return &watchdog{ctx: ctx, cancel: cancel, idle: idle, timer: time.AfterFunc(idle, func() { cancel(errIdle) })}
+	ctx, cancel := context.WithCancelCause(context.WithoutCancel(parent))
+	return &watchdog{
+		ctx: ctx, cancel: cancel, idle: idle, timer: time.AfterFunc(idle, func() { cancel(errIdle) }),
+		detach: context.AfterFunc(parent, func() { cancel(context.Cause(parent)) }),
+	}
 }
 
 func (w *watchdog) reset() { w.timer.Reset(w.idle) }
 
 func (w *watchdog) stop() {
+	w.detach()
 	w.timer.Stop()
 	w.cancel(context.Canceled)
 }
