Estimate popularity from conversations instead of requests

It counted each request, but a load serves all requests of a conversation. Change: a use counts when the adapter was not used for ConversationGap (20 s), and once in MaxConversation (60 s) of constant use. The count is divided by the time that it covers, which is shorter than the half-life after a start.

--- a/internal/place/policy/policy.go
+++ b/internal/place/policy/policy.go
@@ -24,20 +24,22 @@
 
 // Scheduler is the part of scheduler.Options that operators set.
 type Scheduler struct {
-	LoadTime      time.Duration `yaml:"LoadTime"`
-	MaxLoads      int           `yaml:"MaxLoads"`
-	HalfLife      time.Duration `yaml:"HalfLife"`
-	TurnGap       time.Duration `yaml:"TurnGap"`
-	OpenShare     float64       `yaml:"OpenShare"`
-	ReplicaValue  float64       `yaml:"ReplicaValue"`
-	ForeignValue  float64       `yaml:"ForeignValue"`
-	CreditTokens  float64       `yaml:"CreditTokens"`
-	WorkBonus     time.Duration `yaml:"WorkBonus"`
-	PrefetchGain  float64       `yaml:"PrefetchGain"`
-	CopyGap       float64       `yaml:"CopyGap"`
-	MaxFailures   int           `yaml:"MaxFailures"`
-	FailureDelay  time.Duration `yaml:"FailureDelay"`
-	QuarantineFor time.Duration `yaml:"QuarantineFor"`
+	LoadTime        time.Duration `yaml:"LoadTime"`
+	MaxLoads        int           `yaml:"MaxLoads"`
+	HalfLife        time.Duration `yaml:"HalfLife"`
+	TurnGap         time.Duration `yaml:"TurnGap"`
+	OpenShare       float64       `yaml:"OpenShare"`
+	ConversationGap time.Duration `yaml:"ConversationGap"`
+	MaxConversation time.Duration `yaml:"MaxConversation"`
+	ReplicaValue    float64       `yaml:"ReplicaValue"`
+	ForeignValue    float64       `yaml:"ForeignValue"`
+	CreditTokens    float64       `yaml:"CreditTokens"`
+	WorkBonus       time.Duration `yaml:"WorkBonus"`
+	PrefetchGain    float64       `yaml:"PrefetchGain"`
+	CopyGap         float64       `yaml:"CopyGap"`
+	MaxFailures     int           `yaml:"MaxFailures"`
+	FailureDelay    time.Duration `yaml:"FailureDelay"`
+	QuarantineFor   time.Duration `yaml:"QuarantineFor"`
 }
 
 // Route is the part of route.Options that operators set.
@@ -55,7 +57,7 @@
 	s, r := scheduler.Defaults(), route.Defaults()
 	return Policy{
 		Scheduler: Scheduler{
-			s.LoadTime, s.MaxLoads, s.HalfLife, s.TurnGap, s.OpenShare, s.ReplicaValue, s.ForeignValue, s.CreditTokens,
+			s.LoadTime, s.MaxLoads, s.HalfLife, s.TurnGap, s.OpenShare, s.ConversationGap, s.MaxConversation, s.ReplicaValue, s.ForeignValue, s.CreditTokens,
 			s.WorkBonus, s.PrefetchGain, s.CopyGap, s.MaxFailures, s.FailureDelay, s.QuarantineFor,
 		},
 		Route: Route{r.LoadCost, r.Latency, r.PricePerByte, r.HalfLife, r.FillTarget, r.Hysteresis},
@@ -87,6 +89,8 @@
 	switch {
 	case s.LoadTime <= 0 || s.MaxLoads <= 0 || s.HalfLife <= 0 || s.TurnGap <= 0:
 		return errs.New("LoadTime, MaxLoads, HalfLife and TurnGap must be positive")
+	case s.ConversationGap <= 0 || s.MaxConversation <= 0:
+		return errs.New("ConversationGap and MaxConversation must be positive")
 	case s.OpenShare < 0 || s.OpenShare >= 1:
 		return errs.New("OpenShare must be at least 0 and below 1")
 	case s.MaxFailures <= 0 || s.FailureDelay <= 0 || s.QuarantineFor <= 0:
@@ -102,6 +106,7 @@
 	o, s := scheduler.Defaults(), p.Scheduler
 	o.LoadTime, o.MaxLoads = s.LoadTime, s.MaxLoads
 	o.HalfLife, o.TurnGap, o.OpenShare = s.HalfLife, s.TurnGap, s.OpenShare
+	o.ConversationGap, o.MaxConversation = s.ConversationGap, s.MaxConversation
 	o.ReplicaValue, o.ForeignValue = s.ReplicaValue, s.ForeignValue
 	o.CreditTokens, o.WorkBonus = s.CreditTokens, s.WorkBonus
 	o.PrefetchGain, o.CopyGap = s.PrefetchGain, s.CopyGap
--- a/internal/place/scheduler/options.go
+++ b/internal/place/scheduler/options.go
@@ -30,19 +30,21 @@
 	// Weight returns a customer's share in fair queueing.
 	Weight func(customer string) float64
 
-	HalfLife      time.Duration // half-life of the usage count that follows popularity
-	TurnGap       time.Duration // mean time between the requests of a conversation
-	OpenShare     float64       // share of requests that are followed by another of the same conversation
-	ReplicaValue  float64       // share of an adapter's value that one of several copies keeps in eviction
-	ForeignValue  float64       // factor on the value of others' slots for a customer that holds more than its share
-	CreditTokens  float64       // tokens that a customer may lag behind the others and still catch up
-	WorkBonus     time.Duration // a load counts as this much more urgent for each waiting request
-	PrefetchGain  float64       // a prefetched adapter must be worth this many times its victim
-	CopyGap       float64       // batch fill difference within which a cached prefix decides the endpoint
-	PrefixLimit   int           // prefixes remembered for each endpoint
-	MaxFailures   int           // failed loads of an adapter in a row before its requests are refused
-	FailureDelay  time.Duration // delay after the first failed load, doubled with each further one
-	QuarantineFor time.Duration // time for which requests are refused after MaxFailures
+	HalfLife        time.Duration // half-life of the count of conversations that follows popularity
+	TurnGap         time.Duration // mean time between the requests of a conversation
+	ConversationGap time.Duration // a use after a longer pause starts a new conversation
+	MaxConversation time.Duration // after which uses without a pause count as a new conversation
+	OpenShare       float64       // share of requests that are followed by another of the same conversation
+	ReplicaValue    float64       // share of an adapter's value that one of several copies keeps in eviction
+	ForeignValue    float64       // factor on the value of others' slots for a customer that holds more than its share
+	CreditTokens    float64       // tokens that a customer may lag behind the others and still catch up
+	WorkBonus       time.Duration // a load counts as this much more urgent for each waiting request
+	PrefetchGain    float64       // a prefetched adapter must be worth this many times its victim
+	CopyGap         float64       // batch fill difference within which a cached prefix decides the endpoint
+	PrefixLimit     int           // prefixes remembered for each endpoint
+	MaxFailures     int           // failed loads of an adapter in a row before its requests are refused
+	FailureDelay    time.Duration // delay after the first failed load, doubled with each further one
+	QuarantineFor   time.Duration // time for which requests are refused after MaxFailures
 
 	disabled [ruleCount]bool
 }
@@ -53,24 +55,26 @@
 // Defaults returns the settings that New starts from.
 func Defaults() Options {
 	return Options{
-		LoadTime:      250 * time.Millisecond,
-		LoadInterval:  250 * time.Millisecond,
-		MaxLoads:      8,
-		Permit:        func(time.Time, LoadOrder) (bool, time.Time) { return true, time.Time{} },
-		Weight:        func(string) float64 { return 1 },
-		HalfLife:      15 * time.Minute,
-		TurnGap:       12 * time.Second,
-		OpenShare:     0.75,
-		ReplicaValue:  0.25,
-		ForeignValue:  4,
-		CreditTokens:  4000,
-		WorkBonus:     500 * time.Millisecond,
-		PrefetchGain:  4,
-		CopyGap:       0.25,
-		PrefixLimit:   1024,
-		MaxFailures:   3,
-		FailureDelay:  100 * time.Millisecond,
-		QuarantineFor: 5 * time.Second,
+		LoadTime:        250 * time.Millisecond,
+		LoadInterval:    250 * time.Millisecond,
+		MaxLoads:        8,
+		Permit:          func(time.Time, LoadOrder) (bool, time.Time) { return true, time.Time{} },
+		Weight:          func(string) float64 { return 1 },
+		HalfLife:        15 * time.Minute,
+		TurnGap:         12 * time.Second,
+		ConversationGap: 20 * time.Second,
+		MaxConversation: time.Minute,
+		OpenShare:       0.75,
+		ReplicaValue:    0.25,
+		ForeignValue:    4,
+		CreditTokens:    4000,
+		WorkBonus:       500 * time.Millisecond,
+		PrefetchGain:    4,
+		CopyGap:         0.25,
+		PrefixLimit:     1024,
+		MaxFailures:     3,
+		FailureDelay:    100 * time.Millisecond,
+		QuarantineFor:   5 * time.Second,
 	}
 }
 
--- a/internal/place/scheduler/scheduler_test.go
+++ b/internal/place/scheduler/scheduler_test.go
@@ -295,3 +295,33 @@
 	w.decide()
 	qt.Check(t, orders[len(orders)-1].Yield, qt.IsTrue)
 }
+
+// Guards against keeping an adapter of one long conversation rather than one that several conversations used.
+func TestEvictionCountsConversations(t *testing.T) {
+	w := newWorld()
+	w.s.RemoveEndpoint(w.now, "b")
+	use := func(name string, pause time.Duration) {
+		w.now = w.now.Add(pause)
+		qt.Assert(t, w.submit("c", ref(name), 5*time.Second), qt.IsNil)
+		w.decide()
+		for len(w.loads) > 0 {
+			w.endLoad(0, false)
+		}
+		w.decide()
+		for len(w.running) > 0 {
+			w.finish(0)
+		}
+	}
+	for range 3 {
+		use("often", 30*time.Second)
+	}
+	for range 8 {
+		use("long", 5*time.Second)
+	}
+	for range 3 {
+		use("other", 30*time.Second)
+	}
+	use("new", time.Minute)
+	qt.Check(t, w.resident[key{"a", ref("often")}], qt.IsTrue)
+	qt.Check(t, w.resident[key{"a", ref("long")}], qt.IsFalse)
+}
--- a/internal/place/scheduler/slot.go
+++ b/internal/place/scheduler/slot.go
@@ -31,9 +31,11 @@
 	return c.state == slotResident || c.state == slotClosing && c.quota > 0
 }
 
-// usage counts uses with exponential decay and remembers the last one.
+// usage counts conversations with exponential decay and remembers the last use. A use after ConversationGap without one
+// starts a conversation, and in constant use each MaxConversation counts as one.
 type usage struct {
 	count float64
+	since float64 // seconds of the start of the last conversation
 	at    float64 // seconds of the last decay
 	last  float64 // seconds of the last use
 }
@@ -49,20 +51,31 @@
 
 func (u *usage) add(now float64, o *Options) {
 	u.decay(now, o)
-	u.count++
+	if now-u.last > o.ConversationGap.Seconds() || now-u.since > o.MaxConversation.Seconds() {
+		u.count++
+		u.since = now
+	}
 	u.last = now
 }
 
-// rate is the expected number of uses per second: the popularity, and the next request of a conversation if the
-// last use was so recent that one is probably open.
+// rate is the expected number of uses per second that a load would serve: the conversations that start, and the next
+// request of one if the last use was so recent that one is probably open. Later requests of a conversation need no load
+// of their own, so counting each of them overrated adapters with one long conversation.
 func (u *usage) rate(now float64, o *Options) float64 {
 	u.decay(now, o)
-	popularity := math.Ln2 * u.count / o.HalfLife.Seconds()
+	popularity := u.count / o.observed(now)
 	gap := o.TurnGap.Seconds()
 	odds := o.OpenShare * math.Exp(-(now-u.last)/gap)
 	return popularity + odds/(odds+1-o.OpenShare)/gap
 }
 
+// observed is the time in seconds that a decayed count covers, which is shorter while the scheduler has just started.
+func (o *Options) observed(now float64) float64 {
+	const shortest = 30 // seconds; the first uses after a start are no measure of popularity
+	halfLife := o.HalfLife.Seconds()
+	return halfLife / math.Ln2 * (1 - math.Exp2(-max(now, shortest)/halfLife))
+}
+
 type adapterKey struct {
 	model string
 	ref   AdapterRef
