Model owners of at most four engines and fixed parts of the store

Cause: the benchmark had one owner for all engines of a data centre and one store budget for the whole site. Instances give an owner up to four endpoints (member/assign) and each data centre a fixed part of the store (budget.Split). Change: owners of a data centre share its engines evenly, at most four each. The policy "lychee, fixed store parts" has a part of the rate and of the transfers for each data centre.

--- a/internal/place/model/engine.go
+++ b/internal/place/model/engine.go
@@ -204,10 +204,11 @@
 	})
 }
 
-// budget is the permits of all data centres: loads at the store's rate, to the waiting owner whose last grant is
+// budget is the permits of all data centres or of one: loads at its part of the store's rate, to the waiting owner whose last grant is
 // oldest, those that yield last. Speculative loads get only what no waiting request needed for one interval.
 type budget struct {
 	sim     *simulation
+	parts   int // of the store, one of which is this budget
 	nextAt  time.Duration
 	transit int
 	granted map[*owner]time.Duration
@@ -220,9 +221,13 @@
 	yield bool
 }
 
+func newBudget(s *simulation, parts int) *budget {
+	return &budget{sim: s, parts: parts, granted: map[*owner]time.Duration{}, asked: map[*owner]ask{}}
+}
+
 func (b *budget) permit(o *owner, l scheduler.LoadOrder) (bool, time.Duration) {
 	const turn = time.Millisecond // for an owner whose turn it is to ask again
-	interval := seconds(1 / b.sim.site.LoadsPerSecond)
+	interval := seconds(float64(b.parts) / b.sim.site.LoadsPerSecond)
 	now := b.sim.now
 	at := b.nextAt
 	if l.Speculative {
@@ -230,7 +235,7 @@
 	} else {
 		b.asked[o] = ask{now, l.Yield}
 	}
-	if b.transit >= b.sim.site.MaxTransfers {
+	if b.transit >= max(b.sim.site.MaxTransfers/b.parts, 1) {
 		at = max(at, now+b.sim.site.LoadTime/4)
 	}
 	if at > now {
@@ -243,11 +248,20 @@
 	}
 	delete(b.asked, o)
 	b.granted[o] = now
-	b.nextAt = now + interval
+	b.nextAt = max(b.nextAt, now-time.Duration(b.burst()-1)*interval) + interval
 	b.transit++
 	return true, 0
 }
 
+// burst is the loads that a budget may start at once after a pause: a data centre's part of the transfers, and one load
+// for the site, whose store starts them one by one.
+func (b *budget) burst() int {
+	if b.parts == 1 {
+		return 1
+	}
+	return max(b.sim.site.MaxTransfers/b.parts, 1)
+}
+
 // before tells whether the other owner's load goes first.
 func (b *budget) before(other *owner, a ask, o *owner, yield bool) bool {
 	if a.yield != yield {
--- a/internal/place/model/owner.go
+++ b/internal/place/model/owner.go
@@ -11,6 +11,7 @@
 type owner struct {
 	sim      *simulation
 	decider  Decider
+	budget   *budget
 	engines  []*engine
 	attempts map[string]*attempt // submitted and not ended
 	queued   int
--- a/internal/place/model/policy.go
+++ b/internal/place/model/policy.go
@@ -15,13 +15,25 @@
 // Policy is a way to place and schedule.
 type Policy struct {
 	Name             string
-	OwnerPerEndpoint bool // otherwise one owner per data centre
+	OwnerPerEndpoint bool // otherwise owners of at most ownerEndpoints
+	SplitBudget      bool // each data centre has a fixed part of the store, as instances have; otherwise all share one budget
 	Pinned           bool // the entry's endpoint is the only one allowed
 	EvenShares       bool // each customer's rate is split evenly over the data centres
 	Router           func(site Site, dataCentre string) *route.Router
 	Scheduler        func(site Site, permit Permit) Decider
 }
 
+// ownerEndpoints is the number of endpoints that instances give to one owner before another becomes one.
+const ownerEndpoints = 4
+
+// owners returns the number of owners in a data centre, which share its endpoints evenly.
+func (p Policy) owners(endpoints int) int {
+	if p.OwnerPerEndpoint {
+		return endpoints
+	}
+	return (endpoints + ownerEndpoints - 1) / ownerEndpoints
+}
+
 // Lychee is the policy of this repository; change adjusts the settings.
 func Lychee(name string, settings scheduler.Options, routing route.Options, change ...scheduler.Option) Policy {
 	return Policy{
--- a/internal/place/model/sim.go
+++ b/internal/place/model/sim.go
@@ -102,7 +102,7 @@
 	s := &simulation{site: site, scenario: sc, policy: p, byName: map[string]*engine{}, result: newResult(site, sc)}
 	s.random = rand.New(rand.NewPCG(sc.Seed, 77))
 	s.store = &store{sim: s}
-	s.budget = &budget{sim: s, granted: map[*owner]time.Duration{}, asked: map[*owner]ask{}}
+	s.budget = newBudget(s, 1)
 	s.index = map[scheduler.AdapterRef]int{}
 	for i := range site.Adapters {
 		ref := scheduler.AdapterRef{Adapter: fmt.Sprintf("adapter-%d", i), Version: "1"}
@@ -129,11 +129,16 @@
 	var candidates []route.Candidate
 	for centre, name := range s.site.DataCentres {
 		var shared *owner
+		owners, last := s.policy.owners(s.site.Endpoints), -1
+		store := s.budget
+		if s.policy.SplitBudget {
+			store = newBudget(s, len(s.site.DataCentres))
+		}
 		for i := range s.site.Endpoints {
 			e := &engine{sim: s, name: fmt.Sprintf("%s-%d", name, i), centre: centre, incarnation: 1}
 			e.start()
-			if shared == nil || s.policy.OwnerPerEndpoint {
-				shared = s.newOwner()
+			if part := i * owners / s.site.Endpoints; part != last {
+				shared, last = s.newOwner(store), part
 			}
 			e.owner = shared
 			s.engines = append(s.engines, e)
@@ -152,10 +157,10 @@
 	s.prepared = route.Prepare(candidates)
 }
 
-func (s *simulation) newOwner() *owner {
-	o := &owner{sim: s, attempts: map[string]*attempt{}}
+func (s *simulation) newOwner(store *budget) *owner {
+	o := &owner{sim: s, budget: store, attempts: map[string]*attempt{}}
 	permit := func(_ time.Time, l scheduler.LoadOrder) (bool, time.Time) {
-		ok, at := s.budget.permit(o, l)
+		ok, at := store.permit(o, l)
 		return ok, epoch.Add(at)
 	}
 	o.decider = s.policy.Scheduler(s.site, permit)
@@ -257,7 +262,7 @@
 func (s *simulation) loaded(e *engine, adapter int, failed bool) {
 	incarnation := e.incarnation
 	s.after(s.site.LocalLatency, func() {
-		s.budget.transit--
+		e.owner.budget.transit--
 		e.owner.decider.Loaded(s.clock(), scheduler.LoadResult{
 			Endpoint: e.name, Adapter: s.names[adapter], Incarnation: incarnation, Failed: failed,
 		})
--- a/internal/tool/bench/bench.go
+++ b/internal/tool/bench/bench.go
@@ -67,6 +67,7 @@
 // Names of the policies in the table.
 const (
 	Lychee          = "lychee"
+	FixedBudgets    = "lychee, fixed store parts"
 	PerEndpoint     = "lychee, owner per endpoint"
 	OfflineBound    = "offline bound"
 	LeastRecentUsed = "least recently used"
@@ -134,8 +135,10 @@
 	s, r := p.SchedulerOptions(), p.RouteOptions()
 	split := model.Lychee(PerEndpoint, s, r)
 	split.OwnerPerEndpoint = true
+	fixed := model.Lychee(FixedBudgets, s, r)
+	fixed.SplitBudget = true
 	return []model.Policy{
-		model.Lychee(Lychee, s, r), split, model.FirstInFirstOut(s, r), model.EvenShares(s, r),
+		model.Lychee(Lychee, s, r), fixed, split, model.FirstInFirstOut(s, r), model.EvenShares(s, r),
 		model.LeastRecentlyUsed(), model.LeastRecentlyUsedShared(r), model.LeastLoaded(),
 	}
 }
