Free the permit of a load whose engine restarted, in the model

Cause: a load that an engine restart cut off never gave its permit back. One budget of eight transfers hid it; with fixed parts of two transfers a data centre loaded nothing more after two such restarts. Change: the permit is free when the transfer ends, whatever the engine did. Only the model had the fault.

--- a/internal/place/model/engine.go
+++ b/internal/place/model/engine.go
@@ -144,6 +144,7 @@
 	e.sim.store.load(func() {
 		failed := e.sim.loadFails()
 		if e.incarnation != incarnation {
+			e.owner.budget.transit-- // its owner learns nothing more of the load
 			return
 		}
 		if !failed {
--- a/internal/tool/bench/bench_test.go
+++ b/internal/tool/bench/bench_test.go
@@ -101,6 +101,19 @@
 	}
 }
 
+// Guards against permits that stay taken after an engine restarts during a load: with fixed parts of the store, a data
+// centre has two transfers and then loaded nothing more.
+func TestFixedStorePartsOutliveRestarts(t *testing.T) {
+	site := model.Banksia()
+	files := map[string]string{site.Name: "../../../configs/policy-" + site.Name + ".yaml"}
+	p, err := loadPolicies(Options{Profiles: files, Policies: []string{FixedBudgets}}, site)
+	qt.Assert(t, err, qt.IsNil)
+	sc := model.Standard(7, 8*time.Minute)
+	sc.Faults = true
+	share := model.Run(site, sc, p[0]).FalseShare()
+	qt.Check(t, share < falseTargetFault, qt.IsTrue, qt.Commentf("false rejections are %.5f", share))
+}
+
 // Guards the target on batch efficiency against the best baseline.
 func TestBatchEfficiency(t *testing.T) {
 	batch := func(s Sample) float64 { return s.Batch }
