--- a/internal/place/scheduler/scheduler.go
+++ b/internal/place/scheduler/scheduler.go
@@ -38,6 +38,8 @@
 	backlogged  float64 // weight of the customers with waiting requests
 	virtual     float64 // virtual time of service, tokens by weight
 	loadVirtual float64 // virtual time of loads
+	coveredAt   float64 // instant of coveredFor
+	coveredFor  float64 // seconds that counts of conversations cover
 	wanting     []*customer
 	wantedCount int
 	waiting     int
--- a/internal/place/scheduler/slot.go
+++ b/internal/place/scheduler/slot.go
@@ -61,19 +61,24 @@
 // rate is the expected number of uses per second that a load would serve: the conversations that start, and the next
 // request of one if the last use was so recent that one is probably open. Later requests of a conversation need no load
 // of their own, so counting each of them overrated adapters with one long conversation.
-func (u *usage) rate(now float64, o *Options) float64 {
+func (u *usage) rate(now, observed float64, o *Options) float64 {
 	u.decay(now, o)
-	popularity := u.count / o.observed(now)
+	popularity := u.count / observed
 	gap := o.TurnGap.Seconds()
 	odds := o.OpenShare * math.Exp(-(now-u.last)/gap)
 	return popularity + odds/(odds+1-o.OpenShare)/gap
 }
 
-// observed is the time in seconds that a decayed count covers, which is shorter while the scheduler has just started.
-func (o *Options) observed(now float64) float64 {
+// observed is the time in seconds that a decayed count covers, which is shorter while the scheduler has just started. It is
+// kept for one instant, because an eviction reads it for each slot.
+func (s *Scheduler) observed(now float64) float64 {
 	const shortest = 30 // seconds; the first uses after a start are no measure of popularity
-	halfLife := o.HalfLife.Seconds()
-	return halfLife / math.Ln2 * (1 - math.Exp2(-max(now, shortest)/halfLife))
+	if s.coveredFor == 0 || s.coveredAt != now {
+		halfLife := s.options.HalfLife.Seconds()
+		s.coveredFor = halfLife / math.Ln2 * (1 - math.Exp2(-max(now, shortest)/halfLife))
+		s.coveredAt = now
+	}
+	return s.coveredFor
 }
 
 type adapterKey struct {
@@ -236,7 +241,8 @@
 }
 
 func (s *Scheduler) expectedUse(now time.Time, a *adapter) float64 {
-	return a.use.rate(s.seconds(now), &s.options)
+	at := s.seconds(now)
+	return a.use.rate(at, s.observed(at), &s.options)
 }
 
 // hold counts the slot for the customer.
