Elect a leader without split votes and find it after a loss

Cause: voters that start at the same moment had equal election seeds, and two voters that campaign within one round trip split the vote and wait for another timeout. Clients went back to the lost leader while the others still named it, and waited up to 1 s between attempts. Change: the seed includes log and name; of two voters with equal logs that campaign together only one gets pre-votes, for half an election timeout; clients avoid a leader that did not answer for 1.2 s and retry every 200 ms at most.

--- a/internal/state/consensus/consensus.go
+++ b/internal/state/consensus/consensus.go
@@ -22,22 +22,23 @@
 
 // Core is the state of one voter.
 type Core struct {
-	options  Options
-	random   *rand.Rand
-	seen     time.Time // last time passed in
-	clock    time.Time // time that never runs backwards
-	state    State
-	log      *entryLog
-	commit   uint64
-	applied  uint64
-	role     Role
-	leader   string
-	deadline time.Time // of the election timeout, or of the next heartbeat at the leader
-	heardAt  time.Time // last message of the current leader
-	quorumAt time.Time // the leader needs answers of a majority until then
-	votes    map[string]bool
-	peers    map[string]*progress
-	out      Output
+	options    Options
+	random     *rand.Rand
+	seen       time.Time // last time passed in
+	clock      time.Time // time that never runs backwards
+	state      State
+	log        *entryLog
+	commit     uint64
+	applied    uint64
+	role       Role
+	leader     string
+	deadline   time.Time // of the election timeout, or of the next heartbeat at the leader
+	heardAt    time.Time // last message of the current leader
+	campaignAt time.Time // last campaign of this voter
+	quorumAt   time.Time // the leader needs answers of a majority until then
+	votes      map[string]bool
+	peers      map[string]*progress
+	out        Output
 }
 
 // progress is the leader's knowledge of another member.
--- a/internal/state/consensus/election.go
+++ b/internal/state/consensus/election.go
@@ -3,7 +3,7 @@
 // campaign starts with a pre-vote, so that a voter that was cut off cannot depose a working leader by its higher term.
 func (c *Core) campaign() {
 	c.resetDeadline()
-	c.leader = ""
+	c.leader, c.campaignAt = "", c.clock
 	// A voter removed by an entry that is not committed may hold the only log that can win.
 	if !c.log.config().Voter(c.options.ID) && !c.log.configAt(c.commit).Voter(c.options.ID) {
 		return
@@ -88,7 +88,7 @@
 }
 
 func (c *Core) stepPreVote(m Message) {
-	granted := m.Term > c.state.Term && c.upToDate(m) && !c.hearsLeader()
+	granted := m.Term > c.state.Term && c.upToDate(m) && !c.hearsLeader() && !c.precedes(m)
 	reply := Message{Kind: PreVoteReply, To: m.From, Term: m.Term, Reject: !granted}
 	if !granted {
 		reply.Term = c.state.Term
@@ -96,6 +96,14 @@
 	c.send(reply)
 }
 
+// precedes lets only one of two voters with equal logs that campaign at the same moment become a candidate; both would
+// split the votes and wait for another election timeout. It ends after a while, because this voter's own requests may
+// reach nobody.
+func (c *Core) precedes(m Message) bool {
+	return c.role == PreCandidate && c.clock.Before(c.campaignAt.Add(c.options.Election/2)) &&
+		m.LogTerm == c.log.lastTerm() && m.Index == c.log.last() && c.options.ID > m.From
+}
+
 func (c *Core) stepPreVoteReply(m Message) {
 	if c.role != PreCandidate || m.Reject || m.Term != c.state.Term+1 {
 		return
--- a/internal/state/consensus/rules_test.go
+++ b/internal/state/consensus/rules_test.go
@@ -205,6 +205,24 @@
 	}
 }
 
+// Guards against split votes: two voters that campaign at the same moment must not wait for another timeout.
+func TestCampaignsAtTheSameMoment(t *testing.T) {
+	c := newCluster(nil, func(*consensus.Rules) {}, 3, 0)
+	c.settle(3 * time.Second)
+	c.nodes[c.leader()].cut = true
+	for range 2 {
+		for _, id := range c.ids {
+			c.tick(id, 2*time.Second)
+		}
+	}
+	for len(c.network) > 0 {
+		c.deliver(0, false, false)
+	}
+	if c.leader() == "" {
+		t.Fatal("no voter was elected")
+	}
+}
+
 func ExampleCore_Propose() {
 	alone := consensus.Snapshot{Index: 1, Term: 1, Config: consensus.Config{Members: []consensus.Member{{ID: "a"}}}}
 	now := time.Unix(0, 0)
--- a/internal/state/voter/client.go
+++ b/internal/state/voter/client.go
@@ -47,6 +47,10 @@
 	peers  func() []string
 	mu     sync.Mutex
 	leader string // last instance that led
+	// failed did not answer; until retryAt it is not asked again, because the others name it as their leader until
+	// their election timeout has passed.
+	failed  string
+	retryAt time.Time
 }
 
 // NewClient returns a client of the log; peers returns the names of its voters.
@@ -57,7 +61,10 @@
 // Intervals between two attempts; the first is about one round trip between regions.
 const (
 	firstRetry = 50 * time.Millisecond
-	lastRetry  = time.Second
+	// lastRetry leaves most of the 2 s of a change to the election that it waits for.
+	lastRetry = 200 * time.Millisecond
+	// avoidFailed is about the longest election timeout.
+	avoidFailed = 1200 * time.Millisecond
 	// attemptTimeout allows for two round trips between regions and a sync, and still leaves time to try another
 	// voter within the 2 s of a change.
 	attemptTimeout = 900 * time.Millisecond
@@ -98,9 +105,15 @@
 	if c.leader != "" || len(peers) == 0 {
 		return c.leader
 	}
-	return peers[attempt%len(peers)]
+	to := peers[attempt%len(peers)]
+	if c.avoids(to) {
+		to = peers[(attempt+1)%len(peers)]
+	}
+	return to
 }
 
+func (c *Client) avoids(name string) bool { return name == c.failed && time.Now().Before(c.retryAt) }
+
 func (c *Client) try(ctx context.Context, to string, data []byte) ([]byte, error) {
 	if to == "" {
 		return nil, ErrNoLeader
@@ -109,7 +122,7 @@
 	defer cancel()
 	var answer proposed
 	if err := c.call(ctx, to, c.method, proposal{Data: data}, &answer); err != nil {
-		c.setLeader("")
+		c.setFailed(to)
 		return nil, fmt.Errorf("%w: %w", ErrOutcomeUnknown, err)
 	}
 	switch answer.Outcome {
@@ -129,4 +142,13 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.leader = name
+	if c.avoids(name) {
+		c.leader = ""
+	}
+}
+
+func (c *Client) setFailed(name string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.leader, c.failed, c.retryAt = "", name, time.Now().Add(avoidFailed)
 }
--- /dev/null
+++ b/internal/state/voter/failover_test.go
@@ -0,0 +1,59 @@
+package voter_test
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+)
+
+const failovers = 12
+
+// failover loses the leader and returns the time to a new one and to the result of a change proposed at the loss.
+func (c *cluster) failover(id int) (elected, changed time.Duration) {
+	lost, start := c.leader(), time.Now()
+	proposer := c.names[(slices.Index(c.names, lost)+1)%len(c.names)]
+	c.kill(lost)
+	done := make(chan time.Duration, 1)
+	go func() {
+		defer close(done)
+		c.change(proposer, id)
+		done <- time.Since(start)
+	}()
+	for c.leader() == "" && time.Since(start) < time.Minute {
+		time.Sleep(time.Millisecond)
+	}
+	elected = time.Since(start)
+	changed = <-done
+	c.start(lost)
+	time.Sleep(3*time.Second + time.Duration(id)*37*time.Millisecond) // at another moment between two heartbeats
+	return elected, changed
+}
+
+// Guards against a change that misses its target because the leader is lost, with calls to it that fail at once or that
+// get no answer.
+func TestLeaderLossMeetsTarget(t *testing.T) {
+	for _, silent := range []bool{false, true} {
+		t.Run(fmt.Sprint("silent=", silent), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				c := newCluster(t, 30*time.Millisecond)
+				defer c.stopAll()
+				c.silent = silent
+				c.change(c.leader(), 0)
+				var elected, changed []time.Duration
+				for id := range failovers {
+					e, d := c.failover(id + 1)
+					elected, changed = append(elected, e), append(changed, d)
+				}
+				slices.Sort(elected)
+				slices.Sort(changed)
+				t.Logf("silent %v: new leader after %v to %v, median %v; change at the loss after %v to %v, median %v", silent,
+					elected[0], elected[failovers-1], elected[failovers/2], changed[0], changed[failovers-1], changed[failovers/2])
+				qt.Check(t, changed[0] > 0 && changed[failovers-1] < target, qt.IsTrue)
+			})
+		})
+	}
+}
--- a/internal/state/voter/voter.go
+++ b/internal/state/voter/voter.go
@@ -9,6 +9,7 @@
 	"sync"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"golang.org/x/sync/errgroup"
 
 	"lycheevale/internal/base/event"
@@ -131,8 +132,9 @@
 	}
 	replicaOptions := v.options.Replica
 	now := v.options.Now()
-	replicaOptions.Consensus = slices.Concat(
-		[]consensus.Option{consensus.WithSeed(uint64(now.UnixNano()))}, replicaOptions.Consensus)
+	// Voters that start at the same moment with equal seeds would campaign together and split every vote.
+	seed := uint64(now.UnixNano()) ^ xxhash.Sum64String(v.options.Group+"/"+v.options.Name)
+	replicaOptions.Consensus = slices.Concat([]consensus.Option{consensus.WithSeed(seed)}, replicaOptions.Consensus)
 	replica, err := OpenReplica(now, store, v.options.Machine, replicaOptions)
 	if err != nil {
 		return err
--- a/internal/state/voter/voter_test.go
+++ b/internal/state/voter/voter_test.go
@@ -37,6 +37,8 @@
 	nodes map[string]*node
 	bytes map[string]int // of the messages that each voter sent and received
 	calls map[string]int
+	// silent calls to voters that are down end with their context instead of failing at once.
+	silent bool
 }
 
 // count adds a message to both of its ends.
@@ -72,6 +74,9 @@
 		}
 		time.Sleep(c.delay)
 		n := c.node(to)
+		if n == nil && c.silent {
+			<-ctx.Done()
+		}
 		if n == nil || c.node(from) == nil {
 			return fmt.Errorf("%s is unreachable", to)
 		}
