--- a/internal/base/event/state.go
+++ b/internal/base/event/state.go
@@ -17,6 +17,7 @@
 	FeedSourceBehind   ID = 4011
 	KeyWithdrawn       ID = 4012
 	VoterNotMember     ID = 4013
+	SnapshotFailed     ID = 4014
 )
 
 var stateEvents = []Entry{
@@ -33,4 +34,5 @@
 	{FeedSourceBehind, slog.LevelInfo, "source of the configuration is behind and was not used", "None; another is tried."},
 	{KeyWithdrawn, slog.LevelInfo, "key withdrawn", "None."},
 	{VoterNotMember, slog.LevelWarn, "voter waits to join the log", "Lasting: check that other voters answer."},
+	{SnapshotFailed, slog.LevelWarn, "snapshot of the log could not be written", "Check the space on the disk; the log grows until one is written."},
 }
--- a/internal/node/instance/state.go
+++ b/internal/node/instance/state.go
@@ -93,8 +93,8 @@
 	router := voter.NewRouter(mux)
 	c := claims.New()
 	machines := map[string]voter.StateMachine{
-		configGroup: {Apply: st.apply, Snapshot: st.registry.Snapshot, Restore: st.restore},
-		claimGroup:  {Apply: c.ApplyEntry, Snapshot: c.Snapshot, Restore: c.Restore},
+		configGroup: {Apply: st.apply, View: st.registry.View, Restore: st.restore},
+		claimGroup:  {Apply: c.ApplyEntry, View: c.View, Restore: c.Restore},
 	}
 	open := func(group string) *voter.Voter {
 		v := voter.New(voter.WithGroup(group), voter.WithName(st.settings.Name), voter.WithDir(dataDir(st.settings, group)),
--- a/internal/state/claims/capacity_test.go
+++ b/internal/state/claims/capacity_test.go
@@ -42,7 +42,10 @@
 				used := measure.ProcessorTime(b) - begin
 				b.ReportMetric(float64(used.Microseconds())/float64(n), "cpu-µs/claim")
 				b.ReportMetric(float64(heap()-before)/float64(n), "heap-B/claim")
-				data, err := c.Snapshot()
+				start := time.Now()
+				encode := c.View()
+				b.ReportMetric(float64(time.Since(start).Microseconds())/1000, "view-ms")
+				data, err := encode()
 				qt.Assert(b, err, qt.IsNil)
 				b.ReportMetric(float64(len(data))/float64(n), "snapshot-B/claim")
 				b.ReportMetric(0, "ns/op")
--- a/internal/state/claims/claims.go
+++ b/internal/state/claims/claims.go
@@ -205,15 +205,25 @@
 }
 
 // Snapshot encodes the state.
-func (c *Claims) Snapshot() (data []byte, err error) {
+func (c *Claims) Snapshot() (data []byte, err error) { return c.View()() }
+
+// View copies the claims without their responses, which are never modified, and returns a function that encodes the
+// copy; it may run while commands are applied.
+func (c *Claims) View() (encode func() ([]byte, error)) {
 	c.mu.RLock()
 	defer c.mu.RUnlock()
 	s := stored{Clock: c.clock, Claims: make([]storedClaim, 0, len(c.order))}
+	copies := make([]claim, 0, len(c.order))
 	for _, r := range c.order {
-		s.Claims = append(s.Claims, storedClaim{r, c.claims[r.Key]})
+		held := *c.claims[r.Key]
+		held.Released = slices.Clone(held.Released)
+		copies = append(copies, held)
+		s.Claims = append(s.Claims, storedClaim{r, &copies[len(copies)-1]})
+	}
+	return func() ([]byte, error) {
+		data, err := json.Marshal(s)
+		return data, Error.Wrap(err)
 	}
-	data, err = json.Marshal(s)
-	return data, Error.Wrap(err)
 }
 
 // Restore replaces the state by a snapshot.
--- a/internal/state/record/snapshot.go
+++ b/internal/state/record/snapshot.go
@@ -19,6 +19,7 @@
 	sealHeader     = 4 + 4 + 8
 	identityName   = "identity"
 	temporaryName  = "temporary"
+	preparedName   = "snapshot.temporary"
 	snapshotFormat = "%016x.snapshot"
 	segmentFormat  = "%016x.segment"
 )
@@ -46,10 +47,17 @@
 
 // writeSealed writes a file atomically: after a crash it has either its old or its new content.
 func (s *Store) writeSealed(name string, index uint64, data []byte) error {
+	if err := s.writeTemporary(temporaryName, index, data); err != nil {
+		return err
+	}
+	return s.rename(temporaryName, name)
+}
+
+// writeTemporary writes and syncs a file that Open ignores.
+func (s *Store) writeTemporary(name string, index uint64, data []byte) error {
 	disk := s.options.Disk
-	temporary := filepath.Join(s.dir, temporaryName)
-	_ = disk.Remove(temporary)
-	f, err := disk.Create(temporary)
+	_ = disk.Remove(s.path(name))
+	f, err := disk.Create(s.path(name))
 	if err != nil {
 		return err
 	}
@@ -57,30 +65,62 @@
 		_ = f.Close()
 		return err
 	}
-	if err := f.Close(); err != nil {
+	return f.Close()
+}
+
+func (s *Store) rename(from, to string) error {
+	if err := s.options.Disk.Rename(s.path(from), s.path(to)); err != nil {
 		return err
 	}
-	if err := disk.Rename(temporary, filepath.Join(s.dir, name)); err != nil {
+	return s.options.Disk.SyncDir(s.dir)
+}
+
+// PrepareSnapshot writes and syncs a snapshot that InstallSnapshot makes the latest one. It may run while other methods
+// are called, but only once at a time. A failure leaves the store as it was and gives the space back.
+func (s *Store) PrepareSnapshot(snapshot Snapshot) (err error) {
+	err = s.writeTemporary(preparedName, snapshot.Index, snapshot.Data)
+	if err != nil {
+		s.DiscardSnapshot()
+	}
+	return Error.Wrap(err)
+}
+
+// DiscardSnapshot removes a prepared snapshot; one that stays is overwritten by the next.
+func (s *Store) DiscardSnapshot() { _ = s.options.Disk.Remove(s.path(preparedName)) }
+
+// InstallSnapshot makes the prepared snapshot with the index durable under its name and removes older ones.
+func (s *Store) InstallSnapshot(index uint64) (err error) {
+	defer func() { err = Error.Wrap(err) }()
+	if err := s.newer(index); err != nil {
 		return err
 	}
-	return disk.SyncDir(s.dir)
+	return s.replaceSnapshot(index, s.rename(preparedName, fmt.Sprintf(snapshotFormat, index)))
 }
 
 // SaveSnapshot makes the snapshot durable and removes older ones.
 func (s *Store) SaveSnapshot(snapshot Snapshot) (err error) {
 	defer func() { err = Error.Wrap(err) }()
-	if s.failed != nil {
-		return s.failed
-	}
-	if snapshot.Index < s.snapshotIndex {
-		return fmt.Errorf("snapshot %d is older than the stored snapshot %d", snapshot.Index, s.snapshotIndex)
+	if err := s.newer(snapshot.Index); err != nil {
+		return err
 	}
 	name := fmt.Sprintf(snapshotFormat, snapshot.Index)
-	if err := s.writeSealed(name, snapshot.Index, snapshot.Data); err != nil {
+	return s.replaceSnapshot(snapshot.Index, s.writeSealed(name, snapshot.Index, snapshot.Data))
+}
+
+func (s *Store) newer(index uint64) error {
+	if s.failed == nil && index < s.snapshotIndex {
+		return fmt.Errorf("snapshot %d is older than the stored snapshot %d", index, s.snapshotIndex)
+	}
+	return s.failed
+}
+
+// replaceSnapshot notes the snapshot that is stored under its name, unless storing it failed.
+func (s *Store) replaceSnapshot(index uint64, err error) error {
+	if err != nil {
 		return s.fail(err)
 	}
-	old := s.snapshotName
-	s.snapshotIndex, s.snapshotName = snapshot.Index, name
+	name, old := fmt.Sprintf(snapshotFormat, index), s.snapshotName
+	s.snapshotIndex, s.snapshotName = index, name
 	if old != "" && old != name {
 		return s.remove(old)
 	}
--- a/internal/state/registry/delta.go
+++ b/internal/state/registry/delta.go
@@ -1,6 +1,7 @@
 package registry
 
 import (
+	"cmp"
 	"encoding/json"
 	"maps"
 	"slices"
@@ -52,6 +53,10 @@
 func (r *Registry) Size() (objects int) {
 	r.mu.RLock()
 	defer r.mu.RUnlock()
+	return r.size()
+}
+
+func (r *Registry) size() (objects int) {
 	for _, t := range r.tables {
 		objects += len(t.objects)
 	}
@@ -118,14 +123,29 @@
 }
 
 // Snapshot encodes the whole state, including remembered results.
-func (r *Registry) Snapshot() (data []byte, err error) {
+func (r *Registry) Snapshot() (data []byte, err error) { return r.View()() }
+
+// View copies the whole state without the specs, which are never modified, and returns a function that encodes the copy;
+// it may run while changes are applied.
+func (r *Registry) View() (encode func() ([]byte, error)) {
 	r.mu.RLock()
 	defer r.mu.RUnlock()
-	data, err = json.Marshal(stored{
-		Revision: r.revision, Clock: r.clock, Objects: r.allObjects(), Held: r.held,
-		Withdrawn: slices.Sorted(maps.Keys(r.withdrawn)), Results: r.results, Order: r.order,
-	})
-	return data, Error.Wrap(err)
+	s := stored{
+		Revision: r.revision, Clock: r.clock, Objects: make([]Object, 0, r.size()), Held: maps.Clone(r.held),
+		Withdrawn: slices.Collect(maps.Keys(r.withdrawn)), Results: maps.Clone(r.results), Order: slices.Clip(r.order),
+	}
+	for _, t := range r.tables {
+		s.Objects = slices.AppendSeq(s.Objects, maps.Values(t.objects))
+	}
+	return func() ([]byte, error) {
+		// Equal states have equal snapshots; sorting here is no work for those who wait for the lock.
+		slices.Sort(s.Withdrawn)
+		slices.SortFunc(s.Objects, func(a, b Object) int {
+			return cmp.Or(cmp.Compare(a.Kind, b.Kind), cmp.Compare(a.Name, b.Name))
+		})
+		data, err := json.Marshal(s)
+		return data, Error.Wrap(err)
+	}
 }
 
 // Restore replaces the state by a snapshot.
--- a/internal/state/registry/registry_test.go
+++ b/internal/state/registry/registry_test.go
@@ -278,6 +278,11 @@
 				b.ReportMetric(float64(len(data)>>10), "KiB")
 			}
 		})
+		b.Run(fmt.Sprintf("View/%d", n), func(b *testing.B) {
+			for range b.N {
+				r.View()
+			}
+		})
 		b.Run(fmt.Sprintf("Page/%d", n), func(b *testing.B) {
 			for i := range b.N {
 				r.Page(registry.KindAdapter, "", fmt.Sprint("a", i%n), 100)
--- a/internal/state/simulation/simulation_test.go
+++ b/internal/state/simulation/simulation_test.go
@@ -148,6 +148,9 @@
 		w.deliver(w.draw(min(len(w.network), 6)))
 	case kind < 36:
 		w.tick(v, time.Duration(w.draw(250))*time.Millisecond)
+		if w.draw(2) == 0 {
+			w.finish(v)
+		}
 	case kind < 42:
 		w.change()
 	case kind < 46:
@@ -258,6 +261,7 @@
 	for range rounds {
 		for _, name := range voterNames {
 			w.tick(w.hosts[name], 35*time.Millisecond)
+			w.finish(w.hosts[name])
 		}
 		for n := 0; len(w.network) > 0 && n < 200 && w.fault == nil; n++ {
 			w.deliver(0)
--- a/internal/state/simulation/world_test.go
+++ b/internal/state/simulation/world_test.go
@@ -67,6 +67,7 @@
 	gone     map[string]bool // keys seen withdrawn in this incarnation
 	ready    bool
 	waiting  map[uint64]proposal
+	snapshot *voter.SnapshotJob // not written yet
 }
 
 type proposal struct {
@@ -125,6 +126,7 @@
 		}
 	})
 	h.revision, h.gone, h.ready, h.waiting = 0, map[string]bool{}, false, map[uint64]proposal{}
+	h.snapshot = nil
 	h.mux = peer.NewMux()
 	others := slices.DeleteFunc(slices.Clone(allNames), func(n string) bool { return n == name })
 	revokeOptions := []revoke.Option{
@@ -189,11 +191,14 @@
 			}
 			return result
 		},
-		Snapshot: func() ([]byte, error) {
-			r, err := h.registry.Snapshot()
-			c, claimsErr := h.claims.Snapshot()
-			b, _ := json.Marshal(both{r, c})
-			return b, errs.Combine(err, claimsErr)
+		View: func() func() ([]byte, error) {
+			encodeRegistry, encodeClaims := h.registry.View(), h.claims.View()
+			return func() ([]byte, error) {
+				r, err := encodeRegistry()
+				c, claimsErr := encodeClaims()
+				b, _ := json.Marshal(both{r, c})
+				return b, errs.Combine(err, claimsErr)
+			}
 		},
 		Restore: func(data []byte) error {
 			var b both
@@ -245,6 +250,9 @@
 		w.fail("%s: %v", h.name, err)
 		return
 	}
+	if effects.Snapshot != nil {
+		h.snapshot = effects.Snapshot
+	}
 	for _, m := range effects.Messages {
 		to := strings.Split(m.To, ".")[0]
 		if m, err = h.replica.Fill(m); err == nil && w.hosts[to] != nil && w.hosts[to].replica != nil {
@@ -276,6 +284,22 @@
 	w.flush(h)
 }
 
+// finish writes and installs a snapshot that was due; the schedule decides how many entries and faults later.
+func (w *world) finish(h *host) {
+	if h.snapshot == nil {
+		return
+	}
+	job := h.snapshot
+	h.snapshot = nil
+	written := job.Write()
+	if w.lossy && w.draw(4) == 0 {
+		w.crash(h) // between writing and installing
+		return
+	}
+	h.replica.FinishSnapshot(job, written)
+	w.flush(h)
+}
+
 func (w *world) tick(h *host, d time.Duration) {
 	w.now = w.now.Add(d)
 	h.replica.Tick(w.now.Add(h.skew))
--- a/internal/state/voter/example_test.go
+++ b/internal/state/voter/example_test.go
@@ -25,8 +25,11 @@
 				total += len(data)
 				return fmt.Append(nil, total)
 			},
-			Snapshot: func() ([]byte, error) { return fmt.Append(nil, total), nil },
-			Restore:  func(data []byte) error { _, err := fmt.Sscan(string(data), &total); return err },
+			View: func() func() ([]byte, error) {
+				data := fmt.Append(nil, total)
+				return func() ([]byte, error) { return data, nil }
+			},
+			Restore: func(data []byte) error { _, err := fmt.Sscan(string(data), &total); return err },
 		}))
 	ctx, cancel := context.WithCancel(context.Background())
 	var group errgroup.Group
--- a/internal/state/voter/replica.go
+++ b/internal/state/voter/replica.go
@@ -3,7 +3,6 @@
 import (
 	"encoding/binary"
 	"encoding/json"
-	"slices"
 	"time"
 
 	"lycheevale/internal/state/consensus"
@@ -12,9 +11,10 @@
 
 // StateMachine is what a log drives; Apply must depend on nothing but the state and the data.
 type StateMachine struct {
-	Apply    func(data []byte) (result []byte)
-	Snapshot func() ([]byte, error)
-	Restore  func(data []byte) error
+	Apply func(data []byte) (result []byte)
+	// View returns a function that encodes the state at the moment of the call; it runs while Apply is called.
+	View    func() (encode func() ([]byte, error))
+	Restore func(data []byte) error
 }
 
 // Kinds of records besides record.KindState.
@@ -37,6 +37,8 @@
 	received []consensus.Snapshot // snapshots among the pending inputs
 	applied  uint64
 	stored   uint64 // index of the stored snapshot
+	started  uint64 // index of the last snapshot that was started
+	writing  bool   // it has not ended
 	failed   error
 }
 
@@ -63,6 +65,8 @@
 	Messages  []consensus.Message
 	Applied   []Applied
 	Installed bool // a received snapshot replaced the state; results up to it are unknown
+	// Snapshot has to be written, beside other calls of the Replica, and passed to FinishSnapshot; nil if none is due.
+	Snapshot *SnapshotJob
 }
 
 // OpenReplica continues from the store. A new directory gets a new identity: a voter whose disk was lost can
@@ -91,7 +95,7 @@
 			return nil, err
 		}
 	}
-	r.applied, r.stored = snapshot.Index, snapshot.Index
+	r.applied, r.stored, r.started = snapshot.Index, snapshot.Index, snapshot.Index
 	opts := append([]consensus.Option{consensus.WithID(r.id)}, o.Consensus...)
 	r.core, err = consensus.New(now, state, snapshot, entries, opts...)
 	return r, err
@@ -151,7 +155,7 @@
 	if status.Last > 0 {
 		return Error.New("the log exists already")
 	}
-	data, err := r.machine.Snapshot()
+	data, err := r.machine.View()()
 	if err != nil {
 		return err
 	}
@@ -239,12 +243,7 @@
 		r.applied = entry.Index
 		e.Applied = append(e.Applied, applied)
 	}
-	if r.options.SnapshotEvery > 0 && r.applied >= r.stored+r.options.SnapshotEvery {
-		if err := r.snapshot(); err != nil {
-			r.failed = err
-			return Effects{}, err
-		}
-	}
+	e.Snapshot = r.startSnapshot()
 	return e, nil
 }
 
@@ -299,21 +298,29 @@
 	if err := r.store.Sync(); err != nil {
 		return err
 	}
-	data := snapshot.Data
-	snapshot.Data = nil
-	header, err := json.Marshal(snapshot)
+	encoded, err := encodeSnapshot(snapshot)
 	if err != nil {
 		return err
 	}
-	b := binary.LittleEndian.AppendUint32(make([]byte, 0, 4+len(header)+len(data)), uint32(len(header)))
-	b = slices.Concat(b, header, data)
-	if err := r.store.SaveSnapshot(record.Snapshot{Index: snapshot.Index, Data: b}); err != nil {
+	if err := r.store.SaveSnapshot(encoded); err != nil {
 		return err
 	}
-	r.stored = snapshot.Index
+	r.stored, r.started = snapshot.Index, max(r.started, snapshot.Index)
 	return nil
 }
 
+// encodeSnapshot puts the position in front of the data.
+func encodeSnapshot(snapshot consensus.Snapshot) (s record.Snapshot, err error) {
+	data := snapshot.Data
+	snapshot.Data = nil
+	header, err := json.Marshal(snapshot)
+	if err != nil {
+		return s, err
+	}
+	b := binary.LittleEndian.AppendUint32(make([]byte, 0, 4+len(header)+len(data)), uint32(len(header)))
+	return record.Snapshot{Index: snapshot.Index, Data: append(append(b, header...), data...)}, nil
+}
+
 // loadSnapshot returns the stored snapshot, or an empty one.
 func (r *Replica) loadSnapshot() (snapshot consensus.Snapshot, err error) {
 	s, ok, err := r.store.LoadSnapshot()
@@ -331,23 +338,6 @@
 	return snapshot, nil
 }
 
-// snapshot stores the current state and drops entries and segments that it covers.
-func (r *Replica) snapshot() error {
-	data, err := r.machine.Snapshot()
-	if err != nil {
-		return err
-	}
-	snapshot := r.core.Position(r.applied)
-	snapshot.Data = data
-	if err := r.saveSnapshot(snapshot); err != nil {
-		return err
-	}
-	if r.applied > r.options.KeepEntries {
-		r.core.Compact(r.applied - r.options.KeepEntries)
-	}
-	return r.store.Truncate(r.applied)
-}
-
 // Fill adds the stored snapshot to a message that needs it.
 func (r *Replica) Fill(m consensus.Message) (consensus.Message, error) {
 	if m.Kind != consensus.InstallSnapshot {
--- a/internal/state/voter/restart_test.go
+++ b/internal/state/voter/restart_test.go
@@ -50,7 +50,7 @@
 		return a.registry.ApplyEntry(data)
 	}
 	a.replica, err = voter.OpenReplica(a.now, a.store,
-		voter.StateMachine{Apply: apply, Snapshot: a.registry.Snapshot, Restore: a.registry.Restore},
+		voter.StateMachine{Apply: apply, View: a.registry.View, Restore: a.registry.Restore},
 		voter.ReplicaOptions{
 			SnapshotEvery: snapshotEvery, KeepEntries: 1000, SyncFirst: true, NewIdentity: func() string { return "only" },
 		})
@@ -75,8 +75,11 @@
 		if batch = append(batch, data); len(batch) == 100 {
 			_, err := a.replica.Propose(a.now, batch...)
 			qt.Assert(t, err, qt.IsNil)
-			_, err = a.replica.Flush()
+			effects, err := a.replica.Flush()
 			qt.Assert(t, err, qt.IsNil)
+			if job := effects.Snapshot; job != nil {
+				a.replica.FinishSnapshot(job, job.Write())
+			}
 			batch = nil
 		}
 	}
--- a/internal/state/voter/voter.go
+++ b/internal/state/voter/voter.go
@@ -189,6 +189,7 @@
 		return err
 	}
 	l.publish(ctx)
+	l.writeSnapshot(ctx, effects.Snapshot)
 	for _, m := range l.answer(effects.Messages) {
 		if err := l.send(ctx, m); err != nil {
 			return err
@@ -213,6 +214,23 @@
 	return nil
 }
 
+// writeSnapshot writes a snapshot that is due beside the loop, which installs it.
+func (l *loop) writeSnapshot(ctx context.Context, job *SnapshotJob) {
+	if job == nil {
+		return
+	}
+	l.group.Go(func() error {
+		err := job.Write()
+		if err != nil {
+			event.Log(ctx, l.voter.options.Logger, event.SnapshotFailed, slog.String("Group", l.voter.options.Group),
+				slog.Any("Error", err))
+		}
+		// Failure means that the voter stops; the next start overwrites or ignores the file.
+		_ = l.voter.post(ctx, func(_ context.Context, l *loop) { l.replica.FinishSnapshot(job, err) })
+		return nil
+	})
+}
+
 func (l *loop) proposeWaiting() {
 	requests := l.proposals
 	l.proposals = nil
--- a/internal/state/voter/voter_test.go
+++ b/internal/state/voter/voter_test.go
@@ -10,6 +10,7 @@
 	"path/filepath"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -41,6 +42,8 @@
 	// silent calls to voters that are down end with their context instead of failing at once.
 	silent bool
 	lost   func() bool // drawn for each request and each answer
+	// encoding of a snapshot takes so long.
+	encoding atomic.Int64
 }
 
 // drawLoss ends a lost message with the call's context.
@@ -135,7 +138,7 @@
 		v := voter.New(
 			voter.WithGroup(log), voter.WithName(name), voter.WithDir(filepath.Join(c.dir, name, log)),
 			voter.WithRecords(record.WithDisk(c.disk()), record.WithSegmentBytes(4096)),
-			voter.WithMachine(voter.StateMachine{Apply: r.ApplyEntry, Snapshot: r.Snapshot, Restore: r.Restore}),
+			voter.WithMachine(c.slow(voter.StateMachine{Apply: r.ApplyEntry, View: r.View, Restore: r.Restore})),
 			voter.WithCaller(c.caller(name)), voter.WithPeers(func() []string { return c.names }),
 			voter.WithSnapshotEvery(20, 5), voter.WithLogger(slog.New(slog.NewTextHandler(io.Discard, nil))),
 		)
