Test the faults of disks at running voters

Cause: faults of the disk were tested below the voter only; that a voter answers nothing as accepted after a failed sync, stops with a clear error and comes back was not.

--- a/internal/state/voter/logs_test.go
+++ b/internal/state/voter/logs_test.go
@@ -30,13 +30,17 @@
 			leader = c.leader()
 		}
 		qt.Assert(t, c.node(leader).voters["Claim"].Status().Leader, qt.Equals, leader)
+		c.mu.Lock()
 		clear(c.bytes)
 		clear(c.calls)
+		c.mu.Unlock()
 		for i := range int(targetRate * span.Seconds()) {
 			next := time.Now().Add(time.Duration(float64(time.Second) / targetRate))
 			c.change(leader, i)
 			time.Sleep(time.Until(next))
 		}
+		c.mu.Lock()
+		defer c.mu.Unlock()
 		rate := float64(c.bytes[leader]+2*headers*c.calls[leader]) / span.Seconds()
 		t.Logf("leader of both logs %.0f B/s (%.1f calls/s)", rate, float64(c.calls[leader])/span.Seconds())
 		qt.Assert(t, rate+otherTraffic < trafficBudget, qt.IsTrue)
--- a/internal/state/voter/voter_test.go
+++ b/internal/state/voter/voter_test.go
@@ -44,6 +44,8 @@
 	lost   func() bool // drawn for each request and each answer
 	// encoding of a snapshot takes so long.
 	encoding atomic.Int64
+	faults   map[string]func(op, file string) error
+	mayFail  bool // voters may stop with an error
 }
 
 // drawLoss ends a lost message with the call's context.
@@ -114,17 +116,24 @@
 	}
 }
 
-// disk does not sync: its own waiting time is not virtual, and these tests do not crash the machine.
-func (c *cluster) disk() record.Disk {
-	disk := record.OSDisk()
-	disk.SyncDir = func(string) error { return nil }
-	create := disk.Create
-	disk.Create = func(name string) (record.File, error) {
-		f, err := create(name)
-		f.Sync = func() error { return nil }
-		return f, err
-	}
-	return disk
+// disk has the faults of a voter.
+func (c *cluster) disk(name string) record.Disk {
+	return faulty(func(op, file string) error {
+		c.mu.Lock()
+		fault := c.faults[name]
+		c.mu.Unlock()
+		if fault == nil {
+			return nil
+		}
+		return fault(op, file)
+	})
+}
+
+// fault sets or, with nil, ends the faults of a voter's disk.
+func (c *cluster) fault(name string, f func(op, file string) error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.faults[name] = f
 }
 
 func (c *cluster) start(name string) {
@@ -137,7 +146,7 @@
 		r := registry.New()
 		v := voter.New(
 			voter.WithGroup(log), voter.WithName(name), voter.WithDir(filepath.Join(c.dir, name, log)),
-			voter.WithRecords(record.WithDisk(c.disk()), record.WithSegmentBytes(4096)),
+			voter.WithRecords(record.WithDisk(c.disk(name)), record.WithSegmentBytes(4096)),
 			voter.WithMachine(c.slow(voter.StateMachine{Apply: r.ApplyEntry, View: r.View, Restore: r.Restore})),
 			voter.WithCaller(c.caller(name)), voter.WithPeers(func() []string { return c.names }),
 			voter.WithSnapshotEvery(20, 5), voter.WithLogger(slog.New(slog.NewTextHandler(io.Discard, nil))),
@@ -148,7 +157,7 @@
 		}
 		running.Go(func() error {
 			err := v.Run(ctx)
-			if err != nil {
+			if err != nil && !c.mayFail {
 				c.t.Errorf("voter %s: %v", name, err)
 			}
 			return err
@@ -173,14 +182,19 @@
 	<-n.done
 }
 
-func (c *cluster) change(from string, id int) registry.Result {
-	ctx, cancel := context.WithTimeout(context.Background(), 20*time.Second)
-	defer cancel()
+// model returns the command that creates the model with the number.
+func model(id int) []byte {
 	command := registry.Command{RequestID: fmt.Sprint(id), At: time.Now(), Changes: []registry.Object{
 		{Kind: registry.KindModel, Name: fmt.Sprint("m", id), Model: &registry.Model{}},
 	}}
 	data, _ := json.Marshal(command)
-	raw, err := c.node(from).voter.Propose(ctx, data)
+	return data
+}
+
+func (c *cluster) change(from string, id int) registry.Result {
+	ctx, cancel := context.WithTimeout(context.Background(), 20*time.Second)
+	defer cancel()
+	raw, err := c.node(from).voter.Propose(ctx, model(id))
 	qt.Assert(c.t, err, qt.IsNil)
 	var result registry.Result
 	qt.Assert(c.t, json.Unmarshal(raw, &result), qt.IsNil)
@@ -205,7 +219,7 @@
 		logs = []string{"Config"}
 	}
 	c := &cluster{t: t, dir: t.TempDir(), delay: delay, logs: logs, names: []string{"a", "b", "c"}, nodes: map[string]*node{},
-		bytes: map[string]int{}, calls: map[string]int{}}
+		faults: map[string]func(op, file string) error{}, bytes: map[string]int{}, calls: map[string]int{}}
 	for _, name := range c.names {
 		c.start(name)
 	}
