Store claims as digests in fixed records

Cause: a claim held the strings of its key twice, fingerprint and attempt as strings, and its response by pointers: about 400 B beside a response of 200 B. Change: records of 64 B in chunks with digests of key, fingerprint and attempt, deadlines in seconds and the response in one string; attempts that gave up are kept apart. A deadline is rounded up to the second.

--- a/internal/state/claims/claims.go
+++ b/internal/state/claims/claims.go
@@ -22,24 +22,10 @@
 type Claims struct {
 	options Options
 
-	mu     sync.RWMutex
-	clock  retention.Clock
-	claims map[Key]*claim
-	order  []remembered // claims in the order of their first command
-}
-
-// claim is held, finished or released; a released one remembers its attempts until it is claimed anew.
-type claim struct {
-	Fingerprint string    `json:"Fingerprint"`
-	Attempt     string    `json:"Attempt"`
-	Released    []string  `json:"Released,omitempty"` // attempts that gave up
-	Held        bool      `json:"Held,omitempty"`
-	Response    *Response `json:"Response,omitempty"`
-}
-
-type remembered struct {
-	Key      Key
-	Deadline time.Time
+	mu       sync.RWMutex
+	clock    retention.Clock
+	table    table
+	released map[digest][]attemptDigest // attempts that gave up, of claims that have some
 }
 
 // New returns an empty state.
@@ -49,7 +35,7 @@
 			Retention: defaultRetention, MaxClaims: defaultMaxClaims, MaxResponse: defaultMaxResponse,
 			Rules: Rules{OneAttempt: true, ReleaseOwn: true},
 		},
-		claims: map[Key]*claim{},
+		table: newTable(), released: map[digest][]attemptDigest{},
 	}
 	for _, opt := range opts {
 		opt(&c.options)
@@ -87,70 +73,83 @@
 
 // forget drops identifiers after their deadline.
 func (c *Claims) forget(now time.Time) {
-	for len(c.order) > 0 && !now.Before(c.order[0].Deadline) {
-		delete(c.claims, c.order[0].Key)
-		c.order = c.order[1:]
+	for c.table.len() > 0 && c.table.oldest().over(now) {
+		delete(c.released, c.table.oldest().key)
+		c.table.drop()
 	}
 }
 
+func (c *Claims) find(key Key) (id digest, known *claim, ok bool) {
+	id = digestOf(key.Customer, key.Identifier)
+	known, ok = c.table.get(id)
+	return id, known, ok
+}
+
+// gaveUp tells whether the attempt has released the claim.
+func (c *Claims) gaveUp(id digest, attempt attemptDigest) bool {
+	return slices.Contains(c.released[id], attempt)
+}
+
 func (c *Claims) claim(command Command) Result {
-	held, known := c.claims[command.Key]
+	id, one, known := c.find(command.Key)
+	fingerprint, attempt := digestOf(command.Fingerprint), digestOfAttempt(command.Attempt)
 	switch {
-	case !known && len(c.claims) >= c.options.MaxClaims:
+	case !known && c.table.len() >= c.options.MaxClaims:
 		// Forgetting a claim early could let a request run twice, so new ones wait.
 		return Result{Outcome: Full}
 	case !known:
-		held = &claim{Fingerprint: command.Fingerprint}
-		c.claims[command.Key] = held
-		c.order = append(c.order, remembered{command.Key, c.clock.Now.Add(c.options.Retention)})
-	case held.Fingerprint != command.Fingerprint:
+		deadline := deadlineAt(c.clock.Now.Add(c.options.Retention))
+		one = c.table.add(claim{key: id, fingerprint: fingerprint, deadline: deadline})
+	case one.fingerprint != fingerprint:
 		return Result{Outcome: Mismatch}
-	case held.Response != nil:
-		return Result{Outcome: Finished, Response: held.Response}
-	case slices.Contains(held.Released, command.Attempt):
+	case one.phase == finished:
+		return Result{Outcome: Finished, Response: unpack(one.response)}
+	case c.gaveUp(id, attempt):
 		return Result{Outcome: Released}
-	case held.Held && held.Attempt == command.Attempt:
+	case one.phase == held && one.attempt == attempt:
 		return Result{Outcome: Granted}
-	case held.Held && c.options.Rules.OneAttempt:
+	case one.phase == held && c.options.Rules.OneAttempt:
 		return Result{Outcome: InProgress}
 	}
-	held.Attempt, held.Held = command.Attempt, true
+	one.attempt, one.phase = attempt, held
 	return Result{Outcome: Granted}
 }
 
 func (c *Claims) finish(command Command) Result {
-	held, known := c.claims[command.Key]
+	_, one, known := c.find(command.Key)
 	switch {
-	case !known || held.Attempt != command.Attempt:
+	case !known || one.attempt != digestOfAttempt(command.Attempt):
 		return Result{Outcome: Unclaimed}
-	case held.Response != nil:
-		return Result{Outcome: Finished, Response: held.Response}
-	case !held.Held:
+	case one.phase == finished:
+		return Result{Outcome: Finished, Response: unpack(one.response)}
+	case one.phase == released:
 		return Result{Outcome: Released}
 	}
 	response := *command.Response
 	if len(response.Body) > c.options.MaxResponse {
 		response.Body, response.Omitted = nil, true
 	}
-	held.Response, held.Held = &response, false
-	return Result{Outcome: Finished, Response: held.Response}
+	one.response, one.phase = pack(response), finished
+	return Result{Outcome: Finished, Response: &response}
 }
 
 func (c *Claims) release(command Command) Result {
-	held, known := c.claims[command.Key]
+	id, one, known := c.find(command.Key)
+	attempt := digestOfAttempt(command.Attempt)
 	switch {
-	case known && slices.Contains(held.Released, command.Attempt):
+	case known && c.gaveUp(id, attempt):
 		return Result{Outcome: Released}
-	case !known || (held.Attempt != command.Attempt && c.options.Rules.ReleaseOwn):
+	case !known || (one.attempt != attempt && c.options.Rules.ReleaseOwn):
 		return Result{Outcome: Unclaimed}
-	case held.Response != nil:
-		return Result{Outcome: Finished, Response: held.Response}
+	case one.phase == finished:
+		return Result{Outcome: Finished, Response: unpack(one.response)}
 	}
-	held.Held = false
-	held.Released = append(held.Released, command.Attempt)
-	if len(held.Released) > maxReleased {
-		held.Released = held.Released[1:]
+	one.phase = released
+	list := append(c.released[id], attempt)
+	if len(list) > maxReleased {
+		list = list[1:]
 	}
+	c.released[id] = list
 	return Result{Outcome: Released}
 }
 
@@ -162,13 +161,13 @@
 func (c *Claims) Lookup(key Key) Result {
 	c.mu.RLock()
 	defer c.mu.RUnlock()
-	held, known := c.claims[key]
+	_, one, known := c.find(key)
 	switch {
 	case !known:
 		return Result{Outcome: Unclaimed}
-	case held.Response != nil:
-		return Result{Outcome: Finished, Response: held.Response}
-	case held.Held:
+	case one.phase == finished:
+		return Result{Outcome: Finished, Response: unpack(one.response)}
+	case one.phase == held:
 		return Result{Outcome: InProgress}
 	}
 	return Result{Outcome: Released}
@@ -178,7 +177,7 @@
 func (c *Claims) Len() int {
 	c.mu.RLock()
 	defer c.mu.RUnlock()
-	return len(c.claims)
+	return c.table.len()
 }
 
 // ApplyEntry applies an encoded Command and returns the encoded Result; it is the form a voter's state machine needs.
@@ -192,56 +191,3 @@
 	encoded, _ := json.Marshal(result)
 	return encoded
 }
-
-// stored is the JSON form of a snapshot.
-type stored struct {
-	Clock  retention.Clock
-	Claims []storedClaim
-}
-
-type storedClaim struct {
-	remembered
-	Claim *claim
-}
-
-// Snapshot encodes the state.
-func (c *Claims) Snapshot() (data []byte, err error) { return c.View()() }
-
-// View copies the claims without their responses, which are never modified, and returns a function that encodes the
-// copy; it may run while commands are applied.
-func (c *Claims) View() (encode func() ([]byte, error)) {
-	c.mu.RLock()
-	defer c.mu.RUnlock()
-	s := stored{Clock: c.clock, Claims: make([]storedClaim, 0, len(c.order))}
-	copies := make([]claim, 0, len(c.order))
-	for _, r := range c.order {
-		held := *c.claims[r.Key]
-		held.Released = slices.Clone(held.Released)
-		copies = append(copies, held)
-		s.Claims = append(s.Claims, storedClaim{r, &copies[len(copies)-1]})
-	}
-	return func() ([]byte, error) {
-		data, err := json.Marshal(s)
-		return data, Error.Wrap(err)
-	}
-}
-
-// Restore replaces the state by a snapshot.
-func (c *Claims) Restore(data []byte) error {
-	var s stored
-	if err := json.Unmarshal(data, &s); err != nil {
-		return Error.Wrap(err)
-	}
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	c.clock, c.order = s.Clock, nil
-	c.claims = make(map[Key]*claim, len(s.Claims))
-	for _, r := range s.Claims {
-		if r.Claim == nil {
-			return Error.New("snapshot holds an empty claim of customer %q", r.Key.Customer)
-		}
-		c.claims[r.Key] = r.Claim
-		c.order = append(c.order, r.remembered)
-	}
-	return nil
-}
--- a/internal/state/claims/claims_test.go
+++ b/internal/state/claims/claims_test.go
@@ -65,6 +65,49 @@
 	qt.Assert(t, c.Len(), qt.Equals, 0)
 }
 
+// Guards against a claim that is lost, forgotten early or found under another key while old ones are forgotten, also
+// after a restore; the first one carries no time.
+func TestForgettingInOrder(t *testing.T) {
+	const count, remembered = 5_000, 3_000
+	c := claims.New(claims.WithRetention(remembered * time.Second))
+	command := func(i int) claims.Command {
+		k := claims.Key{Customer: fmt.Sprint("c", i%7), Identifier: fmt.Sprint(i / 7)}
+		return claims.Command{Op: claims.OpClaim, Key: k, Attempt: fmt.Sprint(i), Fingerprint: "f"}
+	}
+	qt.Assert(t, c.Apply(command(-1)).Outcome, qt.Equals, claims.Granted)
+	for i := range count {
+		next := command(i)
+		next.At = noon.Add(time.Duration(i) * time.Second)
+		qt.Assert(t, c.Apply(next).Outcome, qt.Equals, claims.Granted)
+		qt.Assert(t, c.Len(), qt.Equals, min(i+1, remembered))
+	}
+	data, err := c.Snapshot()
+	qt.Assert(t, err, qt.IsNil)
+	c = claims.New(claims.WithRetention(remembered * time.Second))
+	qt.Assert(t, c.Restore(data), qt.IsNil)
+	for i := range count {
+		want := claims.InProgress
+		if i < count-remembered {
+			want = claims.Unclaimed
+		}
+		qt.Assert(t, c.Lookup(command(i).Key).Outcome, qt.Equals, want, qt.Commentf("claim %d", i))
+	}
+}
+
+// Guards against claims that are lost when a voter starts from a snapshot in the earlier form.
+func TestRestoreOfEarlierForm(t *testing.T) {
+	const earlier = `{"Clock":{"Now":"2026-01-01T12:00:00Z"},"Claims":[{"Key":{"Customer":"banksia",
+		"Identifier":"order-1"},"Deadline":"2026-01-02T12:00:00Z","Claim":{"Fingerprint":"f","Attempt":"2",
+		"Released":["1"],"Held":true}},{"Key":{"Customer":"koro","Identifier":"order-1"},
+		"Deadline":"2026-01-02T12:00:00Z","Claim":{"Fingerprint":"f","Attempt":"3","Response":{"Status":201}}}]}`
+	c := claims.New()
+	qt.Assert(t, c.Restore([]byte(earlier)), qt.IsNil)
+	qt.Assert(t, apply(c, claims.OpClaim, "1", noon), qt.Equals, claims.Released)
+	qt.Assert(t, apply(c, claims.OpClaim, "2", noon), qt.Equals, claims.Granted)
+	qt.Assert(t, apply(c, claims.OpClaim, "4", noon), qt.Equals, claims.InProgress)
+	qt.Assert(t, c.Lookup(claims.Key{Customer: "koro", Identifier: "order-1"}).Response.Status, qt.Equals, 201)
+}
+
 const retentionStep = 10 * time.Minute
 
 func ExampleClaims_Apply() {
