--- a/internal/state/voter/snapshot.go
+++ b/internal/state/voter/snapshot.go
@@ -26,8 +26,9 @@
 // Write encodes, writes and syncs the snapshot without giving it its name; it needs no lock on the Replica.
 func (j *SnapshotJob) Write() (err error) {
 	defer func() { err = Error.Wrap(err) }()
-	snapshot := j.position
-	if snapshot.Data, err = j.encode(); err != nil {
+	snapshot, encode := j.position, j.encode
+	j.encode = nil // the view is as large as the encoded state and not needed any more
+	if snapshot.Data, err = encode(); err != nil {
 		return err
 	}
 	encoded, err := encodeSnapshot(snapshot)
