--- a/internal/state/voter/snapshot_test.go
+++ b/internal/state/voter/snapshot_test.go
@@ -1,6 +1,7 @@
 package voter_test
 
 import (
+	"bytes"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -37,14 +38,34 @@
 	})
 }
 
-// slow delays the encoding of snapshots by c.encoding.
+// Guards against a voter that never catches up because its snapshot takes longer than the core waits before it sends it
+// again, and the second transfer ends the first.
+func TestSnapshotOverSlowLink(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newCluster(t, 30*time.Millisecond)
+		defer c.stopAll()
+		c.padding, c.slowPart = 4<<20, time.Second // 17 parts
+		lagging := c.others()[0]
+		c.kill(lagging)
+		id := 0
+		for ; id < 60; id++ {
+			c.change(c.leader(), id)
+		}
+		c.start(lagging)
+		time.Sleep(30 * time.Second)
+		qt.Assert(t, c.node(lagging).registry.Revision(), qt.Equals, uint64(id))
+	})
+}
+
+// slow delays the encoding of snapshots by c.encoding and adds c.padding.
 func (c *cluster) slow(m voter.StateMachine) voter.StateMachine {
 	view := m.View
 	m.View = func() func() ([]byte, error) {
 		encode := view()
 		return func() ([]byte, error) {
 			time.Sleep(time.Duration(c.encoding.Load()))
-			return encode()
+			data, err := encode()
+			return append(data, bytes.Repeat([]byte(" "), c.padding)...), err
 		}
 	}
 	return m
--- a/internal/state/voter/transport.go
+++ b/internal/state/voter/transport.go
@@ -211,6 +211,9 @@
 	queue     *queue
 	wake      chan struct{}
 	snapshots chan consensus.Message
+
+	mu        sync.Mutex
+	receiving string // identity to which a snapshot is on its way
 }
 
 func (v *Voter) newOutbox(name string) *outbox {
@@ -220,15 +223,20 @@
 	}
 }
 
-func (b *outbox) put(m consensus.Message) {
-	if m.Kind == consensus.InstallSnapshot {
-		select {
-		case b.snapshots <- m:
-		default:
-			// The core sends a snapshot again when it has not arrived in time.
-		}
-		return
+// putSnapshot sends the snapshot unless one is on its way: a second transfer would end the first, because the receiver
+// starts again. It is false if that one is for another identity, so that this one has to be sent later.
+func (b *outbox) putSnapshot(m consensus.Message) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if b.receiving != "" {
+		return b.receiving == m.To
 	}
+	b.receiving = m.To
+	b.snapshots <- m // has room, because no other one is on its way
+	return true
+}
+
+func (b *outbox) put(m consensus.Message) {
 	b.queue.put(b.voter.options.Group, m)
 	select {
 	case b.wake <- struct{}{}:
@@ -245,7 +253,11 @@
 			return calls.Wait()
 		case m := <-b.snapshots:
 			calls.Go(func() error {
-				if err := b.sendSnapshot(ctx, m); err != nil {
+				err := b.sendSnapshot(ctx, m)
+				b.mu.Lock()
+				b.receiving = ""
+				b.mu.Unlock()
+				if err != nil {
 					_ = b.voter.post(ctx, func(_ context.Context, l *loop) { l.replica.SnapshotFailed(m.To) })
 				}
 				return nil
--- a/internal/state/voter/voter.go
+++ b/internal/state/voter/voter.go
@@ -315,7 +315,11 @@
 		l.outboxes[name] = b
 		l.group.Go(func() error { return b.run(ctx) })
 	}
-	b.put(m)
+	if m.Kind != consensus.InstallSnapshot {
+		b.put(m)
+	} else if !b.putSnapshot(m) {
+		l.replica.SnapshotFailed(m.To)
+	}
 	return nil
 }
 
--- a/internal/state/voter/voter_test.go
+++ b/internal/state/voter/voter_test.go
@@ -44,6 +44,8 @@
 	lost   func() bool // drawn for each request and each answer
 	// encoding of a snapshot takes so long.
 	encoding atomic.Int64
+	padding  int           // bytes added to a snapshot
+	slowPart time.Duration // added to the delay of each part of a snapshot
 	faults   map[string]func(op, file string) error
 	mayFail  bool // voters may stop with an error
 }
@@ -91,6 +93,9 @@
 			return err
 		}
 		time.Sleep(c.delay)
+		if method == "Consensus.Snapshot" {
+			time.Sleep(c.slowPart)
+		}
 		if c.drawLoss(ctx); ctx.Err() != nil {
 			return ctx.Err()
 		}
