Close two ways to split votes

Cause: a voter whose campaign was refused because another one still heard the leader went on to refuse that one's pre-vote; and a voter that campaigned just after it had given its pre-vote became a candidate as well. Change: a refusal ends the precedence; a given pre-vote ends an own pre-candidacy and postpones the own campaign by a quarter of the election timeout.

--- a/internal/state/consensus/election.go
+++ b/internal/state/consensus/election.go
@@ -1,5 +1,7 @@
 package consensus
 
+import "time"
+
 // campaign starts with a pre-vote, so that a voter that was cut off cannot depose a working leader by its higher term.
 func (c *Core) campaign() {
 	c.resetDeadline()
@@ -92,10 +94,23 @@
 	reply := Message{Kind: PreVoteReply, To: m.From, Term: m.Term, Reject: !granted}
 	if !granted {
 		reply.Term = c.state.Term
+	} else {
+		c.yield()
 	}
 	c.send(reply)
 }
 
+// yield gives the candidate that has this voter's pre-vote the time of its election. A campaign of this voter that got
+// its pre-votes at the same moment would split the votes.
+func (c *Core) yield() {
+	if c.role == PreCandidate {
+		c.role = Follower
+	}
+	if later := c.clock.Add(c.options.Election / 4); c.deadline.Before(later) {
+		c.deadline = later
+	}
+}
+
 // precedes lets only one of two voters with equal logs that campaign at the same moment become a candidate; both would
 // split the votes and wait for another election timeout. It ends after a while, because this voter's own requests may
 // reach nobody.
@@ -105,6 +120,10 @@
 }
 
 func (c *Core) stepPreVoteReply(m Message) {
+	if m.Reject {
+		// A voter that still hears a leader refused; another campaign may succeed before the next one here.
+		c.campaignAt = time.Time{}
+	}
 	if c.role != PreCandidate || m.Reject || m.Term != c.state.Term+1 {
 		return
 	}
--- a/internal/state/consensus/rules_test.go
+++ b/internal/state/consensus/rules_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math/rand/v2"
 	"testing"
 	"time"
 
@@ -223,6 +224,58 @@
 	}
 }
 
+// Guards against a voter that still claims precedence after its own campaign was refused by a voter that heard the leader
+// longer: neither of them was elected before another timeout.
+func TestRefusedCampaignYields(t *testing.T) {
+	for run := range 100 { // the election timeouts depend on the time before
+		c := newCluster(nil, func(*consensus.Rules) {}, 3, 0)
+		c.settle(3*time.Second + time.Duration(run)*200*time.Millisecond)
+		lost := c.leader()
+		rest := without(c.ids, lost)
+		early, late := rest[1], rest[0] // the early one has the greater identity
+		c.drop = func(m consensus.Message) bool { return m.To == early && m.From == lost }
+		c.settle(200 * time.Millisecond)
+		c.nodes[lost].cut = true
+		end := c.now.Add(1300 * time.Millisecond) // more than the longest election timeout
+		for c.leader() == "" && c.now.Before(end) {
+			c.tick(early, 10*time.Millisecond)
+			c.tick(late, 0)
+			for len(c.network) > 0 {
+				c.deliver(0, false, false)
+			}
+		}
+		if c.leader() == "" {
+			t.Fatalf("run %d: no voter was elected", run)
+		}
+	}
+}
+
+// Guards against split votes over a link of 30 ms one way, whatever the time between two campaigns, if messages that
+// arrive at the same moment are handled in any order.
+func TestElectionOverDelay(t *testing.T) {
+	for run := range 1000 {
+		c := newCluster(nil, func(*consensus.Rules) {}, 3, 0)
+		c.settle(3*time.Second + time.Duration(run)*200*time.Millisecond)
+		c.nodes[c.leader()].cut = true
+		random := rand.New(rand.NewPCG(uint64(run), 1))
+		var link [3]int // messages that each of the last 10 ms added
+		for end := c.now.Add(1400 * time.Millisecond); c.leader() == "" && c.now.Before(end); {
+			before := len(c.network)
+			c.now = c.now.Add(10 * time.Millisecond)
+			for i := link[0]; i > 0; i-- {
+				c.deliver(random.IntN(i), false, false)
+			}
+			for _, id := range c.ids {
+				c.tick(id, 0)
+			}
+			link = [3]int{link[1], link[2], len(c.network) - before + link[0]}
+		}
+		if c.leader() == "" {
+			t.Fatalf("run %d: no voter was elected", run)
+		}
+	}
+}
+
 func ExampleCore_Propose() {
 	alone := consensus.Snapshot{Index: 1, Term: 1, Config: consensus.Config{Members: []consensus.Member{{ID: "a"}}}}
 	now := time.Unix(0, 0)
