Look for another leader when a voter has stopped

Cause: a stopped voter took proposals into a queue that nobody reads and answered that the outcome is unknown, and the client asked it again. TestDiskOfLeaderFails missed 2 s once in 12 runs of the package, once in 600 and once in 960 cases. Change: a stopped voter returns ErrStopped at once; after an unknown outcome the client asks another voter. The failover test starts its proposal through a group.

--- a/internal/state/voter/client.go
+++ b/internal/state/voter/client.go
@@ -146,6 +146,7 @@
 	case outcomeTooLarge:
 		return nil, ErrTooLarge
 	}
+	c.setLeader("")
 	return nil, ErrOutcomeUnknown
 }
 
--- a/internal/state/voter/failover_test.go
+++ b/internal/state/voter/failover_test.go
@@ -9,6 +9,7 @@
 	"time"
 
 	qt "github.com/frankban/quicktest"
+	"golang.org/x/sync/errgroup"
 )
 
 const failovers = 12
@@ -19,11 +20,13 @@
 	proposer := c.names[(slices.Index(c.names, lost)+1)%len(c.names)]
 	c.kill(lost)
 	done := make(chan time.Duration, 1)
-	go func() {
+	group := errgroup.Group{}
+	group.Go(func() error {
 		defer close(done)
 		c.change(proposer, id)
 		done <- time.Since(start)
-	}()
+		return nil
+	})
 	for c.leader() == "" && time.Since(start) < time.Minute {
 		time.Sleep(time.Millisecond)
 	}
--- a/internal/state/voter/voter.go
+++ b/internal/state/voter/voter.go
@@ -325,6 +325,11 @@
 
 // post hands an input to the loop.
 func (v *Voter) post(ctx context.Context, in input) error {
+	select {
+	case <-v.stopped: // there may be room for an input that nobody takes
+		return ErrStopped
+	default:
+	}
 	select {
 	case v.inputs <- in:
 		return nil
@@ -364,7 +369,8 @@
 	case answer := <-done:
 		return answer, nil
 	case <-v.stopped:
-		return proposed{Outcome: outcomeUnknown}, nil
+		// The outcome is unknown; the error makes the client look for another leader.
+		return proposed{}, ErrStopped
 	case <-ctx.Done():
 		return proposed{}, ctx.Err()
 	}
