--- a/internal/state/consensus/consensus.go
+++ b/internal/state/consensus/consensus.go
@@ -22,22 +22,23 @@
 
 // Core is the state of one voter.
 type Core struct {
-	options  Options
-	random   *rand.Rand
-	seen     time.Time // last time passed in
-	clock    time.Time // time that never runs backwards
-	state    State
-	log      *entryLog
-	commit   uint64
-	applied  uint64
-	role     Role
-	leader   string
-	deadline time.Time // of the election timeout, or of the next heartbeat at the leader
-	heardAt  time.Time // last message of the current leader
-	quorumAt time.Time // the leader needs answers of a majority until then
-	votes    map[string]bool
-	peers    map[string]*progress
-	out      Output
+	options    Options
+	random     *rand.Rand
+	seen       time.Time // last time passed in
+	clock      time.Time // time that never runs backwards
+	state      State
+	log        *entryLog
+	commit     uint64
+	applied    uint64
+	role       Role
+	leader     string
+	deadline   time.Time // of the election timeout, or of the next heartbeat at the leader
+	heardAt    time.Time // last message of the current leader
+	campaignAt time.Time // last campaign of this voter
+	quorumAt   time.Time // the leader needs answers of a majority until then
+	votes      map[string]bool
+	peers      map[string]*progress
+	out        Output
 }
 
 // progress is the leader's knowledge of another member.
@@ -98,8 +99,14 @@
 		c.checkQuorum()
 	}
 	if c.role == Leader && !c.clock.Before(c.deadline) {
-		c.deadline = c.clock.Add(c.options.Heartbeat)
+		// All logs of an instance send their heartbeats at the same moments, so that one call carries them.
+		c.deadline = c.clock.Truncate(c.options.Heartbeat).Add(c.options.Heartbeat)
+		sent := len(c.out.Messages)
 		c.broadcast(true)
+		for i := range c.out.Messages[sent:] {
+			m := &c.out.Messages[sent+i]
+			m.Periodic = m.Kind == Append
+		}
 	}
 }
 
@@ -194,7 +201,7 @@
 }
 
 func (c *Core) resetDeadline() {
-	spread := time.Duration(c.random.Int64N(int64(c.options.Election)))
+	spread := time.Duration(c.random.Int64N(int64(c.options.Election / 2)))
 	c.deadline = c.clock.Add(c.options.Election + spread)
 }
 
--- a/internal/state/voter/client.go
+++ b/internal/state/voter/client.go
@@ -47,6 +47,10 @@
 	peers  func() []string
 	mu     sync.Mutex
 	leader string // last instance that led
+	// failed did not answer; until retryAt it is not asked again, because the others name it as their leader until
+	// their election timeout has passed.
+	failed  string
+	retryAt time.Time
 }
 
 // NewClient returns a client of the log; peers returns the names of its voters.
@@ -57,7 +61,10 @@
 // Intervals between two attempts; the first is about one round trip between regions.
 const (
 	firstRetry = 50 * time.Millisecond
-	lastRetry  = time.Second
+	// lastRetry leaves most of the 2 s of a change to the election that it waits for.
+	lastRetry = 100 * time.Millisecond
+	// avoidFailed is about the longest election timeout.
+	avoidFailed = 1200 * time.Millisecond
 	// attemptTimeout allows for two round trips between regions and a sync, and still leaves time to try another
 	// voter within the 2 s of a change.
 	attemptTimeout = 900 * time.Millisecond
@@ -73,6 +80,7 @@
 	failure := ErrNoLeader
 	wait := backoff.NewExponentialBackOff()
 	wait.InitialInterval, wait.MaxInterval = firstRetry, lastRetry
+	followed := false // the last attempt followed a hint without waiting; two voters may name each other
 	for attempt := 0; ; attempt++ {
 		to := c.target(attempt)
 		result, err := c.try(ctx, to, data)
@@ -82,6 +90,9 @@
 		case !errs.Is(err, ErrNoLeader):
 			failure = ErrOutcomeUnknown
 		}
+		if followed = !followed && c.hinted(to); followed && ctx.Err() == nil {
+			continue
+		}
 		select {
 		case <-ctx.Done():
 			// The last error is text only: it must not make an unknown outcome look like ErrNoLeader.
@@ -98,9 +109,22 @@
 	if c.leader != "" || len(peers) == 0 {
 		return c.leader
 	}
-	return peers[attempt%len(peers)]
+	to := peers[attempt%len(peers)]
+	if c.avoids(to) {
+		to = peers[(attempt+1)%len(peers)]
+	}
+	return to
+}
+
+// hinted tells whether the voter that was asked named another one as its leader.
+func (c *Client) hinted(asked string) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.leader != "" && c.leader != asked
 }
 
+func (c *Client) avoids(name string) bool { return name == c.failed && time.Now().Before(c.retryAt) }
+
 func (c *Client) try(ctx context.Context, to string, data []byte) ([]byte, error) {
 	if to == "" {
 		return nil, ErrNoLeader
@@ -109,7 +133,7 @@
 	defer cancel()
 	var answer proposed
 	if err := c.call(ctx, to, c.method, proposal{Data: data}, &answer); err != nil {
-		c.setLeader("")
+		c.setFailed(to)
 		return nil, fmt.Errorf("%w: %w", ErrOutcomeUnknown, err)
 	}
 	switch answer.Outcome {
@@ -122,6 +146,7 @@
 	case outcomeTooLarge:
 		return nil, ErrTooLarge
 	}
+	c.setLeader("")
 	return nil, ErrOutcomeUnknown
 }
 
@@ -129,4 +154,13 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.leader = name
+	if c.avoids(name) {
+		c.leader = ""
+	}
+}
+
+func (c *Client) setFailed(name string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.leader, c.failed, c.retryAt = "", name, time.Now().Add(avoidFailed)
 }
--- /dev/null
+++ b/internal/state/voter/snapshot_test.go
@@ -0,0 +1,72 @@
+package voter_test
+
+import (
+	"bytes"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"lycheevale/internal/state/voter"
+)
+
+// Guards against a log that stands still while a snapshot is encoded and written: heartbeats stop and another voter
+// is elected.
+func TestSlowSnapshotCausesNoElection(t *testing.T) {
+	const encoding = 2 * time.Second
+	synctest.Test(t, func(t *testing.T) {
+		c := newCluster(t, 30*time.Millisecond)
+		defer c.stopAll()
+		leader := c.leader()
+		term := c.node(leader).voter.Status().Term
+		c.encoding.Store(int64(encoding))
+		var slowest time.Duration
+		for id := range 60 {
+			start := time.Now()
+			c.change(leader, id)
+			slowest = max(slowest, time.Since(start))
+			time.Sleep(50 * time.Millisecond)
+		}
+		time.Sleep(2 * encoding)
+		s := c.node(leader).voter.Status()
+		t.Logf("slowest change while snapshots take %v: %v", encoding, slowest)
+		qt.Assert(t, s.Snapshot > 20, qt.IsTrue) // one was stored
+		qt.Assert(t, s.Term, qt.Equals, term)
+		qt.Assert(t, c.leader(), qt.Equals, leader)
+		qt.Assert(t, slowest < target, qt.IsTrue)
+	})
+}
+
+// Guards against a voter that never catches up because its snapshot takes longer than the core waits before it sends it
+// again, and the second transfer ends the first.
+func TestSnapshotOverSlowLink(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newCluster(t, 30*time.Millisecond)
+		defer c.stopAll()
+		c.padding, c.slowPart = 4<<20, time.Second // 17 parts
+		lagging := c.others()[0]
+		c.kill(lagging)
+		id := 0
+		for ; id < 60; id++ {
+			c.change(c.leader(), id)
+		}
+		c.start(lagging)
+		time.Sleep(30 * time.Second)
+		qt.Assert(t, c.node(lagging).registry.Revision(), qt.Equals, uint64(id))
+	})
+}
+
+// slow delays the encoding of snapshots by c.encoding and adds c.padding.
+func (c *cluster) slow(m voter.StateMachine) voter.StateMachine {
+	view := m.View
+	m.View = func() func() ([]byte, error) {
+		encode := view()
+		return func() ([]byte, error) {
+			time.Sleep(time.Duration(c.encoding.Load()))
+			data, err := encode()
+			return append(data, bytes.Repeat([]byte(" "), c.padding)...), err
+		}
+	}
+	return m
+}
--- a/internal/state/voter/voter.go
+++ b/internal/state/voter/voter.go
@@ -9,6 +9,7 @@
 	"sync"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"golang.org/x/sync/errgroup"
 
 	"lycheevale/internal/base/event"
@@ -22,6 +23,7 @@
 	client  *Client
 	inputs  chan input
 	stopped chan struct{}
+	router  *Router
 
 	mu         sync.Mutex
 	status     Status
@@ -48,6 +50,7 @@
 	proposals []request
 	waiting   map[uint64]waiter
 	outboxes  map[string]*outbox
+	callers   []caller          // calls that wait for replies
 	senders   map[string]string // instance names by identity, of voters that have written
 	group     *errgroup.Group
 	nextJoin  time.Time
@@ -77,6 +80,8 @@
 	v := &Voter{
 		options: o, inputs: make(chan input, o.MaxBatch), stopped: make(chan struct{}), assemblies: map[string]*assembly{},
 	}
+	// Without a common router, as in a test of one voter, its messages are not joined with those of other logs.
+	v.router = &Router{voters: map[string]*Voter{o.Group: v}, queues: map[string]*queue{}}
 	v.client = NewClient(v.callLocal, o.Group, o.Peers)
 	return v
 }
@@ -131,8 +136,9 @@
 	}
 	replicaOptions := v.options.Replica
 	now := v.options.Now()
-	replicaOptions.Consensus = slices.Concat(
-		[]consensus.Option{consensus.WithSeed(uint64(now.UnixNano()))}, replicaOptions.Consensus)
+	// Voters that start at the same moment with equal seeds would campaign together and split every vote.
+	seed := uint64(now.UnixNano()) ^ xxhash.Sum64String(v.options.Group+"/"+v.options.Name)
+	replicaOptions.Consensus = slices.Concat([]consensus.Option{consensus.WithSeed(seed)}, replicaOptions.Consensus)
 	replica, err := OpenReplica(now, store, v.options.Machine, replicaOptions)
 	if err != nil {
 		return err
@@ -183,7 +189,8 @@
 		return err
 	}
 	l.publish(ctx)
-	for _, m := range effects.Messages {
+	l.writeSnapshot(ctx, effects.Snapshot)
+	for _, m := range l.answer(effects.Messages) {
 		if err := l.send(ctx, m); err != nil {
 			return err
 		}
@@ -207,6 +214,23 @@
 	return nil
 }
 
+// writeSnapshot writes a snapshot that is due beside the loop, which installs it.
+func (l *loop) writeSnapshot(ctx context.Context, job *SnapshotJob) {
+	if job == nil {
+		return
+	}
+	l.group.Go(func() error {
+		err := job.Write()
+		if err != nil {
+			event.Log(ctx, l.voter.options.Logger, event.SnapshotFailed, slog.String("Group", l.voter.options.Group),
+				slog.Any("Error", err))
+		}
+		// Failure means that the voter stops; the next start overwrites or ignores the file.
+		_ = l.voter.post(ctx, func(_ context.Context, l *loop) { l.replica.FinishSnapshot(job, err) })
+		return nil
+	})
+}
+
 func (l *loop) proposeWaiting() {
 	requests := l.proposals
 	l.proposals = nil
@@ -287,16 +311,25 @@
 	}
 	b := l.outboxes[name]
 	if b == nil {
-		b = &outbox{voter: l.voter, name: name, queue: make(chan consensus.Message, maxQueued)}
+		b = l.voter.newOutbox(name)
 		l.outboxes[name] = b
 		l.group.Go(func() error { return b.run(ctx) })
 	}
-	b.put(m)
+	if m.Kind != consensus.InstallSnapshot {
+		b.put(m)
+	} else if !b.putSnapshot(m) {
+		l.replica.SnapshotFailed(m.To)
+	}
 	return nil
 }
 
 // post hands an input to the loop.
 func (v *Voter) post(ctx context.Context, in input) error {
+	select {
+	case <-v.stopped: // there may be room for an input that nobody takes
+		return ErrStopped
+	default:
+	}
 	select {
 	case v.inputs <- in:
 		return nil
@@ -307,8 +340,12 @@
 	}
 }
 
-func (v *Voter) receive(ctx context.Context, from string, messages []consensus.Message) error {
+// receive hands messages of one call to the core; answer may be nil.
+func (v *Voter) receive(ctx context.Context, from string, messages []consensus.Message, answer *reply) error {
 	return v.post(ctx, func(_ context.Context, l *loop) {
+		if answer != nil {
+			l.callers = append(l.callers, caller{messages[0].From, answer})
+		}
 		for _, m := range messages {
 			l.senders[m.From] = from
 			l.replica.Step(l.now(), m)
@@ -332,7 +369,8 @@
 	case answer := <-done:
 		return answer, nil
 	case <-v.stopped:
-		return proposed{Outcome: outcomeUnknown}, nil
+		// The outcome is unknown; the error makes the client look for another leader.
+		return proposed{}, ErrStopped
 	case <-ctx.Done():
 		return proposed{}, ctx.Err()
 	}
--- a/internal/state/voter/voter_test.go
+++ b/internal/state/voter/voter_test.go
@@ -10,6 +10,7 @@
 	"path/filepath"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -33,10 +34,30 @@
 	dir   string
 	delay time.Duration
 	names []string
+	logs  []string
 	mu    sync.Mutex
 	nodes map[string]*node
 	bytes map[string]int // of the messages that each voter sent and received
 	calls map[string]int
+	// silent calls to voters that are down end with their context instead of failing at once.
+	silent bool
+	lost   func() bool // drawn for each request and each answer
+	// encoding of a snapshot takes so long.
+	encoding atomic.Int64
+	padding  int           // bytes added to a snapshot
+	slowPart time.Duration // added to the delay of each part of a snapshot
+	faults   map[string]func(op, file string) error
+	mayFail  bool // voters may stop with an error
+}
+
+// drawLoss ends a lost message with the call's context.
+func (c *cluster) drawLoss(ctx context.Context) {
+	c.mu.Lock()
+	lost := c.lost != nil && c.lost()
+	c.mu.Unlock()
+	if lost {
+		<-ctx.Done()
+	}
 }
 
 // count adds a message to both of its ends.
@@ -50,7 +71,8 @@
 }
 
 type node struct {
-	voter    *voter.Voter
+	voter    *voter.Voter // of the first log
+	voters   map[string]*voter.Voter
 	registry *registry.Registry
 	mux      *peer.Mux
 	stop     context.CancelFunc
@@ -71,13 +93,25 @@
 			return err
 		}
 		time.Sleep(c.delay)
+		if method == "Consensus.Snapshot" {
+			time.Sleep(c.slowPart)
+		}
+		if c.drawLoss(ctx); ctx.Err() != nil {
+			return ctx.Err()
+		}
 		n := c.node(to)
+		if n == nil && c.silent {
+			<-ctx.Done()
+		}
 		if n == nil || c.node(from) == nil {
 			return fmt.Errorf("%s is unreachable", to)
 		}
 		c.count(from, to, len(raw), 1)
 		answer, err := n.mux.Serve(ctx, from, method, raw)
 		time.Sleep(c.delay)
+		if c.drawLoss(ctx); ctx.Err() != nil {
+			return ctx.Err()
+		}
 		if err != nil || result == nil {
 			return err
 		}
@@ -87,36 +121,57 @@
 	}
 }
 
+// disk has the faults of a voter.
+func (c *cluster) disk(name string) record.Disk {
+	return faulty(func(op, file string) error {
+		c.mu.Lock()
+		fault := c.faults[name]
+		c.mu.Unlock()
+		if fault == nil {
+			return nil
+		}
+		return fault(op, file)
+	})
+}
+
+// fault sets or, with nil, ends the faults of a voter's disk.
+func (c *cluster) fault(name string, f func(op, file string) error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.faults[name] = f
+}
+
 func (c *cluster) start(name string) {
-	r := registry.New()
-	n := &node{registry: r, mux: peer.NewMux(), done: make(chan struct{})}
-	// The disk's own waiting time is not virtual, and this test does not crash the machine.
-	disk := record.OSDisk()
-	disk.SyncDir = func(string) error { return nil }
-	create := disk.Create
-	disk.Create = func(name string) (record.File, error) {
-		f, err := create(name)
-		f.Sync = func() error { return nil }
-		return f, err
-	}
-	n.voter = voter.New(
-		voter.WithGroup("Config"), voter.WithName(name), voter.WithDir(filepath.Join(c.dir, name)),
-		voter.WithRecords(record.WithDisk(disk), record.WithSegmentBytes(4096)),
-		voter.WithMachine(voter.StateMachine{Apply: r.ApplyEntry, Snapshot: r.Snapshot, Restore: r.Restore}),
-		voter.WithCaller(c.caller(name)), voter.WithPeers(func() []string { return c.names }),
-		voter.WithSnapshotEvery(20, 5), voter.WithLogger(slog.New(slog.NewTextHandler(io.Discard, nil))),
-	)
-	voter.NewRouter(n.mux).Add(n.mux, n.voter)
+	n := &node{voters: map[string]*voter.Voter{}, mux: peer.NewMux(), done: make(chan struct{})}
+	router := voter.NewRouter(n.mux)
 	ctx, cancel := context.WithCancel(context.Background())
 	n.stop = cancel
+	running := errgroup.Group{}
+	for _, log := range c.logs {
+		r := registry.New()
+		v := voter.New(
+			voter.WithGroup(log), voter.WithName(name), voter.WithDir(filepath.Join(c.dir, name, log)),
+			voter.WithRecords(record.WithDisk(c.disk(name)), record.WithSegmentBytes(4096)),
+			voter.WithMachine(c.slow(voter.StateMachine{Apply: r.ApplyEntry, View: r.View, Restore: r.Restore})),
+			voter.WithCaller(c.caller(name)), voter.WithPeers(func() []string { return c.names }),
+			voter.WithSnapshotEvery(20, 5), voter.WithLogger(slog.New(slog.NewTextHandler(io.Discard, nil))),
+		)
+		router.Add(n.mux, v)
+		if n.voters[log] = v; n.voter == nil {
+			n.voter, n.registry = v, r
+		}
+		running.Go(func() error {
+			err := v.Run(ctx)
+			if err != nil && !c.mayFail {
+				c.t.Errorf("voter %s: %v", name, err)
+			}
+			return err
+		})
+	}
 	group := errgroup.Group{}
 	group.Go(func() error {
 		defer close(n.done)
-		err := n.voter.Run(ctx)
-		if err != nil {
-			c.t.Errorf("voter %s: %v", name, err)
-		}
-		return err
+		return running.Wait()
 	})
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -132,14 +187,19 @@
 	<-n.done
 }
 
-func (c *cluster) change(from string, id int) registry.Result {
-	ctx, cancel := context.WithTimeout(context.Background(), 20*time.Second)
-	defer cancel()
+// model returns the command that creates the model with the number.
+func model(id int) []byte {
 	command := registry.Command{RequestID: fmt.Sprint(id), At: time.Now(), Changes: []registry.Object{
 		{Kind: registry.KindModel, Name: fmt.Sprint("m", id), Model: &registry.Model{}},
 	}}
 	data, _ := json.Marshal(command)
-	raw, err := c.node(from).voter.Propose(ctx, data)
+	return data
+}
+
+func (c *cluster) change(from string, id int) registry.Result {
+	ctx, cancel := context.WithTimeout(context.Background(), 20*time.Second)
+	defer cancel()
+	raw, err := c.node(from).voter.Propose(ctx, model(id))
 	qt.Assert(c.t, err, qt.IsNil)
 	var result registry.Result
 	qt.Assert(c.t, json.Unmarshal(raw, &result), qt.IsNil)
@@ -159,9 +219,12 @@
 	return c.node(c.leader()).voter.Status().Config.Voters()
 }
 
-func newCluster(t *testing.T, delay time.Duration) *cluster {
-	c := &cluster{t: t, dir: t.TempDir(), delay: delay, names: []string{"a", "b", "c"}, nodes: map[string]*node{},
-		bytes: map[string]int{}, calls: map[string]int{}}
+func newCluster(t *testing.T, delay time.Duration, logs ...string) *cluster {
+	if len(logs) == 0 {
+		logs = []string{"Config"}
+	}
+	c := &cluster{t: t, dir: t.TempDir(), delay: delay, logs: logs, names: []string{"a", "b", "c"}, nodes: map[string]*node{},
+		faults: map[string]func(op, file string) error{}, bytes: map[string]int{}, calls: map[string]int{}}
 	for _, name := range c.names {
 		c.start(name)
 	}
