--- a/internal/tool/bench/bench_test.go
+++ b/internal/tool/bench/bench_test.go
@@ -80,18 +80,21 @@
 
 // Guards the target on false rejections with faults in the seeds that had the most of ten, and of thirty others: an
 // engine restarts during the burst, and the second largest customer's adapters wait for loads behind the bursting one's.
+// With fixed parts of the store, as instances have them, a data centre waits although others do not use their parts.
 func TestFalseRejectionsInWorstSeeds(t *testing.T) {
 	for _, c := range []struct {
-		site model.Site
-		seed uint64
-		name string
+		site   model.Site
+		seed   uint64
+		policy string
+		name   string
 	}{
-		{model.Banksia(), 10, "banksia"}, {model.Koro(), 4, "koro"},
-		{model.Banksia(), 210, "banksia,other"}, {model.Koro(), 207, "koro,other"},
+		{model.Banksia(), 10, Lychee, "banksia"}, {model.Koro(), 4, Lychee, "koro"},
+		{model.Banksia(), 210, Lychee, "banksia,other"}, {model.Koro(), 207, Lychee, "koro,other"},
+		{model.Banksia(), 107, FixedBudgets, "banksia,fixed"}, {model.Koro(), 204, FixedBudgets, "koro,fixed"},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			files := map[string]string{c.site.Name: "../../../configs/policy-" + c.site.Name + ".yaml"}
-			p, err := loadPolicies(Options{Profiles: files}, c.site)
+			p, err := loadPolicies(Options{Profiles: files, Policies: []string{c.policy}}, c.site)
 			qt.Assert(t, err, qt.IsNil)
 			sc := model.Standard(c.seed, 8*time.Minute)
 			sc.Faults = true
