Let requests wait for contact with a data centre that was just cut off

Cause: a coordinator refused at once what the reachable shares could not admit in time, although the partition ended within the deadlines of these requests. A waiting request that had to claim again, because tokens lent for it had expired, was judged again and refused after seconds of waiting.

Nothing is lent earlier: only the refusal is. A claim of a request whose earlier claim was accepted is not refused by a later estimate.

--- a/internal/limit/admit/account.go
+++ b/internal/limit/admit/account.go
@@ -189,7 +189,7 @@
 
 // wait estimates the time until n tokens are there beyond those ahead. The second result is false when
 // neither the present share nor its prospect can hold n tokens.
-func (a *account) wait(now time.Time, n, ahead float64, led bool) (d time.Duration, ok bool) {
+func (a *account) wait(now time.Time, n, ahead float64, led time.Duration) (d time.Duration, ok bool) {
 	if a.share.Epoch == 0 {
 		return 0, true // the share is not known here yet
 	}
@@ -207,12 +207,16 @@
 	return best, best >= 0
 }
 
-// outlook returns the best that the leader said within outlookMemory, and nothing while it cannot be reached.
+// outlook returns the best that the leader said within outlookMemory; led is the time since its last answer. While it
+// has been silent for a short time only, contact may return before a request's deadline, with the whole limit.
 // Demand that has just moved here is still reported elsewhere for a while; judged by the last answer alone, its
 // requests would be refused although the customer is within its rate.
-func (a *account) outlook(now time.Time, led bool) (best prospect) {
-	if !led {
+func (a *account) outlook(now time.Time, led time.Duration) (best prospect) {
+	switch {
+	case led > leaderReturn:
 		return prospect{}
+	case led > outlookLife:
+		return prospect{rate: a.limit.Rate, burst: a.limit.Burst}
 	}
 	for _, p := range a.prospects {
 		if now.Before(p.until) {
@@ -296,11 +300,11 @@
 }
 
 // claim queues the claim or returns its refusal.
-func (a *account) claim(now time.Time, holder string, c Claim, led bool, silent func(string) bool) (r RefusedClaim, refused bool) {
+func (a *account) claim(now time.Time, holder string, c Claim, led time.Duration, silent func(string) bool) (r RefusedClaim, refused bool) {
 	a.largest.add(now, c.Tokens)
 	a.expectOutlook(now)
 	d, ok := a.wait(now, c.Tokens, a.ahead(len(a.queue), silent), led)
-	if !ok || d > c.Left.duration() || len(a.queue) >= maxQueue {
+	if !ok || d > c.Left.duration() && !c.Again || len(a.queue) >= maxQueue {
 		a.demand.add(now, c.Tokens)
 		return RefusedClaim{ID: c.ID, Retry: millisUp(max(0, d))}, true
 	}
@@ -341,7 +345,7 @@
 }
 
 // next returns the time until the first queued claim of the instance may be granted, 0 without one.
-func (a *account) next(now time.Time, holder string, led bool, silent func(string) bool) time.Duration {
+func (a *account) next(now time.Time, holder string, led time.Duration, silent func(string) bool) time.Duration {
 	for i, q := range a.queue {
 		if q.holder == holder {
 			d, _ := a.wait(now, q.tokens, a.ahead(i, silent), led)
--- a/internal/limit/admit/coordinator.go
+++ b/internal/limit/admit/coordinator.go
@@ -231,7 +231,7 @@
 	a := c.account(now, item.Customer)
 	c.expire(now, a)
 	a.cancel(from, item.Cancelled)
-	silent, led := c.silent(now), now.Sub(c.led) <= outlookLife
+	silent, led := c.silent(now), now.Sub(c.led)
 	for _, claim := range item.Claims {
 		if r, refused := a.claim(now, from, claim, led, silent); refused {
 			answer.Refused = append(answer.Refused, r)
--- a/internal/limit/admit/fleet_test.go
+++ b/internal/limit/admit/fleet_test.go
@@ -365,10 +365,12 @@
 	// centre, which could be using it. Requests that arrive in this time may be rejected.
 }
 
-func cutOff(_ context.Context, _ *errgroup.Group, f *fleet) {
-	f.sites[1].cut.Store(true)
-	time.Sleep(20 * time.Second)
-	f.sites[1].cut.Store(false)
+func cutOff(site int) func(context.Context, *errgroup.Group, *fleet) {
+	return func(_ context.Context, _ *errgroup.Group, f *fleet) {
+		f.sites[site].cut.Store(true)
+		time.Sleep(20 * time.Second)
+		f.sites[site].cut.Store(false)
+	}
 }
 
 // Guards against more than one false rejection in a thousand around each fault.
@@ -383,8 +385,9 @@
 		{name: "one message in ten lost", place: roundRobin, strike: func(_ context.Context, _ *errgroup.Group, f *fleet) {
 			f.loss.Store(100)
 		}},
-		{name: "data centre cut off, demand stays", strike: cutOff, place: func(time.Duration) int { return random.IntN(3) }},
-		{name: "data centre cut off, demand leaves it", strike: cutOff, place: roundRobin},
+		{name: "data centre cut off, demand stays", strike: cutOff(1), place: func(time.Duration) int { return random.IntN(3) }},
+		{name: "data centre cut off, demand leaves it", strike: cutOff(1), place: roundRobin},
+		{name: "data centre cut off, demand moves to it", strike: cutOff(2), place: roundRobin},
 	}
 	for _, x := range faults {
 		t.Run(x.name, func(t *testing.T) {
--- a/internal/limit/admit/holder.go
+++ b/internal/limit/admit/holder.go
@@ -174,7 +174,7 @@
 	for _, q := range w.waiters {
 		if q.claimed > 0 && !q.sent {
 			q.sent = true
-			item.Claims = append(item.Claims, Claim{ID: q.id, Tokens: q.claimed, Left: millis(max(0, q.deadline.Sub(now)))})
+			item.Claims = append(item.Claims, Claim{ID: q.id, Tokens: q.claimed, Left: millis(max(0, q.deadline.Sub(now))), Again: q.answered})
 		}
 	}
 	if len(w.waiters) == 0 {
--- a/internal/limit/admit/messages.go
+++ b/internal/limit/admit/messages.go
@@ -56,7 +56,8 @@
 type Claim struct {
 	ID     uint64  `json:"i"`
 	Tokens float64 `json:"t"`
-	Left   Millis  `json:"l"` // time until the request's deadline
+	Left   Millis  `json:"l"`           // time until the request's deadline
+	Again  bool    `json:"a,omitempty"` // an earlier claim of the request was accepted: it is not refused by a later estimate
 }
 
 // BorrowReply answers a BorrowRequest.
--- a/internal/limit/admit/reserve_test.go
+++ b/internal/limit/admit/reserve_test.go
@@ -68,7 +68,7 @@
 
 		err, _ = reserve("limited", 95, time.Second)
 		c.Check(err == nil, quicktest.IsTrue)
-		time.Sleep(4 * time.Second) // the leader counts as unreachable: only the own share is judged
+		time.Sleep(4 * time.Second) // the share is the whole limit: contact with the leader would add nothing
 		err, waited := reserve("limited", 95, 2*time.Second)
 		c.Assert(err, quicktest.IsNotNil)
 		c.Check(err.Code == refusal.OverRate && err.Ran == refusal.NotRun && waited < 100*time.Millisecond, quicktest.IsTrue)
