Accept lowered, ended and deleted limits while shares are in use

Cause: the registry refused a limit below the shares in use, the deletion of a customer that holds shares, and customers without a limit, although the allocator moves such shares down by itself. An operator had to wait for shares that no command could lower.

Change: a change of the customer is accepted at once. What is refused is a share that grows while the sum is above the limit; a deleted or unlimited customer counts as one with limit 0. Shares no longer hold up the deletion of their customer. Rate and burst may both be 0.

--- a/internal/serve/operator/validate.go
+++ b/internal/serve/operator/validate.go
@@ -130,8 +130,10 @@
 func (fs *faults) spec(o registry.Object) {
 	switch o.Kind {
 	case registry.KindCustomer:
-		fs.positive("Customer.Rate", o.Customer.Rate)
-		fs.positive("Customer.Burst", o.Customer.Burst)
+		if o.Customer.Rate != 0 || o.Customer.Burst != 0 { // neither is set for a customer without a limit
+			fs.positive("Customer.Rate", o.Customer.Rate)
+			fs.positive("Customer.Burst", o.Customer.Burst)
+		}
 	case registry.KindKey:
 		fs.required("Key.Customer", o.Key.Customer)
 		if !validHash(o.Key.Hash) {
--- a/internal/state/registry/check.go
+++ b/internal/state/registry/check.go
@@ -120,29 +120,28 @@
 	return nil
 }
 
-// checkShares keeps the sum of what all data centres may be using within each customer's limit.
+// checkShares keeps the sum of what all data centres may be using within each customer's limit. The limit itself may
+// be lowered, ended or deleted at any time; until the shares have followed they may only shrink.
 func (v view) checkShares(changes []Object) *ChangeError {
 	customers := map[string]bool{}
 	for _, o := range changes {
 		switch {
 		case o.Share != nil:
 			customers[o.Share.Customer] = true
-		case o.Customer != nil:
-			customers[o.Name] = true
+			_, known := v.object(ID{KindCustomer, o.Share.Customer})
+			if _, existed := v.registry.object(ID{KindShare, o.Name}); !known && !existed {
+				return reject(CodeMissing, ID{o.Kind, o.Name}, "%s %q does not exist", KindCustomer, o.Share.Customer)
+			}
 		case o.Kind == KindShare && v.registry.held[o.Name] != hold{}:
 			return reject(CodeOverShare, ID{o.Kind, o.Name}, "reduce the share to zero and confirm it first")
 		}
 	}
 	for _, o := range changes {
-		name := o.Name
-		if o.Share != nil {
-			name = o.Share.Customer
-		}
-		if !customers[name] {
+		if o.Share == nil || !customers[o.Share.Customer] {
 			continue
 		}
-		delete(customers, name)
-		if err := v.checkCustomer(name, ID{o.Kind, o.Name}); err != nil {
+		delete(customers, o.Share.Customer)
+		if err := v.checkCustomer(o.Share.Customer, ID{o.Kind, o.Name}); err != nil {
 			return err
 		}
 	}
@@ -151,10 +150,12 @@
 
 func (v view) checkCustomer(name string, cause ID) *ChangeError {
 	var sum hold
+	var moreRate, moreBurst bool
 	for _, o := range v.changes {
 		if o.Share != nil && o.Share.Customer == name {
-			h := v.registry.heldAfter(o)
+			h, old := v.registry.heldAfter(o), v.registry.held[o.Name]
 			sum.Rate, sum.Burst = sum.Rate+h.Rate, sum.Burst+h.Burst
+			moreRate, moreBurst = moreRate || h.Rate > old.Rate, moreBurst || h.Burst > old.Burst
 		}
 	}
 	v.registry.tables[KindShare].scan(name+"/", "", func(o Object) bool {
@@ -164,9 +165,12 @@
 		}
 		return true
 	})
-	customer, _ := v.object(ID{KindCustomer, name})
-	limit := customer.Customer
-	if limit != nil && (sum.Rate > limit.Rate*(1+shareTolerance) || sum.Burst > limit.Burst*(1+shareTolerance)) {
+	limit := Customer{} // a customer that is deleted or has no limit gets no shares
+	if customer, ok := v.object(ID{KindCustomer, name}); ok {
+		limit = *customer.Customer
+	}
+	overRate, overBurst := sum.Rate > limit.Rate*(1+shareTolerance), sum.Burst > limit.Burst*(1+shareTolerance)
+	if overRate && moreRate || overBurst && moreBurst {
 		return reject(CodeOverShare, cause, "shares in use of rate %g and burst %g exceed rate %g and burst %g",
 			sum.Rate, sum.Burst, limit.Rate, limit.Burst)
 	}
--- a/internal/state/registry/table.go
+++ b/internal/state/registry/table.go
@@ -44,7 +44,7 @@
 	})
 }
 
-// references returns the objects that o needs.
+// references returns the objects that o needs. A share outlives its customer until its data centre has stopped using it.
 func references(o Object) []ID {
 	switch {
 	case o.Deleted:
@@ -61,8 +61,6 @@
 		return []ID{{KindAdapter, o.Version.Adapter}}
 	case o.Service != nil && o.Service.Kind == ServiceModel:
 		return []ID{{KindModel, o.Service.Model}}
-	case o.Share != nil:
-		return []ID{{KindCustomer, o.Share.Customer}}
 	}
 	return nil
 }
--- a/internal/state/registry/validate.go
+++ b/internal/state/registry/validate.go
@@ -35,8 +35,9 @@
 	}
 	switch o.Kind {
 	case KindCustomer:
-		if !positive(o.Customer.Rate) || !positive(o.Customer.Burst) {
-			return invalid("rate and burst must be positive")
+		unlimited := o.Customer.Rate == 0 && o.Customer.Burst == 0
+		if !unlimited && (!positive(o.Customer.Rate) || !positive(o.Customer.Burst)) {
+			return invalid("rate and burst must both be positive, or both be 0 for no limit")
 		}
 	case KindKey:
 		if b, err := hex.DecodeString(o.Key.Hash); err != nil || len(b) != 32 {
