Test the outlook of a share that was cut off

Cause: only TestFaults, with the whole runtime, exercised the time for which a cut-off share counts.

Change: a test of the pure allocator within and after the 30 s.

Measured: outlook 100 of 100 tokens per second 10 s after the last report, 10 after 40 s.

--- a/internal/limit/share/share_test.go
+++ b/internal/limit/share/share_test.go
@@ -223,6 +223,25 @@
 	c.Assert(w.effect["a"].Rate > 500, quicktest.IsTrue, quicktest.Commentf("rate %v", w.effect["a"].Rate))
 }
 
+// Guards against requests that are refused in a short partition, and against requests that wait in a long one, because
+// of a share that cannot move.
+func TestOutlookOfCutOffShare(t *testing.T) {
+	a, start := share.New(), time.Unix(0, 0)
+	in := share.Input{Revision: 1, DataCentres: centres[:2], Customers: map[string]registry.Customer{"koro": {Rate: 100, Burst: 1000}}}
+	for i, centre := range centres[:2] {
+		a.Report(start, share.Report{DataCentre: centre, Full: true})
+		in.Shares = append(in.Shares, registry.Share{
+			Customer: "koro", DataCentre: centre, Rate: []float64{90, 10}[i], Burst: []float64{900, 100}[i], Epoch: 1, Confirmed: true,
+		})
+	}
+	for after, want := range map[time.Duration]float64{10 * time.Second: 100, 40 * time.Second: 10} {
+		report := share.Report{DataCentre: "b", Full: true, Items: []share.Demand{{Customer: "koro", Rate: 100, Epoch: 1}}}
+		a.Report(start.Add(after), report)
+		answer := a.Outlook(start.Add(after), in, report)
+		quicktest.Check(t, answer.Items[0].Rate, quicktest.Equals, want, quicktest.Commentf("%v", after))
+	}
+}
+
 // Guards against a new leader that takes a report of changes for the whole demand and moves shares away.
 func TestNewLeaderWaitsForFullReport(t *testing.T) {
 	c := quicktest.New(t)
