--- a/internal/limit/admit/admit_test.go
+++ b/internal/limit/admit/admit_test.go
@@ -126,6 +126,13 @@
 	}
 }
 
+// reportAlways lets a report travel with every request for tokens, so that the buckets are full sooner.
+func (w *world) reportAlways() {
+	for _, i := range w.instances {
+		i.holder.options.Report = 0
+	}
+}
+
 // slow lowers the rate, so that little refills during a schedule.
 func (w *world) slow() {
 	w.rate = 20
@@ -160,6 +167,7 @@
 // playRoom lets an instance hold a batch of a customer with room across the start of a new coordinator, and spend it
 // when the new bucket is full and spent.
 func playRoom(w *world) {
+	w.reportAlways()
 	i, c := w.instances[0], w.centres[0]
 	for range 30 { // small requests, for which the customer has room
 		w.ask(0, 1, 1)
@@ -176,6 +184,7 @@
 
 // playLoan delivers a loan 80 ms after it was lent; meanwhile the lender reports, and the bucket refills and is spent.
 func playLoan(w *world) {
+	w.reportAlways()
 	lender, i := w.instances[0], w.instances[1]
 	for range 30 {
 		w.ask(0, 1, 1)
--- a/internal/limit/admit/giveback.go
+++ b/internal/limit/admit/giveback.go
@@ -16,6 +16,7 @@
 	if h.epoch == 0 {
 		return nil // nothing was borrowed
 	}
+	h.looked = now
 	if !h.pressing(now, all) {
 		return nil
 	}
--- a/internal/limit/admit/holder.go
+++ b/internal/limit/admit/holder.go
@@ -22,6 +22,7 @@
 	reports     map[string]*report // of the unanswered ReturnRequest, by customer
 	borrowed    time.Time          // when the last BorrowRequest was composed
 	returned    time.Time          // when the last ReturnRequest was composed
+	looked      time.Time          // when the wallets were last looked through for one
 	number      uint32             // of the last LendRequest
 	outboxes    map[string]*outbox // by lender
 	loans       map[loanKey]*loan  // that this instance lent
@@ -157,7 +158,7 @@
 	}
 	h.borrow.sequence++
 	req.Header = Header{Epoch: h.epoch, Incarnation: h.incarnation, Sequence: h.borrow.sequence}
-	if h.giveBack.pending == nil {
+	if h.giveBack.pending == nil && now.Sub(h.looked) >= h.options.Report {
 		req.Return = h.composeReturn(now, false)
 	}
 	h.borrow.pending, h.borrow.sentAt, h.borrowed = &req, now, now
