--- a/internal/limit/admit/reserve_test.go
+++ b/internal/limit/admit/reserve_test.go
@@ -85,6 +85,40 @@
 	})
 }
 
+// Guards against a lender that is lost and that delays or fails the requests of its customers.
+func TestLenderLost(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		var group errgroup.Group
+		c, _ := newCentre(ctx, &group, 1)
+		asked := 0
+		a := New(WithCoordinator(func() (string, bool) { return coordinatorName, true }),
+			WithLender(func(string) (string, bool) { return "lost", true }),
+			WithLimit(func(string) (registry.Customer, bool) { return registry.Customer{Rate: 1e6, Burst: 1e7}, true }),
+			WithCall(func(ctx context.Context, to, method string, params, result any) error {
+				if to == "lost" {
+					asked++
+					<-ctx.Done() // a silent connection
+					return ctx.Err()
+				}
+				return c.call("a")(ctx, to, method, params, result)
+			}))
+		group.Go(func() error { return a.Run(ctx) })
+		time.Sleep(10 * time.Second)
+		for i := range 3 {
+			start := time.Now()
+			r, err := a.Reserve(ctx, customerName(0), 500)
+			quicktest.Check(t, err, quicktest.IsNil)
+			quicktest.Check(t, time.Since(start) < lendWindow+20*time.Millisecond, quicktest.IsTrue)
+			quicktest.Check(t, asked, quicktest.Equals, 1, quicktest.Commentf("request %d", i))
+			r.Settle(100)
+			time.Sleep(lenderPause / 4)
+		}
+		cancel()
+		quicktest.Check(t, group.Wait(), quicktest.IsNil)
+	})
+}
+
 // Guards against one customer whose change is always rejected and that holds up the shares of all others.
 func TestRejectedChangeHoldsUpNoOther(t *testing.T) {
 	in := share.Input{Revision: 1, DataCentres: []string{"a"}, Customers: map[string]registry.Customer{}}
