Confirm a smaller share only when what is lent for 5 s fits it

Cause: a new coordinator takes a quarter of its burst for lent in batches of 5 s. Its predecessor could confirm a smaller share while more than a quarter of that was lent so, and then be lost: the next one would have lent it again.

Change: a smaller share is confirmed when these batches are within its quarter.

Measured: TestSmallerShareWaitsForRoom (new) fails without the change.

--- a/internal/limit/admit/admit_test.go
+++ b/internal/limit/admit/admit_test.go
@@ -126,6 +126,23 @@
 	}
 }
 
+// Guards against a smaller share that is confirmed while more is lent for 5 s than the next coordinator will assume.
+func TestSmallerShareWaitsForRoom(t *testing.T) {
+	now := time.Unix(1e9, 0)
+	c := NewCoordinator(now, 1)
+	s := registry.Share{Customer: "koro", Rate: 100, Burst: 1000, Epoch: 1, Confirmed: true}
+	c.SetShare(now, s)
+	now = now.Add(time.Minute)
+	header := Header{Epoch: 1, Incarnation: 1, Sequence: 1}
+	b := c.Borrow(now, "i", BorrowRequest{Header: header, Items: []BorrowItem{{Customer: "koro", Room: 100}}}).Items[0].Batch
+	quicktest.Assert(t, b.Room && b.Tokens == 100, quicktest.IsTrue)
+	s.Burst, s.Epoch, s.Confirmed = 200, 2, false
+	c.SetShare(now, s)
+	quicktest.Check(t, c.Unconfirmed(now), quicktest.HasLen, 0)
+	c.Return(now, "i", ReturnRequest{Header: header, Items: []ReturnItem{{Customer: "koro", Batches: []BatchReport{{ID: b.ID}}}}})
+	quicktest.Check(t, c.Unconfirmed(now), quicktest.HasLen, 1)
+}
+
 // reportAlways lets a report travel with every request for tokens, so that the buckets are full sooner.
 func (w *world) reportAlways() {
 	for _, i := range w.instances {
--- a/internal/limit/admit/coordinator.go
+++ b/internal/limit/admit/coordinator.go
@@ -418,7 +418,9 @@
 			continue
 		}
 		c.expire(now, a)
-		if a.bucket.Within() {
+		// The next coordinator will assume no more than its RoomShare of the smaller burst.
+		small := a.roomLent() <= c.options.RoomShare*a.bucket.Burst() || c.options.forgetRoom
+		if a.bucket.Within() && small {
 			list = append(list, share.Confirmation{Share: a.share, Freed: a.freed})
 		}
 	}
