--- a/internal/limit/admit/giveback.go
+++ b/internal/limit/admit/giveback.go
@@ -12,9 +12,15 @@
 	if h.giveBack.pending != nil {
 		return h.giveBack.pending
 	}
+	h.mature(now)
 	if h.epoch == 0 {
 		return nil // nothing was borrowed
 	}
+	h.looked = now
+	if !h.pressing(now, all) {
+		return nil
+	}
+	h.returned = now
 	req := ReturnRequest{}
 	for _, name := range slices.Sorted(maps.Keys(h.dirty)) {
 		w := h.dirty[name]
@@ -36,6 +42,41 @@
 	return &req
 }
 
+// pressing reports whether a report is due: at once for customers without room and for batches that are to be
+// returned, otherwise after roomReportEvery.
+func (h *holder) pressing(now time.Time, all bool) bool {
+	if all || now.Sub(h.returned) >= roomReportEvery {
+		return true
+	}
+	for _, w := range h.dirty {
+		w.expire(now)
+		if !w.room && (len(w.batches)+len(w.credits) > 0 || w.current != nil) {
+			return true
+		}
+		for _, b := range w.batches {
+			if !b.room || b.id != 0 && b.deadline.Sub(now) <= closeLead {
+				return true
+			}
+		}
+	}
+	return false
+}
+
+// idleAfter returns how long tokens of the wallet may stay unused.
+func (h *holder) idleAfter(now time.Time, w *wallet) time.Duration {
+	if !w.room {
+		return h.options.Idle
+	}
+	if w.lends(now) {
+		return lendMemory
+	}
+	gap := duration(w.typical, w.demand.decay(w.used))
+	if gap < 0 {
+		return roomIdle
+	}
+	return min(max(roomIdleGaps*gap, h.options.Idle), roomIdle)
+}
+
 // tidy forgets a wallet that holds nothing.
 func (h *holder) tidy(now time.Time, w *wallet) {
 	if len(w.batches) > 0 || w.current != nil || len(w.credits) > 0 {
@@ -51,10 +92,12 @@
 
 func (h *holder) returnItem(now time.Time, w *wallet, all bool) (item ReturnItem, ok bool) {
 	item.Customer = w.customer
-	idle := all || (len(w.waiters) == 0 && now.Sub(w.used) >= h.options.Idle)
+	idle := all || (len(w.waiters) == 0 && now.Sub(w.used) >= h.idleAfter(now, w))
 	keep := w.batches[:0]
 	for _, b := range w.batches {
-		last := idle || b.remaining <= 0 || b.deadline.Sub(now) <= closeLead
+		last := idle || b.remaining <= 0 || b.deadline.Sub(now) <= closeLead ||
+			b.room && b.deadline.Sub(now) <= closeLead+roomLinger // saves a later message of its own
+		last = last && b.loaned == 0 // until it is known whether the loan was spent
 		if b.id != 0 && (last || b.spent != b.reported) {
 			item.Batches = append(item.Batches, BatchReport{ID: b.id, Spent: b.spent, Keep: !last})
 			b.reported = b.spent
@@ -70,6 +113,9 @@
 	if len(keep) == 0 {
 		w.available = 0
 	}
+	if w.lends(now) && !all && w.available < h.target(now, w)/2 {
+		h.asking[w.customer] = w
+	}
 	if len(item.Batches) > 0 && w.current != nil {
 		w.current.composed = true
 		h.reports[w.customer] = w.current
--- a/internal/limit/admit/options.go
+++ b/internal/limit/admit/options.go
@@ -13,6 +13,15 @@
 	// batchLife is long against a round trip within a data centre (about 2 ms) and short enough that the
 	// batches of a lost instance, and the pause after a takeover, cost a customer one second of its rate.
 	batchLife = time.Second
+	// roomLife is the life of a batch of a customer with room: several times the interval of reports, and short
+	// enough that a new coordinator, which confirms no smaller share before it has passed, delays moves little.
+	roomLife = 5 * time.Second
+	// roomShare of the burst may be lent in such batches; a new coordinator counts it as lent for one roomLife.
+	roomShare = 0.25
+	// roomLevel of the burst must be there: then nothing is lost by refilling late for want of a report.
+	roomLevel = 0.5
+	// roomRequests of the largest recent size must fit the burst.
+	roomRequests = 16
 	// batchMargin covers the rate difference of two monotonic clocks (500 ppm would need 0.5 ms).
 	batchMargin = 50 * time.Millisecond
 	// holderSilence is four times the longest poll: an instance that misses that many is taken for lost.
@@ -22,8 +31,11 @@
 	longestPoll  = 250 * time.Millisecond
 	// moveTime is the time in which the shares follow demand: one report, one plan, confirmation, increase.
 	moveTime = 2 * time.Second
-	// outlookLife is six reports; afterwards the leader is taken for unreachable and only the own share counts.
+	// outlookLife is six reports; afterwards the leader is taken for unreachable.
 	outlookLife = 3 * time.Second
+	// leaderReturn covers partitions of seconds: up to it a data centre that is cut off lets requests beyond its share
+	// wait for contact until their deadlines.
+	leaderReturn = 30 * time.Second
 	// outlookMemory is five reports, in which demand that moved away has faded elsewhere (meterWindow).
 	outlookMemory = 2500 * time.Millisecond
 	// peakMemory is how long the largest claim is remembered.
@@ -50,6 +62,16 @@
 	closeLead = 500 * time.Millisecond
 	// idleReturn is how long a customer's tokens stay unused before they are returned.
 	idleReturn = 300 * time.Millisecond
+	// roomReportEvery replaces reportEvery for customers with room.
+	roomReportEvery = 2 * time.Second
+	// roomHorizon is the demand that is held ready for a customer with room, within the useful part of roomLife.
+	roomHorizon = 4 * time.Second
+	// roomLinger joins what customers with room ask for into one message; half of roomHorizon covers it.
+	roomLinger = time.Second
+	// roomIdle is how long tokens of a customer with room stay unused at most before they are returned, and
+	// roomIdleGaps the mean intervals between its requests after which they are returned earlier.
+	roomIdle     = 4 * time.Second
+	roomIdleGaps = 5
 	// prefetchHorizon is the demand that an instance holds ready; half of it covers a borrow and its resend.
 	prefetchHorizon = 400 * time.Millisecond
 	// typicalWindow is the number of requests over which their mean size is taken.
@@ -75,7 +97,9 @@
 type CoordinatorOptions struct {
 	DataCentre    string
 	Life          time.Duration             // of a batch
-	Margin        time.Duration             // added to Life by the coordinator
+	RoomLife      time.Duration             // of a batch of a customer with room
+	RoomShare     float64                   // of the burst that may be lent in such batches
+	Margin        time.Duration             // added to a life by the coordinator
 	Silence       time.Duration             // after which an instance's claims no longer hold up others
 	PrefetchShare float64                   // of the level
 	Grants        int                       // bound of the credit history of a customer
@@ -87,6 +111,7 @@
 	applyResent bool // apply resent messages again
 	freeExpired bool // give back the batches of lost instances
 	earlyOpen   bool // refill before the predecessor's batches have expired
+	forgetRoom  bool // ignore the predecessor's batches of customers with room
 }
 
 // CoordinatorOption sets one of the CoordinatorOptions.
@@ -94,7 +119,7 @@
 
 func defaultCoordinatorOptions() CoordinatorOptions {
 	return CoordinatorOptions{
-		Life: batchLife, Margin: batchMargin, Silence: holderSilence, PrefetchShare: prefetchShare, Grants: openGrants,
+		Life: batchLife, RoomLife: roomLife, RoomShare: roomShare, Margin: batchMargin, Silence: holderSilence, PrefetchShare: prefetchShare, Grants: openGrants,
 	}
 }
 
@@ -124,7 +149,8 @@
 	Now         func() time.Time // monotonic
 	Incarnation uint64           // of this process; higher than that of any earlier one with the same name
 	Limit       func(customer string) (limit registry.Customer, ok bool)
-	Coordinator func() (name string, ok bool) // of this data centre
+	Coordinator func() (name string, ok bool)                // of this data centre
+	Lender      func(customer string) (name string, ok bool) // of this data centre; false for this instance itself
 	Call        peer.Caller
 	Logger      *slog.Logger
 	Report      time.Duration // between reports of use
@@ -132,7 +158,8 @@
 	Idle        time.Duration // after which unused tokens are returned
 	Resend      time.Duration // after which an unanswered message is sent again
 
-	lateLife bool // mutation: counts the life of a batch from its arrival
+	lateLife  bool // mutation: counts the life of a batch from its arrival
+	earlyLoan bool // mutation: counts a loan as spent when it is lent
 }
 
 // Option sets one of the Options.
@@ -144,6 +171,7 @@
 		Incarnation: 1,
 		Limit:       func(string) (registry.Customer, bool) { return registry.Customer{}, false },
 		Coordinator: func() (string, bool) { return "", false },
+		Lender:      func(string) (string, bool) { return "", false },
 		Call: func(context.Context, string, string, any, any) error {
 			return Error.New("no links to other instances")
 		},
@@ -171,6 +199,11 @@
 	return func(o *Options) { o.Coordinator = f }
 }
 
+// WithLender sets the lookup of the instance that holds tokens of a customer for others; ok is false for this one.
+func WithLender(f func(customer string) (name string, ok bool)) Option {
+	return func(o *Options) { o.Lender = f }
+}
+
 // WithCall sets how messages are sent.
 func WithCall(c peer.Caller) Option {
 	return func(o *Options) { o.Call = c }
