Refuse at once what the reachable shares cannot serve

Cause: for 30 s of a partition requests above the reachable shares waited for contact until their deadlines. How long a partition lasts is not known and regions part for minutes, so most of these requests would get their refusal just before the deadline; a refusal has to be told at once with the time to come back.

--- a/internal/limit/admit/account.go
+++ b/internal/limit/admit/account.go
@@ -207,16 +207,13 @@
 	return best, best >= 0
 }
 
-// outlook returns the best that the leader said within outlookMemory; led is the time since its last answer. While it
-// has been silent for a short time only, contact may return before a request's deadline, with the whole limit.
+// outlook returns the best that the leader said within outlookMemory, and nothing while it cannot be reached; led is
+// the time since its last answer.
 // Demand that has just moved here is still reported elsewhere for a while; judged by the last answer alone, its
 // requests would be refused although the customer is within its rate.
 func (a *account) outlook(now time.Time, led time.Duration) (best prospect) {
-	switch {
-	case led > leaderReturn:
+	if led > outlookLife {
 		return prospect{}
-	case led > outlookLife:
-		return prospect{rate: a.limit.Rate, burst: a.limit.Burst}
 	}
 	for _, p := range a.prospects {
 		if now.Before(p.until) {
--- a/internal/limit/admit/options.go
+++ b/internal/limit/admit/options.go
@@ -31,11 +31,8 @@
 	longestPoll  = 250 * time.Millisecond
 	// moveTime is the time in which the shares follow demand: one report, one plan, confirmation, increase.
 	moveTime = 2 * time.Second
-	// outlookLife is six reports; afterwards the leader is taken for unreachable.
+	// outlookLife is six reports; afterwards the leader is taken for unreachable and only the own share counts.
 	outlookLife = 3 * time.Second
-	// leaderReturn covers partitions of seconds: up to it a data centre that is cut off lets requests beyond its share
-	// wait for contact until their deadlines.
-	leaderReturn = 30 * time.Second
 	// outlookMemory is five reports, in which demand that moved away has faded elsewhere (meterWindow).
 	outlookMemory = 2500 * time.Millisecond
 	// peakMemory is how long the largest claim is remembered.
--- a/internal/limit/share/options.go
+++ b/internal/limit/share/options.go
@@ -7,9 +7,6 @@
 	decayTime = 1500 * time.Millisecond
 	// reportSilence is six reports at 500 ms.
 	reportSilence = 3 * time.Second
-	// returnTime covers partitions of seconds and restarts of links; one that lasts longer is taken for an outage, in
-	// which requests over the reachable shares are refused at once.
-	returnTime = 30 * time.Second
 	// planPause lets a decrease show its effect before the next one, so that plans do not chase each other.
 	planPause = time.Second
 	// backlogTime turns waiting tokens into a rate that would clear them in this time.
@@ -36,7 +33,6 @@
 	Move     float64       // part of an even share below which nothing moves while no request waits
 	Decay    time.Duration // time constant of falling demand
 	Silence  time.Duration // age of the last report after which a data centre counts as cut off
-	Return   time.Duration // age of the last report up to which contact is expected to return
 	Pause    time.Duration // between decreases of one customer
 	Backlog  time.Duration // in which waiting tokens should be served
 	Headroom float64       // factor on the latest demand of a data centre while requests wait at another
@@ -51,7 +47,7 @@
 
 func defaultOptions() Options {
 	return Options{
-		Minimum: leastShare, Move: leastMove, Decay: decayTime, Silence: reportSilence, Return: returnTime, Pause: planPause,
+		Minimum: leastShare, Move: leastMove, Decay: decayTime, Silence: reportSilence, Pause: planPause,
 		Backlog: backlogTime, Headroom: headroom, Needy: needyPart,
 	}
 }
--- a/internal/limit/share/plan.go
+++ b/internal/limit/share/plan.go
@@ -19,7 +19,6 @@
 	rows   []row  // data centres that can change, by name
 	short  bool   // requests wait somewhere
 	fixed  amount // of data centres that are cut off or not listed
-	recent amount // part of fixed whose data centres may be reachable again soon
 }
 
 // row is one reachable data centre.
@@ -59,10 +58,6 @@
 			h := a.holds[key{name, centre}]
 			p.fixed.rate += s.Rate + h.rate
 			p.fixed.burst += s.Burst + h.burst
-			if at, seen := a.centres[centre]; seen && now.Sub(at) <= a.options.Return {
-				p.recent.rate += s.Rate + h.rate
-				p.recent.burst += s.Burst + h.burst
-			}
 		}
 	}
 	p.aim(len(centres))
@@ -247,11 +242,9 @@
 	return min(1, usable/missing)
 }
 
-// outlook returns what the data centre gets when the others keep no more than their demand. The share of one that was
-// cut off a short time ago counts as well: it cannot move before contact returns, but a request that waits for that
-// until its deadline loses nothing against one that is refused at once.
+// outlook returns what the data centre gets when the others keep no more than their demand.
 func (p *plan) outlook(centre string) amount {
-	o := amount{p.limit.Rate - p.fixed.rate + p.recent.rate, p.limit.Burst - p.fixed.burst + p.recent.burst}
+	o := amount{p.limit.Rate - p.fixed.rate, p.limit.Burst - p.fixed.burst}
 	n := float64(max(1, len(p.shares)))
 	for _, r := range p.rows {
 		if r.centre == centre {
