Count the messages of a relay by method in TestFleetTraffic

Change: the test's network counts calls and bytes by method, and -v prints them for the busiest relay.

--- a/internal/state/feed/capacity_test.go
+++ b/internal/state/feed/capacity_test.go
@@ -6,7 +6,9 @@
 	"fmt"
 	"io"
 	"log/slog"
+	"maps"
 	"net/netip"
+	"slices"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -83,6 +85,10 @@
 		"processor time of the fleet with its network %.1f µs per instance and second", len(f.nodes),
 		voter.bytes, voter.calls, relay.bytes, relay.calls, other.bytes, other.calls,
 		float64(cost.Microseconds())/span.Seconds()/float64(len(f.nodes)))
+	for _, method := range slices.Sorted(maps.Keys(relay.methods)) {
+		part := relay.methods[method]
+		t.Logf("relay: %s %.2f calls/s, %.0f B each without headers", method, part.calls/span.Seconds(), part.bytes/part.calls)
+	}
 	return relay, other
 }
 
--- a/internal/state/feed/feed_test.go
+++ b/internal/state/feed/feed_test.go
@@ -38,17 +38,22 @@
 }
 
 // load is the traffic of one instance.
-type load struct{ bytes, calls float64 }
+type load struct {
+	bytes, calls float64
+	methods      map[string]load // bytes without headers and calls of each method
+}
 
 // count adds a message to both of its ends; f.mu is held.
-func (f *fleet) count(from, to string, bytes int, calls float64) {
+func (f *fleet) count(from, to, method string, bytes int, calls float64) {
 	f.bytes.Add(int64(bytes))
 	for _, name := range []string{from, to} {
 		if f.loads[name] == nil {
-			f.loads[name] = &load{}
+			f.loads[name] = &load{methods: map[string]load{}}
 		}
 		f.loads[name].bytes += float64(bytes)
 		f.loads[name].calls += calls
+		part := f.loads[name].methods[method]
+		f.loads[name].methods[method] = load{bytes: part.bytes + float64(bytes), calls: part.calls + calls}
 	}
 }
 
@@ -63,7 +68,7 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	for name, l := range f.loads {
-		total := load{(l.bytes + 2*headers*l.calls) / span.Seconds(), l.calls / span.Seconds()}
+		total := load{(l.bytes + 2*headers*l.calls) / span.Seconds(), l.calls / span.Seconds(), l.methods}
 		role := &other
 		switch {
 		case name == "voter":
@@ -84,7 +89,7 @@
 		time.Sleep(f.delay)
 		f.mu.Lock()
 		mux, cut := f.muxes[to], f.muxes[from] == nil
-		f.count(from, to, len(raw), 1)
+		f.count(from, to, method, len(raw), 1)
 		f.mu.Unlock()
 		if mux == nil || cut {
 			time.Sleep(f.delay)
@@ -97,7 +102,7 @@
 		}
 		raw, _ = json.Marshal(answer)
 		f.mu.Lock()
-		f.count(to, from, len(raw), 0)
+		f.count(to, from, method, len(raw), 0)
 		f.mu.Unlock()
 		return json.Unmarshal(raw, result)
 	}
