Feed a data centre in stages and carry freshness by heartbeats

Cause: each subscriber renewed at the relay every second (213 B with headers, of which 148 are headers), a renewal that crossed a push carried the delta a second time and cost an acknowledgement, and the relay fed all 90. Change: a voter sends a heartbeat each second, which every instance passes on at once and whose answer acknowledges and reports; an instance renews when it has heard nothing for 1.5 s, and every 30 s. An instance feeds ten others of a data centre and answers further ones with the name of one of these. The time of sending in a heartbeat counts from the subscription, so that one held up on its way does not make old knowledge look fresh. After ten pushes in a row a voter spaces further ones. While the relay is lost, its subscribers go to the voters before they go to each other.

--- a/internal/node/instance/distribution.go
+++ b/internal/node/instance/distribution.go
@@ -90,8 +90,9 @@
 	return d.state.config.Age()
 }
 
-// sources lists where the configuration comes from: the voters for the relay, which is the coordinator's instance,
-// and the relay, then the voters and other instances of the data centre, then all voters for the others.
+// sources lists where the configuration comes from: the voters for the relay, which is the coordinator's instance, and
+// the relay, then the voters, then other instances of the data centre for the others. While the relay is lost, its
+// subscribers go to the voters before they go to each other, because a ring of them would learn nothing for 5 s.
 func (d *distribution) sources() []string {
 	if d.state.own() {
 		return nil
@@ -105,7 +106,7 @@
 	if view.Coordinator != "" {
 		list = append(list, view.Coordinator)
 	}
-	return unique(slices.Concat(list, d.local(), voters))
+	return unique(slices.Concat(list, voters, d.local()))
 }
 
 func unique(names []string) (list []string) {
--- a/internal/state/feed/feed.go
+++ b/internal/state/feed/feed.go
@@ -11,6 +11,7 @@
 
 	"github.com/zeebo/errs"
 	"golang.org/x/sync/errgroup"
+	"golang.org/x/time/rate"
 
 	"lycheevale/internal/base/event"
 	"lycheevale/internal/state/registry"
@@ -24,15 +25,18 @@
 const (
 	subscribeMethod = "Feed.Subscribe"
 	pushMethod      = "Feed.Push"
+	beatMethod      = "Feed.Beat"
 	ackMethod       = "Feed.Ack"
 	reportMethod    = "Feed.Report"
 	leaveMethod     = "Feed.Leave"
 )
 
 type subscribeParams struct {
-	DataCentre string `json:"DataCentre"`
-	Revision   uint64 `json:"Revision"`
-	Report     Report `json:"Report,omitempty"`
+	DataCentre   string `json:"DataCentre"`
+	Revision     uint64 `json:"Revision"`
+	Subscription uint64 `json:"Subscription"` // number of this call, repeated by pushes and heartbeats
+	Failed       string `json:"Failed,omitempty"`
+	Report       Report `json:"Report,omitempty"`
 }
 
 type subscribeResult struct {
@@ -42,15 +46,22 @@
 	Large     *largeDelta     `json:"Large,omitempty"`     // in place of Delta
 	Preparing bool            `json:"Preparing,omitempty"` // ask again for Large
 	Cycle     bool            `json:"Cycle,omitempty"`     // the subscriber feeds this instance, so it cannot learn anything here
+	Through   string          `json:"Through,omitempty"`   // subscribe to this subscriber instead
 }
 
+// pushParams is a push of changes or, without Delta, a heartbeat.
 type pushParams struct {
-	Age   time.Duration   `json:"Age"`
-	Delta json.RawMessage `json:"Delta"`
+	Subscription uint64          `json:"Subscription"`
+	At           time.Duration   `json:"At"`  // of sending, since the source received the subscription
+	Age          time.Duration   `json:"Age"` // of the source's knowledge at that time
+	Delta        json.RawMessage `json:"Delta,omitempty"`
+	Fetch        bool            `json:"Fetch,omitempty"` // renew, because the changes do not fit in a push
 }
 
 type pushResult struct {
 	Revision uint64 `json:"Revision"`
+	Report   Report `json:"Report,omitempty"` // of heartbeats only: after a push it would name all subscribers as lagging
+	Gone     bool   `json:"Gone,omitempty"`   // the receiver has another source
 }
 
 type ackParams struct {
@@ -81,20 +92,28 @@
 	options Options
 	wake    chan struct{}
 
-	mu        sync.Mutex
-	hub       *hub
-	source    string
-	tries     int
-	chosenAt  time.Time // when the source was chosen
-	preferAt  time.Time // next time to try the preferred source again
-	freshAt   time.Time // when a voter knew that the configuration here was current
-	reported  uint64    // last revision reported for all subscribers
-	encoded   encoded
-	kept      keptDelta
-	preparing bool // a snapshot is being encoded
-	ended     bool // no snapshot may be started any more
-	work      errgroup.Group
-	counters  Counters
+	mu           sync.Mutex
+	hub          *hub
+	source       string
+	root         string // the entry of Sources that led to the source
+	failed       string // last source below the root that failed
+	tries        int
+	subscription uint64    // number of the last call to subscribe
+	askedAt      time.Time // when it was made
+	heardAt      time.Time // last answer, push or heartbeat of the source
+	behind       bool      // the source has changes that do not fit in a push
+	chosenAt     time.Time // when the source was chosen
+	preferAt     time.Time // next time to try the preferred source again
+	freshAt      time.Time // when a voter knew that the configuration here was current
+	beat         bool      // a heartbeat is due to all subscribers
+	pace         *rate.Limiter
+	reported     uint64 // last revision reported for all subscribers
+	encoded      encoded
+	kept         keptDelta
+	preparing    bool // a snapshot is being encoded
+	ended        bool // no snapshot may be started any more
+	work         errgroup.Group
+	counters     Counters
 
 	install sync.Mutex // keeps deltas and their callbacks in order
 }
@@ -112,13 +131,14 @@
 	for _, opt := range opts {
 		opt(&o)
 	}
-	return &Node{options: o, wake: make(chan struct{}, 1), hub: newHub(o.Lease, o.Forget)}
+	return &Node{options: o, wake: make(chan struct{}, 1), hub: newHub(o.Lease, o.Forget), pace: rate.NewLimiter(rate.Every(o.Interval), paceBurst)}
 }
 
 // Register offers the methods of the distribution to peers.
 func (n *Node) Register(mux *peer.Mux) {
 	mux.Handle(subscribeMethod, peer.Typed(n.receiveSubscribe))
 	mux.Handle(pushMethod, peer.Typed(n.receivePush))
+	mux.Handle(beatMethod, peer.Typed(n.receivePush))
 	mux.Handle(ackMethod, peer.Typed(n.receiveAck))
 	mux.Handle(fetchMethod, peer.Typed(n.receiveFetch))
 	mux.Handle(leaveMethod, peer.Typed(func(_ context.Context, from string, _ empty) (empty, error) {
@@ -132,20 +152,11 @@
 	}))
 }
 
-// Run renews the subscription and pushes changes until ctx ends.
+// Run keeps the subscription and pushes changes and heartbeats until ctx ends.
 func (n *Node) Run(ctx context.Context) error {
 	group, ctx := errgroup.WithContext(ctx)
-	group.Go(func() error {
-		ticker := time.NewTicker(n.options.Interval)
-		defer ticker.Stop()
-		for n.Poll(ctx); ; n.Poll(ctx) {
-			select {
-			case <-ctx.Done():
-				return nil
-			case <-ticker.C:
-			}
-		}
-	})
+	group.Go(func() error { return n.follow(ctx) })
+	group.Go(func() error { return n.originate(ctx) })
 	group.Go(func() error {
 		pushes := errgroup.Group{}
 		for {
@@ -154,7 +165,10 @@
 				return pushes.Wait()
 			case <-n.wake:
 			}
-			for _, push := range n.Pushes(ctx) {
+			if !n.mayPush() {
+				continue // The next heartbeat carries the changes.
+			}
+			for _, push := range append(n.Pushes(ctx), func() { n.acknowledge(ctx) }) {
 				pushes.Go(func() error {
 					push()
 					return nil
@@ -208,50 +222,64 @@
 // age is what this node tells its subscribers.
 func (n *Node) age() time.Duration { return min(n.options.Now().Sub(n.FreshAt()), longestAge) }
 
-// Pushes returns one function for each subscriber that lacks changes; each makes one call.
+// Pushes returns one function for each subscriber that lacks changes or is due a heartbeat; each makes one call.
 func (n *Node) Pushes(ctx context.Context) (pushes []func()) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	for _, name := range n.hub.next(n.options.Now(), n.options.Registry.Revision()) {
+	for _, name := range n.hub.next(n.options.Now(), n.options.Registry.Revision(), n.beat) {
 		pushes = append(pushes, func() { n.push(ctx, name) })
 	}
+	n.beat = false
 	return pushes
 }
 
 func (n *Node) push(ctx context.Context, name string) {
+	// The age is taken after the time of sending, so that it is rather too great.
+	now := n.options.Now()
+	age := n.age()
 	n.mu.Lock()
 	c := n.hub.children[name]
 	if c == nil {
 		n.mu.Unlock()
 		return
 	}
-	if _, small := n.prepare(c.revision); !small {
-		c.pushing = false
-		n.mu.Unlock()
-		return
-	}
-	e, err := n.encode(c.revision)
-	if err == nil && len(e.data) > maxInline {
-		// The subscriber fetches it in parts with its next renewal.
-		c.pushing = false
-		n.mu.Unlock()
-		return
-	}
+	renewals := c.renewals
+	params := pushParams{Subscription: c.subscription, At: now.Sub(c.since), Age: age}
+	method, err := n.fill(&params, c)
 	n.mu.Unlock()
 	var answer pushResult
 	if err == nil {
-		err = n.call(ctx, name, pushMethod, pushParams{Age: n.age(), Delta: e.data}, &answer)
+		err = n.call(ctx, name, method, params, &answer)
 	}
 	n.mu.Lock()
-	n.hub.pushed(n.options.Now(), name, answer.Revision, err == nil)
+	n.hub.pushed(n.options.Now(), name, renewals, answer, method, err == nil)
 	n.mu.Unlock()
-	if err == nil {
+	if err == nil && !params.Fetch {
 		// Changes may have come while the push was on its way.
 		n.Changed()
 		n.acknowledge(ctx)
 	}
 }
 
+// fill adds the changes that the subscriber lacks; n.mu is held.
+func (n *Node) fill(params *pushParams, c *child) (method string, err error) {
+	if c.revision >= n.options.Registry.Revision() {
+		return beatMethod, nil
+	}
+	c.told = n.options.Registry.Revision()
+	if _, small := n.prepare(c.revision); !small {
+		params.Fetch = true
+		return beatMethod, nil
+	}
+	e, err := n.encode(c.revision)
+	if len(e.data) > maxInline {
+		params.Fetch = true
+		return beatMethod, err
+	}
+	params.Delta = e.data
+	return pushMethod, err
+}
+
 // encode returns the delta after the revision; n.mu is held.
 func (n *Node) encode(from uint64) (e encoded, err error) {
 	if n.encoded.to != n.options.Registry.Revision() || n.encoded.from != from || n.encoded.data == nil {
@@ -282,9 +310,13 @@
 	result.Age = n.age()
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	n.hub.renew(n.options.Now(), from, p.DataCentre, p.Revision, p.Report)
-	result.Revision = n.options.Registry.Revision()
+	now := n.options.Now()
 	result.Cycle = n.source == from
+	if result.Through = n.hub.through(now, from, p.DataCentre, p.Failed, n.options.Fanout); result.Through != "" {
+		return result, nil
+	}
+	n.hub.subscribe(now, from, p)
+	result.Revision = n.options.Registry.Revision()
 	if large, small := n.prepare(p.Revision); result.Revision > p.Revision && !small {
 		result.Large, result.Preparing = large, large == nil
 		return result, nil
@@ -304,22 +336,31 @@
 }
 
 func (n *Node) receivePush(_ context.Context, from string, p pushParams) (pushResult, error) {
-	n.mu.Lock()
-	current := n.source
-	n.mu.Unlock()
-	if current == from {
+	if n.Source() != from {
+		return pushResult{Revision: n.options.Registry.Revision(), Gone: true}, nil
+	}
+	if len(p.Delta) > 0 {
 		if err := n.apply(p.Delta); err != nil {
+			n.noteBehind(true)
 			return pushResult{}, err
 		}
-		n.noteFresh(p.Age)
 	}
-	return pushResult{Revision: n.options.Registry.Revision()}, nil
+	n.heard(p)
+	answer := pushResult{Revision: n.options.Registry.Revision()}
+	if len(p.Delta) == 0 {
+		answer.Report = n.childReport()
+	}
+	return answer, nil
 }
 
 func (n *Node) receiveAck(_ context.Context, from string, p ackParams) (empty, error) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	n.hub.renew(n.options.Now(), from, p.DataCentre, p.Revision, p.Report)
+	if n.hub.children[from] != nil {
+		n.hub.renew(n.options.Now(), from, p.DataCentre, p.Revision, p.Report)
+		// The revision may now be complete below this node.
+		n.Changed()
+	}
 	return empty{}, nil
 }
 
@@ -346,14 +387,6 @@
 	return nil
 }
 
-func (n *Node) noteFresh(age time.Duration) {
-	n.mu.Lock()
-	defer n.mu.Unlock()
-	if at := n.options.Now().Add(-age); at.After(n.freshAt) {
-		n.freshAt = at
-	}
-}
-
 func (n *Node) log(ctx context.Context, id event.ID, source string) {
 	event.Log(ctx, n.options.Logger, id, slog.String("Source", source),
 		slog.Uint64("Revision", n.options.Registry.Revision()))
--- a/internal/state/feed/feed_test.go
+++ b/internal/state/feed/feed_test.go
@@ -35,8 +35,23 @@
 	regs  map[string]*registry.Registry
 	bytes atomic.Int64
 	loads map[string]*load // of each instance, sent and received
+	fault func(from, to, method string) outcome
 }
 
+// outcome is what the network does to one call.
+type outcome int
+
+const (
+	delivered outcome = iota
+	requestLost
+	answerLost
+	requestLate // delivered after the caller gave up
+	requestSlow
+)
+
+// slow is how long a slow request takes; it is below the silence after which an instance renews.
+const slow = 1200 * time.Millisecond
+
 // load is the traffic of one instance.
 type load struct {
 	bytes, calls float64
@@ -88,14 +103,30 @@
 		raw, _ := json.Marshal(params)
 		time.Sleep(f.delay)
 		f.mu.Lock()
-		mux, cut := f.muxes[to], f.muxes[from] == nil
+		mux, cut, happens := f.muxes[to], f.muxes[from] == nil, delivered
+		if f.fault != nil {
+			happens = f.fault(from, to, method)
+		}
 		f.count(from, to, method, len(raw), 1)
 		f.mu.Unlock()
 		if mux == nil || cut {
 			time.Sleep(f.delay)
 			return errs.New("unreachable")
 		}
+		switch happens {
+		case requestLost, requestLate:
+			<-ctx.Done()
+		case requestSlow:
+			time.Sleep(slow)
+		}
+		if happens == requestLost {
+			return ctx.Err()
+		}
 		answer, err := mux.Serve(ctx, from, method, raw)
+		if happens == answerLost || happens == requestLate {
+			<-ctx.Done()
+			return ctx.Err()
+		}
 		time.Sleep(f.delay)
 		if err != nil || result == nil {
 			return err
--- a/internal/state/feed/hub.go
+++ b/internal/state/feed/hub.go
@@ -13,6 +13,13 @@
 	deadline   time.Time
 	report     Report // of the subscriber's own subscribers; empty for an instance that is no relay
 	pushing    bool
+	told       uint64 // revision of which the subscriber was told last
+
+	subscription uint64
+	since        time.Time // when the subscription was received
+	renewals     uint64    // an answer to a push that was sent before the last one may be older
+	load         int       // instances below, as far as known
+	avoidUntil   time.Time // another subscriber could not use it
 }
 
 // hub is the pure part of a source: who is subscribed and how far.
@@ -26,21 +33,62 @@
 	return &hub{children: map[string]*child{}, lease: lease, forget: forget}
 }
 
-// renew adds or prolongs a subscription. The revision may be lower than before: a restarted instance starts empty.
-func (h *hub) renew(now time.Time, name, dataCentre string, revision uint64, report Report) {
+// subscribe adds or prolongs a subscription. The revision may be lower than before: a restarted instance starts empty.
+func (h *hub) subscribe(now time.Time, name string, p subscribeParams) {
 	c := h.children[name]
 	if c == nil {
 		c = &child{}
 		h.children[name] = c
 	}
-	c.dataCentre, c.revision, c.report, c.deadline = dataCentre, revision, report, now.Add(h.lease)
+	c.subscription, c.since = p.Subscription, now
+	h.renew(now, name, p.DataCentre, p.Revision, p.Report)
+}
+
+func (h *hub) renew(now time.Time, name, dataCentre string, revision uint64, report Report) {
+	c := h.children[name]
+	c.dataCentre, c.revision, c.deadline = dataCentre, revision, now.Add(h.lease)
+	c.renewals++
+	c.told = 0
+	c.setReport(report)
+}
+
+func (c *child) setReport(report Report) {
+	c.report, c.load = report, report[c.dataCentre].Instances
+}
+
+// through returns the subscriber through which a new one of the same data centre is fed, so that no instance feeds more
+// than fanout of them; "" if it is fed from here. A subscriber named as failed is not used for the length of a lease.
+func (h *hub) through(now time.Time, from, dataCentre, failed string, fanout int) (best string) {
+	if c := h.children[failed]; c != nil {
+		c.avoidUntil = now.Add(h.lease)
+	}
+	if c := h.children[from]; c != nil && now.Before(c.deadline) {
+		return ""
+	}
+	direct := 0
+	for _, name := range slices.Sorted(maps.Keys(h.children)) {
+		c := h.children[name]
+		if c.dataCentre != dataCentre || !now.Before(c.deadline) {
+			continue
+		}
+		direct++
+		if !now.Before(c.avoidUntil) && (best == "" || c.load < h.children[best].load) {
+			best = name
+		}
+	}
+	if direct < fanout || best == "" {
+		return ""
+	}
+	h.children[best].load++
+	delete(h.children, from)
+	return best
 }
 
-// next returns the subscribers that need a push, and marks them.
-func (h *hub) next(now time.Time, revision uint64) (names []string) {
+// next returns the subscribers that need a push, or with beat all that are not being pushed to, and marks them.
+func (h *hub) next(now time.Time, revision uint64, beat bool) (names []string) {
 	for _, name := range slices.Sorted(maps.Keys(h.children)) {
 		c := h.children[name]
-		if !c.pushing && c.revision < revision && now.Before(c.deadline) {
+		if !c.pushing && now.Before(c.deadline) && (beat || c.lacks(revision)) {
 			c.pushing = true
 			names = append(names, name)
 		}
@@ -48,19 +96,45 @@
 	return names
 }
 
+// lacking tells whether next would return a subscriber without a heartbeat.
+func (h *hub) lacking(now time.Time, revision uint64) bool {
+	for _, c := range h.children {
+		if !c.pushing && now.Before(c.deadline) && c.lacks(revision) {
+			return true
+		}
+	}
+	return false
+}
+
+// lacks tells whether a push is due; a subscriber that was told to fetch a revision is not told again.
+func (c *child) lacks(revision uint64) bool {
+	return c.revision < revision && c.told < revision
+}
+
 // pushed notes the end of a push; a failed one ends the subscription until the subscriber renews it.
-func (h *hub) pushed(now time.Time, name string, revision uint64, ok bool) {
+func (h *hub) pushed(now time.Time, name string, renewals uint64, answer pushResult, method string, ok bool) {
 	c := h.children[name]
 	if c == nil {
 		return
 	}
 	c.pushing = false
-	if !ok {
+	if method == pushMethod {
+		c.told = 0
+	}
+	switch {
+	case c.renewals != renewals:
+		c.revision = max(c.revision, answer.Revision)
+	case !ok:
 		c.deadline = now
-		return
+	case answer.Gone:
+		delete(h.children, name)
+	default:
+		c.revision = max(c.revision, answer.Revision)
+		c.deadline = now.Add(h.lease)
+		if method == beatMethod {
+			c.setReport(answer.Report)
+		}
 	}
-	c.revision = max(c.revision, revision)
-	c.deadline = now.Add(h.lease)
 }
 
 // lostReportLeases is how many leases the report of a lost relay is kept.
--- a/internal/state/feed/options.go
+++ b/internal/state/feed/options.go
@@ -25,11 +25,12 @@
 	// Installed is called after a delta was installed, in the order of revisions.
 	Installed func(registry.Delta)
 	Logger    *slog.Logger
-	Interval  time.Duration // between two renewals of a subscription
-	Lease     time.Duration // life of a subscription that is not renewed
+	Interval  time.Duration // between two heartbeats
+	Lease     time.Duration // life of a subscription that is neither renewed nor answers heartbeats
 	Forget    time.Duration // how long a lost instance is reported
 	Timeout   time.Duration // of one call
 	MaxAge    time.Duration // a source with older knowledge is not kept while there are others
+	Fanout    int           // subscribers of one data centre that an instance feeds itself; further ones are fed by these
 	Now       func() time.Time
 }
 
@@ -37,7 +38,7 @@
 type Option func(*Options)
 
 const (
-	// defaultInterval keeps the renewals of an instance (about 300 bytes) far below its 12 KB per second.
+	// defaultInterval is half of the 2 s after which strict key checks refuse; the other half is for the stages.
 	defaultInterval = time.Second
 	defaultLease    = 5 * time.Second
 	// defaultForget is when a lost instance is taken as stopped; membership knows the same within seconds.
@@ -45,6 +46,8 @@
 	defaultTimeout = 2 * time.Second
 	// defaultMaxAge is half of the 10 s in which a change has to be in force everywhere.
 	defaultMaxAge = 5 * time.Second
+	// defaultFanout lets two stages feed 110 instances, more than the 92 of a data centre at the target size.
+	defaultFanout = 10
 )
 
 var errNoCaller = errs.New("no caller is set")
@@ -57,7 +60,7 @@
 		Installed: func(registry.Delta) {},
 		Logger:    slog.Default(),
 		Interval:  defaultInterval, Lease: defaultLease, Forget: defaultForget, Timeout: defaultTimeout,
-		MaxAge: defaultMaxAge, Now: time.Now,
+		MaxAge: defaultMaxAge, Fanout: defaultFanout, Now: time.Now,
 	}
 }
 
@@ -91,6 +94,11 @@
 	return func(o *Options) { o.Installed = f }
 }
 
+// WithFanout sets how many subscribers of one data centre an instance feeds itself.
+func WithFanout(n int) Option {
+	return func(o *Options) { o.Fanout = n }
+}
+
 // WithLogger sets the logger.
 func WithLogger(l *slog.Logger) Option {
 	return func(o *Options) { o.Logger = l }
--- a/internal/state/feed/subscriber.go
+++ b/internal/state/feed/subscriber.go
@@ -14,29 +14,59 @@
 // preferInterval is how often a subscriber of another source tries the preferred one again.
 const preferInterval = 10 * time.Second
 
+// maxAttempts bounds the calls along the stages below one source.
+const maxAttempts = 8
+
 // Poll renews the subscription at the current source, or tries the next ones until one is accepted.
 func (n *Node) Poll(ctx context.Context) {
 	sources := n.options.Sources()
 	for range sources {
 		previous := n.Source()
-		source := n.choose(sources)
-		accepted, answered := n.subscribe(ctx, source)
-		if accepted {
-			if previous != "" && previous != source {
+		if n.attach(ctx, n.choose(sources)) {
+			if previous != "" && previous != n.Source() {
 				n.leave(ctx, previous)
 			}
 			return
 		}
-		if answered {
-			n.leave(ctx, source)
-		}
 		n.mu.Lock()
-		n.source = ""
+		n.source, n.failed = "", ""
 		n.tries++
 		n.mu.Unlock()
 	}
 }
 
+// attach subscribes to the source, follows where it sends this node, and returns to the root if a source below it
+// fails.
+func (n *Node) attach(ctx context.Context, root string) bool {
+	for range maxAttempts {
+		source := n.Source()
+		accepted, answered, through := n.subscribe(ctx, source)
+		switch {
+		case through != "":
+			n.setSource(through, "")
+			continue
+		case accepted:
+			return true
+		case answered:
+			n.leave(ctx, source)
+		}
+		if source == root {
+			return false
+		}
+		n.setSource(root, source)
+	}
+	return false
+}
+
+func (n *Node) setSource(source, failed string) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.source, n.chosenAt = source, n.options.Now()
+	if failed != "" {
+		n.failed = failed
+	}
+}
+
 // Source returns the instance that feeds this one, or "".
 func (n *Node) Source() string {
 	n.mu.Lock()
@@ -50,59 +80,83 @@
 	_ = n.call(ctx, source, leaveMethod, empty{}, nil)
 }
 
-// choose keeps a source that works, and returns to the preferred one from time to time.
+// choose keeps a source that works, and returns to the preferred one from time to time; it returns the root.
 func (n *Node) choose(sources []string) string {
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	now := n.options.Now()
-	prefer := n.source != "" && n.source != sources[0] && !now.Before(n.preferAt)
+	prefer := n.source != "" && n.root != sources[0] && !now.Before(n.preferAt)
 	switch {
 	case prefer:
-		n.preferAt = now.Add(preferInterval)
 		n.tries = 0
-		n.source, n.chosenAt = sources[0], now
-	case n.source == "" || !slices.Contains(sources, n.source):
-		n.source, n.chosenAt = sources[n.tries%len(sources)], now
-		n.preferAt = now.Add(preferInterval)
+		n.root = sources[0]
+	case n.source == "" || !slices.Contains(sources, n.root):
+		n.root = sources[n.tries%len(sources)]
+	default:
+		return n.root
 	}
-	return n.source
+	n.source, n.chosenAt, n.preferAt = n.root, now, now.Add(preferInterval)
+	return n.root
 }
 
 // subscribe makes one call; a source that is behind, out of contact or fed by this node is not accepted.
-func (n *Node) subscribe(ctx context.Context, source string) (accepted, answered bool) {
+func (n *Node) subscribe(ctx context.Context, source string) (accepted, answered bool, through string) {
 	revision := n.options.Registry.Revision()
 	params := subscribeParams{DataCentre: n.options.DataCentre, Revision: revision, Report: n.childReport()}
+	asked, silent := n.ask(&params)
+	callCtx, cancel := ctx, context.CancelFunc(func() {})
+	if silent {
+		callCtx, cancel = context.WithTimeout(ctx, silentTimeout)
+	}
+	defer cancel()
 	var answer subscribeResult
-	asked := n.options.Now()
-	if err := n.call(ctx, source, subscribeMethod, params, &answer); err != nil {
+	if err := n.call(callCtx, source, subscribeMethod, params, &answer); err != nil {
 		n.log(ctx, event.FeedSourceLost, source)
-		return false, false
+		return false, false, ""
+	}
+	if answer.Through != "" && !answer.Cycle {
+		return false, true, answer.Through
 	}
 	if answer.Revision < revision || answer.Cycle {
 		n.log(ctx, event.FeedSourceBehind, source)
-		return false, true
+		return false, true, ""
 	}
 	if answer.Preparing {
 		// The source is of use, but nothing was learned from it yet.
-		return true, true
+		n.noteBehind(true)
+		return true, true, ""
 	}
 	if answer.Large != nil {
 		var err error
 		if answer.Delta, err = n.fetch(ctx, source, *answer.Large); err != nil {
 			n.log(ctx, event.FeedSourceLost, source)
-			return false, true
+			return false, true, ""
 		}
 	}
 	if len(answer.Delta) > 0 {
 		if err := n.apply(answer.Delta); err != nil {
 			n.log(ctx, event.FeedSourceLost, source)
-			return false, true
+			return false, true, ""
 		}
 		n.acknowledge(ctx)
 	}
+	n.mu.Lock()
+	n.behind, n.failed, n.heardAt = false, "", n.options.Now()
 	// The time of the call counts as age, because the source may have answered at its start.
-	n.noteFresh(answer.Age + n.options.Now().Sub(asked))
-	return answer.Age <= n.options.MaxAge || len(n.options.Sources()) == 1 || n.settling(), true
+	n.noteFresh(asked.Add(-answer.Age))
+	n.mu.Unlock()
+	return answer.Age <= n.options.MaxAge || len(n.options.Sources()) == 1 || n.settling(), true, ""
+}
+
+// ask numbers a call to subscribe and tells whether the source has been silent.
+func (n *Node) ask(params *subscribeParams) (asked time.Time, silent bool) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	now := n.options.Now()
+	n.subscription++
+	n.askedAt = now
+	params.Subscription, params.Failed = n.subscription, n.failed
+	return now, !n.heardAt.IsZero() && !n.behind && n.chosenAt.Before(n.heardAt) && n.silent(now)
 }
 
 // settling is true while a new source may still get into contact with a voter itself: when a data centre starts, all
