--- a/internal/state/feed/capacity_test.go
+++ b/internal/state/feed/capacity_test.go
@@ -98,20 +98,7 @@
 	for _, adapters := range []int{3_000, 140_000} {
 		t.Run(fmt.Sprint("adapters=", adapters), func(t *testing.T) {
 			logger := slog.New(slog.NewTextHandler(io.Discard, nil))
-			source := registry.New()
-			for i := 0; i < adapters; i += 1000 {
-				var changes []registry.Object
-				if i == 0 {
-					changes = append(changes,
-						registry.Object{Kind: registry.KindModel, Name: "quill", Model: &registry.Model{}},
-						registry.Object{Kind: registry.KindCustomer, Name: "banksia", Customer: &registry.Customer{Rate: 1, Burst: 1}})
-				}
-				for j := i; j < min(i+1000, adapters); j++ {
-					changes = append(changes, registry.Object{Kind: registry.KindAdapter, Name: fmt.Sprint("a", j),
-						Adapter: &registry.Adapter{Customer: "banksia", Model: "quill"}})
-				}
-				qt.Assert(t, source.Apply(registry.Command{Changes: changes}).Err(), qt.IsNil)
-			}
+			source := addAdapters(t, registry.New(), adapters, false)
 			mux := peer.NewMux()
 			feed.New(feed.WithName("voter", "brisbane-a"), feed.WithRegistry(source), feed.WithLogger(logger),
 				feed.WithAge(func() time.Duration { return 0 })).Register(mux)
--- a/internal/state/feed/feed.go
+++ b/internal/state/feed/feed.go
@@ -36,6 +36,7 @@
 	Revision     uint64 `json:"Revision"`
 	Subscription uint64 `json:"Subscription"` // number of this call, repeated by pushes and heartbeats
 	Failed       string `json:"Failed,omitempty"`
+	Direct       bool   `json:"Direct,omitempty"` // a peer was asked for the snapshot already
 	Report       Report `json:"Report,omitempty"`
 }
 
@@ -45,6 +46,7 @@
 	Delta     json.RawMessage `json:"Delta,omitempty"`     // absent if there is nothing newer
 	Large     *largeDelta     `json:"Large,omitempty"`     // in place of Delta
 	Preparing bool            `json:"Preparing,omitempty"` // ask again for Large
+	Peer      string          `json:"Peer,omitempty"`      // ask this instance for the snapshot first
 	Cycle     bool            `json:"Cycle,omitempty"`     // the subscriber feeds this instance, so it cannot learn anything here
 	Through   string          `json:"Through,omitempty"`   // subscribe to this subscriber instead
 }
@@ -102,6 +104,7 @@
 	askedAt      time.Time // when it was made
 	heardAt      time.Time // last answer, push or heartbeat of the source
 	behind       bool      // the source has changes that do not fit in a push
+	direct       bool      // a peer was asked for the snapshot
 	chosenAt     time.Time // when the source was chosen
 	preferAt     time.Time // next time to try the preferred source again
 	freshAt      time.Time // when a voter knew that the configuration here was current
@@ -141,6 +144,7 @@
 	mux.Handle(beatMethod, peer.Typed(n.receivePush))
 	mux.Handle(ackMethod, peer.Typed(n.receiveAck))
 	mux.Handle(fetchMethod, peer.Typed(n.receiveFetch))
+	mux.Handle(snapshotMethod, peer.Typed(n.receiveSnapshot))
 	mux.Handle(leaveMethod, peer.Typed(func(_ context.Context, from string, _ empty) (empty, error) {
 		n.mu.Lock()
 		defer n.mu.Unlock()
@@ -317,8 +321,14 @@
 	}
 	n.hub.subscribe(now, from, p)
 	result.Revision = n.options.Registry.Revision()
-	if large, small := n.prepare(p.Revision); result.Revision > p.Revision && !small {
-		result.Large, result.Preparing = large, large == nil
+	if result.Revision > p.Revision && n.wantsSnapshot(p.Revision) {
+		if !p.Direct {
+			result.Peer = n.hub.peer(now, from, p.DataCentre, max(p.Revision+1, result.Revision-min(result.Revision, maxBehind)))
+		}
+		if result.Peer == "" {
+			result.Large, _ = n.prepare(p.Revision)
+			result.Preparing = result.Large == nil
+		}
 		return result, nil
 	}
 	if result.Revision > p.Revision {
--- a/internal/state/feed/hub.go
+++ b/internal/state/feed/hub.go
@@ -27,6 +27,7 @@
 	children map[string]*child
 	lease    time.Duration
 	forget   time.Duration
+	turn     int // of peers that serve snapshots
 }
 
 func newHub(lease, forget time.Duration) *hub {
@@ -84,6 +85,22 @@
 	return best
 }
 
+// peer returns a subscriber of the data centre with at least the revision, another one each time, or "".
+func (h *hub) peer(now time.Time, from, dataCentre string, revision uint64) string {
+	var names []string
+	for _, name := range slices.Sorted(maps.Keys(h.children)) {
+		c := h.children[name]
+		if name != from && c.dataCentre == dataCentre && c.revision >= revision && now.Before(c.deadline) {
+			names = append(names, name)
+		}
+	}
+	if len(names) == 0 {
+		return ""
+	}
+	h.turn++
+	return names[h.turn%len(names)]
+}
+
 // next returns the subscribers that need a push, or with beat all that are not being pushed to, and marks them.
 func (h *hub) next(now time.Time, revision uint64, beat bool) (names []string) {
 	for _, name := range slices.Sorted(maps.Keys(h.children)) {
--- a/internal/state/feed/large.go
+++ b/internal/state/feed/large.go
@@ -12,8 +12,12 @@
 	"lycheevale/internal/state/registry"
 )
 
-// fetchMethod reads a part of a delta that does not fit in one message.
-const fetchMethod = "Feed.Fetch"
+const (
+	// fetchMethod reads a part of a delta that does not fit in one message.
+	fetchMethod = "Feed.Fetch"
+	// snapshotMethod asks any instance for a snapshot that is newer than a revision.
+	snapshotMethod = "Feed.Snapshot"
+)
 
 // Sizes of large deltas: a link accepts messages of 4 MiB, and JSON makes bytes a third longer.
 const (
@@ -30,6 +34,15 @@
 	Snapshot bool   `json:"Snapshot,omitempty"`
 }
 
+type snapshotParams struct {
+	Revision uint64 `json:"Revision"`
+}
+
+type snapshotResult struct {
+	Large     *largeDelta `json:"Large,omitempty"`
+	Preparing bool        `json:"Preparing,omitempty"` // ask again
+}
+
 type fetchParams struct {
 	From   uint64 `json:"From"`
 	To     uint64 `json:"To"`
@@ -114,7 +127,7 @@
 // prepare answers a subscriber of a large configuration that needs a snapshot: with the kept one, or with nil after
 // starting to encode it. It is called with n.mu held; small is true when the delta is not of this kind.
 func (n *Node) prepare(from uint64) (l *largeDelta, small bool) {
-	if !n.options.Registry.NeedsSnapshot(from) || n.options.Registry.Size() < manyObjects {
+	if !n.wantsSnapshot(from) {
 		return nil, true
 	}
 	now := n.options.Now()
@@ -134,6 +147,21 @@
 	return nil, false
 }
 
+func (n *Node) wantsSnapshot(from uint64) bool {
+	return n.options.Registry.NeedsSnapshot(from) && n.options.Registry.Size() >= manyObjects
+}
+
+func (n *Node) receiveSnapshot(_ context.Context, _ string, p snapshotParams) (result snapshotResult, err error) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if n.options.Registry.Revision() > p.Revision {
+		var small bool
+		result.Large, small = n.prepare(p.Revision)
+		result.Preparing = !small && result.Large == nil
+	}
+	return result, nil
+}
+
 // encodeSnapshot holds neither the lock of the node nor, for longer than a page, that of the registry.
 func (n *Node) encodeSnapshot() {
 	var parts chunks
@@ -216,3 +244,32 @@
 		}
 	}
 }
+
+// Times of waiting for a peer that encodes its snapshot, which takes about a second at 140,000 adapters.
+const (
+	peerInterval = 250 * time.Millisecond
+	peerAttempts = 20
+)
+
+// fetchFromPeer installs the snapshot of an instance that is not the source, so that a relay does not serve all that
+// restart. Nothing is learned of its freshness, and the source sends what came after.
+func (n *Node) fetchFromPeer(ctx context.Context, name string, revision uint64) error {
+	for range peerAttempts {
+		var answer snapshotResult
+		if err := n.call(ctx, name, snapshotMethod, snapshotParams{revision}, &answer); err != nil {
+			return err
+		}
+		if answer.Large != nil {
+			return n.fetch(ctx, name, *answer.Large)
+		}
+		if !answer.Preparing {
+			break
+		}
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-time.After(peerInterval):
+		}
+	}
+	return Error.Wrap(errGone)
+}
--- a/internal/state/feed/restart_test.go
+++ b/internal/state/feed/restart_test.go
@@ -4,17 +4,18 @@
 	"context"
 	"encoding/json"
 	"fmt"
-	"io"
 	"log/slog"
 	"os"
 	"path/filepath"
 	"runtime"
 	"runtime/metrics"
+	"strings"
 	"testing"
 	"testing/synctest"
 	"time"
 
 	qt "github.com/frankban/quicktest"
+	"github.com/zeebo/errs"
 	"golang.org/x/sync/errgroup"
 
 	"lycheevale/internal/base/measure"
@@ -23,26 +24,26 @@
 	"lycheevale/internal/wire/peer"
 )
 
-// addAdapters adds n adapters with one version each.
-func addAdapters(tb testing.TB, r *registry.Registry, n int) *registry.Registry {
-	for i := 0; i < n; i += 1000 {
-		var changes []registry.Object
-		if i == 0 {
-			changes = append(changes,
-				registry.Object{Kind: registry.KindModel, Name: "quill", Model: &registry.Model{}},
-				registry.Object{Kind: registry.KindCustomer, Name: "banksia", Customer: &registry.Customer{Rate: 1, Burst: 1}})
+// addAdapters adds n adapters and, if asked, a version of each.
+func addAdapters(tb testing.TB, r *registry.Registry, n int, versions bool) *registry.Registry {
+	changes := []registry.Object{
+		{Kind: registry.KindModel, Name: "quill", Model: &registry.Model{}},
+		{Kind: registry.KindCustomer, Name: "banksia", Customer: &registry.Customer{Rate: 1, Burst: 1}},
+	}
+	for i := range n {
+		name := fmt.Sprint("a", i)
+		adapter := registry.Adapter{Customer: "banksia", Model: "quill"}
+		if versions {
+			adapter.DefaultVersion = "v1"
+			changes = append(changes, registry.Object{Kind: registry.KindVersion, Name: name + "@v1", Version: &registry.Version{
+				Adapter: name, Source: "store/" + name + "/v1", State: registry.VersionActive,
+			}})
 		}
-		for j := i; j < min(i+1000, n); j++ {
-			name := fmt.Sprint("a", j)
-			changes = append(changes,
-				registry.Object{Kind: registry.KindAdapter, Name: name, Adapter: &registry.Adapter{
-					Customer: "banksia", Model: "quill", DefaultVersion: "v1",
-				}},
-				registry.Object{Kind: registry.KindVersion, Name: name + "@v1", Version: &registry.Version{
-					Adapter: name, Source: "store/" + name + "/v1", State: registry.VersionActive,
-				}})
+		changes = append(changes, registry.Object{Kind: registry.KindAdapter, Name: name, Adapter: &adapter})
+		if i%1000 == 999 || i == n-1 {
+			qt.Assert(tb, r.Apply(registry.Command{Changes: changes}).Err(), qt.IsNil)
+			changes = nil
 		}
-		qt.Assert(tb, r.Apply(registry.Command{Changes: changes}).Err(), qt.IsNil)
 	}
 	return r
 }
@@ -77,52 +78,62 @@
 	return max(peak, heap()), measure.ProcessorTime(tb) - begin
 }
 
+// restarting returns an empty instance that subscribes to the voter.
+func restarting(call peer.Caller) (*registry.Registry, *feed.Node) {
+	r := registry.New()
+	return r, feed.New(feed.WithName("a", "suva-a"), feed.WithRegistry(r), feed.WithCaller(call),
+		feed.WithLogger(slog.New(slog.DiscardHandler)), feed.WithSources(func() []string { return []string{"voter"} }))
+}
+
+// recordRestart measures a source and stores its answers to a restarting instance in files named by their number.
+func recordRestart(b *testing.B, folder string, adapters int) (revision uint64) {
+	source, mux := addAdapters(b, registry.New(), adapters, true), peer.NewMux()
+	b.ReportMetric(float64(liveHeap()), "source-live-B")
+	n := feed.New(feed.WithRegistry(source), feed.WithAge(func() time.Duration { return 0 }))
+	n.Register(mux)
+	peak, cpu := peakHeap(b, func() {
+		for n.Counters().Snapshots+n.Counters().Pushes == 0 {
+			_, err := mux.Serve(b.Context(), "a", "Feed.Subscribe", []byte(`{}`))
+			qt.Assert(b, err, qt.IsNil)
+			time.Sleep(10 * time.Millisecond)
+		}
+	})
+	b.ReportMetric(float64(peak), "source-peak-B")
+	b.ReportMetric(float64(cpu.Milliseconds()), "source-cpu-ms")
+	calls := 0
+	copied, client := restarting(func(ctx context.Context, _, method string, params, result any) error {
+		raw, _ := json.Marshal(params)
+		answer, err := mux.Serve(ctx, "a", method, raw)
+		if err != nil || result == nil {
+			return err
+		}
+		raw, _ = json.Marshal(answer)
+		calls++
+		return errs.Combine(os.WriteFile(filepath.Join(folder, fmt.Sprint(calls)), raw, 0o600), json.Unmarshal(raw, result))
+	})
+	client.Poll(b.Context())
+	qt.Assert(b, copied.Revision(), qt.Equals, source.Revision())
+	return source.Revision()
+}
+
 // BenchmarkRestartMemory measures the heap of a source that encodes its configuration, and then, from files and without
 // the source in the process, of an instance that starts with it. Nothing else of an instance is in the figures.
 func BenchmarkRestartMemory(b *testing.B) {
-	logger := slog.New(slog.NewTextHandler(io.Discard, nil))
 	for _, n := range []int{3_000, 30_000, 140_000} {
 		b.Run(fmt.Sprint("adapters=", n), func(b *testing.B) {
 			for range b.N {
 				folder, calls := b.TempDir(), 0
-				answerFile := func() string { return filepath.Join(folder, fmt.Sprint(calls)) }
-				start := func(call peer.Caller) (*registry.Registry, *feed.Node) {
-					r := registry.New()
-					return r, feed.New(feed.WithName("a", "suva-a"), feed.WithRegistry(r), feed.WithLogger(logger),
-						feed.WithCaller(call), feed.WithSources(func() []string { return []string{"voter"} }))
-				}
-
-				source := addAdapters(b, registry.New(), n)
-				revision := source.Revision()
-				b.ReportMetric(float64(liveHeap()), "source-live-B")
-				mux := peer.NewMux()
-				feed.New(feed.WithName("voter", "brisbane-a"), feed.WithRegistry(source), feed.WithLogger(logger),
-					feed.WithAge(func() time.Duration { return 0 })).Register(mux)
-				subscribe := func() (prepared bool) {
-					answer, err := mux.Serve(b.Context(), "a", "Feed.Subscribe", []byte(`{"DataCentre":"suva-a"}`))
-					qt.Assert(b, err, qt.IsNil)
-					raw, _ := json.Marshal(answer)
-					var state struct{ Preparing bool }
-					qt.Assert(b, json.Unmarshal(raw, &state), qt.IsNil)
-					return !state.Preparing
-				}
-				peak, cpu := peakHeap(b, func() {
-					for !subscribe() {
-						time.Sleep(10 * time.Millisecond)
+				revision := recordRestart(b, folder, n)
+				before := liveHeap()
+				restarted, client := restarting(func(_ context.Context, _, _ string, _, result any) error {
+					if result == nil {
+						return nil
 					}
+					calls++
+					raw, err := os.ReadFile(filepath.Join(folder, fmt.Sprint(calls)))
+					return errs.Combine(err, json.Unmarshal(raw, result))
 				})
-				b.ReportMetric(float64(peak), "source-peak-B")
-				b.ReportMetric(float64(cpu.Milliseconds()), "source-cpu-ms")
-				recorded := recording{serve: mux.Serve, file: answerFile, calls: &calls}
-				copied, client := start(recorded.call)
-				client.Poll(b.Context())
-				qt.Assert(b, copied.Revision(), qt.Equals, revision)
-				source, copied, client, mux, recorded.serve = nil, nil, nil, nil, nil
-
-				calls = 0
-				before := liveHeap()
-				restarted, client := start(recorded.replay)
-				peak, cpu = peakHeap(b, func() { client.Poll(b.Context()) })
+				peak, cpu := peakHeap(b, func() { client.Poll(b.Context()) })
 				qt.Assert(b, restarted.Revision(), qt.Equals, revision)
 				b.ReportMetric(float64(peak), "instance-peak-B")
 				b.ReportMetric(float64(cpu.Milliseconds()), "instance-cpu-ms")
@@ -134,39 +145,20 @@
 	}
 }
 
-// recording stores the answers of a source in files and answers from them later.
-type recording struct {
-	serve func(ctx context.Context, from, method string, params json.RawMessage) (any, error)
-	file  func() string
-	calls *int
-}
-
-func (r *recording) call(ctx context.Context, _, method string, params, result any) error {
-	raw, _ := json.Marshal(params)
-	answer, err := r.serve(ctx, "a", method, raw)
-	if err != nil || result == nil {
-		return err
-	}
-	if raw, err = json.Marshal(answer); err != nil {
-		return err
-	}
-	*r.calls++
-	if err := os.WriteFile(r.file(), raw, 0o600); err != nil {
-		return err
-	}
-	return json.Unmarshal(raw, result)
-}
-
-func (r *recording) replay(_ context.Context, _, _ string, _, result any) error {
-	if result == nil {
-		return nil
-	}
-	*r.calls++
-	raw, err := os.ReadFile(r.file())
-	if err != nil {
-		return err
+// restart adds an instance to suva-a and runs it until stop is called, which loses it.
+func (f *fleet) restart(name string) (stop func()) {
+	f.add(name, "suva-a", feed.WithSources(func() []string { return []string{"suva-a-relay", "voter"} }))
+	n := f.nodes[name]
+	ctx, cancel := context.WithCancel(context.Background())
+	var group errgroup.Group
+	group.Go(func() error { return n.Run(ctx) })
+	return func() {
+		f.mu.Lock()
+		delete(f.muxes, name)
+		f.mu.Unlock()
+		cancel()
+		_ = group.Wait()
 	}
-	return json.Unmarshal(raw, result)
 }
 
 // Guards against a restarted instance that never gets a large snapshot, or gets a mixed one, when a message is lost,
@@ -175,41 +167,35 @@
 	type fault struct {
 		method  string
 		happens outcome
-		also    func(f *fleet)
+		also    func(f *fleet, to string)
 	}
 	faults := map[string]fault{
-		"change":      {"Feed.Fetch", delivered, func(f *fleet) { f.change(int(f.regs["voter"].Revision())) }},
-		"source dies": {"Feed.Fetch", delivered, func(f *fleet) { delete(f.muxes, "suva-a-relay") }},
+		"change":      {"Feed.Fetch", delivered, func(f *fleet, _ string) { f.change(int(f.regs["voter"].Revision())) }},
+		"source dies": {"Feed.Fetch", delivered, func(f *fleet, _ string) { delete(f.muxes, "suva-a-relay") }},
+		"peer dies":   {"Feed.Fetch", delivered, func(f *fleet, to string) { delete(f.muxes, to) }},
 	}
-	for _, method := range []string{"Feed.Subscribe", "Feed.Fetch", "Feed.Beat"} {
+	for _, method := range []string{"Feed.Subscribe", "Feed.Snapshot", "Feed.Fetch", "Feed.Beat"} {
 		for _, happens := range []outcome{requestLost, answerLost} {
-			faults[fmt.Sprint(method, " ", happens)] = fault{method, happens, func(*fleet) {}}
+			faults[fmt.Sprint(method, " ", happens)] = fault{method, happens, func(*fleet, string) {}}
 		}
 	}
 	for name, fault := range faults {
 		t.Run(name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
 				f := newFleet(oneWay, 3, "suva-a")
-				addAdapters(t, f.regs["voter"], 6_000)
+				addAdapters(t, f.regs["voter"], 5_000, true)
 				defer f.run()()
 				time.Sleep(20 * time.Second)
-				f.add("new", "suva-a", feed.WithSources(func() []string { return []string{"suva-a-relay", "voter"} }))
-				ctx, cancel := context.WithCancel(context.Background())
-				var group errgroup.Group
-				defer func() {
-					cancel()
-					_ = group.Wait()
-				}()
 				hit := false
 				f.setFault(func(from, to, method string) outcome {
 					if hit || method != fault.method || (from != "new" && to != "new") {
 						return delivered
 					}
 					hit = true
-					fault.also(f)
+					fault.also(f, to)
 					return fault.happens
 				})
-				group.Go(func() error { return f.nodes["new"].Run(ctx) })
+				defer f.restart("new")()
 				time.Sleep(20 * time.Second)
 				f.setFault(nil)
 				time.Sleep(target)
@@ -222,3 +208,40 @@
 		})
 	}
 }
+
+// Guards against a relay that serves the snapshots of all restarting instances: 135 a day of 33 MB are 52 KB per second.
+func TestSnapshotsComeFromPeers(t *testing.T) {
+	const instances, restarts = 30, 20
+	// 69 KB per second (135 * 33.3 MB * 4/3 a day) spread by this share leave room for the rest of the feed in 12 KB.
+	const share = 0.12
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(time.Millisecond, 0)
+		// Without stages, which would spread the snapshots over ten instances by themselves.
+		f.add("suva-a-relay", "suva-a", feed.WithFanout(2*instances), feed.WithSources(func() []string { return []string{"voter"} }))
+		for i := range instances {
+			f.add(fmt.Sprint("suva-a-", i), "suva-a", feed.WithSources(func() []string { return []string{"suva-a-relay"} }))
+		}
+		addAdapters(t, f.regs["voter"], 5_000, true)
+		defer f.run()()
+		time.Sleep(20 * time.Second)
+		f.resetTraffic()
+		for i := range restarts {
+			name := fmt.Sprint("new-", i)
+			stop := f.restart(name)
+			time.Sleep(10 * time.Second)
+			stop()
+			qt.Assert(t, f.regs[name].Revision(), qt.Equals, f.regs["voter"].Revision())
+		}
+		f.mu.Lock()
+		defer f.mu.Unlock()
+		var all, busiest float64
+		for name, l := range f.loads {
+			if !strings.HasPrefix(name, "new-") {
+				all, busiest = all+l.methods["Feed.Fetch"].bytes, max(busiest, l.methods["Feed.Fetch"].bytes)
+			}
+		}
+		relay := f.loads["suva-a-relay"].methods["Feed.Fetch"].bytes
+		t.Logf("%.0f B for %d snapshots, busiest instance %.1f%%, relay %.1f%%", all, restarts, 100*busiest/all, 100*relay/all)
+		qt.Check(t, max(relay, busiest) < share*all, qt.IsTrue)
+	})
+}
--- a/internal/state/feed/subscriber.go
+++ b/internal/state/feed/subscriber.go
@@ -121,6 +121,15 @@
 		n.log(ctx, event.FeedSourceBehind, source)
 		return false, true, ""
 	}
+	if answer.Peer != "" {
+		if err := n.fetchFromPeer(ctx, answer.Peer, revision); err != nil {
+			n.log(ctx, event.FeedSourceLost, answer.Peer)
+		}
+		n.mu.Lock()
+		n.direct = true
+		n.mu.Unlock()
+		return n.subscribe(ctx, source)
+	}
 	if answer.Preparing {
 		// The source is of use, but nothing was learned from it yet.
 		n.noteBehind(true)
@@ -141,7 +150,7 @@
 		n.acknowledge(ctx)
 	}
 	n.mu.Lock()
-	n.behind, n.failed, n.heardAt = false, "", n.options.Now()
+	n.behind, n.direct, n.failed, n.heardAt = false, false, "", n.options.Now()
 	// The time of the call counts as age, because the source may have answered at its start.
 	n.noteFresh(asked.Add(-answer.Age))
 	n.mu.Unlock()
@@ -155,7 +164,7 @@
 	now := n.options.Now()
 	n.subscription++
 	n.askedAt = now
-	params.Subscription, params.Failed = n.subscription, n.failed
+	params.Subscription, params.Failed, params.Direct = n.subscription, n.failed, n.direct
 	return now, !n.heardAt.IsZero() && !n.behind && n.chosenAt.Before(n.heardAt) && n.silent(now)
 }
 
