Send subscribers beyond the stages on when they renew

Cause: a relay kept every subscriber that it had accepted while no stage could be used, so that a fault between the instances of a data centre left it feeding them all afterwards.

--- a/internal/state/feed/fault_test.go
+++ b/internal/state/feed/fault_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"maps"
 	"slices"
+	"strings"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -140,6 +141,34 @@
 	})
 }
 
+// Guards against a relay that goes on feeding all instances after none of them could reach another for a while.
+func TestStagesComeBack(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := stagedFleet()
+		defer f.run()()
+		direct := func() (count int) {
+			for _, n := range f.nodes {
+				if n.Source() == "suva-a-relay" {
+					count++
+				}
+			}
+			return count
+		}
+		time.Sleep(10 * time.Second)
+		f.setFault(func(from, to, _ string) outcome {
+			if strings.HasPrefix(from, "suva-a-") && strings.HasPrefix(to, "suva-a-") && from != "suva-a-relay" && to != "suva-a-relay" {
+				return requestLost
+			}
+			return delivered
+		})
+		time.Sleep(20 * time.Second)
+		qt.Check(t, direct(), qt.Equals, 12)
+		f.setFault(nil)
+		time.Sleep(2 * time.Minute)
+		qt.Check(t, direct(), qt.Equals, 3)
+	})
+}
+
 func cutOff(name string) func(from, to, method string) outcome {
 	return func(from, to, _ string) outcome {
 		if from == name || to == name {
--- a/internal/state/feed/hub.go
+++ b/internal/state/feed/hub.go
@@ -1,6 +1,7 @@
 package feed
 
 import (
+	"cmp"
 	"maps"
 	"slices"
 	"time"
@@ -57,32 +58,37 @@
 	c.report, c.load = report, report[c.dataCentre].Instances
 }
 
-// through returns the subscriber through which a new one of the same data centre is fed, so that no instance feeds more
-// than fanout of them; "" if it is fed from here. A subscriber named as failed is not used for the length of a lease.
-func (h *hub) through(now time.Time, from, dataCentre, failed string, fanout int) (best string) {
+// through returns the subscriber through which another one of the same data centre is fed, so that no instance feeds more
+// than fanout of them; "" if it is fed from here. A subscriber named as failed is not used for the length of a lease;
+// those that came here meanwhile are sent on when they renew.
+func (h *hub) through(now time.Time, from, dataCentre, failed string, fanout int) string {
 	if c := h.children[failed]; c != nil {
 		c.avoidUntil = now.Add(h.lease)
 	}
-	if c := h.children[from]; c != nil && now.Before(c.deadline) {
+	stages := h.stages(now, dataCentre, fanout)
+	if len(stages) < fanout || slices.Contains(stages, from) {
 		return ""
 	}
-	direct := 0
-	for _, name := range slices.Sorted(maps.Keys(h.children)) {
-		c := h.children[name]
-		if c.dataCentre != dataCentre || !now.Before(c.deadline) {
-			continue
-		}
-		direct++
-		if !now.Before(c.avoidUntil) && (best == "" || c.load < h.children[best].load) {
-			best = name
+	// The last one has the smallest load.
+	for _, name := range slices.Backward(stages) {
+		if c := h.children[name]; !now.Before(c.avoidUntil) {
+			c.load++
+			delete(h.children, from)
+			return name
 		}
 	}
-	if direct < fanout || best == "" {
-		return ""
+	return ""
+}
+
+// stages returns up to fanout subscribers of a data centre, those with the most instances below first.
+func (h *hub) stages(now time.Time, dataCentre string, fanout int) (names []string) {
+	for _, name := range slices.Sorted(maps.Keys(h.children)) {
+		if c := h.children[name]; c.dataCentre == dataCentre && now.Before(c.deadline) {
+			names = append(names, name)
+		}
 	}
-	h.children[best].load++
-	delete(h.children, from)
-	return best
+	slices.SortStableFunc(names, func(a, b string) int { return cmp.Compare(h.children[b].load, h.children[a].load) })
+	return names[:min(len(names), fanout)]
 }
 
 // peer returns a subscriber of the data centre with at least the revision, another one each time, or "".
