Refuse requests until configuration and withdrawn keys are known

It refused valid keys as unknown with status 403, which callers don't repeat, and would have accepted a key whose withdrawal it had not learned yet (P5). Change: a first filter refuses all requests with Unavailable, not run, until configuration and withdrawn keys have arrived since the start; it does not come back during a planned stop. Its rule AwaitState has a mutation.

--- a/internal/node/instance/instance.go
+++ b/internal/node/instance/instance.go
@@ -206,6 +206,7 @@
 		c.Registry = i.state.registry
 		c.Now = i.options.Now
 		c.Withdrawn = i.state.withdrawn
+		c.Known = i.state.known
 		c.Stale = i.state.stale
 		c.Reserve = i.reserve
 		c.Choose = i.targets.choose
--- a/internal/serve/caller/caller.go
+++ b/internal/serve/caller/caller.go
@@ -123,7 +123,7 @@
 	x, err := s.newExchange(w, r)
 	defer func() { s.report(x) }()
 	if err == nil {
-		err = s.run(x, s.identify, s.parse, s.authorise, s.admit)
+		err = s.run(x, s.awaitState, s.identify, s.parse, s.authorise, s.admit)
 	}
 	if err != nil {
 		s.refuse(x, err)
--- a/internal/serve/caller/identify.go
+++ b/internal/serve/caller/identify.go
@@ -15,6 +15,15 @@
 // headerAPIKey is the header that some client libraries use in place of Authorization.
 const headerAPIKey = "X-Api-Key"
 
+// awaitState refuses requests of an instance that has just started: it would take valid keys for unknown ones, and
+// withdrawn keys for valid ones.
+func (s *Server) awaitState(*exchange) error {
+	if s.options.Rules.AwaitState && !s.options.Known() {
+		return refusal.New(refusal.Unavailable, "instance is starting")
+	}
+	return nil
+}
+
 // identify finds the customer of the key that came with the request; no key means an anonymous caller.
 func (s *Server) identify(x *exchange) error {
 	s.options.Trace(x.r, StepIdentify)
@@ -130,7 +139,7 @@
 func (s *Server) listModels(w http.ResponseWriter, r *http.Request) {
 	x, err := s.newExchange(w, r)
 	if err == nil {
-		err = s.identify(x)
+		err = s.run(x, s.awaitState, s.identify)
 	}
 	if err != nil {
 		s.refuse(x, err)
--- a/internal/serve/caller/options.go
+++ b/internal/serve/caller/options.go
@@ -68,6 +68,7 @@
 	RecheckKeys   bool // a running request ends when its key is withdrawn
 	RememberRuns  bool // an earlier attempt that may have run makes the outcome open
 	RunOnce       bool // a non-idempotent request that may have run is not sent again
+	AwaitState    bool // no request is decided on before configuration and withdrawn keys are known
 }
 
 // Options are the settings and neighbours of a Server.
@@ -78,6 +79,7 @@
 	Registry       *registry.Registry
 	Now            func() time.Time
 	Withdrawn      func(keyID string) bool
+	Known          func() bool // configuration and withdrawn keys have arrived since the start
 	Stale          func() bool // withdrawals made elsewhere may be unknown here
 	Reserve        func(ctx context.Context, customer string, tokens int) (Reservation, error)
 	Choose         func(now time.Time, r owner.Request, tried []string) (Target, error)
@@ -109,6 +111,7 @@
 		Registry:  registry.New(),
 		Now:       time.Now,
 		Withdrawn: func(string) bool { return false },
+		Known:     func() bool { return true },
 		Stale:     func() bool { return false },
 		Reserve: func(context.Context, string, int) (Reservation, error) {
 			return Reservation{Settle: func(int) {}}, nil
@@ -125,6 +128,6 @@
 		RetryBudget:    0.2,
 		RecheckEvery:   500 * time.Millisecond,
 		WriteTimeout:   10 * time.Second,
-		Rules:          Rules{CheckCustomer: true, RemoveKeys: true, RecheckKeys: true, RememberRuns: true, RunOnce: true},
+		Rules:          Rules{CheckCustomer: true, RemoveKeys: true, RecheckKeys: true, RememberRuns: true, RunOnce: true, AwaitState: true},
 	}
 }
--- a/internal/serve/caller/plain.go
+++ b/internal/serve/caller/plain.go
@@ -115,7 +115,7 @@
 	defer func() { s.report(x) }()
 	c := &plainCall{exchange: x}
 	if err == nil {
-		err = s.run(x, c.find(s), s.identify, c.authorise, c.read(s))
+		err = s.run(x, s.awaitState, c.find(s), s.identify, c.authorise, c.read(s))
 	}
 	if err != nil {
 		s.refuse(x, err)
--- a/internal/serve/caller/rig_test.go
+++ b/internal/serve/caller/rig_test.go
@@ -63,6 +63,7 @@
 	change    []func(*caller.Options)
 	engine    engine.Rules
 	ownerRule owner.Rules
+	starting  bool         // configuration and withdrawn keys are not known yet
 	order     []int        // engines in the order of preference
 	dials     atomic.Int64 // connections opened to engines
 }
@@ -148,6 +149,7 @@
 	r.server = caller.New(caller.With(func(o *caller.Options) {
 		o.Logger, o.Registry, o.Choose, o.ChoosePlain, o.PlainTransport = logger, r.registry, r.choose, r.choosePlain, transport
 		o.Withdrawn = r.isWithdrawn
+		o.Known = func() bool { return !r.starting }
 		for _, f := range r.change {
 			f(o)
 		}
--- a/internal/serve/caller/rules_test.go
+++ b/internal/serve/caller/rules_test.go
@@ -52,6 +52,12 @@
 			r.do("POST", "/ledger/orders", key1, order)
 			return r.runs() > 1
 		}},
+		{"AwaitState", func(r *caller.Rules) { r.AwaitState = false }, nil, fakeengine.Faults{}, func(r *rig) bool {
+			r.starting = true
+			return r.do("POST", "/v1/completions", key1, stream("a", 1, "")).code() != "Unavailable/NotRun" ||
+				r.do("POST", "/ledger/orders", key1, order).code() != "Unavailable/NotRun" ||
+				r.do("GET", "/v1/models", key1, "").code() != "Unavailable/NotRun"
+		}},
 		{"CheckModel", nil, func(r *rig) { r.engine.CheckModel = false }, otherModel, func(r *rig) bool {
 			return strings.Contains(r.do("POST", "/v1/completions", key1, stream("a", 3, "")).body, `"text":"quill:`)
 		}},
--- a/internal/tool/matrix/schedule.go
+++ b/internal/tool/matrix/schedule.go
@@ -46,12 +46,12 @@
 	lock      sync.Mutex
 	skew      map[string]time.Duration // of wall clocks
 	sent      []registry.Command
-	results   map[string]uint64           // revision by request identifier, of accepted changes
-	winners   map[uint64]string           // request identifier by expected revision
-	refused   map[*instance.Instance]bool // the withdrawn key
-	fences    map[string]uint64           // highest fencing number that an endpoint received
-	fenced    []string                    // commands of former owners
-	began     map[string]bool             // prompts of completions that an engine began to run
+	results   map[string]uint64             // revision by request identifier, of accepted changes
+	winners   map[uint64]string             // request identifier by expected revision
+	refused   map[*instance.Instance]string // the answer with which an instance refused the withdrawn key
+	fences    map[string]uint64             // highest fencing number that an endpoint received
+	fenced    []string                      // commands of former owners
+	began     map[string]bool               // prompts of completions that an engine began to run
 	requests  int
 	whole     int // answers to completions
 	withdrawn bool
@@ -70,7 +70,7 @@
 	}
 	s := &schedule{
 		draw: rand.New(rand.NewPCG(seed, 0)).IntN, skew: map[string]time.Duration{}, results: map[string]uint64{},
-		winners: map[uint64]string{}, refused: map[*instance.Instance]bool{}, fences: map[string]uint64{}, began: map[string]bool{},
+		winners: map[uint64]string{}, refused: map[*instance.Instance]string{}, fences: map[string]uint64{}, began: map[string]bool{},
 	}
 	s.Harness, err = start(ctx, folder, objects, s.watchFences, deployment.With(func(o *deployment.Options) {
 		o.Wall = s.wall
@@ -210,10 +210,12 @@
 	if key != revokedKey || at != i.Current() {
 		return
 	}
-	if refused && r.err == nil && r.status == http.StatusOK {
-		s.violate("P5: %s accepts a key again that it had refused", i.Settings.Name)
+	if refused != "" && r.err == nil && r.status == http.StatusOK {
+		s.violate("P5: %s accepts a key again that it had refused: %s", i.Settings.Name, refused)
+	}
+	if r.status == http.StatusForbidden {
+		s.refused[at] = fmt.Sprint(time.Since(s.begin), r.body)
 	}
-	s.refused[at] = s.refused[at] || r.status == http.StatusForbidden
 }
 
 func (s *schedule) noteBegun(prompt string) {
