--- a/internal/tool/matrix/schedule.go
+++ b/internal/tool/matrix/schedule.go
@@ -60,8 +60,8 @@
 
 // RunSchedule runs the schedule that the seed draws, with log, distribution, withdrawal, ownership, limits and claims
 // of a whole deployment at work, and returns the violations of promises and the steps taken. The disks of the voters
-// are in folder.
-func RunSchedule(ctx context.Context, seed uint64, folder string) (violations, steps []string, err error) {
+// are in folder; opts go to every instance.
+func RunSchedule(ctx context.Context, seed uint64, folder string, opts ...instance.Option) (violations, steps []string, err error) {
 	objects := demo.Changes()
 	for n, o := range objects {
 		if o.Kind == registry.KindCustomer && o.Name == demo.Customers()[tightCustomer] {
@@ -73,7 +73,7 @@
 		winners: map[uint64]string{}, refused: map[*instance.Instance]string{}, fences: map[string]uint64{}, began: map[string]bool{},
 	}
 	s.Harness, err = start(ctx, folder, objects, s.watchFences, deployment.With(func(o *deployment.Options) {
-		o.Wall = s.wall
+		o.Wall, o.Instance = s.wall, append(o.Instance, opts...)
 		common := o.EngineOptions
 		o.EngineOptions = func(name string) []fakeengine.Option { return append(common(name), fakeengine.WithBegan(s.noteBegun)) }
 	}))
