--- a/internal/state/feed/feed_test.go
+++ b/internal/state/feed/feed_test.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"io"
 	"log/slog"
+	"maps"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -83,7 +84,7 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	for name, l := range f.loads {
-		total := load{(l.bytes + 2*headers*l.calls) / span.Seconds(), l.calls / span.Seconds(), l.methods}
+		total := load{(l.bytes + 2*headers*l.calls) / span.Seconds(), l.calls / span.Seconds(), maps.Clone(l.methods)}
 		role := &other
 		switch {
 		case name == "voter":
--- a/internal/tool/matrix/harness.go
+++ b/internal/tool/matrix/harness.go
@@ -79,23 +79,22 @@
 
 // Run runs a cell; folder takes the disks of the voters.
 func Run(ctx context.Context, cell Cell, folder string) (result Result, err error) {
-	h, err := start(ctx, folder, demo.Changes(), nil)
+	h, err := start(ctx, cell, folder, demo.Changes(), nil)
 	if err != nil {
 		return result, err
 	}
-	h.column, h.faults = cell.Column, cell.Faults
 	result = h.cell()
 	return result, h.end()
 }
 
-// start starts a deployment with the objects as its configuration and waits until it is ready; observe, if it is set,
-// sees all that endpoints receive.
-func start(ctx context.Context, folder string, objects []registry.Object, observe func(*http.Request, []byte),
+// start starts a deployment for a cell, with the objects as its configuration, and waits until it is ready; observe, if
+// it is set, sees all that endpoints receive.
+func start(ctx context.Context, cell Cell, folder string, objects []registry.Object, observe func(*http.Request, []byte),
 	opts ...deployment.Option,
 ) (h *Harness, err error) {
 	n := network.New()
 	h = &Harness{
-		ctx: ctx, net: n, observe: observe, events: map[event.ID]int{}, errors: make(chan error, 64),
+		ctx: ctx, net: n, column: cell.Column, faults: cell.Faults, observe: observe, events: map[event.ID]int{}, errors: make(chan error, 64),
 		stopped: make(chan struct{}), restarted: make(chan struct{}),
 		client: &http.Client{Transport: &http.Transport{DialContext: n.Dialer(callerHost)}},
 	}
--- a/internal/tool/matrix/schedule.go
+++ b/internal/tool/matrix/schedule.go
@@ -72,7 +72,7 @@
 		draw: rand.New(rand.NewPCG(seed, 0)).IntN, skew: map[string]time.Duration{}, results: map[string]uint64{},
 		winners: map[uint64]string{}, refused: map[*instance.Instance]string{}, fences: map[string]uint64{}, began: map[string]bool{},
 	}
-	s.Harness, err = start(ctx, folder, objects, s.watchFences, deployment.With(func(o *deployment.Options) {
+	s.Harness, err = start(ctx, Cell{}, folder, objects, s.watchFences, deployment.With(func(o *deployment.Options) {
 		o.Wall, o.Instance = s.wall, append(o.Instance, opts...)
 		common := o.EngineOptions
 		o.EngineOptions = func(name string) []fakeengine.Option { return append(common(name), fakeengine.WithBegan(s.noteBegun)) }
