Let the engine stand-in step at its own rhythm

Cause: the overhead of whole completions was three times the time added outside the engine. The stand-in slept between two tokens after writing one, so that each write and each late wake-up moved all later tokens; with the proxy running there are more of both. An engine computes its steps at its own rhythm. Change: the stand-in waits for the time of the next step. Virtual time sees no difference.

--- a/internal/fake/engine/stream.go
+++ b/internal/fake/engine/stream.go
@@ -151,8 +151,12 @@
 	w.WriteHeader(http.StatusOK)
 	flusher := http.NewResponseController(w)
 	_ = flusher.Flush()
+	// An engine steps at its own rhythm: sleeping between tokens would add the time of each write and the delay of each
+	// wake-up to the next token.
+	next := time.Now()
 	for seq := after + 1; seq <= uint64(s.total); seq++ {
-		if !pause(ctx, s, e.options.StepTime) {
+		next = next.Add(e.options.StepTime)
+		if !pause(ctx, s, time.Until(next)) {
 			return
 		}
 		if f.CutAfter != nil && after == 0 && f.CutAfter(s.attempt) > 0 && seq > uint64(f.CutAfter(s.attempt)) {
