--- a/internal/state/feed/large.go
+++ b/internal/state/feed/large.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"encoding/json"
-	"errors"
 	"io"
 	"time"
 
@@ -244,7 +243,7 @@
 	for {
 		var o registry.Object
 		switch err := decoder.Decode(&o); {
-		case errors.Is(err, io.EOF):
+		case errs.Is(err, io.EOF):
 			return n.installDelta(d, loader)
 		case err != nil:
 			return err
