--- a/cmd/lycheevale/main.go
+++ b/cmd/lycheevale/main.go
@@ -14,6 +14,8 @@
 	"lycheevale/internal/tool/daemoncmd"
 	"lycheevale/internal/tool/demo"
 	"lycheevale/internal/tool/exitcode"
+	"lycheevale/internal/tool/fleetcmd"
+	"lycheevale/platform/roles"
 )
 
 // exitError ends the program with a code after everything has been printed.
@@ -43,16 +45,38 @@
 }
 
 type checkCommand struct {
-	Arguments struct {
+	Deployment bool `long:"deployment" description:"the file is for entry or control"`
+	Arguments  struct {
 		File string `positional-arg-name:"FILE"`
 	} `positional-args:"yes" required:"yes"`
 }
 
 // Execute implements flags.Commander.
 func (c *checkCommand) Execute([]string) error {
+	if c.Deployment {
+		return exit(fleetcmd.Check(c.Arguments.File, os.Stdout, os.Stderr))
+	}
 	return exit(daemoncmd.CheckConfig(c.Arguments.File, os.Stdout, os.Stderr))
 }
 
+type entryCommand struct {
+	Config string `long:"config" env:"LYCHEEVALE_NODE_FILE" value-name:"FILE" required:"yes" description:"settings in YAML"`
+}
+
+// Execute implements flags.Commander.
+func (c *entryCommand) Execute([]string) error {
+	return exit(fleetcmd.Run(c.Config, os.Stdout, os.Stderr, roles.Entry))
+}
+
+type controlCommand struct {
+	Config string `long:"config" env:"LYCHEEVALE_NODE_FILE" value-name:"FILE" required:"yes" description:"settings in YAML"`
+}
+
+// Execute implements flags.Commander.
+func (c *controlCommand) Execute([]string) error {
+	return exit(fleetcmd.Run(c.Config, os.Stdout, os.Stderr, roles.Control))
+}
+
 type versionCommand struct{}
 
 // Execute implements flags.Commander.
@@ -82,6 +106,8 @@
 func main() {
 	parser := flags.NewNamedParser("lycheevale", flags.HelpFlag|flags.PassDoubleDash)
 	add(parser, "run", "run one instance", &runCommand{})
+	add(parser, "entry", "run an instance that serves callers of a deployment", &entryCommand{})
+	add(parser, "control", "run an instance that controls a deployment", &controlCommand{})
 	add(parser, "check-config", "check a settings file", &checkCommand{})
 	add(parser, "version", "print the version", &versionCommand{})
 	add(parser, "demo", "run a small deployment in one process and send requests through it", &demoCommand{})
--- /dev/null
+++ b/internal/base/deployment/deployment.go
@@ -0,0 +1,119 @@
+// Package deployment holds the settings of the processes entry and control, which find each other by seeds.
+package deployment
+
+import (
+	"fmt"
+	"net/netip"
+	"time"
+
+	"github.com/zeebo/errs"
+
+	"lycheevale/internal/base/yamldoc"
+)
+
+// Error is the class of errors of this package.
+var Error = errs.Class("deployment")
+
+// Settings of one process.
+type Settings struct {
+	Name        string            `yaml:"Name"`
+	Address     netip.Addr        `yaml:"Address"` // under which other instances reach this one
+	DataCentre  string            `yaml:"DataCentre"`
+	Region      string            `yaml:"Region"`
+	Regions     map[string]string `yaml:"Regions"` // by data centre
+	Listen      Listen            `yaml:"Listen"`
+	Seeds       []netip.AddrPort  `yaml:"Seeds"`     // control interfaces of some control instances
+	Bootstrap   bool              `yaml:"Bootstrap"` // first start of the whole system: the seeds may found the log
+	DataFolder  string            `yaml:"DataFolder"`
+	MemoryMB    int64             `yaml:"MemoryMB"`
+	MaxFiles    int               `yaml:"MaxFiles"`
+	Losses      int               `yaml:"Losses"` // control instances whose loss at once is borne
+	Shutdown    Millis            `yaml:"ShutdownMillis"`
+	MaxPause    Millis            `yaml:"DrainMillis"`
+	Retry       Retry             `yaml:"Retry"`
+	OrderLease  Millis            `yaml:"OrderLeaseMillis"`  // between orders of two leaders to one endpoint
+	Heartbeat   Millis            `yaml:"HeartbeatMillis"`   // between two announcements of an endpoint
+	Fencing     bool              `yaml:"EndpointsFence"`    // endpoints refuse orders with an old fencing number
+	AdapterStep Millis            `yaml:"NewVersionMillis"`  // in which a new version of an adapter takes effect
+	Apply       Millis            `yaml:"ConfigApplyMillis"` // in which a configuration takes effect
+}
+
+// Listen holds the addresses of this process; those that its role does not serve are not set.
+type Listen struct {
+	Callers netip.AddrPort `yaml:"Callers"`
+	Ready   netip.AddrPort `yaml:"Ready"`
+	Control netip.AddrPort `yaml:"Control"`
+	Peers   netip.AddrPort `yaml:"Peers"`
+	Metrics netip.AddrPort `yaml:"Metrics"`
+}
+
+// Retry bounds the repeats of all entries together.
+type Retry struct {
+	Ratio         float64 `yaml:"Ratio"` // repeats for each request
+	WindowSeconds float64 `yaml:"WindowSeconds"`
+	Slack         float64 `yaml:"Slack"` // repeats in a window without requests
+}
+
+// Millis is a length of time in milliseconds.
+type Millis int64
+
+// Duration returns the length of time.
+func (m Millis) Duration() time.Duration { return time.Duration(m) * time.Millisecond }
+
+// Load reads and checks a settings file.
+func Load(path string) (s Settings, err error) {
+	defer func() { err = Error.Wrap(err) }()
+	docs, err := yamldoc.ReadFile(path)
+	if err != nil {
+		return s, err
+	}
+	if len(docs) != 1 {
+		return s, errs.New("%s: one document is expected, not %d", path, len(docs))
+	}
+	if err := docs[0].Decode(&s); err != nil {
+		return s, err
+	}
+	return s, s.check(docs[0]).Err()
+}
+
+func (s Settings) check(d yamldoc.Document) (found yamldoc.SourceErrors) {
+	report := func(path, format string, args ...any) {
+		found = append(found, d.ErrorAt(path, fmt.Sprintf(format, args...), ""))
+	}
+	if s.Name == "" {
+		report("$.Name", "Name is required")
+	}
+	if !s.Address.IsValid() {
+		report("$.Address", "Address is required")
+	}
+	if !s.Listen.Peers.IsValid() {
+		report("$.Listen.Peers", "Listen.Peers is required")
+	}
+	if len(s.Seeds) == 0 {
+		report("$.Seeds", "at least one seed is required")
+	}
+	if !s.Listen.Callers.IsValid() && !s.Listen.Control.IsValid() {
+		report("$.Listen", "Listen.Callers or Listen.Control is required")
+	}
+	if s.Listen.Callers.IsValid() && !s.Listen.Ready.IsValid() {
+		report("$.Listen.Ready", "Listen.Ready is required beside Listen.Callers")
+	}
+	if s.Listen.Control.IsValid() && s.DataFolder == "" {
+		report("$.DataFolder", "DataFolder is required beside Listen.Control")
+	}
+	if s.Losses < 0 {
+		report("$.Losses", "Losses must not be negative")
+	}
+	if s.Shutdown <= 0 {
+		report("$.ShutdownMillis", "ShutdownMillis must be positive")
+	}
+	if s.Retry.WindowSeconds <= 0 {
+		report("$.Retry.WindowSeconds", "WindowSeconds must be positive")
+	}
+	return found
+}
+
+// RetryWindow returns the window of the bound on repeats.
+func (r Retry) RetryWindow() time.Duration {
+	return time.Duration(r.WindowSeconds * float64(time.Second))
+}
--- a/internal/base/event/entry.go
+++ b/internal/base/event/entry.go
@@ -11,6 +11,12 @@
 	StreamCut        ID = 2005
 	RequestPanicked  ID = 2006
 	OutcomeUncertain ID = 2007
+	RequestServed    ID = 2008
+	ViewUpdated      ID = 2009
+	LeaderFound      ID = 2010
+	LeaderSilent     ID = 2011
+	AdapterAsked     ID = 2012
+	ViewRefused      ID = 2013
 )
 
 var entryEvents = []Entry{
@@ -21,4 +27,10 @@
 	{StreamCut, slog.LevelWarn, "stream from an endpoint ended before its end marker", "Check the endpoint and the network."},
 	{RequestPanicked, slog.LevelError, "request handler panicked", "Report a bug with the stack."},
 	{OutcomeUncertain, slog.LevelWarn, "outcome of a non-idempotent request is unknown", "Check with the service before repeating it."},
+	{RequestServed, slog.LevelInfo, "request served", "None."},
+	{ViewUpdated, slog.LevelInfo, "configuration or endpoints changed", "None."},
+	{LeaderFound, slog.LevelInfo, "leader of the control instances answers", "None."},
+	{LeaderSilent, slog.LevelWarn, "leader of the control instances does not answer", "Lasting: check the control instances and the way to them."},
+	{AdapterAsked, slog.LevelInfo, "leader was asked for an adapter", "Many failures: check the endpoints' orders (event 5013)."},
+	{ViewRefused, slog.LevelError, "configuration from the leader cannot be read", "Two versions of the program run together; finish the roll-out."},
 }
--- a/internal/base/event/instance.go
+++ b/internal/base/event/instance.go
@@ -12,6 +12,9 @@
 	HandOverFailed    ID = 1006
 	BootstrapFailed   ID = 1007
 	WithdrawalPending ID = 1008
+	SettingsReloaded  ID = 1009
+	SettingsInvalid   ID = 1010
+	LogLinesLost      ID = 1011
 )
 
 var instanceEvents = []Entry{
@@ -22,5 +25,8 @@
 	{HandOverFailed, slog.LevelWarn, "endpoints were not handed over before the bound", "Raise Shutdown.Bound; the leases end on their own."},
 	{BootstrapFailed, slog.LevelError, "first configuration was not accepted", "Read the error and correct the objects."},
 	{WithdrawalPending, slog.LevelWarn, "withdrawal of a key is not in the log yet", "Check that a majority of the voters is reachable."},
+	{SettingsReloaded, slog.LevelInfo, "settings file was read again", "None."},
+	{SettingsInvalid, slog.LevelError, "changed settings file is not valid; the settings before stay in effect", "Correct the file."},
+	{LogLinesLost, slog.LevelWarn, "log lines were lost because their reader was too slow", "Check the reader of the standard output."},
 	{InstanceFailed, slog.LevelError, "instance failed", "Read the error; restart after mending its cause."},
 }
--- a/internal/base/event/member.go
+++ b/internal/base/event/member.go
@@ -15,6 +15,12 @@
 	RenewalFailed       ID = 5009
 	IncarnationOutdated ID = 5010
 	AnnouncementRefused ID = 5011
+	EndpointAnnounced   ID = 5012
+	EndpointOrdered     ID = 5013
+	ControlLeading      ID = 5014
+	ControlFollowing    ID = 5015
+	ControlSilent       ID = 5016
+	AdapterPlaced       ID = 5017
 )
 
 var memberEvents = []Entry{
@@ -29,4 +35,10 @@
 	{RenewalFailed, slog.LevelWarn, "renewal with the coordinator failed", "Repeated: check that a majority of the keepers is up and reachable."},
 	{IncarnationOutdated, slog.LevelWarn, "a higher incarnation of this instance is known", "Once: the wall clock was set back. Repeated: two processes use the same name."},
 	{AnnouncementRefused, slog.LevelWarn, "announcement of an endpoint refused", "Read the error; two endpoints with one name is the usual cause."},
+	{EndpointAnnounced, slog.LevelInfo, "endpoint announced a change", "None."},
+	{EndpointOrdered, slog.LevelInfo, "order to an endpoint ended", "Repeated failures: check the endpoint."},
+	{ControlLeading, slog.LevelInfo, "control instance leads", "None."},
+	{ControlFollowing, slog.LevelInfo, "control instance no longer leads", "Several in a minute: check the links between control instances."},
+	{ControlSilent, slog.LevelWarn, "control instance does not answer", "None if it was stopped; otherwise check its host."},
+	{AdapterPlaced, slog.LevelInfo, "place for an adapter chosen", "None."},
 }
--- /dev/null
+++ b/internal/limit/quota/pool.go
@@ -0,0 +1,109 @@
+package quota
+
+import "time"
+
+// Limit is what a customer may use over all entries.
+type Limit struct {
+	Rate  float64 // tokens per second
+	Burst float64 // tokens
+}
+
+// Report is what an entry tells about itself: by customer, the tokens per second that its callers ask for, and the
+// share that it uses at the moment.
+type Report struct {
+	Entry  string
+	Demand map[string]float64
+	Held   map[string]float64
+}
+
+// Pool divides the rates of customers among entries by their demand. The sum of the shares that entries may be using
+// never exceeds the limit: a share grows only into what other entries have reported to use no longer. It is not safe
+// for concurrent use.
+type Pool struct {
+	options Options
+	started time.Time
+	entries map[string]*holder
+}
+
+// Options are the settings of a Pool.
+type Options struct {
+	// Lease is the time after which an entry that has not reported has stopped using its shares.
+	Lease time.Duration
+	// Gather is the time that a new pool waits for reports before a share may grow that another entry may still use.
+	Gather time.Duration
+	// Floor is the part of a limit that is divided evenly, so that a customer who appears at an entry is served at once.
+	Floor float64
+}
+
+type holder struct {
+	heardAt time.Time
+	demand  map[string]float64
+	held    map[string]float64
+	granted map[string]float64
+}
+
+// NewPool returns a pool without entries.
+func NewPool(now time.Time, o Options) *Pool {
+	return &Pool{options: o, started: now, entries: map[string]*holder{}}
+}
+
+// committed is the share of a customer that the entry may be using.
+func (h *holder) committed(customer string) float64 {
+	return max(h.held[customer], h.granted[customer])
+}
+
+// Report records a report and returns the entry's shares in tokens per second.
+func (p *Pool) Report(now time.Time, r Report, limits map[string]Limit) (shares map[string]float64) {
+	p.expire(now)
+	h := p.entries[r.Entry]
+	if h == nil {
+		h = &holder{}
+		p.entries[r.Entry] = h
+	}
+	h.heardAt, h.demand, h.held = now, r.Demand, r.Held
+	shares = make(map[string]float64, len(limits))
+	for customer, limit := range limits {
+		if limit.Rate <= 0 {
+			continue
+		}
+		shares[customer] = p.share(now, r.Entry, customer, limit)
+	}
+	h.granted = shares
+	return shares
+}
+
+func (p *Pool) share(now time.Time, entry, customer string, limit Limit) float64 {
+	h := p.entries[entry]
+	var demand, others float64
+	for name, other := range p.entries {
+		demand += other.demand[customer]
+		if name != entry {
+			others += other.committed(customer)
+		}
+	}
+	target := limit.Rate / float64(len(p.entries))
+	if demand > 0 {
+		even := p.options.Floor * target
+		target = even + (1-p.options.Floor)*limit.Rate*h.demand[customer]/demand
+	}
+	free := max(limit.Rate-others, 0)
+	if now.Sub(p.started) < p.options.Gather {
+		// Entries that have not reported yet may use shares of the leader before.
+		free = min(free, max(h.held[customer], limit.Rate/float64(max(len(p.entries), 1))/gatherDivisor))
+	}
+	return min(target, free)
+}
+
+// gatherDivisor lets an entry without shares serve something while the pool still gathers reports.
+const gatherDivisor = 4
+
+func (p *Pool) expire(now time.Time) {
+	for name, h := range p.entries {
+		if now.Sub(h.heardAt) >= p.options.Lease {
+			delete(p.entries, name)
+		}
+	}
+}
+
+// Entries returns the number of entries that hold shares.
+func (p *Pool) Entries() int { return len(p.entries) }
--- /dev/null
+++ b/internal/limit/retry/retry.go
@@ -0,0 +1,59 @@
+// Package retry bounds the repeats that all entries together send to a service.
+package retry
+
+import "time"
+
+// Options are the settings of a Budget.
+type Options struct {
+	Ratio  float64       // repeats for each request
+	Window time.Duration // over which the ratio holds
+	Slack  float64       // repeats in a window without any request, over all entries
+}
+
+// Budget counts requests and repeats to one service in slices of a sliding window. It is not safe for concurrent use.
+type Budget struct {
+	options Options
+	slices  [windowSlices]slice
+}
+
+// windowSlices is the resolution of the sliding window.
+const windowSlices = 10
+
+type slice struct {
+	number   int64
+	requests float64
+	repeats  float64
+}
+
+// New returns a budget without any use.
+func New(o Options) *Budget { return &Budget{options: o} }
+
+func (b *Budget) at(now time.Time) *slice {
+	number := now.UnixNano() / int64(b.options.Window/windowSlices)
+	s := &b.slices[number%windowSlices]
+	if s.number != number {
+		*s = slice{number: number}
+	}
+	return s
+}
+
+// Request counts the first sending of a request.
+func (b *Budget) Request(now time.Time) { b.at(now).requests++ }
+
+// Take counts a repeat if the budget of this entry, one of entries, allows it.
+func (b *Budget) Take(now time.Time, entries int) bool {
+	current := b.at(now)
+	var requests, repeats float64
+	for _, s := range b.slices {
+		if s.number > current.number-windowSlices {
+			requests += s.requests
+			repeats += s.repeats
+		}
+	}
+	allowed := b.options.Ratio*requests + b.options.Slack/float64(max(entries, 1))
+	if repeats+1 > allowed {
+		return false
+	}
+	current.repeats++
+	return true
+}
--- /dev/null
+++ b/internal/member/council/council.go
@@ -0,0 +1,51 @@
+// Package council decides which instances with a disk vote in the log, so that a lost one is replaced without an operator.
+package council
+
+import (
+	"slices"
+	"time"
+)
+
+// Instance is what the leader knows of an instance with a disk.
+type Instance struct {
+	Name    string
+	Voter   bool
+	HeardAt time.Time // of its last sign of life; the leader's own is the present
+}
+
+// Options are the settings of Wanted.
+type Options struct {
+	Size     int           // voters
+	LostWait time.Duration // silence after which a voter is replaced if another instance can take its place
+}
+
+// Size returns how many voters bear the loss of the given number of instances.
+func Size(losses int) int { return 2*losses + 1 }
+
+// Wanted returns the names of the instances that should vote. Voters stay unless they are silent and a live instance can
+// replace them; a silent voter without a replacement stays, since removing it would not make the rest safer.
+func Wanted(now time.Time, instances []Instance, o Options) []string {
+	var voters, silent, standby []string
+	for _, i := range instances {
+		live := now.Sub(i.HeardAt) < o.LostWait
+		switch {
+		case i.Voter && live:
+			voters = append(voters, i.Name)
+		case i.Voter:
+			silent = append(silent, i.Name)
+		case live:
+			standby = append(standby, i.Name)
+		}
+	}
+	slices.Sort(voters)
+	slices.Sort(standby)
+	slices.Sort(silent)
+	for len(voters) < o.Size && len(standby) > 0 {
+		voters, standby = append(voters, standby[0]), standby[1:]
+	}
+	for len(voters) < o.Size && len(silent) > 0 {
+		voters, silent = append(voters, silent[0]), silent[1:]
+	}
+	slices.Sort(voters)
+	return voters
+}
--- /dev/null
+++ b/internal/member/report/report.go
@@ -0,0 +1,92 @@
+// Package report defines what entries and the leader tell each other: an entry reports its use several times a second, and
+// the answer brings it up to date.
+package report
+
+import (
+	"encoding/json"
+	"net/netip"
+
+	"lycheevale/internal/place/residency"
+)
+
+// Methods of the leader. A control instance that does not lead answers with the leader it knows.
+const (
+	SyncMethod     = "Fleet.Sync"
+	WantMethod     = "Fleet.Want"
+	AnnounceMethod = "Fleet.Announce"
+	GossipMethod   = "Fleet.Gossip"
+	ReplaceMethod  = "Fleet.Replace"
+	ReadMethod     = "Fleet.Read"
+	AdapterMethod  = "Fleet.SetAdapter"
+)
+
+// Entry is the report of an entry.
+type Entry struct {
+	Name       string             `json:"Name"`
+	DataCentre string             `json:"DataCentre"`
+	Term       uint64             `json:"Term,omitempty"`     // of the leader that Placement counts for
+	Document   uint64             `json:"Document,omitempty"` // version in effect
+	Adapters   uint64             `json:"Adapters,omitempty"` // changes of adapter versions known
+	Directory  uint64             `json:"Directory,omitempty"`
+	Placement  uint64             `json:"Placement,omitempty"` // next event of the placement
+	Active     map[string]int     `json:"Active,omitempty"`    // requests that run, by endpoint
+	Uses       []residency.Use    `json:"Uses,omitempty"`
+	Demand     map[string]float64 `json:"Demand,omitempty"` // tokens per second, by customer
+	Held       map[string]float64 `json:"Held,omitempty"`   // shares in use, tokens per second
+	Suspects   []string           `json:"Suspects,omitempty"`
+}
+
+// Update answers an Entry. Parts that the entry has already are left out.
+type Update struct {
+	Leading      bool               `json:"Leading"`
+	Leader       string             `json:"Leader,omitempty"` // if another instance leads
+	Instances    []string           `json:"Instances,omitempty"`
+	Term         uint64             `json:"Term,omitempty"`
+	Document     uint64             `json:"Document,omitempty"`
+	Content      json.RawMessage    `json:"Content,omitempty"`
+	AdapterCount uint64             `json:"AdapterCount,omitempty"`
+	Adapters     []Version          `json:"Adapters,omitempty"` // all of them
+	Directory    uint64             `json:"Directory,omitempty"`
+	Endpoints    []Endpoint         `json:"Endpoints,omitempty"` // all of them, if Directory has changed
+	Partial      bool               `json:"Partial,omitempty"`   // a new leader may not know all endpoints yet
+	Placement    uint64             `json:"Placement,omitempty"`
+	Reset        bool               `json:"Reset,omitempty"` // Events replace everything
+	Events       []residency.Event  `json:"Events,omitempty"`
+	Others       map[string]int     `json:"Others,omitempty"` // requests of other entries, by endpoint
+	Shares       map[string]float64 `json:"Shares,omitempty"`
+	Entries      int                `json:"Entries,omitempty"`
+}
+
+// Version is the newest version of an adapter.
+type Version struct {
+	residency.Adapter
+	Version int `json:"Version"`
+}
+
+// Endpoint is what entries know of an endpoint.
+type Endpoint struct {
+	ID         string         `json:"ID"`
+	Service    string         `json:"Service"`
+	DataCentre string         `json:"DataCentre"`
+	Address    netip.AddrPort `json:"Address"`
+	Slots      int            `json:"Slots"`
+	Leaving    bool           `json:"Leaving,omitempty"`
+	Models     []string       `json:"Models,omitempty"`
+}
+
+// Want asks the leader to place an adapter.
+type Want struct {
+	Adapter    residency.Adapter `json:"Adapter"`
+	DataCentre string            `json:"DataCentre"`
+	Replicate  bool              `json:"Replicate,omitempty"` // another copy, since those there are too busy
+	Missing    string            `json:"Missing,omitempty"`   // endpoint that answered that it does not hold the adapter
+}
+
+// Placed answers Want.
+type Placed struct {
+	Leading  bool   `json:"Leading"`
+	Leader   string `json:"Leader,omitempty"`
+	Endpoint string `json:"Endpoint,omitempty"` // "" if no endpoint has room
+	Version  int    `json:"Version,omitempty"`
+	InMillis int64  `json:"InMillis,omitempty"` // milliseconds from the answer until requests can be sent
+}
--- /dev/null
+++ b/internal/member/view/view.go
@@ -0,0 +1,241 @@
+// Package view is what an entry believes about endpoints, adapters and customers, as the leader last told it.
+package view
+
+import (
+	"maps"
+	"slices"
+	"sync"
+	"time"
+
+	"lycheevale/internal/member/report"
+	"lycheevale/internal/place/residency"
+	"lycheevale/internal/state/document"
+)
+
+// View is safe for concurrent use.
+type View struct {
+	mu        sync.RWMutex
+	index     *document.Index
+	updatedAt time.Time
+	term      uint64
+	document  uint64
+	adapters  uint64
+	directory uint64
+	placement uint64
+	entries   int
+	endpoints map[string]report.Endpoint
+	services  map[string][]report.Endpoint
+	holders   map[residency.Adapter]map[string]int // version by endpoint
+	versions  map[residency.Adapter]int
+	others    map[string]int
+}
+
+// New returns an empty view.
+func New() *View {
+	return &View{
+		endpoints: map[string]report.Endpoint{}, services: map[string][]report.Endpoint{},
+		holders: map[residency.Adapter]map[string]int{}, versions: map[residency.Adapter]int{}, entries: 1,
+	}
+}
+
+// Position fills the fields of a report that tell what the view has.
+func (v *View) Position(r *report.Entry) {
+	v.mu.RLock()
+	defer v.mu.RUnlock()
+	r.Term, r.Document, r.Adapters = v.term, v.document, v.adapters
+	r.Directory, r.Placement = v.directory, v.placement
+}
+
+// Changed tells what an update has changed.
+type Changed struct {
+	Document  bool
+	Directory bool
+	Removed   []report.Endpoint
+}
+
+// Apply takes an update; decode reads a document. An update of an older term, or with an older document, changes nothing
+// in that part.
+func (v *View) Apply(now time.Time, u report.Update, decode func([]byte) (document.Document, error)) (c Changed, err error) {
+	var index *document.Index
+	if len(u.Content) > 0 {
+		d, err := decode(u.Content)
+		if err != nil {
+			return c, err
+		}
+		index = document.NewIndex(d)
+	}
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	if u.Term < v.term {
+		return c, nil
+	}
+	v.updatedAt = now
+	if index != nil && u.Document > v.document {
+		v.index, v.document = index, u.Document
+		c.Document = true
+	}
+	v.entries = max(u.Entries, 1)
+	v.others = u.Others
+	v.applyVersions(u)
+	c.Directory, c.Removed = v.applyDirectory(u)
+	v.applyPlacement(u)
+	v.term = u.Term
+	return c, nil
+}
+
+func (v *View) applyVersions(u report.Update) {
+	if u.AdapterCount <= v.adapters {
+		return
+	}
+	v.adapters = u.AdapterCount
+	for _, a := range u.Adapters {
+		v.versions[a.Adapter] = max(v.versions[a.Adapter], a.Version)
+	}
+}
+
+func (v *View) applyDirectory(u report.Update) (changed bool, removed []report.Endpoint) {
+	if u.Directory == v.directory && u.Term == v.term {
+		return false, nil
+	}
+	endpoints, services := map[string]report.Endpoint{}, map[string][]report.Endpoint{}
+	for _, e := range u.Endpoints {
+		endpoints[e.ID] = e
+		services[e.Service] = append(services[e.Service], e)
+	}
+	for id, e := range v.endpoints {
+		if _, kept := endpoints[id]; kept {
+			continue
+		}
+		if u.Partial {
+			endpoints[id] = e
+			services[e.Service] = append(services[e.Service], e)
+			continue
+		}
+		removed = append(removed, e)
+	}
+	v.endpoints, v.services, v.directory = endpoints, services, u.Directory
+	return true, removed
+}
+
+func (v *View) applyPlacement(u report.Update) {
+	if u.Reset {
+		v.resetHolders(u)
+	}
+	for _, e := range u.Events {
+		v.applyEvent(e)
+	}
+	v.placement = u.Placement
+}
+
+// resetHolders forgets what endpoints hold, except for those that a new leader does not know yet.
+func (v *View) resetHolders(u report.Update) {
+	stated := map[string]bool{}
+	for _, e := range u.Endpoints {
+		stated[e.ID] = true
+	}
+	for a, held := range v.holders {
+		maps.DeleteFunc(held, func(id string, _ int) bool { return !u.Partial || stated[id] })
+		if len(held) == 0 {
+			delete(v.holders, a)
+		}
+	}
+}
+
+func (v *View) applyEvent(e residency.Event) {
+	a := e.Holding.Adapter
+	if e.Gone {
+		if v.holders[a][e.Endpoint] == e.Holding.Version {
+			delete(v.holders[a], e.Endpoint)
+		}
+		if len(v.holders[a]) == 0 {
+			delete(v.holders, a)
+		}
+		return
+	}
+	if v.holders[a] == nil {
+		v.holders[a] = map[string]int{}
+	}
+	v.holders[a][e.Endpoint] = e.Holding.Version
+}
+
+// Missing records that an endpoint answered that it does not hold an adapter.
+func (v *View) Missing(endpoint string, a residency.Adapter) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	delete(v.holders[a], endpoint)
+	if len(v.holders[a]) == 0 {
+		delete(v.holders, a)
+	}
+}
+
+// Index returns the document in effect, or nil.
+func (v *View) Index() *document.Index {
+	v.mu.RLock()
+	defer v.mu.RUnlock()
+	return v.index
+}
+
+// Age returns the time since the last update.
+func (v *View) Age(now time.Time) time.Duration {
+	v.mu.RLock()
+	defer v.mu.RUnlock()
+	return now.Sub(v.updatedAt)
+}
+
+// Version returns the document's version and the number of known entries.
+func (v *View) Version() (document uint64, entries int) {
+	v.mu.RLock()
+	defer v.mu.RUnlock()
+	return v.document, v.entries
+}
+
+// Endpoints returns those of a service that accept work, in a stable order.
+func (v *View) Endpoints(service string) (list []report.Endpoint) {
+	v.mu.RLock()
+	defer v.mu.RUnlock()
+	for _, e := range v.services[service] {
+		if !e.Leaving {
+			list = append(list, e)
+		}
+	}
+	return list
+}
+
+// Endpoint returns an endpoint that accepts work.
+func (v *View) Endpoint(id string) (e report.Endpoint, ok bool) {
+	v.mu.RLock()
+	defer v.mu.RUnlock()
+	e, ok = v.endpoints[id]
+	return e, ok && !e.Leaving
+}
+
+// Known tells whether an endpoint is in the directory, leaving or not.
+func (v *View) Known(id string) bool {
+	v.mu.RLock()
+	defer v.mu.RUnlock()
+	_, ok := v.endpoints[id]
+	return ok
+}
+
+// Holders returns the endpoints that accept work and hold the newest version of an adapter, and that version.
+func (v *View) Holders(service string, a residency.Adapter) (list []report.Endpoint, version int) {
+	v.mu.RLock()
+	defer v.mu.RUnlock()
+	version = v.versions[a]
+	ids := slices.Sorted(maps.Keys(v.holders[a]))
+	for _, id := range ids {
+		e, known := v.endpoints[id]
+		if held := v.holders[a][id]; known && !e.Leaving && e.Service == service && held >= version {
+			list = append(list, e)
+			version = max(version, held)
+		}
+	}
+	return list, version
+}
+
+// Others returns the requests of other entries at an endpoint.
+func (v *View) Others(id string) int {
+	v.mu.RLock()
+	defer v.mu.RUnlock()
+	return v.others[id]
+}
--- /dev/null
+++ b/internal/node/control/office.go
@@ -0,0 +1,293 @@
+package control
+
+import (
+	"context"
+	"log/slog"
+	"maps"
+	"slices"
+	"time"
+
+	"lycheevale/internal/base/event"
+	"lycheevale/internal/limit/quota"
+	"lycheevale/internal/member/report"
+	"lycheevale/internal/member/roster"
+	"lycheevale/internal/place/residency"
+	"lycheevale/internal/state/document"
+)
+
+// office is what an instance keeps while it leads, in memory only: a new leader learns it from endpoints and entries. All
+// of it is guarded by the mutex of its Control.
+type office struct {
+	control  *Control
+	term     uint64
+	since    time.Time
+	roster   *roster.Roster
+	placer   *residency.Placer
+	pool     *quota.Pool
+	entries  map[string]*entry
+	index    *document.Index
+	limits   map[string]quota.Limit
+	versions uint64 // changes of adapter versions that the placer knows
+	lines    map[string]*line
+	ended    bool
+}
+
+// entry is the last report of an entry.
+type entry struct {
+	active map[string]int
+	at     time.Time
+}
+
+const (
+	// ShareLease is the time for which an entry may use its shares without contact to the leader. It is longer than the
+	// losses of a majority that have to be borne, since an entry without shares serves no limited customer.
+	ShareLease = 30 * time.Second
+	// shareGather is several reports of every entry that is in contact.
+	shareGather = 1500 * time.Millisecond
+	// shareFloor is the part of a limit that is divided evenly.
+	shareFloor = 0.25
+	// entrySilence is the time after which the use that an entry has reported counts no more.
+	entrySilence = 1500 * time.Millisecond
+	// partialBeats is the number of announcements after which a new leader knows all endpoints.
+	partialBeats = 3
+)
+
+func newOffice(c *Control, term uint64) *office {
+	now := c.options.Now()
+	return &office{
+		control: c, term: term, since: now, roster: roster.New(roster.Defaults()), placer: residency.New(c.options.Placer),
+		pool:    quota.NewPool(now, quota.Options{Lease: ShareLease, Gather: shareGather, Floor: shareFloor}),
+		entries: map[string]*entry{}, lines: map[string]*line{}, limits: map[string]quota.Limit{},
+	}
+}
+
+// end lets no further order start.
+func (o *office) end() { o.ended = true }
+
+func (o *office) now() time.Time { return o.control.options.Now() }
+
+// partial tells that endpoints may live that have not announced themselves to this leader yet.
+func (o *office) partial() bool {
+	return o.now().Sub(o.since) < partialBeats*o.control.options.Settings.Heartbeat.Duration()
+}
+
+// directory is the revision that entries compare; it changes when the list becomes complete.
+func (o *office) directory() uint64 {
+	revision := 2 * o.roster.Revision()
+	if !o.partial() {
+		revision++
+	}
+	return revision
+}
+
+func (o *office) tick(ctx context.Context) {
+	now := o.now()
+	o.follow(ctx)
+	for _, id := range o.roster.Expire(now) {
+		event.Log(ctx, o.control.options.Logger, event.EndpointGone, slog.String("Endpoint", id))
+		o.drop(id)
+	}
+	o.placer.Tick(now)
+	for _, u := range o.placer.MakeRoom(now) {
+		o.order(ctx, u.Endpoint, job{holding: u.Holding})
+	}
+}
+
+// follow takes over changes of the replicated state.
+func (o *office) follow(ctx context.Context) {
+	state := o.control.machine.Stored()
+	if state.Changes > o.versions {
+		o.versions = state.Changes
+		for _, v := range state.Adapters {
+			o.placer.SetVersion(residency.Adapter{Model: v.Model, Name: v.Adapter}, v.Version)
+		}
+	}
+	if state.Version == 0 || (o.index != nil && o.index.Version == state.Version) {
+		return
+	}
+	d, err := o.control.options.Decode(state.Content)
+	if err != nil {
+		event.Log(ctx, o.control.options.Logger, event.ViewRefused, slog.Uint64("Version", state.Version), slog.Any("Error", err))
+		return
+	}
+	o.index = document.NewIndex(d)
+	o.limits = map[string]quota.Limit{}
+	for _, c := range d.Customers {
+		if c.Rate > 0 {
+			o.limits[c.Name] = quota.Limit{Rate: c.Rate, Burst: c.Burst}
+		}
+	}
+	for _, e := range o.roster.Endpoints() {
+		if a, ok := o.roster.Get(e.ID); ok {
+			o.place(a)
+		}
+	}
+}
+
+// announce records an announcement.
+func (o *office) announce(a roster.Announcement) (changed bool, err error) {
+	before := o.roster.Endpoints()
+	previous, _ := o.roster.Get(a.ID)
+	changed, err = o.roster.Announce(o.now(), a)
+	if err != nil {
+		return false, err
+	}
+	if changed {
+		for _, e := range before {
+			if _, still := o.roster.Get(e.ID); !still {
+				o.drop(e.ID)
+			}
+		}
+	}
+	if current, ok := o.roster.Get(a.ID); ok {
+		if current.Born != previous.Born {
+			o.drop(a.ID) // another life holds nothing of what the one before held
+		}
+		o.place(current)
+	}
+	return changed, nil
+}
+
+func (o *office) drop(id string) {
+	o.placer.RemoveEndpoint(id)
+	delete(o.lines, id)
+}
+
+// place tells the placer of an endpoint of a model service.
+func (o *office) place(a roster.Announcement) {
+	if o.index == nil {
+		return
+	}
+	service := o.index.Service(a.Service)
+	if service == nil || service.Engine == nil {
+		return
+	}
+	o.placer.SetEndpoint(o.now(), residency.Endpoint{
+		ID: a.ID, Service: a.Service, DataCentre: a.DataCentre, Models: a.Models, Slots: service.Engine.Places(a.Models),
+		Accepting: !a.Leaving, Holdings: a.Holdings, StatedAt: o.now(),
+	})
+}
+
+// sync answers the report of an entry.
+func (c *Control) sync(_ context.Context, _ string, r report.Entry) (report.Update, error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.office == nil || c.leading() == 0 {
+		return report.Update{Leader: c.leader, Instances: c.instances()}, nil
+	}
+	return c.office.sync(r), nil
+}
+
+// instances returns the names of control instances that live. c.mu is held.
+func (c *Control) instances() []string {
+	live := []string{c.name}
+	now := c.options.Now()
+	for name, at := range c.known {
+		if now.Sub(at) < lostWait {
+			live = append(live, name)
+		}
+	}
+	slices.Sort(live)
+	return live
+}
+
+func (o *office) sync(r report.Entry) report.Update {
+	now := o.now()
+	o.entries[r.Name] = &entry{active: r.Active, at: now}
+	for _, u := range r.Uses {
+		o.placer.Used(now, u)
+	}
+	others := o.totals(now)
+	for id, n := range others {
+		if e, ok := o.roster.Get(id); ok && e.Slots > 0 {
+			o.placer.SetLoad(id, float64(n)/float64(e.Slots))
+		}
+	}
+	for id, n := range r.Active {
+		others[id] -= n
+	}
+	maps.DeleteFunc(others, func(_ string, n int) bool { return n <= 0 })
+	u := report.Update{
+		Leading: true, Instances: o.control.instances(), Term: o.term, Others: others, Entries: len(o.entries),
+		Shares: o.pool.Report(now, quota.Report{Entry: r.Name, Demand: r.Demand, Held: r.Held}, o.limits),
+	}
+	o.fillState(&u, r)
+	o.fillPlacement(&u, r)
+	return u
+}
+
+// totals returns the requests that run at each endpoint.
+func (o *office) totals(now time.Time) map[string]int {
+	total := map[string]int{}
+	for name, e := range o.entries {
+		if now.Sub(e.at) >= entrySilence {
+			delete(o.entries, name)
+			continue
+		}
+		for id, n := range e.active {
+			total[id] += n
+		}
+	}
+	return total
+}
+
+func (o *office) fillState(u *report.Update, r report.Entry) {
+	state := o.control.machine.Stored()
+	u.Document, u.AdapterCount = state.Version, state.Changes
+	if state.Version > r.Document {
+		u.Content = state.Content
+	}
+	if state.Changes > r.Adapters {
+		for _, v := range state.Adapters {
+			u.Adapters = append(u.Adapters, report.Version{
+				Adapter: residency.Adapter{Model: v.Model, Name: v.Adapter}, Version: v.Version,
+			})
+		}
+	}
+}
+
+func (o *office) fillPlacement(u *report.Update, r report.Entry) {
+	u.Directory, u.Partial = o.directory(), o.partial()
+	known := r.Term == o.term
+	if !known || r.Directory != u.Directory {
+		u.Endpoints = o.roster.Endpoints()
+	}
+	if known {
+		events, next, lost := o.placer.Since(r.Placement)
+		if !lost {
+			u.Events, u.Placement = events, next
+			return
+		}
+	}
+	_, next, _ := o.placer.Since(0)
+	u.Reset, u.Events, u.Placement = true, o.placer.Snapshot(), next
+	if len(u.Endpoints) == 0 {
+		u.Endpoints = o.roster.Endpoints()
+	}
+}
+
+// want chooses a place. The channel tells whether the order that is needed was accepted; it is nil if none is.
+func (o *office) want(ctx context.Context, from string, w report.Want) (placed report.Placed, accepted <-chan bool) {
+	now := o.now()
+	if w.Missing != "" {
+		o.placer.Missing(now, w.Missing, w.Adapter)
+	}
+	choice, ok := o.placer.Want(now, w.Adapter, w.DataCentre, w.Replicate)
+	event.Log(ctx, o.control.options.Logger, event.AdapterPlaced, slog.String("Entry", from),
+		slog.String("Adapter", w.Adapter.Name), slog.String("DataCentre", w.DataCentre), slog.Bool("Replicate", w.Replicate),
+		slog.String("Missing", w.Missing), slog.String("Endpoint", choice.Endpoint), slog.Int("Version", choice.Holding.Version),
+		slog.Bool("Order", choice.Order))
+	if !ok {
+		return report.Placed{Leading: true}, nil
+	}
+	placed = report.Placed{
+		Leading: true, Endpoint: choice.Endpoint, Version: choice.Holding.Version,
+		InMillis: max(choice.ReadyAt.Sub(now), 0).Milliseconds(),
+	}
+	if !choice.Order {
+		return placed, nil
+	}
+	done := make(chan bool, 1)
+	o.order(ctx, choice.Endpoint, job{load: true, holding: choice.Holding, done: done})
+	return placed, done
+}
--- /dev/null
+++ b/internal/node/control/orders.go
@@ -0,0 +1,168 @@
+package control
+
+import (
+	"context"
+	"log/slog"
+	"time"
+
+	"github.com/zeebo/errs"
+
+	"lycheevale/internal/base/event"
+	"lycheevale/internal/member/report"
+	"lycheevale/internal/place/residency"
+	"lycheevale/internal/wire/upstream"
+)
+
+// job is an order that waits for its turn at an endpoint.
+type job struct {
+	load    bool
+	holding residency.Holding
+	done    chan<- bool // told whether the order was accepted; may be nil
+}
+
+// line holds the orders of one endpoint, which are given one after the other.
+type line struct {
+	waiting  []job
+	running  bool
+	known    bool   // sequence is what the endpoint has last told, and nothing unanswered came since
+	sequence uint64 // orders that the endpoint has accepted
+}
+
+// order queues a job. c.mu is held.
+func (o *office) order(ctx context.Context, id string, j job) {
+	l := o.lines[id]
+	if l == nil {
+		l = &line{}
+		o.lines[id] = l
+	}
+	// Loads go first: a request waits for them.
+	at := len(l.waiting)
+	if j.load {
+		for at > 0 && !l.waiting[at-1].load {
+			at--
+		}
+	}
+	l.waiting = append(l.waiting, job{})
+	copy(l.waiting[at+1:], l.waiting[at:])
+	l.waiting[at] = j
+	if l.running {
+		return
+	}
+	l.running = true
+	// The order outlives the call of the entry that asked for it.
+	ctx = context.WithoutCancel(ctx)
+	o.control.group.Go(func() error {
+		o.work(ctx, id, l)
+		return nil
+	})
+}
+
+// work gives the orders of a line until none waits.
+func (o *office) work(ctx context.Context, id string, l *line) {
+	c := o.control
+	for {
+		c.mu.Lock()
+		if len(l.waiting) == 0 {
+			l.running = false
+			c.mu.Unlock()
+			return
+		}
+		j := l.waiting[0]
+		l.waiting = l.waiting[1:]
+		a, present := o.roster.Get(id)
+		usable := present && !o.ended && c.leading() == o.term && o.lines[id] == l
+		c.mu.Unlock()
+		accepted := false
+		if usable {
+			to := report.Endpoint{ID: id, Service: a.Service, DataCentre: a.DataCentre, Address: a.Address}
+			accepted = o.give(ctx, to, l, j)
+		} else {
+			c.mu.Lock()
+			o.placer.Refused(o.now(), id, j.holding.Adapter)
+			c.mu.Unlock()
+		}
+		if j.done != nil {
+			j.done <- accepted
+		}
+	}
+}
+
+// orderTimeout is several round trips between regions; an order without an answer by then may still be carried out.
+const orderTimeout = 500 * time.Millisecond
+
+// orderAttempts is how often an order is given that another one has overtaken.
+const orderAttempts = 2
+
+// give makes an order, asking the endpoint first where its sequence is not known.
+func (o *office) give(ctx context.Context, to report.Endpoint, l *line, j job) (accepted bool) {
+	var result Result
+	var err error
+	for attempt := 0; attempt < orderAttempts; attempt++ {
+		if !l.known {
+			if err = o.learn(ctx, to, l); err != nil {
+				break
+			}
+		}
+		result, err = o.call(ctx, to, l, j)
+		if err != nil || result != Conflict {
+			break
+		}
+		l.known = false
+	}
+	event.Log(ctx, o.control.options.Logger, event.EndpointOrdered, slog.String("Endpoint", to.ID), slog.Bool("Load", j.load),
+		slog.String("Adapter", j.holding.Name), slog.Int("Version", j.holding.Version), slog.Uint64("Fence", o.term),
+		slog.Uint64("Sequence", l.sequence), slog.String("Result", string(result)), slog.Any("Error", err))
+	o.control.mu.Lock()
+	defer o.control.mu.Unlock()
+	return o.conclude(to.ID, l, j, result, err)
+}
+
+// learn asks an endpoint for its sequence.
+func (o *office) learn(ctx context.Context, to report.Endpoint, l *line) error {
+	ctx, cancel := context.WithTimeout(ctx, orderTimeout)
+	defer cancel()
+	state, err := o.control.options.Engines.State(ctx, to)
+	if err != nil {
+		return errs.Combine(upstream.ErrNotSent, err) // the order itself was not sent
+	}
+	l.sequence, l.known = state.Sequence, true
+	return nil
+}
+
+func (o *office) call(ctx context.Context, to report.Endpoint, l *line, j job) (Result, error) {
+	ctx, cancel := context.WithTimeout(ctx, orderTimeout)
+	defer cancel()
+	return o.control.options.Engines.Order(ctx, to, Order{
+		Load: j.load, Holding: j.holding, Sequence: l.sequence, Holder: o.control.options.Settings.Name, Fence: o.term,
+	})
+}
+
+// conclude records the end of an order. c.mu is held.
+func (o *office) conclude(id string, l *line, j job, result Result, err error) (accepted bool) {
+	now := o.now()
+	a := j.holding.Adapter
+	switch {
+	case errs.Is(err, upstream.ErrNotSent):
+		o.placer.Refused(now, id, a)
+	case err != nil:
+		l.known = false
+		o.placer.Unanswered(now, id, a)
+	case result == Accepted || result == Held:
+		if result == Accepted {
+			l.sequence++
+		}
+		if j.load {
+			o.placer.Loaded(now, id, a)
+		} else {
+			o.placer.Unloaded(now, id, a)
+		}
+		return true
+	case result == Fenced:
+		o.end()
+		o.placer.Refused(now, id, a)
+	default:
+		l.known = false
+		o.placer.Refused(now, id, a)
+	}
+	return false
+}
--- /dev/null
+++ b/internal/node/entry/entry.go
@@ -0,0 +1,201 @@
+// Package entry runs an instance without a disk that serves callers: it keeps its view of the deployment up to date with
+// the leader and forwards requests straight to endpoints.
+package entry
+
+import (
+	"context"
+	"log/slog"
+	"net"
+	"net/http"
+	"net/netip"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/uber-go/tally/v4"
+	"github.com/zeebo/errs"
+	"golang.org/x/sync/errgroup"
+
+	"lycheevale/internal/base/event"
+	"lycheevale/internal/limit/retry"
+	"lycheevale/internal/member/view"
+	"lycheevale/internal/node/control"
+	"lycheevale/internal/serve/forward"
+	"lycheevale/internal/wire/peer"
+)
+
+// Error is the class of errors of this package.
+var Error = errs.Class("entry")
+
+// Entry is one instance.
+type Entry struct {
+	options  Options
+	peers    *peer.Node
+	view     *view.View
+	handler  *forward.Handler
+	group    *errgroup.Group
+	draining atomic.Bool
+	serving  atomic.Bool // a configuration and endpoints are known
+
+	mu       sync.Mutex
+	seeds    []netip.AddrPort
+	leader   string
+	others   []string // control instances that the leader has named
+	next     int      // which of the candidates is asked next
+	failing  int      // reports in a row that no leader answered
+	reported time.Time
+}
+
+// New returns an instance; Run starts it.
+func New(opts ...Option) *Entry {
+	o := build(opts)
+	e := &Entry{options: o, view: view.New(), seeds: o.Settings.Seeds}
+	peerOptions := append([]peer.Option{
+		peer.WithName(o.Settings.Name), peer.WithListen(o.Settings.Listen.Peers), peer.WithLogger(o.Logger),
+		peer.WithResolve(control.Resolve(o.Settings.Listen.Peers.Port())), peer.WithScope(o.Scope),
+		peer.WithPrivateNetwork(), control.WithLinkTimes(),
+	}, o.Peer...)
+	e.peers = peer.New(peerOptions...)
+	r := o.Settings.Retry
+	e.handler = forward.New(
+		forward.WithDataCentre(o.Settings.DataCentre), forward.WithCodec(o.Codec), forward.WithView(e.view),
+		forward.WithPool(o.Pool), forward.WithLogger(o.Logger), forward.WithNow(o.Now), forward.WithWant(e.want),
+		forward.WithSeed(uint64(time.Now().UnixNano())), forward.WithObserve(e.observe), forward.WithSpawn(e.spawn),
+		forward.WithRetry(retry.Options{Ratio: r.Ratio * retryMargin, Window: r.RetryWindow(), Slack: r.Slack * retryMargin}),
+	)
+	return e
+}
+
+// retryMargin keeps the entries together within the bound while they disagree about their number.
+const retryMargin = 0.7
+
+func (e *Entry) spawn(f func()) {
+	e.group.Go(func() error {
+		f()
+		return nil
+	})
+}
+
+// Run serves until ctx ends, and then until the requests that run are answered or the time to stop is over.
+func (e *Entry) Run(ctx context.Context) (err error) {
+	defer func() { err = Error.Wrap(err) }()
+	s := e.options.Settings
+	work, stop := context.WithCancel(context.WithoutCancel(ctx))
+	defer stop()
+	group, work := errgroup.WithContext(work)
+	e.group = group
+	callers := &http.Server{
+		Handler: e.handler, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
+		ErrorLog: slog.NewLogLogger(e.options.Logger.Handler(), slog.LevelDebug),
+	}
+	ready := &http.Server{Handler: e.readiness(), ReadHeaderTimeout: headerTimeout}
+	group.Go(func() error { return e.peers.Run(work) })
+	group.Go(func() error { return e.every(work, syncInterval, e.sync) })
+	group.Go(func() error { return e.every(work, sweepInterval, e.sweep) })
+	group.Go(func() error { return serve(ready, s.Listen.Ready) })
+	group.Go(func() error { return serve(callers, s.Listen.Callers) })
+	group.Go(func() error {
+		defer stop()
+		select {
+		case <-ctx.Done():
+			e.stop(ctx, callers)
+		case <-work.Done():
+			_ = callers.Close() // another part has failed, and its error is returned
+		}
+		return ready.Close()
+	})
+	return group.Wait()
+}
+
+const (
+	syncInterval  = 200 * time.Millisecond // a fifth of the time in which a change has to be in effect
+	sweepInterval = 100 * time.Millisecond
+	// headerTimeout and idleTimeout are above what any configuration allows callers.
+	headerTimeout  = 10 * time.Second
+	idleTimeout    = 60 * time.Second
+	maxHeaderBytes = 64 << 10
+)
+
+func serve(s *http.Server, at netip.AddrPort) error {
+	listener, err := net.Listen("tcp", at.String())
+	if err != nil {
+		return err
+	}
+	if err := s.Serve(listener); !errs.Is(err, http.ErrServerClosed) {
+		return err
+	}
+	return nil
+}
+
+func (e *Entry) every(ctx context.Context, interval time.Duration, f func(ctx context.Context)) error {
+	ticker := time.NewTicker(interval)
+	defer ticker.Stop()
+	for {
+		f(ctx)
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-ticker.C:
+		}
+	}
+}
+
+func (e *Entry) sweep(context.Context) {
+	e.handler.Sweep()
+	e.options.Pool.Sweep()
+}
+
+// readiness answers the load balancer.
+func (e *Entry) readiness() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET "+e.options.ReadyPath, func(w http.ResponseWriter, _ *http.Request) {
+		if e.draining.Load() || !e.serving.Load() {
+			w.WriteHeader(http.StatusServiceUnavailable)
+		}
+	})
+	return mux
+}
+
+const (
+	// noticeTime is the time in which the load balancer notices that this instance is not ready: two questions, one each
+	// second, and half a second for their way.
+	noticeTime = 2500 * time.Millisecond
+	// exitMargin is kept of the time to stop, so that the process ends by itself.
+	exitMargin = 500 * time.Millisecond
+)
+
+// stop lets the load balancer notice, then takes no more connections, and lets running requests end.
+func (e *Entry) stop(ctx context.Context, callers *http.Server) {
+	started := e.options.Now()
+	e.draining.Store(true)
+	e.handler.Close()
+	event.Log(ctx, e.options.Logger, event.InstanceDraining, slog.String("Instance", e.options.Settings.Name))
+	deadline := time.Now().Add(e.options.Settings.Shutdown.Duration() - exitMargin)
+	time.Sleep(noticeTime)
+	end, cancel := context.WithDeadline(context.WithoutCancel(ctx), deadline)
+	defer cancel()
+	err := callers.Shutdown(end)
+	event.Log(ctx, e.options.Logger, event.InstanceStopped, slog.String("Instance", e.options.Settings.Name),
+		slog.Int64("AfterMillis", e.options.Now().Sub(started).Milliseconds()), slog.Any("CutRequests", err))
+	_ = callers.Close() // what still runs is cut
+}
+
+// SetSeeds replaces the seeds.
+func (e *Entry) SetSeeds(seeds []netip.AddrPort) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.seeds = seeds
+}
+
+// observe counts a finished request.
+func (e *Entry) observe(o forward.Outcome) {
+	scope := e.options.Scope.Tagged(map[string]string{"Kind": string(o.Kind), "Service": o.Service, "Code": o.Code})
+	scope.Counter("Requests").Inc(1)
+	scope.Histogram("RequestSeconds", latencyBuckets).RecordDuration(o.Duration)
+	if o.First > 0 {
+		scope.Histogram("FirstByteSeconds", latencyBuckets).RecordDuration(o.First)
+	}
+}
+
+// latencyBuckets reach from a local answer to the longest timeout.
+var latencyBuckets = tally.MustMakeExponentialDurationBuckets(5*time.Millisecond, 2, 13)
--- a/internal/node/instance/instance.go
+++ b/internal/node/instance/instance.go
@@ -16,6 +16,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"lycheevale/internal/base/event"
+	"lycheevale/internal/base/metrics"
 	"lycheevale/internal/base/settings"
 	"lycheevale/internal/limit/admit"
 	"lycheevale/internal/member/assign"
@@ -49,7 +50,7 @@
 	permits     *permits
 	duties      *duties
 	caller      *caller.Server
-	metrics     metrics
+	metrics     metrics.Metrics
 	burn        *burn.Recorder
 	policy      policy.Policy
 	credentials *operator.Credentials
@@ -69,7 +70,7 @@
 	for _, opt := range opts {
 		opt(&o)
 	}
-	i = &Instance{settings: s, options: o, started: o.Wall(), mux: peer.NewMux(), metrics: newMetrics()}
+	i = &Instance{settings: s, options: o, started: o.Wall(), mux: peer.NewMux(), metrics: metrics.New()}
 	if err := i.loadKeys(); err != nil {
 		return nil, err
 	}
@@ -115,7 +116,7 @@
 	}
 	opts := []peer.Option{
 		peer.WithName(i.settings.Name), peer.WithMux(i.mux), peer.WithListen(i.settings.Listen.Peers),
-		peer.WithResolve(i.resolve), peer.WithLogger(i.options.Logger), peer.WithScope(i.metrics.scope),
+		peer.WithResolve(i.resolve), peer.WithLogger(i.options.Logger), peer.WithScope(i.metrics.Scope),
 		peer.WithListenTCP(i.options.Listen), peer.WithNow(i.options.Now),
 		peer.WithDial(func(ctx context.Context, to netip.AddrPort) (net.Conn, error) {
 			return i.options.Dial(ctx, "tcp", to.String())
@@ -271,7 +272,7 @@
 		defer stopWork()
 		return i.drain(work, servers)
 	})
-	err = errs.Combine(group.Wait(), i.metrics.closer.Close())
+	err = errs.Combine(group.Wait(), i.metrics.Closer.Close())
 	if i.closeAudit != nil {
 		err = errs.Combine(err, i.closeAudit())
 	}
--- a/internal/node/instance/metrics.go
+++ b/internal/node/instance/metrics.go
@@ -1,46 +1,16 @@
 package instance
 
 import (
-	"io"
-	"net/http"
-	"time"
-
-	"github.com/prometheus/client_golang/prometheus"
-	"github.com/uber-go/tally/v4"
-	tallyprom "github.com/uber-go/tally/v4/prometheus"
-
+	"lycheevale/internal/base/metrics"
 	"lycheevale/internal/base/refusal"
 	"lycheevale/internal/serve/caller"
 	"lycheevale/internal/state/registry"
 	"lycheevale/internal/tool/burn"
 )
 
-// reportInterval is the time between two copies of the counters to the reporter.
-const reportInterval = time.Second
-
-// metrics counts what the instance does and shows it to scrapers.
-type metrics struct {
-	scope   tally.Scope
-	handler http.Handler
-	closer  io.Closer
-}
-
-// newMetrics makes a registry for each instance, so that several can run in one process.
-func newMetrics() metrics {
-	registry := prometheus.NewRegistry()
-	reporter := tallyprom.NewReporter(tallyprom.Options{
-		Registerer: registry, Gatherer: registry, OnRegisterError: func(error) {},
-	})
-	scope, closer := tally.NewRootScope(tally.ScopeOptions{
-		Prefix: "Lycheevale", CachedReporter: reporter, Separator: tallyprom.DefaultSeparator,
-		SanitizeOptions: &tallyprom.DefaultSanitizerOpts,
-	}, reportInterval)
-	return metrics{scope: scope, handler: reporter.HTTPHandler(), closer: closer}
-}
-
 // observe hands a finished request to the metrics and to the burn report.
 func (i *Instance) observe(o caller.Outcome) {
-	i.metrics.observe(o)
+	observe(i.metrics, o)
 	if o.Cancelled {
 		return // what a caller gave up spends no error budget
 	}
@@ -65,12 +35,12 @@
 }
 
 // observe counts a finished request.
-func (m metrics) observe(o caller.Outcome) {
+func observe(m metrics.Metrics, o caller.Outcome) {
 	code := string(o.Code)
 	if code == "" {
 		code = "OK"
 	}
-	scope := m.scope.Tagged(map[string]string{"Service": o.Service, "Customer": o.Customer})
+	scope := m.Scope.Tagged(map[string]string{"Service": o.Service, "Customer": o.Customer})
 	scope.Tagged(map[string]string{"Code": code}).Counter("Requests").Inc(1)
 	scope.Counter("Tokens").Inc(int64(o.Tokens))
 	if !o.FirstToken.IsZero() {
--- a/internal/node/instance/operator.go
+++ b/internal/node/instance/operator.go
@@ -54,7 +54,7 @@
 	api := operator.New(append(i.operatorOptions(), operator.WithSystem(i.system()),
 		operator.WithLogger(i.options.Logger))...).Handler()
 	mux := http.NewServeMux()
-	mux.Handle("GET /metrics", i.metrics.handler)
+	mux.Handle("GET /metrics", i.metrics.Handler)
 	mux.HandleFunc("GET /healthz", func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusNoContent) })
 	mux.HandleFunc("GET /readyz", i.showReady)
 	mux.Handle("/", api)
--- /dev/null
+++ b/internal/place/pick/pick.go
@@ -0,0 +1,222 @@
+// Package pick chooses the endpoint of a request at an entry, from what the entry has seen of each endpoint's answers and
+// from the load that all entries report.
+package pick
+
+import (
+	"math/rand/v2"
+	"slices"
+	"time"
+)
+
+// Endpoint is a candidate.
+type Endpoint struct {
+	ID     string
+	Slots  int
+	Local  bool // in the data centre of the entry
+	Others int  // requests of other entries that run there
+}
+
+// Outcome is what became of a request at an endpoint.
+type Outcome string
+
+// Outcomes.
+const (
+	Served      Outcome = "Served"
+	Failed      Outcome = "Failed"      // it answered with an error of its own, or broke off
+	Refused     Outcome = "Refused"     // it has no room
+	Unreachable Outcome = "Unreachable" // no connection
+	Silent      Outcome = "Silent"      // nothing came in time
+)
+
+// Options are the settings of a Picker.
+type Options struct {
+	LocalDelay  time.Duration // first estimate of the time to the first byte, in the same data centre
+	RemoteDelay time.Duration // the same in another one
+	EjectFor    time.Duration // after the first failure to connect, doubled by each further one
+	MaxEject    time.Duration
+	Memory      time.Duration // after which what was seen of an endpoint has lost two thirds of its weight
+	Overload    float64       // requests for each slot from which on an endpoint takes no more
+}
+
+// Defaults returns the settings for two regions that are 30 ms apart.
+func Defaults() Options {
+	return Options{
+		LocalDelay: 40 * time.Millisecond, RemoteDelay: 110 * time.Millisecond,
+		EjectFor: 300 * time.Millisecond, MaxEject: 5 * time.Second, Memory: 4 * time.Second, Overload: 1.25,
+	}
+}
+
+// Picker remembers what was seen of endpoints. It is not safe for concurrent use.
+type Picker struct {
+	options Options
+	random  *rand.Rand
+	seen    map[string]*record
+}
+
+type record struct {
+	active     int
+	at         time.Time // of the last outcome
+	delay      float64   // milliseconds to the first byte, smoothed
+	samples    float64
+	errors     float64 // share of failed requests, smoothed
+	refusals   float64
+	failures   int // connections in a row
+	ejectUntil time.Time
+}
+
+// New returns a picker that has seen nothing.
+func New(o Options, seed uint64) *Picker {
+	return &Picker{options: o, random: rand.New(rand.NewPCG(seed, seed)), seen: map[string]*record{}}
+}
+
+func (p *Picker) record(id string) *record {
+	r := p.seen[id]
+	if r == nil {
+		r = &record{}
+		p.seen[id] = r
+	}
+	return r
+}
+
+// Forget drops what is known of endpoints that are gone.
+func (p *Picker) Forget(keep func(id string) bool) {
+	for id, r := range p.seen {
+		if r.active == 0 && !keep(id) {
+			delete(p.seen, id)
+		}
+	}
+}
+
+// Start counts a request that is sent.
+func (p *Picker) Start(id string) { p.record(id).active++ }
+
+// End uncounts it.
+func (p *Picker) End(id string) { p.record(id).active-- }
+
+// Running returns the requests of this entry by endpoint, where there are any.
+func (p *Picker) Running() map[string]int {
+	running := map[string]int{}
+	for id, r := range p.seen {
+		if r.active > 0 {
+			running[id] = r.active
+		}
+	}
+	return running
+}
+
+// Active returns the requests of this entry that run at an endpoint.
+func (p *Picker) Active(id string) int {
+	if r := p.seen[id]; r != nil {
+		return r.active
+	}
+	return 0
+}
+
+// sampleWeight of one answer in the smoothed figures.
+const sampleWeight = 0.2
+
+// Observe records an outcome and, for answers, the time to the first byte.
+func (p *Picker) Observe(now time.Time, id string, o Outcome, delay time.Duration) {
+	r := p.record(id)
+	r.fade(now, p.options.Memory)
+	blend := func(figure *float64, value float64) { *figure += sampleWeight * (value - *figure) }
+	failed, refused := 0.0, 0.0
+	switch o {
+	case Served:
+		r.failures = 0
+		ms := float64(delay) / float64(time.Millisecond)
+		if r.samples == 0 {
+			r.delay = ms
+		}
+		blend(&r.delay, ms)
+		r.samples = min(r.samples+1, 1/sampleWeight)
+	case Failed:
+		failed = 1
+	case Refused:
+		refused = 1
+	case Unreachable, Silent:
+		failed = 1
+		r.ejectUntil = now.Add(min(p.options.EjectFor<<min(r.failures, 8), p.options.MaxEject))
+		r.failures++
+	}
+	blend(&r.errors, failed)
+	blend(&r.refusals, refused)
+}
+
+// fade lets old observations lose weight, so that an endpoint that was bad is tried again.
+func (r *record) fade(now time.Time, memory time.Duration) {
+	if d := now.Sub(r.at); d > 0 && !r.at.IsZero() {
+		keep := max(0, 1-float64(d)/float64(3*memory))
+		r.errors *= keep
+		r.refusals *= keep
+		r.samples *= keep
+	}
+	r.at = now
+}
+
+// Penalties in milliseconds.
+const (
+	errorPenalty   = 1500.0 // of an endpoint that fails every request
+	refusalPenalty = 600.0  // of an endpoint that refuses every request
+	loadPenalty    = 120.0  // of an endpoint whose slots are all in use
+	queuePenalty   = 900.0  // for each further batch of waiting requests
+	spread         = 12.0   // at random, so that entries with the same view do not all choose the same
+)
+
+// Choose returns the best candidate that exclude does not name. Ejected endpoints are chosen only where no other is
+// left. It reports false if every candidate is full or excluded.
+func (p *Picker) Choose(now time.Time, candidates []Endpoint, exclude []string) (id string, ok bool) {
+	best, bestCost, bestEjected := "", 0.0, false
+	for _, c := range candidates {
+		if slices.Contains(exclude, c.ID) || p.full(c) {
+			continue
+		}
+		r := p.record(c.ID)
+		ejected := now.Before(r.ejectUntil)
+		cost := p.cost(now, c, r)
+		if best == "" || (bestEjected && !ejected) || (bestEjected == ejected && cost < bestCost) {
+			best, bestCost, bestEjected = c.ID, cost, ejected
+		}
+	}
+	return best, best != ""
+}
+
+// full tells that an endpoint takes no more from this entry.
+func (p *Picker) full(c Endpoint) bool {
+	return c.Slots > 0 && float64(c.Others+p.Active(c.ID)) >= p.options.Overload*float64(c.Slots)
+}
+
+// Load returns the requests for each slot of an endpoint.
+func (p *Picker) Load(c Endpoint) float64 {
+	if c.Slots <= 0 {
+		return 0
+	}
+	return float64(c.Others+p.Active(c.ID)) / float64(c.Slots)
+}
+
+// Healthy tells whether an endpoint is worth waiting for.
+func (p *Picker) Healthy(now time.Time, id string) bool {
+	r := p.record(id)
+	return !now.Before(r.ejectUntil) && r.errors < unhealthyErrors
+}
+
+// unhealthyErrors is the share of failed requests from which on an endpoint counts as bad.
+const unhealthyErrors = 0.4
+
+func (p *Picker) cost(now time.Time, c Endpoint, r *record) float64 {
+	first := p.options.RemoteDelay
+	if c.Local {
+		first = p.options.LocalDelay
+	}
+	estimate := float64(first) / float64(time.Millisecond)
+	fresh := *r
+	fresh.fade(now, p.options.Memory)
+	weight := min(fresh.samples*sampleWeight, 1)
+	estimate += weight * (r.delay - estimate)
+	load := p.Load(c)
+	cost := estimate + loadPenalty*load + errorPenalty*fresh.errors + refusalPenalty*fresh.refusals
+	if load > 1 {
+		cost += queuePenalty * (load - 1)
+	}
+	return cost + spread*p.random.Float64()
+}
--- /dev/null
+++ b/internal/place/residency/residency.go
@@ -0,0 +1,486 @@
+// Package residency decides which endpoint holds which adapter. One instance, the leader, decides for all endpoints, so
+// that places, transfers and rare adapters are seen together. It is pure: commands come out, results go in.
+package residency
+
+import (
+	"cmp"
+	"math"
+	"slices"
+	"time"
+)
+
+// Adapter names an adapter of a base model.
+type Adapter struct {
+	Model string `json:"Model"`
+	Name  string `json:"Name"`
+}
+
+// Holding is an adapter at an endpoint.
+type Holding struct {
+	Adapter
+	Version int `json:"Version"`
+}
+
+// Endpoint is what an engine states about itself.
+type Endpoint struct {
+	ID         string
+	Service    string
+	DataCentre string
+	Models     []string
+	Slots      int // places for adapters
+	Accepting  bool
+	Holdings   []Holding
+	StatedAt   time.Time
+}
+
+// State of an adapter at an endpoint.
+type State string
+
+// States of a place. Unknown follows an order without an answer, which may still be carried out.
+const (
+	Loading  State = "Loading"
+	Resident State = "Resident"
+	Leaving  State = "Leaving"
+	Unknown  State = "Unknown"
+)
+
+type place struct {
+	holding   Holding
+	state     State
+	readyAt   time.Time // when a load is expected to end
+	changedAt time.Time
+	busyUntil time.Time
+	usedAt    time.Time
+	heat      float64 // recent uses, decayed to usedAt
+}
+
+type endpoint struct {
+	Endpoint
+	places   map[Adapter]*place
+	load     float64               // share of its request slots in use
+	seen     map[Holding]time.Time // what it has held, and until when
+	hold     time.Time             // no new loads before
+	failures int
+}
+
+// Options are the settings of a Placer.
+type Options struct {
+	FetchTime    time.Duration // of an adapter from the weight store, at full speed
+	RecallTime   time.Duration // of an adapter that the endpoint remembers
+	FullSpeed    int           // fetches at once, over all endpoints, that slow nobody down
+	Spare        int           // places that are kept free ahead of demand
+	Remembered   int           // adapters that an endpoint remembers
+	HeatHalfLife time.Duration
+	BusyFor      time.Duration // after a report of use, until the next one is due
+	ReportLag    time.Duration // age of an endpoint's statement about itself at most
+}
+
+// Defaults returns the settings for the engines of today's users.
+func Defaults() Options {
+	return Options{
+		FetchTime: 250 * time.Millisecond, RecallTime: 25 * time.Millisecond, FullSpeed: 8, Spare: 2, Remembered: 180,
+		HeatHalfLife: 8 * time.Second, BusyFor: 1200 * time.Millisecond, ReportLag: 2500 * time.Millisecond,
+	}
+}
+
+// Placer is the table of all endpoints. It is not safe for concurrent use.
+type Placer struct {
+	options   Options
+	endpoints map[string]*endpoint
+	versions  map[Adapter]int
+	journal   journal
+}
+
+// New returns a placer without endpoints.
+func New(o Options) *Placer {
+	return &Placer{options: o, endpoints: map[string]*endpoint{}, versions: map[Adapter]int{}, journal: newJournal()}
+}
+
+// SetVersion makes a version of an adapter the only one that requests may run on.
+func (p *Placer) SetVersion(a Adapter, version int) {
+	if version <= p.versions[a] {
+		return
+	}
+	p.versions[a] = version
+	for _, e := range p.endpoints {
+		if pl := e.places[a]; pl != nil && pl.state == Resident && !p.current(pl.holding) {
+			p.journal.add(Event{Endpoint: e.ID, Holding: pl.holding, Gone: true})
+		}
+	}
+}
+
+func (p *Placer) current(h Holding) bool { return h.Version >= p.versions[h.Adapter] }
+
+// SetEndpoint records a statement of an endpoint. Places that it contradicts follow it, unless they changed after it
+// was made.
+func (p *Placer) SetEndpoint(now time.Time, s Endpoint) {
+	e := p.endpoints[s.ID]
+	if e == nil {
+		e = &endpoint{places: map[Adapter]*place{}, seen: map[Holding]time.Time{}}
+		p.endpoints[s.ID] = e
+	}
+	if s.StatedAt.Before(e.StatedAt) {
+		return
+	}
+	e.Endpoint = s
+	stated := map[Adapter]Holding{}
+	for _, h := range s.Holdings {
+		stated[h.Adapter] = h
+	}
+	settled := s.StatedAt.Add(-p.options.ReportLag)
+	for a, pl := range e.places {
+		h, held := stated[a]
+		switch {
+		case pl.changedAt.After(settled) || pl.readyAt.After(settled):
+			// Too fresh to be part of the statement.
+		case held && pl.state != Resident:
+			p.settle(now, e, pl, h)
+		case held && pl.holding != h:
+			p.settle(now, e, pl, h)
+		case !held:
+			p.drop(now, e, a)
+		}
+	}
+	for a, h := range stated {
+		if e.places[a] == nil && now.Sub(e.seen[h]) > p.options.ReportLag {
+			pl := &place{holding: h, usedAt: now}
+			e.places[a] = pl
+			p.settle(now, e, pl, h)
+		}
+	}
+}
+
+// settle makes a place resident.
+func (p *Placer) settle(now time.Time, e *endpoint, pl *place, h Holding) {
+	if pl.state == Resident && p.current(pl.holding) {
+		p.journal.add(Event{Endpoint: e.ID, Holding: pl.holding, Gone: true})
+	}
+	pl.holding, pl.state, pl.changedAt, pl.readyAt = h, Resident, now, time.Time{}
+	if p.current(h) {
+		p.journal.add(Event{Endpoint: e.ID, Holding: h})
+	}
+}
+
+func (p *Placer) drop(now time.Time, e *endpoint, a Adapter) {
+	pl := e.places[a]
+	if pl == nil {
+		return
+	}
+	if pl.state == Resident && p.current(pl.holding) {
+		p.journal.add(Event{Endpoint: e.ID, Holding: pl.holding, Gone: true})
+	}
+	delete(e.places, a)
+	e.remember(now, pl.holding, p.options.Remembered)
+}
+
+func (e *endpoint) remember(now time.Time, h Holding, most int) {
+	e.seen[h] = now
+	if len(e.seen) <= most {
+		return
+	}
+	var oldest Holding
+	at := now
+	for h, t := range e.seen {
+		if t.Before(at) {
+			oldest, at = h, t
+		}
+	}
+	delete(e.seen, oldest)
+}
+
+// RemoveEndpoint forgets an endpoint.
+func (p *Placer) RemoveEndpoint(id string) {
+	e := p.endpoints[id]
+	if e == nil {
+		return
+	}
+	for _, pl := range e.places {
+		if pl.state == Resident && p.current(pl.holding) {
+			p.journal.add(Event{Endpoint: id, Holding: pl.holding, Gone: true})
+		}
+	}
+	delete(p.endpoints, id)
+}
+
+// SetLoad records the share of an endpoint's request slots that is in use.
+func (p *Placer) SetLoad(id string, load float64) {
+	if e := p.endpoints[id]; e != nil {
+		e.load = load
+	}
+}
+
+// Use is what an entry reports of an adapter at an endpoint.
+type Use struct {
+	Endpoint string  `json:"Endpoint"`
+	Adapter  Adapter `json:"Adapter"`
+	Count    int     `json:"Count,omitempty"`  // requests since the last report
+	Active   int     `json:"Active,omitempty"` // requests that run
+}
+
+// Used records use.
+func (p *Placer) Used(now time.Time, u Use) {
+	e := p.endpoints[u.Endpoint]
+	if e == nil || e.places[u.Adapter] == nil {
+		return
+	}
+	pl := e.places[u.Adapter]
+	if u.Count > 0 {
+		pl.heat = p.heat(now, pl) + float64(u.Count)
+		pl.usedAt = now
+	}
+	if u.Active > 0 {
+		pl.busyUntil = now.Add(p.options.BusyFor)
+	}
+}
+
+func (p *Placer) heat(now time.Time, pl *place) float64 {
+	return pl.heat * math.Exp2(-float64(now.Sub(pl.usedAt))/float64(p.options.HeatHalfLife))
+}
+
+// Choice answers Want.
+type Choice struct {
+	Endpoint string
+	Holding  Holding
+	Order    bool      // the load has to be ordered
+	ReadyAt  time.Time // when requests can be sent
+}
+
+// Want chooses the endpoint that shall hold an adapter for requests from a data centre, and reserves the place. It
+// reports false if no endpoint has room.
+func (p *Placer) Want(now time.Time, a Adapter, dataCentre string, replicate bool) (c Choice, ok bool) {
+	if !replicate {
+		if c, ok := p.present(now, a, dataCentre); ok {
+			return c, true
+		}
+	}
+	var best *endpoint
+	bestCost := math.Inf(1)
+	for _, e := range p.endpoints {
+		if cost := p.cost(now, e, a, dataCentre); cost < bestCost || (cost == bestCost && best != nil && e.ID < best.ID) {
+			best, bestCost = e, cost
+		}
+	}
+	if best == nil {
+		return Choice{}, false
+	}
+	h := Holding{Adapter: a, Version: p.versions[a]}
+	took := p.transferTime(best, h)
+	best.places[a] = &place{holding: h, state: Loading, changedAt: now, usedAt: now, heat: 1, readyAt: now.Add(took)}
+	return Choice{Endpoint: best.ID, Holding: h, Order: true, ReadyAt: now.Add(took)}, true
+}
+
+// present finds the adapter in the data centre, resident or on its way.
+func (p *Placer) present(now time.Time, a Adapter, dataCentre string) (c Choice, ok bool) {
+	for _, e := range p.endpoints {
+		pl := e.places[a]
+		if pl == nil || !e.Accepting || e.DataCentre != dataCentre || !p.current(pl.holding) {
+			continue
+		}
+		if pl.state != Resident && pl.state != Loading {
+			continue
+		}
+		at := now
+		if pl.readyAt.After(now) {
+			at = pl.readyAt
+		}
+		if !ok || at.Before(c.ReadyAt) {
+			c, ok = Choice{Endpoint: e.ID, Holding: pl.holding, ReadyAt: at}, true
+		}
+	}
+	return c, ok
+}
+
+// Costs of a place in milliseconds of a request's time, by which endpoints are compared.
+const (
+	remoteCost = 120.0 // there and back twice between regions
+	fullCost   = 400.0 // of an endpoint whose slots are all in use
+	victimCost = 30.0  // for each recent use of the adapter that makes way
+	swapCost   = 60.0  // of the order that makes room
+)
+
+func (p *Placer) cost(now time.Time, e *endpoint, a Adapter, dataCentre string) float64 {
+	if !e.Accepting || e.Slots == 0 || !slices.Contains(e.Models, a.Model) || e.places[a] != nil || now.Before(e.hold) {
+		return math.Inf(1)
+	}
+	cost := fullCost * e.load * e.load
+	if e.DataCentre != dataCentre {
+		cost += remoteCost
+	}
+	cost += float64(p.transferTime(e, Holding{Adapter: a, Version: p.versions[a]}).Milliseconds())
+	if len(e.places) >= e.Slots {
+		return math.Inf(1)
+	}
+	if len(e.places) >= e.Slots-p.options.Spare {
+		cost += swapCost
+		if v := p.victim(now, e); v != nil {
+			cost += victimCost * min(p.heat(now, v), maxVictimHeat)
+		}
+	}
+	return cost
+}
+
+// maxVictimHeat keeps one very popular adapter from deciding alone.
+const maxVictimHeat = 10.0
+
+// transferTime is the expected time of a load; fetches beyond full speed share the store.
+func (p *Placer) transferTime(e *endpoint, h Holding) time.Duration {
+	if _, remembered := e.seen[h]; remembered {
+		return p.options.RecallTime
+	}
+	running := 0
+	for _, other := range p.endpoints {
+		for a, pl := range other.places {
+			if pl.state == Loading && (other != e || a != h.Adapter) {
+				running++
+			}
+		}
+	}
+	running++
+	slowdown := max(float64(running)/float64(p.options.FullSpeed), 1)
+	return time.Duration(float64(p.options.FetchTime) * slowdown)
+}
+
+// victim is the place that makes way next: one with an old version, or else the one with the least recent use. Places
+// in use are never chosen.
+func (p *Placer) victim(now time.Time, e *endpoint) *place {
+	var worst *place
+	score := func(pl *place) float64 {
+		if !p.current(pl.holding) {
+			return -1
+		}
+		return p.heat(now, pl)
+	}
+	for _, pl := range e.places {
+		if pl.state != Resident || now.Before(pl.busyUntil) || now.Sub(pl.changedAt) < minResidence {
+			continue
+		}
+		if worst == nil || cmp.Or(cmp.Compare(score(pl), score(worst)), pl.usedAt.Compare(worst.usedAt)) < 0 {
+			worst = pl
+		}
+	}
+	return worst
+}
+
+// minResidence gives the requests that asked for an adapter time to arrive before it may make way.
+const minResidence = 1500 * time.Millisecond
+
+// Unload is an order to drop an adapter.
+type Unload struct {
+	Endpoint string
+	Holding  Holding
+}
+
+// MakeRoom returns the unloads that keep places free ahead of demand, and marks them as leaving.
+func (p *Placer) MakeRoom(now time.Time) (list []Unload) {
+	for _, e := range p.endpoints {
+		if !e.Accepting || e.Slots == 0 || now.Before(e.hold) {
+			continue
+		}
+		leaving := 0
+		for _, pl := range e.places {
+			if pl.state == Leaving || pl.state == Unknown {
+				leaving++
+			}
+		}
+		for need := len(e.places) - leaving - (e.Slots - p.options.Spare); need > 0; need-- {
+			v := p.victim(now, e)
+			if v == nil {
+				break
+			}
+			if p.current(v.holding) {
+				p.journal.add(Event{Endpoint: e.ID, Holding: v.holding, Gone: true})
+			}
+			v.state, v.changedAt = Leaving, now
+			list = append(list, Unload{Endpoint: e.ID, Holding: v.holding})
+		}
+	}
+	return list
+}
+
+// Loaded records an accepted load; the transfer begins now.
+func (p *Placer) Loaded(now time.Time, id string, a Adapter) {
+	e := p.endpoints[id]
+	if e == nil || e.places[a] == nil || e.places[a].state != Loading {
+		return
+	}
+	e.failures = 0
+	e.places[a].readyAt = now.Add(p.transferTime(e, e.places[a].holding))
+}
+
+// ReadyAt returns when a load is expected to end; false if none runs.
+func (p *Placer) ReadyAt(id string, a Adapter) (at time.Time, ok bool) {
+	e := p.endpoints[id]
+	if e == nil || e.places[a] == nil || e.places[a].readyAt.IsZero() {
+		return at, false
+	}
+	return e.places[a].readyAt, true
+}
+
+// Missing records that an endpoint does not hold an adapter that was taken for resident.
+func (p *Placer) Missing(now time.Time, id string, a Adapter) {
+	e := p.endpoints[id]
+	if e == nil || e.places[a] == nil {
+		return
+	}
+	pl := e.places[a]
+	if pl.state == Resident && now.Sub(pl.changedAt) > missingGrace {
+		p.drop(now, e, a)
+	}
+}
+
+// missingGrace is how late a load may be beyond its expected time.
+const missingGrace = 400 * time.Millisecond
+
+// Unloaded records an accepted unload.
+func (p *Placer) Unloaded(now time.Time, id string, a Adapter) {
+	if e := p.endpoints[id]; e != nil {
+		p.drop(now, e, a)
+	}
+}
+
+// Refused records an order that was not carried out: a load leaves no place, an unload leaves it as it was.
+func (p *Placer) Refused(now time.Time, id string, a Adapter) {
+	e := p.endpoints[id]
+	if e == nil || e.places[a] == nil {
+		return
+	}
+	pl := e.places[a]
+	if pl.state == Leaving {
+		p.settle(now, e, pl, pl.holding)
+	} else {
+		delete(e.places, a)
+	}
+	p.pause(now, e)
+}
+
+// Unanswered records an order without an answer. The place counts as taken until the endpoint has stated what it holds.
+func (p *Placer) Unanswered(now time.Time, id string, a Adapter) {
+	e := p.endpoints[id]
+	if e == nil || e.places[a] == nil {
+		return
+	}
+	e.places[a].state, e.places[a].changedAt, e.places[a].readyAt = Unknown, now, time.Time{}
+	p.pause(now, e)
+}
+
+// pauseStep is the pause of loads after the first failed order, doubled by each further one up to maxPause.
+const (
+	pauseStep = 100 * time.Millisecond
+	maxPause  = 2 * time.Second
+)
+
+func (p *Placer) pause(now time.Time, e *endpoint) {
+	e.hold = now.Add(min(pauseStep<<min(e.failures, 8), maxPause))
+	e.failures++
+}
+
+// Tick makes loads resident whose time has come.
+func (p *Placer) Tick(now time.Time) {
+	for _, e := range p.endpoints {
+		for _, pl := range e.places {
+			if pl.state == Loading && !pl.readyAt.After(now) {
+				p.settle(now, e, pl, pl.holding)
+			}
+		}
+	}
+}
--- /dev/null
+++ b/internal/serve/forward/flight.go
@@ -0,0 +1,75 @@
+package forward
+
+import (
+	"context"
+	"time"
+)
+
+// flight is a sending that waits for bytes of its endpoint.
+type flight struct {
+	endpoint   string
+	repeatable bool
+	begun      bool // bytes of the body have come
+	heardAt    time.Time
+	cancel     context.CancelCauseFunc
+}
+
+// takeOff counts a sending.
+func (h *Handler) takeOff(x *exchange, c choice, cancel context.CancelCauseFunc) *flight {
+	f := &flight{endpoint: c.ID, repeatable: x.route.Repeatable(), heardAt: h.options.Now(), cancel: cancel}
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.picker.Start(c.ID)
+	h.flights[f] = true
+	if a := x.request.Adapter; a.Name != "" {
+		key := [2]string{c.ID, a.Name}
+		u := h.uses[key]
+		if u == nil {
+			u = &use{adapter: a}
+			h.uses[key] = u
+		}
+		u.count++
+		u.active++
+	}
+	return f
+}
+
+// land uncounts it.
+func (h *Handler) land(x *exchange, c choice, f *flight) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.picker.End(c.ID)
+	delete(h.flights, f)
+	if u := h.uses[[2]string{c.ID, x.request.Adapter.Name}]; u != nil {
+		u.active--
+	}
+}
+
+func (h *Handler) hear(f *flight) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	now := h.options.Now()
+	h.heard[f.endpoint], f.heardAt = now, now
+}
+
+// silentAfter is the time without a byte from an endpoint, on any connection, after which its repeatable requests move
+// on. It is over the time to the first event of a large prompt, and leaves time for another endpoint within an objective
+// of a second.
+const silentAfter = 700 * time.Millisecond
+
+// Sweep moves requests away from endpoints that have gone silent; it is to be called a few times a second.
+func (h *Handler) Sweep() {
+	now := h.options.Now()
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	for f := range h.flights {
+		if f.repeatable && now.Sub(f.heardAt) > silentAfter && now.Sub(h.heard[f.endpoint]) > silentAfter {
+			f.cancel(errSilent)
+		}
+	}
+	for id, at := range h.heard {
+		if now.Sub(at) > time.Minute {
+			delete(h.heard, id)
+		}
+	}
+}
--- /dev/null
+++ b/internal/serve/forward/options.go
@@ -0,0 +1,92 @@
+package forward
+
+import (
+	"context"
+	"log/slog"
+	"time"
+
+	"golang.org/x/sync/errgroup"
+
+	"lycheevale/internal/limit/quota"
+	"lycheevale/internal/limit/retry"
+	"lycheevale/internal/member/report"
+	"lycheevale/internal/member/view"
+	"lycheevale/internal/place/pick"
+	"lycheevale/internal/wire/upstream"
+)
+
+// Options are the settings and parts of a Handler.
+type Options struct {
+	DataCentre string
+	Codec      Codec
+	View       *view.View
+	Pool       *upstream.Pool
+	Picker     pick.Options
+	Retry      retry.Options
+	Seed       uint64
+	Logger     *slog.Logger
+	// Want asks the leader for a place of an adapter.
+	Want    func(ctx context.Context, w report.Want) (report.Placed, error)
+	Observe func(Outcome)
+	Spawn   func(f func()) // starts work that outlives a request
+	Now     func() time.Time
+	Wallet  *quota.Wallet
+}
+
+// Option sets one of the Options.
+type Option func(*Options)
+
+func build(opts []Option) Options {
+	o := Options{
+		View: view.New(), Pool: upstream.New(), Picker: pick.Defaults(), Logger: slog.Default(),
+		Retry:   retry.Options{Ratio: 0.1, Window: 10 * time.Second, Slack: 20},
+		Observe: func(Outcome) {}, Now: time.Now, Wallet: quota.NewWallet(),
+		Spawn: func(f func()) {
+			var group errgroup.Group
+			group.Go(func() error { f(); return nil })
+		},
+		Want: func(context.Context, report.Want) (report.Placed, error) { return report.Placed{}, nil },
+	}
+	for _, opt := range opts {
+		opt(&o)
+	}
+	return o
+}
+
+// WithDataCentre sets the data centre of this entry.
+func WithDataCentre(name string) Option { return func(o *Options) { o.DataCentre = name } }
+
+// WithCodec sets the protocol.
+func WithCodec(c Codec) Option { return func(o *Options) { o.Codec = c } }
+
+// WithView sets what the entry believes.
+func WithView(v *view.View) Option { return func(o *Options) { o.View = v } }
+
+// WithPool sets the connections to endpoints.
+func WithPool(p *upstream.Pool) Option { return func(o *Options) { o.Pool = p } }
+
+// WithRetry sets the bound on repeats of all entries together.
+func WithRetry(r retry.Options) Option { return func(o *Options) { o.Retry = r } }
+
+// WithSeed sets the seed of random choices.
+func WithSeed(seed uint64) Option { return func(o *Options) { o.Seed = seed } }
+
+// WithLogger sets the logger.
+func WithLogger(l *slog.Logger) Option { return func(o *Options) { o.Logger = l } }
+
+// WithWant sets the call that asks for a place of an adapter.
+func WithWant(f func(ctx context.Context, w report.Want) (report.Placed, error)) Option {
+	return func(o *Options) { o.Want = f }
+}
+
+// WithObserve sets the function that is told of each finished request.
+func WithObserve(f func(Outcome)) Option { return func(o *Options) { o.Observe = f } }
+
+// WithNow replaces the clock.
+func WithNow(f func() time.Time) Option { return func(o *Options) { o.Now = f } }
+
+// WithSpawn sets how work that outlives a request is started.
+func WithSpawn(f func(f func())) Option { return func(o *Options) { o.Spawn = f } }
+
+// WithWallet sets the shares of customers' rates.
+func WithWallet(w *quota.Wallet) Option { return func(o *Options) { o.Wallet = w } }
--- /dev/null
+++ b/internal/serve/forward/place.go
@@ -0,0 +1,165 @@
+package forward
+
+import (
+	"context"
+	"slices"
+	"time"
+
+	"lycheevale/internal/base/refusal"
+	"lycheevale/internal/member/report"
+	"lycheevale/internal/place/pick"
+	"lycheevale/internal/place/residency"
+)
+
+// want is a question to the leader that several requests wait for.
+type want struct {
+	done   chan struct{}
+	placed report.Placed
+	err    error
+	at     time.Time
+}
+
+// candidate turns an endpoint into a choice for this entry. h.mu is held.
+func (h *Handler) candidates(x *exchange, list []report.Endpoint) (candidates []pick.Endpoint) {
+	for _, e := range list {
+		slots := e.Slots
+		if x.service.Engine == nil {
+			slots *= plainQueue
+		}
+		candidates = append(candidates, pick.Endpoint{
+			ID: e.ID, Slots: slots, Local: e.DataCentre == h.options.DataCentre, Others: h.options.View.Others(e.ID),
+		})
+	}
+	return candidates
+}
+
+// plainQueue is how many requests for each slot a plain service takes: its requests are short, so that waiting for two
+// others costs little.
+const plainQueue = 3
+
+// choice is the endpoint of a sending.
+type choice struct {
+	report.Endpoint
+	version int  // of the adapter, 0 for any
+	loaded  bool // the adapter has just been loaded, and may be a moment late
+}
+
+// place chooses the endpoint of the next sending. For an adapter that no endpoint holds, it asks the leader and waits
+// until the adapter is there.
+func (h *Handler) place(x *exchange, exclude []string) (c choice, refused *refusal.Error) {
+	if x.request.Adapter.Name == "" || x.service.Engine == nil {
+		e, ok := h.choose(x, h.options.View.Endpoints(x.service.Name), exclude)
+		if !ok {
+			return c, h.later(refusal.Overloaded, "no endpoint of the service has room")
+		}
+		return choice{Endpoint: e}, nil
+	}
+	holders, version := h.options.View.Holders(x.service.Name, x.request.Adapter)
+	if e, ok := h.choose(x, holders, exclude); ok {
+		h.spreadLoad(x, e)
+		return choice{Endpoint: e, version: version}, nil
+	}
+	return h.load(x, exclude, len(holders) > 0)
+}
+
+// later is a refusal that tells the caller to come back.
+func (h *Handler) later(code refusal.Code, format string, args ...any) *refusal.Error {
+	return refusal.New(code, format, args...).WithRetryAt(h.options.Now().Add(h.retryWait()))
+}
+
+func (h *Handler) choose(x *exchange, list []report.Endpoint, exclude []string) (e report.Endpoint, ok bool) {
+	h.mu.Lock()
+	id, ok := h.picker.Choose(h.options.Now(), h.candidates(x, list), exclude)
+	h.mu.Unlock()
+	if !ok {
+		return e, false
+	}
+	return h.options.View.Endpoint(id)
+}
+
+// retryWait spreads the callers that come back.
+func (h *Handler) retryWait() time.Duration {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return retryBase + time.Duration(h.random.Int64N(int64(retryBase)))
+}
+
+// retryBase is about the time in which a busy batch frees a slot.
+const retryBase = 400 * time.Millisecond
+
+// spreadLoad asks for another copy beside the request, if the one that was chosen is far away or busy.
+func (h *Handler) spreadLoad(x *exchange, chosen report.Endpoint) {
+	a := x.request.Adapter
+	h.mu.Lock()
+	busy := h.picker.Load(h.candidates(x, []report.Endpoint{chosen})[0]) > copyLoad
+	uses := 0
+	if u := h.uses[[2]string{chosen.ID, a.Name}]; u != nil {
+		uses = u.count + u.active
+	}
+	h.mu.Unlock()
+	far := chosen.DataCentre != h.options.DataCentre
+	if (far && uses >= farUses) || (busy && uses > 0) {
+		h.ask(a, busy && !far, "")
+	}
+}
+
+const (
+	// copyLoad is the load of an endpoint from which on an adapter that is asked for again gets another copy.
+	copyLoad = 0.6
+	// farUses is the number of requests since the last report from which on an adapter is worth a local copy.
+	farUses = 2
+)
+
+// load asks the leader for the adapter and waits until it is there.
+func (h *Handler) load(x *exchange, exclude []string, replicate bool) (c choice, refused *refusal.Error) {
+	w := h.ask(x.request.Adapter, replicate, x.missing)
+	x.missing = ""
+	select {
+	case <-w.done:
+	case <-x.ctx.Done():
+		return c, h.later(refusal.Unavailable, "no endpoint got the adapter in time")
+	}
+	if w.err != nil || w.placed.Endpoint == "" {
+		return c, h.later(refusal.Unavailable, "no endpoint can load the adapter: %v", w.err)
+	}
+	e, ok := h.options.View.Endpoint(w.placed.Endpoint)
+	if !ok || slices.Contains(exclude, e.ID) {
+		return c, h.later(refusal.Unavailable, "endpoint %q, which loads the adapter, is not available", w.placed.Endpoint)
+	}
+	ready := w.at.Add(time.Duration(w.placed.InMillis) * time.Millisecond)
+	select {
+	case <-x.ctx.Done():
+		return c, h.later(refusal.Unavailable, "the adapter was not loaded in time")
+	case <-time.After(ready.Sub(h.options.Now())):
+	}
+	return choice{Endpoint: e, version: w.placed.Version, loaded: true}, nil
+}
+
+// ask sends one question at a time for each adapter.
+func (h *Handler) ask(a residency.Adapter, replicate bool, missing string) *want {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if w := h.wanted[a]; w != nil {
+		return w
+	}
+	w := &want{done: make(chan struct{})}
+	h.wanted[a] = w
+	h.options.Spawn(func() {
+		ctx, cancel := context.WithTimeout(context.Background(), wantTimeout)
+		defer cancel()
+		w.placed, w.err = h.options.Want(ctx, report.Want{
+			Adapter: a, DataCentre: h.options.DataCentre, Replicate: replicate, Missing: missing,
+		})
+		w.at = h.options.Now()
+		close(w.done)
+		// Requests that come while the adapter is on its way share the answer.
+		time.Sleep(time.Duration(w.placed.InMillis) * time.Millisecond)
+		h.mu.Lock()
+		delete(h.wanted, a)
+		h.mu.Unlock()
+	})
+	return w
+}
+
+// wantTimeout covers the way to the leader, its order to an endpoint and one change of the leader.
+const wantTimeout = 2500 * time.Millisecond
--- a/internal/state/voter/options.go
+++ b/internal/state/voter/options.go
@@ -22,7 +22,9 @@
 	Replica ReplicaOptions
 	Call    peer.Caller
 	// Peers returns the names of the instances that should be voters, this one included.
-	Peers       func() []string
+	Peers func() []string
+	// MayFound tells whether this instance may create the log when no wanted voter has one.
+	MayFound    func() bool
 	Logger      *slog.Logger
 	Tick        time.Duration // interval of the core's clock
 	CallTimeout time.Duration // of one message to a peer
@@ -50,10 +52,20 @@
 			NewIdentity: uuid.NewString,
 		},
 		Logger: slog.Default(), Tick: defaultTick, CallTimeout: defaultCallTimeout, MaxBatch: defaultMaxBatch,
-		Now: time.Now,
+		Now: time.Now, MayFound: func() bool { return true },
 	}
 }
 
+// WithMayFound sets the function that tells whether this instance may create the log.
+func WithMayFound(f func() bool) Option {
+	return func(o *Options) { o.MayFound = f }
+}
+
+// WithNow replaces the clock.
+func WithNow(f func() time.Time) Option {
+	return func(o *Options) { o.Now = f }
+}
+
 // WithGroup sets the name of the log, which also prefixes the method of its proposals.
 func WithGroup(name string) Option {
 	return func(o *Options) { o.Group = name }
--- a/internal/state/voter/transport.go
+++ b/internal/state/voter/transport.go
@@ -82,13 +82,25 @@
 	return r
 }
 
-// Add registers a voter and the method of its proposals; it is called once for each log.
+// Add registers a voter and the method of its proposals. A voter that has stopped may be replaced by a new one of the
+// same log.
 func (r *Router) Add(mux *peer.Mux, v *Voter) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.voters[v.options.Group] = v
+	group := v.options.Group
+	_, replaced := r.voters[group]
+	r.voters[group] = v
 	v.router = r
-	mux.Handle(ProposeMethod(v.options.Group), peer.Typed(v.receiveProposal))
+	if replaced {
+		return
+	}
+	mux.Handle(ProposeMethod(group), peer.Typed(func(ctx context.Context, from string, p proposal) (result proposed, err error) {
+		err = r.with(group, func(v *Voter) error {
+			result, err = v.receiveProposal(ctx, from, p)
+			return err
+		})
+		return result, err
+	}))
 }
 
 // step hands the messages to their logs and waits for replies.
--- a/internal/wire/peer/link.go
+++ b/internal/wire/peer/link.go
@@ -169,7 +169,7 @@
 	if !ok {
 		return nil, ErrUnknownInstance
 	}
-	if o.Keys == nil && !address.Addr().IsLoopback() {
+	if o.Keys == nil && !o.Private && !address.Addr().IsLoopback() {
 		return nil, ErrInsecure
 	}
 	conn, err := o.Dial(ctx, address)
--- a/internal/wire/peer/options.go
+++ b/internal/wire/peer/options.go
@@ -35,7 +35,8 @@
 	Resolve func(name string) (netip.AddrPort, bool)
 	Mux     *Mux
 	Logger  *slog.Logger
-	Keys    *Keys // plain TCP without, which only loopback addresses may use
+	Keys    *Keys // plain TCP without, which only loopback addresses may use unless Private
+	Private bool  // the network between instances is closed to others
 	Scope   tally.Scope
 	Wide    func(name string) bool // whether an instance is in another data centre
 
@@ -92,6 +93,11 @@
 	return func(o *Options) { o.Keys = k }
 }
 
+// WithPrivateNetwork allows links without TLS, on a network that only the system can reach.
+func WithPrivateNetwork() Option {
+	return func(o *Options) { o.Private = true }
+}
+
 // WithScope sets where bytes and messages are counted.
 func WithScope(s tally.Scope) Option {
 	return func(o *Options) { o.Scope = s }
--- a/internal/wire/peer/peer.go
+++ b/internal/wire/peer/peer.go
@@ -76,7 +76,7 @@
 }
 
 func (n *Node) listen() (net.Listener, error) {
-	if n.options.Keys == nil && !n.options.Listen.Addr().IsLoopback() {
+	if n.options.Keys == nil && !n.options.Private && !n.options.Listen.Addr().IsLoopback() {
 		return nil, ErrInsecure
 	}
 	listener, err := n.options.ListenTCP(n.options.Listen)
--- /dev/null
+++ b/internal/wire/upstream/options.go
@@ -0,0 +1,69 @@
+package upstream
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"net/netip"
+	"time"
+)
+
+// Options are the settings of a Pool.
+type Options struct {
+	DialTimeout time.Duration // to connect to an endpoint
+	IdleTimeout time.Duration // after which an unused connection is closed, unless the endpoint states less
+	MaxIdle     int           // unused connections to one endpoint
+	MaxStale    int           // answers to earlier requests that are skipped on one connection
+	Dial        func(ctx context.Context, to netip.AddrPort) (net.Conn, error)
+	// Attempt returns the identifier that an answer echoes, or "" if it has none.
+	Attempt func(h http.Header) string
+	Now     func() time.Time
+}
+
+// Option sets one of the Options.
+type Option func(*Options)
+
+const (
+	// defaultDialTimeout is over six round trips between regions; a lost opening packet is sent again only after a second.
+	defaultDialTimeout = 400 * time.Millisecond
+	// defaultIdleTimeout is below the shortest time after which endpoints close idle connections.
+	defaultIdleTimeout = 4 * time.Second
+	defaultMaxIdle     = 64
+	defaultMaxStale    = 3
+)
+
+func build(opts []Option) Options {
+	o := Options{
+		DialTimeout: defaultDialTimeout, IdleTimeout: defaultIdleTimeout, MaxIdle: defaultMaxIdle, MaxStale: defaultMaxStale,
+		Dial: func(ctx context.Context, to netip.AddrPort) (net.Conn, error) {
+			var d net.Dialer
+			return d.DialContext(ctx, "tcp", to.String())
+		},
+		Attempt: func(http.Header) string { return "" },
+		Now:     time.Now,
+	}
+	for _, opt := range opts {
+		opt(&o)
+	}
+	return o
+}
+
+// WithAttempt sets the function that finds the identifier echoed by an answer.
+func WithAttempt(f func(h http.Header) string) Option {
+	return func(o *Options) { o.Attempt = f }
+}
+
+// WithIdleTimeout sets how long an unused connection is kept.
+func WithIdleTimeout(d time.Duration) Option {
+	return func(o *Options) { o.IdleTimeout = d }
+}
+
+// WithDial replaces the function that opens connections.
+func WithDial(f func(ctx context.Context, to netip.AddrPort) (net.Conn, error)) Option {
+	return func(o *Options) { o.Dial = f }
+}
+
+// WithNow replaces the clock.
+func WithNow(f func() time.Time) Option {
+	return func(o *Options) { o.Now = f }
+}
--- /dev/null
+++ b/internal/wire/upstream/quiet.go
@@ -0,0 +1,27 @@
+package upstream
+
+import (
+	"net"
+	"syscall"
+)
+
+// quiet tells that an unused connection is open and that nothing has arrived on it. Bytes that belong to no request make
+// a connection unusable, as does its end.
+func quiet(c net.Conn) bool {
+	sc, ok := c.(syscall.Conn)
+	if !ok {
+		return true
+	}
+	raw, err := sc.SyscallConn()
+	if err != nil {
+		return false
+	}
+	open := false
+	err = raw.Read(func(fd uintptr) bool {
+		var b [1]byte
+		_, err := syscall.Read(int(fd), b[:])
+		open = err == syscall.EAGAIN
+		return true
+	})
+	return err == nil && open
+}
--- /dev/null
+++ b/internal/wire/upstream/upstream.go
@@ -0,0 +1,325 @@
+// Package upstream sends requests to endpoints over pooled HTTP/1.1 connections. It tells requests that cannot have
+// reached an endpoint from those that may have run, which the HTTP client of the standard library does not.
+package upstream
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"net/netip"
+	"strconv"
+	"sync"
+	"time"
+
+	"github.com/zeebo/errs"
+	"golang.org/x/sync/errgroup"
+)
+
+// Error is the class of errors of this package.
+var Error = errs.Class("upstream")
+
+// ErrNotSent marks failures before any byte of a request can have reached the endpoint; test with errs.Is.
+var ErrNotSent = errs.New("request was not sent")
+
+// Request is one request to an endpoint.
+type Request struct {
+	Address netip.AddrPort
+	Method  string
+	Target  string // path and query as the caller sent them
+	Host    string
+	Header  http.Header
+	Body    []byte
+	Attempt string // identifier that the answer has to echo, if it echoes any
+	Fresh   bool   // use a new connection
+}
+
+// Answer is the head of an answer; Body has to be closed.
+type Answer struct {
+	Status int
+	Header http.Header
+	Body   io.ReadCloser
+	Length int64 // -1 if unknown
+}
+
+// Pool keeps connections to endpoints. It is safe for concurrent use.
+type Pool struct {
+	options Options
+	mu      sync.Mutex
+	idle    map[netip.AddrPort][]*conn
+	opened  int64
+}
+
+// New returns a pool without connections.
+func New(opts ...Option) *Pool {
+	return &Pool{options: build(opts), idle: map[netip.AddrPort][]*conn{}}
+}
+
+// conn is a connection that serves one request at a time.
+type conn struct {
+	net.Conn
+	reader    *bufio.Reader
+	idleUntil time.Time
+}
+
+// Opened returns the number of connections opened so far.
+func (p *Pool) Opened() int64 {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.opened
+}
+
+// Drop closes the unused connections to an address, which may belong to another endpoint soon.
+func (p *Pool) Drop(address netip.AddrPort) {
+	p.mu.Lock()
+	list := p.idle[address]
+	delete(p.idle, address)
+	p.mu.Unlock()
+	for _, c := range list {
+		_ = c.Close()
+	}
+}
+
+// Sweep closes connections that have been unused for too long.
+func (p *Pool) Sweep() {
+	now := p.options.Now()
+	var old []*conn
+	p.mu.Lock()
+	for address, list := range p.idle {
+		kept := list[:0]
+		for _, c := range list {
+			if now.Before(c.idleUntil) {
+				kept = append(kept, c)
+			} else {
+				old = append(old, c)
+			}
+		}
+		p.idle[address] = kept
+		if len(kept) == 0 {
+			delete(p.idle, address)
+		}
+	}
+	p.mu.Unlock()
+	for _, c := range old {
+		_ = c.Close()
+	}
+}
+
+func (p *Pool) take(address netip.AddrPort) *conn {
+	now := p.options.Now()
+	for {
+		p.mu.Lock()
+		list := p.idle[address]
+		if len(list) == 0 {
+			p.mu.Unlock()
+			return nil
+		}
+		c := list[len(list)-1]
+		p.idle[address] = list[:len(list)-1]
+		p.mu.Unlock()
+		if now.Before(c.idleUntil) && quiet(c.Conn) {
+			return c
+		}
+		_ = c.Close()
+	}
+}
+
+func (p *Pool) put(address netip.AddrPort, c *conn, keepAlive time.Duration) {
+	c.idleUntil = p.options.Now().Add(min(p.options.IdleTimeout, keepAlive))
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if len(p.idle[address]) >= p.options.MaxIdle {
+		_ = c.Close()
+		return
+	}
+	p.idle[address] = append(p.idle[address], c)
+}
+
+func (p *Pool) connect(ctx context.Context, r Request) (c *conn, err error) {
+	if !r.Fresh {
+		if c := p.take(r.Address); c != nil {
+			return c, nil
+		}
+	}
+	ctx, cancel := context.WithTimeout(ctx, p.options.DialTimeout)
+	defer cancel()
+	raw, err := p.options.Dial(ctx, r.Address)
+	if err != nil {
+		return nil, errs.Combine(ErrNotSent, err)
+	}
+	p.mu.Lock()
+	p.opened++
+	p.mu.Unlock()
+	return &conn{Conn: raw, reader: bufio.NewReaderSize(raw, readBuffer)}, nil
+}
+
+// readBuffer holds an ordinary event of a stream or a small answer, in bytes.
+const readBuffer = 4 << 10
+
+// Do sends a request and returns the head of its answer. The end of ctx closes the connection, also while the body is
+// read. Errors are ErrNotSent, or any other for a request that may have run.
+func (p *Pool) Do(ctx context.Context, r Request) (a *Answer, err error) {
+	defer func() { err = Error.Wrap(err) }()
+	c, err := p.connect(ctx, r)
+	if err != nil {
+		return nil, err
+	}
+	stop := context.AfterFunc(ctx, func() { _ = c.Close() })
+	x := &exchange{pool: p, conn: c, request: r, stop: stop, sent: make(chan error, 1)}
+	x.send()
+	a, err = x.read()
+	if err != nil {
+		x.abandon()
+		if ctx.Err() != nil {
+			err = errs.Combine(context.Cause(ctx), err)
+		}
+		return nil, err
+	}
+	return a, nil
+}
+
+// exchange is one request on a connection.
+type exchange struct {
+	pool    *Pool
+	conn    *conn
+	request Request
+	stop    func() bool
+	sent    chan error // result of the writer: an endpoint may answer before it has read a long body
+	once    sync.Once
+}
+
+// send writes a short request at once, and a long one beside the reader of the answer.
+func (x *exchange) send() {
+	data := x.request.encode()
+	if len(data) <= shortRequest {
+		_, err := x.conn.Write(data)
+		x.sent <- err
+		return
+	}
+	var group errgroup.Group
+	group.Go(func() error {
+		_, err := x.conn.Write(data)
+		x.sent <- err
+		return nil
+	})
+}
+
+// shortRequest fits the smallest send buffer of a connection, in bytes.
+const shortRequest = 8 << 10
+
+func (r Request) encode() []byte {
+	var b bytes.Buffer
+	b.WriteString(r.Method + " " + r.Target + " HTTP/1.1\r\nHost: " + r.Host + "\r\n")
+	_ = r.Header.Write(&b) // a buffer takes everything
+	if len(r.Body) > 0 || (r.Method != http.MethodGet && r.Method != http.MethodHead) {
+		b.WriteString("Content-Length: " + strconv.Itoa(len(r.Body)) + "\r\n")
+	}
+	b.WriteString("\r\n")
+	b.Write(r.Body)
+	return b.Bytes()
+}
+
+func (x *exchange) read() (*Answer, error) {
+	for skipped := 0; ; {
+		response, err := http.ReadResponse(x.conn.reader, &http.Request{Method: x.request.Method})
+		if err != nil {
+			return nil, err
+		}
+		if response.StatusCode < http.StatusOK {
+			continue
+		}
+		attempt := x.pool.options.Attempt(response.Header)
+		if attempt != "" && x.request.Attempt != "" && attempt != x.request.Attempt {
+			// A late answer to an earlier request; the own one follows.
+			if skipped++; skipped > x.pool.options.MaxStale {
+				return nil, errs.New("too many answers to other requests")
+			}
+			if _, err := io.Copy(io.Discard, response.Body); err != nil {
+				return nil, err
+			}
+			continue
+		}
+		a := &Answer{Status: response.StatusCode, Header: response.Header, Length: response.ContentLength}
+		a.Body = &body{ReadCloser: response.Body, exchange: x, response: response}
+		return a, nil
+	}
+}
+
+// abandon closes the connection.
+func (x *exchange) abandon() {
+	x.once.Do(func() {
+		x.stop()
+		_ = x.conn.Close()
+	})
+}
+
+// finish keeps the connection for the next request if nothing speaks against it.
+func (x *exchange) finish(response *http.Response) {
+	x.once.Do(func() {
+		if !x.stop() || response.Close || (response.ContentLength < 0 && len(response.TransferEncoding) == 0) ||
+			x.conn.reader.Buffered() > 0 || !x.written() {
+			_ = x.conn.Close()
+			return
+		}
+		x.pool.put(x.request.Address, x.conn, keepAlive(response.Header))
+	})
+}
+
+// written tells whether the whole request was sent; an endpoint may answer before that.
+func (x *exchange) written() bool {
+	select {
+	case err := <-x.sent:
+		return err == nil
+	case <-time.After(writeGrace):
+		return false
+	}
+}
+
+// writeGrace is the time that a writer gets to end once the answer is complete.
+const writeGrace = 20 * time.Millisecond
+
+// keepAlive returns how long the endpoint keeps the connection open, less a margin for the way there.
+func keepAlive(h http.Header) time.Duration {
+	const margin = 500 * time.Millisecond
+	const name = "timeout="
+	value := h.Get("Keep-Alive")
+	if len(value) <= len(name) || value[:len(name)] != name {
+		return time.Hour
+	}
+	end := len(name)
+	for end < len(value) && value[end] >= '0' && value[end] <= '9' {
+		end++
+	}
+	seconds, err := strconv.Atoi(value[len(name):end])
+	if err != nil {
+		return 0 // a value that cannot be read promises nothing
+	}
+	return time.Duration(seconds)*time.Second - margin
+}
+
+// body returns its connection to the pool at the end of the answer.
+type body struct {
+	io.ReadCloser
+	exchange *exchange
+	response *http.Response
+}
+
+// Read implements io.Reader.
+func (b *body) Read(p []byte) (n int, err error) {
+	n, err = b.ReadCloser.Read(p)
+	switch {
+	case err == io.EOF:
+		b.exchange.finish(b.response)
+	case err != nil:
+		b.exchange.abandon()
+	}
+	return n, err
+}
+
+// Close implements io.Closer; an answer that was not read to its end takes its connection with it.
+func (b *body) Close() error {
+	b.exchange.abandon()
+	return nil
+}
