--- a/internal/node/control/office.go
+++ b/internal/node/control/office.go
@@ -88,11 +88,27 @@
 		o.drop(id)
 	}
 	o.placer.Tick(now)
+	if now.Sub(o.since) < useGather {
+		return
+	}
 	for _, u := range o.placer.MakeRoom(now) {
 		o.order(ctx, u.Endpoint, job{holding: u.Holding})
 	}
+	for id, l := range o.lines {
+		if !l.running && now.Sub(l.asked) >= refreshInterval && o.placer.Unsettled(now, id) {
+			l.asked = now
+			o.order(ctx, id, job{refresh: true})
+		}
+	}
 }
 
+const (
+	// useGather is the time in which a new leader hears from the entries which adapters are in use.
+	useGather = time.Second
+	// refreshInterval bounds what asking endpoints for their state costs.
+	refreshInterval = time.Second
+)
+
 // follow takes over changes of the replicated state.
 func (o *office) follow(ctx context.Context) {
 	state := o.control.machine.Stored()
@@ -164,7 +180,7 @@
 	}
 	o.placer.SetEndpoint(o.now(), residency.Endpoint{
 		ID: a.ID, Service: a.Service, DataCentre: a.DataCentre, Models: a.Models, Slots: service.Engine.Places(a.Models),
-		Accepting: !a.Leaving, Holdings: a.Holdings, StatedAt: o.now(),
+		Accepting: !a.Leaving, Holdings: a.Holdings,
 	})
 }
 
@@ -269,8 +285,8 @@
 // want chooses a place. The channel tells whether the order that is needed was accepted; it is nil if none is.
 func (o *office) want(ctx context.Context, from string, w report.Want) (placed report.Placed, accepted <-chan bool) {
 	now := o.now()
-	if w.Missing != "" {
-		o.placer.Missing(now, w.Missing, w.Adapter)
+	if w.Missing != "" && o.placer.Missing(now, w.Missing, w.Adapter) && o.lines[w.Missing] != nil {
+		o.lines[w.Missing].known = false
 	}
 	choice, ok := o.placer.Want(now, w.Adapter, w.DataCentre, w.Replicate)
 	event.Log(ctx, o.control.options.Logger, event.AdapterPlaced, slog.String("Entry", from),
--- a/internal/node/control/options.go
+++ b/internal/node/control/options.go
@@ -29,8 +29,8 @@
 
 // Results of orders.
 const (
-	Accepted Result = "Accepted" // is being carried out, or has been
-	Held     Result = "Held"     // holds already, nothing was done
+	Accepted Result = "Accepted" // is being carried out
+	Done     Result = "Done"     // holds already: a load changed nothing, an unload was carried out at once
 	Conflict Result = "Conflict" // another order came before, or is in progress
 	Fenced   Result = "Fenced"   // a newer leader has given orders
 	Refused  Result = "Refused"  // not carried out for another reason
--- a/internal/node/control/orders.go
+++ b/internal/node/control/orders.go
@@ -16,6 +16,7 @@
 // job is an order that waits for its turn at an endpoint.
 type job struct {
 	load    bool
+	refresh bool // no order: only ask the endpoint for its state
 	holding residency.Holding
 	done    chan<- bool // told whether the order was accepted; may be nil
 }
@@ -24,8 +25,10 @@
 type line struct {
 	waiting  []job
 	running  bool
-	known    bool   // sequence is what the endpoint has last told, and nothing unanswered came since
-	sequence uint64 // orders that the endpoint has accepted
+	asked    time.Time    // when the state was last asked for beside orders
+	known    bool         // sequence is what the endpoint has last told, and nothing unanswered came since
+	sequence uint64       // orders that the endpoint has accepted
+	state    *EngineState // what it has told, until an accepted order has shown that nothing came since
 }
 
 // order queues a job. c.mu is held.
@@ -73,10 +76,14 @@
 		usable := present && !o.ended && c.leading() == o.term && o.lines[id] == l
 		c.mu.Unlock()
 		accepted := false
-		if usable {
-			to := report.Endpoint{ID: id, Service: a.Service, DataCentre: a.DataCentre, Address: a.Address}
+		to := report.Endpoint{ID: id, Service: a.Service, DataCentre: a.DataCentre, Address: a.Address}
+		switch {
+		case usable && j.refresh:
+			o.refresh(ctx, to, l)
+		case usable:
+			o.awaitTransit(id, j)
 			accepted = o.give(ctx, to, l, j)
-		} else {
+		case !j.refresh:
 			c.mu.Lock()
 			o.placer.Refused(o.now(), id, j.holding.Adapter)
 			c.mu.Unlock()
@@ -87,6 +94,37 @@
 	}
 }
 
+// awaitTransit waits until the endpoint can take another load; the longest transfer bounds it.
+func (o *office) awaitTransit(id string, j job) {
+	for range maxTransitWaits {
+		o.control.mu.Lock()
+		full := j.load && o.placer.InTransit(id)
+		o.control.mu.Unlock()
+		if !full {
+			return
+		}
+		time.Sleep(tickInterval)
+	}
+}
+
+// maxTransitWaits of a tick each are one second, four times an undisturbed transfer.
+const maxTransitWaits = int(time.Second / tickInterval)
+
+// refresh asks an endpoint for its state. The state is exact if the endpoint has accepted no other orders than this leader
+// knows of; otherwise the next accepted order shows whether it still is.
+func (o *office) refresh(ctx context.Context, to report.Endpoint, l *line) {
+	known, sequence := l.known, l.sequence
+	if o.learn(ctx, to, l) != nil {
+		return // it is asked again
+	}
+	o.control.mu.Lock()
+	defer o.control.mu.Unlock()
+	if known && sequence == l.sequence {
+		o.placer.Reconcile(o.now(), to.ID, l.state.Holdings, l.state.Pending)
+		l.state = nil
+	}
+}
+
 // orderTimeout is several round trips between regions; an order without an answer by then may still be carried out.
 const orderTimeout = 500 * time.Millisecond
 
@@ -125,7 +163,7 @@
 	if err != nil {
 		return errs.Combine(upstream.ErrNotSent, err) // the order itself was not sent
 	}
-	l.sequence, l.known = state.Sequence, true
+	l.sequence, l.known, l.state = state.Sequence, true, &state
 	return nil
 }
 
@@ -147,14 +185,18 @@
 	case err != nil:
 		l.known = false
 		o.placer.Unanswered(now, id, a)
-	case result == Accepted || result == Held:
-		if result == Accepted {
+	case result == Accepted || result == Done:
+		if result == Accepted || !j.load {
 			l.sequence++
+			if l.state != nil {
+				o.placer.Reconcile(now, id, l.state.Holdings, l.state.Pending)
+			}
+			l.state = nil
 		}
 		if j.load {
 			o.placer.Loaded(now, id, a)
 		} else {
-			o.placer.Unloaded(now, id, a)
+			o.placer.Unloaded(now, id, a, result == Done)
 		}
 		return true
 	case result == Fenced:
--- a/internal/place/residency/residency.go
+++ b/internal/place/residency/residency.go
@@ -30,7 +30,6 @@
 	Slots      int // places for adapters
 	Accepting  bool
 	Holdings   []Holding
-	StatedAt   time.Time
 }
 
 // State of an adapter at an endpoint.
@@ -48,6 +47,7 @@
 	holding   Holding
 	state     State
 	readyAt   time.Time // when a load is expected to end
+	ordered   bool      // the order of the present state was accepted
 	changedAt time.Time
 	busyUntil time.Time
 	usedAt    time.Time
@@ -57,12 +57,18 @@
 type endpoint struct {
 	Endpoint
 	places   map[Adapter]*place
-	load     float64               // share of its request slots in use
-	seen     map[Holding]time.Time // what it has held, and until when
-	hold     time.Time             // no new loads before
+	load     float64          // share of its request slots in use
+	seen     map[Adapter]past // what it has held
+	hold     time.Time        // no new loads before
 	failures int
 }
 
+// past is an adapter that an endpoint has held.
+type past struct {
+	version int
+	at      time.Time // when it was dropped
+}
+
 // Options are the settings of a Placer.
 type Options struct {
 	FetchTime    time.Duration // of an adapter from the weight store, at full speed
@@ -70,15 +76,16 @@
 	FullSpeed    int           // fetches at once, over all endpoints, that slow nobody down
 	Spare        int           // places that are kept free ahead of demand
 	Remembered   int           // adapters that an endpoint remembers
+	Transits     int           // adapters on their way to one endpoint at most
 	HeatHalfLife time.Duration
 	BusyFor      time.Duration // after a report of use, until the next one is due
-	ReportLag    time.Duration // age of an endpoint's statement about itself at most
+	ReportLag    time.Duration // age of an endpoint's announcement at most, but for late ones
 }
 
 // Defaults returns the settings for the engines of today's users.
 func Defaults() Options {
 	return Options{
-		FetchTime: 250 * time.Millisecond, RecallTime: 25 * time.Millisecond, FullSpeed: 8, Spare: 2, Remembered: 180,
+		FetchTime: 250 * time.Millisecond, RecallTime: 25 * time.Millisecond, FullSpeed: 8, Spare: 2, Remembered: 180, Transits: 4,
 		HeatHalfLife: 8 * time.Second, BusyFor: 1200 * time.Millisecond, ReportLag: 2500 * time.Millisecond,
 	}
 }
@@ -111,41 +118,60 @@
 
 func (p *Placer) current(h Holding) bool { return h.Version >= p.versions[h.Adapter] }
 
-// SetEndpoint records a statement of an endpoint. Places that it contradicts follow it, unless they changed after it
-// was made.
+// SetEndpoint records an announcement of an endpoint. It may be seconds old and leaves out what is on its way, so that it
+// adds places and never frees one.
 func (p *Placer) SetEndpoint(now time.Time, s Endpoint) {
 	e := p.endpoints[s.ID]
 	if e == nil {
-		e = &endpoint{places: map[Adapter]*place{}, seen: map[Holding]time.Time{}}
+		e = &endpoint{places: map[Adapter]*place{}, seen: map[Adapter]past{}}
 		p.endpoints[s.ID] = e
 	}
-	if s.StatedAt.Before(e.StatedAt) {
-		return
-	}
 	e.Endpoint = s
-	stated := map[Adapter]Holding{}
 	for _, h := range s.Holdings {
-		stated[h.Adapter] = h
-	}
-	settled := s.StatedAt.Add(-p.options.ReportLag)
-	for a, pl := range e.places {
-		h, held := stated[a]
+		pl := e.places[h.Adapter]
+		left := now.Sub(e.seen[h.Adapter].at) < p.options.ReportLag
 		switch {
-		case pl.changedAt.After(settled) || pl.readyAt.After(settled):
-			// Too fresh to be part of the statement.
-		case held && pl.state != Resident:
+		case pl == nil && !left:
+			pl = &place{usedAt: now}
+			e.places[h.Adapter] = pl
 			p.settle(now, e, pl, h)
-		case held && pl.holding != h:
+		case pl != nil && pl.state == Resident && pl.holding.Version < h.Version:
 			p.settle(now, e, pl, h)
-		case !held:
-			p.drop(now, e, a)
 		}
 	}
-	for a, h := range stated {
-		if e.places[a] == nil && now.Sub(e.seen[h]) > p.options.ReportLag {
-			pl := &place{holding: h, usedAt: now}
-			e.places[a] = pl
+}
+
+// Reconcile replaces what is believed of an endpoint by its exact state: what it holds, and what is on its way to it.
+func (p *Placer) Reconcile(now time.Time, id string, holdings, pending []Holding) {
+	e := p.endpoints[id]
+	if e == nil {
+		return
+	}
+	exact := map[Adapter]Holding{}
+	for _, h := range holdings {
+		exact[h.Adapter] = h
+		pl := e.places[h.Adapter]
+		switch {
+		case pl == nil:
+			pl = &place{usedAt: now}
+			e.places[h.Adapter] = pl
 			p.settle(now, e, pl, h)
+		case pl.state == Unknown || pl.state == Loading || pl.holding.Version < h.Version:
+			p.settle(now, e, pl, h)
+		}
+	}
+	for _, h := range pending {
+		exact[h.Adapter] = h
+		if pl := e.places[h.Adapter]; pl == nil || pl.state == Unknown {
+			e.places[h.Adapter] = &place{
+				holding: h, state: Loading, changedAt: now, usedAt: now, ordered: true, readyAt: now.Add(p.options.FetchTime),
+			}
+		}
+	}
+	for a, pl := range e.places {
+		// A load that waits for its turn has been neither ordered nor carried out.
+		if _, there := exact[a]; !there && pl.state != Loading {
+			p.drop(now, e, a)
 		}
 	}
 }
@@ -155,7 +181,7 @@
 	if pl.state == Resident && p.current(pl.holding) {
 		p.journal.add(Event{Endpoint: e.ID, Holding: pl.holding, Gone: true})
 	}
-	pl.holding, pl.state, pl.changedAt, pl.readyAt = h, Resident, now, time.Time{}
+	pl.holding, pl.state, pl.changedAt, pl.readyAt, pl.ordered = h, Resident, now, time.Time{}, false
 	if p.current(h) {
 		p.journal.add(Event{Endpoint: e.ID, Holding: h})
 	}
@@ -174,15 +200,15 @@
 }
 
 func (e *endpoint) remember(now time.Time, h Holding, most int) {
-	e.seen[h] = now
+	e.seen[h.Adapter] = past{version: h.Version, at: now}
 	if len(e.seen) <= most {
 		return
 	}
-	var oldest Holding
+	var oldest Adapter
 	at := now
-	for h, t := range e.seen {
-		if t.Before(at) {
-			oldest, at = h, t
+	for a, was := range e.seen {
+		if was.at.Before(at) {
+			oldest, at = a, was.at
 		}
 	}
 	delete(e.seen, oldest)
@@ -306,6 +332,9 @@
 	if e.DataCentre != dataCentre {
 		cost += remoteCost
 	}
+	if n := e.loading(); n >= p.options.Transits {
+		cost += float64(p.options.FetchTime.Milliseconds()) * float64(n-p.options.Transits+1) / float64(p.options.Transits)
+	}
 	cost += float64(p.transferTime(e, Holding{Adapter: a, Version: p.versions[a]}).Milliseconds())
 	if len(e.places) >= e.Slots {
 		return math.Inf(1)
@@ -319,12 +348,22 @@
 	return cost
 }
 
+// loading returns the number of adapters that are on their way or wait for it.
+func (e *endpoint) loading() (n int) {
+	for _, pl := range e.places {
+		if pl.state == Loading {
+			n++
+		}
+	}
+	return n
+}
+
 // maxVictimHeat keeps one very popular adapter from deciding alone.
 const maxVictimHeat = 10.0
 
 // transferTime is the expected time of a load; fetches beyond full speed share the store.
 func (p *Placer) transferTime(e *endpoint, h Holding) time.Duration {
-	if _, remembered := e.seen[h]; remembered {
+	if was, remembered := e.seen[h.Adapter]; remembered && was.version >= h.Version {
 		return p.options.RecallTime
 	}
 	running := 0
@@ -404,9 +443,43 @@
 		return
 	}
 	e.failures = 0
+	e.places[a].ordered = true
 	e.places[a].readyAt = now.Add(p.transferTime(e, e.places[a].holding))
 }
 
+// InTransit tells whether as many adapters are on their way to an endpoint as it takes at once.
+func (p *Placer) InTransit(id string) bool {
+	e := p.endpoints[id]
+	if e == nil {
+		return false
+	}
+	n := 0
+	for _, pl := range e.places {
+		if pl.state == Loading && pl.ordered {
+			n++
+		}
+	}
+	return n >= p.options.Transits
+}
+
+// Unsettled tells whether an endpoint has to be asked for its exact state: an order was accepted or not answered, and its
+// end has not been seen for a while.
+func (p *Placer) Unsettled(now time.Time, id string) bool {
+	e := p.endpoints[id]
+	if e == nil {
+		return false
+	}
+	for _, pl := range e.places {
+		if (pl.state == Unknown || (pl.state == Leaving && pl.ordered)) && now.Sub(pl.changedAt) > settleTime {
+			return true
+		}
+	}
+	return false
+}
+
+// settleTime is about the time in which a request that keeps an adapter ends, and longer than the lag of a report.
+const settleTime = time.Second
+
 // ReadyAt returns when a load is expected to end; false if none runs.
 func (p *Placer) ReadyAt(id string, a Adapter) (at time.Time, ok bool) {
 	e := p.endpoints[id]
@@ -416,26 +489,39 @@
 	return e.places[a].readyAt, true
 }
 
-// Missing records that an endpoint does not hold an adapter that was taken for resident.
-func (p *Placer) Missing(now time.Time, id string, a Adapter) {
+// Missing records that an endpoint does not hold an adapter that was taken for resident. The place counts as taken until
+// the endpoint's exact state is known. It reports whether that has to be asked for.
+func (p *Placer) Missing(now time.Time, id string, a Adapter) bool {
 	e := p.endpoints[id]
 	if e == nil || e.places[a] == nil {
-		return
+		return false
 	}
 	pl := e.places[a]
-	if pl.state == Resident && now.Sub(pl.changedAt) > missingGrace {
-		p.drop(now, e, a)
+	if pl.state != Resident || now.Sub(pl.changedAt) <= missingGrace {
+		return false
+	}
+	if p.current(pl.holding) {
+		p.journal.add(Event{Endpoint: id, Holding: pl.holding, Gone: true})
 	}
+	pl.state, pl.changedAt = Unknown, now
+	return true
 }
 
 // missingGrace is how late a load may be beyond its expected time.
 const missingGrace = 400 * time.Millisecond
 
-// Unloaded records an accepted unload.
-func (p *Placer) Unloaded(now time.Time, id string, a Adapter) {
-	if e := p.endpoints[id]; e != nil {
+// Unloaded records an unload that was accepted. The place is free at once if no request used the adapter, and otherwise
+// when the endpoint's exact state shows it.
+func (p *Placer) Unloaded(now time.Time, id string, a Adapter, done bool) {
+	e := p.endpoints[id]
+	if e == nil || e.places[a] == nil {
+		return
+	}
+	if done {
 		p.drop(now, e, a)
+		return
 	}
+	e.places[a].ordered, e.places[a].changedAt = true, now
 }
 
 // Refused records an order that was not carried out: a load leaves no place, an unload leaves it as it was.
@@ -459,7 +545,8 @@
 	if e == nil || e.places[a] == nil {
 		return
 	}
-	e.places[a].state, e.places[a].changedAt, e.places[a].readyAt = Unknown, now, time.Time{}
+	pl := e.places[a]
+	pl.state, pl.changedAt, pl.readyAt, pl.ordered = Unknown, now, time.Time{}, false
 	p.pause(now, e)
 }
 
@@ -478,7 +565,7 @@
 func (p *Placer) Tick(now time.Time) {
 	for _, e := range p.endpoints {
 		for _, pl := range e.places {
-			if pl.state == Loading && !pl.readyAt.After(now) {
+			if pl.state == Loading && pl.ordered && !pl.readyAt.After(now) {
 				p.settle(now, e, pl, pl.holding)
 			}
 		}
--- a/internal/serve/forward/forward.go
+++ b/internal/serve/forward/forward.go
@@ -62,7 +62,7 @@
 	body     []byte
 	arrived  time.Time
 	deadline time.Time
-	cost     float64
+	cost     float64   // charged to the customer's rate
 	sent     int       // requests that have reached an endpoint
 	ran      int       // of these, requests that may have run
 	begun    bool      // the head of the answer is written
@@ -206,19 +206,20 @@
 	if x.customer == nil || x.customer.Rate <= 0 {
 		return nil
 	}
-	x.cost = 1
+	cost := 1.0
 	if x.customer.CountTokens {
-		x.cost = float64(x.request.Tokens)
+		cost = float64(x.request.Tokens)
 		if x.request.Tokens == 0 {
-			x.cost = float64(x.customer.DefaultTokens)
+			cost = float64(x.customer.DefaultTokens)
 		}
 	}
 	h.mu.Lock()
-	retryAt, admitted := h.wallet.Take(h.options.Now(), x.customer.Name, x.cost)
+	retryAt, admitted := h.wallet.Take(h.options.Now(), x.customer.Name, cost)
 	h.mu.Unlock()
 	if !admitted {
 		return refusal.New(refusal.OverRate, "customer is over its rate").WithRetryAt(retryAt)
 	}
+	x.cost = cost
 	return nil
 }
 
