Lend from a reserve what a customer's share does not fit

Change: 0.6 of a limit stays with the leader, which admits single requests from it; shares of the rest serve without it.

--- a/internal/limit/quota/pool.go
+++ b/internal/limit/quota/pool.go
@@ -23,6 +23,13 @@
 	options Options
 	started time.Time
 	entries map[string]*holder
+	reserve map[string]*reserve // by customer
+}
+
+// reserve is a bucket that all entries share.
+type reserve struct {
+	level float64
+	at    time.Time
 }
 
 // Options are the settings of a Pool.
@@ -31,6 +38,8 @@
 	Lease time.Duration
 	// Gather is the time that a new pool waits for reports before a share may grow that another entry may still use.
 	Gather time.Duration
+	// Reserve is the part of a limit that entries borrow for single requests. It serves lumps that no share fits.
+	Reserve float64
 	// Floor is the part of a limit that is divided evenly, so that a customer who appears at an entry is served at once.
 	Floor float64
 }
@@ -44,7 +53,7 @@
 
 // NewPool returns a pool without entries.
 func NewPool(now time.Time, o Options) *Pool {
-	return &Pool{options: o, started: now, entries: map[string]*holder{}}
+	return &Pool{options: o, started: now, entries: map[string]*holder{}, reserve: map[string]*reserve{}}
 }
 
 // committed is the share of a customer that the entry may be using.
@@ -66,6 +75,7 @@
 		if limit.Rate <= 0 {
 			continue
 		}
+		limit.Rate *= 1 - p.options.Reserve
 		shares[customer] = p.share(now, r.Entry, customer, limit)
 	}
 	h.granted = shares
@@ -89,13 +99,35 @@
 	free := max(limit.Rate-others, 0)
 	if now.Sub(p.started) < p.options.Gather {
 		// Entries that have not reported yet may use shares of the leader before.
-		free = min(free, max(h.held[customer], limit.Rate/float64(max(len(p.entries), 1))/gatherDivisor))
+		free = min(free, max(h.held[customer], limit.Rate*newcomerShare))
 	}
 	return min(target, free)
 }
 
-// gatherDivisor lets an entry without shares serve something while the pool still gathers reports.
-const gatherDivisor = 4
+// newcomerShare lets an entry without shares serve something while the pool still gathers reports.
+const newcomerShare = 0.02
+
+// Borrow admits one request from the reserve, or returns the time at which it may come back. A new pool begins with empty
+// reserves, since the leader before may have lent them.
+func (p *Pool) Borrow(now time.Time, customer string, cost float64, limit Limit) (retryAt time.Time, admitted bool) {
+	if limit.Rate <= 0 {
+		return time.Time{}, true
+	}
+	rate, most := limit.Rate*p.options.Reserve, limit.Burst*p.options.Reserve
+	b := p.reserve[customer]
+	if b == nil {
+		b = &reserve{at: p.started}
+		p.reserve[customer] = b
+	}
+	b.level = min(b.level+rate*now.Sub(b.at).Seconds(), most)
+	b.at = now
+	need := min(cost, most)
+	if b.level >= need {
+		b.level -= cost
+		return time.Time{}, true
+	}
+	return now.Add(time.Duration((need - b.level) / rate * float64(time.Second))), false
+}
 
 func (p *Pool) expire(now time.Time) {
 	for name, h := range p.entries {
--- a/internal/limit/quota/quota.go
+++ b/internal/limit/quota/quota.go
@@ -15,8 +15,9 @@
 	cap    float64 // tokens
 	level  float64
 	at     time.Time
-	asked  float64 // tokens since the last report
-	demand float64 // tokens per second, smoothed
+	asked  float64   // tokens since the last report
+	retry  time.Time // when the reserve may have tokens again
+	demand float64   // tokens per second, smoothed
 }
 
 // NewWallet returns a wallet without shares.
@@ -36,7 +37,7 @@
 			continue
 		}
 		before := a.cap
-		a.share, a.cap = share, limit.Burst*share/limit.Rate
+		a.share, a.cap = share, limit.Burst*share/limit.Rate // a share brings the same part of the burst
 		if before == 0 {
 			// Other entries may have used the burst a moment ago, so that a new share begins with a part of it.
 			a.level = a.cap * newShareFill
@@ -84,6 +85,16 @@
 // noShareWait is about the time in which the leader answers a report with a share.
 const noShareWait = 500 * time.Millisecond
 
+// MayBorrow tells whether the reserve is worth asking for a request that Take has turned away.
+func (w *Wallet) MayBorrow(now time.Time, customer string) bool {
+	return !now.Before(w.account(now, customer).retry)
+}
+
+// Denied records when the reserve may have tokens again.
+func (w *Wallet) Denied(now, retryAt time.Time, customer string) {
+	w.account(now, customer).retry = retryAt
+}
+
 // Return gives back what a request was charged that has not run.
 func (w *Wallet) Return(now time.Time, customer string, cost float64) {
 	a := w.account(now, customer)
@@ -106,3 +117,17 @@
 	}
 	return demand, held
 }
+
+// State is what decides about a customer's requests.
+type State struct {
+	Share float64 // tokens per second
+	Level float64 // tokens in the bucket
+	Cap   float64 // tokens that fit the bucket
+}
+
+// State returns the bucket of a customer.
+func (w *Wallet) State(now time.Time, customer string) State {
+	a := w.account(now, customer)
+	a.fill(now)
+	return State{Share: a.share, Level: a.level, Cap: a.cap}
+}
--- a/internal/member/report/report.go
+++ b/internal/member/report/report.go
@@ -13,11 +13,10 @@
 const (
 	SyncMethod     = "Fleet.Sync"
 	WantMethod     = "Fleet.Want"
+	BorrowMethod   = "Fleet.Borrow"
 	AnnounceMethod = "Fleet.Announce"
 	GossipMethod   = "Fleet.Gossip"
-	ReplaceMethod  = "Fleet.Replace"
 	ReadMethod     = "Fleet.Read"
-	AdapterMethod  = "Fleet.SetAdapter"
 )
 
 // Entry is the report of an entry.
@@ -90,3 +89,16 @@
 	Version  int    `json:"Version,omitempty"`
 	InMillis int64  `json:"InMillis,omitempty"` // milliseconds from the answer until requests can be sent
 }
+
+// Loan asks the leader to admit one request of a customer.
+type Loan struct {
+	Customer string  `json:"Customer"`
+	Tokens   float64 `json:"Tokens"`
+}
+
+// Lent answers Loan.
+type Lent struct {
+	Leading  bool  `json:"Leading"`
+	Admitted bool  `json:"Admitted,omitempty"`
+	InMillis int64 `json:"InMillis,omitempty"` // milliseconds until the customer may come back
+}
--- a/internal/node/control/interface.go
+++ b/internal/node/control/interface.go
@@ -41,6 +41,7 @@
 	}))
 	c.mux.Handle(report.SyncMethod, peer.Typed(c.sync))
 	c.mux.Handle(report.WantMethod, peer.Typed(c.want))
+	c.mux.Handle(report.BorrowMethod, peer.Typed(c.borrow))
 	c.mux.Handle(report.AnnounceMethod, peer.Typed(c.receive))
 	c.mux.Handle(report.ReadMethod, peer.Typed(c.readHere))
 }
@@ -204,3 +205,19 @@
 	}
 	return p
 }
+
+// borrow admits a request that an entry's share does not fit.
+func (c *Control) borrow(_ context.Context, _ string, l report.Loan) (report.Lent, error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.office == nil || c.leading() == 0 {
+		return report.Lent{}, nil
+	}
+	now := c.options.Now()
+	limit, limited := c.office.limits[l.Customer]
+	if !limited {
+		return report.Lent{Leading: true, Admitted: true}, nil
+	}
+	retryAt, admitted := c.office.pool.Borrow(now, l.Customer, l.Tokens, limit)
+	return report.Lent{Leading: true, Admitted: admitted, InMillis: max(retryAt.Sub(now), 0).Milliseconds()}, nil
+}
--- a/internal/node/control/office.go
+++ b/internal/node/control/office.go
@@ -46,6 +46,9 @@
 	shareGather = 1500 * time.Millisecond
 	// shareFloor is the part of a limit that is divided evenly.
 	shareFloor = 0.25
+	// shareReserve is the part of a limit that is lent request by request: an entry sees few requests of a customer a second,
+	// each of which is as large as a second of its share.
+	shareReserve = 0.6
 	// entrySilence is the time after which the use that an entry has reported counts no more.
 	entrySilence = 1500 * time.Millisecond
 	// partialBeats is the number of announcements after which a new leader knows all endpoints.
@@ -56,7 +59,7 @@
 	now := c.options.Now()
 	return &office{
 		control: c, term: term, since: now, roster: roster.New(roster.Defaults()), placer: residency.New(c.options.Placer),
-		pool:    quota.NewPool(now, quota.Options{Lease: ShareLease, Gather: shareGather, Floor: shareFloor}),
+		pool:    quota.NewPool(now, quota.Options{Lease: ShareLease, Gather: shareGather, Floor: shareFloor, Reserve: shareReserve}),
 		entries: map[string]*entry{}, lines: map[string]*line{}, limits: map[string]quota.Limit{},
 	}
 }
--- a/internal/node/entry/sync.go
+++ b/internal/node/entry/sync.go
@@ -136,3 +136,26 @@
 		}
 	}
 }
+
+// borrowTimeout is above a round trip between regions, and well below the objective of any request.
+const borrowTimeout = 150 * time.Millisecond
+
+// borrow asks the leader to admit a request that the share of its customer does not fit.
+func (e *Entry) borrow(ctx context.Context, l report.Loan) (admitted bool, wait time.Duration, err error) {
+	e.mu.Lock()
+	leader := e.leader
+	e.mu.Unlock()
+	if leader == "" {
+		return false, 0, ErrNoLeader
+	}
+	ctx, cancel := context.WithTimeout(ctx, borrowTimeout)
+	defer cancel()
+	var answer report.Lent
+	if err := e.peers.Call(ctx, leader, report.BorrowMethod, l, &answer); err != nil {
+		return false, 0, err
+	}
+	if !answer.Leading {
+		return false, 0, ErrNoLeader
+	}
+	return answer.Admitted, time.Duration(answer.InMillis) * time.Millisecond, nil
+}
--- /dev/null
+++ b/internal/place/residency/residency_test.go
@@ -0,0 +1,183 @@
+package residency_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/frankban/quicktest"
+
+	"lycheevale/internal/place/residency"
+)
+
+var epoch = time.Unix(1_800_000_000, 0)
+
+func adapter(name string) residency.Adapter { return residency.Adapter{Model: "m", Name: name} }
+
+func holdings(n int) (list []residency.Holding) {
+	for i := range n {
+		list = append(list, residency.Holding{Adapter: adapter(fmt.Sprintf("held%d", i)), Version: 1})
+	}
+	return list
+}
+
+func engine(id, dataCentre string, held []residency.Holding) residency.Endpoint {
+	return residency.Endpoint{
+		ID: id, Service: "s", DataCentre: dataCentre, Models: []string{"m"}, Slots: 6, Accepting: true, Holdings: held,
+	}
+}
+
+func placer(endpoints ...residency.Endpoint) *residency.Placer {
+	p := residency.New(residency.Defaults())
+	for _, e := range endpoints {
+		p.SetEndpoint(epoch, e)
+	}
+	return p
+}
+
+// Guards against an adapter that is fetched for a data centre that holds it already.
+func TestWantFindsAdapterInDataCentre(t *testing.T) {
+	c := quicktest.New(t)
+	p := placer(engine("a", "east", holdings(3)), engine("b", "west", nil))
+	choice, ok := p.Want(epoch, adapter("held1"), "east", false)
+	c.Assert(ok, quicktest.IsTrue)
+	c.Check(choice.Endpoint, quicktest.Equals, "a")
+	c.Check(choice.Order, quicktest.IsFalse)
+}
+
+// Pattern: several entries ask for one cold adapter at once. Guards against several loads of it.
+func TestWantLoadsOnce(t *testing.T) {
+	c := quicktest.New(t)
+	p := placer(engine("a", "east", nil), engine("b", "east", nil))
+	first, ok := p.Want(epoch, adapter("cold"), "east", false)
+	c.Assert(ok && first.Order, quicktest.IsTrue)
+	second, ok := p.Want(epoch, adapter("cold"), "east", false)
+	c.Assert(ok, quicktest.IsTrue)
+	c.Check(second.Order, quicktest.IsFalse)
+	c.Check(second.Endpoint, quicktest.Equals, first.Endpoint)
+}
+
+// Guards against LIMIT as seen on the bench: an unload that waits for running requests keeps its place.
+func TestUnloadInUseKeepsItsPlace(t *testing.T) {
+	c := quicktest.New(t)
+	p := placer(engine("a", "east", holdings(6)))
+	now := epoch.Add(5 * time.Second)
+	unloads := p.MakeRoom(now)
+	c.Assert(unloads, quicktest.HasLen, 2)
+	for _, u := range unloads {
+		p.Unloaded(now, "a", u.Holding.Adapter, false)
+	}
+	_, ok := p.Want(now, adapter("cold"), "east", false)
+	c.Check(ok, quicktest.IsFalse)
+	c.Check(p.Unsettled(now.Add(2*time.Second), "a"), quicktest.IsTrue)
+	p.Reconcile(now.Add(2*time.Second), "a", holdings(6)[2:], nil)
+	_, ok = p.Want(now.Add(2*time.Second), adapter("cold"), "east", false)
+	c.Check(ok, quicktest.Equals, contains(unloads, holdings(6)[:2]))
+}
+
+func contains(unloads []residency.Unload, list []residency.Holding) bool {
+	for _, u := range unloads {
+		for _, h := range list {
+			if u.Holding == h {
+				return true
+			}
+		}
+	}
+	return false
+}
+
+// Guards against LIMIT as seen on the bench: an announcement leaves out what is on its way, and may be seconds late.
+func TestAnnouncementFreesNoPlace(t *testing.T) {
+	c := quicktest.New(t)
+	p := placer(engine("a", "east", holdings(5)))
+	_, ok := p.Want(epoch, adapter("cold"), "east", false)
+	c.Assert(ok, quicktest.IsTrue)
+	p.Loaded(epoch, "a", adapter("cold"))
+	for s := range 10 {
+		p.SetEndpoint(epoch.Add(time.Duration(s)*time.Second), engine("a", "east", holdings(2)))
+	}
+	_, ok = p.Want(epoch.Add(11*time.Second), adapter("other"), "east", false)
+	c.Check(ok, quicktest.IsFalse)
+}
+
+// Guards against LIMIT: an order without an answer may be carried out seconds later.
+func TestUnansweredLoadKeepsItsPlace(t *testing.T) {
+	c := quicktest.New(t)
+	p := placer(engine("a", "east", holdings(5)))
+	choice, ok := p.Want(epoch, adapter("cold"), "east", false)
+	c.Assert(ok && choice.Order, quicktest.IsTrue)
+	p.Unanswered(epoch, "a", adapter("cold"))
+	_, ok = p.Want(epoch.Add(5*time.Second), adapter("other"), "east", false)
+	c.Check(ok, quicktest.IsFalse)
+	p.Reconcile(epoch.Add(5*time.Second), "a", holdings(5), nil)
+	_, ok = p.Want(epoch.Add(8*time.Second), adapter("other"), "east", false)
+	c.Check(ok, quicktest.IsTrue)
+}
+
+// Guards against a fifth transfer to an endpoint, which it refuses.
+func TestTransitsAreBounded(t *testing.T) {
+	c := quicktest.New(t)
+	p := placer(engine("a", "east", nil))
+	for i := range 4 {
+		c.Check(p.InTransit("a"), quicktest.IsFalse)
+		a := adapter(fmt.Sprintf("cold%d", i))
+		_, ok := p.Want(epoch, a, "east", false)
+		c.Assert(ok, quicktest.IsTrue)
+		p.Loaded(epoch, "a", a)
+	}
+	c.Check(p.InTransit("a"), quicktest.IsTrue)
+	p.Tick(epoch.Add(time.Second))
+	c.Check(p.InTransit("a"), quicktest.IsFalse)
+}
+
+// Pattern: rare adapters are asked for while popular ones run. Guards against evicting an adapter in use (P2), and against
+// evicting a popular one before a rare one.
+func TestVictimIsRareAndUnused(t *testing.T) {
+	c := quicktest.New(t)
+	p := placer(engine("a", "east", holdings(6)))
+	now := epoch.Add(3 * time.Second)
+	for i := range 4 {
+		p.Used(now, residency.Use{Endpoint: "a", Adapter: adapter(fmt.Sprintf("held%d", i)), Count: 5})
+	}
+	p.Used(now, residency.Use{Endpoint: "a", Adapter: adapter("held4"), Active: 1})
+	unloads := p.MakeRoom(now)
+	c.Assert(unloads, quicktest.HasLen, 2)
+	for _, u := range unloads {
+		c.Check(u.Holding.Name, quicktest.Not(quicktest.Equals), "held4")
+	}
+	c.Check(unloads[0].Holding.Name, quicktest.Equals, "held5")
+}
+
+// Guards against a request that begins on an old version of its adapter.
+func TestNewVersionHidesOldOne(t *testing.T) {
+	c := quicktest.New(t)
+	p := placer(engine("a", "east", holdings(2)), engine("b", "east", nil))
+	p.SetVersion(adapter("held0"), 2)
+	for _, e := range p.Snapshot() {
+		c.Check(e.Holding.Name, quicktest.Not(quicktest.Equals), "held0")
+	}
+	choice, ok := p.Want(epoch, adapter("held0"), "east", false)
+	c.Assert(ok, quicktest.IsTrue)
+	c.Check(choice.Endpoint, quicktest.Equals, "b")
+	c.Check(choice.Holding.Version, quicktest.Equals, 2)
+	unloads := p.MakeRoom(epoch.Add(2 * time.Second))
+	c.Check(unloads, quicktest.HasLen, 0)
+}
+
+// Guards against entries that miss a change of the placement.
+func TestJournalTellsLostEvents(t *testing.T) {
+	c := quicktest.New(t)
+	p := placer(engine("a", "east", holdings(2)))
+	_, next, lost := p.Since(0)
+	c.Check(lost, quicktest.IsTrue)
+	for i := range 5000 {
+		p.SetVersion(adapter("held0"), 2*i+2)
+		p.SetEndpoint(epoch, engine("a", "east", []residency.Holding{{Adapter: adapter("held0"), Version: 2*i + 2}}))
+	}
+	_, _, lost = p.Since(next)
+	c.Check(lost, quicktest.IsTrue)
+	_, last, _ := p.Since(0)
+	events, _, lost := p.Since(last - 3)
+	c.Check(lost, quicktest.IsFalse)
+	c.Check(events, quicktest.HasLen, 3)
+}
--- a/internal/serve/forward/forward.go
+++ b/internal/serve/forward/forward.go
@@ -214,8 +214,13 @@
 		}
 	}
 	h.mu.Lock()
-	retryAt, admitted := h.wallet.Take(h.options.Now(), x.customer.Name, cost)
+	now := h.options.Now()
+	retryAt, admitted := h.wallet.Take(now, x.customer.Name, cost)
+	borrow := !admitted && h.wallet.MayBorrow(now, x.customer.Name)
 	h.mu.Unlock()
+	if borrow {
+		retryAt, admitted = h.borrow(x, cost, retryAt)
+	}
 	if !admitted {
 		return refusal.New(refusal.OverRate, "customer is over its rate").WithRetryAt(retryAt)
 	}
@@ -223,6 +228,22 @@
 	return nil
 }
 
+// borrow asks the reserve of the customer's rate. While it is empty, further requests are refused without asking.
+func (h *Handler) borrow(x *exchange, cost float64, retryAt time.Time) (time.Time, bool) {
+	admitted, wait, err := h.options.Borrow(x.ctx, report.Loan{Customer: x.customer.Name, Tokens: cost})
+	if err != nil || admitted {
+		return retryAt, admitted
+	}
+	now := h.options.Now()
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.wallet.Denied(now, now.Add(wait), x.customer.Name)
+	if back := now.Add(wait); back.Before(retryAt) {
+		retryAt = back
+	}
+	return retryAt, false
+}
+
 // refund gives back the charge of a request that has not run.
 func (h *Handler) refund(x *exchange) {
 	if x.cost == 0 || x.ran > 0 {
@@ -265,8 +286,16 @@
 		route = x.route.Name
 	}
 	version, _ := h.options.View.Version()
+	customer, bucket := "", quota.State{}
+	if x.customer != nil {
+		customer = x.customer.Name
+		h.mu.Lock()
+		bucket = h.wallet.State(h.options.Now(), customer)
+		h.mu.Unlock()
+	}
 	event.Log(x.ctx, h.options.Logger, event.RequestRefused, slog.String("Attempt", x.request.Attempt),
-		slog.String("Route", route), slog.String("Code", string(e.Code)), slog.String("Reason", e.Message),
+		slog.String("Route", route), slog.String("Customer", customer), slog.Int("Tokens", x.request.Tokens),
+		slog.Any("Bucket", bucket), slog.String("Adapter", x.request.Adapter.Name), slog.String("Code", string(e.Code)), slog.String("Reason", e.Message),
 		slog.String("Ran", string(e.Ran)), slog.Int("Sent", x.sent), slog.String("Endpoint", x.last),
 		slog.Uint64("Document", version), slog.Int64("ViewAgeMillis", h.options.View.Age(h.options.Now()).Milliseconds()),
 		slog.Int64("AfterMillis", h.options.Now().Sub(x.arrived).Milliseconds()), slog.Bool("CallerGone", x.caller.Context().Err() != nil))
--- a/internal/serve/forward/options.go
+++ b/internal/serve/forward/options.go
@@ -26,7 +26,9 @@
 	Seed       uint64
 	Logger     *slog.Logger
 	// Want asks the leader for a place of an adapter.
-	Want    func(ctx context.Context, w report.Want) (report.Placed, error)
+	Want func(ctx context.Context, w report.Want) (report.Placed, error)
+	// Borrow asks the leader to admit a request that its customer's share does not fit.
+	Borrow  func(ctx context.Context, l report.Loan) (admitted bool, wait time.Duration, err error)
 	Observe func(Outcome)
 	Spawn   func(f func()) // starts work that outlives a request
 	Now     func() time.Time
@@ -41,6 +43,7 @@
 		View: view.New(), Pool: upstream.New(), Picker: pick.Defaults(), Logger: slog.Default(),
 		Retry:   retry.Options{Ratio: 0.1, Window: 10 * time.Second, Slack: 20},
 		Observe: func(Outcome) {}, Now: time.Now, Wallet: quota.NewWallet(),
+		Borrow: func(context.Context, report.Loan) (bool, time.Duration, error) { return false, 0, nil },
 		Spawn: func(f func()) {
 			var group errgroup.Group
 			group.Go(func() error { f(); return nil })
@@ -90,3 +93,8 @@
 
 // WithWallet sets the shares of customers' rates.
 func WithWallet(w *quota.Wallet) Option { return func(o *Options) { o.Wallet = w } }
+
+// WithBorrow sets the call that asks for the admission of a request beyond a share.
+func WithBorrow(f func(ctx context.Context, l report.Loan) (admitted bool, wait time.Duration, err error)) Option {
+	return func(o *Options) { o.Borrow = f }
+}
