Load the model on endpoints that restart empty

Seen in the counts of places that the leader now logs with each choice. Change: the leader plans base models within the weight store's rate. An order is given up after 300 ms, not 500.

--- a/internal/node/control/office.go
+++ b/internal/node/control/office.go
@@ -12,6 +12,7 @@
 	"lycheevale/internal/member/report"
 	"lycheevale/internal/member/roster"
 	"lycheevale/internal/place/residency"
+	"lycheevale/internal/place/weights"
 	"lycheevale/internal/state/document"
 )
 
@@ -24,6 +25,7 @@
 	roster   *roster.Roster
 	placer   *residency.Placer
 	pool     *quota.Pool
+	weights  *weights.Planner // nil until a configuration is known
 	entries  map[string]*entry
 	index    *document.Index
 	limits   map[string]quota.Limit
@@ -97,6 +99,7 @@
 	for _, u := range o.placer.MakeRoom(now) {
 		o.order(ctx, u.Endpoint, job{holding: u.Holding})
 	}
+	o.loadModels(ctx)
 	for id, l := range o.lines {
 		if !l.running && now.Sub(l.asked) >= refreshInterval && o.placer.Unsettled(now, id) {
 			l.asked = now
@@ -105,6 +108,33 @@
 	}
 }
 
+// loadModels orders base models for endpoints that hold none.
+func (o *office) loadModels(ctx context.Context) {
+	if o.index == nil {
+		return
+	}
+	var rate float64
+	var engines []weights.Endpoint
+	for _, e := range o.roster.Endpoints() {
+		service := o.index.Service(e.Service)
+		if e.Leaving || service == nil || service.Engine == nil {
+			continue
+		}
+		rate = max(rate, service.Engine.LoadsPerSecond)
+		engine := weights.Endpoint{ID: e.ID, Models: e.Models, Room: service.Engine.WeightMB}
+		for _, m := range service.Engine.Models {
+			engine.Choice = append(engine.Choice, weights.Model{Name: m.Name, Size: m.WeightMB})
+		}
+		engines = append(engines, engine)
+	}
+	if o.weights == nil {
+		o.weights = weights.New(o.now(), rate, weights.Defaults())
+	}
+	for _, l := range o.weights.Plan(o.now(), rate, engines) {
+		o.order(ctx, l.Endpoint, job{load: true, holding: residency.Holding{Adapter: residency.Adapter{Model: l.Model}}})
+	}
+}
+
 const (
 	// useGather is the time in which a new leader hears from the entries which adapters are in use.
 	useGather = time.Second
@@ -295,7 +325,7 @@
 	event.Log(ctx, o.control.options.Logger, event.AdapterPlaced, slog.String("Entry", from),
 		slog.String("Adapter", w.Adapter.Name), slog.String("DataCentre", w.DataCentre), slog.Bool("Replicate", w.Replicate),
 		slog.String("Missing", w.Missing), slog.String("Endpoint", choice.Endpoint), slog.Int("Version", choice.Holding.Version),
-		slog.Bool("Order", choice.Order))
+		slog.Bool("Order", choice.Order), slog.Any("Places", o.placer.Summary(now)))
 	if !ok {
 		return report.Placed{Leading: true}, nil
 	}
--- a/internal/node/control/orders.go
+++ b/internal/node/control/orders.go
@@ -126,7 +126,7 @@
 }
 
 // orderTimeout is several round trips between regions; an order without an answer by then may still be carried out.
-const orderTimeout = 500 * time.Millisecond
+const orderTimeout = 300 * time.Millisecond
 
 // orderAttempts is how often an order is given that another one has overtaken.
 const orderAttempts = 2
@@ -148,7 +148,7 @@
 		l.known = false
 	}
 	event.Log(ctx, o.control.options.Logger, event.EndpointOrdered, slog.String("Endpoint", to.ID), slog.Bool("Load", j.load),
-		slog.String("Adapter", j.holding.Name), slog.Int("Version", j.holding.Version), slog.Uint64("Fence", o.term),
+		slog.String("Model", j.holding.Model), slog.String("Adapter", j.holding.Name), slog.Int("Version", j.holding.Version), slog.Uint64("Fence", o.term),
 		slog.Uint64("Sequence", l.sequence), slog.String("Result", string(result)), slog.Any("Error", err))
 	o.control.mu.Lock()
 	defer o.control.mu.Unlock()
@@ -179,6 +179,9 @@
 func (o *office) conclude(id string, l *line, j job, result Result, err error) (accepted bool) {
 	now := o.now()
 	a := j.holding.Adapter
+	if a.Name == "" && o.weights != nil && (errs.Is(err, upstream.ErrNotSent) || (err == nil && result != Accepted && result != Done)) {
+		o.weights.Failed(id)
+	}
 	switch {
 	case errs.Is(err, upstream.ErrNotSent):
 		o.placer.Refused(now, id, a)
--- a/internal/place/residency/residency.go
+++ b/internal/place/residency/residency.go
@@ -571,3 +571,45 @@
 		}
 	}
 }
+
+// Summary counts the places of all endpoints that accept work.
+type Summary struct {
+	Endpoints int
+	Free      int
+	Resident  int
+	InUse     int // of the resident ones, those in use or too young to make way
+	Loading   int
+	Leaving   int
+	Unknown   int
+	Paused    int // endpoints that get no loads for a moment, after a failed order
+}
+
+// Summary returns the counts at a moment.
+func (p *Placer) Summary(now time.Time) (s Summary) {
+	for _, e := range p.endpoints {
+		if !e.Accepting || e.Slots == 0 {
+			continue
+		}
+		s.Endpoints++
+		s.Free += max(e.Slots-len(e.places), 0)
+		if now.Before(e.hold) {
+			s.Paused++
+		}
+		for _, pl := range e.places {
+			switch pl.state {
+			case Resident:
+				s.Resident++
+				if now.Before(pl.busyUntil) || now.Sub(pl.changedAt) < minResidence {
+					s.InUse++
+				}
+			case Loading:
+				s.Loading++
+			case Leaving:
+				s.Leaving++
+			case Unknown:
+				s.Unknown++
+			}
+		}
+	}
+	return s
+}
--- a/internal/serve/forward/place.go
+++ b/internal/serve/forward/place.go
@@ -48,7 +48,11 @@
 // until the adapter is there.
 func (h *Handler) place(x *exchange, exclude []string) (c choice, refused *refusal.Error) {
 	if x.request.Adapter.Name == "" || x.service.Engine == nil {
-		e, ok := h.choose(x, h.options.View.Endpoints(x.service.Name), exclude)
+		list := h.options.View.Endpoints(x.service.Name)
+		if x.service.Engine != nil {
+			list = slices.DeleteFunc(list, func(e report.Endpoint) bool { return !slices.Contains(e.Models, x.request.Adapter.Model) })
+		}
+		e, ok := h.choose(x, list, exclude)
 		if !ok {
 			return c, h.later(refusal.Overloaded, "no endpoint of the service has room")
 		}
