Bound the queue for the weight store

The expected time of a load counted waiting loads as running, which kept the four transfers of an endpoint taken for seconds, so that more waited; loads also went before the unloads that make room. The leader's counts of places showed it; ruled out: places in use (50 to 60). Change: only ordered fetches count for the store's speed, about as many as it serves at full speed are ordered at once, a fetch that would wait over 1.2 s is refused, orders of an endpoint keep their turn. Test: a cold burst of 80 adapters a second, which failed with 59 and more places waiting.

--- a/internal/node/control/orders.go
+++ b/internal/node/control/orders.go
@@ -38,16 +38,7 @@
 		l = &line{}
 		o.lines[id] = l
 	}
-	// Loads go first: a request waits for them.
-	at := len(l.waiting)
-	if j.load {
-		for at > 0 && !l.waiting[at-1].load {
-			at--
-		}
-	}
-	l.waiting = append(l.waiting, job{})
-	copy(l.waiting[at+1:], l.waiting[at:])
-	l.waiting[at] = j
+	l.waiting = append(l.waiting, j)
 	if l.running {
 		return
 	}
@@ -98,7 +89,7 @@
 func (o *office) awaitTransit(id string, j job) {
 	for range maxTransitWaits {
 		o.control.mu.Lock()
-		full := j.load && o.placer.InTransit(id)
+		full := j.load && o.placer.InTransit(id, j.holding.Adapter)
 		o.control.mu.Unlock()
 		if !full {
 			return
@@ -107,8 +98,8 @@
 	}
 }
 
-// maxTransitWaits of a tick each are one second, four times an undisturbed transfer.
-const maxTransitWaits = int(time.Second / tickInterval)
+// maxTransitWaits of a tick each are two seconds, more than a fetch waits at most.
+const maxTransitWaits = int(2 * time.Second / tickInterval)
 
 // refresh asks an endpoint for its state. The state is exact if the endpoint has accepted no other orders than this leader
 // knows of; otherwise the next accepted order shows whether it still is.
--- a/internal/place/residency/residency.go
+++ b/internal/place/residency/residency.go
@@ -74,6 +74,8 @@
 	FetchTime    time.Duration // of an adapter from the weight store, at full speed
 	RecallTime   time.Duration // of an adapter that the endpoint remembers
 	FullSpeed    int           // fetches at once, over all endpoints, that slow nobody down
+	Fetches      int           // fetches at once that are ordered: some more, for the way of the orders
+	MaxWait      time.Duration // for a fetch to begin, above which a request for it is refused
 	Spare        int           // places that are kept free ahead of demand
 	Remembered   int           // adapters that an endpoint remembers
 	Transits     int           // adapters on their way to one endpoint at most
@@ -85,7 +87,8 @@
 // Defaults returns the settings for the engines of today's users.
 func Defaults() Options {
 	return Options{
-		FetchTime: 250 * time.Millisecond, RecallTime: 25 * time.Millisecond, FullSpeed: 8, Spare: 2, Remembered: 180, Transits: 4,
+		FetchTime: 250 * time.Millisecond, RecallTime: 25 * time.Millisecond, FullSpeed: 8, Fetches: 10, Spare: 2, Remembered: 150,
+		Transits: 4, MaxWait: 1200 * time.Millisecond,
 		HeatHalfLife: 8 * time.Second, BusyFor: 1200 * time.Millisecond, ReportLag: 2500 * time.Millisecond,
 	}
 }
@@ -291,6 +294,13 @@
 	}
 	h := Holding{Adapter: a, Version: p.versions[a]}
 	took := p.transferTime(best, h)
+	if !best.remembers(h) {
+		wait := p.queueTime()
+		if wait > p.options.MaxWait {
+			return Choice{}, false
+		}
+		took += wait
+	}
 	best.places[a] = &place{holding: h, state: Loading, changedAt: now, usedAt: now, heat: 1, readyAt: now.Add(took)}
 	return Choice{Endpoint: best.ID, Holding: h, Order: true, ReadyAt: now.Add(took)}, true
 }
@@ -363,20 +373,40 @@
 
 // transferTime is the expected time of a load; fetches beyond full speed share the store.
 func (p *Placer) transferTime(e *endpoint, h Holding) time.Duration {
-	if was, remembered := e.seen[h.Adapter]; remembered && was.version >= h.Version {
+	if e.remembers(h) {
 		return p.options.RecallTime
 	}
-	running := 0
-	for _, other := range p.endpoints {
-		for a, pl := range other.places {
-			if pl.state == Loading && (other != e || a != h.Adapter) {
+	running, _ := p.fetches()
+	slowdown := max(float64(running+1)/float64(p.options.FullSpeed), 1)
+	return time.Duration(float64(p.options.FetchTime) * slowdown)
+}
+
+func (e *endpoint) remembers(h Holding) bool {
+	was, remembered := e.seen[h.Adapter]
+	return remembered && was.version >= h.Version
+}
+
+// fetches returns the adapters on their way from the store, and those that wait to be ordered.
+func (p *Placer) fetches() (running, waiting int) {
+	for _, e := range p.endpoints {
+		for _, pl := range e.places {
+			switch {
+			case pl.state != Loading || e.remembers(pl.holding):
+			case pl.ordered:
 				running++
+			default:
+				waiting++
 			}
 		}
 	}
-	running++
-	slowdown := max(float64(running)/float64(p.options.FullSpeed), 1)
-	return time.Duration(float64(p.options.FetchTime) * slowdown)
+	return running, waiting
+}
+
+// queueTime is the expected time until a further fetch can be ordered.
+func (p *Placer) queueTime() time.Duration {
+	running, waiting := p.fetches()
+	ahead := max(running+waiting+1-p.options.Fetches, 0)
+	return time.Duration(float64(p.options.FetchTime) * float64(ahead) / float64(p.options.FullSpeed))
 }
 
 // victim is the place that makes way next: one with an old version, or else the one with the least recent use. Places
@@ -447,10 +477,11 @@
 	e.places[a].readyAt = now.Add(p.transferTime(e, e.places[a].holding))
 }
 
-// InTransit tells whether as many adapters are on their way to an endpoint as it takes at once.
-func (p *Placer) InTransit(id string) bool {
+// InTransit tells whether a load has to wait: as many adapters are on their way to the endpoint as it takes at once, or
+// from the store as leave each its speed.
+func (p *Placer) InTransit(id string, a Adapter) bool {
 	e := p.endpoints[id]
-	if e == nil {
+	if e == nil || e.places[a] == nil {
 		return false
 	}
 	n := 0
@@ -459,7 +490,8 @@
 			n++
 		}
 	}
-	return n >= p.options.Transits
+	running, _ := p.fetches()
+	return n >= p.options.Transits || (!e.remembers(e.places[a].holding) && running >= p.options.Fetches)
 }
 
 // Unsettled tells whether an endpoint has to be asked for its exact state: an order was accepted or not answered, and its
--- a/internal/place/residency/residency_test.go
+++ b/internal/place/residency/residency_test.go
@@ -119,15 +119,59 @@
 	c := quicktest.New(t)
 	p := placer(engine("a", "east", nil))
 	for i := range 4 {
-		c.Check(p.InTransit("a"), quicktest.IsFalse)
 		a := adapter(fmt.Sprintf("cold%d", i))
 		_, ok := p.Want(epoch, a, "east", false)
 		c.Assert(ok, quicktest.IsTrue)
+		c.Check(p.InTransit("a", a), quicktest.IsFalse)
 		p.Loaded(epoch, "a", a)
 	}
-	c.Check(p.InTransit("a"), quicktest.IsTrue)
+	fifth := adapter("fifth")
+	_, ok := p.Want(epoch, fifth, "east", false)
+	c.Assert(ok, quicktest.IsTrue)
+	c.Check(p.InTransit("a", fifth), quicktest.IsTrue)
 	p.Tick(epoch.Add(time.Second))
-	c.Check(p.InTransit("a"), quicktest.IsFalse)
+	c.Check(p.InTransit("a", fifth), quicktest.IsFalse)
+}
+
+// Pattern: demand moves to other models, and rare adapters are asked for faster than the store hands them out. Guards
+// against a queue that grows until every place waits for its load, as seen on the bench.
+func TestColdBurstDoesNotFillPlaces(t *testing.T) {
+	c := quicktest.New(t)
+	var endpoints []residency.Endpoint
+	for i := range 9 {
+		e := engine(fmt.Sprint(i), "east", nil)
+		e.Slots = 30
+		endpoints = append(endpoints, e)
+	}
+	p := placer(endpoints...)
+	type load struct {
+		endpoint string
+		adapter  residency.Adapter
+	}
+	var waiting []load
+	asked, served := 0, 0
+	const step = 25 * time.Millisecond
+	for now := epoch; now.Before(epoch.Add(10 * time.Second)); now = now.Add(step) {
+		p.Tick(now)
+		for range 2 { // 80 cold adapters a second, the store hands out 32
+			asked++
+			a := adapter(fmt.Sprintf("cold%d", asked))
+			if choice, ok := p.Want(now, a, "east", false); ok {
+				c.Assert(choice.ReadyAt.Sub(now) < 2*time.Second, quicktest.IsTrue)
+				waiting = append(waiting, load{choice.Endpoint, a})
+			}
+		}
+		for len(waiting) > 0 && !p.InTransit(waiting[0].endpoint, waiting[0].adapter) {
+			p.Loaded(now, waiting[0].endpoint, waiting[0].adapter)
+			waiting = waiting[1:]
+			served++
+		}
+		for _, u := range p.MakeRoom(now) {
+			p.Unloaded(now, u.Endpoint, u.Holding.Adapter, true)
+		}
+		c.Assert(p.Summary(now).Loading < 60, quicktest.IsTrue)
+	}
+	c.Check(served > 250, quicktest.IsTrue, quicktest.Commentf("%d loads in 10 s", served))
 }
 
 // Pattern: rare adapters are asked for while popular ones run. Guards against evicting an adapter in use (P2), and against
