Count loads that an earlier leader has ordered, and elect soon after a restart

Change: the state that an endpoint tells is added before an order is given, which is dropped if there is no room; only adapters that the endpoint has stated make way. Voters that have just started campaign after 0.3 to 0.75 s.

--- /dev/null
+++ b/internal/member/roster/roster_test.go
@@ -0,0 +1,116 @@
+package roster_test
+
+import (
+	"net/netip"
+	"testing"
+	"time"
+
+	"github.com/frankban/quicktest"
+	"github.com/zeebo/errs"
+
+	"lycheevale/internal/member/roster"
+)
+
+var epoch = time.Unix(1_800_000_000, 0)
+
+func announcement(id string, born int64, sequence uint64) roster.Announcement {
+	return roster.Announcement{
+		ID: id, Service: "s", DataCentre: "east", Address: netip.MustParseAddrPort("10.0.0.1:80"), Born: born, Sequence: sequence,
+		Slots: 4,
+	}
+}
+
+func ids(r *roster.Roster) (list []string) {
+	for _, e := range r.Endpoints() {
+		id := e.ID
+		if e.Leaving {
+			id += " leaving"
+		}
+		list = append(list, id)
+	}
+	return list
+}
+
+// Guards against a late announcement that undoes a newer one.
+func TestLateAnnouncementIsIgnored(t *testing.T) {
+	c := quicktest.New(t)
+	r := roster.New(roster.Defaults())
+	leaving := announcement("a", 1, 5)
+	leaving.Leaving = true
+	_, err := r.Announce(epoch, leaving)
+	c.Assert(err, quicktest.IsNil)
+	_, err = r.Announce(epoch, announcement("a", 1, 4))
+	c.Check(errs.Is(err, roster.ErrOutdated), quicktest.IsTrue)
+	_, err = r.Announce(epoch, announcement("a", 1, 6))
+	c.Assert(err, quicktest.IsNil)
+	c.Check(ids(r), quicktest.DeepEquals, []string{"a leaving"})
+}
+
+// Guards against an endpoint that starts again under its name and is taken for the one that left.
+func TestNewLifeServesAgain(t *testing.T) {
+	c := quicktest.New(t)
+	r := roster.New(roster.Defaults())
+	for _, a := range []roster.Announcement{announcement("a", 1, 5), {ID: "a", Gone: true}, announcement("a", 2, 1)} {
+		_, err := r.Announce(epoch, a)
+		c.Assert(err, quicktest.IsNil)
+	}
+	c.Check(ids(r), quicktest.DeepEquals, []string{"a"})
+}
+
+// Guards against an announcement that was delayed until after its sender had left.
+func TestGoneLifeStaysGone(t *testing.T) {
+	c := quicktest.New(t)
+	r := roster.New(roster.Defaults())
+	_, err := r.Announce(epoch, announcement("a", 1, 5))
+	c.Assert(err, quicktest.IsNil)
+	_, err = r.Announce(epoch, roster.Announcement{ID: "a", Gone: true, Born: 1})
+	c.Assert(err, quicktest.IsNil)
+	_, err = r.Announce(epoch.Add(20*time.Second), announcement("a", 1, 9))
+	c.Check(errs.Is(err, roster.ErrOutdated), quicktest.IsTrue)
+	c.Check(ids(r), quicktest.HasLen, 0)
+}
+
+// Guards against requests to an endpoint whose address another one has taken over, and against an old announcement that
+// takes it back.
+func TestAddressBelongsToLatestLife(t *testing.T) {
+	c := quicktest.New(t)
+	r := roster.New(roster.Defaults())
+	_, err := r.Announce(epoch, announcement("old", 1, 9))
+	c.Assert(err, quicktest.IsNil)
+	_, err = r.Announce(epoch, announcement("new", 2, 1))
+	c.Assert(err, quicktest.IsNil)
+	_, err = r.Announce(epoch, announcement("old", 1, 10))
+	c.Check(errs.Is(err, roster.ErrOutdated), quicktest.IsTrue)
+	c.Check(ids(r), quicktest.DeepEquals, []string{"new"})
+}
+
+// Guards against dropping all endpoints after this process was suspended.
+func TestSuspensionDropsNobody(t *testing.T) {
+	c := quicktest.New(t)
+	r := roster.New(roster.Defaults())
+	_, err := r.Announce(epoch, announcement("a", 1, 1))
+	c.Assert(err, quicktest.IsNil)
+	r.Expire(epoch.Add(time.Second))
+	c.Check(r.Expire(epoch.Add(time.Minute)), quicktest.HasLen, 0)
+	for s := range 7 {
+		gone := r.Expire(epoch.Add(time.Minute + time.Duration(s)*time.Second))
+		c.Check(len(gone) > 0, quicktest.Equals, s == 5, quicktest.Commentf("second %d", s))
+	}
+}
+
+// Guards against announcements of other writers.
+func TestInvalidAnnouncements(t *testing.T) {
+	c := quicktest.New(t)
+	r := roster.New(roster.Defaults())
+	for _, change := range []func(a *roster.Announcement){
+		func(a *roster.Announcement) { a.ID = "" },
+		func(a *roster.Announcement) { a.Service = "" },
+		func(a *roster.Announcement) { a.Address = netip.AddrPort{} },
+		func(a *roster.Announcement) { a.Slots = -1 },
+	} {
+		a := announcement("a", 1, 1)
+		change(&a)
+		_, err := r.Announce(epoch, a)
+		c.Check(errs.Is(err, roster.ErrInvalid), quicktest.IsTrue)
+	}
+}
--- a/internal/node/control/control.go
+++ b/internal/node/control/control.go
@@ -137,7 +137,7 @@
 			voter.WithMachine(voter.StateMachine{Apply: machine.Apply, View: machine.View, Restore: machine.Restore}),
 			voter.WithCaller(c.peers.Call), voter.WithPeers(c.wanted), voter.WithLogger(c.options.Logger),
 			voter.WithSnapshotEvery(snapshotEvery, keepEntries), voter.WithMayFound(c.mayFound), voter.WithNow(c.options.Now),
-			voter.WithConsensus(consensus.WithElection(election), consensus.WithHeartbeat(heartbeat)),
+			voter.WithConsensus(consensus.WithElection(election), consensus.WithHeartbeat(heartbeat), consensus.WithQuickStart()),
 		)
 		c.mu.Lock()
 		c.voter, c.machine = v, machine
--- a/internal/node/control/orders.go
+++ b/internal/node/control/orders.go
@@ -132,6 +132,10 @@
 				break
 			}
 		}
+		if j.load && o.overfull(to.ID) {
+			result = Refused
+			break
+		}
 		result, err = o.call(ctx, to, l, j)
 		if err != nil || result != Conflict {
 			break
@@ -146,6 +150,12 @@
 	return o.conclude(to.ID, l, j, result, err)
 }
 
+func (o *office) overfull(id string) bool {
+	o.control.mu.Lock()
+	defer o.control.mu.Unlock()
+	return o.placer.Overfull(id)
+}
+
 // learn asks an endpoint for its sequence.
 func (o *office) learn(ctx context.Context, to report.Endpoint, l *line) error {
 	ctx, cancel := context.WithTimeout(ctx, orderTimeout)
@@ -155,6 +165,9 @@
 		return errs.Combine(upstream.ErrNotSent, err) // the order itself was not sent
 	}
 	l.sequence, l.known, l.state = state.Sequence, true, &state
+	o.control.mu.Lock()
+	defer o.control.mu.Unlock()
+	o.placer.Absorb(o.now(), to.ID, state.Holdings, state.Pending)
 	return nil
 }
 
--- /dev/null
+++ b/internal/place/pick/pick_test.go
@@ -0,0 +1,97 @@
+package pick_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/frankban/quicktest"
+
+	"lycheevale/internal/place/pick"
+)
+
+var epoch = time.Unix(1_800_000_000, 0)
+
+func candidates(n int) (list []pick.Endpoint) {
+	for i := range n {
+		list = append(list, pick.Endpoint{ID: fmt.Sprint(i), Slots: 10, Local: true})
+	}
+	return list
+}
+
+// share chooses many times and returns the share of each endpoint.
+func share(p *pick.Picker, now time.Time, list []pick.Endpoint) map[string]float64 {
+	const n = 1000
+	got := map[string]float64{}
+	for range n {
+		if id, ok := p.Choose(now, list, nil); ok {
+			got[id] += 1.0 / n
+		}
+	}
+	return got
+}
+
+// Pattern: one endpoint fails nearly half of its answers while it calls itself healthy. Guards against sending to it as
+// much as to the others.
+func TestGreyEndpointIsAvoided(t *testing.T) {
+	c := quicktest.New(t)
+	p := pick.New(pick.Defaults(), 1)
+	for i := range 40 {
+		for j := range 3 {
+			o := pick.Served
+			if j == 0 && i%2 == 0 {
+				o = pick.Failed
+			}
+			p.Observe(epoch, fmt.Sprint(j), o, 40*time.Millisecond)
+		}
+	}
+	c.Check(share(p, epoch, candidates(3))["0"] < 0.05, quicktest.IsTrue)
+}
+
+// Pattern: one endpoint turns five times slower. Guards against sending to it as much as to the others, and against
+// avoiding it for ever.
+func TestSlowEndpointIsAvoidedForAWhile(t *testing.T) {
+	c := quicktest.New(t)
+	p := pick.New(pick.Defaults(), 1)
+	for range 20 {
+		for j := range 3 {
+			delay := 60 * time.Millisecond
+			if j == 0 {
+				delay *= 5
+			}
+			p.Observe(epoch, fmt.Sprint(j), pick.Served, delay)
+		}
+	}
+	c.Check(share(p, epoch, candidates(3))["0"] < 0.05, quicktest.IsTrue)
+	c.Check(share(p, epoch.Add(20*time.Second), candidates(3))["0"] > 0.2, quicktest.IsTrue)
+}
+
+// Guards against an ejected endpoint that gets requests while others serve, and against refusing all when all are ejected.
+func TestEjection(t *testing.T) {
+	c := quicktest.New(t)
+	p := pick.New(pick.Defaults(), 1)
+	p.Observe(epoch, "0", pick.Unreachable, 0)
+	c.Check(share(p, epoch, candidates(2))["0"], quicktest.Equals, 0.0)
+	c.Check(share(p, epoch, candidates(1))["0"] > 0.99, quicktest.IsTrue)
+}
+
+// Guards against overfilling an endpoint that other entries use as well.
+func TestFullEndpointTakesNoMore(t *testing.T) {
+	c := quicktest.New(t)
+	p := pick.New(pick.Defaults(), 1)
+	list := []pick.Endpoint{{ID: "0", Slots: 4, Others: 4}}
+	p.Start("0")
+	_, ok := p.Choose(epoch, list, nil)
+	c.Check(ok, quicktest.IsFalse)
+	p.End("0")
+	_, ok = p.Choose(epoch, list, nil)
+	c.Check(ok, quicktest.IsTrue)
+}
+
+// Guards against a far endpoint that is chosen beside an idle near one.
+func TestNearEndpointGoesFirst(t *testing.T) {
+	c := quicktest.New(t)
+	list := candidates(2)
+	list[1].Local = false
+	c.Check(share(pick.New(pick.Defaults(), 1), epoch, list)["1"], quicktest.Equals, 0.0)
+}
--- a/internal/place/residency/residency.go
+++ b/internal/place/residency/residency.go
@@ -48,6 +48,7 @@
 	state     State
 	readyAt   time.Time // when a load is expected to end
 	ordered   bool      // the order of the present state was accepted
+	stated    bool      // the endpoint has stated that it holds the adapter
 	changedAt time.Time
 	busyUntil time.Time
 	usedAt    time.Time
@@ -135,13 +136,50 @@
 		left := now.Sub(e.seen[h.Adapter].at) < p.options.ReportLag
 		switch {
 		case pl == nil && !left:
-			pl = &place{usedAt: now}
+			pl = &place{usedAt: now, stated: true}
 			e.places[h.Adapter] = pl
 			p.settle(now, e, pl, h)
 		case pl != nil && pl.state == Resident && pl.holding.Version < h.Version:
 			p.settle(now, e, pl, h)
 		}
+		if pl != nil && pl.state == Resident && now.Sub(pl.changedAt) > statedAfter {
+			pl.stated = true
+		}
+	}
+}
+
+// statedAfter is the time from which on an announcement that names an adapter is younger than its load.
+const statedAfter = time.Second
+
+// Absorb adds what an endpoint has told of its state, and frees nothing: orders that it has not accepted yet may be on
+// their way.
+func (p *Placer) Absorb(now time.Time, id string, holdings, pending []Holding) {
+	e := p.endpoints[id]
+	if e == nil {
+		return
+	}
+	for _, h := range holdings {
+		pl := e.places[h.Adapter]
+		if pl == nil {
+			pl = &place{usedAt: now}
+			e.places[h.Adapter] = pl
+			p.settle(now, e, pl, h)
+		}
+		pl.stated = true
 	}
+	for _, h := range pending {
+		if e.places[h.Adapter] == nil {
+			e.places[h.Adapter] = &place{
+				holding: h, state: Loading, changedAt: now, usedAt: now, ordered: true, readyAt: now.Add(p.options.FetchTime),
+			}
+		}
+	}
+}
+
+// Overfull tells whether an endpoint has more adapters, present and awaited, than places.
+func (p *Placer) Overfull(id string) bool {
+	e := p.endpoints[id]
+	return e != nil && len(e.places) > e.Slots
 }
 
 // Reconcile replaces what is believed of an endpoint by its exact state: what it holds, and what is on its way to it.
@@ -156,7 +194,7 @@
 		pl := e.places[h.Adapter]
 		switch {
 		case pl == nil:
-			pl = &place{usedAt: now}
+			pl = &place{usedAt: now, stated: true}
 			e.places[h.Adapter] = pl
 			p.settle(now, e, pl, h)
 		case pl.state == Unknown || pl.state == Loading || pl.holding.Version < h.Version:
@@ -410,7 +448,8 @@
 }
 
 // victim is the place that makes way next: one with an old version, or else the one with the least recent use. Places
-// in use are never chosen.
+// in use are never chosen, nor those that the endpoint has not stated: their load may still run, and an unload would be
+// answered as if nothing were there.
 func (p *Placer) victim(now time.Time, e *endpoint) *place {
 	var worst *place
 	score := func(pl *place) float64 {
@@ -420,7 +459,7 @@
 		return p.heat(now, pl)
 	}
 	for _, pl := range e.places {
-		if pl.state != Resident || now.Before(pl.busyUntil) || now.Sub(pl.changedAt) < minResidence {
+		if pl.state != Resident || !pl.stated || now.Before(pl.busyUntil) || now.Sub(pl.changedAt) < minResidence {
 			continue
 		}
 		if worst == nil || cmp.Or(cmp.Compare(score(pl), score(worst)), pl.usedAt.Compare(worst.usedAt)) < 0 {
--- a/internal/place/residency/residency_test.go
+++ b/internal/place/residency/residency_test.go
@@ -114,6 +114,38 @@
 	c.Check(ok, quicktest.IsTrue)
 }
 
+// Guards against LIMIT: a new leader does not know the loads that the one before has ordered, which are in no announcement.
+func TestPendingLoadsOfEarlierLeaderTakePlaces(t *testing.T) {
+	c := quicktest.New(t)
+	p := placer(engine("a", "east", holdings(5)))
+	_, ok := p.Want(epoch, adapter("cold"), "east", false)
+	c.Assert(ok, quicktest.IsTrue)
+	c.Check(p.Overfull("a"), quicktest.IsFalse)
+	p.Absorb(epoch, "a", holdings(5), []residency.Holding{{Adapter: adapter("pending"), Version: 1}})
+	c.Check(p.Overfull("a"), quicktest.IsTrue)
+	p.Refused(epoch, "a", adapter("cold"))
+	c.Check(p.Overfull("a"), quicktest.IsFalse)
+}
+
+// Guards against LIMIT: the load of an adapter takes longer than expected, and its unload is answered as done while it is
+// still on its way.
+func TestLateLoadIsNotUnloaded(t *testing.T) {
+	c := quicktest.New(t)
+	p := placer(engine("a", "east", nil))
+	for i := range 4 {
+		a := adapter(fmt.Sprintf("cold%d", i))
+		_, ok := p.Want(epoch, a, "east", false)
+		c.Assert(ok, quicktest.IsTrue)
+		p.Loaded(epoch, "a", a)
+	}
+	p.Tick(epoch.Add(time.Second))
+	_, ok := p.Want(epoch.Add(time.Second), adapter("more"), "east", false)
+	c.Assert(ok, quicktest.IsTrue)
+	c.Check(p.MakeRoom(epoch.Add(4*time.Second)), quicktest.HasLen, 0)
+	p.SetEndpoint(epoch.Add(4*time.Second), engine("a", "east", []residency.Holding{{Adapter: adapter("cold0")}, {Adapter: adapter("cold1")}}))
+	c.Check(p.MakeRoom(epoch.Add(4*time.Second)), quicktest.HasLen, 1)
+}
+
 // Guards against a fifth transfer to an endpoint, which it refuses.
 func TestTransitsAreBounded(t *testing.T) {
 	c := quicktest.New(t)
--- a/internal/state/consensus/consensus.go
+++ b/internal/state/consensus/consensus.go
@@ -32,6 +32,7 @@
 	applied    uint64
 	role       Role
 	leader     string
+	started    bool      // a leader has been heard since New
 	deadline   time.Time // of the election timeout, or of the next heartbeat at the leader
 	heardAt    time.Time // last message of the current leader
 	campaignAt time.Time // last campaign of this voter
@@ -196,15 +197,28 @@
 // follow gives up any candidacy or leadership and sets a new random election deadline.
 func (c *Core) follow(leader string) {
 	c.role, c.leader = Follower, leader
+	c.started = c.started || leader != ""
 	c.votes, c.peers = nil, nil
 	c.resetDeadline()
 }
 
 func (c *Core) resetDeadline() {
+	if c.options.QuickStart && !c.started {
+		spread := time.Duration(c.random.Int64N(int64(quickSpread * c.options.Heartbeat)))
+		c.deadline = c.clock.Add(quickWait*c.options.Heartbeat + spread)
+		return
+	}
 	spread := time.Duration(c.random.Int64N(int64(c.options.Election / 2)))
 	c.deadline = c.clock.Add(c.options.Election + spread)
 }
 
+// quickWait and quickSpread are in heartbeats: a leader that is alive is heard after one, and two voters rarely campaign
+// within the round trip of a vote.
+const (
+	quickWait   = 2
+	quickSpread = 3
+)
+
 func (c *Core) flush() Output {
 	if c.commit > c.applied {
 		// After a received snapshot the entries up to it are not applied one by one.
--- a/internal/state/consensus/consensus_test.go
+++ b/internal/state/consensus/consensus_test.go
@@ -68,8 +68,13 @@
 func (c *cluster) restart(id string) {
 	n := c.nodes[id]
 	seed := uint64(slices.Index(c.ids, id)) + 1
-	core, err := consensus.New(c.now, n.state, n.base, n.entries,
-		consensus.WithID(id), consensus.WithSeed(seed), consensus.WithMaxEntries(1), consensus.WithRules(c.rules))
+	opts := []consensus.Option{
+		consensus.WithID(id), consensus.WithSeed(seed), consensus.WithMaxEntries(1), consensus.WithRules(c.rules),
+	}
+	if seed%2 == 0 {
+		opts = append(opts, consensus.WithQuickStart())
+	}
+	core, err := consensus.New(c.now, n.state, n.base, n.entries, opts...)
 	if err != nil {
 		c.fail("restart of %s: %v", id, err)
 		return
--- a/internal/state/consensus/election.go
+++ b/internal/state/consensus/election.go
@@ -46,7 +46,7 @@
 }
 
 func (c *Core) lead() {
-	c.role, c.leader = Leader, c.options.ID
+	c.role, c.leader, c.started = Leader, c.options.ID, true
 	c.votes = nil
 	c.peers = map[string]*progress{}
 	c.deadline = c.clock.Add(c.options.Heartbeat)
--- a/internal/state/consensus/options.go
+++ b/internal/state/consensus/options.go
@@ -22,8 +22,9 @@
 	Seed       uint64        // seed of the election deadlines
 	Election   time.Duration // shortest election timeout; the longest is one and a half times as long
 	Heartbeat  time.Duration
-	MaxEntries int // entries in one message
-	MaxBytes   int // data bytes in one message, exceeded by at most one entry
+	QuickStart bool // campaign after a few heartbeats until a leader has been heard for the first time
+	MaxEntries int  // entries in one message
+	MaxBytes   int  // data bytes in one message, exceeded by at most one entry
 	Rules      Rules
 }
 
@@ -71,6 +72,12 @@
 	return func(o *Options) { o.Heartbeat = d }
 }
 
+// WithQuickStart lets a voter that has just started campaign after a few heartbeats, so that a restart of all voters is over
+// sooner. A leader that is alive is heard before, and the pre-vote keeps it in office.
+func WithQuickStart() Option {
+	return func(o *Options) { o.QuickStart = true }
+}
+
 // WithMaxEntries sets how many entries one message carries at most.
 func WithMaxEntries(n int) Option {
 	return func(o *Options) { o.MaxEntries = n }
--- /dev/null
+++ b/internal/state/consensus/quickstart_test.go
@@ -0,0 +1,118 @@
+package consensus_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/frankban/quicktest"
+
+	"lycheevale/internal/state/consensus"
+)
+
+// trio runs three voters with a delay between them.
+type trio struct {
+	now      time.Time
+	cores    map[string]*consensus.Core
+	inFlight []flying
+}
+
+type flying struct {
+	at time.Time
+	m  consensus.Message
+}
+
+const (
+	flightTime = 30 * time.Millisecond
+	tick       = 20 * time.Millisecond
+)
+
+func (w *trio) start(c *quicktest.C, id string, seed uint64) {
+	first := consensus.Snapshot{Index: 1, Term: 1}
+	for i := range 3 {
+		name := fmt.Sprint("v", i)
+		first.Config.Members = append(first.Config.Members, consensus.Member{ID: name, Name: name})
+	}
+	core, err := consensus.New(w.now, consensus.State{Term: 1}, first, nil, consensus.WithID(id), consensus.WithSeed(seed),
+		consensus.WithElection(700*time.Millisecond), consensus.WithHeartbeat(150*time.Millisecond), consensus.WithQuickStart())
+	c.Assert(err, quicktest.IsNil)
+	w.cores[id] = core
+}
+
+func (w *trio) send(out consensus.Output) {
+	for _, m := range out.Messages {
+		w.inFlight = append(w.inFlight, flying{w.now.Add(flightTime), m})
+	}
+}
+
+// run lets time pass until done tells to stop.
+func (w *trio) run(limit time.Duration, done func() bool) (took time.Duration, ended bool) {
+	began := w.now
+	for w.now.Sub(began) < limit {
+		if done() {
+			return w.now.Sub(began), true
+		}
+		w.now = w.now.Add(tick)
+		arrived := w.inFlight
+		w.inFlight = nil
+		for _, f := range arrived {
+			if f.at.After(w.now) {
+				w.inFlight = append(w.inFlight, f)
+			} else if core := w.cores[f.m.To]; core != nil {
+				w.send(core.Step(w.now, f.m))
+			}
+		}
+		for _, core := range w.cores {
+			w.send(core.Tick(w.now))
+		}
+	}
+	return limit, false
+}
+
+func (w *trio) leader() string {
+	for id, core := range w.cores {
+		if core.Status().Role == consensus.Leader {
+			return id
+		}
+	}
+	return ""
+}
+
+// Pattern: all voters lose power at once and come back, while callers wait. Guards against an election that takes longer
+// than the restart.
+func TestQuickStartElectsSoon(t *testing.T) {
+	c := quicktest.New(t)
+	for seed := range uint64(200) {
+		w := &trio{now: epoch, cores: map[string]*consensus.Core{}}
+		for i := range uint64(3) {
+			w.start(c, fmt.Sprint("v", i), seed*3+i)
+		}
+		took, elected := w.run(2*time.Second, func() bool { return w.leader() != "" })
+		c.Assert(elected, quicktest.IsTrue, quicktest.Commentf("seed %d", seed))
+		c.Assert(took < 1500*time.Millisecond, quicktest.IsTrue, quicktest.Commentf("seed %d took %v", seed, took))
+	}
+}
+
+// Guards against a voter that restarts and deposes a leader that is alive.
+func TestQuickStartKeepsLeader(t *testing.T) {
+	c := quicktest.New(t)
+	for seed := range uint64(200) {
+		w := &trio{now: epoch, cores: map[string]*consensus.Core{}}
+		for i := range uint64(3) {
+			w.start(c, fmt.Sprint("v", i), seed*3+i)
+		}
+		_, elected := w.run(2*time.Second, func() bool { return w.leader() != "" })
+		c.Assert(elected, quicktest.IsTrue)
+		w.run(time.Second, func() bool { return false })
+		leader, term := w.leader(), w.cores[w.leader()].Status().Term
+		for id := range w.cores {
+			if id != leader {
+				w.start(c, id, seed+1000)
+				break
+			}
+		}
+		w.run(3*time.Second, func() bool { return false })
+		c.Assert(w.leader(), quicktest.Equals, leader)
+		c.Assert(w.cores[leader].Status().Term, quicktest.Equals, term)
+	}
+}
--- /dev/null
+++ b/internal/wire/upstream/upstream_test.go
@@ -0,0 +1,221 @@
+package upstream_test
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/netip"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/frankban/quicktest"
+	"github.com/zeebo/errs"
+	"golang.org/x/sync/errgroup"
+
+	"lycheevale/internal/wire/upstream"
+)
+
+// endpoint answers each request on a connection with the next text; an empty text closes the connection.
+func endpoint(t *testing.T, texts ...string) (netip.AddrPort, *int) {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	connections := 0
+	var mu sync.Mutex
+	var open []net.Conn
+	next := make(chan string, len(texts))
+	for _, text := range texts {
+		next <- text
+	}
+	var group errgroup.Group
+	group.Go(func() error {
+		for {
+			conn, err := listener.Accept()
+			if err != nil {
+				return nil
+			}
+			connections++
+			mu.Lock()
+			open = append(open, conn)
+			mu.Unlock()
+			group.Go(func() error { return answerAll(conn, next) })
+		}
+	})
+	t.Cleanup(func() {
+		_ = listener.Close()
+		close(next)
+		mu.Lock()
+		for _, conn := range open {
+			_ = conn.Close()
+		}
+		mu.Unlock()
+		_ = group.Wait()
+	})
+	return listener.Addr().(*net.TCPAddr).AddrPort(), &connections
+}
+
+func answerAll(conn net.Conn, next <-chan string) error {
+	defer func() { _ = conn.Close() }()
+	reader := bufio.NewReader(conn)
+	for {
+		r, err := http.ReadRequest(reader)
+		if err != nil {
+			return nil
+		}
+		if _, err := io.Copy(io.Discard, r.Body); err != nil {
+			return nil
+		}
+		text, ok := <-next
+		if !ok || text == "" {
+			return nil
+		}
+		if _, err := io.WriteString(conn, text); err != nil {
+			return nil
+		}
+	}
+}
+
+func answer(attempt, body string) string {
+	return fmt.Sprintf("HTTP/1.1 200 OK\r\nAttempt: %s\r\nContent-Length: %d\r\n\r\n%s", attempt, len(body), body)
+}
+
+func pool() *upstream.Pool {
+	return upstream.New(upstream.WithAttempt(func(h http.Header) string { return h.Get("Attempt") }))
+}
+
+func get(p *upstream.Pool, to netip.AddrPort, attempt string) (string, error) {
+	ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
+	defer cancel()
+	a, err := p.Do(ctx, upstream.Request{Address: to, Method: "GET", Target: "/x", Host: "h", Attempt: attempt})
+	if err != nil {
+		return "", err
+	}
+	defer func() { _ = a.Body.Close() }()
+	b, err := io.ReadAll(a.Body)
+	return string(b), err
+}
+
+// Guards against opening a connection for each request.
+func TestConnectionIsReused(t *testing.T) {
+	c := quicktest.New(t)
+	to, _ := endpoint(t, answer("1", "one"), answer("2", "two"))
+	p := pool()
+	for _, attempt := range []string{"1", "2"} {
+		_, err := get(p, to, attempt)
+		c.Assert(err, quicktest.IsNil)
+	}
+	c.Check(p.Opened(), quicktest.Equals, int64(1))
+}
+
+// Guards against handing a late answer of an earlier request to a caller (P7).
+func TestLateAnswerIsSkipped(t *testing.T) {
+	c := quicktest.New(t)
+	to, _ := endpoint(t, answer("old", "not yours")+answer("2", "yours"))
+	body, err := get(pool(), to, "2")
+	c.Assert(err, quicktest.IsNil)
+	c.Check(body, quicktest.Equals, "yours")
+}
+
+// Guards against using a connection again on which bytes came that belong to no request.
+func TestExtraBytesEndConnection(t *testing.T) {
+	c := quicktest.New(t)
+	to, _ := endpoint(t, answer("1", "one")+"rubbish", answer("2", "two"))
+	p := pool()
+	body, err := get(p, to, "1")
+	c.Assert(err, quicktest.IsNil)
+	c.Check(body, quicktest.Equals, "one")
+	time.Sleep(20 * time.Millisecond)
+	body, err = get(p, to, "2")
+	c.Assert(err, quicktest.IsNil)
+	c.Check(body, quicktest.Equals, "two")
+	c.Check(p.Opened(), quicktest.Equals, int64(2))
+}
+
+// Guards against taking a truncated answer for a whole one.
+func TestTruncatedAnswerIsAnError(t *testing.T) {
+	c := quicktest.New(t)
+	to, _ := endpoint(t, "HTTP/1.1 200 OK\r\nContent-Length: 100\r\nConnection: close\r\n\r\nshort", "")
+	_, err := get(pool(), to, "1")
+	c.Check(err, quicktest.IsNotNil)
+	c.Check(errs.Is(err, upstream.ErrNotSent), quicktest.IsFalse)
+}
+
+// Guards against calling a request unsent that may have run, and the other way round.
+func TestNotSentIsTold(t *testing.T) {
+	c := quicktest.New(t)
+	to, _ := endpoint(t, "")
+	_, err := get(pool(), to, "1")
+	c.Check(err, quicktest.IsNotNil)
+	c.Check(errs.Is(err, upstream.ErrNotSent), quicktest.IsFalse)
+	closed, err := net.Listen("tcp", "127.0.0.1:0")
+	c.Assert(err, quicktest.IsNil)
+	address := closed.Addr().(*net.TCPAddr).AddrPort()
+	c.Assert(closed.Close(), quicktest.IsNil)
+	_, err = get(pool(), address, "1")
+	c.Check(errs.Is(err, upstream.ErrNotSent), quicktest.IsTrue)
+}
+
+// Guards against a connection that the endpoint closes while it is unused, which its Keep-Alive field announces.
+func TestKeepAliveIsRespected(t *testing.T) {
+	c := quicktest.New(t)
+	first := "HTTP/1.1 200 OK\r\nKeep-Alive: timeout=1\r\nContent-Length: 0\r\n\r\n"
+	to, _ := endpoint(t, first, answer("2", "two"))
+	now := time.Now()
+	p := upstream.New(upstream.WithNow(func() time.Time { return now }))
+	_, err := get(p, to, "1")
+	c.Assert(err, quicktest.IsNil)
+	now = now.Add(700 * time.Millisecond)
+	_, err = get(p, to, "2")
+	c.Assert(err, quicktest.IsNil)
+	c.Check(p.Opened(), quicktest.Equals, int64(2))
+}
+
+// Guards against a request whose end is not noticed while its answer is awaited.
+func TestCancelClosesConnection(t *testing.T) {
+	c := quicktest.New(t)
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	c.Assert(err, quicktest.IsNil)
+	defer func() { _ = listener.Close() }()
+	ctx, cancel := context.WithTimeout(context.Background(), 50*time.Millisecond)
+	defer cancel()
+	to := listener.Addr().(*net.TCPAddr).AddrPort()
+	_, err = pool().Do(ctx, upstream.Request{Address: to, Method: "GET", Target: "/", Host: "h"})
+	c.Check(errs.Is(err, context.DeadlineExceeded), quicktest.IsTrue, quicktest.Commentf("%v", err))
+}
+
+// Guards against an endpoint that answers before it has read a long body, and reads the rest later.
+func TestEarlyAnswerToLongBody(t *testing.T) {
+	c := quicktest.New(t)
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	c.Assert(err, quicktest.IsNil)
+	defer func() { _ = listener.Close() }()
+	var group errgroup.Group
+	group.Go(func() error {
+		conn, err := listener.Accept()
+		if err != nil {
+			return err
+		}
+		if _, err := bufio.NewReader(conn).ReadString('\n'); err != nil {
+			return err
+		}
+		_, err = io.WriteString(conn, answer("1", "early"))
+		return err
+	})
+	p := pool()
+	a, err := p.Do(context.Background(), upstream.Request{
+		Address: listener.Addr().(*net.TCPAddr).AddrPort(), Method: "POST", Target: "/", Host: "h", Attempt: "1",
+		Body: []byte(strings.Repeat("x", 64<<20)),
+	})
+	c.Assert(err, quicktest.IsNil)
+	b, err := io.ReadAll(a.Body)
+	c.Assert(err, quicktest.IsNil)
+	c.Check(string(b), quicktest.Equals, "early")
+	c.Assert(group.Wait(), quicktest.IsNil)
+}
