--- a/internal/member/report/report.go
+++ b/internal/member/report/report.go
@@ -78,6 +78,7 @@
 	Adapter    residency.Adapter `json:"Adapter"`
 	DataCentre string            `json:"DataCentre"`
 	Replicate  bool              `json:"Replicate,omitempty"` // another copy, since those there are too busy
+	Avoid      []string          `json:"Avoid,omitempty"`     // endpoints that have failed the request
 	Missing    string            `json:"Missing,omitempty"`   // endpoint that answered that it does not hold the adapter
 }
 
--- a/internal/node/control/interface.go
+++ b/internal/node/control/interface.go
@@ -160,37 +160,62 @@
 	return stored{Leading: true, Version: now.Version, Content: now.Content}, nil
 }
 
-// want answers an entry that needs an adapter.
+// want answers an entry that needs an adapter. It tries further endpoints where an order fails, and waits a moment for a
+// place that is being freed.
 func (c *Control) want(ctx context.Context, from string, w report.Want) (report.Placed, error) {
-	for attempt := 0; ; attempt++ {
+	latest := c.options.Now().Add(placeWait)
+	for orders := 0; orders <= wantOrders; {
 		c.mu.Lock()
 		if c.office == nil || c.leading() == 0 {
 			leader := c.leader
 			c.mu.Unlock()
 			return report.Placed{Leader: leader}, nil
 		}
-		placed, wait := c.office.want(ctx, from, w)
+		placed, accepted := c.office.want(ctx, from, w)
+		now := c.options.Now()
+		yields := placed.Endpoint == "" && !w.Replicate && now.Before(latest) && c.office.placer.Yields(now)
 		c.mu.Unlock()
-		if wait == nil {
-			return placed, nil
-		}
-		select {
-		case ok := <-wait:
-			if ok {
-				return c.placed(placed, w), nil
+		switch {
+		case yields:
+			if !pause(ctx, tickInterval) {
+				return placed, ctx.Err()
 			}
-		case <-ctx.Done():
-			return placed, ctx.Err()
-		}
-		if attempt == wantAttempts {
-			placed.Endpoint = ""
+		case accepted == nil:
 			return placed, nil
+		case wasAccepted(ctx, accepted):
+			return c.placed(placed, w), nil
+		default:
+			orders++
 		}
 	}
+	return report.Placed{Leading: true}, ctx.Err()
+}
+
+const (
+	// wantOrders is the number of further endpoints that are tried for an adapter.
+	wantOrders = 2
+	// placeWait is the time that a request is held for a place that is being freed, two thirds of the shortest objective of a
+	// stream.
+	placeWait = 400 * time.Millisecond
+)
+
+func pause(ctx context.Context, d time.Duration) bool {
+	select {
+	case <-ctx.Done():
+		return false
+	case <-time.After(d):
+		return true
+	}
 }
 
-// wantAttempts is the number of further endpoints that are tried for an adapter.
-const wantAttempts = 2
+func wasAccepted(ctx context.Context, accepted <-chan bool) bool {
+	select {
+	case ok := <-accepted:
+		return ok
+	case <-ctx.Done():
+		return false
+	}
+}
 
 // placed fills in the time at which the load that was ordered ends.
 func (c *Control) placed(p report.Placed, w report.Want) report.Placed {
--- a/internal/node/control/office.go
+++ b/internal/node/control/office.go
@@ -166,6 +166,11 @@
 			o.limits[c.Name] = quota.Limit{Rate: c.Rate, Burst: c.Burst}
 		}
 	}
+	for _, s := range d.Services {
+		if s.Engine != nil {
+			o.placer.SetStore(s.Engine.LoadsPerSecond)
+		}
+	}
 	for _, e := range o.roster.Endpoints() {
 		if a, ok := o.roster.Get(e.ID); ok {
 			o.place(a)
@@ -321,7 +326,7 @@
 	if w.Missing != "" && o.placer.Missing(now, w.Missing, w.Adapter) && o.lines[w.Missing] != nil {
 		o.lines[w.Missing].known = false
 	}
-	choice, ok := o.placer.Want(now, w.Adapter, w.DataCentre, w.Replicate)
+	choice, ok := o.placer.Want(now, w.Adapter, w.DataCentre, w.Replicate, w.Avoid...)
 	event.Log(ctx, o.control.options.Logger, event.AdapterPlaced, slog.String("Entry", from),
 		slog.String("Adapter", w.Adapter.Name), slog.String("DataCentre", w.DataCentre), slog.Bool("Replicate", w.Replicate),
 		slog.String("Missing", w.Missing), slog.String("Endpoint", choice.Endpoint), slog.Int("Version", choice.Holding.Version),
--- a/internal/node/control/options.go
+++ b/internal/node/control/options.go
@@ -96,3 +96,6 @@
 func WithPeer(opts ...peer.Option) Option {
 	return func(o *Options) { o.Peer = append(o.Peer, opts...) }
 }
+
+// WithNow replaces the clock.
+func WithNow(f func() time.Time) Option { return func(o *Options) { o.Now = f } }
--- a/internal/node/entry/entry.go
+++ b/internal/node/entry/entry.go
@@ -5,7 +5,6 @@
 import (
 	"context"
 	"log/slog"
-	"net"
 	"net/http"
 	"net/netip"
 	"sync"
@@ -92,8 +91,8 @@
 	group.Go(func() error { return e.peers.Run(work) })
 	group.Go(func() error { return e.every(work, syncInterval, e.sync) })
 	group.Go(func() error { return e.every(work, sweepInterval, e.sweep) })
-	group.Go(func() error { return serve(ready, s.Listen.Ready) })
-	group.Go(func() error { return serve(callers, s.Listen.Callers) })
+	group.Go(func() error { return e.serve(ready, s.Listen.Ready) })
+	group.Go(func() error { return e.serve(callers, s.Listen.Callers) })
 	group.Go(func() error {
 		defer stop()
 		select {
@@ -116,8 +115,8 @@
 	maxHeaderBytes = 64 << 10
 )
 
-func serve(s *http.Server, at netip.AddrPort) error {
-	listener, err := net.Listen("tcp", at.String())
+func (e *Entry) serve(s *http.Server, at netip.AddrPort) error {
+	listener, err := e.options.Listen(at)
 	if err != nil {
 		return err
 	}
--- a/internal/node/entry/options.go
+++ b/internal/node/entry/options.go
@@ -2,6 +2,8 @@
 
 import (
 	"log/slog"
+	"net"
+	"net/netip"
 	"time"
 
 	"github.com/uber-go/tally/v4"
@@ -25,6 +27,7 @@
 	Scope     tally.Scope
 	Peer      []peer.Option
 	Now       func() time.Time
+	Listen    func(at netip.AddrPort) (net.Listener, error)
 }
 
 // Option sets one of the Options.
@@ -33,6 +36,7 @@
 func build(opts []Option) Options {
 	o := Options{
 		Pool: upstream.New(), ReadyPath: "/ready", Logger: slog.Default(), Scope: tally.NoopScope, Now: clock.Now,
+		Listen: func(at netip.AddrPort) (net.Listener, error) { return net.Listen("tcp", at.String()) },
 		Decode: func([]byte) (document.Document, error) { return document.Document{}, nil },
 	}
 	for _, opt := range opts {
@@ -68,3 +72,11 @@
 func WithPeer(opts ...peer.Option) Option {
 	return func(o *Options) { o.Peer = append(o.Peer, opts...) }
 }
+
+// WithNow replaces the clock.
+func WithNow(f func() time.Time) Option { return func(o *Options) { o.Now = f } }
+
+// WithListen replaces the function that opens listeners.
+func WithListen(f func(at netip.AddrPort) (net.Listener, error)) Option {
+	return func(o *Options) { o.Listen = f }
+}
--- a/internal/place/residency/residency.go
+++ b/internal/place/residency/residency.go
@@ -74,8 +74,8 @@
 type Options struct {
 	FetchTime    time.Duration // of an adapter from the weight store, at full speed
 	RecallTime   time.Duration // of an adapter that the endpoint remembers
-	FullSpeed    int           // fetches at once, over all endpoints, that slow nobody down
-	Fetches      int           // fetches at once that are ordered: some more, for the way of the orders
+	FullSpeed    int           // fetches at once, over all endpoints, that slow nobody down, from the smallest store
+	Fetches      int           // fetches at once that are ordered from it: some more, for the way of the orders
 	MaxWait      time.Duration // for a fetch to begin, above which a request for it is refused
 	Spare        int           // places that are kept free ahead of demand
 	Remembered   int           // adapters that an endpoint remembers
@@ -100,11 +100,26 @@
 	endpoints map[string]*endpoint
 	versions  map[Adapter]int
 	journal   journal
+	fullSpeed int // fetches at once, over all endpoints, that slow nobody down
 }
 
 // New returns a placer without endpoints.
 func New(o Options) *Placer {
-	return &Placer{options: o, endpoints: map[string]*endpoint{}, versions: map[Adapter]int{}, journal: newJournal()}
+	return &Placer{options: o, endpoints: map[string]*endpoint{}, versions: map[Adapter]int{}, journal: newJournal(), fullSpeed: o.FullSpeed}
+}
+
+// fetchesForLoad is the number of adapter fetches at full speed for each load of a model that the store allows a second; the
+// users' sheets state 48 at 27 and 32 loads, and 8 at 2.9 and 4.4.
+const fetchesForLoad = 1.55
+
+// SetStore sets the speed of the weight store, in loads of models a second. The settings of the placer are the least.
+func (p *Placer) SetStore(loadsPerSecond float64) {
+	p.fullSpeed = max(p.options.FullSpeed, int(fetchesForLoad*loadsPerSecond))
+}
+
+// ordered fetches at once: some more than leave each its speed, for the way of the orders.
+func (p *Placer) mostFetches() int {
+	return p.fullSpeed * p.options.Fetches / p.options.FullSpeed
 }
 
 // SetVersion makes a version of an adapter the only one that requests may run on.
@@ -313,16 +328,19 @@
 }
 
 // Want chooses the endpoint that shall hold an adapter for requests from a data centre, and reserves the place. It
-// reports false if no endpoint has room.
-func (p *Placer) Want(now time.Time, a Adapter, dataCentre string, replicate bool) (c Choice, ok bool) {
+// reports false if no endpoint has room. Endpoints to avoid have failed the request before.
+func (p *Placer) Want(now time.Time, a Adapter, dataCentre string, replicate bool, avoid ...string) (c Choice, ok bool) {
 	if !replicate {
-		if c, ok := p.present(now, a, dataCentre); ok {
+		if c, ok := p.present(now, a, dataCentre, avoid); ok {
 			return c, true
 		}
 	}
 	var best *endpoint
 	bestCost := math.Inf(1)
 	for _, e := range p.endpoints {
+		if slices.Contains(avoid, e.ID) {
+			continue
+		}
 		if cost := p.cost(now, e, a, dataCentre); cost < bestCost || (cost == bestCost && best != nil && e.ID < best.ID) {
 			best, bestCost = e, cost
 		}
@@ -344,10 +362,10 @@
 }
 
 // present finds the adapter in the data centre, resident or on its way.
-func (p *Placer) present(now time.Time, a Adapter, dataCentre string) (c Choice, ok bool) {
+func (p *Placer) present(now time.Time, a Adapter, dataCentre string, avoid []string) (c Choice, ok bool) {
 	for _, e := range p.endpoints {
 		pl := e.places[a]
-		if pl == nil || !e.Accepting || e.DataCentre != dataCentre || !p.current(pl.holding) {
+		if pl == nil || !e.Accepting || e.DataCentre != dataCentre || !p.current(pl.holding) || slices.Contains(avoid, e.ID) {
 			continue
 		}
 		if pl.state != Resident && pl.state != Loading {
@@ -370,13 +388,23 @@
 	fullCost   = 400.0 // of an endpoint whose slots are all in use
 	victimCost = 30.0  // for each recent use of the adapter that makes way
 	swapCost   = 60.0  // of the order that makes room
+	// replaceCost is that of a newer version that waits for requests on the older one to end.
+	replaceCost = 1500.0
 )
 
 func (p *Placer) cost(now time.Time, e *endpoint, a Adapter, dataCentre string) float64 {
-	if !e.Accepting || e.Slots == 0 || !slices.Contains(e.Models, a.Model) || e.places[a] != nil || now.Before(e.hold) {
+	if !e.Accepting || e.Slots == 0 || !slices.Contains(e.Models, a.Model) || now.Before(e.hold) {
 		return math.Inf(1)
 	}
 	cost := fullCost * e.load * e.load
+	old := e.places[a]
+	switch {
+	case old == nil:
+	case old.state != Resident || p.current(old.holding):
+		return math.Inf(1)
+	case now.Before(old.busyUntil):
+		cost += replaceCost
+	}
 	if e.DataCentre != dataCentre {
 		cost += remoteCost
 	}
@@ -384,10 +412,10 @@
 		cost += float64(p.options.FetchTime.Milliseconds()) * float64(n-p.options.Transits+1) / float64(p.options.Transits)
 	}
 	cost += float64(p.transferTime(e, Holding{Adapter: a, Version: p.versions[a]}).Milliseconds())
-	if len(e.places) >= e.Slots {
+	if len(e.places) >= e.Slots && old == nil {
 		return math.Inf(1)
 	}
-	if len(e.places) >= e.Slots-p.options.Spare {
+	if len(e.places) >= e.Slots-p.options.Spare && old == nil {
 		cost += swapCost
 		if v := p.victim(now, e); v != nil {
 			cost += victimCost * min(p.heat(now, v), maxVictimHeat)
@@ -415,7 +443,7 @@
 		return p.options.RecallTime
 	}
 	running, _ := p.fetches()
-	slowdown := max(float64(running+1)/float64(p.options.FullSpeed), 1)
+	slowdown := max(float64(running+1)/float64(p.fullSpeed), 1)
 	return time.Duration(float64(p.options.FetchTime) * slowdown)
 }
 
@@ -443,8 +471,8 @@
 // queueTime is the expected time until a further fetch can be ordered.
 func (p *Placer) queueTime() time.Duration {
 	running, waiting := p.fetches()
-	ahead := max(running+waiting+1-p.options.Fetches, 0)
-	return time.Duration(float64(p.options.FetchTime) * float64(ahead) / float64(p.options.FullSpeed))
+	ahead := max(running+waiting+1-p.mostFetches(), 0)
+	return time.Duration(float64(p.options.FetchTime) * float64(ahead) / float64(p.fullSpeed))
 }
 
 // victim is the place that makes way next: one with an old version, or else the one with the least recent use. Places
@@ -472,6 +500,27 @@
 // minResidence gives the requests that asked for an adapter time to arrive before it may make way.
 const minResidence = 1500 * time.Millisecond
 
+// Yields tells whether a place may become free soon, so that a request that found none is worth holding for a moment.
+func (p *Placer) Yields(now time.Time) bool {
+	if p.queueTime() > p.options.MaxWait {
+		return false
+	}
+	for _, e := range p.endpoints {
+		if !e.Accepting || e.Slots == 0 {
+			continue
+		}
+		for _, pl := range e.places {
+			if pl.state == Leaving {
+				return true
+			}
+		}
+		if p.victim(now, e) != nil {
+			return true
+		}
+	}
+	return false
+}
+
 // Unload is an order to drop an adapter.
 type Unload struct {
 	Endpoint string
@@ -530,7 +579,7 @@
 		}
 	}
 	running, _ := p.fetches()
-	return n >= p.options.Transits || (!e.remembers(e.places[a].holding) && running >= p.options.Fetches)
+	return n >= p.options.Transits || (!e.remembers(e.places[a].holding) && running >= p.mostFetches())
 }
 
 // Unsettled tells whether an endpoint has to be asked for its exact state: an order was accepted or not answered, and its
--- a/internal/place/residency/residency_test.go
+++ b/internal/place/residency/residency_test.go
@@ -232,14 +232,44 @@
 	for _, e := range p.Snapshot() {
 		c.Check(e.Holding.Name, quicktest.Not(quicktest.Equals), "held0")
 	}
+	p.Used(epoch, residency.Use{Endpoint: "a", Adapter: adapter("held0"), Active: 1})
 	choice, ok := p.Want(epoch, adapter("held0"), "east", false)
 	c.Assert(ok, quicktest.IsTrue)
-	c.Check(choice.Endpoint, quicktest.Equals, "b")
+	c.Check(choice.Endpoint, quicktest.Equals, "b") // at a, the load would wait for the request that runs
 	c.Check(choice.Holding.Version, quicktest.Equals, 2)
 	unloads := p.MakeRoom(epoch.Add(2 * time.Second))
 	c.Check(unloads, quicktest.HasLen, 0)
 }
 
+// Pattern: a popular adapter, which every endpoint holds, gets a new version. Guards against refusing its requests, as seen
+// on the stand-in of the platform.
+func TestNewVersionReplacesOldOne(t *testing.T) {
+	c := quicktest.New(t)
+	p := placer(engine("a", "east", holdings(2)), engine("b", "east", holdings(2)))
+	p.SetVersion(adapter("held0"), 2)
+	choice, ok := p.Want(epoch, adapter("held0"), "east", false)
+	c.Assert(ok, quicktest.IsTrue)
+	c.Check(choice.Order, quicktest.IsTrue)
+	c.Check(choice.Holding.Version, quicktest.Equals, 2)
+	p.Loaded(epoch, choice.Endpoint, adapter("held0"))
+	p.Tick(epoch.Add(time.Second))
+	again, ok := p.Want(epoch.Add(time.Second), adapter("held0"), "east", false)
+	c.Assert(ok, quicktest.IsTrue)
+	c.Check(again.Order, quicktest.IsFalse)
+	c.Check(again.Endpoint, quicktest.Equals, choice.Endpoint)
+}
+
+// Guards against sending a request back to the endpoint that has just failed it.
+func TestWantAvoidsEndpoint(t *testing.T) {
+	c := quicktest.New(t)
+	p := placer(engine("a", "east", holdings(2)), engine("b", "west", nil))
+	choice, ok := p.Want(epoch, adapter("held0"), "east", false, "a")
+	c.Assert(ok, quicktest.IsTrue)
+	c.Check(choice.Endpoint, quicktest.Equals, "b")
+	_, ok = p.Want(epoch, adapter("other"), "east", false, "a", "b")
+	c.Check(ok, quicktest.IsFalse)
+}
+
 // Guards against entries that miss a change of the placement.
 func TestJournalTellsLostEvents(t *testing.T) {
 	c := quicktest.New(t)
--- a/internal/serve/forward/place.go
+++ b/internal/serve/forward/place.go
@@ -8,7 +8,6 @@
 	"lycheevale/internal/base/refusal"
 	"lycheevale/internal/member/report"
 	"lycheevale/internal/place/pick"
-	"lycheevale/internal/place/residency"
 )
 
 // want is a question to the leader that several requests wait for.
@@ -63,7 +62,7 @@
 		h.spreadLoad(x, e)
 		return choice{Endpoint: e, version: version}, nil
 	}
-	return h.load(x, exclude, len(holders) > 0)
+	return h.load(x, exclude)
 }
 
 // later is a refusal that tells the caller to come back.
@@ -103,7 +102,7 @@
 	h.mu.Unlock()
 	far := chosen.DataCentre != h.options.DataCentre
 	if (far && uses >= farUses) || (busy && uses > 0) {
-		h.ask(a, busy && !far, "")
+		h.ask(report.Want{Adapter: a, DataCentre: h.options.DataCentre, Replicate: busy && !far})
 	}
 }
 
@@ -115,8 +114,8 @@
 )
 
 // load asks the leader for the adapter and waits until it is there.
-func (h *Handler) load(x *exchange, exclude []string, replicate bool) (c choice, refused *refusal.Error) {
-	w := h.ask(x.request.Adapter, replicate, x.missing)
+func (h *Handler) load(x *exchange, exclude []string) (c choice, refused *refusal.Error) {
+	w := h.ask(report.Want{Adapter: x.request.Adapter, DataCentre: h.options.DataCentre, Missing: x.missing, Avoid: exclude})
 	x.missing = ""
 	select {
 	case <-w.done:
@@ -139,28 +138,32 @@
 	return choice{Endpoint: e, version: w.placed.Version, loaded: true}, nil
 }
 
-// ask sends one question at a time for each adapter.
-func (h *Handler) ask(a residency.Adapter, replicate bool, missing string) *want {
+// ask sends a question to the leader. Requests that may use any endpoint share one question for each adapter.
+func (h *Handler) ask(q report.Want) *want {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	if w := h.wanted[a]; w != nil {
+	shared := len(q.Avoid) == 0
+	if w := h.wanted[q.Adapter]; w != nil && shared {
 		return w
 	}
 	w := &want{done: make(chan struct{})}
-	h.wanted[a] = w
+	if shared {
+		h.wanted[q.Adapter] = w
+	}
 	h.options.Spawn(func() {
 		ctx, cancel := context.WithTimeout(context.Background(), wantTimeout)
 		defer cancel()
-		w.placed, w.err = h.options.Want(ctx, report.Want{
-			Adapter: a, DataCentre: h.options.DataCentre, Replicate: replicate, Missing: missing,
-		})
+		w.placed, w.err = h.options.Want(ctx, q)
 		w.at = h.options.Now()
 		close(w.done)
+		if !shared {
+			return
+		}
 		// Requests that come while the adapter is on its way share the answer.
 		time.Sleep(time.Duration(w.placed.InMillis) * time.Millisecond)
 		h.mu.Lock()
-		delete(h.wanted, a)
-		h.mu.Unlock()
+		defer h.mu.Unlock()
+		delete(h.wanted, q.Adapter)
 	})
 	return w
 }
