--- a/internal/serve/forward/flight.go
+++ b/internal/serve/forward/flight.go
@@ -35,12 +35,12 @@
 }
 
 // land uncounts it.
-func (h *Handler) land(x *exchange, c choice, f *flight) {
+func (h *Handler) land(x *exchange, s sending) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	h.picker.End(c.ID)
-	delete(h.flights, f)
-	if u := h.uses[[2]string{c.ID, x.request.Adapter.Name}]; u != nil {
+	h.picker.End(s.ID)
+	delete(h.flights, s.flight)
+	if u := h.uses[[2]string{s.ID, x.request.Adapter.Name}]; u != nil {
 		u.active--
 	}
 }
--- a/internal/serve/forward/forward.go
+++ b/internal/serve/forward/forward.go
@@ -91,7 +91,7 @@
 	if h.isClosing() {
 		w.Header().Set("Connection", "close")
 	}
-	code := "Served"
+	code := served
 	if refused := h.run(x); refused != nil {
 		code = string(refused.Code)
 		h.refuse(x, refused)
@@ -99,6 +99,9 @@
 	h.finish(x, code)
 }
 
+// served is the code of a request that an endpoint answered.
+const served = "Served"
+
 func (h *Handler) run(x *exchange) *refusal.Error {
 	for _, f := range h.filters {
 		if refused := f(x); refused != nil {
@@ -120,6 +123,11 @@
 		o.First = x.first.Sub(x.arrived)
 	}
 	h.options.Observe(o)
+	if code == served {
+		event.Log(x.caller.Context(), h.options.Logger, event.RequestServed, slog.String("Attempt", x.request.Attempt),
+			slog.String("Endpoint", x.last), slog.Int("Sent", x.sent), slog.Int("Tokens", x.request.Tokens),
+			slog.Int64("FirstMillis", o.First.Milliseconds()), slog.Int64("AfterMillis", o.Duration.Milliseconds()))
+	}
 }
 
 // match finds the route and chooses among its services by weight.
--- a/internal/serve/forward/send.go
+++ b/internal/serve/forward/send.go
@@ -126,13 +126,21 @@
 // errSilent ends a sending to an endpoint from which nothing comes.
 var errSilent = errs.New("endpoint is silent")
 
+// sending is one attempt of a request at an endpoint.
+type sending struct {
+	choice
+	ctx     context.Context
+	flight  *flight
+	started time.Time
+}
+
 // send makes one sending and relays its answer.
 func (h *Handler) send(x *exchange, c choice) (v verdict, reason string) {
 	ctx, cancel := context.WithCancelCause(x.ctx)
 	defer cancel(nil)
-	started := h.options.Now()
-	f := h.takeOff(x, c, cancel)
-	defer h.land(x, c, f)
+	s := sending{choice: c, ctx: ctx, flight: h.takeOff(x, c, cancel), started: h.options.Now()}
+	defer h.land(x, s)
+	x.last = c.ID
 	answer, err := h.options.Pool.Do(ctx, h.outgoing(x, c))
 	if errs.Is(err, upstream.ErrNotSent) {
 		if x.ctx.Err() != nil {
@@ -144,16 +152,16 @@
 	x.sent++
 	if err != nil {
 		x.ran++
-		return mayRun, h.broken(x, ctx, c)
+		return mayRun, h.broken(x, s)
 	}
 	defer func() { _ = answer.Body.Close() }()
-	h.hear(f)
+	h.hear(s.flight)
 	reply := h.options.Codec.Reply(answer.Status, answer.Header)
 	if reply.Moved || (reply.NotRun && answer.Status == http.StatusServiceUnavailable) || answer.Status == http.StatusTooManyRequests {
 		return h.turnedAway(x, c, reply)
 	}
 	x.ran++
-	return h.relay(x, ctx, c, f, answer, reply, started)
+	return h.relay(x, s, answer, reply)
 }
 
 // turnedAway handles an endpoint that states that the request has not run.
@@ -167,15 +175,15 @@
 }
 
 // broken observes a connection that ended before its answer.
-func (h *Handler) broken(x *exchange, ctx context.Context, c choice) (reason string) {
+func (h *Handler) broken(x *exchange, s sending) (reason string) {
 	switch {
-	case errs.Is(context.Cause(ctx), errSilent):
-		h.observe(c.ID, pick.Silent, 0)
+	case errs.Is(context.Cause(s.ctx), errSilent):
+		h.observe(s.ID, pick.Silent, 0)
 		return reasonSilent
 	case x.ctx.Err() != nil:
 		return reasonStopped
 	}
-	h.observe(c.ID, pick.Failed, 0)
+	h.observe(s.ID, pick.Failed, 0)
 	return reasonBroken
 }
 
@@ -240,26 +248,24 @@
 }
 
 // relay passes an answer on. Whole answers are read to their end first, so that one that breaks off can be repeated.
-func (h *Handler) relay(
-	x *exchange, ctx context.Context, c choice, f *flight, a *upstream.Answer, reply Reply, started time.Time,
-) (verdict, string) {
+func (h *Handler) relay(x *exchange, s sending, a *upstream.Answer, reply Reply) (verdict, string) {
 	if reply.Streamed && a.Status == http.StatusOK {
-		return h.stream(x, ctx, c, f, a, started)
+		return h.stream(x, s, a)
 	}
 	body, err := io.ReadAll(io.LimitReader(a.Body, maxAnswer+1))
 	if err != nil || len(body) > maxAnswer {
-		return mayRun, h.broken(x, ctx, c)
+		return mayRun, h.broken(x, s)
 	}
 	whole := &failure{status: a.Status, header: a.Header, body: body}
 	if a.Status >= http.StatusInternalServerError {
-		h.observe(c.ID, pick.Failed, 0)
+		h.observe(s.ID, pick.Failed, 0)
 		x.failed = whole
 		return mayRun, reasonError
 	}
 	if x.begun {
 		return mayRun, reasonError // a stream cannot go on with another kind of answer
 	}
-	h.observe(c.ID, pick.Served, h.options.Now().Sub(started))
+	h.observe(s.ID, pick.Served, h.options.Now().Sub(s.started))
 	x.first = h.options.Now()
 	whole.deliver(x)
 	return answered, ""
--- a/internal/serve/forward/stream.go
+++ b/internal/serve/forward/stream.go
@@ -2,10 +2,8 @@
 
 import (
 	"bytes"
-	"context"
 	"io"
 	"net/http"
-	"time"
 
 	"lycheevale/internal/place/pick"
 	"lycheevale/internal/wire/upstream"
@@ -19,9 +17,7 @@
 
 // stream passes complete events on as they arrive. A stream that breaks off can go on at another endpoint behind the last
 // event that the caller has.
-func (h *Handler) stream(
-	x *exchange, ctx context.Context, c choice, f *flight, a *upstream.Answer, started time.Time,
-) (verdict, string) {
+func (h *Handler) stream(x *exchange, s sending, a *upstream.Answer) (verdict, string) {
 	if !x.begun {
 		copyHeader(x.Header(), a.Header)
 		x.WriteHeader(a.Status)
@@ -36,7 +32,7 @@
 			if x.first.IsZero() {
 				x.first = h.options.Now()
 			}
-			h.hearFirst(c, f, started)
+			h.hearFirst(s)
 			pending = append(pending, buffer[:n]...)
 		}
 		complete := bytes.LastIndex(pending, eventEnd) + len(eventEnd)
@@ -53,7 +49,7 @@
 		case err == io.EOF:
 			return answered, ""
 		case err != nil:
-			return mayRun, h.broken(x, ctx, c)
+			return mayRun, h.broken(x, s)
 		}
 	}
 }
@@ -75,13 +71,13 @@
 }
 
 // hearFirst observes the first bytes of a stream, and notes all others.
-func (h *Handler) hearFirst(c choice, f *flight, started time.Time) {
+func (h *Handler) hearFirst(s sending) {
 	now := h.options.Now()
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	h.heard[c.ID], f.heardAt = now, now
-	if !f.begun {
-		f.begun = true
-		h.picker.Observe(now, c.ID, pick.Served, now.Sub(started))
+	h.heard[s.ID], s.flight.heardAt = now, now
+	if !s.flight.begun {
+		s.flight.begun = true
+		h.picker.Observe(now, s.ID, pick.Served, now.Sub(s.started))
 	}
 }
--- a/internal/wire/upstream/upstream.go
+++ b/internal/wire/upstream/upstream.go
@@ -223,7 +223,7 @@
 
 func (x *exchange) read() (*Answer, error) {
 	for skipped := 0; ; {
-		response, err := http.ReadResponse(x.conn.reader, &http.Request{Method: x.request.Method})
+		response, err := http.ReadResponse(x.conn.reader, &http.Request{Method: x.request.Method}) //nolint:bodyclose // Answer.Body closes it
 		if err != nil {
 			return nil, err
 		}
--- a/internal/wire/upstream/upstream_test.go
+++ b/internal/wire/upstream/upstream_test.go
@@ -39,7 +39,7 @@
 		for {
 			conn, err := listener.Accept()
 			if err != nil {
-				return nil
+				return err
 			}
 			connections++
 			mu.Lock()
@@ -56,7 +56,7 @@
 			_ = conn.Close()
 		}
 		mu.Unlock()
-		_ = group.Wait()
+		_ = group.Wait() // the error of the closed listener
 	})
 	return listener.Addr().(*net.TCPAddr).AddrPort(), &connections
 }
