Take the load of many entries from the leader

The leader answered 375 reports a second and summed 75 entries for each of 16 customers in each. Change: totals over entries are kept up to date with each report; entries report as often as the leader says, 200 ms for 30 entries, 500 ms for 75. Questions to the leader no longer hold up the stop of an entry.

--- a/internal/limit/quota/pool.go
+++ b/internal/limit/quota/pool.go
@@ -24,6 +24,14 @@
 	started time.Time
 	entries map[string]*holder
 	reserve map[string]*reserve // by customer
+	totals  map[string]total    // by customer, over all entries
+}
+
+// total is kept up to date with each report, because summing all entries for each customer took most of a leader's time at
+// 75 entries.
+type total struct {
+	demand    float64
+	committed float64
 }
 
 // reserve is a bucket that all entries share.
@@ -38,8 +46,11 @@
 	Lease time.Duration
 	// Gather is the time that a new pool waits for reports before a share may grow that another entry may still use.
 	Gather time.Duration
-	// Reserve is the part of a limit that entries borrow for single requests. It serves lumps that no share fits.
+	// Reserve is the least part of a limit that entries borrow for single requests. It serves lumps that no share fits.
 	Reserve float64
+	// Holders is the number of entries that the rest is enough for. More entries leave a larger reserve, since a share that is
+	// smaller than a request fills its bucket and then runs over.
+	Holders int
 	// Floor is the part of a limit that is divided evenly, so that a customer who appears at an entry is served at once.
 	Floor float64
 }
@@ -53,7 +64,28 @@
 
 // NewPool returns a pool without entries.
 func NewPool(now time.Time, o Options) *Pool {
-	return &Pool{options: o, started: now, entries: map[string]*holder{}, reserve: map[string]*reserve{}}
+	return &Pool{options: o, started: now, entries: map[string]*holder{}, reserve: map[string]*reserve{}, totals: map[string]total{}}
+}
+
+// count adds an entry to the totals, or takes it out with a negative sign.
+func (p *Pool) count(h *holder, sign float64) {
+	for customer, demand := range h.demand {
+		t := p.totals[customer]
+		t.demand += sign * demand
+		p.totals[customer] = t
+	}
+	for customer := range h.granted {
+		t := p.totals[customer]
+		t.committed += sign * h.committed(customer)
+		p.totals[customer] = t
+	}
+	for customer, held := range h.held {
+		if _, granted := h.granted[customer]; !granted {
+			t := p.totals[customer]
+			t.committed += sign * held
+			p.totals[customer] = t
+		}
+	}
 }
 
 // committed is the share of a customer that the entry may be using.
@@ -69,28 +101,25 @@
 		h = &holder{}
 		p.entries[r.Entry] = h
 	}
-	h.heardAt, h.demand, h.held = now, r.Demand, r.Held
+	p.count(h, -1)
+	h.heardAt, h.demand, h.held, h.granted = now, r.Demand, r.Held, nil
 	shares = make(map[string]float64, len(limits))
 	for customer, limit := range limits {
 		if limit.Rate <= 0 {
 			continue
 		}
-		limit.Rate *= 1 - p.options.Reserve
+		limit.Rate *= 1 - p.reserved()
 		shares[customer] = p.share(now, r.Entry, customer, limit)
 	}
 	h.granted = shares
+	p.count(h, 1)
 	return shares
 }
 
 func (p *Pool) share(now time.Time, entry, customer string, limit Limit) float64 {
 	h := p.entries[entry]
-	var demand, others float64
-	for name, other := range p.entries {
-		demand += other.demand[customer]
-		if name != entry {
-			others += other.committed(customer)
-		}
-	}
+	t := p.totals[customer] // without this entry
+	demand, others := max(t.demand, 0)+h.demand[customer], max(t.committed, 0)
 	target := limit.Rate / float64(len(p.entries))
 	if demand > 0 {
 		even := p.options.Floor * target
@@ -107,13 +136,23 @@
 // newcomerShare lets an entry without shares serve something while the pool still gathers reports.
 const newcomerShare = 0.02
 
+// reserved is the part of every limit that is in reserve. It grows at once with the number of entries, so that shares are lower
+// before more is lent; it shrinks with it only when entries have left for a lease.
+func (p *Pool) reserved() float64 {
+	if p.options.Holders == 0 {
+		return p.options.Reserve
+	}
+	return max(p.options.Reserve, 1-float64(p.options.Holders)/float64(max(len(p.entries), 1)))
+}
+
 // Borrow admits one request from the reserve, or returns the time at which it may come back. A new pool begins with empty
 // reserves, since the leader before may have lent them.
 func (p *Pool) Borrow(now time.Time, customer string, cost float64, limit Limit) (retryAt time.Time, admitted bool) {
 	if limit.Rate <= 0 {
 		return time.Time{}, true
 	}
-	rate, most := limit.Rate*p.options.Reserve, limit.Burst*p.options.Reserve
+	part := p.reserved()
+	rate, most := limit.Rate*part, limit.Burst*part
 	b := p.reserve[customer]
 	if b == nil {
 		b = &reserve{at: p.started}
@@ -132,6 +171,7 @@
 func (p *Pool) expire(now time.Time) {
 	for name, h := range p.entries {
 		if now.Sub(h.heardAt) >= p.options.Lease {
+			p.count(h, -1)
 			delete(p.entries, name)
 		}
 	}
--- a/internal/limit/quota/quota_test.go
+++ b/internal/limit/quota/quota_test.go
@@ -143,25 +143,20 @@
 	}
 }
 
-// Pattern: a calm customer below its rate, whose requests are each as large as a second of an entry's share. Guards against
-// refusing it although its rate is not used.
-func TestLumpyRequestsBelowRateAreAdmitted(t *testing.T) {
-	c := quicktest.New(t)
+// lumpy plays a customer whose requests are large beside a second of an entry's share, and returns the part that is refused.
+func lumpy(entries int, limit quota.Limit, perSecond float64, o quota.Options) float64 {
 	random := rand.New(rand.NewPCG(3, 3))
-	lending := options
-	lending.Reserve = 0.6
-	f := newFleet(9, quota.Limit{Rate: 30_000, Burst: 30_000})
-	f.pool = quota.NewPool(epoch, lending)
+	f := newFleet(entries, limit)
+	f.pool = quota.NewPool(epoch, o)
 	asked, refused := 0, 0
 	for f.now.Before(epoch.Add(60 * time.Second)) {
 		f.now = f.now.Add(interval)
 		for i := range f.wallets {
-			// 11 requests a second over all entries, 20,000 tokens a second.
-			if random.Float64() < 11*interval.Seconds()/9 {
+			if random.Float64() < perSecond*interval.Seconds()/float64(entries) {
 				cost := 300 + 3000*random.Float64()
 				_, admitted := f.wallets[i].Take(f.now, "c", cost)
 				if !admitted {
-					_, admitted = f.pool.Borrow(f.now, "c", cost, f.limits["c"])
+					_, admitted = f.pool.Borrow(f.now, "c", cost, limit)
 				}
 				if f.now.After(epoch.Add(5 * time.Second)) {
 					asked++
@@ -173,5 +168,23 @@
 			f.report(i, true)
 		}
 	}
-	c.Check(float64(refused) < 0.01*float64(asked), quicktest.IsTrue, quicktest.Commentf("%d of %d refused", refused, asked))
+	return float64(refused) / float64(asked)
+}
+
+// Pattern: a calm customer at two thirds of its rate on nine entries. Guards against refusing it although its rate is not
+// used.
+func TestLumpyRequestsBelowRateAreAdmitted(t *testing.T) {
+	lending := options
+	lending.Reserve, lending.Holders = 0.6, 4
+	part := lumpy(9, quota.Limit{Rate: 30_000, Burst: 30_000}, 11, lending)
+	quicktest.New(t).Check(part < 0.01, quicktest.IsTrue, quicktest.Commentf("%.3f refused", part))
+}
+
+// Pattern: a customer at nine tenths of its rate on 75 entries, each of which sees one of its requests in two seconds. Guards
+// against shares that run over while the customer is refused, as seen on the grown deployment.
+func TestManyEntriesShareOneRate(t *testing.T) {
+	lending := options
+	lending.Reserve, lending.Holders = 0.6, 4
+	part := lumpy(75, quota.Limit{Rate: 80_000, Burst: 80_000}, 40, lending)
+	quicktest.New(t).Check(part < 0.01, quicktest.IsTrue, quicktest.Commentf("%.3f refused", part))
 }
--- a/internal/member/report/report.go
+++ b/internal/member/report/report.go
@@ -54,6 +54,7 @@
 	Others       map[string]int     `json:"Others,omitempty"` // requests of other entries, by endpoint
 	Shares       map[string]float64 `json:"Shares,omitempty"`
 	Entries      int                `json:"Entries,omitempty"`
+	EveryMillis  int64              `json:"EveryMillis,omitempty"` // time between two reports
 }
 
 // Version is the newest version of an adapter.
--- a/internal/node/control/office.go
+++ b/internal/node/control/office.go
@@ -51,6 +51,8 @@
 	// shareReserve is the part of a limit that is lent request by request: an entry sees few requests of a customer a second,
 	// each of which is as large as a second of its share.
 	shareReserve = 0.6
+	// shareHolders is the number of entries of today's deployments, for which shareReserve was measured.
+	shareHolders = 4
 	// entrySilence is the time after which the use that an entry has reported counts no more.
 	entrySilence = 1500 * time.Millisecond
 	// partialBeats is the number of announcements after which a new leader knows all endpoints.
@@ -61,7 +63,7 @@
 	now := c.options.Now()
 	return &office{
 		control: c, term: term, since: now, roster: roster.New(roster.Defaults()), placer: residency.New(c.options.Placer),
-		pool:    quota.NewPool(now, quota.Options{Lease: ShareLease, Gather: shareGather, Floor: shareFloor, Reserve: shareReserve}),
+		pool:    quota.NewPool(now, quota.Options{Lease: ShareLease, Gather: shareGather, Floor: shareFloor, Reserve: shareReserve, Holders: shareHolders}),
 		entries: map[string]*entry{}, lines: map[string]*line{}, limits: map[string]quota.Limit{},
 	}
 }
@@ -263,13 +265,28 @@
 	maps.DeleteFunc(others, func(_ string, n int) bool { return n <= 0 })
 	u := report.Update{
 		Leading: true, Instances: o.control.instances(), Term: o.term, Others: others, Entries: len(o.entries),
-		Shares: o.pool.Report(now, quota.Report{Entry: r.Name, Demand: r.Demand, Held: r.Held}, o.limits),
+		EveryMillis: reportEvery(len(o.entries)).Milliseconds(),
+		Shares:      o.pool.Report(now, quota.Report{Entry: r.Name, Demand: r.Demand, Held: r.Held}, o.limits),
 	}
 	o.fillState(&u, r)
 	o.fillPlacement(&u, r)
 	return u
 }
 
+const (
+	// shortestReport is a fifth of the time in which a change has to be in effect at every entry.
+	shortestReport = 200 * time.Millisecond
+	// longestReport leaves two reports within the time for which a use counts.
+	longestReport = 600 * time.Millisecond
+	// reportsPerSecond is what a leader answers with about a tenth of a core.
+	reportsPerSecond = 150
+)
+
+// reportEvery spreads the reports of many entries, so that they take the same part of a leader's time.
+func reportEvery(entries int) time.Duration {
+	return min(max(time.Duration(entries)*time.Second/reportsPerSecond, shortestReport), longestReport)
+}
+
 // totals returns the requests that run at each endpoint.
 func (o *office) totals(now time.Time) map[string]int {
 	total := map[string]int{}
--- a/internal/node/entry/entry.go
+++ b/internal/node/entry/entry.go
@@ -32,17 +32,18 @@
 	peers    *peer.Node
 	view     *view.View
 	handler  *forward.Handler
-	group    *errgroup.Group
+	asking   errgroup.Group // questions to the leader, which end with their timeouts and do not hold up a stop
 	draining atomic.Bool
 	serving  atomic.Bool // a configuration and endpoints are known
 
 	mu       sync.Mutex
 	seeds    []netip.AddrPort
 	leader   string
-	others   []string // control instances that the leader has named
-	next     int      // which of the candidates is asked next
-	failing  int      // reports in a row that no leader answered
-	reported time.Time
+	others   []string  // control instances that the leader has named
+	next     int       // which of the candidates is asked next
+	failing  int       // reports in a row that no leader answered
+	reported time.Time // only used by sync, as is due
+	due      time.Time // of the next report
 }
 
 // New returns an instance; Run starts it.
@@ -69,7 +70,7 @@
 const retryMargin = 0.7
 
 func (e *Entry) spawn(f func()) {
-	e.group.Go(func() error {
+	e.asking.Go(func() error {
 		f()
 		return nil
 	})
@@ -82,7 +83,6 @@
 	work, stop := context.WithCancel(context.WithoutCancel(ctx))
 	defer stop()
 	group, work := errgroup.WithContext(work)
-	e.group = group
 	callers := &http.Server{
 		Handler: e.handler, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
 		ErrorLog: slog.NewLogLogger(e.options.Logger.Handler(), slog.LevelDebug),
--- a/internal/node/entry/sync.go
+++ b/internal/node/entry/sync.go
@@ -22,8 +22,11 @@
 
 // sync reports to the leader and takes over its answer.
 func (e *Entry) sync(ctx context.Context) {
-	to := e.target()
 	now := e.options.Now()
+	if now.Before(e.due) {
+		return
+	}
+	to := e.target()
 	r := report.Entry{Name: e.options.Settings.Name, DataCentre: e.options.Settings.DataCentre}
 	e.view.Position(&r)
 	e.handler.Report(&r, now.Sub(e.reported))
@@ -36,6 +39,8 @@
 		e.lost(ctx, to, u, err)
 		return
 	}
+	// Half a tick less, since the ticker fires a little late.
+	e.due = now.Add(time.Duration(u.EveryMillis)*time.Millisecond - syncInterval/2)
 	e.found(ctx, to, u)
 	e.apply(ctx, u, now)
 }
@@ -138,7 +143,7 @@
 }
 
 // borrowTimeout is above a round trip between regions, and well below the objective of any request.
-const borrowTimeout = 150 * time.Millisecond
+const borrowTimeout = 250 * time.Millisecond
 
 // borrow asks the leader to admit a request that the share of its customer does not fit.
 func (e *Entry) borrow(ctx context.Context, l report.Loan) (admitted bool, wait time.Duration, err error) {
