--- a/internal/base/deployment/deployment.go
+++ b/internal/base/deployment/deployment.go
@@ -16,26 +16,20 @@
 
 // Settings of one process.
 type Settings struct {
-	Name        string            `yaml:"Name"`
-	Address     netip.Addr        `yaml:"Address"` // under which other instances reach this one
-	DataCentre  string            `yaml:"DataCentre"`
-	Region      string            `yaml:"Region"`
-	Regions     map[string]string `yaml:"Regions"` // by data centre
-	Listen      Listen            `yaml:"Listen"`
-	Seeds       []netip.AddrPort  `yaml:"Seeds"`     // control interfaces of some control instances
-	Bootstrap   bool              `yaml:"Bootstrap"` // first start of the whole system: the seeds may found the log
-	DataFolder  string            `yaml:"DataFolder"`
-	MemoryMB    int64             `yaml:"MemoryMB"`
-	MaxFiles    int               `yaml:"MaxFiles"`
-	Losses      int               `yaml:"Losses"` // control instances whose loss at once is borne
-	Shutdown    Millis            `yaml:"ShutdownMillis"`
-	MaxPause    Millis            `yaml:"DrainMillis"`
-	Retry       Retry             `yaml:"Retry"`
-	OrderLease  Millis            `yaml:"OrderLeaseMillis"`  // between orders of two leaders to one endpoint
-	Heartbeat   Millis            `yaml:"HeartbeatMillis"`   // between two announcements of an endpoint
-	Fencing     bool              `yaml:"EndpointsFence"`    // endpoints refuse orders with an old fencing number
-	AdapterStep Millis            `yaml:"NewVersionMillis"`  // in which a new version of an adapter takes effect
-	Apply       Millis            `yaml:"ConfigApplyMillis"` // in which a configuration takes effect
+	Name       string           `yaml:"Name"`
+	Address    netip.Addr       `yaml:"Address"` // under which other instances reach this one
+	DataCentre string           `yaml:"DataCentre"`
+	Listen     Listen           `yaml:"Listen"`
+	Seeds      []netip.AddrPort `yaml:"Seeds"`     // control interfaces of some control instances
+	Bootstrap  bool             `yaml:"Bootstrap"` // first start of the whole system: the seeds may found the log
+	DataFolder string           `yaml:"DataFolder"`
+	MemoryMB   int64            `yaml:"MemoryMB"`
+	Losses     int              `yaml:"Losses"` // control instances whose loss at once is borne
+	Shutdown   Millis           `yaml:"ShutdownMillis"`
+	Retry      Retry            `yaml:"Retry"`
+	OrderLease Millis           `yaml:"OrderLeaseMillis"` // between orders of two leaders to one endpoint, where it does not check fencing numbers
+	Heartbeat  Millis           `yaml:"HeartbeatMillis"`  // between two announcements of an endpoint
+	Fencing    bool             `yaml:"EndpointsFence"`   // endpoints refuse orders with an old fencing number
 }
 
 // Listen holds the addresses of this process; those that its role does not serve are not set.
--- a/internal/node/control/orders.go
+++ b/internal/node/control/orders.go
@@ -51,6 +51,13 @@
 	})
 }
 
+// mayOrder tells whether orders may be given. Endpoints that do not check fencing numbers might follow two leaders in turns, so
+// that a new one waits until the one before has certainly stopped.
+func (o *office) mayOrder() bool {
+	s := o.control.options.Settings
+	return !o.ended && (s.Fencing || o.now().Sub(o.since) >= s.OrderLease.Duration())
+}
+
 // work gives the orders of a line until none waits.
 func (o *office) work(ctx context.Context, id string, l *line) {
 	c := o.control
@@ -64,7 +71,7 @@
 		j := l.waiting[0]
 		l.waiting = l.waiting[1:]
 		a, present := o.roster.Get(id)
-		usable := present && !o.ended && c.leading() == o.term && o.lines[id] == l
+		usable := present && o.mayOrder() && c.leading() == o.term && o.lines[id] == l
 		c.mu.Unlock()
 		accepted := false
 		to := report.Endpoint{ID: id, Service: a.Service, DataCentre: a.DataCentre, Address: a.Address}
