Leave a silent endpoint only for another one

Under load an endpoint that sent nothing for 0.7 s was left although no other one held the adapter, so that the stream could not go on.

--- a/internal/serve/forward/forward_test.go
+++ b/internal/serve/forward/forward_test.go
@@ -13,6 +13,7 @@
 	"time"
 
 	"github.com/frankban/quicktest"
+	"golang.org/x/sync/errgroup"
 
 	"lycheevale/internal/limit/quota"
 	"lycheevale/internal/member/report"
@@ -201,3 +202,43 @@
 	}})
 	r.Check(r.send(http.MethodPost, "/order/x").Code, quicktest.Equals, http.StatusGatewayTimeout)
 }
+
+// Pattern: an endpoint stands still for a while and no other one could take its requests. Guards against cutting a request that
+// its endpoint would still answer, and against waiting for a silent endpoint while another one is free.
+func TestSilentEndpointIsLeftOnlyForAnother(t *testing.T) {
+	slow := func(w http.ResponseWriter, r *http.Request) {
+		_, _ = io.Copy(io.Discard, r.Body)
+		select {
+		case <-time.After(1200 * time.Millisecond):
+			succeed(w, r)
+		case <-r.Context().Done():
+		}
+	}
+	for _, test := range []struct {
+		endpoints []http.HandlerFunc
+		least     time.Duration
+	}{{[]http.HandlerFunc{slow}, 1200 * time.Millisecond}, {[]http.HandlerFunc{slow, succeed}, 0}} {
+		r := newRig(t, test.endpoints)
+		stop := make(chan struct{})
+		var group errgroup.Group
+		group.Go(func() error {
+			for {
+				select {
+				case <-stop:
+					return nil
+				case <-time.After(50 * time.Millisecond):
+					r.handler.Sweep()
+				}
+			}
+		})
+		started := time.Now()
+		r.Check(r.send(http.MethodPost, "/read/x").Code, quicktest.Equals, http.StatusOK)
+		took := time.Since(started)
+		r.Check(took >= test.least, quicktest.IsTrue, quicktest.Commentf("%v", took))
+		close(stop)
+		r.Assert(group.Wait(), quicktest.IsNil)
+		if len(test.endpoints) == 1 {
+			r.Check(r.total(), quicktest.Equals, int32(1))
+		}
+	}
+}
