--- a/internal/limit/quota/pool.go
+++ b/internal/limit/quota/pool.go
@@ -176,6 +176,3 @@
 		}
 	}
 }
-
-// Entries returns the number of entries that hold shares.
-func (p *Pool) Entries() int { return len(p.entries) }
--- a/internal/member/report/report.go
+++ b/internal/member/report/report.go
@@ -32,7 +32,6 @@
 	Uses       []residency.Use    `json:"Uses,omitempty"`
 	Demand     map[string]float64 `json:"Demand,omitempty"` // tokens per second, by customer
 	Held       map[string]float64 `json:"Held,omitempty"`   // shares in use, tokens per second
-	Suspects   []string           `json:"Suspects,omitempty"`
 }
 
 // Update answers an Entry. Parts that the entry has already are left out.
--- a/internal/member/roster/roster.go
+++ b/internal/member/roster/roster.go
@@ -219,6 +219,3 @@
 	}
 	return e.Announcement, true
 }
-
-// Len returns the number of endpoints.
-func (r *Roster) Len() int { return len(r.entries) }
--- a/internal/wire/upstream/options.go
+++ b/internal/wire/upstream/options.go
@@ -53,11 +53,6 @@
 	return func(o *Options) { o.Attempt = f }
 }
 
-// WithIdleTimeout sets how long an unused connection is kept.
-func WithIdleTimeout(d time.Duration) Option {
-	return func(o *Options) { o.IdleTimeout = d }
-}
-
 // WithDial replaces the function that opens connections.
 func WithDial(f func(ctx context.Context, to netip.AddrPort) (net.Conn, error)) Option {
 	return func(o *Options) { o.Dial = f }
--- a/internal/wire/upstream/upstream.go
+++ b/internal/wire/upstream/upstream.go
@@ -33,7 +33,6 @@
 	Header  http.Header
 	Body    []byte
 	Attempt string // identifier that the answer has to echo, if it echoes any
-	Fresh   bool   // use a new connection
 }
 
 // Answer is the head of an answer; Body has to be closed.
@@ -41,7 +40,6 @@
 	Status int
 	Header http.Header
 	Body   io.ReadCloser
-	Length int64 // -1 if unknown
 }
 
 // Pool keeps connections to endpoints. It is safe for concurrent use.
@@ -138,10 +136,8 @@
 }
 
 func (p *Pool) connect(ctx context.Context, r Request) (c *conn, err error) {
-	if !r.Fresh {
-		if c := p.take(r.Address); c != nil {
-			return c, nil
-		}
+	if c := p.take(r.Address); c != nil {
+		return c, nil
 	}
 	ctx, cancel := context.WithTimeout(ctx, p.options.DialTimeout)
 	defer cancel()
@@ -241,7 +237,7 @@
 			}
 			continue
 		}
-		a := &Answer{Status: response.StatusCode, Header: response.Header, Length: response.ContentLength}
+		a := &Answer{Status: response.StatusCode, Header: response.Header}
 		a.Body = &body{ReadCloser: response.Body, exchange: x, response: response}
 		return a, nil
 	}
