Choose the adapter that makes way in one order

Among adapters without use, the one that makes way followed the order of a map, and the test expected an answer that held for some of the choices only. Ruled out: load; the old test alone on an idle processor fails in 12 of 60 runs. Change: equal adapters make way by name; the test names the two that do, and checks that their places stay taken while the requests run, which it did not before. Measured: 300 of 300 runs pass.

--- a/internal/place/residency/residency_test.go
+++ b/internal/place/residency/residency_test.go
@@ -64,26 +64,20 @@
 	now := epoch.Add(5 * time.Second)
 	unloads := p.MakeRoom(now)
 	c.Assert(unloads, quicktest.HasLen, 2)
-	for _, u := range unloads {
+	for i, u := range unloads {
+		c.Check(u.Holding, quicktest.Equals, holdings(6)[i])
 		p.Unloaded(now, "a", u.Holding.Adapter, false)
 	}
 	_, ok := p.Want(now, adapter("cold"), "east", false)
 	c.Check(ok, quicktest.IsFalse)
-	c.Check(p.Unsettled(now.Add(2*time.Second), "a"), quicktest.IsTrue)
-	p.Reconcile(now.Add(2*time.Second), "a", holdings(6)[2:], nil)
-	_, ok = p.Want(now.Add(2*time.Second), adapter("cold"), "east", false)
-	c.Check(ok, quicktest.Equals, contains(unloads, holdings(6)[:2]))
-}
-
-func contains(unloads []residency.Unload, list []residency.Holding) bool {
-	for _, u := range unloads {
-		for _, h := range list {
-			if u.Holding == h {
-				return true
-			}
-		}
-	}
-	return false
+	later := now.Add(2 * time.Second)
+	c.Check(p.Unsettled(later, "a"), quicktest.IsTrue)
+	p.Reconcile(later, "a", holdings(6), nil) // the requests still run
+	_, ok = p.Want(later, adapter("cold"), "east", false)
+	c.Check(ok, quicktest.IsFalse)
+	p.Reconcile(later, "a", holdings(6)[2:], nil)
+	_, ok = p.Want(later, adapter("cold"), "east", false)
+	c.Check(ok, quicktest.IsTrue)
 }
 
 // Guards against LIMIT as seen on the bench: an announcement leaves out what is on its way, and may be seconds late.
--- a/internal/place/residency/room.go
+++ b/internal/place/residency/room.go
@@ -52,7 +52,8 @@
 		if pl.state != Resident || !pl.stated || now.Before(pl.busyUntil) || now.Sub(pl.changedAt) < minResidence {
 			continue
 		}
-		if worst == nil || cmp.Or(cmp.Compare(score(pl), score(worst)), pl.usedAt.Compare(worst.usedAt)) < 0 {
+		if worst == nil || cmp.Or(cmp.Compare(score(pl), score(worst)), pl.usedAt.Compare(worst.usedAt),
+			cmp.Compare(pl.holding.Name, worst.holding.Name)) < 0 {
 			worst = pl
 		}
 	}
