Run virtual time on one processor under the race detector

Go 1.26 runs an expired channel timer in the goroutine that receives from it (runtime/time.go, unlockAndRun), with the one detector context of its synctest bubble; two goroutines that do so on two processors at the same moment corrupt that context. A program of 64 goroutines with tickers in a bubble shows it without any of our code: stopped in 3 of 3 runs on six processors (twice tsan_rtl.cpp:346, once tsan_rtl.cpp:94), passed in 3 of 3 on one. Ruled out: our tests (the program has none of them), memory and number of goroutines (64), load.

--- /dev/null
+++ b/internal/base/virtualtime/norace.go
@@ -0,0 +1,5 @@
+//go:build !race
+
+package virtualtime
+
+const raceDetector = false
--- a/internal/limit/admit/fleet_test.go
+++ b/internal/limit/admit/fleet_test.go
@@ -9,17 +9,15 @@
 	"sync"
 	"sync/atomic"
 	"testing"
-	"testing/synctest"
 	"time"
 
-	"github.com/zeebo/errs"
-
-	"lycheevale/internal/base/knownred"
-
 	"github.com/frankban/quicktest"
+	"github.com/zeebo/errs"
 	"golang.org/x/sync/errgroup"
 
+	"lycheevale/internal/base/knownred"
 	"lycheevale/internal/base/refusal"
+	"lycheevale/internal/base/virtualtime"
 	"lycheevale/internal/limit/share"
 	"lycheevale/internal/state/registry"
 	"lycheevale/internal/wire/peer"
@@ -332,7 +330,7 @@
 
 // inFleet runs f in virtual time.
 func inFleet(t *testing.T, limits map[string]registry.Customer, f func(ctx context.Context, group *errgroup.Group, fl *fleet)) {
-	synctest.Test(t, func(t *testing.T) {
+	virtualtime.Test(t, func(t *testing.T) {
 		ctx, cancel := context.WithCancel(t.Context())
 		group := &errgroup.Group{}
 		fl := newFleet(ctx, group, limits)
--- a/internal/limit/admit/reserve_test.go
+++ b/internal/limit/admit/reserve_test.go
@@ -3,15 +3,14 @@
 import (
 	"context"
 	"testing"
-	"testing/synctest"
 	"time"
 
-	"github.com/zeebo/errs"
-
 	"github.com/frankban/quicktest"
+	"github.com/zeebo/errs"
 	"golang.org/x/sync/errgroup"
 
 	"lycheevale/internal/base/refusal"
+	"lycheevale/internal/base/virtualtime"
 	"lycheevale/internal/limit/share"
 	"lycheevale/internal/state/registry"
 )
@@ -19,7 +18,7 @@
 // Guards against each way in which Reserve must answer without the rate being the reason, and against answers
 // that come late or without the time to retry.
 func TestReserveOutcomes(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	virtualtime.Test(t, func(t *testing.T) {
 		c := quicktest.New(t)
 		limits := map[string]registry.Customer{"limited": {Rate: 10, Burst: 100}, "unlimited": {}}
 		coordinator := NewCoordinator(time.Now(), 1)
@@ -87,7 +86,7 @@
 
 // Guards against a lender that is lost and that delays or fails the requests of its customers.
 func TestLenderLost(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	virtualtime.Test(t, func(t *testing.T) {
 		ctx, cancel := context.WithCancel(t.Context())
 		var group errgroup.Group
 		c, _ := newCentre(ctx, &group, 1)
--- a/internal/limit/admit/traffic_test.go
+++ b/internal/limit/admit/traffic_test.go
@@ -7,13 +7,13 @@
 	"math/rand/v2"
 	"sync"
 	"testing"
-	"testing/synctest"
 	"time"
 
 	"github.com/frankban/quicktest"
 	"golang.org/x/sync/errgroup"
 
 	"lycheevale/internal/base/knownred"
+	"lycheevale/internal/base/virtualtime"
 	"lycheevale/internal/state/registry"
 	"lycheevale/internal/wire/peer"
 )
@@ -125,7 +125,7 @@
 		t.Run(fmt.Sprint("customers=", customers), func(t *testing.T) {
 			t.Parallel()
 			var ordinary, most, calls, lead, leadCalls float64
-			synctest.Test(t, func(t *testing.T) {
+			virtualtime.Test(t, func(t *testing.T) {
 				ctx, cancel := context.WithCancel(t.Context())
 				defer cancel()
 				var group, requests errgroup.Group
--- a/internal/member/node/fault_test.go
+++ b/internal/member/node/fault_test.go
@@ -13,6 +13,7 @@
 
 	"github.com/frankban/quicktest"
 
+	"lycheevale/internal/base/virtualtime"
 	"lycheevale/internal/member/directory"
 	"lycheevale/internal/member/node"
 	"lycheevale/internal/wire/peer"
@@ -175,7 +176,7 @@
 // runInput gives a message to a coordinator twice and lets it work on for a while.
 func runInput(t *testing.T, method int, params string) {
 	methods := []string{"Lease.Prepare", "Lease.Accept", "Lease.Release", "Member.Heartbeat", "Member.Renew", "Member.Announce", "Member.View"}
-	synctest.Test(t, func(t *testing.T) {
+	virtualtime.Test(t, func(t *testing.T) {
 		mux := peer.NewMux()
 		n := node.New(node.WithName("a"), node.WithMux(mux), node.WithLogger(slog.New(slog.DiscardHandler)),
 			node.WithCaller(func(ctx context.Context, _, method string, params, result any) error {
--- a/internal/member/node/node_test.go
+++ b/internal/member/node/node_test.go
@@ -12,12 +12,11 @@
 	"testing/synctest"
 	"time"
 
+	"github.com/frankban/quicktest"
 	"github.com/zeebo/errs"
 
 	"lycheevale/internal/base/seeded"
-
-	"github.com/frankban/quicktest"
-
+	"lycheevale/internal/base/virtualtime"
 	"lycheevale/internal/member/directory"
 	"lycheevale/internal/member/node"
 	"lycheevale/internal/wire/peer"
@@ -236,7 +235,7 @@
 
 // virtual runs f with a cluster in virtual time.
 func virtual(t *testing.T, instances, keepers int, f func(c *cluster), opts ...node.Option) {
-	synctest.Test(t, func(t *testing.T) {
+	virtualtime.Test(t, func(t *testing.T) {
 		ctx, cancel := context.WithCancel(t.Context())
 		c := newCluster(ctx, rand.New(rand.NewPCG(1, 1)), instances, keepers, opts...)
 		defer c.wg.Wait()
--- a/internal/member/node/schedule_test.go
+++ b/internal/member/node/schedule_test.go
@@ -10,6 +10,7 @@
 
 	"pgregory.net/rapid"
 
+	"lycheevale/internal/base/virtualtime"
 	"lycheevale/internal/member/assign"
 	"lycheevale/internal/member/lease"
 	"lycheevale/internal/member/node"
@@ -129,7 +130,7 @@
 
 // execute runs a plan in virtual time and returns the violation it finds.
 func execute(t *testing.T, p plan, opts ...node.Option) (err error) {
-	synctest.Test(t, func(t *testing.T) {
+	virtualtime.Test(t, func(t *testing.T) {
 		ctx, cancel := context.WithCancel(t.Context())
 		c := newCluster(ctx, rand.New(rand.NewChaCha8([32]byte(p.network))), 3, 3, opts...)
 		defer c.wg.Wait()
--- a/internal/node/instance/system_test.go
+++ b/internal/node/instance/system_test.go
@@ -9,12 +9,12 @@
 	"net/netip"
 	"strings"
 	"testing"
-	"testing/synctest"
 	"time"
 
 	qt "github.com/frankban/quicktest"
 	"golang.org/x/sync/errgroup"
 
+	"lycheevale/internal/base/virtualtime"
 	"lycheevale/internal/fake/deployment"
 	fakeengine "lycheevale/internal/fake/engine"
 	"lycheevale/internal/fake/network"
@@ -36,7 +36,7 @@
 func runSystem(t *testing.T, test func(s *system), opts ...deployment.Option) {
 	t.Helper()
 	folder := t.TempDir()
-	synctest.Test(t, func(t *testing.T) {
+	virtualtime.Test(t, func(t *testing.T) {
 		n := network.New()
 		n.Latency = func(from, to netip.Addr) time.Duration {
 			if a, b := from.As4(), to.As4(); a[1] != b[1] && a[1] != 9 && b[1] != 9 {
--- a/internal/serve/caller/rig_test.go
+++ b/internal/serve/caller/rig_test.go
@@ -16,12 +16,12 @@
 	"sync"
 	"sync/atomic"
 	"testing"
-	"testing/synctest"
 	"time"
 
 	qt "github.com/frankban/quicktest"
 	"golang.org/x/sync/errgroup"
 
+	"lycheevale/internal/base/virtualtime"
 	fakeengine "lycheevale/internal/fake/engine"
 	"lycheevale/internal/fake/network"
 	fakeservice "lycheevale/internal/fake/service"
@@ -71,7 +71,7 @@
 // run executes the test inside a bubble with virtual time.
 func run(t *testing.T, prepare func(*rig), test func(*rig)) {
 	t.Helper()
-	synctest.Test(t, func(t *testing.T) {
+	virtualtime.Test(t, func(t *testing.T) {
 		r := &rig{C: qt.New(t), t: t, net: network.New(), registry: testRegistry(), withdrawn: map[string]bool{}, order: []int{0, 1},
 			engine: engine.AllRules(), ownerRule: owner.AllRules()}
 		if prepare != nil {
--- a/internal/state/feed/capacity_test.go
+++ b/internal/state/feed/capacity_test.go
@@ -10,15 +10,14 @@
 	"net/netip"
 	"slices"
 	"testing"
-	"testing/synctest"
 	"time"
 
-	"lycheevale/internal/base/knownred"
-
 	qt "github.com/frankban/quicktest"
 	"golang.org/x/sync/errgroup"
 
+	"lycheevale/internal/base/knownred"
 	"lycheevale/internal/base/measure"
+	"lycheevale/internal/base/virtualtime"
 	"lycheevale/internal/state/feed"
 	"lycheevale/internal/state/registry"
 	"lycheevale/internal/wire/peer"
@@ -47,7 +46,7 @@
 		name := fmt.Sprintf("instances=%d/changes=%g", size.instances, size.perSecond)
 		relay, other := load{}, load{}
 		t.Run(name, func(t *testing.T) {
-			synctest.Test(t, func(t *testing.T) { relay, other = fleetTraffic(t, size) })
+			virtualtime.Test(t, func(t *testing.T) { relay, other = fleetTraffic(t, size) })
 			qt.Check(t, other.bytes < trafficBudget, qt.IsTrue)
 			if size != targetSize {
 				return
--- a/internal/state/feed/fault_test.go
+++ b/internal/state/feed/fault_test.go
@@ -6,11 +6,11 @@
 	"slices"
 	"strings"
 	"testing"
-	"testing/synctest"
 	"time"
 
 	qt "github.com/frankban/quicktest"
 
+	"lycheevale/internal/base/virtualtime"
 	"lycheevale/internal/state/feed"
 )
 
@@ -143,7 +143,7 @@
 
 // Guards against a relay that goes on feeding all instances after none of them could reach another for a while.
 func TestStagesComeBack(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	virtualtime.Test(t, func(t *testing.T) {
 		f := stagedFleet()
 		defer f.run()()
 		direct := func() (count int) {
@@ -181,7 +181,7 @@
 // runStaged injects a fault at different times after a heartbeat, makes a change, and checks it again without the fault.
 func runStaged(t *testing.T, bound time.Duration, inject func(f *fleet) (lost string)) {
 	for _, phase := range []time.Duration{100 * time.Millisecond, 500 * time.Millisecond, 950 * time.Millisecond} {
-		synctest.Test(t, func(t *testing.T) {
+		virtualtime.Test(t, func(t *testing.T) {
 			f := stagedFleet()
 			defer f.run()()
 			time.Sleep(10*time.Second + phase)
@@ -200,7 +200,7 @@
 // Guards against strict key checks that refuse without a fault, and against knowledge that looks fresh because a
 // heartbeat was held up on its way.
 func TestFreshness(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	virtualtime.Test(t, func(t *testing.T) {
 		var names []string
 		for i := range 12 {
 			names = append(names, fmt.Sprint("dc", i))
@@ -218,7 +218,7 @@
 		t.Logf("oldest knowledge of %d instances: %v", len(f.nodes), oldest)
 		qt.Check(t, oldest < strictKeyLimit, qt.IsTrue)
 	})
-	synctest.Test(t, func(t *testing.T) {
+	virtualtime.Test(t, func(t *testing.T) {
 		f := stagedFleet()
 		defer f.run()()
 		time.Sleep(10 * time.Second)
@@ -250,7 +250,7 @@
 // Guards against instances of a data centre that is cut off: they keep their revision, and have the changes within the
 // target after it is over.
 func TestDataCentreIsCutOff(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	virtualtime.Test(t, func(t *testing.T) {
 		f := stagedFleet()
 		defer f.run()()
 		time.Sleep(10 * time.Second)
@@ -266,7 +266,7 @@
 
 // Guards against changes that come so fast that the voter spaces their pushes, and are then in force too late.
 func TestRunOfChanges(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	virtualtime.Test(t, func(t *testing.T) {
 		f := stagedFleet()
 		defer f.run()()
 		time.Sleep(10500 * time.Millisecond)
--- a/internal/state/feed/feed_test.go
+++ b/internal/state/feed/feed_test.go
@@ -11,14 +11,13 @@
 	"sync"
 	"sync/atomic"
 	"testing"
-	"testing/synctest"
 	"time"
 
-	"github.com/zeebo/errs"
-
 	qt "github.com/frankban/quicktest"
+	"github.com/zeebo/errs"
 	"golang.org/x/sync/errgroup"
 
+	"lycheevale/internal/base/virtualtime"
 	"lycheevale/internal/state/feed"
 	"lycheevale/internal/state/registry"
 	"lycheevale/internal/wire/peer"
@@ -193,7 +192,7 @@
 // Guards against a change that is not in force in time, and against a reply that hides an instance not reached.
 func TestChangeIsInForceInTime(t *testing.T) {
 	for _, delay := range []time.Duration{time.Millisecond, 30 * time.Millisecond} {
-		synctest.Test(t, func(t *testing.T) {
+		virtualtime.Test(t, func(t *testing.T) {
 			f := newFleet(delay, 8, "suva-a", "labasa-a")
 			f.change(0)
 			defer f.run()()
@@ -224,7 +223,7 @@
 // centres (design 1.7) and 10 s.
 func TestTargetSize(t *testing.T) {
 	const dataCentres, instances, bound = 12, 90, 10 * time.Second
-	synctest.Test(t, func(t *testing.T) {
+	virtualtime.Test(t, func(t *testing.T) {
 		var names []string
 		for i := range dataCentres {
 			names = append(names, fmt.Sprint("dc", i))
@@ -244,7 +243,7 @@
 // Guards against instances that stay on old configuration when their relay is lost, and against two instances that
 // keep each other as source while both are cut off from the voters.
 func TestRelayIsLost(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	virtualtime.Test(t, func(t *testing.T) {
 		f := newFleet(time.Millisecond, 4, "suva-a", "labasa-a")
 		defer f.run()()
 		time.Sleep(5 * time.Second)
@@ -267,7 +266,7 @@
 func TestBytesPerChangeAndInstance(t *testing.T) {
 	const changes, instances = 200, 20
 	const budget = 12_000 * 86_400 / 16_000
-	synctest.Test(t, func(t *testing.T) {
+	virtualtime.Test(t, func(t *testing.T) {
 		f := newFleet(time.Millisecond, instances, "suva-a", "labasa-a")
 		defer f.run()()
 		time.Sleep(5 * time.Second)
@@ -289,7 +288,7 @@
 
 // Guards against two instances that feed each other and learn of changes only when their knowledge is too old.
 func TestInstancesDoNotFeedEachOther(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	virtualtime.Test(t, func(t *testing.T) {
 		f := newFleet(time.Millisecond, 0)
 		f.add("a", "suva-a", feed.WithSources(func() []string { return []string{"b", "voter"} }))
 		f.add("b", "suva-a", feed.WithSources(func() []string { return []string{"a", "voter"} }))
--- a/internal/state/feed/restart_test.go
+++ b/internal/state/feed/restart_test.go
@@ -11,7 +11,6 @@
 	"runtime/metrics"
 	"strings"
 	"testing"
-	"testing/synctest"
 	"time"
 
 	qt "github.com/frankban/quicktest"
@@ -19,6 +18,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"lycheevale/internal/base/measure"
+	"lycheevale/internal/base/virtualtime"
 	"lycheevale/internal/state/feed"
 	"lycheevale/internal/state/registry"
 	"lycheevale/internal/wire/peer"
@@ -181,7 +181,7 @@
 	}
 	for name, fault := range faults {
 		t.Run(name, func(t *testing.T) {
-			synctest.Test(t, func(t *testing.T) {
+			virtualtime.Test(t, func(t *testing.T) {
 				f := newFleet(oneWay, 3, "suva-a")
 				addAdapters(t, f.regs["voter"], 5_000, true)
 				defer f.run()()
@@ -222,7 +222,7 @@
 	const instances, restarts = 30, 20
 	// 69 KB per second (135 * 33.3 MB * 4/3 a day) spread by this share leave room for the rest of the feed in 12 KB.
 	const share = 0.12
-	synctest.Test(t, func(t *testing.T) {
+	virtualtime.Test(t, func(t *testing.T) {
 		f := newFleet(time.Millisecond, 0)
 		// Without stages, which would spread the snapshots over ten instances by themselves.
 		f.add("suva-a-relay", "suva-a", feed.WithFanout(2*instances), feed.WithSources(func() []string { return []string{"voter"} }))
--- a/internal/state/voter/capacity_test.go
+++ b/internal/state/voter/capacity_test.go
@@ -4,13 +4,13 @@
 	"fmt"
 	"maps"
 	"testing"
-	"testing/synctest"
 	"time"
 
+	qt "github.com/frankban/quicktest"
+
 	"lycheevale/internal/base/knownred"
 	"lycheevale/internal/base/measure"
-
-	qt "github.com/frankban/quicktest"
+	"lycheevale/internal/base/virtualtime"
 )
 
 const (
@@ -26,7 +26,7 @@
 	for _, perSecond := range []float64{0, targetRate, 1, 5, 20} {
 		t.Run(fmt.Sprint("changes=", perSecond), func(t *testing.T) {
 			var busiest float64
-			synctest.Test(t, func(t *testing.T) {
+			virtualtime.Test(t, func(t *testing.T) {
 				c := newCluster(t, 30*time.Millisecond)
 				defer c.stopAll()
 				leader := c.leader()
--- a/internal/state/voter/diskfault_test.go
+++ b/internal/state/voter/diskfault_test.go
@@ -9,12 +9,12 @@
 	"strings"
 	"syscall"
 	"testing"
-	"testing/synctest"
 	"time"
 
 	qt "github.com/frankban/quicktest"
 	"github.com/zeebo/errs"
 
+	"lycheevale/internal/base/virtualtime"
 	"lycheevale/internal/state/record"
 	"lycheevale/internal/state/voter"
 )
@@ -69,7 +69,7 @@
 func TestDiskOfLeaderFails(t *testing.T) {
 	for name, fault := range diskFaults {
 		t.Run(name, func(t *testing.T) {
-			synctest.Test(t, func(t *testing.T) {
+			virtualtime.Test(t, func(t *testing.T) {
 				c := newCluster(t, 30*time.Millisecond)
 				defer c.stopAll()
 				c.mayFail = true
@@ -101,7 +101,7 @@
 func TestDisksOfFollowersFail(t *testing.T) {
 	for _, name := range []string{"failed write", "full disk", "failed sync"} {
 		t.Run(name, func(t *testing.T) {
-			synctest.Test(t, func(t *testing.T) {
+			virtualtime.Test(t, func(t *testing.T) {
 				c := newCluster(t, 30*time.Millisecond)
 				defer c.stopAll()
 				c.mayFail = true
@@ -126,7 +126,7 @@
 
 // Guards against an election or a late change because the disk of one follower takes 3 s for each sync.
 func TestSlowSyncOfFollower(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	virtualtime.Test(t, func(t *testing.T) {
 		c := newCluster(t, 30*time.Millisecond)
 		defer c.stopAll()
 		leader := c.leader()
@@ -162,7 +162,7 @@
 // Guards against a voter that does not repair a torn tail by itself, that opens a log damaged in the middle, or that
 // cannot join again after its data directory was moved away, as docs/state.md tells operators to do.
 func TestDamagedLog(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	virtualtime.Test(t, func(t *testing.T) {
 		c := newCluster(t, 30*time.Millisecond)
 		defer c.stopAll()
 		id := 0
--- a/internal/state/voter/failover_test.go
+++ b/internal/state/voter/failover_test.go
@@ -5,11 +5,12 @@
 	"math/rand/v2"
 	"slices"
 	"testing"
-	"testing/synctest"
 	"time"
 
 	qt "github.com/frankban/quicktest"
 	"golang.org/x/sync/errgroup"
+
+	"lycheevale/internal/base/virtualtime"
 )
 
 const failovers = 12
@@ -42,7 +43,7 @@
 func TestLeaderLossMeetsTarget(t *testing.T) {
 	for _, silent := range []bool{false, true} {
 		t.Run(fmt.Sprint("silent=", silent), func(t *testing.T) {
-			synctest.Test(t, func(t *testing.T) {
+			virtualtime.Test(t, func(t *testing.T) {
 				c := newCluster(t, 30*time.Millisecond)
 				defer c.stopAll()
 				c.silent = silent
@@ -65,7 +66,7 @@
 // Guards against an election because of a link that is slow or loses calls, requests and answers alike.
 func TestSlowLossyLinkCausesNoElection(t *testing.T) {
 	const lossPercent = 10
-	synctest.Test(t, func(t *testing.T) {
+	virtualtime.Test(t, func(t *testing.T) {
 		c := newCluster(t, 100*time.Millisecond)
 		defer c.stopAll()
 		leader := c.leader()
--- a/internal/state/voter/logs_test.go
+++ b/internal/state/voter/logs_test.go
@@ -2,10 +2,11 @@
 
 import (
 	"testing"
-	"testing/synctest"
 	"time"
 
 	qt "github.com/frankban/quicktest"
+
+	"lycheevale/internal/base/virtualtime"
 )
 
 // otherTraffic of a voter at the target size is that of feeding all relays and comparing withdrawn keys, in bytes per
@@ -15,7 +16,7 @@
 // Guards against an instance above the 12 KB per second of design 1.7 because it leads both logs.
 func TestTrafficOfBothLogs(t *testing.T) {
 	const span = 20 * time.Second
-	synctest.Test(t, func(t *testing.T) {
+	virtualtime.Test(t, func(t *testing.T) {
 		c := newCluster(t, 30*time.Millisecond, "Config", "Claim")
 		defer c.stopAll()
 		leader := c.leader()
--- a/internal/state/voter/snapshot_test.go
+++ b/internal/state/voter/snapshot_test.go
@@ -3,11 +3,11 @@
 import (
 	"bytes"
 	"testing"
-	"testing/synctest"
 	"time"
 
 	qt "github.com/frankban/quicktest"
 
+	"lycheevale/internal/base/virtualtime"
 	"lycheevale/internal/state/voter"
 )
 
@@ -15,7 +15,7 @@
 // is elected.
 func TestSlowSnapshotCausesNoElection(t *testing.T) {
 	const encoding = 2 * time.Second
-	synctest.Test(t, func(t *testing.T) {
+	virtualtime.Test(t, func(t *testing.T) {
 		c := newCluster(t, 30*time.Millisecond)
 		defer c.stopAll()
 		leader := c.leader()
@@ -41,7 +41,7 @@
 // Guards against a voter that never catches up because its snapshot takes longer than the core waits before it sends it
 // again, and the second transfer ends the first.
 func TestSnapshotOverSlowLink(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	virtualtime.Test(t, func(t *testing.T) {
 		c := newCluster(t, 30*time.Millisecond)
 		defer c.stopAll()
 		c.padding, c.slowPart = 4<<20, time.Second // 17 parts
--- a/internal/state/voter/voter_test.go
+++ b/internal/state/voter/voter_test.go
@@ -12,12 +12,12 @@
 	"sync"
 	"sync/atomic"
 	"testing"
-	"testing/synctest"
 	"time"
 
 	qt "github.com/frankban/quicktest"
 	"golang.org/x/sync/errgroup"
 
+	"lycheevale/internal/base/virtualtime"
 	"lycheevale/internal/state/consensus"
 	"lycheevale/internal/state/record"
 	"lycheevale/internal/state/registry"
@@ -244,7 +244,7 @@
 // Guards against a change that takes longer than its target, over links inside a region and between regions.
 func TestChangeMeetsTarget(t *testing.T) {
 	for _, delay := range []time.Duration{time.Millisecond, 30 * time.Millisecond} {
-		synctest.Test(t, func(t *testing.T) {
+		virtualtime.Test(t, func(t *testing.T) {
 			c := newCluster(t, delay)
 			defer c.stopAll()
 			var slowest time.Duration
@@ -270,7 +270,7 @@
 
 // Guards against losing changes or the quorum when voters lose their disks one directly after the other.
 func TestVotersLoseDisks(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	virtualtime.Test(t, func(t *testing.T) {
 		c := newCluster(t, 30*time.Millisecond)
 		defer c.stopAll()
 		first := c.voters()
--- a/internal/tool/matrix/matrix_test.go
+++ b/internal/tool/matrix/matrix_test.go
@@ -5,19 +5,19 @@
 	"slices"
 	"strings"
 	"testing"
-	"testing/synctest"
 
 	qt "github.com/frankban/quicktest"
 
 	"lycheevale/internal/base/event"
 	"lycheevale/internal/base/golden"
+	"lycheevale/internal/base/virtualtime"
 	"lycheevale/internal/tool/matrix"
 )
 
 func runCell(t *testing.T, cell matrix.Cell) {
 	t.Parallel()
 	folder := t.TempDir()
-	synctest.Test(t, func(t *testing.T) {
+	virtualtime.Test(t, func(t *testing.T) {
 		result, err := matrix.Run(t.Context(), cell, folder)
 		qt.Check(t, err, qt.IsNil)
 		qt.Check(t, result.Violations, qt.HasLen, 0)
@@ -127,7 +127,7 @@
 		t.Run(fmt.Sprint(seed), func(t *testing.T) {
 			t.Parallel()
 			folder := t.TempDir()
-			synctest.Test(t, func(t *testing.T) {
+			virtualtime.Test(t, func(t *testing.T) {
 				violations, steps, err := matrix.RunSchedule(t.Context(), seed, folder)
 				t.Log(steps[len(steps)-1])
 				qt.Check(t, err, qt.IsNil)
--- a/internal/tool/matrix/norace_test.go
+++ b/internal/tool/matrix/norace_test.go
@@ -7,10 +7,10 @@
 	"slices"
 	"strings"
 	"testing"
-	"testing/synctest"
 
 	qt "github.com/frankban/quicktest"
 
+	"lycheevale/internal/base/virtualtime"
 	"lycheevale/internal/node/instance"
 	"lycheevale/internal/serve/caller"
 	"lycheevale/internal/tool/matrix"
@@ -40,7 +40,7 @@
 			t.Parallel()
 			for seed := range uint64(most) {
 				folder, found := t.TempDir(), false
-				synctest.Test(t, func(t *testing.T) {
+				virtualtime.Test(t, func(t *testing.T) {
 					violations, _, err := matrix.RunSchedule(t.Context(), seed, folder, instance.WithCaller(c.off))
 					qt.Assert(t, err, qt.IsNil)
 					found = slices.ContainsFunc(violations, func(v string) bool { return strings.HasPrefix(v, c.promise) })
--- a/internal/wire/peer/peer_test.go
+++ b/internal/wire/peer/peer_test.go
@@ -12,14 +12,13 @@
 	"testing/synctest"
 	"time"
 
-	"github.com/zeebo/errs"
-
-	"lycheevale/internal/base/chain"
-
 	"github.com/frankban/quicktest"
 	"github.com/uber-go/tally/v4"
+	"github.com/zeebo/errs"
 
+	"lycheevale/internal/base/chain"
 	"lycheevale/internal/base/refusal"
+	"lycheevale/internal/base/virtualtime"
 	"lycheevale/internal/wire/peer"
 )
 
@@ -133,7 +132,7 @@
 
 // virtual runs f with nodes a, b and c in virtual time.
 func virtual(t *testing.T, mux *peer.Mux, f func(t *testing.T, w *network, nodes map[string]*peer.Node), opts ...peer.Option) {
-	synctest.Test(t, func(t *testing.T) {
+	virtualtime.Test(t, func(t *testing.T) {
 		w, nodes := newNetwork(), map[string]*peer.Node{}
 		ctx, cancel := context.WithCancel(t.Context())
 		var wg sync.WaitGroup
--- a/internal/wire/peer/stream_test.go
+++ b/internal/wire/peer/stream_test.go
@@ -12,6 +12,8 @@
 	"time"
 
 	"github.com/frankban/quicktest"
+
+	"lycheevale/internal/base/virtualtime"
 )
 
 // frame returns the frame of a message.
@@ -48,7 +50,7 @@
 	f.Add(append(frame(helloFrame), frame(`[{"jsonrpc":"2.0"}]`)...))
 	f.Add(append(frame(helloFrame), frame(`{"jsonrpc":"2.0","id":9,"result":null}`)...))
 	f.Fuzz(func(t *testing.T, data []byte) {
-		synctest.Test(t, func(t *testing.T) {
+		virtualtime.Test(t, func(t *testing.T) {
 			n := echoNode()
 			client, done := accepted(n)
 			go client.Write(data) // the node closes the link when nothing follows
@@ -67,7 +69,7 @@
 // Guards against an old link that is still served beside the one that replaced it, and against one
 // that was overtaken.
 func TestDuplicateLinks(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	virtualtime.Test(t, func(t *testing.T) {
 		c, n := quicktest.New(t), echoNode()
 		var ends []chan struct{}
 		for _, number := range []string{`"Number":2`, `"Number":3`, `"Number":1`} {
@@ -88,7 +90,7 @@
 
 // Guards against calls from a link that has not introduced itself, and connections that never do.
 func TestHelloComesFirst(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	virtualtime.Test(t, func(t *testing.T) {
 		n := echoNode()
 		client, done := accepted(n)
 		go client.Write(frame(echoFrame))
