--- a/internal/base/deployment/deployment.go
+++ b/internal/base/deployment/deployment.go
@@ -27,6 +27,7 @@
 	Losses     int              `yaml:"Losses"` // control instances whose loss at once is borne
 	Shutdown   Millis           `yaml:"ShutdownMillis"`
 	Retry      Retry            `yaml:"Retry"`
+	Rates      Rates            `yaml:"Rates"`
 	OrderLease Millis           `yaml:"OrderLeaseMillis"` // between orders of two leaders to one endpoint, where it does not check fencing numbers
 	Heartbeat  Millis           `yaml:"HeartbeatMillis"`  // between two announcements of an endpoint
 	Fencing    bool             `yaml:"EndpointsFence"`   // endpoints refuse orders with an old fencing number
@@ -48,6 +49,16 @@
 	Slack         float64 `yaml:"Slack"` // repeats in a window without requests
 }
 
+// Rates tells how far the use of a customer over all entries may exceed its rate and burst.
+type Rates struct {
+	WindowSeconds float64 `yaml:"WindowSeconds"` // over which use is counted
+	Overage       float64 `yaml:"Overage"`       // part of what the limit allows in the window
+	Slack         float64 `yaml:"Slack"`         // tokens in the window
+}
+
+// Window returns the time over which use is counted.
+func (r Rates) Window() time.Duration { return time.Duration(r.WindowSeconds * float64(time.Second)) }
+
 // Millis is a length of time in milliseconds.
 type Millis int64
 
@@ -104,6 +115,9 @@
 	if s.Retry.WindowSeconds <= 0 {
 		report("$.Retry.WindowSeconds", "WindowSeconds must be positive")
 	}
+	if s.Rates.WindowSeconds < 0 || s.Rates.Overage < 0 || s.Rates.Slack < 0 {
+		report("$.Rates", "WindowSeconds, Overage and Slack must not be negative")
+	}
 	return found
 }
 
--- a/internal/base/event/member.go
+++ b/internal/base/event/member.go
@@ -21,6 +21,7 @@
 	ControlFollowing    ID = 5015
 	ControlSilent       ID = 5016
 	AdapterPlaced       ID = 5017
+	EndpointsInherited  ID = 5018
 )
 
 var memberEvents = []Entry{
@@ -41,4 +42,5 @@
 	{ControlFollowing, slog.LevelInfo, "control instance no longer leads", "Several in a minute: check the links between control instances."},
 	{ControlSilent, slog.LevelWarn, "control instance does not answer", "None if it was stopped; otherwise check its host."},
 	{AdapterPlaced, slog.LevelInfo, "place for an adapter chosen", "None."},
+	{EndpointsInherited, slog.LevelInfo, "new leader took over endpoints that an entry knows", "None; endpoints announce themselves again."},
 }
--- a/internal/limit/quota/pool.go
+++ b/internal/limit/quota/pool.go
@@ -1,6 +1,9 @@
 package quota
 
-import "time"
+import (
+	"math"
+	"time"
+)
 
 // Limit is what a customer may use over all entries.
 type Limit struct {
@@ -8,23 +11,29 @@
 	Burst float64 // tokens
 }
 
-// Report is what an entry tells about itself: by customer, the tokens per second that its callers ask for, and the
-// share that it uses at the moment.
+// Report is what an entry tells about itself, by customer.
 type Report struct {
-	Entry  string
-	Demand map[string]float64
-	Held   map[string]float64
+	Entry string
+	Uses  map[string]Use
 }
 
-// Pool divides the rates of customers among entries by their demand. The sum of the shares that entries may be using
-// never exceeds the limit: a share grows only into what other entries have reported to use no longer. It is not safe
-// for concurrent use.
+// Tolerance is how far the use of a customer may exceed its limit.
+type Tolerance struct {
+	Window  time.Duration // over which use is counted
+	Overage float64       // part of what the limit allows in the window
+	Slack   float64       // tokens in the window
+}
+
+// Pool lends the rates of customers to entries, and divides them by demand for the time in which no leader answers. The sum of
+// the shares that entries may be using never exceeds the limit: a share grows only into what other entries have reported to use
+// no longer. It is not safe for concurrent use.
 type Pool struct {
 	options Options
 	started time.Time
 	entries map[string]*holder
 	reserve map[string]*reserve // by customer
 	totals  map[string]total    // by customer, over all entries
+	silent  map[string]float64  // shares of entries that may be using them, by customer
 }
 
 // total is kept up to date with each report, because summing all entries for each customer took most of a leader's time at
@@ -32,6 +41,7 @@
 type total struct {
 	demand    float64
 	committed float64
+	extra     float64
 }
 
 // reserve is a bucket that all entries share.
@@ -46,133 +56,173 @@
 	Lease time.Duration
 	// Gather is the time that a new pool waits for reports before a share may grow that another entry may still use.
 	Gather time.Duration
-	// Reserve is the least part of a limit that entries borrow for single requests. It serves lumps that no share fits.
-	Reserve float64
-	// Holders is the number of entries that the rest is enough for. More entries leave a larger reserve, since a share that is
-	// smaller than a request fills its bucket and then runs over.
-	Holders int
+	// AloneAfter is the silence of an entry after which it may be using its shares.
+	AloneAfter time.Duration
 	// Floor is the part of a limit that is divided evenly, so that a customer who appears at an entry is served at once.
 	Floor float64
+	// Tolerance bounds the tokens that entries hold at any moment.
+	Tolerance Tolerance
 }
 
 type holder struct {
 	heardAt time.Time
-	demand  map[string]float64
-	held    map[string]float64
-	granted map[string]float64
+	uses    map[string]Use
+	granted map[string]Grant
 }
 
 // NewPool returns a pool without entries.
 func NewPool(now time.Time, o Options) *Pool {
-	return &Pool{options: o, started: now, entries: map[string]*holder{}, reserve: map[string]*reserve{}, totals: map[string]total{}}
+	return &Pool{options: o, started: now, entries: map[string]*holder{}, reserve: map[string]*reserve{}, totals: map[string]total{}, silent: map[string]float64{}}
 }
 
 // count adds an entry to the totals, or takes it out with a negative sign.
 func (p *Pool) count(h *holder, sign float64) {
-	for customer, demand := range h.demand {
-		t := p.totals[customer]
-		t.demand += sign * demand
-		p.totals[customer] = t
-	}
-	for customer := range h.granted {
-		t := p.totals[customer]
-		t.committed += sign * h.committed(customer)
+	for customer, u := range h.uses {
+		t, g := p.totals[customer], h.granted[customer]
+		t.demand += sign * u.Demand
+		t.committed += sign * max(u.Held, g.Share)
+		t.extra += sign * (u.Extra + g.Extra)
 		p.totals[customer] = t
 	}
-	for customer, held := range h.held {
-		if _, granted := h.granted[customer]; !granted {
+	for customer, g := range h.granted {
+		if _, used := h.uses[customer]; !used {
 			t := p.totals[customer]
-			t.committed += sign * held
+			t.committed += sign * g.Share
+			t.extra += sign * g.Extra
 			p.totals[customer] = t
 		}
 	}
 }
 
-// committed is the share of a customer that the entry may be using.
-func (h *holder) committed(customer string) float64 {
-	return max(h.held[customer], h.granted[customer])
-}
-
-// Report records a report and returns the entry's shares in tokens per second.
-func (p *Pool) Report(now time.Time, r Report, limits map[string]Limit) (shares map[string]float64) {
-	p.expire(now)
+// Report records a report and returns what the entry gets.
+func (p *Pool) Report(now time.Time, r Report, limits map[string]Limit) (grants map[string]Grant) {
 	h := p.entries[r.Entry]
 	if h == nil {
 		h = &holder{}
 		p.entries[r.Entry] = h
 	}
+	h.heardAt = now
+	p.expire(now)
 	p.count(h, -1)
-	h.heardAt, h.demand, h.held, h.granted = now, r.Demand, r.Held, nil
-	shares = make(map[string]float64, len(limits))
+	h.uses, h.granted = r.Uses, nil
+	grants = make(map[string]Grant, len(limits))
 	for customer, limit := range limits {
 		if limit.Rate <= 0 {
 			continue
 		}
-		limit.Rate *= 1 - p.reserved()
-		shares[customer] = p.share(now, r.Entry, customer, limit)
+		grants[customer] = Grant{
+			Share: math.Floor(p.share(now, h, customer, limit)), Extra: math.Floor(p.topUp(now, h, customer, limit)),
+		}
 	}
-	h.granted = shares
+	h.granted = grants
 	p.count(h, 1)
-	return shares
+	return grants
 }
 
-func (p *Pool) share(now time.Time, entry, customer string, limit Limit) float64 {
-	h := p.entries[entry]
-	t := p.totals[customer] // without this entry
-	demand, others := max(t.demand, 0)+h.demand[customer], max(t.committed, 0)
-	target := limit.Rate / float64(len(p.entries))
+func (p *Pool) share(now time.Time, h *holder, customer string, limit Limit) float64 {
+	t, u := p.totals[customer], h.uses[customer] // t is without this entry
+	rate := limit.Rate * sharedPart
+	demand := max(t.demand, 0) + u.Demand
+	target := rate / float64(len(p.entries))
 	if demand > 0 {
-		even := p.options.Floor * target
-		target = even + (1-p.options.Floor)*limit.Rate*h.demand[customer]/demand
+		target = p.options.Floor*target + (1-p.options.Floor)*rate*u.Demand/demand
 	}
-	free := max(limit.Rate-others, 0)
+	free := max(rate-max(t.committed, 0), 0)
 	if now.Sub(p.started) < p.options.Gather {
 		// Entries that have not reported yet may use shares of the leader before.
-		free = min(free, max(h.held[customer], limit.Rate*newcomerShare))
+		free = min(free, max(u.Held, rate*newcomerShare))
 	}
 	return min(target, free)
 }
 
-// newcomerShare lets an entry without shares serve something while the pool still gathers reports.
-const newcomerShare = 0.02
-
-// reserved is the part of every limit that is in reserve. It grows at once with the number of entries, so that shares are lower
-// before more is lent; it shrinks with it only when entries have left for a lease.
-func (p *Pool) reserved() float64 {
-	if p.options.Holders == 0 {
-		return p.options.Reserve
+const (
+	// sharedPart is the part of a limit that entries divide for the time in which no leader answers; the rest is for the leader
+	// that does not know yet who is alone.
+	sharedPart = 0.9
+	// newcomerShare lets an entry without shares serve something while the pool still gathers reports.
+	newcomerShare = 0.02
+	// topUpLevel is the part of the reserve that stays for single requests.
+	topUpLevel = 0.5
+	// extraPart is the part of the tolerance that the tokens at entries may fill; the rest is for shares that change.
+	extraPart = 0.8
+	// heldPart is the part of the burst that entries may hold in the place of the reserve.
+	heldPart = 0.5
+)
+
+// topUp takes from the reserve what an entry misses.
+func (p *Pool) topUp(now time.Time, h *holder, customer string, limit Limit) float64 {
+	t, u := p.totals[customer], h.uses[customer] // t is without this entry
+	if u.Missing <= 0 {
+		return 0
 	}
-	return max(p.options.Reserve, 1-float64(p.options.Holders)/float64(max(len(p.entries), 1)))
+	b, most := p.fill(now, customer, limit)
+	room := p.options.Tolerance.room(limit) + heldPart*limit.Burst
+	part := max(room*u.Demand/max(max(t.demand, 0)+u.Demand, 1), u.Request)
+	grant := max(min(u.Missing, part-u.Extra, room-max(t.extra, 0)-u.Extra, b.level-topUpLevel*most), 0)
+	b.level -= grant
+	return grant
 }
 
-// Borrow admits one request from the reserve, or returns the time at which it may come back. A new pool begins with empty
-// reserves, since the leader before may have lent them.
-func (p *Pool) Borrow(now time.Time, customer string, cost float64, limit Limit) (retryAt time.Time, admitted bool) {
-	if limit.Rate <= 0 {
-		return time.Time{}, true
-	}
-	part := p.reserved()
-	rate, most := limit.Rate*part, limit.Burst*part
+// room is the number of a customer's tokens that all entries may hold beside its burst.
+func (t Tolerance) room(l Limit) float64 {
+	return extraPart * (t.Overage*(l.Rate*t.Window.Seconds()+l.Burst) + t.Slack)
+}
+
+func (p *Pool) bucket(customer string) *reserve {
 	b := p.reserve[customer]
 	if b == nil {
+		// A new pool begins with empty reserves, since the leader before may have lent them.
 		b = &reserve{at: p.started}
 		p.reserve[customer] = b
 	}
-	b.level = min(b.level+rate*now.Sub(b.at).Seconds(), most)
+	return b
+}
+
+// fill returns the reserve of a customer and the tokens that fit it.
+func (p *Pool) fill(now time.Time, customer string, limit Limit) (b *reserve, most float64) {
+	b = p.bucket(customer)
+	most = limit.Burst - max(p.totals[customer].extra-p.options.Tolerance.room(limit), 0)
+	b.level = min(b.level+p.lendable(now, customer, limit)*now.Sub(b.at).Seconds(), most)
 	b.at = now
-	need := min(cost, most)
+	return b, most
+}
+
+// lendable is the rate that no entry may be using by itself, in tokens per second.
+func (p *Pool) lendable(now time.Time, customer string, limit Limit) float64 {
+	rate := limit.Rate - p.silent[customer]
+	if now.Sub(p.started) < p.options.Gather {
+		// What entries that have not reported yet may use is what the others do not hold.
+		rate -= max(limit.Rate*sharedPart-max(p.totals[customer].committed, 0), 0)
+	}
+	return max(rate, (1-sharedPart)*limit.Rate)
+}
+
+// Borrow admits one request from the reserve, or returns the time at which it may come back.
+func (p *Pool) Borrow(now time.Time, customer string, cost float64, limit Limit) (retryAt time.Time, admitted bool) {
+	if limit.Rate <= 0 {
+		return time.Time{}, true
+	}
+	b, most := p.fill(now, customer, limit)
+	need := min(cost, max(most, 0))
 	if b.level >= need {
 		b.level -= cost
 		return time.Time{}, true
 	}
-	return now.Add(time.Duration((need - b.level) / rate * float64(time.Second))), false
+	return now.Add(time.Duration((need - b.level) / p.lendable(now, customer, limit) * float64(time.Second))), false
 }
 
+// expire forgets entries that have stopped using their shares, and sums up the shares of those that may be using them.
 func (p *Pool) expire(now time.Time) {
+	clear(p.silent)
 	for name, h := range p.entries {
-		if now.Sub(h.heardAt) >= p.options.Lease {
+		switch age := now.Sub(h.heardAt); {
+		case age >= p.options.Lease:
 			p.count(h, -1)
 			delete(p.entries, name)
+		case age >= p.options.AloneAfter:
+			for customer, g := range h.granted {
+				p.silent[customer] += max(g.Share, h.uses[customer].Held)
+			}
 		}
 	}
 }
--- a/internal/limit/quota/quota_test.go
+++ b/internal/limit/quota/quota_test.go
@@ -13,7 +13,11 @@
 
 var epoch = time.Unix(1_800_000_000, 0)
 
-var options = quota.Options{Lease: 30 * time.Second, Gather: 1500 * time.Millisecond, Floor: 0.25}
+// options are the settings of a leader on the users' platform.
+var options = quota.Options{
+	Lease: 30 * time.Second, Gather: 1500 * time.Millisecond, Floor: 0.25, AloneAfter: 800 * time.Millisecond,
+	Tolerance: quota.Tolerance{Window: 8 * time.Second, Overage: 0.1, Slack: 17_000},
+}
 
 // fleet is a leader with entries that report in turn.
 type fleet struct {
@@ -23,7 +27,10 @@
 	now     time.Time
 }
 
-const interval = 200 * time.Millisecond
+const (
+	interval   = 200 * time.Millisecond
+	aloneAfter = time.Second
+)
 
 func newFleet(entries int, limit quota.Limit) *fleet {
 	f := &fleet{pool: quota.NewPool(epoch, options), limits: map[string]quota.Limit{"c": limit}, now: epoch}
@@ -35,17 +42,16 @@
 
 // report lets an entry report; its answer is lost if delivered is false.
 func (f *fleet) report(i int, delivered bool) {
-	demand, held := f.wallets[i].Report(f.now, interval)
-	shares := f.pool.Report(f.now, quota.Report{Entry: fmt.Sprint(i), Demand: demand, Held: held}, f.limits)
+	grants := f.pool.Report(f.now, quota.Report{Entry: fmt.Sprint(i), Uses: f.wallets[i].Report(f.now, interval)}, f.limits)
 	if delivered {
-		f.wallets[i].Grant(f.now, f.now.Add(options.Lease), shares, f.limits)
+		terms := quota.Terms{AloneFrom: f.now.Add(aloneAfter), Expires: f.now.Add(options.Lease)}
+		f.wallets[i].Grant(f.now, terms, grants, f.limits)
 	}
 }
 
 func (f *fleet) held() (sum float64) {
 	for _, w := range f.wallets {
-		_, held := w.Report(f.now, 0)
-		sum += held["c"]
+		sum += w.Report(f.now, 0)["c"].Held
 	}
 	return sum
 }
@@ -126,65 +132,140 @@
 	c.Check(admitted, quicktest.IsFalse)
 }
 
-// Guards against a time to come back at which the request is refused again.
+// Guards against a time to come back at which the request is refused again, by the leader or by an entry that is alone.
 func TestRetryAtIsEnough(t *testing.T) {
 	c := quicktest.New(t)
+	const cost = 60
 	f := newFleet(1, quota.Limit{Rate: 100, Burst: 100})
 	for range 20 {
 		f.now = f.now.Add(interval)
 		f.report(0, true)
 	}
-	for {
-		if retryAt, admitted := f.wallets[0].Take(f.now, "c", 60); !admitted {
-			_, admitted = f.wallets[0].Take(retryAt.Add(time.Millisecond), "c", 60)
-			c.Check(admitted, quicktest.IsTrue)
-			return
+	for admitted := true; admitted; {
+		var retryAt time.Time
+		if retryAt, admitted = f.pool.Borrow(f.now, "c", cost, f.limits["c"]); !admitted {
+			_, again := f.pool.Borrow(retryAt.Add(time.Millisecond), "c", cost, f.limits["c"])
+			c.Check(again, quicktest.IsTrue)
+		}
+	}
+	f.now = f.now.Add(aloneAfter + interval)
+	for admitted := true; admitted; {
+		var retryAt time.Time
+		if retryAt, admitted = f.wallets[0].Take(f.now, "c", cost); !admitted {
+			_, again := f.wallets[0].Take(retryAt.Add(time.Millisecond), "c", cost)
+			c.Check(again, quicktest.IsTrue)
 		}
 	}
 }
 
-// lumpy plays a customer whose requests are large beside a second of an entry's share, and returns the part that is refused.
-func lumpy(entries int, limit quota.Limit, perSecond float64, o quota.Options) float64 {
+// load is a customer's demand on a fleet.
+type load struct {
+	entries   int
+	limit     quota.Limit
+	perSecond float64 // requests
+	// leads tells whether a leader answers at a time since the start; nil for always.
+	leads func(at time.Duration) bool
+}
+
+// outcome counts requests; those of the first seconds, in which shares are found, are left out.
+type outcome struct {
+	asked, refused, borrowed float64
+	admitted                 []float64 // tokens, by interval
+}
+
+const warmUp = 5 * time.Second
+
+// play serves a load for a time. A leader that comes back is a new one.
+func (l load) play(length time.Duration) (o outcome) {
 	random := rand.New(rand.NewPCG(3, 3))
-	f := newFleet(entries, limit)
-	f.pool = quota.NewPool(epoch, o)
-	asked, refused := 0, 0
-	for f.now.Before(epoch.Add(60 * time.Second)) {
-		f.now = f.now.Add(interval)
-		for i := range f.wallets {
-			if random.Float64() < perSecond*interval.Seconds()/float64(entries) {
+	f := newFleet(l.entries, l.limit)
+	f.pool = quota.NewPool(epoch, options)
+	led := true
+	for at := interval; at < length; at += interval {
+		f.now = epoch.Add(at)
+		leads := l.leads == nil || l.leads(at)
+		if leads && !led {
+			f.pool = quota.NewPool(f.now, options)
+		}
+		led = leads
+		tokens := 0.0
+		for i, w := range f.wallets {
+			for n := random.Float64() + l.perSecond*interval.Seconds()/float64(l.entries); n >= 1; n-- {
 				cost := 300 + 3000*random.Float64()
-				_, admitted := f.wallets[i].Take(f.now, "c", cost)
-				if !admitted {
-					_, admitted = f.pool.Borrow(f.now, "c", cost, limit)
+				_, admitted := w.Take(f.now, "c", cost)
+				if !admitted && leads {
+					o.borrowed++
+					_, admitted = f.pool.Borrow(f.now, "c", cost, l.limit)
+				}
+				if admitted {
+					tokens += cost
 				}
-				if f.now.After(epoch.Add(5 * time.Second)) {
-					asked++
+				if at > warmUp {
+					o.asked++
 					if !admitted {
-						refused++
+						o.refused++
 					}
 				}
 			}
-			f.report(i, true)
+			if leads {
+				f.report(i, true)
+			}
 		}
+		o.admitted = append(o.admitted, tokens)
 	}
-	return float64(refused) / float64(asked)
+	return o
 }
 
 // Pattern: a calm customer at two thirds of its rate on nine entries. Guards against refusing it although its rate is not
 // used.
 func TestLumpyRequestsBelowRateAreAdmitted(t *testing.T) {
-	lending := options
-	lending.Reserve, lending.Holders = 0.6, 4
-	part := lumpy(9, quota.Limit{Rate: 30_000, Burst: 30_000}, 11, lending)
-	quicktest.New(t).Check(part < 0.01, quicktest.IsTrue, quicktest.Commentf("%.3f refused", part))
+	o := load{entries: 9, limit: quota.Limit{Rate: 30_000, Burst: 30_000}, perSecond: 11}.play(time.Minute)
+	quicktest.New(t).Check(o.refused < 0.01*o.asked, quicktest.IsTrue, quicktest.Commentf("%.0f of %.0f refused", o.refused, o.asked))
 }
 
 // Pattern: a customer at nine tenths of its rate on 75 entries, each of which sees one of its requests in two seconds. Guards
 // against shares that run over while the customer is refused, as seen on the grown deployment.
 func TestManyEntriesShareOneRate(t *testing.T) {
-	lending := options
-	lending.Reserve, lending.Holders = 0.6, 4
-	part := lumpy(75, quota.Limit{Rate: 80_000, Burst: 80_000}, 40, lending)
-	quicktest.New(t).Check(part < 0.01, quicktest.IsTrue, quicktest.Commentf("%.3f refused", part))
+	o := load{entries: 75, limit: quota.Limit{Rate: 80_000, Burst: 80_000}, perSecond: 40}.play(time.Minute)
+	quicktest.New(t).Check(o.refused < 0.01*o.asked, quicktest.IsTrue, quicktest.Commentf("%.0f of %.0f refused", o.refused, o.asked))
+}
+
+// Pattern: a large customer at six tenths of its rate on 75 entries. Guards against a question to the leader for each request,
+// as seen on the grown deployment, where the leader answered them too late.
+func TestMostRequestsNeedNoQuestion(t *testing.T) {
+	o := load{entries: 75, limit: quota.Limit{Rate: 200_000, Burst: 200_000}, perSecond: 67}.play(time.Minute)
+	c := quicktest.New(t)
+	c.Check(o.borrowed < 0.5*o.asked, quicktest.IsTrue, quicktest.Commentf("%.0f of %.0f borrowed", o.borrowed, o.asked))
+	c.Check(o.refused < 0.01*o.asked, quicktest.IsTrue, quicktest.Commentf("%.0f of %.0f refused", o.refused, o.asked))
+}
+
+// Pattern: all control instances lose power, and for four seconds no leader answers, nor has a new one anything to lend. Guards
+// against refusing most of a customer that is well below its rate, as seen on the grown deployment.
+func TestEntriesServeWithoutLeader(t *testing.T) {
+	gone := func(at time.Duration) bool { return at < 10*time.Second || at >= 14*time.Second }
+	l := load{entries: 75, limit: quota.Limit{Rate: 200_000, Burst: 200_000}, perSecond: 67, leads: gone}
+	o := l.play(16 * time.Second)
+	before := load{entries: 75, limit: l.limit, perSecond: 67}.play(10 * time.Second)
+	refused, asked := o.refused-before.refused, o.asked-before.asked
+	quicktest.New(t).Check(refused < 0.5*asked, quicktest.IsTrue, quicktest.Commentf("%.0f of %.0f refused", refused, asked))
+}
+
+// Pattern: a customer sends seven times its rate while leaders come and go. Guards against QUOTA: in no window is more admitted
+// than the limit and the tolerance allow, also where a share is far smaller than a request.
+func TestHotCustomerStaysWithinTolerance(t *testing.T) {
+	for _, rate := range []float64{4_200, 40_000, 200_000} {
+		limit := quota.Limit{Rate: rate, Burst: rate}
+		leads := func(at time.Duration) bool { return at%(9*time.Second) < 6*time.Second }
+		o := load{entries: 75, limit: limit, perSecond: 7 * rate / 1800, leads: leads}.play(time.Minute)
+		tolerance := options.Tolerance
+		most := (rate*tolerance.Window.Seconds()+limit.Burst)*(1+tolerance.Overage) + tolerance.Slack
+		steps := int(tolerance.Window / interval)
+		for first := 0; first+steps <= len(o.admitted); first++ {
+			sum := 0.0
+			for _, tokens := range o.admitted[first : first+steps] {
+				sum += tokens
+			}
+			quicktest.New(t).Assert(sum <= most, quicktest.IsTrue, quicktest.Commentf("rate %.0f: %.0f of %.0f", rate, sum, most))
+		}
+	}
 }
--- /dev/null
+++ b/internal/member/report/encoding.go
@@ -0,0 +1,48 @@
+package report
+
+import (
+	"encoding/json"
+
+	"github.com/fxamacker/cbor/v2"
+	"github.com/zeebo/errs"
+)
+
+// Error is the class of errors of this package.
+var Error = errs.Class("report")
+
+// Reports and updates are the most frequent and largest messages of a deployment. They travel as CBOR inside the JSON of the
+// links, because JSON took over half of a leader's processor time at 75 entries.
+
+type plainEntry Entry
+
+// MarshalJSON implements json.Marshaler.
+func (e Entry) MarshalJSON() ([]byte, error) { return encode(plainEntry(e)) }
+
+// UnmarshalJSON implements json.Unmarshaler.
+func (e *Entry) UnmarshalJSON(data []byte) error { return decode(data, (*plainEntry)(e)) }
+
+type plainUpdate Update
+
+// MarshalJSON implements json.Marshaler.
+func (u Update) MarshalJSON() ([]byte, error) { return encode(plainUpdate(u)) }
+
+// UnmarshalJSON implements json.Unmarshaler.
+func (u *Update) UnmarshalJSON(data []byte) error { return decode(data, (*plainUpdate)(u)) }
+
+func encode(v any) (data []byte, err error) {
+	defer func() { err = Error.Wrap(err) }()
+	packed, err := cbor.Marshal(v)
+	if err != nil {
+		return nil, err
+	}
+	return json.Marshal(packed)
+}
+
+func decode(data []byte, v any) (err error) {
+	defer func() { err = Error.Wrap(err) }()
+	var packed []byte
+	if err := json.Unmarshal(data, &packed); err != nil {
+		return err
+	}
+	return cbor.Unmarshal(packed, v)
+}
--- /dev/null
+++ b/internal/member/report/encoding_test.go
@@ -0,0 +1,63 @@
+package report_test
+
+import (
+	"encoding/json"
+	"net/netip"
+	"testing"
+
+	"github.com/frankban/quicktest"
+	"github.com/google/go-cmp/cmp"
+
+	"lycheevale/internal/limit/quota"
+	"lycheevale/internal/member/report"
+	"lycheevale/internal/place/residency"
+)
+
+var (
+	holding = residency.Holding{Adapter: residency.Adapter{Model: "m", Name: "a7"}, Version: 3}
+	entry   = report.Entry{
+		Name: "edge-1", DataCentre: "east", Term: 4, Directory: 6, Placement: 9, Active: map[string]int{"i-1": 2},
+		Uses:      []residency.Use{{Endpoint: "i-1", Adapter: holding.Adapter, Count: 3, Active: 2}},
+		Customers: map[string]quota.Use{"c": {Demand: 120, Held: 30, Extra: 400, Missing: 1000, Request: 700}},
+	}
+	update = report.Update{
+		Leading: true, Term: 4, Document: 7, Content: json.RawMessage(`{"version":7}`), Directory: 6, Running: []int{2, 0},
+		Endpoints: []report.Endpoint{{
+			ID: "i-1", Service: "s", DataCentre: "east", Address: netip.MustParseAddrPort("10.0.0.1:80"), Slots: 4, Models: []string{"m"},
+		}},
+		Events: []residency.Event{{Endpoint: "i-1", Holding: holding, Gone: true}},
+		Grants: map[string]quota.Grant{"c": {Share: 30, Extra: 1000}},
+	}
+)
+
+// Guards against a field that is lost on its way between entries and the leader.
+func TestEncoding(t *testing.T) {
+	c := quicktest.New(t)
+	data, err := json.Marshal(entry)
+	c.Assert(err, quicktest.IsNil)
+	var e report.Entry
+	c.Assert(json.Unmarshal(data, &e), quicktest.IsNil)
+	c.Check(e, quicktest.DeepEquals, entry)
+	data, err = json.Marshal(update)
+	c.Assert(err, quicktest.IsNil)
+	var u report.Update
+	c.Assert(json.Unmarshal(data, &u), quicktest.IsNil)
+	c.Check(u, quicktest.CmpEquals(cmp.Comparer(func(a, b netip.AddrPort) bool { return a == b })), update)
+}
+
+// Guards against a message that stops an instance.
+func FuzzDecode(f *testing.F) {
+	for _, v := range []any{entry, update} {
+		data, err := json.Marshal(v)
+		if err != nil {
+			f.Fatal(err)
+		}
+		f.Add(data)
+	}
+	f.Fuzz(func(_ *testing.T, data []byte) {
+		var e report.Entry
+		var u report.Update
+		_ = json.Unmarshal(data, &e)
+		_ = json.Unmarshal(data, &u)
+	})
+}
--- a/internal/member/report/report.go
+++ b/internal/member/report/report.go
@@ -6,6 +6,7 @@
 	"encoding/json"
 	"net/netip"
 
+	"lycheevale/internal/limit/quota"
 	"lycheevale/internal/place/residency"
 )
 
@@ -21,54 +22,66 @@
 
 // Entry is the report of an entry.
 type Entry struct {
-	Name       string             `json:"Name"`
-	DataCentre string             `json:"DataCentre"`
-	Term       uint64             `json:"Term,omitempty"`     // of the leader that Placement counts for
-	Document   uint64             `json:"Document,omitempty"` // version in effect
-	Adapters   uint64             `json:"Adapters,omitempty"` // changes of adapter versions known
-	Directory  uint64             `json:"Directory,omitempty"`
-	Placement  uint64             `json:"Placement,omitempty"` // next event of the placement
-	Active     map[string]int     `json:"Active,omitempty"`    // requests that run, by endpoint
-	Uses       []residency.Use    `json:"Uses,omitempty"`
-	Demand     map[string]float64 `json:"Demand,omitempty"` // tokens per second, by customer
-	Held       map[string]float64 `json:"Held,omitempty"`   // shares in use, tokens per second
+	Name       string               `json:"Name"`
+	DataCentre string               `json:"DataCentre"`
+	Term       uint64               `json:"Term,omitempty"`     // of the leader that Placement counts for
+	Document   uint64               `json:"Document,omitempty"` // version in effect
+	Adapters   uint64               `json:"Adapters,omitempty"` // changes of adapter versions known
+	Directory  uint64               `json:"Directory,omitempty"`
+	Placement  uint64               `json:"Placement,omitempty"` // next event of the placement
+	Active     map[string]int       `json:"Active,omitempty"`    // requests that run, by endpoint
+	Uses       []residency.Use      `json:"Uses,omitempty"`
+	Customers  map[string]quota.Use `json:"Customers,omitempty"`
+	Known      []Known              `json:"Known,omitempty"` // if the leader has asked to be told
+}
+
+// Known is what an entry knows of an endpoint from an earlier leader.
+type Known struct {
+	Endpoint Endpoint            `json:"Endpoint"`
+	Holdings []residency.Holding `json:"Holdings,omitempty"`
 }
 
 // Update answers an Entry. Parts that the entry has already are left out.
 type Update struct {
-	Leading      bool               `json:"Leading"`
-	Leader       string             `json:"Leader,omitempty"` // if another instance leads
-	Instances    []string           `json:"Instances,omitempty"`
-	Term         uint64             `json:"Term,omitempty"`
-	Document     uint64             `json:"Document,omitempty"`
-	Content      json.RawMessage    `json:"Content,omitempty"`
-	AdapterCount uint64             `json:"AdapterCount,omitempty"`
-	Adapters     []Version          `json:"Adapters,omitempty"` // all of them
-	Directory    uint64             `json:"Directory,omitempty"`
-	Endpoints    []Endpoint         `json:"Endpoints,omitempty"` // all of them, if Directory has changed
-	Partial      bool               `json:"Partial,omitempty"`   // a new leader may not know all endpoints yet
-	Placement    uint64             `json:"Placement,omitempty"`
-	Reset        bool               `json:"Reset,omitempty"` // Events replace everything
-	Events       []residency.Event  `json:"Events,omitempty"`
-	Others       map[string]int     `json:"Others,omitempty"` // requests of other entries, by endpoint
-	Shares       map[string]float64 `json:"Shares,omitempty"`
-	Entries      int                `json:"Entries,omitempty"`
-	EveryMillis  int64              `json:"EveryMillis,omitempty"` // time between two reports
+	Leading      bool                   `json:"Leading"`
+	Leader       string                 `json:"Leader,omitempty"` // if another instance leads
+	Instances    []string               `json:"Instances,omitempty"`
+	Term         uint64                 `json:"Term,omitempty"`
+	Document     uint64                 `json:"Document,omitempty"`
+	Content      json.RawMessage        `json:"Content,omitempty"`
+	AdapterCount uint64                 `json:"AdapterCount,omitempty"`
+	Adapters     []Version              `json:"Adapters,omitempty"` // all of them
+	Directory    uint64                 `json:"Directory,omitempty"`
+	Endpoints    []Endpoint             `json:"Endpoints,omitempty"` // all of them, if Directory has changed
+	Partial      bool                   `json:"Partial,omitempty"`   // a new leader may not know all endpoints yet
+	Tell         bool                   `json:"Tell,omitempty"`      // the next report is to hold what the entry knows of endpoints
+	Placement    uint64                 `json:"Placement,omitempty"`
+	Reset        bool                   `json:"Reset,omitempty"` // Events replace everything
+	Events       []residency.Event      `json:"Events,omitempty"`
+	Running      []int                  `json:"Running,omitempty"` // requests that run at each endpoint, in the order of the list of Directory
+	Grants       map[string]quota.Grant `json:"Grants,omitempty"`  // by customer
+	Entries      int                    `json:"Entries,omitempty"`
+	EveryMillis  int64                  `json:"EveryMillis,omitempty"` // time between two reports
 }
 
 // Version is the newest version of an adapter.
 type Version struct {
+	_ struct{} `cbor:",toarray"`
+
 	residency.Adapter
 	Version int `json:"Version"`
 }
 
 // Endpoint is what entries know of an endpoint.
 type Endpoint struct {
+	_ struct{} `cbor:",toarray"`
+
 	ID         string         `json:"ID"`
 	Service    string         `json:"Service"`
 	DataCentre string         `json:"DataCentre"`
 	Address    netip.AddrPort `json:"Address"`
 	Slots      int            `json:"Slots"`
+	Born       int64          `json:"Born"` // Unix milliseconds of the start of its life
 	Leaving    bool           `json:"Leaving,omitempty"`
 	Models     []string       `json:"Models,omitempty"`
 }
@@ -91,15 +104,15 @@
 	InMillis int64  `json:"InMillis,omitempty"` // milliseconds from the answer until requests can be sent
 }
 
-// Loan asks the leader to admit one request of a customer.
+// Loan asks the leader to admit requests of a customer.
 type Loan struct {
-	Customer string  `json:"Customer"`
-	Tokens   float64 `json:"Tokens"`
+	Customer string    `json:"Customer"`
+	Requests []float64 `json:"Requests"` // tokens of each
 }
 
 // Lent answers Loan.
 type Lent struct {
-	Leading  bool  `json:"Leading"`
-	Admitted bool  `json:"Admitted,omitempty"`
-	InMillis int64 `json:"InMillis,omitempty"` // milliseconds until the customer may come back
+	Leading  bool   `json:"Leading"`
+	Admitted []bool `json:"Admitted,omitempty"` // in the order of Loan.Requests
+	InMillis int64  `json:"InMillis,omitempty"` // milliseconds until those that were not admitted may come back
 }
--- a/internal/member/roster/roster.go
+++ b/internal/member/roster/roster.go
@@ -42,7 +42,8 @@
 
 type entry struct {
 	Announcement
-	heardAt time.Time
+	heardAt   time.Time
+	inherited bool // it has not announced itself yet
 }
 
 // Options are the settings of a Roster.
@@ -108,7 +109,7 @@
 	if p, ended := r.ended[a.ID]; ended && a.Born <= p.born {
 		return false, ErrOutdated
 	}
-	if old != nil && (a.Born < old.Born || (a.Born == old.Born && a.Sequence <= old.Sequence)) {
+	if old != nil && (a.Born < old.Born || (a.Born == old.Born && a.Sequence <= old.Sequence && !old.inherited)) {
 		return false, ErrOutdated
 	}
 	if other := r.entries[r.byPlace[a.Address]]; other != nil && other.ID != a.ID {
@@ -127,6 +128,31 @@
 	return old == nil || !same(old.Announcement, a), nil
 }
 
+// Inherit records an endpoint that an earlier leader has listed, until it announces itself. It tells whether nothing newer is
+// known.
+func (r *Roster) Inherit(now time.Time, a Announcement) bool {
+	_, taken := r.byPlace[a.Address]
+	p, ended := r.ended[a.ID]
+	if a.check() != nil || a.Gone || r.entries[a.ID] != nil || taken || (ended && a.Born <= p.born) || len(r.entries) >= r.options.Most {
+		return false
+	}
+	r.store(now, a, nil)
+	r.entries[a.ID].inherited = true
+	return true
+}
+
+// Disown drops an endpoint that was inherited and has not announced itself. It tells whether it did so.
+func (r *Roster) Disown(id string) bool {
+	e := r.entries[id]
+	if e == nil || !e.inherited {
+		return false
+	}
+	delete(r.entries, id)
+	delete(r.byPlace, e.Address)
+	r.revision++
+	return true
+}
+
 // same compares what entries know of an endpoint.
 func same(a, b Announcement) bool {
 	return a.Service == b.Service && a.DataCentre == b.DataCentre && a.Address == b.Address && a.Born == b.Born &&
@@ -204,7 +230,7 @@
 	for _, e := range r.entries {
 		list = append(list, report.Endpoint{
 			ID: e.ID, Service: e.Service, DataCentre: e.DataCentre, Address: e.Address, Slots: e.Slots,
-			Leaving: e.Leaving, Models: e.Models,
+			Born: e.Born, Leaving: e.Leaving, Models: e.Models,
 		})
 	}
 	slices.SortFunc(list, func(a, b report.Endpoint) int { return strings.Compare(a.ID, b.ID) })
--- a/internal/member/roster/roster_test.go
+++ b/internal/member/roster/roster_test.go
@@ -114,3 +114,28 @@
 		c.Check(errs.Is(err, roster.ErrInvalid), quicktest.IsTrue)
 	}
 }
+
+// Guards against an inherited endpoint that stays without announcing itself, or replaces something newer.
+func TestInheritedEndpointHasToAnnounceItself(t *testing.T) {
+	c := quicktest.New(t)
+	r := roster.New(roster.Defaults())
+	c.Check(r.Inherit(epoch, announcement("a", 5, 7)), quicktest.IsTrue)
+	c.Check(r.Inherit(epoch, announcement("b", 6, 1)), quicktest.IsFalse, quicktest.Commentf("its address is taken"))
+	_, err := r.Announce(epoch, announcement("a", 4, 9))
+	c.Check(errs.Is(err, roster.ErrOutdated), quicktest.IsTrue)
+	_, err = r.Announce(epoch, announcement("a", 5, 2))
+	c.Check(err, quicktest.IsNil)
+	c.Check(r.Disown("a"), quicktest.IsFalse)
+
+	r = roster.New(roster.Defaults())
+	c.Check(r.Inherit(epoch, announcement("a", 5, 7)), quicktest.IsTrue)
+	c.Check(r.Expire(epoch.Add(roster.Defaults().Silence)), quicktest.DeepEquals, []string{"a"})
+
+	_, err = r.Announce(epoch, announcement("a", 5, 3))
+	c.Assert(err, quicktest.IsNil)
+	gone := announcement("a", 5, 0)
+	gone.Gone = true
+	_, err = r.Announce(epoch, gone)
+	c.Assert(err, quicktest.IsNil)
+	c.Check(r.Inherit(epoch, announcement("a", 5, 7)), quicktest.IsFalse, quicktest.Commentf("that life has ended"))
+}
--- a/internal/member/view/view.go
+++ b/internal/member/view/view.go
@@ -27,7 +27,8 @@
 	services  map[string][]report.Endpoint
 	holders   map[residency.Adapter]map[string]int // version by endpoint
 	versions  map[residency.Adapter]int
-	others    map[string]int
+	order     []string       // endpoints in the order of the leader's list
+	running   map[string]int // requests that all entries run, by endpoint
 }
 
 // New returns an empty view.
@@ -75,9 +76,9 @@
 		c.Document = true
 	}
 	v.entries = max(u.Entries, 1)
-	v.others = u.Others
 	v.applyVersions(u)
 	c.Directory, c.Removed = v.applyDirectory(u)
+	v.applyRunning(u)
 	v.applyPlacement(u)
 	v.term = u.Term
 	return c, nil
@@ -98,7 +99,12 @@
 		return false, nil
 	}
 	endpoints, services := map[string]report.Endpoint{}, map[string][]report.Endpoint{}
+	v.order = nil
 	for _, e := range u.Endpoints {
+		v.order = append(v.order, e.ID)
+		if old, known := v.endpoints[e.ID]; known && old.Leaving && old.Born == e.Born {
+			e.Leaving = true // a new leader may not know yet
+		}
 		endpoints[e.ID] = e
 		services[e.Service] = append(services[e.Service], e)
 	}
@@ -117,6 +123,17 @@
 	return true, removed
 }
 
+// applyRunning takes over the use of endpoints, which is counted in the order of the list.
+func (v *View) applyRunning(u report.Update) {
+	if len(u.Running) != len(v.order) {
+		return // it belongs to another list, and the next update brings both
+	}
+	v.running = make(map[string]int, len(v.order))
+	for i, id := range v.order {
+		v.running[id] = u.Running[i]
+	}
+}
+
 func (v *View) applyPlacement(u report.Update) {
 	if u.Reset {
 		v.resetHolders(u)
@@ -209,6 +226,24 @@
 	return e, ok && !e.Leaving
 }
 
+// Tell returns what is known of the endpoints that accept work.
+func (v *View) Tell() (list []report.Known) {
+	v.mu.RLock()
+	defer v.mu.RUnlock()
+	holdings := map[string][]residency.Holding{}
+	for a, held := range v.holders {
+		for id, version := range held {
+			holdings[id] = append(holdings[id], residency.Holding{Adapter: a, Version: version})
+		}
+	}
+	for id, e := range v.endpoints {
+		if !e.Leaving {
+			list = append(list, report.Known{Endpoint: e, Holdings: holdings[id]})
+		}
+	}
+	return list
+}
+
 // Known tells whether an endpoint is in the directory, leaving or not.
 func (v *View) Known(id string) bool {
 	v.mu.RLock()
@@ -233,9 +268,9 @@
 	return list, version
 }
 
-// Others returns the requests of other entries at an endpoint.
-func (v *View) Others(id string) int {
+// Running returns the requests of all entries at an endpoint, as of the last update.
+func (v *View) Running(id string) int {
 	v.mu.RLock()
 	defer v.mu.RUnlock()
-	return v.others[id]
+	return v.running[id]
 }
--- /dev/null
+++ b/internal/member/view/view_test.go
@@ -0,0 +1,48 @@
+package view_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/frankban/quicktest"
+
+	"lycheevale/internal/member/report"
+	"lycheevale/internal/member/view"
+	"lycheevale/internal/state/document"
+)
+
+func none([]byte) (document.Document, error) { return document.Document{}, nil }
+
+// Guards against use that is taken for that of another endpoint: it is counted in the order of a list that may have changed.
+func TestRunningFollowsItsList(t *testing.T) {
+	c := quicktest.New(t)
+	v := view.New()
+	apply := func(u report.Update) {
+		_, err := v.Apply(time.Now(), u, none)
+		c.Assert(err, quicktest.IsNil)
+	}
+	apply(report.Update{Term: 1, Directory: 2, Endpoints: []report.Endpoint{{ID: "a"}, {ID: "b"}}, Running: []int{3, 5}})
+	c.Check(v.Running("b"), quicktest.Equals, 5)
+	apply(report.Update{Term: 1, Directory: 2, Running: []int{4, 0}})
+	c.Check(v.Running("a"), quicktest.Equals, 4)
+	apply(report.Update{Term: 1, Directory: 4, Endpoints: []report.Endpoint{{ID: "b"}}, Running: []int{7}})
+	c.Check([]int{v.Running("a"), v.Running("b")}, quicktest.DeepEquals, []int{0, 7})
+	apply(report.Update{Term: 1, Directory: 4, Running: []int{1, 2}})
+	c.Check(v.Running("b"), quicktest.Equals, 7)
+}
+
+// Guards against an endpoint that is leaving and gets work again, because a new leader has not heard of it (P10).
+func TestLeavingSurvivesNewLeader(t *testing.T) {
+	c := quicktest.New(t)
+	v := view.New()
+	for term, e := range []report.Endpoint{{ID: "a", Service: "s", Born: 5, Leaving: true}, {ID: "a", Service: "s", Born: 5}} {
+		_, err := v.Apply(time.Now(), report.Update{Term: uint64(term + 1), Directory: 2, Endpoints: []report.Endpoint{e}, Running: []int{0}}, none)
+		c.Assert(err, quicktest.IsNil)
+		c.Check(v.Endpoints("s"), quicktest.HasLen, 0)
+	}
+	next := report.Endpoint{ID: "a", Service: "s", Born: 6}
+	_, err := v.Apply(time.Now(), report.Update{Term: 3, Directory: 4, Endpoints: []report.Endpoint{next}, Running: []int{0}}, none)
+	c.Assert(err, quicktest.IsNil)
+	c.Check(v.Endpoints("s"), quicktest.HasLen, 1)
+	c.Check(v.Tell(), quicktest.HasLen, 1)
+}
--- a/internal/node/control/interface.go
+++ b/internal/node/control/interface.go
@@ -12,6 +12,7 @@
 	"lycheevale/internal/base/event"
 	"lycheevale/internal/member/report"
 	"lycheevale/internal/member/roster"
+	"lycheevale/internal/place/residency"
 	"lycheevale/internal/state/document"
 	"lycheevale/internal/wire/peer"
 )
@@ -160,8 +161,8 @@
 	return stored{Leading: true, Version: now.Version, Content: now.Content}, nil
 }
 
-// want answers an entry that needs an adapter. It tries further endpoints where an order fails, and waits a moment for a
-// place that is being freed.
+// want answers an entry that needs an adapter. It tries further endpoints where an order fails, and waits a moment in line
+// for a place that is being freed.
 func (c *Control) want(ctx context.Context, from string, w report.Want) (report.Placed, error) {
 	latest := c.options.Now().Add(placeWait)
 	for orders := 0; orders <= wantOrders; {
@@ -173,11 +174,16 @@
 		}
 		placed, accepted := c.office.want(ctx, from, w)
 		now := c.options.Now()
-		yields := placed.Endpoint == "" && !w.Replicate && now.Before(latest) && c.office.placer.Yields(now)
+		var turn chan struct{}
+		if placed.Endpoint == "" && !w.Replicate && now.Before(latest) && c.office.placer.Yields(now) {
+			turn = c.office.queue()
+		} else if placed.Endpoint == "" {
+			c.office.logPlaced(ctx, from, w, residency.Choice{})
+		}
 		c.mu.Unlock()
 		switch {
-		case yields:
-			if !pause(ctx, tickInterval) {
+		case turn != nil:
+			if !awaitTurn(ctx, turn, latest.Sub(now)) {
 				return placed, ctx.Err()
 			}
 		case accepted == nil:
@@ -199,13 +205,17 @@
 	placeWait = 400 * time.Millisecond
 )
 
-func pause(ctx context.Context, d time.Duration) bool {
+// awaitTurn waits until a place is free or the time is over, and tells whether the caller still waits.
+func awaitTurn(ctx context.Context, turn <-chan struct{}, longest time.Duration) bool {
+	timer := time.NewTimer(longest)
+	defer timer.Stop()
 	select {
 	case <-ctx.Done():
 		return false
-	case <-time.After(d):
-		return true
+	case <-turn:
+	case <-timer.C:
 	}
+	return true
 }
 
 func wasAccepted(ctx context.Context, accepted <-chan bool) bool {
@@ -231,7 +241,7 @@
 	return p
 }
 
-// borrow admits a request that an entry's share does not fit.
+// borrow admits requests that an entry's tokens do not fit.
 func (c *Control) borrow(_ context.Context, _ string, l report.Loan) (report.Lent, error) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -239,10 +249,12 @@
 		return report.Lent{}, nil
 	}
 	now := c.options.Now()
-	limit, limited := c.office.limits[l.Customer]
-	if !limited {
-		return report.Lent{Leading: true, Admitted: true}, nil
+	limit := c.office.limits[l.Customer] // a customer without a limit has a zero rate
+	answer := report.Lent{Leading: true}
+	for _, tokens := range l.Requests {
+		retryAt, admitted := c.office.pool.Borrow(now, l.Customer, tokens, limit)
+		answer.Admitted = append(answer.Admitted, admitted)
+		answer.InMillis = max(answer.InMillis, retryAt.Sub(now).Milliseconds())
 	}
-	retryAt, admitted := c.office.pool.Borrow(now, l.Customer, l.Tokens, limit)
-	return report.Lent{Leading: true, Admitted: admitted, InMillis: max(retryAt.Sub(now), 0).Milliseconds()}, nil
+	return answer, nil
 }
--- a/internal/node/control/office.go
+++ b/internal/node/control/office.go
@@ -3,10 +3,10 @@
 import (
 	"context"
 	"log/slog"
-	"maps"
 	"slices"
 	"time"
 
+	"lycheevale/internal/base/deployment"
 	"lycheevale/internal/base/event"
 	"lycheevale/internal/limit/quota"
 	"lycheevale/internal/member/report"
@@ -19,19 +19,26 @@
 // office is what an instance keeps while it leads, in memory only: a new leader learns it from endpoints and entries. All
 // of it is guarded by the mutex of its Control.
 type office struct {
-	control  *Control
-	term     uint64
-	since    time.Time
-	roster   *roster.Roster
-	placer   *residency.Placer
-	pool     *quota.Pool
-	weights  *weights.Planner // nil until a configuration is known
-	entries  map[string]*entry
-	index    *document.Index
-	limits   map[string]quota.Limit
-	versions uint64 // changes of adapter versions that the placer knows
-	lines    map[string]*line
-	ended    bool
+	control      *Control
+	term         uint64
+	since        time.Time
+	roster       *roster.Roster
+	placer       *residency.Placer
+	pool         *quota.Pool
+	weights      *weights.Planner // nil until a configuration is known
+	entries      map[string]*entry
+	index        *document.Index
+	limits       map[string]quota.Limit
+	list         []report.Endpoint // of the revision listed
+	listed       uint64
+	planned      time.Time      // when base models were last planned
+	active       map[string]int // requests that run, by endpoint
+	versions     uint64         // changes of adapter versions that the placer knows
+	lines        map[string]*line
+	waiting      []chan struct{} // requests for adapters in line for a free place
+	tellersHeard int             // entries that have told
+	asked        map[string]bool // entries that were asked what they know of endpoints
+	ended        bool
 }
 
 // entry is the last report of an entry.
@@ -48,12 +55,10 @@
 	shareGather = 1500 * time.Millisecond
 	// shareFloor is the part of a limit that is divided evenly.
 	shareFloor = 0.25
-	// shareReserve is the part of a limit that is lent request by request: an entry sees few requests of a customer a second,
-	// each of which is as large as a second of its share.
-	shareReserve = 0.6
-	// shareHolders is the number of entries that the shares beside the reserve are enough for; 75 entries with 0.4 of a limit
-	// refused 0.07 of the requests of a customer below its rate.
-	shareHolders = 4
+	// AloneAfter is the time without an answer of the leader after which an entry uses its shares: several reports.
+	AloneAfter = time.Second
+	// aloneNotice is the silence of an entry from which on the leader takes it that it does.
+	aloneNotice = 800 * time.Millisecond
 	// entrySilence is the time after which the use that an entry has reported counts no more.
 	entrySilence = 1500 * time.Millisecond
 	// partialBeats is the number of announcements after which a new leader knows all endpoints.
@@ -64,8 +69,15 @@
 	now := c.options.Now()
 	return &office{
 		control: c, term: term, since: now, roster: roster.New(roster.Defaults()), placer: residency.New(c.options.Placer),
-		pool:    quota.NewPool(now, quota.Options{Lease: ShareLease, Gather: shareGather, Floor: shareFloor, Reserve: shareReserve, Holders: shareHolders}),
-		entries: map[string]*entry{}, lines: map[string]*line{}, limits: map[string]quota.Limit{},
+		pool:    quota.NewPool(now, shareOptions(c.options.Settings)),
+		entries: map[string]*entry{}, active: map[string]int{}, asked: map[string]bool{}, lines: map[string]*line{}, limits: map[string]quota.Limit{},
+	}
+}
+
+func shareOptions(s deployment.Settings) quota.Options {
+	return quota.Options{
+		Lease: ShareLease, Gather: shareGather, Floor: shareFloor, AloneAfter: aloneNotice,
+		Tolerance: quota.Tolerance{Window: s.Rates.Window(), Overage: s.Rates.Overage, Slack: s.Rates.Slack},
 	}
 }
 
@@ -95,6 +107,7 @@
 		event.Log(ctx, o.control.options.Logger, event.EndpointGone, slog.String("Endpoint", id))
 		o.drop(id)
 	}
+	o.forgetSilent(now)
 	o.placer.Tick(now)
 	if now.Sub(o.since) < useGather {
 		return
@@ -102,7 +115,11 @@
 	for _, u := range o.placer.MakeRoom(now) {
 		o.order(ctx, u.Endpoint, job{holding: u.Holding})
 	}
-	o.loadModels(ctx)
+	o.callUp(o.placer.FreePlaces(now))
+	if now.Sub(o.planned) >= planInterval {
+		o.planned = now
+		o.loadModels(ctx)
+	}
 	for id, l := range o.lines {
 		if !l.running && now.Sub(l.asked) >= refreshInterval && o.placer.Unsettled(now, id) {
 			l.asked = now
@@ -111,6 +128,26 @@
 	}
 }
 
+// planInterval is short beside the load of a base model.
+const planInterval = 100 * time.Millisecond
+
+// queue puts a request for an adapter in line for a free place.
+func (o *office) queue() chan struct{} {
+	turn := make(chan struct{})
+	o.waiting = append(o.waiting, turn)
+	return turn
+}
+
+// callUp lets the first requests in line try again, as many as there are free places. Those that have given up leave their
+// place to the next tick.
+func (o *office) callUp(places int) {
+	n := min(places, len(o.waiting))
+	for _, turn := range o.waiting[:n] {
+		close(turn)
+	}
+	o.waiting = o.waiting[n:]
+}
+
 // loadModels orders base models for endpoints that hold none.
 func (o *office) loadModels(ctx context.Context) {
 	if o.index == nil {
@@ -118,7 +155,7 @@
 	}
 	var rate float64
 	var engines []weights.Endpoint
-	for _, e := range o.roster.Endpoints() {
+	for _, e := range o.endpoints() {
 		service := o.index.Service(e.Service)
 		if e.Leaving || service == nil || service.Engine == nil {
 			continue
@@ -174,7 +211,7 @@
 			o.placer.SetStore(s.Engine.LoadsPerSecond)
 		}
 	}
-	for _, e := range o.roster.Endpoints() {
+	for _, e := range o.endpoints() {
 		if a, ok := o.roster.Get(e.ID); ok {
 			o.place(a)
 		}
@@ -183,16 +220,15 @@
 
 // announce records an announcement.
 func (o *office) announce(a roster.Announcement) (changed bool, err error) {
-	before := o.roster.Endpoints()
 	previous, _ := o.roster.Get(a.ID)
 	changed, err = o.roster.Announce(o.now(), a)
 	if err != nil {
 		return false, err
 	}
 	if changed {
-		for _, e := range before {
-			if _, still := o.roster.Get(e.ID); !still {
-				o.drop(e.ID)
+		for _, id := range o.placer.Endpoints() {
+			if _, still := o.roster.Get(id); !still {
+				o.drop(id)
 			}
 		}
 	}
@@ -250,25 +286,19 @@
 
 func (o *office) sync(r report.Entry) report.Update {
 	now := o.now()
-	o.entries[r.Name] = &entry{active: r.Active, at: now}
 	for _, u := range r.Uses {
 		o.placer.Used(now, u)
 	}
-	others := o.totals(now)
-	for id, n := range others {
-		if e, ok := o.roster.Get(id); ok && e.Slots > 0 {
-			o.placer.SetLoad(id, float64(n)/float64(e.Slots))
-		}
-	}
-	for id, n := range r.Active {
-		others[id] -= n
+	o.count(now, r)
+	if len(r.Known) > 0 {
+		o.inherit(now, r)
 	}
-	maps.DeleteFunc(others, func(_ string, n int) bool { return n <= 0 })
 	u := report.Update{
-		Leading: true, Instances: o.control.instances(), Term: o.term, Others: others, Entries: len(o.entries),
+		Leading: true, Instances: o.control.instances(), Term: o.term, Running: o.running(), Entries: len(o.entries),
 		EveryMillis: reportEvery(len(o.entries)).Milliseconds(),
-		Shares:      o.pool.Report(now, quota.Report{Entry: r.Name, Demand: r.Demand, Held: r.Held}, o.limits),
+		Grants:      o.pool.Report(now, quota.Report{Entry: r.Name, Uses: r.Customers}, o.limits),
 	}
+	u.Tell = o.asksToTell(r)
 	o.fillState(&u, r)
 	o.fillPlacement(&u, r)
 	return u
@@ -288,19 +318,52 @@
 	return min(max(time.Duration(entries)*time.Second/reportsPerSecond, shortestReport), longestReport)
 }
 
-// totals returns the requests that run at each endpoint.
-func (o *office) totals(now time.Time) map[string]int {
-	total := map[string]int{}
+// count keeps the number of requests that run at each endpoint up to date with a report.
+func (o *office) count(now time.Time, r report.Entry) {
+	if before := o.entries[r.Name]; before != nil {
+		o.add(before.active, -1)
+	}
+	o.entries[r.Name] = &entry{active: r.Active, at: now}
+	o.add(r.Active, 1)
+}
+
+func (o *office) add(active map[string]int, sign int) {
+	for id, n := range active {
+		if o.active[id] += sign * n; o.active[id] <= 0 {
+			delete(o.active, id)
+		}
+		if e, ok := o.roster.Get(id); ok && e.Slots > 0 {
+			o.placer.SetLoad(id, float64(o.active[id])/float64(e.Slots))
+		}
+	}
+}
+
+// running returns the requests that run at each endpoint, in the order of the list.
+func (o *office) running() []int {
+	list := o.endpoints()
+	counts := make([]int, len(list))
+	for i, e := range list {
+		counts[i] = o.active[e.ID]
+	}
+	return counts
+}
+
+// endpoints returns the list of endpoints, which is made anew only when it has changed.
+func (o *office) endpoints() []report.Endpoint {
+	if r := o.roster.Revision(); o.listed != r {
+		o.listed, o.list = r, o.roster.Endpoints()
+	}
+	return o.list
+}
+
+// forgetSilent leaves out entries that do not report any more.
+func (o *office) forgetSilent(now time.Time) {
 	for name, e := range o.entries {
 		if now.Sub(e.at) >= entrySilence {
 			delete(o.entries, name)
-			continue
-		}
-		for id, n := range e.active {
-			total[id] += n
+			o.add(e.active, -1)
 		}
 	}
-	return total
 }
 
 func (o *office) fillState(u *report.Update, r report.Entry) {
@@ -322,7 +385,7 @@
 	u.Directory, u.Partial = o.directory(), o.partial()
 	known := r.Term == o.term
 	if !known || r.Directory != u.Directory {
-		u.Endpoints = o.roster.Endpoints()
+		u.Endpoints = o.endpoints()
 	}
 	if known {
 		events, next, lost := o.placer.Since(r.Placement)
@@ -334,24 +397,22 @@
 	_, next, _ := o.placer.Since(0)
 	u.Reset, u.Events, u.Placement = true, o.placer.Snapshot(), next
 	if len(u.Endpoints) == 0 {
-		u.Endpoints = o.roster.Endpoints()
+		u.Endpoints = o.endpoints()
 	}
 }
 
-// want chooses a place. The channel tells whether the order that is needed was accepted; it is nil if none is.
+// want chooses a place. The channel tells whether the order that is needed was accepted; it is nil if none is. A choice that
+// found no place is logged by whoever gives up on it.
 func (o *office) want(ctx context.Context, from string, w report.Want) (placed report.Placed, accepted <-chan bool) {
 	now := o.now()
 	if w.Missing != "" && o.placer.Missing(now, w.Missing, w.Adapter) && o.lines[w.Missing] != nil {
 		o.lines[w.Missing].known = false
 	}
 	choice, ok := o.placer.Want(now, w.Adapter, w.DataCentre, w.Replicate, w.Avoid...)
-	event.Log(ctx, o.control.options.Logger, event.AdapterPlaced, slog.String("Entry", from),
-		slog.String("Adapter", w.Adapter.Name), slog.String("DataCentre", w.DataCentre), slog.Bool("Replicate", w.Replicate),
-		slog.String("Missing", w.Missing), slog.String("Endpoint", choice.Endpoint), slog.Int("Version", choice.Holding.Version),
-		slog.Bool("Order", choice.Order), slog.Any("Places", o.placer.Summary(now)))
 	if !ok {
 		return report.Placed{Leading: true}, nil
 	}
+	o.logPlaced(ctx, from, w, choice)
 	placed = report.Placed{
 		Leading: true, Endpoint: choice.Endpoint, Version: choice.Holding.Version,
 		InMillis: max(choice.ReadyAt.Sub(now), 0).Milliseconds(),
@@ -363,3 +424,15 @@
 	o.order(ctx, choice.Endpoint, job{load: true, holding: choice.Holding, done: done})
 	return placed, done
 }
+
+func (o *office) logPlaced(ctx context.Context, from string, w report.Want, c residency.Choice) {
+	attrs := []slog.Attr{
+		slog.String("Entry", from), slog.String("Adapter", w.Adapter.Name), slog.String("DataCentre", w.DataCentre),
+		slog.Bool("Replicate", w.Replicate), slog.String("Missing", w.Missing), slog.String("Endpoint", c.Endpoint),
+		slog.Int("Version", c.Holding.Version), slog.Bool("Order", c.Order),
+	}
+	if c.Endpoint == "" {
+		attrs = append(attrs, slog.Any("Places", o.placer.Summary(o.now())))
+	}
+	event.Log(ctx, o.control.options.Logger, event.AdapterPlaced, attrs...)
+}
--- a/internal/node/entry/entry.go
+++ b/internal/node/entry/entry.go
@@ -44,6 +44,7 @@
 	failing  int       // reports in a row that no leader answered
 	reported time.Time // only used by sync, as is due
 	due      time.Time // of the next report
+	tell     bool      // the leader has asked what is known of endpoints; only used by sync
 }
 
 // New returns an instance; Run starts it.
--- a/internal/node/entry/sync.go
+++ b/internal/node/entry/sync.go
@@ -30,6 +30,9 @@
 	r := report.Entry{Name: e.options.Settings.Name, DataCentre: e.options.Settings.DataCentre}
 	e.view.Position(&r)
 	e.handler.Report(&r, now.Sub(e.reported))
+	if e.tell {
+		r.Known = e.view.Tell()
+	}
 	e.reported = now
 	ctx, cancel := context.WithTimeout(ctx, syncTimeout)
 	defer cancel()
@@ -41,6 +44,9 @@
 	}
 	// Half a tick less, since the ticker fires a little late.
 	e.due = now.Add(time.Duration(u.EveryMillis)*time.Millisecond - syncInterval/2)
+	if e.tell = u.Tell; e.tell {
+		e.due = now
+	}
 	e.found(ctx, to, u)
 	e.apply(ctx, u, now)
 }
@@ -111,7 +117,8 @@
 	for _, c := range index.Customers {
 		limits[c.Name] = quota.Limit{Rate: c.Rate, Burst: c.Burst}
 	}
-	e.handler.Grant(asked.Add(control.ShareLease), u.Shares, limits)
+	terms := quota.Terms{AloneFrom: asked.Add(control.AloneAfter), Expires: asked.Add(control.ShareLease)}
+	e.handler.Grant(terms, u.Grants, limits)
 	e.serving.Store(true)
 }
 
@@ -145,22 +152,21 @@
 // borrowTimeout is above a round trip between regions, and well below the objective of any request.
 const borrowTimeout = 250 * time.Millisecond
 
-// borrow asks the leader to admit a request that the share of its customer does not fit.
-func (e *Entry) borrow(ctx context.Context, l report.Loan) (admitted bool, wait time.Duration, err error) {
+// borrow asks the leader to admit requests that the tokens of their customer do not fit.
+func (e *Entry) borrow(ctx context.Context, l report.Loan) (answer report.Lent, err error) {
 	e.mu.Lock()
 	leader := e.leader
 	e.mu.Unlock()
 	if leader == "" {
-		return false, 0, ErrNoLeader
+		return answer, ErrNoLeader
 	}
 	ctx, cancel := context.WithTimeout(ctx, borrowTimeout)
 	defer cancel()
-	var answer report.Lent
 	if err := e.peers.Call(ctx, leader, report.BorrowMethod, l, &answer); err != nil {
-		return false, 0, err
+		return answer, err
 	}
-	if !answer.Leading {
-		return false, 0, ErrNoLeader
+	if !answer.Leading || len(answer.Admitted) != len(l.Requests) {
+		return answer, ErrNoLeader
 	}
-	return answer.Admitted, time.Duration(answer.InMillis) * time.Millisecond, nil
+	return answer, nil
 }
--- a/internal/place/residency/journal.go
+++ b/internal/place/residency/journal.go
@@ -2,6 +2,8 @@
 
 // Event is a change that entries follow.
 type Event struct {
+	_ struct{} `cbor:",toarray"`
+
 	Endpoint string  `json:"E"`
 	Holding  Holding `json:"H"`
 	Gone     bool    `json:"G,omitempty"`
--- a/internal/place/residency/orders.go
+++ b/internal/place/residency/orders.go
@@ -140,11 +140,9 @@
 
 // Tick makes loads resident whose time has come.
 func (p *Placer) Tick(now time.Time) {
-	for _, e := range p.endpoints {
-		for _, pl := range e.places {
-			if pl.state == Loading && pl.ordered && !pl.readyAt.After(now) {
-				p.settle(now, e, pl, pl.holding)
-			}
+	for _, t := range p.inflight {
+		if !t.over() && p.endpoints[t.to.ID] == t.to && t.place.ordered && !t.place.readyAt.After(now) {
+			p.settle(now, t.to, t.place, t.place.holding)
 		}
 	}
 }
--- a/internal/place/residency/residency.go
+++ b/internal/place/residency/residency.go
@@ -14,6 +14,8 @@
 
 // Holding is an adapter at an endpoint.
 type Holding struct {
+	_ struct{} `cbor:",toarray"`
+
 	Adapter
 	Version int `json:"Version"`
 }
@@ -59,6 +61,8 @@
 	seen     map[Adapter]past // what it has held
 	hold     time.Time        // no new loads before
 	failures int
+	next     *place    // that makes way next, as of nextAt
+	nextAt   time.Time // zero if it has to be found anew
 }
 
 // past is an adapter that an endpoint has held.
@@ -97,6 +101,7 @@
 	endpoints map[string]*endpoint
 	versions  map[Adapter]int
 	journal   journal
+	inflight  []transfer
 	fullSpeed int // fetches at once, over all endpoints, that slow nobody down
 }
 
@@ -167,9 +172,9 @@
 	}
 	for _, h := range pending {
 		if e.places[h.Adapter] == nil {
-			e.places[h.Adapter] = &place{
+			p.load(e, &place{
 				holding: h, state: Loading, changedAt: now, usedAt: now, ordered: true, readyAt: now.Add(p.options.FetchTime),
-			}
+			})
 		}
 	}
 }
@@ -196,9 +201,9 @@
 	for _, h := range pending {
 		exact[h.Adapter] = h
 		if pl := e.places[h.Adapter]; pl == nil || pl.state == Unknown {
-			e.places[h.Adapter] = &place{
+			p.load(e, &place{
 				holding: h, state: Loading, changedAt: now, usedAt: now, ordered: true, readyAt: now.Add(p.options.FetchTime),
-			}
+			})
 		}
 	}
 	for a, pl := range e.places {
@@ -261,6 +266,14 @@
 	delete(p.endpoints, id)
 }
 
+// Endpoints returns the identities of all endpoints, in no order.
+func (p *Placer) Endpoints() (ids []string) {
+	for id := range p.endpoints {
+		ids = append(ids, id)
+	}
+	return ids
+}
+
 // SetLoad records the share of an endpoint's request slots that is in use.
 func (p *Placer) SetLoad(id string, load float64) {
 	if e := p.endpoints[id]; e != nil {
--- a/internal/place/residency/room.go
+++ b/internal/place/residency/room.go
@@ -8,6 +8,8 @@
 
 // Use is what an entry reports of an adapter at an endpoint.
 type Use struct {
+	_ struct{} `cbor:",toarray"`
+
 	Endpoint string  `json:"Endpoint"`
 	Adapter  Adapter `json:"Adapter"`
 	Count    int     `json:"Count,omitempty"`  // requests since the last report
@@ -60,6 +62,29 @@
 	return worst
 }
 
+// nextVictim is the place that made way next a moment ago, which is near enough to compare endpoints by.
+func (p *Placer) nextVictim(now time.Time, e *endpoint) *place {
+	v := e.next
+	stale := e.nextAt.IsZero() || now.Sub(e.nextAt) >= victimMemory
+	if stale || (v != nil && (v.state != Resident || now.Before(v.busyUntil) || e.places[v.holding.Adapter] != v)) {
+		e.next, e.nextAt = p.victim(now, e), now
+	}
+	return e.next
+}
+
+// victimMemory is a few ticks of the leader.
+const victimMemory = 100 * time.Millisecond
+
+// FreePlaces returns the number of places that a load could take at once.
+func (p *Placer) FreePlaces(now time.Time) (n int) {
+	for _, e := range p.endpoints {
+		if e.Accepting && !now.Before(e.hold) {
+			n += max(e.Slots-len(e.places), 0)
+		}
+	}
+	return n
+}
+
 // minResidence gives the requests that asked for an adapter time to arrive before it may make way.
 const minResidence = 1500 * time.Millisecond
 
@@ -77,7 +102,7 @@
 				return true
 			}
 		}
-		if p.victim(now, e) != nil {
+		if p.nextVictim(now, e) != nil {
 			return true
 		}
 	}
--- a/internal/place/residency/want.go
+++ b/internal/place/residency/want.go
@@ -67,7 +67,7 @@
 		}
 		took += wait
 	}
-	e.places[a] = &place{holding: h, state: Loading, changedAt: now, usedAt: now, heat: 1, readyAt: now.Add(took)}
+	p.load(e, &place{holding: h, state: Loading, changedAt: now, usedAt: now, heat: 1, readyAt: now.Add(took)})
 	return Choice{Endpoint: e.ID, Holding: h, Order: true, ReadyAt: now.Add(took)}, true
 }
 
@@ -132,7 +132,7 @@
 	}
 	if len(e.places) >= e.Slots-p.options.Spare && old == nil {
 		cost += swapCost
-		if v := p.victim(now, e); v != nil {
+		if v := p.nextVictim(now, e); v != nil {
 			cost += victimCost * min(p.heat(now, v), maxVictimHeat)
 		}
 	}
@@ -163,17 +163,32 @@
 	return remembered && was.version >= h.Version
 }
 
+// transfer is a load that has been decided; it is over once the place is in another state.
+type transfer struct {
+	to    *endpoint
+	place *place
+}
+
+func (t transfer) over() bool {
+	return t.place.state != Loading || t.to.places[t.place.holding.Adapter] != t.place
+}
+
+// load takes a place for an adapter that is on its way.
+func (p *Placer) load(e *endpoint, pl *place) {
+	e.places[pl.holding.Adapter] = pl
+	p.inflight = append(p.inflight, transfer{to: e, place: pl})
+}
+
 // fetches returns the adapters on their way from the store, and those that wait to be ordered.
 func (p *Placer) fetches() (running, waiting int) {
-	for _, e := range p.endpoints {
-		for _, pl := range e.places {
-			switch {
-			case pl.state != Loading || e.remembers(pl.holding):
-			case pl.ordered:
-				running++
-			default:
-				waiting++
-			}
+	p.inflight = slices.DeleteFunc(p.inflight, transfer.over)
+	for _, t := range p.inflight {
+		switch {
+		case t.to.remembers(t.place.holding) || p.endpoints[t.to.ID] != t.to:
+		case t.place.ordered:
+			running++
+		default:
+			waiting++
 		}
 	}
 	return running, waiting
--- /dev/null
+++ b/internal/serve/forward/admit.go
@@ -0,0 +1,130 @@
+package forward
+
+import (
+	"context"
+	"time"
+
+	"lycheevale/internal/base/refusal"
+	"lycheevale/internal/member/report"
+)
+
+// admit charges the customer's rate.
+func (h *Handler) admit(x *exchange) *refusal.Error {
+	if x.customer == nil || x.customer.Rate <= 0 {
+		return nil
+	}
+	cost := 1.0
+	if x.customer.CountTokens {
+		cost = float64(x.request.Tokens)
+		if x.request.Tokens == 0 {
+			cost = float64(x.customer.DefaultTokens)
+		}
+	}
+	h.mu.Lock()
+	now := h.options.Now()
+	retryAt, admitted := h.wallet.Take(now, x.customer.Name, cost)
+	borrow := !admitted && h.wallet.MayBorrow(now, x.customer.Name)
+	h.mu.Unlock()
+	if borrow {
+		var err error
+		if retryAt, admitted, err = h.borrow(x, cost, retryAt); err != nil {
+			return refusal.New(refusal.Unavailable, "the customer's rate is not known: %v", err).WithRetryAt(retryAt)
+		}
+	}
+	if !admitted {
+		return refusal.New(refusal.OverRate, "customer is over its rate").WithRetryAt(retryAt)
+	}
+	x.cost = cost
+	return nil
+}
+
+// loans are the requests of a customer that the leader is asked to admit. One question is asked at a time: requests that come
+// meanwhile share the next one, so that a slow leader gets fewer questions.
+type loans struct {
+	waiting []*loan
+	asking  bool
+}
+
+type loan struct {
+	cost     float64
+	done     chan struct{}
+	admitted bool
+	retryAt  time.Time
+	err      error
+}
+
+// borrow asks the reserve of the customer's rate. While it is empty, further requests are refused without asking.
+func (h *Handler) borrow(x *exchange, cost float64, retryAt time.Time) (at time.Time, admitted bool, err error) {
+	l := &loan{cost: cost, retryAt: retryAt, done: make(chan struct{})}
+	customer := x.customer.Name
+	h.mu.Lock()
+	queue := h.loans[customer]
+	if queue == nil {
+		queue = &loans{}
+		h.loans[customer] = queue
+	}
+	queue.waiting = append(queue.waiting, l)
+	start := !queue.asking
+	queue.asking = true
+	h.mu.Unlock()
+	if start {
+		h.options.Spawn(func() { h.askLoans(customer, queue) })
+	}
+	select {
+	case <-l.done:
+		return l.retryAt, l.admitted, l.err
+	case <-x.ctx.Done():
+		return retryAt, false, x.ctx.Err()
+	}
+}
+
+// askLoans asks until no request waits.
+func (h *Handler) askLoans(customer string, queue *loans) {
+	for {
+		h.mu.Lock()
+		batch := queue.waiting
+		queue.waiting = nil
+		queue.asking = len(batch) > 0
+		h.mu.Unlock()
+		if len(batch) == 0 {
+			return
+		}
+		question := report.Loan{Customer: customer}
+		for _, l := range batch {
+			question.Requests = append(question.Requests, l.cost)
+		}
+		answer, err := h.options.Borrow(context.Background(), question)
+		h.conclude(customer, batch, answer, err)
+	}
+}
+
+func (h *Handler) conclude(customer string, batch []*loan, answer report.Lent, err error) {
+	now := h.options.Now()
+	back := now.Add(time.Duration(answer.InMillis) * time.Millisecond)
+	denied := false
+	for i, l := range batch {
+		l.err = err
+		if err == nil {
+			l.admitted = answer.Admitted[i]
+			denied = denied || !l.admitted
+			l.retryAt = back
+		}
+		close(l.done)
+	}
+	if denied {
+		h.mu.Lock()
+		h.wallet.Denied(back, customer)
+		h.mu.Unlock()
+	}
+}
+
+// refund gives back the charge of a request that has not run.
+func (h *Handler) refund(x *exchange) {
+	if x.cost == 0 || x.ran > 0 {
+		return
+	}
+	h.mu.Lock()
+	h.wallet.Return(h.options.Now(), x.customer.Name, x.cost)
+	h.mu.Unlock()
+	x.cost = 0
+}
--- a/internal/serve/forward/forward.go
+++ b/internal/serve/forward/forward.go
@@ -28,16 +28,18 @@
 	options Options
 	filters []filter
 
-	mu      sync.Mutex
-	random  *rand.Rand
-	picker  *pick.Picker
-	wallet  *quota.Wallet
-	budgets map[string]*retry.Budget // by service
-	uses    map[[2]string]*use       // by endpoint and adapter
-	wanted  map[residency.Adapter]*want
-	silence *silence.Watch
-	flights map[*flight]bool
-	closing bool
+	mu       sync.Mutex
+	random   *rand.Rand
+	picker   *pick.Picker
+	wallet   *quota.Wallet
+	budgets  map[string]*retry.Budget // by service
+	uses     map[[2]string]*use       // by endpoint and adapter
+	wanted   map[residency.Adapter]*want
+	silence  *silence.Watch
+	flights  map[*flight]bool
+	loans    map[string]*loans // by customer
+	reported map[string]int    // requests of this entry that the leader's figures include, by endpoint
+	closing  bool
 }
 
 // use counts requests for an adapter at an endpoint.
@@ -67,6 +69,7 @@
 	sent     int       // requests that have reached an endpoint
 	ran      int       // of these, requests that may have run
 	begun    bool      // the head of the answer is written
+	sentAt   time.Time // of the last sending
 	first    time.Time // of the first byte of the answer
 	last     string    // endpoint of the last sending
 	missing  string    // endpoint that lacked the adapter
@@ -79,7 +82,7 @@
 	h := &Handler{
 		options: o, picker: pick.New(o.Picker, o.Seed), random: rand.New(rand.NewPCG(o.Seed, o.Seed+1)),
 		budgets: map[string]*retry.Budget{}, uses: map[[2]string]*use{}, wanted: map[residency.Adapter]*want{},
-		silence: silence.New(silence.Defaults()), flights: map[*flight]bool{}, wallet: o.Wallet,
+		silence: silence.New(silence.Defaults()), flights: map[*flight]bool{}, loans: map[string]*loans{}, wallet: o.Wallet,
 	}
 	h.filters = []filter{h.match, h.identify, h.read, h.admit, h.dispatch}
 	return h
@@ -127,7 +130,7 @@
 	if code == served {
 		event.Log(x.caller.Context(), h.options.Logger, event.RequestServed, slog.String("Attempt", x.request.Attempt),
 			slog.String("Endpoint", x.last), slog.Int("Sent", x.sent), slog.Int("Tokens", x.request.Tokens),
-			slog.Int64("FirstMillis", o.First.Milliseconds()), slog.Int64("AfterMillis", o.Duration.Milliseconds()))
+			slog.Int64("SentMillis", x.sentAt.Sub(x.arrived).Milliseconds()), slog.Int64("FirstMillis", o.First.Milliseconds()), slog.Int64("AfterMillis", o.Duration.Milliseconds()))
 	}
 }
 
@@ -210,60 +213,6 @@
 // defaultMaxBody bounds a body where the configuration does not, in bytes.
 const defaultMaxBody = 4 << 20
 
-// admit charges the customer's rate.
-func (h *Handler) admit(x *exchange) *refusal.Error {
-	if x.customer == nil || x.customer.Rate <= 0 {
-		return nil
-	}
-	cost := 1.0
-	if x.customer.CountTokens {
-		cost = float64(x.request.Tokens)
-		if x.request.Tokens == 0 {
-			cost = float64(x.customer.DefaultTokens)
-		}
-	}
-	h.mu.Lock()
-	now := h.options.Now()
-	retryAt, admitted := h.wallet.Take(now, x.customer.Name, cost)
-	borrow := !admitted && h.wallet.MayBorrow(now, x.customer.Name)
-	h.mu.Unlock()
-	if borrow {
-		retryAt, admitted = h.borrow(x, cost, retryAt)
-	}
-	if !admitted {
-		return refusal.New(refusal.OverRate, "customer is over its rate").WithRetryAt(retryAt)
-	}
-	x.cost = cost
-	return nil
-}
-
-// borrow asks the reserve of the customer's rate. While it is empty, further requests are refused without asking.
-func (h *Handler) borrow(x *exchange, cost float64, retryAt time.Time) (time.Time, bool) {
-	admitted, wait, err := h.options.Borrow(x.ctx, report.Loan{Customer: x.customer.Name, Tokens: cost})
-	if err != nil || admitted {
-		return retryAt, admitted
-	}
-	now := h.options.Now()
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	h.wallet.Denied(now, now.Add(wait), x.customer.Name)
-	if back := now.Add(wait); back.Before(retryAt) {
-		retryAt = back
-	}
-	return retryAt, false
-}
-
-// refund gives back the charge of a request that has not run.
-func (h *Handler) refund(x *exchange) {
-	if x.cost == 0 || x.ran > 0 {
-		return
-	}
-	h.mu.Lock()
-	h.wallet.Return(h.options.Now(), x.customer.Name, x.cost)
-	h.mu.Unlock()
-	x.cost = 0
-}
-
 // refuse answers with an error, or breaks off an answer that has begun.
 func (h *Handler) refuse(x *exchange, e *refusal.Error) {
 	h.logRefusal(x, e)
@@ -328,12 +277,13 @@
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	now := h.options.Now()
-	r.Demand, r.Held = h.wallet.Report(now, elapsed)
+	r.Customers = h.wallet.Report(now, elapsed)
 	r.Active = map[string]int{}
 	h.picker.Forget(h.options.View.Known)
 	for id, n := range h.picker.Running() {
 		r.Active[id] = n
 	}
+	h.reported = r.Active
 	for key, u := range h.uses {
 		r.Uses = append(r.Uses, residency.Use{Endpoint: key[0], Adapter: u.adapter, Count: u.count, Active: u.active})
 		u.count = 0
@@ -343,9 +293,9 @@
 	}
 }
 
-// Grant passes shares of customers' rates on.
-func (h *Handler) Grant(deadline time.Time, shares map[string]float64, limits map[string]quota.Limit) {
+// Grant passes on what the leader gives of customers' rates.
+func (h *Handler) Grant(terms quota.Terms, grants map[string]quota.Grant, limits map[string]quota.Limit) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	h.wallet.Grant(h.options.Now(), deadline, shares, limits)
+	h.wallet.Grant(h.options.Now(), terms, grants, limits)
 }
--- a/internal/serve/forward/forward_test.go
+++ b/internal/serve/forward/forward_test.go
@@ -70,10 +70,23 @@
 	_, err := v.Apply(time.Now(), u, func([]byte) (document.Document, error) { return testDocument(), nil })
 	c.Assert(err, quicktest.IsNil)
 	r.handler = forward.New(append([]forward.Option{forward.WithCodec(codec()), forward.WithView(v)}, opts...)...)
-	r.handler.Grant(time.Now().Add(time.Hour), map[string]float64{"c": 1000}, map[string]quota.Limit{"c": {Rate: 1000, Burst: 1000}})
+	r.grant(1000)
 	return r
 }
 
+// grant gives the entry a customer's tokens.
+func (r *rig) grant(tokens float64) {
+	terms := quota.Terms{AloneFrom: time.Now().Add(time.Hour), Expires: time.Now().Add(time.Hour)}
+	r.handler.Grant(terms, map[string]quota.Grant{"c": {Extra: tokens}}, map[string]quota.Limit{"c": {Rate: tokens, Burst: tokens}})
+}
+
+// spend uses the tokens that a rig begins with.
+func (r *rig) spend() {
+	for range 10 {
+		r.Assert(r.send(http.MethodGet, "/read/x").Code, quicktest.Equals, http.StatusOK)
+	}
+}
+
 func testDocument() document.Document {
 	route := func(name string, kind document.Kind) document.Route {
 		return document.Route{
@@ -130,7 +143,7 @@
 			served++
 		}
 	}
-	// A new share begins with half of its burst, which is five requests of 100 tokens, and refills while the test runs.
+	// The entry has tokens for ten requests of 100 tokens.
 	r.Check(served < 20, quicktest.IsTrue, quicktest.Commentf("%d served", served))
 }
 
@@ -169,7 +182,7 @@
 // Pattern: one of three endpoints fails every answer. Guards against reads that fail although others serve.
 func TestReadsSurviveFailingEndpoint(t *testing.T) {
 	r := newRig(t, []http.HandlerFunc{failed, succeed, succeed})
-	r.handler.Grant(time.Now().Add(time.Hour), map[string]float64{"c": 1e6}, map[string]quota.Limit{"c": {Rate: 1e6, Burst: 1e6}})
+	r.grant(1e6)
 	for range 50 {
 		r.Check(r.send(http.MethodGet, "/read/x").Code, quicktest.Equals, http.StatusOK)
 	}
@@ -250,3 +263,48 @@
 		}
 	}
 }
+
+// Pattern: the leader answers late while many requests of one customer need a loan. Guards against a question for each of them, as
+// seen on the grown deployment, where the leader fell further behind.
+func TestLoansShareQuestions(t *testing.T) {
+	const requests = 20
+	var questions atomic.Int32
+	borrow := func(_ context.Context, l report.Loan) (report.Lent, error) {
+		questions.Add(1)
+		time.Sleep(100 * time.Millisecond)
+		answer := report.Lent{Leading: true, InMillis: 5000}
+		for i := range l.Requests {
+			answer.Admitted = append(answer.Admitted, i%2 == 0)
+		}
+		return answer, nil
+	}
+	r := newRig(t, []http.HandlerFunc{succeed}, forward.WithBorrow(borrow))
+	r.spend()
+	codes := make([]int, requests)
+	var group errgroup.Group
+	for i := range requests {
+		group.Go(func() error {
+			codes[i] = r.send(http.MethodGet, "/read/x").Code
+			return nil
+		})
+	}
+	r.Assert(group.Wait(), quicktest.IsNil)
+	r.Check(questions.Load() <= 3, quicktest.IsTrue, quicktest.Commentf("%d questions", questions.Load()))
+	counts := map[int]int{}
+	for _, code := range codes {
+		counts[code]++
+	}
+	r.Check(counts[http.StatusOK]+counts[http.StatusTooManyRequests], quicktest.Equals, requests)
+	r.Check(counts[http.StatusOK] >= requests/2, quicktest.IsTrue)
+}
+
+// Guards against a refusal that calls a customer over its rate although nobody has counted it.
+func TestUnknownRateIsNotCalledExceeded(t *testing.T) {
+	r := newRig(t, []http.HandlerFunc{succeed}, forward.WithBorrow(func(context.Context, report.Loan) (report.Lent, error) {
+		return report.Lent{}, context.DeadlineExceeded
+	}))
+	r.spend()
+	w := r.send(http.MethodGet, "/read/x")
+	r.Check(w.Code, quicktest.Equals, http.StatusServiceUnavailable)
+	r.Check(w.Header().Get("Retry-After"), quicktest.Not(quicktest.Equals), "")
+}
--- a/internal/serve/forward/options.go
+++ b/internal/serve/forward/options.go
@@ -27,8 +27,8 @@
 	Logger     *slog.Logger
 	// Want asks the leader for a place of an adapter.
 	Want func(ctx context.Context, w report.Want) (report.Placed, error)
-	// Borrow asks the leader to admit a request that its customer's share does not fit.
-	Borrow  func(ctx context.Context, l report.Loan) (admitted bool, wait time.Duration, err error)
+	// Borrow asks the leader to admit requests that their customer's tokens do not fit.
+	Borrow  func(ctx context.Context, l report.Loan) (report.Lent, error)
 	Observe func(Outcome)
 	Spawn   func(f func()) // starts work that outlives a request
 	Now     func() time.Time
@@ -43,7 +43,9 @@
 		View: view.New(), Pool: upstream.New(), Picker: pick.Defaults(), Logger: slog.Default(),
 		Retry:   retry.Options{Ratio: 0.1, Window: 10 * time.Second, Slack: 20},
 		Observe: func(Outcome) {}, Now: time.Now, Wallet: quota.NewWallet(),
-		Borrow: func(context.Context, report.Loan) (bool, time.Duration, error) { return false, 0, nil },
+		Borrow: func(_ context.Context, l report.Loan) (report.Lent, error) {
+			return report.Lent{Leading: true, Admitted: make([]bool, len(l.Requests))}, nil
+		},
 		Spawn: func(f func()) {
 			var group errgroup.Group
 			group.Go(func() error { f(); return nil })
@@ -94,7 +96,7 @@
 // WithWallet sets the shares of customers' rates.
 func WithWallet(w *quota.Wallet) Option { return func(o *Options) { o.Wallet = w } }
 
-// WithBorrow sets the call that asks for the admission of a request beyond a share.
-func WithBorrow(f func(ctx context.Context, l report.Loan) (admitted bool, wait time.Duration, err error)) Option {
+// WithBorrow sets the call that asks for the admission of requests.
+func WithBorrow(f func(ctx context.Context, l report.Loan) (report.Lent, error)) Option {
 	return func(o *Options) { o.Borrow = f }
 }
--- a/internal/serve/forward/place.go
+++ b/internal/serve/forward/place.go
@@ -31,7 +31,10 @@
 	if len(e.Models) == 0 {
 		slots *= plainQueue
 	}
-	return pick.Endpoint{ID: e.ID, Slots: slots, Local: e.DataCentre == h.options.DataCentre, Others: h.options.View.Others(e.ID)}
+	return pick.Endpoint{
+		ID: e.ID, Slots: slots, Local: e.DataCentre == h.options.DataCentre,
+		Others: max(h.options.View.Running(e.ID)-h.reported[e.ID], 0),
+	}
 }
 
 // plainQueue is how many requests for each slot a plain service takes: its requests are short, so that waiting for two
--- a/internal/serve/forward/send.go
+++ b/internal/serve/forward/send.go
@@ -140,7 +140,7 @@
 	defer cancel(nil)
 	s := sending{choice: c, ctx: ctx, flight: h.takeOff(x, c, cancel), started: h.options.Now()}
 	defer h.land(x, s)
-	x.last = c.ID
+	x.last, x.sentAt = c.ID, s.started
 	answer, err := h.options.Pool.Do(ctx, h.outgoing(x, c))
 	if errs.Is(err, upstream.ErrNotSent) {
 		if x.ctx.Err() != nil {
--- a/internal/wire/peer/stream.go
+++ b/internal/wire/peer/stream.go
@@ -172,8 +172,7 @@
 
 // run writes queued frames and watches for silence until the stream is closed or ctx ends.
 func (s *stream) run(ctx context.Context) {
-	tick := min(s.options.BusyPing, s.options.Silence, s.idle) / checks
-	timer := time.NewTicker(tick)
+	timer := time.NewTimer(s.tick())
 	defer timer.Stop()
 	var probed time.Time
 	for {
@@ -190,6 +189,7 @@
 			err = s.control(pongHeader)
 		case <-timer.C:
 			probed, err = s.watch(probed)
+			timer.Reset(s.nextCheck())
 		}
 		if s.fail(err) != nil {
 			return
@@ -197,6 +197,18 @@
 	}
 }
 
+// tick is the time between two checks of a link from which nothing is heard.
+func (s *stream) tick() time.Duration {
+	return min(s.options.BusyPing, s.options.Silence, s.idle) / checks
+}
+
+// nextCheck is the time until the link may have been silent for long enough to be probed. A link with traffic is checked seldom,
+// since an instance may have many.
+func (s *stream) nextCheck() time.Duration {
+	heard := s.started.Add(time.Duration(s.heard.Load()))
+	return max(heard.Add(min(s.options.BusyPing, s.idle)).Sub(s.options.Now()), s.tick())
+}
+
 // watch probes a silent link and gives it up when no byte follows the probe in time. It returns the
 // time of the probe that awaits a reaction.
 func (s *stream) watch(probed time.Time) (time.Time, error) {
