--- a/internal/limit/quota/pool.go
+++ b/internal/limit/quota/pool.go
@@ -57,6 +57,9 @@
 	Lease time.Duration
 	// Gather is the time that a new pool waits for reports before a share may grow that another entry may still use.
 	Gather time.Duration
+	// LendAfter is the time in which entries find a new leader. Until then it lends only what entries cannot be using by
+	// themselves.
+	LendAfter time.Duration
 	// AloneAfter is the silence of an entry after which it may be using its shares.
 	AloneAfter time.Duration
 	// Floor is the part of a limit that is divided evenly, so that a customer who appears at an entry is served at once.
@@ -209,7 +212,7 @@
 // lendable is the rate that no entry may be using by itself, in tokens per second.
 func (p *Pool) lendable(now time.Time, customer string, limit Limit) float64 {
 	rate := limit.Rate - p.silent[customer]
-	if now.Sub(p.started) < p.options.Gather {
+	if now.Sub(p.started) < p.options.LendAfter {
 		// What entries that have not reported yet may use is what the others do not hold.
 		rate -= max(limit.Rate*sharedPart-max(p.totals[customer].committed, 0), 0)
 	}
--- a/internal/limit/quota/quota_test.go
+++ b/internal/limit/quota/quota_test.go
@@ -16,6 +16,7 @@
 // options are the settings of a leader on the users' platform.
 var options = quota.Options{
 	Lease: 30 * time.Second, Gather: 1500 * time.Millisecond, Floor: 0.25, AloneAfter: 800 * time.Millisecond,
+	LendAfter: 700 * time.Millisecond,
 	Tolerance: quota.Tolerance{Window: 8 * time.Second, Overage: 0.1, Slack: 17_000},
 }
 
--- a/internal/limit/retry/retry.go
+++ b/internal/limit/retry/retry.go
@@ -37,7 +37,7 @@
 	return s
 }
 
-// Request counts the first sending of a request.
+// Request counts a request of a caller.
 func (b *Budget) Request(now time.Time) { b.at(now).requests++ }
 
 // Take counts a repeat if the budget of this entry, one of entries, allows it.
--- a/internal/node/control/office.go
+++ b/internal/node/control/office.go
@@ -53,6 +53,8 @@
 	ShareLease = 30 * time.Second
 	// shareGather is several reports of every entry that is in contact.
 	shareGather = 1500 * time.Millisecond
+	// lendAfter is about three reports of an entry that looks for its leader.
+	lendAfter = 700 * time.Millisecond
 	// shareFloor is the part of a limit that is divided evenly.
 	shareFloor = 0.25
 	// AloneAfter is the time without an answer of the leader after which an entry uses its shares: several reports.
@@ -76,7 +78,7 @@
 
 func shareOptions(s deployment.Settings) quota.Options {
 	return quota.Options{
-		Lease: ShareLease, Gather: shareGather, Floor: shareFloor, AloneAfter: aloneNotice,
+		Lease: ShareLease, Gather: shareGather, Floor: shareFloor, AloneAfter: aloneNotice, LendAfter: lendAfter,
 		Tolerance: quota.Tolerance{Window: s.Rates.Window(), Overage: s.Rates.Overage, Slack: s.Rates.Slack},
 	}
 }
--- a/internal/node/entry/entry.go
+++ b/internal/node/entry/entry.go
@@ -62,13 +62,17 @@
 		forward.WithDataCentre(o.Settings.DataCentre), forward.WithCodec(o.Codec), forward.WithView(e.view),
 		forward.WithPool(o.Pool), forward.WithLogger(o.Logger), forward.WithNow(o.Now), forward.WithWant(e.want), forward.WithBorrow(e.borrow),
 		forward.WithSeed(uint64(time.Now().UnixNano())), forward.WithObserve(e.observe), forward.WithSpawn(e.spawn),
-		forward.WithRetry(retry.Options{Ratio: r.Ratio * retryMargin, Window: r.RetryWindow(), Slack: r.Slack * retryMargin}),
+		forward.WithRetry(retry.Options{Ratio: r.Ratio * ratioMargin, Window: r.RetryWindow(), Slack: r.Slack * slackMargin}),
 	)
 	return e
 }
 
-// retryMargin keeps the entries together within the bound while they disagree about their number.
-const retryMargin = 0.7
+const (
+	// ratioMargin is for requests that are counted here in another window than by the users.
+	ratioMargin = 0.9
+	// slackMargin keeps the entries together within the bound while they disagree about their number.
+	slackMargin = 0.7
+)
 
 func (e *Entry) spawn(f func()) {
 	e.asking.Go(func() error {
--- a/internal/place/silence/silence.go
+++ b/internal/place/silence/silence.go
@@ -24,11 +24,12 @@
 	Factor     float64       // times the slow first events of late
 }
 
-// Defaults returns the settings for callers that give a stream up after a gap of two seconds or more.
+// Defaults returns the settings for callers that give a stream up after a gap of two seconds or more, which leaves another
+// endpoint most of a second.
 func Defaults() Options {
 	return Options{
 		ProbeAfter: 700 * time.Millisecond, Least: 900 * time.Millisecond, Midway: 1300 * time.Millisecond,
-		Most: 2 * time.Second, Factor: 2,
+		Most: 1600 * time.Millisecond, Factor: 1.5,
 	}
 }
 
@@ -64,6 +65,9 @@
 	e.heardAt, e.dead = now, false
 }
 
+// SilentSince tells whether nothing has come from an endpoint since a time.
+func (w *Watch) SilentSince(id string, at time.Time) bool { return !w.endpoint(id).heardAt.After(at) }
+
 // riseShare and fallShare move the estimate of slow first events: it rests where one in twenty is above it.
 const (
 	riseShare = 0.19
--- a/internal/serve/forward/forward.go
+++ b/internal/serve/forward/forward.go
@@ -153,6 +153,9 @@
 	if request.Within > 0 && request.Within < x.route.Timeout {
 		x.deadline = x.arrived.Add(request.Within)
 	}
+	h.mu.Lock()
+	h.budget(x.service.Name).Request(x.arrived)
+	h.mu.Unlock()
 	return nil
 }
 
--- a/internal/serve/forward/forward_test.go
+++ b/internal/serve/forward/forward_test.go
@@ -308,3 +308,30 @@
 	r.Check(w.Code, quicktest.Equals, http.StatusServiceUnavailable)
 	r.Check(w.Header().Get("Retry-After"), quicktest.Not(quicktest.Equals), "")
 }
+
+// Pattern: an endpoint accepts requests and never answers, though it accepts connections too. Guards against going on sending to it
+// because each of its callers leaves first, as seen on the grown deployment.
+func TestHangingEndpointIsAvoidedAfterCallersLeft(t *testing.T) {
+	hang := func(_ http.ResponseWriter, q *http.Request) {
+		_, _ = io.Copy(io.Discard, q.Body)
+		<-q.Context().Done()
+	}
+	slower := func(w http.ResponseWriter, q *http.Request) {
+		time.Sleep(100 * time.Millisecond)
+		succeed(w, q)
+	}
+	r := newRig(t, []http.HandlerFunc{hang, slower})
+	r.grant(1e6)
+	left := 0
+	for range 12 {
+		ctx, leave := context.WithTimeout(t.Context(), time.Second)
+		q := httptest.NewRequestWithContext(ctx, http.MethodPost, "/order/x", strings.NewReader("body"))
+		q.Header.Set("Key", "k")
+		r.handler.ServeHTTP(httptest.NewRecorder(), q)
+		if ctx.Err() != nil {
+			left++
+		}
+		leave()
+	}
+	r.Check(left <= 3, quicktest.IsTrue, quicktest.Commentf("%d of 12 callers left", left))
+}
--- a/internal/serve/forward/send.go
+++ b/internal/serve/forward/send.go
@@ -80,22 +80,25 @@
 func (h *Handler) allowed(x *exchange, tries int) bool {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	b := h.budgets[x.service.Name]
-	if b == nil {
-		b = retry.New(h.options.Retry)
-		h.budgets[x.service.Name] = b
-	}
+	b := h.budget(x.service.Name)
 	now := h.options.Now()
 	if x.sent == 0 {
-		if tries == 0 {
-			b.Request(now)
-		}
 		return tries < maxSends
 	}
 	_, entries := h.options.View.Version()
 	return tries < maxSends && b.Take(now, entries)
 }
 
+// budget returns the budget of repeats of a service. h.mu is held.
+func (h *Handler) budget(service string) *retry.Budget {
+	b := h.budgets[service]
+	if b == nil {
+		b = retry.New(h.options.Retry)
+		h.budgets[service] = b
+	}
+	return b
+}
+
 // giveUp ends a request that was not answered. What an endpoint answered goes first; a refusal states that the request
 // has not run only if that is so.
 func (h *Handler) giveUp(x *exchange, refused *refusal.Error) *refusal.Error {
@@ -181,12 +184,27 @@
 		h.observe(s.ID, pick.Silent, 0)
 		return reasonSilent
 	case x.ctx.Err() != nil:
+		h.observeUnanswered(s)
 		return reasonStopped
 	}
 	h.observe(s.ID, pick.Failed, 0)
 	return reasonBroken
 }
 
+// observeUnanswered counts an endpoint as silent from which nothing came until the caller left or its time was over. Otherwise one
+// that accepts requests and never answers would go on getting them.
+func (h *Handler) observeUnanswered(s sending) {
+	now := h.options.Now()
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if !s.flight.begun && h.silence.SilentSince(s.ID, s.started) && now.Sub(s.started) > unansweredTime {
+		h.picker.Observe(now, s.ID, pick.Silent, 0)
+	}
+}
+
+// unansweredTime is above the objective of most requests.
+const unansweredTime = 900 * time.Millisecond
+
 func (h *Handler) observe(id string, o pick.Outcome, delay time.Duration) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
