Send the configuration to entries packed

The document went to each of 75 entries as text, encoded three times over, on links of 10 Mbit/s, within the 700 ms of a report; a report that took longer was sent again with the whole document. Ruled out: an entry that was cut off or stopped (no such trouble then), a refused document (no event 2013). Change: the leader compresses each version once. Measured: TestLargeDocumentFitsSlowLink holds a document of 2,000 routes to a tenth of a second of that link.

--- a/internal/member/report/encoding_test.go
+++ b/internal/member/report/encoding_test.go
@@ -21,7 +21,7 @@
 		Customers: map[string]quota.Use{"c": {Demand: 120, Held: 30, Extra: 400, Missing: 1000, Request: 700}},
 	}
 	update = report.Update{
-		Leading: true, Term: 4, Document: 7, Content: json.RawMessage(`{"version":7}`), Directory: 6, Running: []int{2, 0},
+		Leading: true, Term: 4, Document: 7, Content: []byte("packed"), Directory: 6, Running: []int{2, 0},
 		Endpoints: []report.Endpoint{{
 			ID: "i-1", Service: "s", DataCentre: "east", Address: netip.MustParseAddrPort("10.0.0.1:80"), Slots: 4, Models: []string{"m"},
 		}},
--- /dev/null
+++ b/internal/member/report/pack_test.go
@@ -0,0 +1,43 @@
+package report_test
+
+import (
+	"bytes"
+	"fmt"
+	"math/rand/v2"
+	"testing"
+
+	"github.com/frankban/quicktest"
+
+	"lycheevale/internal/member/report"
+)
+
+// Pattern: a configuration grows to two thousand routes. Guards against CONFIG as seen on the grown deployment: the document took
+// most of the time of a report on an entry's link of 10 Mbit/s, and the rest of it at the leader.
+func TestLargeDocumentFitsSlowLink(t *testing.T) {
+	c := quicktest.New(t)
+	random := rand.New(rand.NewPCG(1, 1))
+	var content bytes.Buffer
+	for range 2000 {
+		fmt.Fprintf(&content, `{"name":"r-%08x","host":"huka18.example","pathPrefix":"/%08x/","routeKind":"streaming","timeoutMs":15000,`+
+			`"sloMs":600,"priority":1,"service":"puny27a","maxAttempts":2,"public":false,"sticky":true,"resumable":true,"gapSloMs":300},`,
+			random.Uint32(), random.Uint32())
+	}
+	packed, err := report.Pack(content.Bytes())
+	c.Assert(err, quicktest.IsNil)
+	const tenthOfSecond = 10_000_000 / 8 / 10 // bytes on the link
+	c.Check(len(packed) < tenthOfSecond, quicktest.IsTrue, quicktest.Commentf("%d of %d bytes", len(packed), content.Len()))
+	unpacked, err := report.Unpack(packed)
+	c.Assert(err, quicktest.IsNil)
+	c.Check(bytes.Equal(unpacked, content.Bytes()), quicktest.IsTrue)
+}
+
+// Guards against a message that fills the memory of an entry.
+func TestUnpackIsBounded(t *testing.T) {
+	c := quicktest.New(t)
+	packed, err := report.Pack(make([]byte, 17<<20))
+	c.Assert(err, quicktest.IsNil)
+	_, err = report.Unpack(packed)
+	c.Check(err, quicktest.ErrorMatches, ".*exceeds.*")
+	_, err = report.Unpack([]byte("torn"))
+	c.Check(err, quicktest.IsNotNil)
+}
--- a/internal/member/report/report.go
+++ b/internal/member/report/report.go
@@ -3,7 +3,6 @@
 package report
 
 import (
-	"encoding/json"
 	"net/netip"
 
 	"lycheevale/internal/limit/quota"
@@ -48,7 +47,7 @@
 	Instances    []string               `json:"Instances,omitempty"`
 	Term         uint64                 `json:"Term,omitempty"`
 	Document     uint64                 `json:"Document,omitempty"`
-	Content      json.RawMessage        `json:"Content,omitempty"`
+	Content      []byte                 `json:"Content,omitempty"` // packed document
 	AdapterCount uint64                 `json:"AdapterCount,omitempty"`
 	Adapters     []Version              `json:"Adapters,omitempty"` // all of them
 	Directory    uint64                 `json:"Directory,omitempty"`
--- a/internal/member/view/view.go
+++ b/internal/member/view/view.go
@@ -59,7 +59,11 @@
 func (v *View) Apply(now time.Time, u report.Update, decode func([]byte) (document.Document, error)) (c Changed, err error) {
 	var index *document.Index
 	if len(u.Content) > 0 {
-		d, err := decode(u.Content)
+		content, err := report.Unpack(u.Content)
+		if err != nil {
+			return c, err
+		}
+		d, err := decode(content)
 		if err != nil {
 			return c, err
 		}
--- a/internal/node/control/office.go
+++ b/internal/node/control/office.go
@@ -19,26 +19,28 @@
 // office is what an instance keeps while it leads, in memory only: a new leader learns it from endpoints and entries. All
 // of it is guarded by the mutex of its Control.
 type office struct {
-	control      *Control
-	term         uint64
-	since        time.Time
-	roster       *roster.Roster
-	placer       *residency.Placer
-	pool         *quota.Pool
-	weights      *weights.Planner // nil until a configuration is known
-	entries      map[string]*entry
-	index        *document.Index
-	limits       map[string]quota.Limit
-	list         []report.Endpoint // of the revision listed
-	listed       uint64
-	planned      time.Time      // when base models were last planned
-	active       map[string]int // requests that run, by endpoint
-	versions     uint64         // changes of adapter versions that the placer knows
-	lines        map[string]*line
-	waiting      []chan struct{} // requests for adapters in line for a free place
-	tellersHeard int             // entries that have told
-	asked        map[string]bool // entries that were asked what they know of endpoints
-	ended        bool
+	control       *Control
+	term          uint64
+	since         time.Time
+	roster        *roster.Roster
+	placer        *residency.Placer
+	pool          *quota.Pool
+	weights       *weights.Planner // nil until a configuration is known
+	entries       map[string]*entry
+	index         *document.Index
+	limits        map[string]quota.Limit
+	list          []report.Endpoint // of the revision listed
+	listed        uint64
+	planned       time.Time      // when base models were last planned
+	active        map[string]int // requests that run, by endpoint
+	versions      uint64         // changes of adapter versions that the placer knows
+	lines         map[string]*line
+	waiting       []chan struct{} // requests for adapters in line for a free place
+	content       []byte          // packed document of packedVersion
+	packedVersion uint64
+	tellersHeard  int             // entries that have told
+	asked         map[string]bool // entries that were asked what they know of endpoints
+	ended         bool
 }
 
 // entry is the last report of an entry.
@@ -372,7 +374,7 @@
 	state := o.control.machine.Stored()
 	u.Document, u.AdapterCount = state.Version, state.Changes
 	if state.Version > r.Document {
-		u.Content = state.Content
+		u.Content = o.packed(state.Version, state.Content)
 	}
 	if state.Changes > r.Adapters {
 		for _, v := range state.Adapters {
@@ -383,6 +385,20 @@
 	}
 }
 
+// packed returns the document as entries get it, which is made once for each version.
+func (o *office) packed(version uint64, content []byte) []byte {
+	if o.packedVersion == version {
+		return o.content
+	}
+	packed, err := report.Pack(content)
+	if err != nil {
+		event.Log(context.Background(), o.control.options.Logger, event.ViewRefused, slog.Uint64("Version", version), slog.Any("Error", err))
+		return nil
+	}
+	o.packedVersion, o.content = version, packed
+	return packed
+}
+
 func (o *office) fillPlacement(u *report.Update, r report.Entry) {
 	u.Directory, u.Partial = o.directory(), o.partial()
 	known := r.Term == o.term
--- a/internal/serve/forward/forward_test.go
+++ b/internal/serve/forward/forward_test.go
@@ -57,7 +57,9 @@
 	c := quicktest.New(t)
 	r := &rig{C: c, hits: make([]atomic.Int32, len(endpoints))}
 	v := view.New()
-	u := report.Update{Leading: true, Term: 1, Document: 1, Directory: 1, Content: []byte("{}"), Entries: 1}
+	content, err := report.Pack([]byte("{}"))
+	c.Assert(err, quicktest.IsNil)
+	u := report.Update{Leading: true, Term: 1, Document: 1, Directory: 1, Content: content, Entries: 1}
 	for i, serve := range endpoints {
 		server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, q *http.Request) {
 			r.hits[i].Add(1)
@@ -67,7 +69,7 @@
 		address := netip.MustParseAddrPort(strings.TrimPrefix(server.URL, "http://"))
 		u.Endpoints = append(u.Endpoints, report.Endpoint{ID: fmt.Sprint(i), Service: "s", Address: address, Slots: 4})
 	}
-	_, err := v.Apply(time.Now(), u, func([]byte) (document.Document, error) { return testDocument(), nil })
+	_, err = v.Apply(time.Now(), u, func([]byte) (document.Document, error) { return testDocument(), nil })
 	c.Assert(err, quicktest.IsNil)
 	r.handler = forward.New(append([]forward.Option{forward.WithCodec(codec()), forward.WithView(v)}, opts...)...)
 	r.grant(1000)
