Take places for pending adapters in one way

Ruled out: a change of behaviour; the literal moved into one function. Measured: tests of place/residency, node/control and platform/standin pass, the linter has no findings in the package.

--- a/internal/place/residency/residency.go
+++ b/internal/place/residency/residency.go
@@ -172,13 +172,18 @@
 	}
 	for _, h := range pending {
 		if e.places[h.Adapter] == nil {
-			p.load(e, &place{
-				holding: h, state: Loading, changedAt: now, usedAt: now, ordered: true, readyAt: now.Add(p.options.FetchTime),
-			})
+			p.loadPending(now, e, h)
 		}
 	}
 }
 
+// loadPending takes a place for an adapter that the endpoint states to be on its way.
+func (p *Placer) loadPending(now time.Time, e *endpoint, h Holding) {
+	p.load(e, &place{
+		holding: h, state: Loading, changedAt: now, usedAt: now, ordered: true, readyAt: now.Add(p.options.FetchTime),
+	})
+}
+
 // Reconcile replaces what is believed of an endpoint by its exact state: what it holds, and what is on its way to it.
 func (p *Placer) Reconcile(now time.Time, id string, holdings, pending []Holding) {
 	e := p.endpoints[id]
@@ -201,9 +206,7 @@
 	for _, h := range pending {
 		exact[h.Adapter] = h
 		if pl := e.places[h.Adapter]; pl == nil || pl.state == Unknown {
-			p.load(e, &place{
-				holding: h, state: Loading, changedAt: now, usedAt: now, ordered: true, readyAt: now.Add(p.options.FetchTime),
-			})
+			p.loadPending(now, e, h)
 		}
 	}
 	for a, pl := range e.places {
