Tell callers who are refused for want of a leader when it is expected back

Cause: a caller repeats a request once.

member/outage estimates the return of a leader from what entries see: an election where another control instance answers, a restart where none does, a second more once that has passed. The time told is spread over a second and ends with 0.6 of the caller's time.

Ruled out: holding the requests instead; what cannot be served is refused at once.

--- /dev/null
+++ b/internal/member/outage/outage_test.go
@@ -0,0 +1,46 @@
+package outage_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/frankban/quicktest"
+
+	"lycheevale/internal/member/outage"
+)
+
+var epoch = time.Unix(1_800_000_000, 0)
+
+// Pattern: the leader is lost and the others elect another one. Guards against callers who come back before it answers.
+func TestBackAfterElection(t *testing.T) {
+	c := quicktest.New(t)
+	o := outage.New(epoch)
+	o.Answered()
+	c.Check(o.BackAt(epoch).IsZero(), quicktest.IsTrue)
+	o.Failed(epoch, false)
+	o.Failed(epoch.Add(200*time.Millisecond), true)
+	wait := o.BackAt(epoch.Add(300 * time.Millisecond)).Sub(epoch)
+	c.Check(wait >= 1300*time.Millisecond && wait <= 2*time.Second, quicktest.IsTrue, quicktest.Commentf("%v", wait))
+	o.Answered()
+	c.Check(o.BackAt(epoch.Add(time.Second)).IsZero(), quicktest.IsTrue)
+}
+
+// Pattern: all control instances lose power, as seen on both deployments. Guards against callers who come back while their machines
+// start.
+func TestBackAfterRestart(t *testing.T) {
+	c := quicktest.New(t)
+	o := outage.New(epoch)
+	for i := range 3 {
+		o.Failed(epoch.Add(time.Duration(i)*200*time.Millisecond), false)
+	}
+	wait := o.BackAt(epoch.Add(time.Second)).Sub(epoch)
+	c.Check(wait >= 3*time.Second, quicktest.IsTrue, quicktest.Commentf("%v", wait))
+}
+
+// Guards against a time to come back that has passed.
+func TestLongOutageIsStillAwaited(t *testing.T) {
+	c := quicktest.New(t)
+	o := outage.New(epoch)
+	now := epoch.Add(time.Minute)
+	c.Check(o.BackAt(now).After(now), quicktest.IsTrue)
+}
--- a/internal/node/entry/entry.go
+++ b/internal/node/entry/entry.go
@@ -17,6 +17,7 @@
 
 	"lycheevale/internal/base/event"
 	"lycheevale/internal/limit/retry"
+	"lycheevale/internal/member/outage"
 	"lycheevale/internal/member/view"
 	"lycheevale/internal/node/control"
 	"lycheevale/internal/serve/forward"
@@ -32,6 +33,7 @@
 	peers    *peer.Node
 	view     *view.View
 	handler  *forward.Handler
+	outage   *outage.Outage
 	asking   errgroup.Group // questions to the leader, which end with their timeouts and do not hold up a stop
 	draining atomic.Bool
 	serving  atomic.Bool // a configuration and endpoints are known
@@ -50,7 +52,7 @@
 // New returns an instance; Run starts it.
 func New(opts ...Option) *Entry {
 	o := build(opts)
-	e := &Entry{options: o, view: view.New(), seeds: o.Settings.Seeds}
+	e := &Entry{options: o, view: view.New(), outage: outage.New(o.Now()), seeds: o.Settings.Seeds}
 	peerOptions := append([]peer.Option{
 		peer.WithName(o.Settings.Name), peer.WithListen(o.Settings.Listen.Peers), peer.WithLogger(o.Logger),
 		peer.WithResolve(control.Resolve(o.Settings.Listen.Peers.Port())), peer.WithScope(o.Scope),
@@ -61,6 +63,7 @@
 	e.handler = forward.New(
 		forward.WithDataCentre(o.Settings.DataCentre), forward.WithRegions(o.Settings.Regions), forward.WithCodec(o.Codec), forward.WithView(e.view),
 		forward.WithPool(o.Pool), forward.WithLogger(o.Logger), forward.WithNow(o.Now), forward.WithWant(e.want), forward.WithBorrow(e.borrow),
+		forward.WithBackAt(func() time.Time { return e.outage.BackAt(o.Now()) }),
 		forward.WithSeed(uint64(time.Now().UnixNano())), forward.WithObserve(e.observe), forward.WithSpawn(e.spawn),
 		forward.WithRetry(retry.Options{Ratio: r.Ratio * ratioMargin, Window: r.RetryWindow(), Slack: r.Slack * slackMargin}),
 	)
--- a/internal/node/entry/sync.go
+++ b/internal/node/entry/sync.go
@@ -76,6 +76,7 @@
 		event.Log(ctx, e.options.Logger, event.LeaderSilent, slog.String("Instance", to), slog.String("Named", u.Leader),
 			slog.Any("Error", err))
 	}
+	e.outage.Failed(e.options.Now(), err == nil)
 	e.leader = ""
 	if err == nil && u.Leader != to {
 		e.leader = u.Leader
@@ -93,6 +94,7 @@
 			slog.Int("Failed", e.failing))
 	}
 	e.leader, e.failing, e.others = to, 0, u.Instances
+	e.outage.Answered()
 }
 
 func (e *Entry) apply(ctx context.Context, u report.Update, asked time.Time) {
@@ -133,6 +135,7 @@
 		}
 		p = report.Placed{}
 		if err := e.peers.Call(ctx, leader, report.WantMethod, w, &p); err != nil {
+			e.outage.Suspect(e.options.Now())
 			return p, err
 		}
 		if p.Leading {
@@ -163,6 +166,7 @@
 	ctx, cancel := context.WithTimeout(ctx, borrowTimeout)
 	defer cancel()
 	if err := e.peers.Call(ctx, leader, report.BorrowMethod, l, &answer); err != nil {
+		e.outage.Suspect(e.options.Now())
 		return answer, err
 	}
 	if !answer.Leading || len(answer.Admitted) != len(l.Requests) {
--- a/internal/serve/forward/admit.go
+++ b/internal/serve/forward/admit.go
@@ -28,7 +28,7 @@
 	if borrow {
 		var err error
 		if retryAt, admitted, err = h.borrow(x, cost, retryAt); err != nil {
-			return refusal.New(refusal.Unavailable, "the customer's rate is not known: %v", err).WithRetryAt(retryAt)
+			return refusal.New(refusal.Unavailable, "the customer's rate is not known: %v", err).WithRetryAt(h.withLeader(x, retryAt))
 		}
 	}
 	if !admitted {
--- a/internal/serve/forward/forward.go
+++ b/internal/serve/forward/forward.go
@@ -137,7 +137,7 @@
 // match finds the route and chooses among its services by weight.
 func (h *Handler) match(x *exchange) *refusal.Error {
 	if x.index == nil {
-		return refusal.New(refusal.Unavailable, "no configuration is known yet").WithRetryAt(x.arrived.Add(startupRetry))
+		return refusal.New(refusal.Unavailable, "no configuration is known yet").WithRetryAt(h.withLeader(x, x.arrived.Add(startupRetry)))
 	}
 	request, err := h.options.Codec.Decode(x.caller)
 	if err != nil {
--- a/internal/serve/forward/forward_test.go
+++ b/internal/serve/forward/forward_test.go
@@ -7,12 +7,14 @@
 	"net/http"
 	"net/http/httptest"
 	"net/netip"
+	"strconv"
 	"strings"
 	"sync/atomic"
 	"testing"
 	"time"
 
 	"github.com/frankban/quicktest"
+	"github.com/zeebo/errs"
 	"golang.org/x/sync/errgroup"
 
 	"lycheevale/internal/limit/quota"
@@ -337,3 +339,28 @@
 	}
 	r.Check(left <= 3, quicktest.IsTrue, quicktest.Commentf("%d of 12 callers left", left))
 }
+
+// Pattern: all control instances lose power, and callers repeat a request once. Guards against a time to come back at which no leader
+// answers yet, and against one after most of the caller's own time, which is 2 s here.
+func TestCallersReturnWithLeader(t *testing.T) {
+	for _, back := range []time.Duration{0, 700 * time.Millisecond, time.Minute} {
+		lostLeader := forward.WithBorrow(func(context.Context, report.Loan) (report.Lent, error) {
+			return report.Lent{}, errs.New("no leader")
+		})
+		backAt := forward.WithBackAt(func() time.Time {
+			if back == 0 {
+				return time.Time{}
+			}
+			return time.Now().Add(back)
+		})
+		r := newRig(t, []http.HandlerFunc{succeed}, lostLeader, backAt)
+		r.spend()
+		w := r.send(http.MethodGet, "/read/x")
+		r.Assert(w.Code, quicktest.Equals, http.StatusServiceUnavailable)
+		seconds, err := strconv.ParseFloat(w.Header().Get("Retry-After"), 64)
+		r.Assert(err, quicktest.IsNil)
+		note := quicktest.Commentf("back in %v: come back in %.2f s", back, seconds)
+		r.Check(seconds >= min(back.Seconds(), 1.1), quicktest.IsTrue, note)
+		r.Check(seconds <= 1.3, quicktest.IsTrue, note)
+	}
+}
--- a/internal/serve/forward/options.go
+++ b/internal/serve/forward/options.go
@@ -30,7 +30,9 @@
 	// Want asks the leader for a place of an adapter.
 	Want func(ctx context.Context, w report.Want) (report.Placed, error)
 	// Borrow asks the leader to admit requests that their customer's tokens do not fit.
-	Borrow  func(ctx context.Context, l report.Loan) (report.Lent, error)
+	Borrow func(ctx context.Context, l report.Loan) (report.Lent, error)
+	// BackAt returns when a leader is expected to answer again; zero while one answers.
+	BackAt  func() time.Time
 	Observe func(Outcome)
 	Spawn   func(f func()) // starts work that outlives a request
 	Now     func() time.Time
@@ -44,6 +46,7 @@
 	o := Options{
 		View: view.New(), Pool: upstream.New(), Picker: pick.Defaults(), Logger: slog.Default(),
 		Retry:   retry.Options{Ratio: 0.1, Window: 10 * time.Second, Slack: 20},
+		BackAt:  func() time.Time { return time.Time{} },
 		Observe: func(Outcome) {}, Now: time.Now, Wallet: quota.NewWallet(),
 		Borrow: func(_ context.Context, l report.Loan) (report.Lent, error) {
 			return report.Lent{Leading: true, Admitted: make([]bool, len(l.Requests))}, nil
@@ -89,6 +92,9 @@
 	return func(o *Options) { o.Want = f }
 }
 
+// WithBackAt sets the function that tells when a leader is expected to answer again.
+func WithBackAt(f func() time.Time) Option { return func(o *Options) { o.BackAt = f } }
+
 // WithObserve sets the function that is told of each finished request.
 func WithObserve(f func(Outcome)) Option { return func(o *Options) { o.Observe = f } }
 
--- a/internal/serve/forward/place.go
+++ b/internal/serve/forward/place.go
@@ -100,6 +100,37 @@
 // retryBase is about the time in which a busy batch frees a slot.
 const retryBase = 400 * time.Millisecond
 
+// withLeader returns the time at which a caller should come back whose request needs the leader: once that is expected to answer
+// again, but not after most of the caller's own time. Callers repeat a request once or twice, so that one who comes back
+// too early is lost.
+func (h *Handler) withLeader(x *exchange, at time.Time) time.Time {
+	back := h.options.BackAt()
+	if back.IsZero() {
+		return at
+	}
+	h.mu.Lock()
+	back = back.Add(time.Duration(h.random.Int64N(int64(returnSpread))))
+	h.mu.Unlock()
+	within := x.request.Within
+	if within <= 0 && x.route != nil {
+		within = x.route.Timeout
+	}
+	if latest := x.arrived.Add(time.Duration(patience * float64(within))); within > 0 && back.After(latest) {
+		back = latest
+	}
+	if back.Before(at) {
+		return at
+	}
+	return back
+}
+
+const (
+	// returnSpread keeps callers who were refused in an outage from returning in one wave: adapters are loaded again then.
+	returnSpread = time.Second
+	// patience is the part of a caller's time after which it should have come back.
+	patience = 0.6
+)
+
 // spreadLoad asks for another copy beside the request, if the one that was chosen is far away or busy.
 func (h *Handler) spreadLoad(x *exchange, chosen report.Endpoint) {
 	a := x.request.Adapter
@@ -133,7 +164,11 @@
 		return c, h.later(refusal.Unavailable, "no endpoint got the adapter in time")
 	}
 	if w.err != nil || w.placed.Endpoint == "" {
-		return c, h.later(refusal.Unavailable, "no endpoint can load the adapter: %v", w.err)
+		refused = h.later(refusal.Unavailable, "no endpoint can load the adapter: %v", w.err)
+		if w.err != nil {
+			refused = refused.WithRetryAt(h.withLeader(x, refused.RetryAt))
+		}
+		return c, refused
 	}
 	e, ok := h.options.View.Endpoint(w.placed.Endpoint)
 	if !ok || slices.Contains(exclude, e.ID) {
