Let entries find a new leader at once

Followers also went on naming a leader that had been silent for up to a second, and the links for the first election were only dialled with the first vote.

Reports now wait up to 0.3 s at an instance that knows no leader; a named leader, or after an empty answer the next instance, is asked at once; a leader that has been silent for three heartbeats is not named; control instances greet each other as they start. The second after which an entry uses its shares counts from the answer, since the report may have waited.

--- a/internal/node/control/control.go
+++ b/internal/node/control/control.go
@@ -48,8 +48,9 @@
 	machine *document.Machine
 	known   map[string]time.Time // other control instances by name, last sign of life
 	office  *office              // nil unless this instance leads
-	leader  string
-	led     stint // the last time in which this instance led
+	leader  string               // the leader that was heard a moment ago, "" if none
+	news    chan struct{}        // closed when leader or office change
+	led     stint                // the last time in which this instance led
 }
 
 // stint is a time in which an instance led.
@@ -63,7 +64,7 @@
 	o := build(opts)
 	c := &Control{
 		options: o, name: o.Settings.Address.String(), mux: peer.NewMux(), known: map[string]time.Time{},
-		seeds: o.Settings.Seeds, machine: document.NewMachine(),
+		seeds: o.Settings.Seeds, machine: document.NewMachine(), news: make(chan struct{}),
 	}
 	c.router = voter.NewRouter(c.mux)
 	c.handle()
@@ -111,7 +112,10 @@
 	group.Go(func() error { return c.peers.Run(ctx) })
 	group.Go(func() error { return c.runVoter(ctx) })
 	group.Go(func() error { return c.every(ctx, tickInterval, c.tick) })
-	group.Go(func() error { return c.every(ctx, greetInterval, c.greet) })
+	group.Go(func() error {
+		c.greet(ctx) // the first election needs the links
+		return c.every(ctx, greetInterval, c.greet)
+	})
 	return group.Wait()
 }
 
@@ -328,20 +332,45 @@
 		c.office.end()
 		c.led = stint{term: c.office.term, until: c.options.Now()}
 		c.office = nil
+		c.announceNews()
 	}
 	if term := c.leading(); c.office == nil && term > 0 {
 		c.office = newOffice(c, term)
 		event.Log(ctx, c.options.Logger, event.ControlLeading, slog.Uint64("Term", term),
 			slog.Uint64("Document", c.machine.Stored().Version))
+		c.announceNews()
 	}
-	if c.voter != nil {
-		c.leader = c.voter.Status().Leader
+	if leader := c.heardLeader(); leader != c.leader {
+		c.leader = leader
+		c.announceNews()
 	}
 	if c.office != nil && c.leading() == c.office.term {
 		c.office.tick(ctx)
 	}
 }
 
+// heardLeader returns the leader, unless it has been silent for a few heartbeats: whoever asks for it would wait in vain. c.mu is
+// held.
+func (c *Control) heardLeader() string {
+	if c.voter == nil {
+		return ""
+	}
+	s := c.voter.Status()
+	if s.Role != consensus.Leader && c.options.Now().Sub(s.HeardAt) > leaderSilence {
+		return ""
+	}
+	return s.Leader
+}
+
+// leaderSilence is three heartbeats.
+const leaderSilence = 3 * heartbeat
+
+// announceNews wakes those that wait for a leader. c.mu is held.
+func (c *Control) announceNews() {
+	close(c.news)
+	c.news = make(chan struct{})
+}
+
 // toLeader calls a method of the leader, wherever it is. The call is repeated while no instance leads.
 func (c *Control) toLeader(ctx context.Context, method string, params any, result any, leading func() bool) error {
 	for {
--- a/internal/node/control/office.go
+++ b/internal/node/control/office.go
@@ -280,16 +280,35 @@
 	})
 }
 
-// sync answers the report of an entry.
-func (c *Control) sync(_ context.Context, _ string, r report.Entry) (report.Update, error) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	if c.office == nil || c.leading() == 0 {
-		return report.Update{Leader: c.leader, Instances: c.instances()}, nil
-	}
-	return c.office.sync(r), nil
+// sync answers the report of an entry. While no leader is known, the report waits a moment for one, so that entries need not ask
+// all instances in turn.
+func (c *Control) sync(ctx context.Context, _ string, r report.Entry) (report.Update, error) {
+	ctx, cancel := context.WithTimeout(ctx, leaderWait)
+	defer cancel()
+	for {
+		c.mu.Lock()
+		if c.office != nil && c.leading() != 0 {
+			u := c.office.sync(r)
+			c.mu.Unlock()
+			return u, nil
+		}
+		elsewhere := report.Update{Leader: c.leader, Instances: c.instances()}
+		news := c.news
+		c.mu.Unlock()
+		if elsewhere.Leader != "" && elsewhere.Leader != c.name {
+			return elsewhere, nil
+		}
+		select {
+		case <-ctx.Done():
+			return elsewhere, nil
+		case <-news:
+		}
+	}
 }
 
+// leaderWait leaves an entry most of the time of its question.
+const leaderWait = 300 * time.Millisecond
+
 // instances returns the names of control instances that live. c.mu is held.
 func (c *Control) instances() []string {
 	live := []string{c.name}
--- a/internal/node/entry/sync.go
+++ b/internal/node/entry/sync.go
@@ -20,13 +20,16 @@
 // syncTimeout is several round trips between regions.
 const syncTimeout = 700 * time.Millisecond
 
+// questionsInRow bounds the instances that are asked one right after the other, as long as they answer: with the leader that they
+// name, or after a wait without one.
+const questionsInRow = 4
+
 // sync reports to the leader and takes over its answer.
 func (e *Entry) sync(ctx context.Context) {
 	now := e.options.Now()
 	if now.Before(e.due) {
 		return
 	}
-	to := e.target()
 	r := report.Entry{Name: e.options.Settings.Name, DataCentre: e.options.Settings.DataCentre}
 	e.view.Position(&r)
 	e.handler.Report(&r, now.Sub(e.reported))
@@ -34,13 +37,24 @@
 		r.Known = e.view.Tell()
 	}
 	e.reported = now
+	for range questionsInRow {
+		if !e.report(ctx, e.target(), r) {
+			return
+		}
+	}
+}
+
+// report sends a report to an instance. It tells whether the next one should be asked at once, because this one has answered that it
+// does not lead.
+func (e *Entry) report(ctx context.Context, to string, r report.Entry) (askNext bool) {
+	now := e.options.Now()
 	ctx, cancel := context.WithTimeout(ctx, syncTimeout)
 	defer cancel()
 	var u report.Update
 	err := e.peers.Call(ctx, to, report.SyncMethod, r, &u)
 	if err != nil || !u.Leading {
 		e.lost(ctx, to, u, err)
-		return
+		return err == nil
 	}
 	// Half a tick less, since the ticker fires a little late.
 	e.due = now.Add(time.Duration(u.EveryMillis)*time.Millisecond - syncInterval/2)
@@ -49,6 +63,7 @@
 	}
 	e.found(ctx, to, u)
 	e.apply(ctx, u, now)
+	return false
 }
 
 // target returns the leader, or the next instance that may know it.
@@ -119,7 +134,8 @@
 	for _, c := range index.Customers {
 		limits[c.Name] = quota.Limit{Rate: c.Rate, Burst: c.Burst}
 	}
-	terms := quota.Terms{AloneFrom: asked.Add(control.AloneAfter), Expires: asked.Add(control.ShareLease)}
+	// The leader may have held the report, and counts the silence of this entry from its answer.
+	terms := quota.Terms{AloneFrom: e.options.Now().Add(control.AloneAfter), Expires: asked.Add(control.ShareLease)}
 	e.handler.Grant(terms, u.Grants, limits)
 	e.serving.Store(true)
 }
--- a/internal/state/consensus/message.go
+++ b/internal/state/consensus/message.go
@@ -1,5 +1,7 @@
 package consensus
 
+import "time"
+
 // Kind names a message of the protocol.
 type Kind string
 
@@ -101,7 +103,8 @@
 	ID       string
 	Role     Role
 	Term     uint64
-	Leader   string // identity, "" if unknown
+	Leader   string    // identity, "" if unknown
+	HeardAt  time.Time // last message of the leader, at a follower
 	Commit   uint64
 	Last     uint64
 	Snapshot uint64
