Give up orders by the answer time of their endpoint

The leader keeps the answer time of each endpoint and its deviation, as TCP does (wire/answertime), and gives an order up after them, at least 120 ms (a machine whose share is used up may stand still for a tenth of a second) and at most 300 ms.

--- a/internal/node/control/office_test.go
+++ b/internal/node/control/office_test.go
@@ -1,6 +1,7 @@
 package control
 
 import (
+	"context"
 	"net/netip"
 	"testing"
 	"time"
@@ -8,6 +9,7 @@
 	"github.com/frankban/quicktest"
 
 	"lycheevale/internal/base/deployment"
+	"lycheevale/internal/base/virtualtime"
 	"lycheevale/internal/member/report"
 	"lycheevale/internal/member/roster"
 	"lycheevale/internal/place/residency"
@@ -139,3 +141,38 @@
 		c.Check(o.mayOrder(), quicktest.IsTrue, quicktest.Commentf("%s", test.name))
 	}
 }
+
+// Pattern: half of the orders get no answer for seconds, at endpoints that otherwise answer in 5 ms (applied_late on both sites).
+// Guards against waiting for each of them as long as the farthest endpoint may take, while requests wait for their adapter.
+func TestLostAnswerOfNearEndpointIsNoticedSoon(t *testing.T) {
+	virtualtime.Test(t, func(t *testing.T) {
+		c := quicktest.New(t)
+		orders := 0
+		engines := Engines{
+			State: func(context.Context, report.Endpoint) (EngineState, error) {
+				time.Sleep(5 * time.Millisecond)
+				return EngineState{}, nil
+			},
+			Order: func(ctx context.Context, _ report.Endpoint, _ Order) (Result, error) {
+				if orders++; orders%2 == 0 {
+					<-ctx.Done()
+					return "", ctx.Err()
+				}
+				time.Sleep(5 * time.Millisecond)
+				return Accepted, nil
+			},
+		}
+		o := newOffice(New(WithSettings(deployment.Settings{Heartbeat: 1200}), WithEngines(engines), WithNow(time.Now)), 1)
+		l := &line{}
+		started := time.Now()
+		const pairs = 10
+		for range pairs {
+			c.Assert(o.learn(t.Context(), report.Endpoint{}, l), quicktest.IsNil)
+			for range 2 {
+				_, _ = o.call(t.Context(), report.Endpoint{}, l, job{load: true}) // every other one fails
+			}
+		}
+		took := time.Since(started)
+		c.Check(took <= pairs*130*time.Millisecond, quicktest.IsTrue, quicktest.Commentf("%v", took))
+	})
+}
--- a/internal/node/control/orders.go
+++ b/internal/node/control/orders.go
@@ -10,6 +10,7 @@
 	"lycheevale/internal/base/event"
 	"lycheevale/internal/member/report"
 	"lycheevale/internal/place/residency"
+	"lycheevale/internal/wire/answertime"
 	"lycheevale/internal/wire/upstream"
 )
 
@@ -25,9 +26,10 @@
 type line struct {
 	waiting  []job
 	running  bool
-	asked    time.Time    // when the state was last asked for beside orders
-	known    bool         // sequence is what the endpoint has last told, and nothing unanswered came since
-	sequence uint64       // orders that the endpoint has accepted
+	asked    time.Time // when the state was last asked for beside orders
+	known    bool      // sequence is what the endpoint has last told, and nothing unanswered came since
+	sequence uint64    // orders that the endpoint has accepted
+	answers  answertime.Estimate
 	state    *EngineState // what it has told, until an accepted order has shown that nothing came since
 }
 
@@ -119,8 +121,26 @@
 	}
 }
 
-// orderTimeout is several round trips between regions; an order without an answer by then may still be carried out.
-const orderTimeout = 300 * time.Millisecond
+// An order without an answer in time may still be carried out. Until an endpoint has answered, several round trips between regions
+// are allowed; then what it needs, and the tenth of a second for which a machine may stand still whose share is used up.
+const (
+	orderTimeout  = 300 * time.Millisecond
+	shortestOrder = 120 * time.Millisecond
+)
+
+// answerIn returns the time in which an endpoint should answer.
+func (o *office) answerIn(l *line) time.Duration {
+	o.control.mu.Lock()
+	defer o.control.mu.Unlock()
+	return l.answers.Timeout(shortestOrder, orderTimeout)
+}
+
+// answered records how long an endpoint took.
+func (o *office) answered(l *line, since time.Time) {
+	o.control.mu.Lock()
+	defer o.control.mu.Unlock()
+	l.answers.Observe(o.now().Sub(since))
+}
 
 // orderAttempts is how often an order is given that another one has overtaken.
 const orderAttempts = 2
@@ -180,12 +200,14 @@
 
 // learn asks an endpoint for its sequence.
 func (o *office) learn(ctx context.Context, to report.Endpoint, l *line) error {
-	ctx, cancel := context.WithTimeout(ctx, orderTimeout)
+	ctx, cancel := context.WithTimeout(ctx, o.answerIn(l))
 	defer cancel()
+	asked := o.now()
 	state, err := o.control.options.Engines.State(ctx, to)
 	if err != nil {
 		return errs.Combine(upstream.ErrNotSent, err) // the order itself was not sent
 	}
+	o.answered(l, asked)
 	o.control.mu.Lock()
 	defer o.control.mu.Unlock()
 	l.sequence, l.known, l.state = state.Sequence, true, &state
@@ -194,11 +216,16 @@
 }
 
 func (o *office) call(ctx context.Context, to report.Endpoint, l *line, j job) (Result, error) {
-	ctx, cancel := context.WithTimeout(ctx, orderTimeout)
+	ctx, cancel := context.WithTimeout(ctx, o.answerIn(l))
 	defer cancel()
-	return o.control.options.Engines.Order(ctx, to, Order{
+	asked := o.now()
+	result, err := o.control.options.Engines.Order(ctx, to, Order{
 		Load: j.load, Holding: j.holding, Sequence: o.sequence(l), Holder: o.control.options.Settings.Name, Fence: o.term,
 	})
+	if err == nil {
+		o.answered(l, asked)
+	}
+	return result, err
 }
 
 // conclude records the end of an order. c.mu is held.
