Pack configurations in the log, and do not propose stored ones again

A configuration of 344 KB, which the operator sent again and again, was a log entry of 460 KB for each follower each time; between regions, with the small windows of the links, it takes half a second and more, and heartbeats waited behind it. docs/incidents/2026-12-04-heartbeats-behind-configuration.md.

Ruled out: processor time (0.13 of 0.48 cores at the peak).

--- a/internal/member/view/view.go
+++ b/internal/member/view/view.go
@@ -59,7 +59,7 @@
 func (v *View) Apply(now time.Time, u report.Update, decode func([]byte) (document.Document, error)) (c Changed, err error) {
 	var index *document.Index
 	if len(u.Content) > 0 {
-		content, err := report.Unpack(u.Content)
+		content, err := document.Unpack(u.Content)
 		if err != nil {
 			return c, err
 		}
--- a/internal/node/control/interface.go
+++ b/internal/node/control/interface.go
@@ -28,9 +28,9 @@
 
 // stored is the newest configuration with its version.
 type stored struct {
-	Leading bool            `json:"Leading"`
-	Version uint64          `json:"Version"`
-	Content json.RawMessage `json:"Content,omitempty"`
+	Leading bool   `json:"Leading"`
+	Version uint64 `json:"Version"`
+	Packed  []byte `json:"Packed,omitempty"`
 }
 
 type empty struct{}
@@ -88,7 +88,14 @@
 // Replace stores a configuration; the document has been decoded from content and checked. A version that is not higher
 // than the stored one changes nothing and is no error.
 func (c *Control) Replace(ctx context.Context, version uint64, content []byte) (err error) {
-	result, err := c.propose(ctx, document.Command{Action: document.Replace, Version: version, Content: content})
+	c.mu.Lock()
+	stored := c.machine.Stored()
+	c.mu.Unlock()
+	command, err := stored.ReplaceCommand(version, content)
+	if err != nil {
+		return Error.Wrap(err)
+	}
+	result, err := c.propose(ctx, command)
 	id := event.ChangeApplied
 	if err != nil {
 		id = event.ChangeUncertain
@@ -138,7 +145,10 @@
 	defer cancel()
 	var answer stored
 	err = c.toLeader(ctx, report.ReadMethod, empty{}, &answer, func() bool { return answer.Leading })
-	return answer.Content, err
+	if err != nil || len(answer.Packed) == 0 {
+		return nil, err
+	}
+	return document.Unpack(answer.Packed)
 }
 
 // readHere answers from this instance's state after a barrier has shown that it is the newest.
@@ -158,7 +168,11 @@
 	if now.Version < result.Version {
 		return s, nil
 	}
-	return stored{Leading: true, Version: now.Version, Content: now.Content}, nil
+	if len(now.Content) == 0 {
+		return stored{Leading: true}, nil
+	}
+	packed, err := document.Pack(now.Content)
+	return stored{Leading: true, Version: now.Version, Packed: packed}, err
 }
 
 // want answers an entry that needs an adapter. It tries further endpoints where an order fails, and waits a moment in line
--- a/internal/node/control/office.go
+++ b/internal/node/control/office.go
@@ -473,7 +473,7 @@
 	if o.packedVersion == version {
 		return o.content
 	}
-	packed, err := report.Pack(content)
+	packed, err := document.Pack(content)
 	if err != nil {
 		event.Log(context.Background(), o.control.options.Logger, event.ViewRefused, slog.Uint64("Version", version), slog.Any("Error", err))
 		return nil
--- a/internal/serve/forward/forward_test.go
+++ b/internal/serve/forward/forward_test.go
@@ -59,7 +59,7 @@
 	c := quicktest.New(t)
 	r := &rig{C: c, hits: make([]atomic.Int32, len(endpoints))}
 	v := view.New()
-	content, err := report.Pack([]byte("{}"))
+	content, err := document.Pack([]byte("{}"))
 	c.Assert(err, quicktest.IsNil)
 	u := report.Update{Leading: true, Term: 1, Document: 1, Directory: 1, Content: content, Entries: 1}
 	for i, serve := range endpoints {
--- a/internal/state/document/document_test.go
+++ b/internal/state/document/document_test.go
@@ -1,6 +1,7 @@
 package document_test
 
 import (
+	"bytes"
 	"encoding/json"
 	"fmt"
 	"testing"
@@ -110,3 +111,49 @@
 	m.Apply([]byte("{"))
 	c.Check(m.Stored(), quicktest.DeepEquals, document.Stored{})
 }
+
+// Guards against a leader that was replaced and names deputies once more, and against a new voter that does not know who may be lending.
+func TestAppointmentOfLatestLeaderHolds(t *testing.T) {
+	c := quicktest.New(t)
+	m := document.NewMachine()
+	appoint := func(term uint64, names ...string) {
+		data, err := json.Marshal(document.Command{Action: document.Appoint, Appoint: document.Appointment{Term: term, Deputies: names}})
+		c.Assert(err, quicktest.IsNil)
+		m.Apply(data)
+	}
+	appoint(3, "a", "b")
+	appoint(2, "c")
+	c.Check(m.Stored().Appoint.Deputies, quicktest.DeepEquals, []string{"a", "b"})
+	appoint(3, "a", "d")
+	data, err := m.View()()
+	c.Assert(err, quicktest.IsNil)
+	restored := document.NewMachine()
+	c.Assert(restored.Restore(data), quicktest.IsNil)
+	c.Check(restored.Stored().Appoint, quicktest.DeepEquals, document.Appointment{Term: 3, Deputies: []string{"a", "d"}})
+}
+
+// Pattern: an operator sends a configuration of 1,750 routes again and again, as on the grown deployment. Guards against heartbeats
+// that wait behind it: the leader lost its term three times in three seconds. A command has to fit the window of a link without
+// scaling, 64 KiB.
+func TestLargeConfigurationIsShortInLog(t *testing.T) {
+	c := quicktest.New(t)
+	var content bytes.Buffer
+	fmt.Fprint(&content, `{"version":7,"routes":[`)
+	for i := range 1750 {
+		fmt.Fprintf(&content, `{"name":"r-%x","host":"huka18.example","pathPrefix":"/x%x/","routeKind":"idempotent","timeoutMs":3000,`+
+			`"sloMs":400,"priority":2,"service":"ledger","maxAttempts":2},`, i*7919, i*104729)
+	}
+	fmt.Fprint(&content, `{}]}`)
+	m := document.NewMachine()
+	command, err := m.Stored().ReplaceCommand(7, content.Bytes())
+	c.Assert(err, quicktest.IsNil)
+	data, err := json.Marshal(command)
+	c.Assert(err, quicktest.IsNil)
+	c.Check(len(data) <= 64<<10, quicktest.IsTrue, quicktest.Commentf("%d bytes for %d", len(data), content.Len()))
+	m.Apply(data)
+	c.Check(string(m.Stored().Content), quicktest.Equals, content.String())
+
+	again, err := m.Stored().ReplaceCommand(7, content.Bytes())
+	c.Assert(err, quicktest.IsNil)
+	c.Check(again, quicktest.DeepEquals, document.Command{Action: document.Barrier})
+}
--- a/internal/state/document/machine.go
+++ b/internal/state/document/machine.go
@@ -21,6 +21,7 @@
 	Action  Action          `json:"Action"`
 	Version uint64          `json:"Version,omitempty"`
 	Content json.RawMessage `json:"Content,omitempty"` // as the operator sent it
+	Packed  []byte          `json:"Packed,omitempty"`  // the same, packed
 	Adapter AdapterVersion  `json:"Adapter,omitzero"`
 	Appoint Appointment     `json:"Appoint,omitzero"`
 }
@@ -61,6 +62,16 @@
 	latest map[[2]string]int // position in Adapters
 }
 
+// ReplaceCommand returns the command that stores a document. One that is stored already, or was overtaken, is not sent again: a
+// barrier tells as well that it, or a newer one, is durable.
+func (s Stored) ReplaceCommand(version uint64, content []byte) (c Command, err error) {
+	if version <= s.Version {
+		return Command{Action: Barrier}, nil
+	}
+	packed, err := Pack(content)
+	return Command{Action: Replace, Version: version, Packed: packed}, err
+}
+
 // NewMachine returns a machine without any document.
 func NewMachine() *Machine { return &Machine{latest: map[[2]string]int{}} }
 
@@ -87,7 +98,15 @@
 		if c.Version <= m.stored.Version {
 			return false
 		}
-		m.stored.Version, m.stored.Content = c.Version, c.Content
+		content := c.Content
+		if len(c.Packed) > 0 {
+			unpacked, err := Unpack(c.Packed)
+			if err != nil {
+				return false // the same everywhere
+			}
+			content = unpacked
+		}
+		m.stored.Version, m.stored.Content = c.Version, content
 		return true
 	case SetAdapter:
 		return m.setAdapter(c.Adapter)
--- a/internal/member/report/pack.go
+++ b/internal/state/document/pack.go
@@ -1,4 +1,4 @@
-package report
+package document
 
 import (
 	"bytes"
@@ -11,7 +11,8 @@
 // maxDocument bounds a configuration that is unpacked, in bytes; operators may send 8 MiB.
 const maxDocument = 16 << 20
 
-// Pack compresses a configuration for entries: with two thousand routes it takes most of a second on a link of 10 Mbit/s.
+// Pack compresses a configuration for its way between instances: with two thousand routes it takes most of a second on a link of
+// 10 Mbit/s, or between regions, and what comes after it on the link waits.
 func Pack(content []byte) (packed []byte, err error) {
 	defer func() { err = Error.Wrap(err) }()
 	var b bytes.Buffer
--- a/internal/member/report/pack_test.go
+++ b/internal/state/document/pack_test.go
@@ -1,4 +1,4 @@
-package report_test
+package document_test
 
 import (
 	"bytes"
@@ -8,7 +8,7 @@
 
 	"github.com/frankban/quicktest"
 
-	"lycheevale/internal/member/report"
+	"lycheevale/internal/state/document"
 )
 
 // Pattern: a configuration grows to two thousand routes. Guards against CONFIG as seen on the grown deployment: the document took
@@ -22,11 +22,11 @@
 			`"sloMs":600,"priority":1,"service":"puny27a","maxAttempts":2,"public":false,"sticky":true,"resumable":true,"gapSloMs":300},`,
 			random.Uint32(), random.Uint32())
 	}
-	packed, err := report.Pack(content.Bytes())
+	packed, err := document.Pack(content.Bytes())
 	c.Assert(err, quicktest.IsNil)
 	const tenthOfSecond = 10_000_000 / 8 / 10 // bytes on the link
 	c.Check(len(packed) < tenthOfSecond, quicktest.IsTrue, quicktest.Commentf("%d of %d bytes", len(packed), content.Len()))
-	unpacked, err := report.Unpack(packed)
+	unpacked, err := document.Unpack(packed)
 	c.Assert(err, quicktest.IsNil)
 	c.Check(bytes.Equal(unpacked, content.Bytes()), quicktest.IsTrue)
 }
@@ -34,10 +34,10 @@
 // Guards against a message that fills the memory of an entry.
 func TestUnpackIsBounded(t *testing.T) {
 	c := quicktest.New(t)
-	packed, err := report.Pack(make([]byte, 17<<20))
+	packed, err := document.Pack(make([]byte, 17<<20))
 	c.Assert(err, quicktest.IsNil)
-	_, err = report.Unpack(packed)
+	_, err = document.Unpack(packed)
 	c.Check(err, quicktest.ErrorMatches, ".*exceeds.*")
-	_, err = report.Unpack([]byte("torn"))
+	_, err = document.Unpack([]byte("torn"))
 	c.Check(err, quicktest.IsNotNil)
 }
