Let a new leader make room for adapters after 0.6 s

Cause: a new leader waits for the entries' reports before it lets adapters make way, since they tell which ones are in use, and did not call up waiting requests for free places meanwhile either.

Ruled out: unloading at once, which would drop adapters in use.

--- a/internal/member/report/report.go
+++ b/internal/member/report/report.go
@@ -25,7 +25,7 @@
 	Name       string               `json:"Name"`
 	Address    netip.Addr           `json:"Address"`
 	DataCentre string               `json:"DataCentre"`
-	Deputies   uint64               `json:"Deputies,omitempty"` // revision known, of Term
+	Deputies   uint64               `json:"Deputies,omitempty"` // revision of the deputies known, as the leader of Term counts
 	Term       uint64               `json:"Term,omitempty"`     // of the leader that Placement counts for
 	Document   uint64               `json:"Document,omitempty"` // version in effect
 	Adapters   uint64               `json:"Adapters,omitempty"` // changes of adapter versions known
@@ -60,10 +60,10 @@
 	Placement    uint64                 `json:"Placement,omitempty"`
 	Reset        bool                   `json:"Reset,omitempty"` // Events replace everything
 	Events       []residency.Event      `json:"Events,omitempty"`
-	Running      []int                  `json:"Running,omitempty"`     // requests that run at each endpoint, in the order of the list of Directory
-	Grants       map[string]quota.Grant `json:"Grants,omitempty"`      // by customer
-	DeputyCount  uint64                 `json:"DeputyCount,omitempty"` // revision of Deputies
-	Deputies     []Deputy               `json:"Deputies,omitempty"`    // all of them, if DeputyCount has changed
+	Running      []int                  `json:"Running,omitempty"`      // requests that run at each endpoint, in the order of the list of Directory
+	Grants       map[string]quota.Grant `json:"Grants,omitempty"`       // by customer
+	DeputyChange uint64                 `json:"DeputyChange,omitempty"` // revision of Deputies
+	Deputies     []Deputy               `json:"Deputies,omitempty"`     // all of them, if their revision has changed
 	Entries      int                    `json:"Entries,omitempty"`
 	EveryMillis  int64                  `json:"EveryMillis,omitempty"` // time between two reports
 }
--- a/internal/node/control/office.go
+++ b/internal/node/control/office.go
@@ -131,13 +131,13 @@
 	}
 	o.forgetSilent(now)
 	o.placer.Tick(now)
+	o.callUp(o.placer.FreePlaces(now))
 	if now.Sub(o.since) < useGather {
 		return
 	}
 	for _, u := range o.placer.MakeRoom(now) {
 		o.order(ctx, u.Endpoint, job{holding: u.Holding})
 	}
-	o.callUp(o.placer.FreePlaces(now))
 	if now.Sub(o.planned) >= planInterval {
 		o.planned = now
 		o.loadModels(ctx)
@@ -226,8 +226,8 @@
 }
 
 const (
-	// useGather is the time in which a new leader hears from the entries which adapters are in use.
-	useGather = time.Second
+	// useGather is the time in which a new leader hears from the entries which adapters are in use: they find it within 0.3 s.
+	useGather = 600 * time.Millisecond
 	// refreshInterval bounds what asking endpoints for their state costs.
 	refreshInterval = time.Second
 )
@@ -442,7 +442,7 @@
 // fillDeputies names the entries that lend while no leader answers.
 func (o *office) fillDeputies(u *report.Update, r report.Entry) {
 	names, revision := o.pool.Deputies()
-	u.DeputyCount = revision
+	u.DeputyChange = revision
 	if r.Term == o.term && r.Deputies == revision {
 		return
 	}
--- a/internal/node/entry/borrow.go
+++ b/internal/node/entry/borrow.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/cespare/xxhash/v2"
+	"github.com/zeebo/errs"
 
 	"lycheevale/internal/base/event"
 	"lycheevale/internal/member/report"
@@ -23,15 +24,15 @@
 
 // takeDeputies remembers whom to ask while no leader answers.
 func (e *Entry) takeDeputies(ctx context.Context, u report.Update) {
-	now := position{term: u.Term, revision: u.DeputyCount}
-	if e.deputyOf == now {
+	now := revision{term: u.Term, count: u.DeputyChange}
+	if e.named == now {
 		return
 	}
-	e.deputyOf = now
+	e.named = now
 	e.mu.Lock()
 	e.deputies = slices.Clone(u.Deputies)
 	e.mu.Unlock()
-	event.Log(ctx, e.options.Logger, event.DeputiesNamed, slog.Uint64("Term", u.Term), slog.Uint64("Revision", u.DeputyCount),
+	event.Log(ctx, e.options.Logger, event.DeputiesNamed, slog.Uint64("Term", u.Term), slog.Uint64("Revision", u.DeputyChange),
 		slog.Any("Deputies", u.Deputies))
 }
 
@@ -45,9 +46,11 @@
 		err = ErrNoLeader
 	}
 	for _, address := range e.nearestDeputies(l.Customer) {
-		if answer, e2 := e.ask(ctx, address, report.LendMethod, l); e2 == nil {
+		answer, failed := e.ask(ctx, address, report.LendMethod, l)
+		if failed == nil {
 			return answer, nil
 		}
+		err = errs.Combine(err, failed)
 	}
 	return answer, err
 }
@@ -109,7 +112,7 @@
 	}
 	answer, err := e.borrowFromLeader(ctx, l)
 	if err != nil {
-		return report.Lent{}, nil // whoever asked goes on to another deputy
+		return report.Lent{}, nil // the other entry goes on to another deputy, and logs what it refuses
 	}
 	return answer, nil
 }
--- a/internal/node/entry/entry.go
+++ b/internal/node/entry/entry.go
@@ -50,14 +50,14 @@
 	due      time.Time // of the next report
 	deputies []report.Deputy
 	limits   map[string]quota.Limit // by customer
-	deputyOf position               // what the leader was when it named them; only used by sync
+	named    revision               // of the deputies; only used by sync
 	tell     bool                   // the leader has asked what is known of endpoints; only used by sync
 }
 
-// position is a place in the life of a leader.
-type position struct {
-	term     uint64
-	revision uint64
+// revision of what a leader tells; each leader counts anew.
+type revision struct {
+	term  uint64
+	count uint64
 }
 
 // New returns an instance; Run starts it.
--- a/internal/node/entry/sync.go
+++ b/internal/node/entry/sync.go
@@ -34,8 +34,8 @@
 		Name: e.options.Settings.Name, Address: e.options.Settings.Address, DataCentre: e.options.Settings.DataCentre,
 	}
 	e.view.Position(&r)
-	if e.deputyOf.term == r.Term {
-		r.Deputies = e.deputyOf.revision
+	if e.named.term == r.Term {
+		r.Deputies = e.named.count
 	}
 	e.handler.Report(&r, now.Sub(e.reported))
 	if e.tell {
