--- a/internal/node/control/office_test.go
+++ b/internal/node/control/office_test.go
@@ -10,6 +10,7 @@
 
 	"lycheevale/internal/base/deployment"
 	"lycheevale/internal/base/virtualtime"
+	"lycheevale/internal/limit/quota"
 	"lycheevale/internal/member/report"
 	"lycheevale/internal/member/roster"
 	"lycheevale/internal/place/residency"
@@ -176,3 +177,17 @@
 		c.Check(took <= pairs*130*time.Millisecond, quicktest.IsTrue, quicktest.Commentf("%v", took))
 	})
 }
+
+// Pattern: a new leader, to which the deputies report one after the other. Guards against entries that go on with the deputies that
+// were known at their first report.
+func TestEntriesLearnAllDeputies(t *testing.T) {
+	c := quicktest.New(t)
+	o := newTestOffice()
+	o.pool.Appoint(quota.Appointment{Deputies: []string{"a", "b"}})
+	first := o.sync(report.Entry{Name: "a", Address: netip.MustParseAddr("10.0.0.1")})
+	c.Check(first.Deputies, quicktest.HasLen, 1)
+	second := o.sync(report.Entry{Name: "b", Address: netip.MustParseAddr("10.0.0.2")})
+	c.Check(second.Deputies, quicktest.HasLen, 2)
+	c.Check(o.sync(report.Entry{Name: "a", Term: o.term, Deputies: first.DeputyChange}).Deputies, quicktest.HasLen, 2)
+	c.Check(o.sync(report.Entry{Name: "a", Term: o.term, Deputies: second.DeputyChange}).Deputies, quicktest.HasLen, 0)
+}
