Run periodic work with one function

The same loop stood in node/entry, node/control and node/instance, and in node/control it waited before the first call, so that the change that lets control instances greet each other as they start called greet once more beside it. repeat.Every (base/repeat) serves all three and calls at once.

--- a/internal/node/control/control.go
+++ b/internal/node/control/control.go
@@ -16,6 +16,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"lycheevale/internal/base/event"
+	"lycheevale/internal/base/repeat"
 	"lycheevale/internal/member/council"
 	"lycheevale/internal/member/report"
 	"lycheevale/internal/state/consensus"
@@ -111,11 +112,9 @@
 	c.group = group
 	group.Go(func() error { return c.peers.Run(ctx) })
 	group.Go(func() error { return c.runVoter(ctx) })
-	group.Go(func() error { return c.every(ctx, tickInterval, c.tick) })
-	group.Go(func() error {
-		c.greet(ctx) // the first election needs the links
-		return c.every(ctx, greetInterval, c.greet)
-	})
+	group.Go(func() error { return repeat.Every(ctx, tickInterval, c.tick) })
+	// Every greets at once: the first election needs the links.
+	group.Go(func() error { return repeat.Every(ctx, greetInterval, c.greet) })
 	return group.Wait()
 }
 
@@ -126,19 +125,6 @@
 	voterRestart  = 500 * time.Millisecond
 )
 
-func (c *Control) every(ctx context.Context, interval time.Duration, f func(ctx context.Context)) error {
-	ticker := time.NewTicker(interval)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return nil
-		case <-ticker.C:
-			f(ctx)
-		}
-	}
-}
-
 // runVoter takes part in the log, and starts again after a failure of the disk, which may pass.
 func (c *Control) runVoter(ctx context.Context) error {
 	for ctx.Err() == nil {
--- a/internal/node/entry/entry.go
+++ b/internal/node/entry/entry.go
@@ -16,6 +16,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"lycheevale/internal/base/event"
+	"lycheevale/internal/base/repeat"
 	"lycheevale/internal/limit/quota"
 	"lycheevale/internal/limit/retry"
 	"lycheevale/internal/member/outage"
@@ -110,8 +111,8 @@
 	}
 	ready := &http.Server{Handler: e.readiness(), ReadHeaderTimeout: headerTimeout}
 	group.Go(func() error { return e.peers.Run(work) })
-	group.Go(func() error { return e.every(work, syncInterval, e.sync) })
-	group.Go(func() error { return e.every(work, sweepInterval, e.sweep) })
+	group.Go(func() error { return repeat.Every(work, syncInterval, e.sync) })
+	group.Go(func() error { return repeat.Every(work, sweepInterval, e.sweep) })
 	group.Go(func() error { return e.serve(ready, s.Listen.Ready) })
 	group.Go(func() error { return e.serve(callers, s.Listen.Callers) })
 	group.Go(func() error {
@@ -147,19 +148,6 @@
 	return nil
 }
 
-func (e *Entry) every(ctx context.Context, interval time.Duration, f func(ctx context.Context)) error {
-	ticker := time.NewTicker(interval)
-	defer ticker.Stop()
-	for {
-		f(ctx)
-		select {
-		case <-ctx.Done():
-			return nil
-		case <-ticker.C:
-		}
-	}
-}
-
 func (e *Entry) sweep(context.Context) {
 	e.handler.Sweep()
 	e.options.Pool.Sweep()
--- a/internal/node/instance/distribution.go
+++ b/internal/node/instance/distribution.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"lycheevale/internal/base/event"
+	"lycheevale/internal/base/repeat"
 	"lycheevale/internal/base/settings"
 	"lycheevale/internal/member/node"
 	"lycheevale/internal/state/feed"
@@ -166,7 +167,7 @@
 // record makes the leader of the log write withdrawals that were accepted elsewhere, so that they survive the loss of
 // all instances without disks.
 func (d *distribution) record(ctx context.Context) error {
-	return every(ctx, recordInterval, func() {
+	return repeat.Every(ctx, recordInterval, func(ctx context.Context) {
 		if !d.state.leading() {
 			return
 		}
@@ -210,7 +211,7 @@
 		return nil
 	}
 	next := 0
-	return every(ctx, leaderInterval, func() {
+	return repeat.Every(ctx, leaderInterval, func(ctx context.Context) {
 		voters := d.state.voters()
 		name := voters[next%len(voters)]
 		next++
@@ -226,17 +227,3 @@
 		next-- // a voter that answers is asked again
 	})
 }
-
-// every calls f at once and then in each interval until ctx ends.
-func every(ctx context.Context, interval time.Duration, f func()) error {
-	ticker := time.NewTicker(interval)
-	defer ticker.Stop()
-	for {
-		f()
-		select {
-		case <-ctx.Done():
-			return nil
-		case <-ticker.C:
-		}
-	}
-}
--- a/internal/node/instance/instance.go
+++ b/internal/node/instance/instance.go
@@ -17,6 +17,7 @@
 
 	"lycheevale/internal/base/event"
 	"lycheevale/internal/base/metrics"
+	"lycheevale/internal/base/repeat"
 	"lycheevale/internal/base/settings"
 	"lycheevale/internal/limit/admit"
 	"lycheevale/internal/member/assign"
@@ -334,7 +335,7 @@
 	var group errgroup.Group
 	group.Go(func() error {
 		begin := i.options.Now()
-		return every(ctx, readyInterval, func() {
+		return repeat.Every(ctx, readyInterval, func(ctx context.Context) {
 			if i.options.Now().Sub(begin) > i.options.LeaveWait && i.owner.Idle() {
 				cancel()
 			}
--- a/internal/node/instance/state.go
+++ b/internal/node/instance/state.go
@@ -13,6 +13,7 @@
 
 	"lycheevale/internal/base/event"
 	"lycheevale/internal/base/refusal"
+	"lycheevale/internal/base/repeat"
 	"lycheevale/internal/base/settings"
 	"lycheevale/internal/member/node"
 	"lycheevale/internal/place/scheduler"
@@ -299,7 +300,7 @@
 }
 
 func (st *state) releaseClaims(ctx context.Context) error {
-	return every(ctx, releaseInterval, func() {
+	return repeat.Every(ctx, releaseInterval, func(ctx context.Context) {
 		st.mu.Lock()
 		waiting := st.releases
 		st.releases = nil
