Keep the deputies in the view of an entry

Deputies, their revision and the customers' limits were kept beside the view, with a type of its own for "revision of a term", although the view already follows what each leader tells, and its document holds the limits. The view takes the deputies over like the directory; a late answer of a leader that was replaced no longer brings its deputies back (TestDeputiesFollowLatestLeader), which the copy beside it would have allowed. The limit of a customer is made in one place (control.Limit).

--- a/internal/member/view/view.go
+++ b/internal/member/view/view.go
@@ -29,6 +29,8 @@
 	versions  map[residency.Adapter]int
 	order     []string       // endpoints in the order of the leader's list
 	running   map[string]int // requests that all entries run, by endpoint
+	deputies  []report.Deputy
+	named     uint64 // revision of deputies
 }
 
 // New returns an empty view.
@@ -44,13 +46,14 @@
 	v.mu.RLock()
 	defer v.mu.RUnlock()
 	r.Term, r.Document, r.Adapters = v.term, v.document, v.adapters
-	r.Directory, r.Placement = v.directory, v.placement
+	r.Directory, r.Placement, r.Deputies = v.directory, v.placement, v.named
 }
 
 // Changed tells what an update has changed.
 type Changed struct {
 	Document  bool
 	Directory bool
+	Deputies  bool
 	Removed   []report.Endpoint
 }
 
@@ -81,6 +84,7 @@
 	}
 	v.entries = max(u.Entries, 1)
 	v.applyVersions(u)
+	c.Deputies = v.applyDeputies(u)
 	c.Directory, c.Removed = v.applyDirectory(u)
 	v.applyRunning(u)
 	v.applyPlacement(u)
@@ -127,6 +131,14 @@
 	return true, removed
 }
 
+func (v *View) applyDeputies(u report.Update) (changed bool) {
+	if u.DeputyChange == v.named && u.Term == v.term {
+		return false
+	}
+	v.deputies, v.named = u.Deputies, u.DeputyChange
+	return true
+}
+
 // applyRunning takes over the use of endpoints, which is counted in the order of the list.
 func (v *View) applyRunning(u report.Update) {
 	if len(u.Running) != len(v.order) {
@@ -189,6 +201,13 @@
 	}
 }
 
+// Deputies returns the entries that lend while no leader answers; the list must not be changed.
+func (v *View) Deputies() []report.Deputy {
+	v.mu.RLock()
+	defer v.mu.RUnlock()
+	return v.deputies
+}
+
 // Index returns the document in effect, or nil.
 func (v *View) Index() *document.Index {
 	v.mu.RLock()
--- a/internal/member/view/view_test.go
+++ b/internal/member/view/view_test.go
@@ -46,3 +46,26 @@
 	c.Check(v.Endpoints("s"), quicktest.HasLen, 1)
 	c.Check(v.Tell(), quicktest.HasLen, 1)
 }
+
+// Guards against deputies of a leader that was replaced, whose answer comes late.
+func TestDeputiesFollowLatestLeader(t *testing.T) {
+	c := quicktest.New(t)
+	v := view.New()
+	named := func(term, change uint64, centres ...string) []string {
+		u := report.Update{Term: term, DeputyChange: change}
+		for _, centre := range centres {
+			u.Deputies = append(u.Deputies, report.Deputy{DataCentre: centre})
+		}
+		_, err := v.Apply(time.Now(), u, none)
+		c.Assert(err, quicktest.IsNil)
+		var known []string
+		for _, d := range v.Deputies() {
+			known = append(known, d.DataCentre)
+		}
+		return known
+	}
+	c.Check(named(1, 3, "a"), quicktest.DeepEquals, []string{"a"})
+	c.Check(named(1, 3), quicktest.DeepEquals, []string{"a"}) // left out, since they have not changed
+	c.Check(named(2, 3, "b", "c"), quicktest.DeepEquals, []string{"b", "c"})
+	c.Check(named(1, 4, "d"), quicktest.DeepEquals, []string{"b", "c"})
+}
--- a/internal/node/control/office.go
+++ b/internal/node/control/office.go
@@ -96,6 +96,9 @@
 	}
 }
 
+// Limit returns what a customer may use.
+func Limit(c document.Customer) quota.Limit { return quota.Limit{Rate: c.Rate, Burst: c.Burst} }
+
 // Tolerance returns the bound on the use of all customers.
 func Tolerance(s deployment.Settings) quota.Tolerance {
 	return quota.Tolerance{Window: s.Rates.Window(), Overage: s.Rates.Overage, Slack: s.Rates.Slack}
@@ -253,7 +256,7 @@
 	o.limits = map[string]quota.Limit{}
 	for _, c := range d.Customers {
 		if c.Rate > 0 {
-			o.limits[c.Name] = quota.Limit{Rate: c.Rate, Burst: c.Burst}
+			o.limits[c.Name] = Limit(c)
 		}
 	}
 	for _, s := range d.Services {
--- a/internal/node/entry/borrow.go
+++ b/internal/node/entry/borrow.go
@@ -11,8 +11,10 @@
 	"github.com/zeebo/errs"
 
 	"lycheevale/internal/base/event"
+	"lycheevale/internal/limit/quota"
 	"lycheevale/internal/member/report"
 	"lycheevale/internal/node/control"
+	"lycheevale/internal/state/document"
 )
 
 const (
@@ -22,20 +24,6 @@
 	deputiesAsked = 2
 )
 
-// takeDeputies remembers whom to ask while no leader answers.
-func (e *Entry) takeDeputies(ctx context.Context, u report.Update) {
-	now := revision{term: u.Term, count: u.DeputyChange}
-	if e.named == now {
-		return
-	}
-	e.named = now
-	e.mu.Lock()
-	e.deputies = slices.Clone(u.Deputies)
-	e.mu.Unlock()
-	event.Log(ctx, e.options.Logger, event.DeputiesNamed, slog.Uint64("Term", u.Term), slog.Uint64("Revision", u.DeputyChange),
-		slog.Any("Deputies", u.Deputies))
-}
-
 // borrow asks the leader to admit requests that the tokens of their customer do not fit, and deputies while it does not answer.
 func (e *Entry) borrow(ctx context.Context, l report.Loan) (answer report.Lent, err error) {
 	if e.outage.BackAt(e.options.Now()).IsZero() {
@@ -81,13 +69,23 @@
 	return answer, nil
 }
 
+// limit returns what a customer may use, nothing if it is not known.
+func (e *Entry) limit(customer string) (l quota.Limit) {
+	index := e.view.Index()
+	if index == nil {
+		return l
+	}
+	if i := slices.IndexFunc(index.Customers, func(c document.Customer) bool { return c.Name == customer }); i >= 0 {
+		l = control.Limit(index.Customers[i])
+	}
+	return l
+}
+
 // nearestDeputies returns those to ask that hold shares of a customer, nearest first; entries at the same distance ask different ones.
 func (e *Entry) nearestDeputies(customer string) (addresses []string) {
 	s := e.options.Settings
-	e.mu.Lock()
-	list := slices.Clone(e.deputies)
-	list = list[:control.Tolerance(s).Deputies(e.limits[customer], len(list))]
-	e.mu.Unlock()
+	list := slices.Clone(e.view.Deputies())
+	list = list[:control.Tolerance(s).Deputies(e.limit(customer), len(list))]
 	rank := func(d report.Deputy) uint64 { return xxhash.Sum64String(s.Name + d.Address.String()) }
 	slices.SortFunc(list, func(a, b report.Deputy) int {
 		return cmp.Or(
--- a/internal/node/entry/entry.go
+++ b/internal/node/entry/entry.go
@@ -17,7 +17,6 @@
 
 	"lycheevale/internal/base/event"
 	"lycheevale/internal/base/repeat"
-	"lycheevale/internal/limit/quota"
 	"lycheevale/internal/limit/retry"
 	"lycheevale/internal/member/outage"
 	"lycheevale/internal/member/report"
@@ -49,16 +48,7 @@
 	failing  int       // reports in a row that no leader answered
 	reported time.Time // only used by sync, as is due
 	due      time.Time // of the next report
-	deputies []report.Deputy
-	limits   map[string]quota.Limit // by customer
-	named    revision               // of the deputies; only used by sync
-	tell     bool                   // the leader has asked what is known of endpoints; only used by sync
-}
-
-// revision of what a leader tells; each leader counts anew.
-type revision struct {
-	term  uint64
-	count uint64
+	tell     bool      // the leader has asked what is known of endpoints; only used by sync
 }
 
 // New returns an instance; Run starts it.
--- a/internal/node/entry/sync.go
+++ b/internal/node/entry/sync.go
@@ -34,9 +34,6 @@
 		Name: e.options.Settings.Name, Address: e.options.Settings.Address, DataCentre: e.options.Settings.DataCentre,
 	}
 	e.view.Position(&r)
-	if e.named.term == r.Term {
-		r.Deputies = e.named.count
-	}
 	e.handler.Report(&r, now.Sub(e.reported))
 	if e.tell {
 		r.Known = e.view.Tell()
@@ -67,7 +64,6 @@
 		e.due = now
 	}
 	e.found(ctx, to, u)
-	e.takeDeputies(ctx, u)
 	e.apply(ctx, u, now)
 	if e.view.Empty() {
 		e.due = now // it can serve nobody until the leader knows endpoints
@@ -135,17 +131,18 @@
 			slog.Uint64("Directory", u.Directory), slog.Int("Endpoints", len(u.Endpoints)), slog.Bool("Partial", u.Partial),
 			slog.Int("Removed", len(changed.Removed)))
 	}
+	if changed.Deputies {
+		event.Log(ctx, e.options.Logger, event.DeputiesNamed, slog.Uint64("Term", u.Term), slog.Uint64("Revision", u.DeputyChange),
+			slog.Any("Deputies", u.Deputies))
+	}
 	index := e.view.Index()
 	if index == nil {
 		return
 	}
 	limits := map[string]quota.Limit{}
 	for _, c := range index.Customers {
-		limits[c.Name] = quota.Limit{Rate: c.Rate, Burst: c.Burst}
+		limits[c.Name] = control.Limit(c)
 	}
-	e.mu.Lock()
-	e.limits = limits
-	e.mu.Unlock()
 	// The leader may have held the report, and counts the silence of this entry from its answer.
 	terms := quota.Terms{AloneFrom: e.options.Now().Add(control.AloneAfter), Expires: asked.Add(control.ShareLease)}
 	e.handler.Grant(terms, u.Grants, limits)
