Count deputies that have not reported without copying their names

Pool.unknown runs once or twice for each customer with each report of an entry. It joined both lists of names each time and told them apart by position, also in the usual case in which all have reported. An entry that is known has reported, so that asking for both was one question too many.

--- a/internal/limit/quota/deputy.go
+++ b/internal/limit/quota/deputy.go
@@ -103,19 +103,28 @@
 
 // unheard tells whether an entry was appointed, has not reported to this leader, and may still use the shares of the one before.
 func (p *Pool) unheard(now time.Time, name string) bool {
-	return p.entries[name] == nil && !p.reported[name] && now.Sub(p.started) < p.options.Lease
+	return !p.reported[name] && now.Sub(p.started) < p.options.Lease
 }
 
 // unknown is what deputies that have not reported to this leader may be using of a limit, in tokens per second.
 func (p *Pool) unknown(now time.Time, customer string, limit Limit) (share float64) {
+	n := p.options.Tolerance.Deputies(limit, len(p.appointed.Deputies))
+	unheard := p.countUnheard(now, p.appointed.Deputies[:n]) + p.countUnheard(now, p.appointed.Former)
+	if unheard == 0 {
+		return 0
+	}
 	rate := limit.Rate * sharedPart
-	n := max(p.options.Tolerance.Deputies(limit, len(p.appointed.Deputies)), 1)
-	for i, name := range slices.Concat(p.appointed.Deputies, p.appointed.Former) {
-		if (i < n || i >= len(p.appointed.Deputies)) && p.unheard(now, name) {
-			share += rate / float64(n)
+	share = rate * float64(unheard) / float64(max(n, 1))
+	return min(share, max(rate-max(p.totals[customer].committed, 0), 0))
+}
+
+func (p *Pool) countUnheard(now time.Time, names []string) (n int) {
+	for _, name := range names {
+		if p.unheard(now, name) {
+			n++
 		}
 	}
-	return min(share, max(rate-max(p.totals[customer].committed, 0), 0))
+	return n
 }
 
 // Deputies is the number of deputies that hold a share of a limit, the first of all that there are. Each may run into debt by a
