Drop a reset that nothing could see from outage

Once another control instance has answered, the number of unanswered questions is not looked at any more, so that setting it back to zero changed nothing. Suspect and Failed begin an outage with one function. Tests unchanged.

--- a/internal/member/outage/outage.go
+++ b/internal/member/outage/outage.go
@@ -16,8 +16,8 @@
 	restartTime = 3500 * time.Millisecond
 	// longerTime is added to the age of an outage that has lasted longer than expected.
 	longerTime = time.Second
-	// unreachableInstances is the number of questions to control instances in a row that nobody answers, from which on all of
-	// them count as down: the first fails with the leader itself.
+	// unreachableInstances is the number of questions to control instances that nobody answers, from which on all of them count as
+	// down: the first fails with the leader itself.
 	unreachableInstances = 3
 )
 
@@ -25,7 +25,7 @@
 type Outage struct {
 	mu      sync.Mutex
 	since   time.Time // zero while the leader answers
-	silent  int       // questions in a row without an answer
+	silent  int       // questions without any answer
 	reached bool      // another control instance has answered
 }
 
@@ -43,22 +43,25 @@
 func (o *Outage) Suspect(now time.Time) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	if o.since.IsZero() {
-		o.since = now
-	}
+	o.begin(now)
 }
 
 // Failed records a question that no leader has answered; reached tells that another instance did.
 func (o *Outage) Failed(now time.Time, reached bool) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
+	o.begin(now)
+	if reached {
+		o.reached = true
+	} else {
+		o.silent++
+	}
+}
+
+func (o *Outage) begin(now time.Time) {
 	if o.since.IsZero() {
 		o.since = now
 	}
-	o.reached = o.reached || reached
-	if o.silent++; reached {
-		o.silent = 0
-	}
 }
 
 // BackAt returns when a leader is expected to answer again; zero while one answers.
