Add adapters that an endpoint states to hold in one way

SetEndpoint, Absorb and Reconcile each made the same place and settled it; loadPending, beside them, already served the pending ones. Tests unchanged.

--- a/internal/place/residency/residency.go
+++ b/internal/place/residency/residency.go
@@ -142,9 +142,7 @@
 		left := now.Sub(e.seen[h.Adapter].at) < p.options.ReportLag
 		switch {
 		case pl == nil && !left:
-			pl = &place{usedAt: now, stated: true}
-			e.places[h.Adapter] = pl
-			p.settle(now, e, pl, h)
+			pl = p.discover(now, e, h)
 		case pl != nil && pl.state == Resident && pl.holding.Version < h.Version:
 			p.settle(now, e, pl, h)
 		}
@@ -167,9 +165,7 @@
 	for _, h := range holdings {
 		pl := e.places[h.Adapter]
 		if pl == nil {
-			pl = &place{usedAt: now}
-			e.places[h.Adapter] = pl
-			p.settle(now, e, pl, h)
+			pl = p.discover(now, e, h)
 		}
 		pl.stated = true
 	}
@@ -180,6 +176,14 @@
 	}
 }
 
+// discover takes a place for an adapter that the endpoint states to hold.
+func (p *Placer) discover(now time.Time, e *endpoint, h Holding) *place {
+	pl := &place{usedAt: now, stated: true}
+	e.places[h.Adapter] = pl
+	p.settle(now, e, pl, h)
+	return pl
+}
+
 // loadPending takes a place for an adapter that the endpoint states to be on its way.
 func (p *Placer) loadPending(now time.Time, e *endpoint, h Holding) {
 	p.load(e, &place{
@@ -199,9 +203,7 @@
 		pl := e.places[h.Adapter]
 		switch {
 		case pl == nil:
-			pl = &place{usedAt: now, stated: true}
-			e.places[h.Adapter] = pl
-			p.settle(now, e, pl, h)
+			p.discover(now, e, h)
 		case pl.state == Unknown || pl.state == Loading || pl.holding.Version < h.Version:
 			p.settle(now, e, pl, h)
 		}
