--- a/internal/member/report/report.go
+++ b/internal/member/report/report.go
@@ -4,6 +4,7 @@
 
 import (
 	"net/netip"
+	"time"
 
 	"lycheevale/internal/limit/quota"
 	"lycheevale/internal/place/residency"
@@ -129,3 +130,11 @@
 	Admitted []bool `json:"Admitted,omitempty"` // in the order of Loan.Requests
 	InMillis int64  `json:"InMillis,omitempty"` // milliseconds until those that were not admitted may come back
 }
+
+// Add appends the decision on the next request; retryAt counts where it was not admitted.
+func (l *Lent) Add(now, retryAt time.Time, admitted bool) {
+	l.Admitted = append(l.Admitted, admitted)
+	if !admitted {
+		l.InMillis = max(l.InMillis, retryAt.Sub(now).Milliseconds())
+	}
+}
--- a/internal/node/control/interface.go
+++ b/internal/node/control/interface.go
@@ -267,8 +267,7 @@
 	answer := report.Lent{Leading: true}
 	for _, tokens := range l.Requests {
 		retryAt, admitted := c.office.pool.Borrow(now, l.Customer, tokens, limit)
-		answer.Admitted = append(answer.Admitted, admitted)
-		answer.InMillis = max(answer.InMillis, retryAt.Sub(now).Milliseconds())
+		answer.Add(now, retryAt, admitted)
 	}
 	return answer, nil
 }
--- a/internal/serve/forward/admit.go
+++ b/internal/serve/forward/admit.go
@@ -130,10 +130,7 @@
 		if !lends {
 			return report.Lent{}, false
 		}
-		answer.Admitted = append(answer.Admitted, admitted)
-		if !admitted {
-			answer.InMillis = max(answer.InMillis, retryAt.Sub(now).Milliseconds())
-		}
+		answer.Add(now, retryAt, admitted)
 	}
 	return answer, true
 }
