Give lengths of time in seconds a type in the settings

Rates.Window and Retry.RetryWindow converted the same kind of field with the same expression. Seconds stands beside Millis now; the names in the settings file stay. Tests unchanged.

--- a/internal/base/deployment/deployment.go
+++ b/internal/base/deployment/deployment.go
@@ -46,20 +46,23 @@
 
 // Retry bounds the repeats of all entries together.
 type Retry struct {
-	Ratio         float64 `yaml:"Ratio"` // repeats for each request
-	WindowSeconds float64 `yaml:"WindowSeconds"`
-	Slack         float64 `yaml:"Slack"` // repeats in a window without requests
+	Ratio  float64 `yaml:"Ratio"` // repeats for each request
+	Window Seconds `yaml:"WindowSeconds"`
+	Slack  float64 `yaml:"Slack"` // repeats in a window without requests
 }
 
 // Rates tells how far the use of a customer over all entries may exceed its rate and burst.
 type Rates struct {
-	WindowSeconds float64 `yaml:"WindowSeconds"` // over which use is counted
-	Overage       float64 `yaml:"Overage"`       // part of what the limit allows in the window
-	Slack         float64 `yaml:"Slack"`         // tokens in the window
+	Window  Seconds `yaml:"WindowSeconds"` // over which use is counted
+	Overage float64 `yaml:"Overage"`       // part of what the limit allows in the window
+	Slack   float64 `yaml:"Slack"`         // tokens in the window
 }
 
-// Window returns the time over which use is counted.
-func (r Rates) Window() time.Duration { return time.Duration(r.WindowSeconds * float64(time.Second)) }
+// Seconds is a length of time in seconds.
+type Seconds float64
+
+// Duration returns the length of time.
+func (s Seconds) Duration() time.Duration { return time.Duration(float64(s) * float64(time.Second)) }
 
 // Millis is a length of time in milliseconds.
 type Millis int64
@@ -114,16 +117,11 @@
 	if s.Shutdown <= 0 {
 		report("$.ShutdownMillis", "ShutdownMillis must be positive")
 	}
-	if s.Retry.WindowSeconds <= 0 {
+	if s.Retry.Window <= 0 {
 		report("$.Retry.WindowSeconds", "WindowSeconds must be positive")
 	}
-	if s.Rates.WindowSeconds < 0 || s.Rates.Overage < 0 || s.Rates.Slack < 0 {
+	if s.Rates.Window < 0 || s.Rates.Overage < 0 || s.Rates.Slack < 0 {
 		report("$.Rates", "WindowSeconds, Overage and Slack must not be negative")
 	}
 	return found
 }
-
-// RetryWindow returns the window of the bound on repeats.
-func (r Retry) RetryWindow() time.Duration {
-	return time.Duration(r.WindowSeconds * float64(time.Second))
-}
--- a/internal/node/control/office.go
+++ b/internal/node/control/office.go
@@ -101,7 +101,7 @@
 
 // Tolerance returns the bound on the use of all customers.
 func Tolerance(s deployment.Settings) quota.Tolerance {
-	return quota.Tolerance{Window: s.Rates.Window(), Overage: s.Rates.Overage, Slack: s.Rates.Slack}
+	return quota.Tolerance{Window: s.Rates.Window.Duration(), Overage: s.Rates.Overage, Slack: s.Rates.Slack}
 }
 
 // end lets no further order start.
