Pack a configuration once

A configuration came packed in the log, was unpacked into the state, packed again for entries by each new leader with a cache of its own, and again for every answer to a read. The state machine keeps the packed form beside the content; the leader's cache is gone.

--- a/internal/node/control/interface.go
+++ b/internal/node/control/interface.go
@@ -168,11 +168,7 @@
 	if now.Version < result.Version {
 		return s, nil
 	}
-	if len(now.Content) == 0 {
-		return stored{Leading: true}, nil
-	}
-	packed, err := document.Pack(now.Content)
-	return stored{Leading: true, Version: now.Version, Packed: packed}, err
+	return stored{Leading: true, Version: now.Version, Packed: now.Packed}, nil
 }
 
 // want answers an entry that needs an adapter. It tries further endpoints where an order fails, and waits a moment in line
--- a/internal/node/control/office.go
+++ b/internal/node/control/office.go
@@ -18,32 +18,30 @@
 // office is what an instance keeps while it leads, in memory only: a new leader learns it from endpoints and entries. All
 // of it is guarded by the mutex of its Control.
 type office struct {
-	control       *Control
-	term          uint64
-	since         time.Time
-	ordersFrom    time.Time // no order is given before
-	roster        *roster.Roster
-	placer        *residency.Placer
-	pool          *quota.Pool
-	weights       *weights.Planner // nil until a configuration is known
-	entries       map[string]*entry
-	index         *document.Index
-	limits        map[string]quota.Limit
-	list          []report.Endpoint // of the revision listed
-	listed        uint64
-	planned       time.Time      // when base models were last planned
-	active        map[string]int // requests that run, by endpoint
-	versions      uint64         // changes of adapter versions that the placer knows
-	lines         map[string]*line
-	waiting       []chan struct{} // requests for adapters in line for a free place
-	content       []byte          // packed document of packedVersion
-	packedVersion uint64
-	tellersHeard  int                      // entries that have told
-	asked         map[string]bool          // entries that were asked what they know of endpoints
-	addresses     map[string]report.Deputy // of entries that have reported; a deputy that is silent for a moment stays named
-	appointing    bool                     // an appointment of deputies is being stored
-	appointedAt   time.Time                // when one was last proposed
-	ended         bool
+	control      *Control
+	term         uint64
+	since        time.Time
+	ordersFrom   time.Time // no order is given before
+	roster       *roster.Roster
+	placer       *residency.Placer
+	pool         *quota.Pool
+	weights      *weights.Planner // nil until a configuration is known
+	entries      map[string]*entry
+	index        *document.Index
+	limits       map[string]quota.Limit
+	list         []report.Endpoint // of the revision listed
+	listed       uint64
+	planned      time.Time      // when base models were last planned
+	active       map[string]int // requests that run, by endpoint
+	versions     uint64         // changes of adapter versions that the placer knows
+	lines        map[string]*line
+	waiting      []chan struct{}          // requests for adapters in line for a free place
+	tellersHeard int                      // entries that have told
+	asked        map[string]bool          // entries that were asked what they know of endpoints
+	addresses    map[string]report.Deputy // of entries that have reported; a deputy that is silent for a moment stays named
+	appointing   bool                     // an appointment of deputies is being stored
+	appointedAt  time.Time                // when one was last proposed
+	ended        bool
 }
 
 // entry is the last report of an entry.
--- a/internal/node/control/updates.go
+++ b/internal/node/control/updates.go
@@ -10,7 +10,6 @@
 	"lycheevale/internal/limit/quota"
 	"lycheevale/internal/member/report"
 	"lycheevale/internal/place/residency"
-	"lycheevale/internal/state/document"
 )
 
 // sync answers the report of an entry. While no leader is known, the report waits a moment for one, so that entries need not ask
@@ -159,7 +158,7 @@
 	state := o.control.machine.Stored()
 	u.Document, u.AdapterCount = state.Version, state.Changes
 	if state.Version > r.Document {
-		u.Content = o.packed(state.Version, state.Content)
+		u.Content = state.Packed
 	}
 	if state.Changes > r.Adapters {
 		for _, v := range state.Adapters {
@@ -170,20 +169,6 @@
 	}
 }
 
-// packed returns the document as entries get it, which is made once for each version.
-func (o *office) packed(version uint64, content []byte) []byte {
-	if o.packedVersion == version {
-		return o.content
-	}
-	packed, err := document.Pack(content)
-	if err != nil {
-		event.Log(context.Background(), o.control.options.Logger, event.ViewRefused, slog.Uint64("Version", version), slog.Any("Error", err))
-		return nil
-	}
-	o.packedVersion, o.content = version, packed
-	return packed
-}
-
 func (o *office) fillPlacement(u *report.Update, r report.Entry) {
 	u.Directory, u.Partial = o.directory(), o.partial()
 	known := r.Term == o.term
--- a/internal/state/document/document_test.go
+++ b/internal/state/document/document_test.go
@@ -152,6 +152,15 @@
 	c.Check(len(data) <= 64<<10, quicktest.IsTrue, quicktest.Commentf("%d bytes for %d", len(data), content.Len()))
 	m.Apply(data)
 	c.Check(string(m.Stored().Content), quicktest.Equals, content.String())
+	snapshot, err := m.View()()
+	c.Assert(err, quicktest.IsNil)
+	restored := document.NewMachine()
+	c.Assert(restored.Restore(snapshot), quicktest.IsNil)
+	for _, s := range []document.Stored{m.Stored(), restored.Stored()} {
+		unpacked, err := document.Unpack(s.Packed)
+		c.Assert(err, quicktest.IsNil)
+		c.Check(string(unpacked), quicktest.Equals, content.String())
+	}
 
 	again, err := m.Stored().ReplaceCommand(7, content.Bytes())
 	c.Assert(err, quicktest.IsNil)
--- a/internal/state/document/machine.go
+++ b/internal/state/document/machine.go
@@ -20,7 +20,7 @@
 type Command struct {
 	Action  Action          `json:"Action"`
 	Version uint64          `json:"Version,omitempty"`
-	Content json.RawMessage `json:"Content,omitempty"` // as the operator sent it
+	Content json.RawMessage `json:"Content,omitempty"` // as the operator sent it; logs of earlier versions have it instead of Packed
 	Packed  []byte          `json:"Packed,omitempty"`  // the same, packed
 	Adapter AdapterVersion  `json:"Adapter,omitzero"`
 	Appoint Appointment     `json:"Appoint,omitzero"`
@@ -50,6 +50,7 @@
 type Stored struct {
 	Version  uint64           `json:"Version"`
 	Content  json.RawMessage  `json:"Content,omitempty"`
+	Packed   []byte           `json:"-"` // Content for its way between instances, made once
 	Adapters []AdapterVersion `json:"Adapters,omitempty"`
 	Changes  uint64           `json:"Changes"` // number of changes of Adapters
 	Appoint  Appointment      `json:"Appoint,omitzero"`
@@ -98,15 +99,11 @@
 		if c.Version <= m.stored.Version {
 			return false
 		}
-		content := c.Content
-		if len(c.Packed) > 0 {
-			unpacked, err := Unpack(c.Packed)
-			if err != nil {
-				return false // the same everywhere
-			}
-			content = unpacked
+		content, packed, err := c.document()
+		if err != nil {
+			return false // the same everywhere
 		}
-		m.stored.Version, m.stored.Content = c.Version, content
+		m.stored.Version, m.stored.Content, m.stored.Packed = c.Version, content, packed
 		return true
 	case SetAdapter:
 		return m.setAdapter(c.Adapter)
@@ -120,6 +117,16 @@
 	return false
 }
 
+// document returns the content of a command in both forms.
+func (c Command) document() (content, packed []byte, err error) {
+	if len(c.Packed) > 0 {
+		content, err = Unpack(c.Packed)
+		return content, c.Packed, err
+	}
+	packed, err = Pack(c.Content)
+	return c.Content, packed, err
+}
+
 func (m *Machine) setAdapter(v AdapterVersion) bool {
 	key := [2]string{v.Model, v.Adapter}
 	if i, known := m.latest[key]; known {
@@ -159,6 +166,11 @@
 	if err := json.Unmarshal(data, &stored); err != nil {
 		return err
 	}
+	if len(stored.Content) > 0 {
+		if stored.Packed, err = Pack(stored.Content); err != nil {
+			return err
+		}
+	}
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	m.stored, m.latest = stored, map[[2]string]int{}
