Count the places of endpoints by what may have been accepted

Change: results of orders are recorded by kind of order; a refused load keeps a place that the endpoint has stated, a late unload only frees a place that is leaving, an accepted or unanswered load always has a place, and the check before a load counts the load itself. The two older tests that called OverCapacity and OrderRefused call what replaces them, with the same states.

--- a/internal/node/control/control.go
+++ b/internal/node/control/control.go
@@ -47,11 +47,12 @@
 	seeds         []netip.AddrPort
 	voter         *voter.Voter
 	machine       *document.Machine
-	lastContact   map[string]time.Time // other control instances by name, with the time of their last message
-	state         *leaderState         // nil unless this instance leads
-	leader        string               // the leader if it is reachable, "" if there is none
-	leaderChanged chan struct{}        // closed when leader or state change
-	lastLed       leadPeriod           // the last period in which this instance led
+	lastContact   map[string]time.Time      // other control instances by name, with the time of their last message
+	state         *leaderState              // nil unless this instance leads
+	leader        string                    // the leader if it is reachable, "" if there is none
+	leaderChanged chan struct{}             // closed when leader or state change
+	lastLed       leadPeriod                // the last period in which this instance led
+	leadership    func() council.Leadership // as the voter last reported it; called with mu held
 }
 
 // leadPeriod is a period in which an instance led.
@@ -67,6 +68,7 @@
 		options: o, name: o.Settings.Address.String(), mux: peer.NewMux(), lastContact: map[string]time.Time{},
 		seeds: o.Settings.Seeds, machine: document.NewMachine(), leaderChanged: make(chan struct{}),
 	}
+	c.leadership = c.voterLeadership
 	c.router = voter.NewRouter(c.mux)
 	c.handle()
 	peerOptions := append([]peer.Option{
@@ -288,8 +290,8 @@
 	}
 }
 
-// leadership returns the leadership that the voter last reported. The caller holds c.mu.
-func (c *Control) leadership() council.Leadership {
+// voterLeadership returns the leadership that the voter last reported. The caller holds c.mu.
+func (c *Control) voterLeadership() council.Leadership {
 	if c.voter == nil {
 		return council.Leadership{}
 	}
--- a/internal/node/control/leader_bench_test.go
+++ b/internal/node/control/leader_bench_test.go
@@ -72,7 +72,7 @@
 				for n := range 80 { // half a second of orders
 					a := residency.Adapter{Model: "m", Name: fmt.Sprint("new", n)}
 					if c, ok := o.placer.Want(o.now(), a, "dc-1", false); ok {
-						o.placer.LoadAccepted(o.now(), c.Endpoint, a)
+						o.placer.LoadAccepted(o.now(), c.Endpoint, c.Holding)
 					}
 				}
 				o.placer.Tick(o.now().Add(time.Second))
--- a/internal/node/control/orders.go
+++ b/internal/node/control/orders.go
@@ -80,7 +80,7 @@
 			accepted = ls.executeOrder(ctx, to, l, j)
 		case !j.refresh:
 			c.mu.Lock()
-			ls.placer.OrderRefused(ls.now(), id, j.holding.Adapter)
+			ls.orderRefused(id, j)
 			c.mu.Unlock()
 		}
 		if j.done != nil {
@@ -155,7 +155,7 @@
 				break
 			}
 		}
-		if j.load && ls.overCapacity(to.ID) {
+		if j.load && j.holding.Name != "" && !ls.mayLoad(to.ID, j.holding.Adapter) {
 			result = Refused
 			break
 		}
@@ -192,10 +192,10 @@
 	l.sequenceKnown = false
 }
 
-func (ls *leaderState) overCapacity(id string) bool {
+func (ls *leaderState) mayLoad(id string, a residency.Adapter) bool {
 	ls.control.mu.Lock()
 	defer ls.control.mu.Unlock()
-	return ls.placer.OverCapacity(id)
+	return ls.placer.MayLoad(id, a)
 }
 
 // fetchState fetches the state and the sequence of an endpoint.
@@ -237,10 +237,10 @@
 	}
 	switch {
 	case errs.Is(err, upstream.ErrNotSent):
-		ls.placer.OrderRefused(now, id, a)
+		ls.orderRefused(id, j)
 	case err != nil:
 		l.sequenceKnown = false
-		ls.placer.OrderUnanswered(now, id, a)
+		ls.orderUnanswered(id, j)
 	case result == Accepted || result == Done:
 		if result == Accepted || !j.load {
 			l.sequence++
@@ -249,18 +249,45 @@
 			}
 			l.state = nil
 		}
-		if j.load {
-			ls.placer.LoadAccepted(now, id, a)
-		} else {
-			ls.placer.UnloadAccepted(now, id, a, result == Done)
-		}
+		ls.orderAccepted(id, j, result)
 		return true
 	case result == Fenced:
 		ls.end()
-		ls.placer.OrderRefused(now, id, a)
+		ls.orderRefused(id, j)
 	default:
 		l.sequenceKnown = false
-		ls.placer.OrderRefused(now, id, a)
+		ls.orderRefused(id, j)
 	}
 	return false
 }
+
+// orderAccepted, orderRefused and orderUnanswered record results of orders for adapters. The caller holds the mutex of Control.
+func (ls *leaderState) orderAccepted(id string, j orderJob, result Result) {
+	switch {
+	case j.holding.Name == "": // a base model takes no place of an adapter
+	case j.load:
+		ls.placer.LoadAccepted(ls.now(), id, j.holding)
+	default:
+		ls.placer.UnloadAccepted(ls.now(), id, j.holding.Adapter, result == Done)
+	}
+}
+
+func (ls *leaderState) orderRefused(id string, j orderJob) {
+	switch {
+	case j.holding.Name == "":
+	case j.load:
+		ls.placer.LoadRefused(ls.now(), id, j.holding.Adapter)
+	default:
+		ls.placer.UnloadRefused(ls.now(), id, j.holding.Adapter)
+	}
+}
+
+func (ls *leaderState) orderUnanswered(id string, j orderJob) {
+	switch {
+	case j.holding.Name == "": // an unanswered load of a base model is planned again
+	case j.load:
+		ls.placer.LoadUnanswered(ls.now(), id, j.holding)
+	default:
+		ls.placer.UnloadUnanswered(ls.now(), id, j.holding.Adapter)
+	}
+}
--- a/internal/place/residency/bench_test.go
+++ b/internal/place/residency/bench_test.go
@@ -29,7 +29,7 @@
 	for i := 0; b.Loop(); i++ {
 		a := residency.Adapter{Model: "m", Name: fmt.Sprint("new", i)}
 		if c, ok := p.Want(now, a, "dc1", false); ok {
-			p.OrderRefused(now.Add(-time.Hour), c.Endpoint, a)
+			p.LoadRefused(now.Add(-time.Hour), c.Endpoint, a)
 		}
 	}
 }
--- a/internal/place/residency/orders.go
+++ b/internal/place/residency/orders.go
@@ -4,22 +4,39 @@
 	"time"
 )
 
-// OverCapacity reports whether an endpoint has more adapters than slots, counting those that are still loading.
-func (p *Placer) OverCapacity(id string) bool {
+// MayLoad reports whether an endpoint has a place for a load, counting the adapters that are still loading. Endpoints fail if they are
+// ordered to load more than they hold.
+func (p *Placer) MayLoad(id string, a Adapter) bool {
 	e := p.endpoints[id]
-	return e != nil && len(e.places) > e.Slots
+	if e == nil {
+		return false
+	}
+	taken := len(e.places)
+	if e.places[a] == nil {
+		taken++ // the place was removed while the order was queued
+	}
+	return taken <= e.Slots
 }
 
-// LoadAccepted records that an endpoint has accepted a load, whose transfer begins now.
-func (p *Placer) LoadAccepted(now time.Time, id string, a Adapter) {
+// LoadAccepted records that an endpoint has accepted a load, whose transfer begins now. It adds the place if that was removed while
+// the order was queued.
+func (p *Placer) LoadAccepted(now time.Time, id string, h Holding) {
 	e := p.endpoints[id]
-	if e == nil || e.places[a] == nil || e.places[a].state != Loading {
+	if e == nil {
+		return
+	}
+	pl := e.places[h.Adapter]
+	if pl == nil {
+		pl = &place{holding: h, state: Loading, usedAt: now}
+		p.startTransfer(e, pl)
+	}
+	if pl.state != Loading {
 		return
 	}
 	e.failures = 0
 	running, _ := p.countFetches()
-	e.places[a].ordered = true
-	e.places[a].readyAt = now.Add(p.transferTime(e, e.places[a].holding, running))
+	pl.ordered = true
+	pl.readyAt = now.Add(p.transferTime(e, pl.holding, running))
 }
 
 // LoadMustWait reports whether a load has to wait because the endpoint or the store is at its limit of concurrent transfers.
@@ -87,10 +104,10 @@
 const missingGrace = 400 * time.Millisecond
 
 // UnloadAccepted records that an endpoint has accepted an unload. If it is done, because no request used the adapter, the
-// place is free; otherwise Reconcile frees it.
+// place is free; otherwise Reconcile frees it. A place that a load has taken while the order was queued stays as it is.
 func (p *Placer) UnloadAccepted(now time.Time, id string, a Adapter, done bool) {
 	e := p.endpoints[id]
-	if e == nil || e.places[a] == nil {
+	if e == nil || e.places[a] == nil || e.places[a].state != Leaving {
 		return
 	}
 	if done {
@@ -100,32 +117,65 @@
 	e.places[a].ordered, e.places[a].changedAt = true, now
 }
 
-// OrderRefused records an order that was not executed. A load frees its place; an unload leaves its adapter resident.
-func (p *Placer) OrderRefused(now time.Time, id string, a Adapter) {
+// LoadRefused records a load that was not executed. Its place is free, unless the endpoint has reported the adapter, which an earlier
+// leader may have ordered.
+func (p *Placer) LoadRefused(now time.Time, id string, a Adapter) {
 	e := p.endpoints[id]
-	if e == nil || e.places[a] == nil {
+	if e == nil {
 		return
 	}
-	pl := e.places[a]
-	if pl.state == Leaving {
+	if pl := e.places[a]; pl != nil && pl.state == Loading && !pl.ordered {
+		if pl.stated {
+			pl.markUnknown(now)
+		} else {
+			delete(e.places, a)
+		}
+	}
+	p.pause(now, e)
+}
+
+// UnloadRefused records an unload that was not executed, so that its adapter stays resident.
+func (p *Placer) UnloadRefused(now time.Time, id string, a Adapter) {
+	e := p.endpoints[id]
+	if e == nil {
+		return
+	}
+	if pl := e.places[a]; pl != nil && pl.state == Leaving {
 		p.markResident(now, e, pl, pl.holding)
-	} else {
-		delete(e.places, a)
 	}
 	p.pause(now, e)
 }
 
-// OrderUnanswered records an order without an answer. The place counts as taken until the endpoint has reported its state.
-func (p *Placer) OrderUnanswered(now time.Time, id string, a Adapter) {
+// LoadUnanswered records a load without an answer. Its place counts as taken until the endpoint has reported its state.
+func (p *Placer) LoadUnanswered(now time.Time, id string, h Holding) {
 	e := p.endpoints[id]
-	if e == nil || e.places[a] == nil {
+	if e == nil {
 		return
 	}
-	pl := e.places[a]
-	pl.state, pl.changedAt, pl.readyAt, pl.ordered = Unknown, now, time.Time{}, false
+	if e.places[h.Adapter] == nil {
+		e.places[h.Adapter] = &place{holding: h, usedAt: now}
+	}
+	e.places[h.Adapter].markUnknown(now)
+	p.pause(now, e)
+}
+
+// UnloadUnanswered records an unload without an answer. Its place counts as taken until the endpoint has reported its state.
+func (p *Placer) UnloadUnanswered(now time.Time, id string, a Adapter) {
+	e := p.endpoints[id]
+	if e == nil {
+		return
+	}
+	if pl := e.places[a]; pl != nil && pl.state == Leaving {
+		pl.markUnknown(now)
+	}
 	p.pause(now, e)
 }
 
+// markUnknown makes a place count as taken until the endpoint has reported its state.
+func (pl *place) markUnknown(now time.Time) {
+	pl.state, pl.changedAt, pl.readyAt, pl.ordered = Unknown, now, time.Time{}, false
+}
+
 // pauseStep is how long loads pause after the first failed order. Each further failure doubles it, up to maxPause.
 const (
 	pauseStep = 100 * time.Millisecond
--- a/internal/place/residency/residency.go
+++ b/internal/place/residency/residency.go
@@ -52,6 +52,7 @@
 	readyAt   time.Time // when a load is expected to end
 	ordered   bool      // the order of the present state was accepted
 	reported  bool      // the endpoint has reported that it holds the adapter
+	stated    bool      // the endpoint has reported the adapter as held or pending while a load of it was queued here
 	changedAt time.Time
 	busyUntil time.Time
 	usedAt    time.Time
@@ -166,15 +167,21 @@
 	}
 	for _, h := range holdings {
 		pl := e.places[h.Adapter]
-		if pl == nil {
-			pl = p.addResident(now, e, h)
+		switch {
+		case pl == nil:
+			p.addResident(now, e, h)
+		case pl.state == Loading:
+			pl.stated = true
+		default:
+			pl.reported = true
 		}
-		pl.reported = true
 	}
 	for _, h := range pending {
-		if e.places[h.Adapter] == nil {
-			p.addPending(now, e, h)
+		if pl := e.places[h.Adapter]; pl != nil {
+			pl.stated, pl.reported = true, false
+			continue
 		}
+		p.addPending(now, e, h)
 	}
 }
 
--- a/internal/place/residency/residency_test.go
+++ b/internal/place/residency/residency_test.go
@@ -15,6 +15,8 @@
 
 func adapter(name string) residency.Adapter { return residency.Adapter{Model: "m", Name: name} }
 
+func holding(a residency.Adapter) residency.Holding { return residency.Holding{Adapter: a} }
+
 func holdings(n int) (list []residency.Holding) {
 	for i := range n {
 		list = append(list, residency.Holding{Adapter: adapter(fmt.Sprintf("held%d", i)), Version: 1})
@@ -89,7 +91,7 @@
 	p := placer(engine("a", "east", holdings(5)))
 	_, ok := p.Want(epoch, adapter("cold"), "east", false)
 	c.Assert(ok, quicktest.IsTrue)
-	p.LoadAccepted(epoch, "a", adapter("cold"))
+	p.LoadAccepted(epoch, "a", holding(adapter("cold")))
 	for s := range 10 {
 		p.SetEndpoint(epoch.Add(time.Duration(s)*time.Second), engine("a", "east", holdings(2)))
 	}
@@ -103,7 +105,7 @@
 	p := placer(engine("a", "east", holdings(5)))
 	choice, ok := p.Want(epoch, adapter("cold"), "east", false)
 	c.Assert(ok && choice.Order, quicktest.IsTrue)
-	p.OrderUnanswered(epoch, "a", adapter("cold"))
+	p.LoadUnanswered(epoch, "a", holding(adapter("cold")))
 	_, ok = p.Want(epoch.Add(5*time.Second), adapter("other"), "east", false)
 	c.Check(ok, quicktest.IsFalse)
 	p.Reconcile(epoch.Add(5*time.Second), "a", holdings(5), nil)
@@ -118,11 +120,50 @@
 	p := placer(engine("a", "east", holdings(5)))
 	_, ok := p.Want(epoch, adapter("cold"), "east", false)
 	c.Assert(ok, quicktest.IsTrue)
-	c.Check(p.OverCapacity("a"), quicktest.IsFalse)
+	c.Check(p.MayLoad("a", adapter("cold")), quicktest.IsTrue)
 	p.AddState(epoch, "a", holdings(5), []residency.Holding{{Adapter: adapter("pending"), Version: 1}})
-	c.Check(p.OverCapacity("a"), quicktest.IsTrue)
-	p.OrderRefused(epoch, "a", adapter("cold"))
-	c.Check(p.OverCapacity("a"), quicktest.IsFalse)
+	c.Check(p.MayLoad("a", adapter("cold")), quicktest.IsFalse)
+	p.LoadRefused(epoch, "a", adapter("cold"))
+	c.Check(p.MayLoad("a", adapter("pending")), quicktest.IsTrue)
+	c.Check(p.MayLoad("a", adapter("cold")), quicktest.IsFalse, quicktest.Commentf("its place is gone, and the others are taken"))
+}
+
+// A new leader orders an adapter that its predecessor has had loaded, and the endpoint does not accept the connection. Guards against
+// counting the place of that adapter as free.
+func TestRefusedLoadKeepsPlaceOfReportedAdapter(t *testing.T) {
+	for _, pending := range []bool{false, true} {
+		c := quicktest.New(t)
+		p := placer(engine("a", "east", holdings(5)))
+		_, ok := p.Want(epoch, adapter("cold"), "east", false)
+		c.Assert(ok, quicktest.IsTrue)
+		held, loading := append(holdings(5), holding(adapter("cold"))), []residency.Holding(nil)
+		if pending {
+			held, loading = holdings(5), []residency.Holding{holding(adapter("cold"))}
+		}
+		p.AddState(epoch, "a", held, loading)
+		p.LoadRefused(epoch, "a", adapter("cold"))
+		c.Check(p.MayLoad("a", adapter("other")), quicktest.IsFalse)
+		p.Reconcile(epoch.Add(time.Second), "a", held, loading)
+		c.Check(p.MayLoad("a", adapter("other")), quicktest.IsFalse)
+	}
+}
+
+// An exact state shows that an adapter is gone while its unload is queued, and the adapter is wanted again. Guards against the unload
+// removing the place of the load that is queued behind it.
+func TestLateUnloadKeepsPlaceOfNewLoad(t *testing.T) {
+	c := quicktest.New(t)
+	now := epoch.Add(time.Hour)
+	p := placer(engine("a", "east", holdings(6)))
+	unloads := p.MakeRoom(now)
+	c.Assert(unloads, quicktest.HasLen, 2)
+	first := unloads[0].Holding.Adapter
+	p.Reconcile(now, "a", nil, nil)
+	choice, ok := p.Want(now, first, "east", false)
+	c.Assert(ok && choice.Order, quicktest.IsTrue)
+	p.UnloadAccepted(now, "a", first, true)
+	p.UnloadRefused(now, "a", first)
+	p.LoadAccepted(now, "a", choice.Holding)
+	c.Check(p.Summary(now).Loading, quicktest.Equals, 1)
 }
 
 // Guards against exceeding an endpoint's slots: if a load takes longer than expected, the endpoint would answer its unload
@@ -134,7 +175,7 @@
 		a := adapter(fmt.Sprintf("cold%d", i))
 		_, ok := p.Want(epoch, a, "east", false)
 		c.Assert(ok, quicktest.IsTrue)
-		p.LoadAccepted(epoch, "a", a)
+		p.LoadAccepted(epoch, "a", holding(a))
 	}
 	p.Tick(epoch.Add(time.Second))
 	_, ok := p.Want(epoch.Add(time.Second), adapter("more"), "east", false)
@@ -153,7 +194,7 @@
 		_, ok := p.Want(epoch, a, "east", false)
 		c.Assert(ok, quicktest.IsTrue)
 		c.Check(p.LoadMustWait("a", a), quicktest.IsFalse)
-		p.LoadAccepted(epoch, "a", a)
+		p.LoadAccepted(epoch, "a", holding(a))
 	}
 	fifth := adapter("fifth")
 	_, ok := p.Want(epoch, fifth, "east", false)
@@ -192,7 +233,7 @@
 			}
 		}
 		for len(waiting) > 0 && !p.LoadMustWait(waiting[0].endpoint, waiting[0].adapter) {
-			p.LoadAccepted(now, waiting[0].endpoint, waiting[0].adapter)
+			p.LoadAccepted(now, waiting[0].endpoint, holding(waiting[0].adapter))
 			waiting = waiting[1:]
 			served++
 		}
@@ -248,7 +289,7 @@
 	c.Assert(ok, quicktest.IsTrue)
 	c.Check(choice.Order, quicktest.IsTrue)
 	c.Check(choice.Holding.Version, quicktest.Equals, 2)
-	p.LoadAccepted(epoch, choice.Endpoint, adapter("held0"))
+	p.LoadAccepted(epoch, choice.Endpoint, holding(adapter("held0")))
 	p.Tick(epoch.Add(time.Second))
 	again, ok := p.Want(epoch.Add(time.Second), adapter("held0"), "east", false)
 	c.Assert(ok, quicktest.IsTrue)
@@ -264,7 +305,7 @@
 	p := placer(engine("a", "east", nil), engine("b", "west", full))
 	first, ok := p.Want(epoch, adapter("cold"), "east", false)
 	c.Assert(ok && first.Order, quicktest.IsTrue)
-	p.LoadAccepted(epoch, "a", adapter("cold"))
+	p.LoadAccepted(epoch, "a", holding(adapter("cold")))
 	second, ok := p.Want(epoch.Add(50*time.Millisecond), adapter("cold"), "west", false)
 	c.Assert(ok, quicktest.IsTrue)
 	c.Check(second.Order, quicktest.IsFalse)
