Hold a place for its first use by the interval of reports

Cause: the 0.7 s for which a load keeps its place are three intervals of a small fleet's reports (0.2 s) and barely one of 78 entries (0.52 s). Change: the time follows the interval that the leader asks for, plus 0.15 s for transmission.

--- a/internal/node/control/updates.go
+++ b/internal/node/control/updates.go
@@ -62,9 +62,11 @@
 	if len(r.Known) > 0 {
 		ls.inherit(now, r)
 	}
+	interval := reportInterval(len(ls.entries))
+	ls.placer.SetReportInterval(interval)
 	u := report.Update{
 		Leading: true, Instances: ls.control.liveInstances(), Term: ls.term, Running: ls.running(), Entries: len(ls.entries),
-		EveryMillis: reportInterval(len(ls.entries)).Milliseconds(),
+		EveryMillis: interval.Milliseconds(),
 		Grants:      ls.pool.Report(now, quota.Report{Entry: r.Name, DataCentre: r.DataCentre, Uses: r.Customers}, ls.limits),
 	}
 	u.Tell = ls.requestsKnownEndpoints(r)
--- a/internal/place/residency/residency.go
+++ b/internal/place/residency/residency.go
@@ -88,7 +88,7 @@
 	CachedAdapters     int           // adapters that an endpoint caches
 	MaxTransfers       int           // concurrent transfers to one endpoint
 	UseHalfLife        time.Duration
-	FirstUseWithin     time.Duration // after a load, until entries have reported the requests that waited for it
+	ReportDelay        time.Duration // of an entry's report and of the answer that a request waited for, in transmission
 	MaxAnnouncementAge time.Duration // of an endpoint's announcement, unless it is late
 	Regions            locality.Regions
 }
@@ -98,7 +98,7 @@
 	return Options{
 		FetchTime: 250 * time.Millisecond, CachedLoadTime: 25 * time.Millisecond, FullSpeedFetches: 8, MaxFetches: 10, Spare: 2, CachedAdapters: 150,
 		MaxTransfers: 4, MaxWait: 1200 * time.Millisecond,
-		UseHalfLife: 8 * time.Second, FirstUseWithin: 700 * time.Millisecond, MaxAnnouncementAge: 2500 * time.Millisecond,
+		UseHalfLife: 8 * time.Second, ReportDelay: 150 * time.Millisecond, MaxAnnouncementAge: 2500 * time.Millisecond,
 	}
 }
 
@@ -110,6 +110,7 @@
 	journal   journal
 	inflight  []transfer
 	active    map[useKey]int   // requests that run, over all entries
+	reports   time.Duration    // interval of entries' reports
 	reported  map[string][]Use // last report of each entry
 	fullSpeed int              // concurrent fetches, over all endpoints, that the store serves at full speed
 }
@@ -118,10 +119,16 @@
 func New(o Options) *Placer {
 	return &Placer{
 		options: o, endpoints: map[string]*endpoint{}, versions: map[Adapter]int{}, journal: newJournal(), fullSpeed: o.FullSpeedFetches,
-		active: map[useKey]int{}, reported: map[string][]Use{},
+		active: map[useKey]int{}, reported: map[string][]Use{}, reports: defaultReports,
 	}
 }
 
+// defaultReports is the interval of entries' reports in a small deployment.
+const defaultReports = 200 * time.Millisecond
+
+// SetReportInterval sets the interval in which entries report their uses.
+func (p *Placer) SetReportInterval(interval time.Duration) { p.reports = interval }
+
 // SetVersion makes a version of an adapter the only one that requests may run on.
 func (p *Placer) SetVersion(a Adapter, version int) {
 	if version <= p.versions[a] {
--- a/internal/place/residency/room.go
+++ b/internal/place/residency/room.go
@@ -78,7 +78,7 @@
 	if pl.readyAt.After(now) {
 		from = pl.readyAt
 	}
-	if until := from.Add(p.options.FirstUseWithin); until.After(pl.heldUntil) {
+	if until := from.Add(p.reports + p.options.ReportDelay); until.After(pl.heldUntil) {
 		pl.heldUntil = until
 	}
 }
