Compare endpoints by the time to read the prompts that wait

An engine reads 19 tokens a millisecond, so ten waiting prompts of 1,800 tokens are a second, but count as 10 of 64 slots. Hypothesis: the slots in use say little; the prompts that have not begun say when a first event comes. Change: entries estimate the time to read a token from first events (place/prefill, lower quartile), count the prompts that they have sent and that have not begun, and report them; the leader and the picker add that time to the cost of an endpoint, and an endpoint with more than 0.25 s of it makes the entry ask the leader for another one.

--- a/internal/member/report/report.go
+++ b/internal/member/report/report.go
@@ -33,6 +33,7 @@
 	Directory  uint64               `json:"Directory,omitempty"`
 	Placement  uint64               `json:"Placement,omitempty"` // next event of the placement
 	Active     map[string]int       `json:"Active,omitempty"`    // running requests by endpoint
+	Backlog    map[string]int       `json:"Backlog,omitempty"`   // milliseconds to read the prompts of requests that have not begun, by endpoint
 	Uses       []residency.Use      `json:"Uses,omitempty"`
 	Answers    []residency.Use      `json:"Answers,omitempty"` // Count is the number of answers that have begun since the last report
 	Customers  map[string]quota.Use `json:"Customers,omitempty"`
@@ -63,6 +64,7 @@
 	Reset        bool                   `json:"Reset,omitempty"` // Events replace everything
 	Events       []residency.Event      `json:"Events,omitempty"`
 	Running      []int                  `json:"Running,omitempty"`      // running requests of each endpoint, in the order of Endpoints for this Directory
+	Backlog      []int                  `json:"Backlog,omitempty"`      // milliseconds to read the waiting prompts of all entries, in the same order
 	Grants       map[string]quota.Grant `json:"Grants,omitempty"`       // by customer
 	DeputyChange uint64                 `json:"DeputyChange,omitempty"` // revision of Deputies
 	Deputies     []Deputy               `json:"Deputies,omitempty"`     // all deputies, if their revision has changed
--- a/internal/member/view/view.go
+++ b/internal/member/view/view.go
@@ -29,6 +29,7 @@
 	versions       map[residency.Adapter]int
 	endpointOrder  []string       // endpoints in the order of the leader's list
 	running        map[string]int // running requests of all entries, by endpoint
+	backlog        map[string]int // milliseconds to read the waiting prompts of all entries, by endpoint
 	deputies       []report.Deputy
 	deputyRevision uint64 // revision of deputies
 }
@@ -139,15 +140,23 @@
 	return true
 }
 
-// applyRunning records the running requests of endpoints, which the update lists in the order of the endpoints.
+// applyRunning records the running requests and waiting prompts of endpoints, which the update lists in the order of the endpoints.
 func (v *View) applyRunning(u report.Update) {
-	if len(u.Running) != len(v.endpointOrder) {
-		return // the counts belong to another list of endpoints; the next update contains both
+	v.running = v.byEndpoint(u.Running, v.running)
+	v.backlog = v.byEndpoint(u.Backlog, v.backlog)
+}
+
+// byEndpoint returns figures that are listed in the order of the endpoints, or the former ones if the list belongs to other endpoints;
+// the next update contains both.
+func (v *View) byEndpoint(list []int, former map[string]int) map[string]int {
+	if len(list) != len(v.endpointOrder) {
+		return former
 	}
-	v.running = make(map[string]int, len(v.endpointOrder))
+	figures := make(map[string]int, len(list))
 	for i, id := range v.endpointOrder {
-		v.running[id] = u.Running[i]
+		figures[id] = list[i]
 	}
+	return figures
 }
 
 func (v *View) applyPlacement(u report.Update) {
@@ -298,6 +307,13 @@
 	return list, version
 }
 
+// Backlog returns how long an endpoint will take to read the prompts of all entries that wait there, as of the last update.
+func (v *View) Backlog(id string) time.Duration {
+	v.mu.RLock()
+	defer v.mu.RUnlock()
+	return time.Duration(v.backlog[id]) * time.Millisecond
+}
+
 // Running returns the number of running requests of all entries on an endpoint, as of the last update.
 func (v *View) Running(id string) int {
 	v.mu.RLock()
--- a/internal/node/control/leader.go
+++ b/internal/node/control/leader.go
@@ -33,6 +33,7 @@
 	listRevision   uint64
 	plannedAt      time.Time      // when base models were last planned
 	active         map[string]int // active requests by endpoint
+	backlog        map[string]int // milliseconds to read the waiting prompts, by endpoint
 	adapterChanges uint64         // number of changes of adapter versions applied to the placer
 	queues         map[string]*orderQueue
 	waiters        []chan struct{}          // requests for adapters that wait for a free place
@@ -46,8 +47,9 @@
 
 // entry is the last report of an entry.
 type entry struct {
-	active map[string]int
-	at     time.Time
+	active  map[string]int
+	backlog map[string]int
+	at      time.Time
 }
 
 const (
@@ -71,7 +73,7 @@
 	return &leaderState{
 		control: c, term: term, since: now, ordersFrom: c.ordersFrom(now, term), roster: roster.New(roster.DefaultOptions()), placer: residency.New(placerOptions),
 		pool:    quota.NewPool(now, shareOptions(c.options.Settings)),
-		entries: map[string]*entry{}, active: map[string]int{}, inheritAsked: map[string]bool{}, addresses: map[string]report.Deputy{}, queues: map[string]*orderQueue{}, limits: map[string]quota.Limit{},
+		entries: map[string]*entry{}, active: map[string]int{}, backlog: map[string]int{}, inheritAsked: map[string]bool{}, addresses: map[string]report.Deputy{}, queues: map[string]*orderQueue{}, limits: map[string]quota.Limit{},
 	}
 }
 
--- a/internal/node/control/updates.go
+++ b/internal/node/control/updates.go
@@ -65,7 +65,7 @@
 	interval := reportInterval(len(ls.entries))
 	ls.placer.SetReportInterval(interval)
 	u := report.Update{
-		Leading: true, Instances: ls.control.liveInstances(), Term: ls.term, Running: ls.running(), Entries: len(ls.entries),
+		Leading: true, Instances: ls.control.liveInstances(), Term: ls.term, Running: ls.listed(ls.active), Backlog: ls.listed(ls.backlog), Entries: len(ls.entries),
 		EveryMillis: interval.Milliseconds(),
 		Grants:      ls.pool.Report(now, quota.Report{Entry: r.Name, DataCentre: r.DataCentre, Uses: r.Customers}, ls.limits),
 	}
@@ -94,10 +94,21 @@
 func (ls *leaderState) recordActive(now time.Time, r report.Entry) {
 	if before := ls.entries[r.Name]; before != nil {
 		ls.addActive(before.active, -1)
+		ls.addBacklog(before.backlog, -1)
 	}
-	ls.entries[r.Name] = &entry{active: r.Active, at: now}
+	ls.entries[r.Name] = &entry{active: r.Active, backlog: r.Backlog, at: now}
 	ls.addresses[r.Name] = report.Deputy{Address: r.Address, DataCentre: r.DataCentre}
 	ls.addActive(r.Active, 1)
+	ls.addBacklog(r.Backlog, 1)
+}
+
+func (ls *leaderState) addBacklog(backlog map[string]int, sign int) {
+	for id, ms := range backlog {
+		if ls.backlog[id] += sign * ms; ls.backlog[id] <= 0 {
+			delete(ls.backlog, id)
+		}
+		ls.placer.SetBacklog(id, time.Duration(ls.backlog[id])*time.Millisecond)
+	}
 }
 
 func (ls *leaderState) addActive(active map[string]int, sign int) {
@@ -111,14 +122,14 @@
 	}
 }
 
-// running returns the number of active requests of each endpoint, in the order of the list.
-func (ls *leaderState) running() []int {
+// listed returns a figure of each endpoint, in the order of the list.
+func (ls *leaderState) listed(figures map[string]int) []int {
 	list := ls.endpoints()
-	counts := make([]int, len(list))
+	ordered := make([]int, len(list))
 	for i, e := range list {
-		counts[i] = ls.active[e.ID]
+		ordered[i] = figures[e.ID]
 	}
-	return counts
+	return ordered
 }
 
 // endpoints returns the list of endpoints, which is rebuilt only after a change.
@@ -136,6 +147,7 @@
 			delete(ls.entries, name)
 			ls.placer.RemoveEntry(name)
 			ls.addActive(e.active, -1)
+			ls.addBacklog(e.backlog, -1)
 		}
 	}
 }
--- a/internal/place/pick/pick.go
+++ b/internal/place/pick/pick.go
@@ -16,6 +16,7 @@
 	Slots        int
 	Distance     locality.Distance // from the entry
 	OtherEntries int               // running requests of other entries
+	Backlog      time.Duration     // to read the prompts that wait there, of all entries
 }
 
 // Outcome is the result of a request at an endpoint.
@@ -223,7 +224,7 @@
 	weight := min(fresh.samples*sampleWeight, 1)
 	estimate += weight * (r.delay - estimate)
 	load := p.Load(c)
-	cost := estimate + loadPenalty*load + errorPenalty*fresh.errors + refusalPenalty*fresh.refusals
+	cost := estimate + float64(c.Backlog)/float64(time.Millisecond) + loadPenalty*load + errorPenalty*fresh.errors + refusalPenalty*fresh.refusals
 	if load > 1 {
 		cost += queuePenalty * (load - 1)
 	}
--- a/internal/place/residency/residency.go
+++ b/internal/place/residency/residency.go
@@ -64,6 +64,7 @@
 	addedAt        time.Time
 	places         map[Adapter]*place
 	load           float64                    // share of its request slots in use
+	backlog        time.Duration              // to read the prompts that wait there
 	dropped        map[Adapter]droppedAdapter // adapters that it has held
 	pausedUntil    time.Time                  // no new loads are ordered before this time
 	failures       int
@@ -306,6 +307,13 @@
 	return ids
 }
 
+// SetBacklog records how long an endpoint will take to read the prompts that wait there.
+func (p *Placer) SetBacklog(id string, backlog time.Duration) {
+	if e := p.endpoints[id]; e != nil {
+		e.backlog = backlog
+	}
+}
+
 // SetLoad records the share of an endpoint's request slots that is in use.
 func (p *Placer) SetLoad(id string, load float64) {
 	if e := p.endpoints[id]; e != nil {
--- a/internal/place/residency/want.go
+++ b/internal/place/residency/want.go
@@ -92,7 +92,7 @@
 		if pl.readyAt.After(now) {
 			at = pl.readyAt
 		}
-		here := float64(at.Sub(now).Milliseconds()) + loadCost*e.load*e.load
+		here := float64(max(at.Sub(now), e.backlog).Milliseconds()) + loadCost*e.load*e.load
 		here += p.distanceCost(e, dataCentre)
 		if here < cost || (here == cost && e.ID < c.Endpoint) {
 			c, cost = Choice{Endpoint: e.ID, Holding: pl.holding, ReadyAt: at}, here
@@ -128,7 +128,7 @@
 	if !e.Accepting || e.Slots == 0 || !slices.Contains(e.Models, a.Model) || now.Before(e.pausedUntil) {
 		return math.Inf(1)
 	}
-	cost := loadCost * e.load * e.load
+	cost := loadCost*e.load*e.load + float64(e.backlog.Milliseconds())
 	old := e.places[a]
 	switch {
 	case old == nil:
--- a/internal/serve/forward/forward.go
+++ b/internal/serve/forward/forward.go
@@ -18,6 +18,7 @@
 	"lycheevale/internal/limit/retry"
 	"lycheevale/internal/member/report"
 	"lycheevale/internal/place/pick"
+	"lycheevale/internal/place/prefill"
 	"lycheevale/internal/place/residency"
 	"lycheevale/internal/place/silence"
 	"lycheevale/internal/state/document"
@@ -28,18 +29,21 @@
 	options Options
 	filters []filter
 
-	mu             sync.Mutex
-	random         *rand.Rand
-	picker         *pick.Picker
-	shares         *quota.EntryPool
-	budgets        map[string]*retry.Budget // by service
-	uses           map[[2]string]*use       // by endpoint and adapter
-	placements     map[residency.Adapter]*placement
-	silence        *silence.Watch
-	attempts       map[*inFlight]bool
-	loans          map[string]*loanQueue // by customer
-	reportedActive map[string]int        // this entry's active requests as last reported to the leader, by endpoint
-	closing        bool
+	mu              sync.Mutex
+	random          *rand.Rand
+	picker          *pick.Picker
+	shares          *quota.EntryPool
+	budgets         map[string]*retry.Budget // by service
+	uses            map[[2]string]*use       // by endpoint and adapter
+	placements      map[residency.Adapter]*placement
+	silence         *silence.Watch
+	attempts        map[*inFlight]bool
+	loans           map[string]*loanQueue // by customer
+	reading         prefill.Speed
+	unread          map[string]int // tokens of prompts that this entry has sent and whose requests have not begun, by endpoint
+	reportedBacklog map[string]int // milliseconds of this entry's unread prompts as last reported to the leader, by endpoint
+	reportedActive  map[string]int // this entry's active requests as last reported to the leader, by endpoint
+	closing         bool
 }
 
 // use counts requests for an adapter at an endpoint.
@@ -83,7 +87,7 @@
 	h := &Handler{
 		options: o, picker: pick.New(o.Picker, o.Seed), random: rand.New(rand.NewPCG(o.Seed, o.Seed+1)),
 		budgets: map[string]*retry.Budget{}, uses: map[[2]string]*use{}, placements: map[residency.Adapter]*placement{},
-		silence: silence.New(silence.Defaults()), attempts: map[*inFlight]bool{}, loans: map[string]*loanQueue{}, shares: o.Shares,
+		silence: silence.New(silence.Defaults()), attempts: map[*inFlight]bool{}, loans: map[string]*loanQueue{}, unread: map[string]int{}, shares: o.Shares,
 	}
 	h.filters = []filter{h.match, h.identify, h.read, h.admit, h.dispatch}
 	return h
@@ -288,6 +292,13 @@
 		r.Active[id] = n
 	}
 	h.reportedActive = r.Active
+	r.Backlog = map[string]int{}
+	for id, tokens := range h.unread {
+		if ms := int(h.reading.Delay(tokens).Milliseconds()); ms > 0 {
+			r.Backlog[id] = ms
+		}
+	}
+	h.reportedBacklog = r.Backlog
 	for key, u := range h.uses {
 		r.Uses = append(r.Uses, residency.Use{Endpoint: key[0], Adapter: u.adapter, Count: u.count, Active: u.active})
 		if u.answered > 0 {
--- a/internal/serve/forward/inflight.go
+++ b/internal/serve/forward/inflight.go
@@ -19,7 +19,10 @@
 	movable    bool // it may be sent to another endpoint, if the retry budget allows it
 	service    string
 	adapter    residency.Adapter
-	begun      bool // bytes of the body have arrived
+	begun      bool          // bytes of the body have arrived
+	prompt     int           // tokens
+	ahead      time.Duration // to read the prompts of other entries that waited at the endpoint when it was sent
+	waiting    int           // tokens of this entry that waited there, including its own
 	lastByteAt time.Time
 	cancel     context.CancelCauseFunc
 }
@@ -28,11 +31,14 @@
 func (h *Handler) startAttempt(x *exchange, c choice, cancel context.CancelCauseFunc) *inFlight {
 	f := &inFlight{
 		endpoint: c.Endpoint, movable: x.route.Repeatable() && x.ran+1 < x.route.MaxAttempts, service: x.service.Name,
-		adapter: x.request.Adapter, lastByteAt: h.options.Now(), cancel: cancel,
+		adapter: x.request.Adapter, prompt: x.request.PromptTokens, lastByteAt: h.options.Now(), cancel: cancel,
 	}
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	h.picker.Start(c.ID)
+	f.ahead = h.backlog(c.ID) - h.reading.Delay(h.unread[c.ID])
+	h.unread[c.ID] += f.prompt
+	f.waiting = h.unread[c.ID]
 	h.attempts[f] = true
 	if a := x.request.Adapter; a.Name != "" {
 		key := [2]string{c.ID, a.Name}
@@ -52,12 +58,21 @@
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	h.picker.End(s.ID)
+	h.promptRead(s.inFlight)
 	delete(h.attempts, s.inFlight)
 	if u := h.uses[[2]string{s.ID, x.request.Adapter.Name}]; u != nil {
 		u.active--
 	}
 }
 
+// promptRead removes the prompt of an attempt that has begun or ended from those that wait at its endpoint. The caller holds h.mu.
+func (h *Handler) promptRead(f *inFlight) {
+	if h.unread[f.endpoint.ID] -= f.prompt; h.unread[f.endpoint.ID] <= 0 {
+		delete(h.unread, f.endpoint.ID)
+	}
+	f.prompt = 0
+}
+
 func (h *Handler) recordActivity(f *inFlight) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
--- a/internal/serve/forward/place.go
+++ b/internal/serve/forward/place.go
@@ -34,10 +34,16 @@
 	}
 	return pick.Endpoint{
 		ID: e.ID, Slots: slots, Distance: h.distance(e),
-		OtherEntries: max(h.options.View.Running(e.ID)-h.reportedActive[e.ID], 0),
+		OtherEntries: max(h.options.View.Running(e.ID)-h.reportedActive[e.ID], 0), Backlog: h.backlog(e.ID),
 	}
 }
 
+// backlog returns how long an endpoint will take to read the prompts that wait there. The caller holds h.mu.
+func (h *Handler) backlog(id string) time.Duration {
+	others := h.options.View.Backlog(id) - time.Duration(h.reportedBacklog[id])*time.Millisecond
+	return h.reading.Delay(h.unread[id]) + max(others, 0)
+}
+
 func (h *Handler) distance(e report.Endpoint) locality.Distance {
 	return h.options.Regions.Distance(h.options.DataCentre, e.DataCentre)
 }
@@ -135,14 +141,16 @@
 func (h *Handler) requestReplica(x *exchange, chosen report.Endpoint) {
 	a := x.request.Adapter
 	h.mu.Lock()
-	busy := h.picker.Load(h.candidate(chosen)) > replicaLoad
+	candidate := h.candidate(chosen)
+	busy := h.picker.Load(candidate) > replicaLoad
+	slow := candidate.Backlog > replicaBacklog
 	uses := 0
 	if u := h.uses[[2]string{chosen.ID, a.Name}]; u != nil {
 		uses = u.count + u.active
 	}
 	h.mu.Unlock()
 	far := h.distance(chosen) == locality.Far
-	if (far && uses >= localReplicaUses) || (busy && uses > 0) {
+	if (far && uses >= localReplicaUses) || (busy && uses > 0) || slow {
 		h.requestPlacement(report.PlacementRequest{Adapter: a, DataCentre: h.options.DataCentre, Replicate: busy && !far})
 	}
 }
@@ -150,6 +158,9 @@
 const (
 	// replicaLoad is the load of an endpoint above which an adapter in use there gets a replica.
 	replicaLoad = 0.6
+	// replicaBacklog is the time to read the waiting prompts of an endpoint above which the leader is asked for another one: the time
+	// to fetch an adapter.
+	replicaBacklog = 250 * time.Millisecond
 	// localReplicaUses is the number of requests since the last report after which an adapter that is only held far away gets a local replica.
 	localReplicaUses = 2
 )
--- a/internal/serve/forward/stream.go
+++ b/internal/serve/forward/stream.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"io"
 	"net/http"
+	"time"
 
 	"lycheevale/internal/place/pick"
 	"lycheevale/internal/wire/upstream"
@@ -70,6 +71,9 @@
 	return true
 }
 
+// minDelay is the least delay that is recorded for an endpoint, apart from the time to read prompts.
+const minDelay = 5 * time.Millisecond
+
 // recordStreamBytes records that bytes of a stream arrived; the first ones count as the endpoint's answer.
 func (h *Handler) recordStreamBytes(s attempt) {
 	now := h.options.Now()
@@ -82,7 +86,10 @@
 		if u := h.uses[[2]string{s.ID, s.inFlight.adapter.Name}]; u != nil {
 			u.answered++
 		}
-		h.picker.Observe(now, s.ID, pick.Served, now.Sub(s.started))
+		h.promptRead(s.inFlight)
+		delay := now.Sub(s.started)
+		h.reading.Observe(s.inFlight.waiting, delay-s.inFlight.ahead)
+		h.picker.Observe(now, s.ID, pick.Served, max(delay-s.inFlight.ahead-h.reading.Delay(s.inFlight.waiting), minDelay))
 		h.silence.RecordFirstEvent(now.Sub(s.started))
 	}
 }
--- a/internal/serve/forward/types.go
+++ b/internal/serve/forward/types.go
@@ -10,16 +10,17 @@
 
 // Request is a caller's request, decoded by the codec of its protocol.
 type Request struct {
-	Attempt   string // identifier of this attempt of the caller
-	Method    string
-	Host      string
-	Target    string // path and query
-	Path      string
-	Key       string
-	Adapter   residency.Adapter // Name is empty for a base model, Model for a plain service
-	Tokens    int               // prompt and maximum output, 0 if the caller states none
-	LastEvent string            // identifier of the last event that the caller received, empty for none
-	Timeout   time.Duration     // how long the caller waits, 0 if not stated
+	Attempt      string // identifier of this attempt of the caller
+	Method       string
+	Host         string
+	Target       string // path and query
+	Path         string
+	Key          string
+	Adapter      residency.Adapter // Name is empty for a base model, Model for a plain service
+	Tokens       int               // prompt and maximum output, 0 if the caller states none
+	PromptTokens int               // 0 if the caller states none
+	LastEvent    string            // identifier of the last event that the caller received, empty for none
+	Timeout      time.Duration     // how long the caller waits, 0 if not stated
 }
 
 // Outgoing holds the values that the codec adds to a request to an endpoint.
