--- a/internal/base/event/entry.go
+++ b/internal/base/event/entry.go
@@ -20,6 +20,8 @@
 	EndpointProbed   ID = 2014
 	DeputiesNamed    ID = 2015
 	DeputyLent       ID = 2016
+	BuffersFull      ID = 2017
+	AnswerMalformed  ID = 2018
 )
 
 var entryEvents = []Entry{
@@ -39,4 +41,6 @@
 	{EndpointProbed, slog.LevelInfo, "silent endpoint was probed with a new connection", "With an Error: check the endpoint and the way to it."},
 	{DeputiesNamed, slog.LevelInfo, "leader named the deputies that lend without it", "None."},
 	{DeputyLent, slog.LevelInfo, "deputy decided on requests of another entry", "None; lasting: check the control instances."},
+	{BuffersFull, slog.LevelWarn, "memory for bodies of requests and answers is in use", "Frequent: add instances, or find the callers or the endpoint that send large bodies."},
+	{AnswerMalformed, slog.LevelWarn, "answer of an endpoint breaks the protocol", "Check the endpoint; it gets no requests for a while."},
 }
--- a/internal/base/event/instance.go
+++ b/internal/base/event/instance.go
@@ -15,6 +15,7 @@
 	SettingsReloaded  ID = 1009
 	SettingsInvalid   ID = 1010
 	LogLinesLost      ID = 1011
+	TaskPanicked      ID = 1012
 )
 
 var instanceEvents = []Entry{
@@ -28,5 +29,6 @@
 	{SettingsReloaded, slog.LevelInfo, "settings file was read again", "None."},
 	{SettingsInvalid, slog.LevelError, "changed settings file is not valid; the settings before stay in effect", "Correct the file."},
 	{LogLinesLost, slog.LevelWarn, "log lines were lost because their reader was too slow", "Check the reader of the standard output."},
+	{TaskPanicked, slog.LevelError, "background task failed unexpectedly; the process goes on", "Report the stack; the task is repeated or its requests end with their timeouts."},
 	{InstanceFailed, slog.LevelError, "instance failed", "Read the error; restart after mending its cause."},
 }
--- /dev/null
+++ b/internal/limit/buffers/buffers.go
@@ -0,0 +1,64 @@
+// Package buffers limits the memory that a process uses for the bodies of requests and answers, over all requests. Without a common
+// limit, a hundred bodies of the largest size each take more memory than an instance has.
+package buffers
+
+import "sync"
+
+// Budget is the memory that all requests share. It is safe for concurrent use.
+type Budget struct {
+	mu    sync.Mutex
+	limit int64
+	used  int64
+}
+
+// New returns a budget of a number of bytes.
+func New(limit int64) *Budget { return &Budget{limit: limit} }
+
+// Lowest is the lowest priority; 0 is the highest.
+const Lowest = 9
+
+// reservedPart is the part of the budget that requests of the lowest priority leave to the others.
+const reservedPart = 0.5
+
+// allowed returns the bytes up to which requests of a priority may fill the budget, so that the least urgent are refused first.
+func (b *Budget) allowed(priority int) int64 {
+	rank := float64(min(max(priority, 0), Lowest)) / Lowest
+	return int64(float64(b.limit) * (1 - reservedPart*rank))
+}
+
+// Account is the part of a budget that one request uses. It is not safe for concurrent use.
+type Account struct {
+	budget *Budget
+	used   int64
+}
+
+// Account returns an empty account; Close returns its bytes.
+func (b *Budget) Account() *Account { return &Account{budget: b} }
+
+// Take adds bytes to the account, and reports false if the budget does not allow that for a priority.
+func (a *Account) Take(n int64, priority int) bool {
+	b := a.budget
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if b.used+n > b.allowed(priority) {
+		return false
+	}
+	b.used += n
+	a.used += n
+	return true
+}
+
+// Close returns all bytes of the account to the budget.
+func (a *Account) Close() {
+	a.budget.mu.Lock()
+	defer a.budget.mu.Unlock()
+	a.budget.used -= a.used
+	a.used = 0
+}
+
+// Used returns the bytes in use and the limit.
+func (b *Budget) Used() (used, limit int64) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.used, b.limit
+}
--- a/internal/limit/quota/pool.go
+++ b/internal/limit/quota/pool.go
@@ -77,6 +77,19 @@
 	return &Pool{options: o, started: now, entries: map[string]*entryState{}, reported: map[string]bool{}, reserve: map[string]*reserve{}, totals: map[string]total{}, silentShares: map[string]float64{}}
 }
 
+// valid returns the uses with figures that can be added up: one figure that is not a number would spoil the totals for good.
+func valid(uses map[string]Use) map[string]Use {
+	for customer, u := range uses {
+		for _, figure := range []float64{u.Demand, u.Held, u.Extra, u.Missing, u.Request} {
+			if !(figure >= 0) || math.IsInf(figure, 0) {
+				delete(uses, customer)
+				break
+			}
+		}
+	}
+	return uses
+}
+
 // count adds an entry to the totals, or with a negative sign subtracts it.
 func (p *Pool) count(h *entryState, sign float64) {
 	for customer, u := range h.uses {
@@ -108,7 +121,7 @@
 	p.reported[r.Entry] = true
 	p.expire(now)
 	p.count(h, -1)
-	h.uses, h.granted = r.Uses, nil
+	h.uses, h.granted = valid(r.Uses), nil
 	grants = make(map[string]Grant, len(limits))
 	for customer, limit := range limits {
 		if limit.Rate <= 0 {
@@ -194,6 +207,9 @@
 	if limit.Rate <= 0 {
 		return time.Time{}, true
 	}
+	if !(cost >= 0) || math.IsInf(cost, 0) {
+		return now, false
+	}
 	b, most := p.fill(now, customer, limit)
 	need := min(cost, max(most, 0))
 	if b.level >= need {
--- a/internal/limit/quota/quota_test.go
+++ b/internal/limit/quota/quota_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 	"math/rand/v2"
 	"testing"
 	"time"
@@ -398,3 +399,24 @@
 		}
 	}
 }
+
+// A malformed report or loan holds figures that are not numbers. Guards against a reserve and totals that stay spoilt, so that the customer is
+// refused or unlimited from then on.
+func TestFiguresThatAreNoNumbers(t *testing.T) {
+	c := quicktest.New(t)
+	now := time.Unix(1_800_000_000, 0)
+	limit := quota.Limit{Rate: 1000, Burst: 1000}
+	p := quota.NewPool(now, quota.Options{Lease: time.Minute, LeaderlessAfter: time.Second})
+	for _, figure := range []float64{math.NaN(), math.Inf(1), math.Inf(-1), -5} {
+		_, admitted := p.Borrow(now, "c", figure, limit)
+		c.Check(admitted, quicktest.IsFalse, quicktest.Commentf("%v", figure))
+		p.Report(now, quota.Report{Entry: "e", Uses: map[string]quota.Use{"c": {Demand: figure, Extra: figure, Missing: figure}}}, map[string]quota.Limit{"c": limit})
+	}
+	now = now.Add(time.Second)
+	_, admitted := p.Borrow(now, "c", 500, limit)
+	c.Check(admitted, quicktest.IsTrue)
+	grants := p.Report(now, quota.Report{Entry: "e", Uses: map[string]quota.Use{"c": {Demand: 100, Missing: 100, Request: 100}}}, map[string]quota.Limit{"c": limit})
+	c.Check(grants["c"].Extra >= 0, quicktest.IsTrue)
+	_, admitted = p.Borrow(now, "c", 5000, limit)
+	c.Check(admitted, quicktest.IsFalse)
+}
--- a/internal/node/control/updates.go
+++ b/internal/node/control/updates.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"log/slog"
+	"maps"
 	"slices"
 	"time"
 
@@ -96,12 +97,16 @@
 		ls.addActive(before.active, -1)
 		ls.addBacklog(before.backlog, -1)
 	}
+	maps.DeleteFunc(r.Active, notPositive)
+	maps.DeleteFunc(r.Backlog, notPositive)
 	ls.entries[r.Name] = &entry{active: r.Active, backlog: r.Backlog, at: now}
 	ls.addresses[r.Name] = report.Deputy{Address: r.Address, DataCentre: r.DataCentre}
 	ls.addActive(r.Active, 1)
 	ls.addBacklog(r.Backlog, 1)
 }
 
+func notPositive(_ string, n int) bool { return n <= 0 }
+
 func (ls *leaderState) addBacklog(backlog map[string]int, sign int) {
 	for id, ms := range backlog {
 		if ls.backlog[id] += sign * ms; ls.backlog[id] <= 0 {
--- a/internal/node/entry/entry.go
+++ b/internal/node/entry/entry.go
@@ -16,7 +16,9 @@
 	"golang.org/x/sync/errgroup"
 
 	"lycheevale/internal/base/event"
+	"lycheevale/internal/base/guard"
 	"lycheevale/internal/base/repeat"
+	"lycheevale/internal/limit/buffers"
 	"lycheevale/internal/limit/retry"
 	"lycheevale/internal/member/outage"
 	"lycheevale/internal/member/report"
@@ -68,12 +70,24 @@
 		forward.WithDataCentre(o.Settings.DataCentre), forward.WithRegions(o.Settings.Regions), forward.WithCodec(o.Codec), forward.WithView(e.view),
 		forward.WithPool(o.Pool), forward.WithLogger(o.Logger), forward.WithNow(o.Now), forward.WithRequestPlacement(e.requestPlacement), forward.WithBorrow(e.borrow),
 		forward.WithLeaderExpectedAt(func() time.Time { return e.outage.ExpectedEnd(o.Now()) }),
+		forward.WithBuffers(buffers.New(bufferLimit(o.Settings.MemoryMB))),
 		forward.WithSeed(uint64(time.Now().UnixNano())), forward.WithObserve(e.observe), forward.WithSpawn(e.spawn),
 		forward.WithRetry(retry.Options{Ratio: r.Ratio * ratioMargin, Window: r.Window.Duration(), Slack: r.Slack * slackMargin}),
 	)
 	return e
 }
 
+// bufferLimit returns the memory for bodies of requests and answers in bytes: a quarter of what the process may use.
+func bufferLimit(memoryMB int64) int64 {
+	if memoryMB <= 0 {
+		memoryMB = defaultMemoryMB
+	}
+	return memoryMB << 20 / 4
+}
+
+// defaultMemoryMB is assumed if the settings name no limit of memory.
+const defaultMemoryMB = 256
+
 const (
 	// ratioMargin allows for requests that the users count in another window than this entry.
 	ratioMargin = 0.9
@@ -83,11 +97,16 @@
 
 func (e *Entry) spawn(f func()) {
 	e.background.Go(func() error {
-		f()
+		guard.Run(context.Background(), e.options.Logger, "request", f)
 		return nil
 	})
 }
 
+// guarded returns a periodic task that is repeated after a panic.
+func (e *Entry) guarded(task string, f func(ctx context.Context)) func(ctx context.Context) {
+	return func(ctx context.Context) { guard.Run(ctx, e.options.Logger, task, func() { f(ctx) }) }
+}
+
 // Run serves until ctx ends, and then until the active requests are answered or the shutdown time has elapsed.
 func (e *Entry) Run(ctx context.Context) (err error) {
 	defer func() { err = Error.Wrap(err) }()
@@ -101,8 +120,8 @@
 	}
 	ready := &http.Server{Handler: e.readiness(), ReadHeaderTimeout: headerTimeout}
 	group.Go(func() error { return e.peers.Run(work) })
-	group.Go(func() error { return repeat.Every(work, syncInterval, e.sync) })
-	group.Go(func() error { return repeat.Every(work, sweepInterval, e.sweep) })
+	group.Go(func() error { return repeat.Every(work, syncInterval, e.guarded("sync", e.sync)) })
+	group.Go(func() error { return repeat.Every(work, sweepInterval, e.guarded("sweep", e.sweep)) })
 	group.Go(func() error { return e.serve(ready, s.Listen.Ready) })
 	group.Go(func() error { return e.serve(callers, s.Listen.Callers) })
 	group.Go(func() error {
--- a/internal/node/entry/sync.go
+++ b/internal/node/entry/sync.go
@@ -20,6 +20,9 @@
 // syncTimeout is several round trips between regions.
 const syncTimeout = 700 * time.Millisecond
 
+// maxReportPause limits the interval of reports that a leader may ask for; leaders forget entries that report less often.
+const maxReportPause = time.Second
+
 // maxReportAttempts limits the instances that are tried one after the other without a pause. Each of them has answered that it does not
 // lead: it named the leader, or no leader was elected while it waited.
 const maxReportAttempts = 4
@@ -59,7 +62,7 @@
 		return err == nil
 	}
 	// Half a tick is subtracted, since the ticker fires slightly late.
-	e.nextReportAt = now.Add(time.Duration(u.EveryMillis)*time.Millisecond - syncInterval/2)
+	e.nextReportAt = now.Add(min(time.Duration(u.EveryMillis)*time.Millisecond, maxReportPause) - syncInterval/2)
 	if e.sendEndpoints = u.Tell; e.sendEndpoints {
 		e.nextReportAt = now
 	}
--- a/internal/node/instance/instance.go
+++ b/internal/node/instance/instance.go
@@ -219,7 +219,7 @@
 		c.MaxBody = i.settings.Limits.BodyBytes
 		c.DefaultTimeout = i.settings.Timeouts.Request
 		c.WriteTimeout = i.settings.Timeouts.Write
-		c.PlainTransport = &http.Transport{DialContext: i.options.Dial, DisableKeepAlives: true, DisableCompression: true}
+		c.PlainTransport = &http.Transport{DialContext: i.options.Dial, DisableKeepAlives: true, DisableCompression: true, MaxResponseHeaderBytes: engine.MaxHeadBytes}
 		i.options.Caller(c)
 	}))
 }
--- a/internal/place/pick/pick.go
+++ b/internal/place/pick/pick.go
@@ -29,6 +29,7 @@
 	Refused     Outcome = "Refused"     // it has no free place
 	Unreachable Outcome = "Unreachable" // the connection failed
 	Silent      Outcome = "Silent"      // it did not answer in time
+	Malformed   Outcome = "Malformed"   // its answer breaks the protocol
 )
 
 // Options are the settings of a Picker.
@@ -64,7 +65,7 @@
 	samples         float64
 	errors          float64 // share of failed requests, smoothed
 	refusals        float64
-	connectFailures int // Unreachable or Silent outcomes since the last Served one
+	connectFailures int // Unreachable, Silent or Malformed outcomes since the last Served one
 	ejectUntil      time.Time
 }
 
@@ -138,7 +139,7 @@
 		failed = 1
 	case Refused:
 		refused = 1
-	case Unreachable, Silent:
+	case Unreachable, Silent, Malformed:
 		failed = 1
 		r.ejectUntil = now.Add(min(p.options.EjectFor<<min(r.connectFailures, 8), p.options.MaxEject))
 		r.connectFailures++
--- a/internal/place/residency/room.go
+++ b/internal/place/residency/room.go
@@ -46,6 +46,9 @@
 
 func (p *Placer) forgetActive(entry string) {
 	for _, u := range p.reported[entry] {
+		if u.Active <= 0 {
+			continue
+		}
 		key := useKey{u.Endpoint, u.Adapter}
 		if p.active[key] -= u.Active; p.active[key] <= 0 {
 			delete(p.active, key)
--- a/internal/place/silence/silence.go
+++ b/internal/place/silence/silence.go
@@ -22,6 +22,7 @@
 	MaxWait       time.Duration // maximum time for which it stays when first events are slow everywhere
 	MinStreamWait time.Duration // minimum time for a stream that has begun
 	SlowFactor    float64       // multiplied with the estimate of slow first events
+	StallFactor   float64       // multiplied with the estimate of long pauses between events
 }
 
 // Defaults returns the settings for callers that abort a stream after a gap of two seconds or more, which leaves most of a
@@ -29,7 +30,7 @@
 func Defaults() Options {
 	return Options{
 		ProbeAfter: 700 * time.Millisecond, MinWait: 900 * time.Millisecond, MinStreamWait: 1300 * time.Millisecond,
-		MaxWait: 1600 * time.Millisecond, SlowFactor: 1.5,
+		MaxWait: 1600 * time.Millisecond, SlowFactor: 1.5, StallFactor: 4,
 	}
 }
 
@@ -38,10 +39,11 @@
 	options        Options
 	endpoints      map[string]*endpoint
 	slowFirstEvent time.Duration // estimated 95th percentile of the time to the first event
+	longPause      time.Duration // the same of the time between two events
 }
 
 type endpoint struct {
-	lastByteAt  time.Time // of the last byte on any connection
+	lastEventAt time.Time // of the last event or head on any connection
 	probing     bool
 	probedAt    time.Time
 	unreachable bool // the last probe found no listener
@@ -59,15 +61,15 @@
 	return e
 }
 
-// RecordBytes records that an endpoint has sent bytes.
-func (w *Watch) RecordBytes(now time.Time, id string) {
+// RecordEvents records that an endpoint has sent a head or complete events.
+func (w *Watch) RecordEvents(now time.Time, id string) {
 	e := w.endpoint(id)
-	e.lastByteAt, e.unreachable = now, false
+	e.lastEventAt, e.unreachable = now, false
 }
 
-// SilentSince reports whether an endpoint has sent no bytes since the given time.
+// SilentSince reports whether an endpoint has sent nothing since the given time.
 func (w *Watch) SilentSince(id string, at time.Time) bool {
-	return !w.endpoint(id).lastByteAt.After(at)
+	return !w.endpoint(id).lastEventAt.After(at)
 }
 
 // riseWeight and fallWeight are the steps of the estimate of slow first events. Their ratio of 19 to 1 makes it converge to
@@ -79,29 +81,40 @@
 
 // RecordFirstEvent records the time to the first event of a stream.
 func (w *Watch) RecordFirstEvent(delay time.Duration) {
+	follow(&w.slowFirstEvent, delay)
+}
+
+// RecordPause records the time between two events of a stream.
+func (w *Watch) RecordPause(pause time.Duration) { follow(&w.longPause, pause) }
+
+func follow(estimate *time.Duration, observed time.Duration) {
 	share := fallWeight
-	if delay > w.slowFirstEvent {
+	if observed > *estimate {
 		share = riseWeight
 	}
-	w.slowFirstEvent += time.Duration(share * float64(delay-w.slowFirstEvent))
+	*estimate += time.Duration(share * float64(observed-*estimate))
 }
 
 // Attempt is a request at an endpoint.
 type Attempt struct {
 	Endpoint   string
-	LastByteAt time.Time // of its own last byte, or of its start
-	Streaming  bool      // the first event has arrived
+	ProgressAt time.Time     // of its own last event, its head, or its start
+	Streaming  bool          // the first event has arrived
+	Expected   time.Duration // from its start until its first event, as estimated then
 }
 
 // Decide returns the action for a request. After Probe, the caller has to record the result with RecordProbe.
 func (w *Watch) Decide(now time.Time, f Attempt) Action {
 	e := w.endpoint(f.Endpoint)
-	quiet := now.Sub(f.LastByteAt)
-	silent := min(quiet, now.Sub(e.lastByteAt))
+	quiet := now.Sub(f.ProgressAt)
+	if f.Streaming && quiet > max(w.options.MaxWait, time.Duration(w.options.StallFactor*float64(w.longPause))) {
+		return Leave // it is stalled, also if its endpoint serves others
+	}
+	silent := min(quiet, now.Sub(e.lastEventAt))
 	if silent <= w.options.ProbeAfter {
 		return Wait
 	}
-	if e.unreachable || silent > w.maxSilence(f.Streaming) {
+	if e.unreachable || silent > w.maxSilence(f) {
 		return Leave
 	}
 	if e.probing || now.Sub(e.probedAt) < w.options.ProbeAfter {
@@ -112,12 +125,16 @@
 }
 
 // maxSilence returns the time for which a request stays at a silent endpoint that accepts connections.
-func (w *Watch) maxSilence(begun bool) time.Duration {
+func (w *Watch) maxSilence(f Attempt) time.Duration {
 	least := w.options.MinWait
-	if begun {
+	if f.Streaming {
 		least = w.options.MinStreamWait
 	}
-	return min(max(time.Duration(w.options.SlowFactor*float64(w.slowFirstEvent)), least), w.options.MaxWait)
+	wait := min(max(time.Duration(w.options.SlowFactor*float64(w.slowFirstEvent)), least), w.options.MaxWait)
+	if f.Streaming {
+		return wait
+	}
+	return max(wait, time.Duration(w.options.SlowFactor*float64(f.Expected))) // a long prompt at a lone endpoint
 }
 
 // RecordProbe records whether the endpoint accepted a probe's connection.
@@ -129,7 +146,7 @@
 // Forget removes endpoints that have neither sent bytes nor been probed for the given time.
 func (w *Watch) Forget(now time.Time, after time.Duration) {
 	for id, e := range w.endpoints {
-		if !e.probing && now.Sub(e.lastByteAt) > after && now.Sub(e.probedAt) > after {
+		if !e.probing && now.Sub(e.lastEventAt) > after && now.Sub(e.probedAt) > after {
 			delete(w.endpoints, id)
 		}
 	}
--- a/internal/place/silence/silence_test.go
+++ b/internal/place/silence/silence_test.go
@@ -16,7 +16,7 @@
 func leaveTime(w *silence.Watch, accepts, begun bool) time.Duration {
 	for at := time.Duration(0); at < 5*time.Second; at += 100 * time.Millisecond {
 		now := epoch.Add(at)
-		switch w.Decide(now, silence.Attempt{Endpoint: "e", LastByteAt: epoch, Streaming: begun}) {
+		switch w.Decide(now, silence.Attempt{Endpoint: "e", ProgressAt: epoch, Streaming: begun}) {
 		case silence.Leave:
 			return at
 		case silence.Probe:
@@ -60,18 +60,53 @@
 	c := quicktest.New(t)
 	w := silence.New(silence.Defaults())
 	for at := time.Duration(0); at < 3*time.Second; at += 100 * time.Millisecond {
-		w.RecordBytes(epoch.Add(at), "e")
-		c.Check(w.Decide(epoch.Add(at), silence.Attempt{Endpoint: "e", LastByteAt: epoch}), quicktest.Equals, silence.Wait)
+		w.RecordEvents(epoch.Add(at), "e")
+		c.Check(w.Decide(epoch.Add(at), silence.Attempt{Endpoint: "e", ProgressAt: epoch}), quicktest.Equals, silence.Wait)
 	}
-	first := w.Decide(epoch.Add(3800*time.Millisecond), silence.Attempt{Endpoint: "e", LastByteAt: epoch.Add(3 * time.Second)})
-	second := w.Decide(epoch.Add(3800*time.Millisecond), silence.Attempt{Endpoint: "e", LastByteAt: epoch.Add(3 * time.Second)})
+	first := w.Decide(epoch.Add(3800*time.Millisecond), silence.Attempt{Endpoint: "e", ProgressAt: epoch.Add(3 * time.Second)})
+	second := w.Decide(epoch.Add(3800*time.Millisecond), silence.Attempt{Endpoint: "e", ProgressAt: epoch.Add(3 * time.Second)})
 	c.Check([]silence.Action{first, second}, quicktest.DeepEquals, []silence.Action{silence.Probe, silence.Wait})
 }
 
 func ExampleWatch_Decide() {
 	w := silence.New(silence.Defaults())
 	sent := time.Unix(1_800_000_000, 0)
-	f := silence.Attempt{Endpoint: "e", LastByteAt: sent}
+	f := silence.Attempt{Endpoint: "e", ProgressAt: sent}
 	fmt.Println(w.Decide(sent.Add(100*time.Millisecond), f) == silence.Wait)
 	// Output: true
 }
+
+// A stream has no event for seconds while its endpoint serves other streams. Guards against a stalled stream that never leaves, and against
+// moving sound streams where long pauses are usual.
+func TestStalledStreamLeavesLiveEndpoint(t *testing.T) {
+	c := quicktest.New(t)
+	for _, test := range []struct {
+		pause time.Duration // between events of other streams
+		quiet time.Duration // of this one
+		want  silence.Action
+	}{
+		{50 * time.Millisecond, time.Second, silence.Wait},
+		{50 * time.Millisecond, 1700 * time.Millisecond, silence.Leave},
+		{900 * time.Millisecond, 3 * time.Second, silence.Wait},
+		{900 * time.Millisecond, 4 * time.Second, silence.Leave},
+	} {
+		w := silence.New(silence.Defaults())
+		for range 400 {
+			w.RecordPause(test.pause)
+		}
+		now := epoch.Add(test.quiet)
+		w.RecordEvents(now, "e")
+		got := w.Decide(now, silence.Attempt{Endpoint: "e", ProgressAt: epoch, Streaming: true})
+		c.Check(got, quicktest.Equals, test.want, quicktest.Commentf("%+v", test))
+	}
+}
+
+// The only request at an endpoint has a prompt that takes seconds to read. Guards against leaving it for its silence.
+func TestLongPromptIsNotLeft(t *testing.T) {
+	c := quicktest.New(t)
+	w := silence.New(silence.Defaults())
+	a := silence.Attempt{Endpoint: "e", ProgressAt: epoch, Expected: 2 * time.Second}
+	w.RecordProbe(epoch.Add(2*time.Second), "e", true)
+	c.Check(w.Decide(epoch.Add(2900*time.Millisecond), a), quicktest.Not(quicktest.Equals), silence.Leave)
+	c.Check(w.Decide(epoch.Add(3100*time.Millisecond), a), quicktest.Equals, silence.Leave)
+}
--- a/internal/serve/caller/plain.go
+++ b/internal/serve/caller/plain.go
@@ -34,9 +34,10 @@
 // may resend a request automatically after a failure, and an unresponsive connection would fail later requests too.
 func newPlainTransport() *http.Transport {
 	return &http.Transport{
-		DialContext:        (&net.Dialer{Timeout: plainDialTimeout}).DialContext,
-		DisableKeepAlives:  true,
-		DisableCompression: true,
+		DialContext:            (&net.Dialer{Timeout: plainDialTimeout}).DialContext,
+		DisableKeepAlives:      true,
+		DisableCompression:     true,
+		MaxResponseHeaderBytes: engine.MaxHeadBytes,
 	}
 }
 
--- a/internal/serve/engine/engine.go
+++ b/internal/serve/engine/engine.go
@@ -34,6 +34,9 @@
 // maxErrorBody bounds what is read of an error response, in bytes.
 const maxErrorBody = 4 << 10
 
+// maxStateBody bounds what is read of a state or load report, in bytes: far more than an engine with all its adapters states.
+const maxStateBody = 4 << 20
+
 // maxDrain bounds what is read after the end marker, in bytes.
 const maxDrain = 4 << 10
 
@@ -207,5 +210,5 @@
 	case out == nil:
 		return nil
 	}
-	return Error.Wrap(json.NewDecoder(resp.Body).Decode(out))
+	return Error.Wrap(json.NewDecoder(io.LimitReader(resp.Body, maxStateBody)).Decode(out))
 }
--- a/internal/serve/engine/options.go
+++ b/internal/serve/engine/options.go
@@ -12,6 +12,8 @@
 	defaultMaxEventSize = 1 << 20 // bytes
 	defaultMaxIdle      = 256     // connections kept open for each endpoint
 	bufferBytes         = 1 << 10 // per connection and direction
+	// MaxHeadBytes is the largest head of a response, with the informational ones before it.
+	MaxHeadBytes = 64 << 10
 )
 
 // Rules are safety checks; all are enabled by default, and only mutation tests disable one.
@@ -59,11 +61,12 @@
 // NewTransport returns a transport without environment proxies and with bounded dialling.
 func NewTransport() *http.Transport {
 	return &http.Transport{
-		DialContext:         (&net.Dialer{Timeout: defaultDialTimeout, KeepAlive: 15 * time.Second}).DialContext,
-		MaxIdleConns:        0,
-		MaxIdleConnsPerHost: defaultMaxIdle,
-		IdleConnTimeout:     time.Minute,
-		DisableCompression:  true,
+		DialContext:            (&net.Dialer{Timeout: defaultDialTimeout, KeepAlive: 15 * time.Second}).DialContext,
+		MaxIdleConns:           0,
+		MaxResponseHeaderBytes: MaxHeadBytes,
+		MaxIdleConnsPerHost:    defaultMaxIdle,
+		IdleConnTimeout:        time.Minute,
+		DisableCompression:     true,
 		// Events are short and flushed one by one; larger buffers only add to the memory of each open stream.
 		WriteBufferSize: bufferBytes,
 		ReadBufferSize:  bufferBytes,
--- a/internal/serve/forward/admit.go
+++ b/internal/serve/forward/admit.go
@@ -4,6 +4,8 @@
 	"context"
 	"time"
 
+	"github.com/zeebo/errs"
+
 	"lycheevale/internal/base/refusal"
 	"lycheevale/internal/member/report"
 )
@@ -100,6 +102,9 @@
 }
 
 func (h *Handler) completeLoans(customer string, batch []*pendingLoan, answer report.LoanReply, err error) {
+	if err == nil && len(answer.Admitted) != len(batch) {
+		err = errs.New("%d decisions on %d requests", len(answer.Admitted), len(batch))
+	}
 	now := h.options.Now()
 	back := now.Add(time.Duration(answer.InMillis) * time.Millisecond)
 	denied := false
--- a/internal/serve/forward/forward.go
+++ b/internal/serve/forward/forward.go
@@ -8,12 +8,16 @@
 	"log/slog"
 	"math/rand/v2"
 	"net/http"
+	"slices"
 	"strconv"
 	"sync"
 	"time"
 
+	"github.com/zeebo/errs"
+
 	"lycheevale/internal/base/event"
 	"lycheevale/internal/base/refusal"
+	"lycheevale/internal/limit/buffers"
 	"lycheevale/internal/limit/quota"
 	"lycheevale/internal/limit/retry"
 	"lycheevale/internal/member/report"
@@ -68,6 +72,7 @@
 	service      *document.Service
 	customer     *document.Customer
 	body         []byte
+	buffers      *buffers.Account
 	arrived      time.Time
 	deadline     time.Time
 	cost         float64         // charged to the customer's rate
@@ -95,7 +100,8 @@
 
 // ServeHTTP implements http.Handler.
 func (h *Handler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	x := &exchange{ResponseWriter: w, caller: r, arrived: h.options.Now(), index: h.options.View.Index()}
+	x := &exchange{ResponseWriter: w, caller: r, arrived: h.options.Now(), index: h.options.View.Index(), buffers: h.options.Buffers.Account()}
+	defer x.buffers.Close()
 	x.ctx = r.Context()
 	if h.isClosing() {
 		w.Header().Set("Connection", "close")
@@ -207,17 +213,46 @@
 	if x.caller.ContentLength > maxBody {
 		return refusal.New(refusal.TooLarge, "body exceeds %d bytes", maxBody)
 	}
-	body, err := io.ReadAll(io.LimitReader(x.caller.Body, maxBody+1))
-	if err != nil {
+	body, err := x.readBuffered(x.caller.Body, maxBody+1, h.priority(x))
+	switch {
+	case errs.Is(err, errBuffersFull):
+		event.Log(x.ctx, h.options.Logger, event.BuffersFull, slog.String("Attempt", x.request.Attempt), slog.Int("Read", len(body)))
+		return h.refuseWithRetry(refusal.Overloaded, "%v", err)
+	case err != nil:
 		return refusal.New(refusal.BadRequest, "body: %v", err)
-	}
-	if int64(len(body)) > maxBody {
+	case int64(len(body)) > maxBody:
 		return refusal.New(refusal.TooLarge, "body exceeds %d bytes", maxBody)
 	}
 	x.body = body
 	return nil
 }
 
+// errBuffersFull ends the reading of a body that the memory for bodies does not allow.
+var errBuffersFull = errs.New("the memory for bodies of requests and answers is in use")
+
+// readBuffered reads at most limit bytes, within the memory for bodies. It returns what it has read also with an error.
+func (x *exchange) readBuffered(r io.Reader, limit int64, priority int) (content []byte, err error) {
+	for int64(len(content)) < limit {
+		room := min(limit-int64(len(content)), max(int64(len(content)), minRead))
+		if !x.buffers.Take(room, priority) {
+			return content, errBuffersFull
+		}
+		content = slices.Grow(content, int(room))
+		n, err := io.ReadFull(r, content[len(content):len(content)+int(room)])
+		content = content[:len(content)+n]
+		if err == io.EOF || err == io.ErrUnexpectedEOF {
+			return content, nil
+		}
+		if err != nil {
+			return content, err
+		}
+	}
+	return content, nil
+}
+
+// minRead is the size of the first read of a body in bytes; each further read doubles what has been read.
+const minRead = 4 << 10
+
 // defaultMaxBody is the maximum size of a body in bytes if the configuration sets none.
 const defaultMaxBody = 4 << 20
 
--- a/internal/serve/forward/forward_test.go
+++ b/internal/serve/forward/forward_test.go
@@ -17,6 +17,7 @@
 	"github.com/zeebo/errs"
 	"golang.org/x/sync/errgroup"
 
+	"lycheevale/internal/limit/buffers"
 	"lycheevale/internal/limit/quota"
 	"lycheevale/internal/member/report"
 	"lycheevale/internal/member/view"
@@ -387,3 +388,147 @@
 		r.Check(w.Code == http.StatusOK, quicktest.Equals, !leaving, quicktest.Commentf("leaving %v: %d", leaving, w.Code))
 	}
 }
+
+// streamCodec recognises event streams.
+func streamCodec() forward.Codec {
+	c := codec()
+	c.Reply = func(_ int, h http.Header) forward.Reply {
+		return forward.Reply{Streamed: strings.HasPrefix(h.Get("Content-Type"), "text/event-stream")}
+	}
+	return c
+}
+
+// flood writes a head, and then content until the connection closes, and counts its bytes.
+func flood(contentType, content string, sent *atomic.Int64) http.HandlerFunc {
+	return func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("Content-Type", contentType)
+		for {
+			n, err := io.WriteString(w, content)
+			sent.Add(int64(n))
+			if err != nil {
+				return
+			}
+		}
+	}
+}
+
+// A broken endpoint sends an event without an end. Guards against keeping its bytes in memory until the request's deadline, against searching
+// them from the beginning with each read, and against sending further requests to that endpoint.
+func TestEventWithoutEndIsCut(t *testing.T) {
+	var sent atomic.Int64
+	slow := func(w http.ResponseWriter, q *http.Request) {
+		time.Sleep(100 * time.Millisecond) // the picker prefers the other endpoint until that fails
+		respondOK(w, q)
+	}
+	r := newFixture(t, []http.HandlerFunc{flood("text/event-stream", strings.Repeat("x", 4096), &sent), slow}, forward.WithCodec(streamCodec()))
+	for range 8 {
+		q := httptest.NewRequest(http.MethodGet, "/read/x", http.NoBody)
+		q.Header.Set("Key", "k")
+		func() {
+			defer func() { _ = recover() }() // a stream that has begun ends by aborting its connection
+			r.handler.ServeHTTP(httptest.NewRecorder(), q)
+		}()
+	}
+	r.Check(sent.Load() < 32<<20, quicktest.IsTrue, quicktest.Commentf("%d bytes sent", sent.Load()))
+	r.Check(r.hits[0].Load() > 0, quicktest.IsTrue)
+	r.Check(r.hits[0].Load() <= 3, quicktest.IsTrue, quicktest.Commentf("%d requests to the broken endpoint", r.hits[0].Load()))
+}
+
+// A hundred callers send large bodies at the same time. Guards against buffering more than the memory for bodies, and against refusals that
+// do not state that the request has not run.
+func TestLargeBodiesShareMemory(t *testing.T) {
+	release := make(chan struct{})
+	slow := func(w http.ResponseWriter, q *http.Request) {
+		_, _ = io.Copy(io.Discard, q.Body)
+		<-release
+		respondOK(w, q)
+	}
+	budget := buffers.New(16 << 20)
+	r := newFixture(t, []http.HandlerFunc{slow}, forward.WithBuffers(budget))
+	r.grant(1e6)
+	var group errgroup.Group
+	var served, refused atomic.Int32
+	for range 100 {
+		group.Go(func() error {
+			q := httptest.NewRequest(http.MethodPost, "/order/x", strings.NewReader(strings.Repeat("x", 1<<20)))
+			q.Header.Set("Key", "k")
+			w := httptest.NewRecorder()
+			r.handler.ServeHTTP(w, q)
+			switch w.Code {
+			case http.StatusOK:
+				served.Add(1)
+			case http.StatusServiceUnavailable:
+				refused.Add(1)
+			}
+			return nil
+		})
+	}
+	for refused.Load() < 80 {
+		time.Sleep(time.Millisecond)
+	}
+	used, limit := budget.Used()
+	r.Check(used <= limit, quicktest.IsTrue, quicktest.Commentf("%d of %d bytes", used, limit))
+	close(release)
+	r.Assert(group.Wait(), quicktest.IsNil)
+	r.Check(served.Load()+refused.Load(), quicktest.Equals, int32(100))
+	r.Check(served.Load() > 0, quicktest.IsTrue)
+	used, _ = budget.Used()
+	r.Check(used, quicktest.Equals, int64(0))
+}
+
+// An endpoint sends an answer that is larger than what is buffered, or one without end. Guards against losing the former, which is sound, and
+// against keeping the latter in memory.
+func TestLongAnswerIsRelayed(t *testing.T) {
+	content := strings.Repeat("y", 10<<20)
+	r := newFixture(t, []http.HandlerFunc{func(w http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(w, content) }})
+	w := r.send(http.MethodGet, "/read/x")
+	r.Check(w.Code, quicktest.Equals, http.StatusOK)
+	r.Check(w.Body.Len(), quicktest.Equals, len(content))
+}
+
+// A resumable stream sends an event and then only single bytes, while its endpoint serves other streams. Guards against a stream that lasts until its
+// deadline because bytes arrive.
+func TestStalledStreamIsMoved(t *testing.T) {
+	var first atomic.Bool
+	serve := func(w http.ResponseWriter, q *http.Request) {
+		w.Header().Set("Content-Type", "text/event-stream")
+		_, _ = io.WriteString(w, "id: 1\ndata: a\n\n")
+		w.(http.Flusher).Flush()
+		for stalled := first.CompareAndSwap(false, true); stalled; {
+			if _, err := io.WriteString(w, "x"); err != nil || q.Context().Err() != nil {
+				return
+			}
+			w.(http.Flusher).Flush()
+			time.Sleep(20 * time.Millisecond)
+		}
+		_, _ = io.WriteString(w, "id: 2\ndata: b\n\n")
+	}
+	r := newFixture(t, []http.HandlerFunc{serve, serve}, forward.WithCodec(streamCodec()))
+	ctx, stop := context.WithCancel(context.Background())
+	var group errgroup.Group
+	group.Go(func() error {
+		for ctx.Err() == nil {
+			r.handler.Sweep()
+			time.Sleep(20 * time.Millisecond)
+		}
+		return nil
+	})
+	q := httptest.NewRequest(http.MethodGet, "/read/x", http.NoBody)
+	q.Header.Set("Key", "k")
+	w := httptest.NewRecorder()
+	r.handler.ServeHTTP(w, q)
+	stop()
+	r.Assert(group.Wait(), quicktest.IsNil)
+	r.Check(strings.HasSuffix(w.Body.String(), "data: b\n\n"), quicktest.IsTrue, quicktest.Commentf("%q", w.Body.String()))
+	r.Check(r.total(), quicktest.Equals, int32(2))
+}
+
+// The leader answers a loan with fewer decisions than requests. Guards against an entry that this ends: the decisions are read in a background
+// task, whose panic would end the process.
+func TestShortLoanReplyIsRefused(t *testing.T) {
+	r := newFixture(t, []http.HandlerFunc{respondOK}, forward.WithBorrow(func(context.Context, report.LoanRequest) (report.LoanReply, error) {
+		return report.LoanReply{Leading: true}, nil
+	}))
+	r.useTokens()
+	r.Check(r.send(http.MethodGet, "/read/x").Code, quicktest.Equals, http.StatusServiceUnavailable)
+}
--- a/internal/serve/forward/inflight.go
+++ b/internal/serve/forward/inflight.go
@@ -23,7 +23,7 @@
 	prompt     int           // tokens
 	ahead      time.Duration // to read the prompts of other entries that waited at the endpoint when it was sent
 	waiting    int           // tokens of this entry that waited there, including its own
-	lastByteAt time.Time
+	progressAt time.Time     // of its start, its head or its last complete event
 	cancel     context.CancelCauseFunc
 }
 
@@ -31,7 +31,7 @@
 func (h *Handler) startAttempt(x *exchange, c choice, cancel context.CancelCauseFunc) *inFlight {
 	f := &inFlight{
 		endpoint: c.Endpoint, movable: x.route.Repeatable() && x.ran+1 < x.route.MaxAttempts, service: x.service.Name,
-		adapter: x.request.Adapter, prompt: x.request.PromptTokens, lastByteAt: h.options.Now(), cancel: cancel,
+		adapter: x.request.Adapter, prompt: x.request.PromptTokens, progressAt: h.options.Now(), cancel: cancel,
 	}
 	h.mu.Lock()
 	defer h.mu.Unlock()
@@ -77,8 +77,8 @@
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	now := h.options.Now()
-	h.silence.RecordBytes(now, f.endpoint.ID)
-	f.lastByteAt = now
+	h.silence.RecordEvents(now, f.endpoint.ID)
+	f.progressAt = now
 }
 
 // silenceRetention exceeds every period for which a request may stay at a silent endpoint.
@@ -94,7 +94,9 @@
 		if !f.movable {
 			continue
 		}
-		switch h.silence.Decide(now, silence.Attempt{Endpoint: f.endpoint.ID, LastByteAt: f.lastByteAt, Streaming: f.begun}) {
+		switch h.silence.Decide(now, silence.Attempt{
+			Endpoint: f.endpoint.ID, ProgressAt: f.progressAt, Streaming: f.begun, Expected: f.ahead + h.reading.Delay(f.waiting),
+		}) {
 		case silence.Wait:
 		case silence.Probe:
 			h.options.Spawn(func() { h.probe(f.endpoint) })
--- a/internal/serve/forward/options.go
+++ b/internal/serve/forward/options.go
@@ -8,6 +8,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"lycheevale/internal/base/locality"
+	"lycheevale/internal/limit/buffers"
 	"lycheevale/internal/limit/quota"
 	"lycheevale/internal/limit/retry"
 	"lycheevale/internal/member/report"
@@ -24,6 +25,7 @@
 	View       *view.View
 	Pool       *upstream.Pool
 	Picker     pick.Options
+	Buffers    *buffers.Budget // of bodies of requests and answers
 	Retry      retry.Options
 	Seed       uint64
 	Logger     *slog.Logger
@@ -44,7 +46,7 @@
 
 func newOptions(opts []Option) Options {
 	o := Options{
-		View: view.New(), Pool: upstream.New(), Picker: pick.Defaults(), Logger: slog.Default(),
+		View: view.New(), Pool: upstream.New(), Picker: pick.Defaults(), Buffers: buffers.New(defaultBuffers), Logger: slog.Default(),
 		Retry:            retry.Options{Ratio: 0.1, Window: 10 * time.Second, Slack: 20},
 		LeaderExpectedAt: func() time.Time { return time.Time{} },
 		Observe:          func(Outcome) {}, Now: time.Now, Shares: quota.NewEntryPool(),
@@ -65,6 +67,12 @@
 	return o
 }
 
+// defaultBuffers is the memory for bodies in bytes if none is set.
+const defaultBuffers = 64 << 20
+
+// WithBuffers sets the memory for bodies of requests and answers.
+func WithBuffers(b *buffers.Budget) Option { return func(o *Options) { o.Buffers = b } }
+
 // WithDataCentre sets the data centre of this entry.
 func WithDataCentre(name string) Option { return func(o *Options) { o.DataCentre = name } }
 
--- a/internal/serve/forward/place.go
+++ b/internal/serve/forward/place.go
@@ -214,6 +214,7 @@
 		ctx, cancel := context.WithTimeout(context.Background(), placementTimeout)
 		defer cancel()
 		w.placed, w.err = h.options.RequestPlacement(ctx, q)
+		w.placed.InMillis = min(w.placed.InMillis, maxLoadTime.Milliseconds())
 		w.answeredAt = h.options.Now()
 		close(w.done)
 		if !shared {
@@ -228,5 +229,8 @@
 	return w
 }
 
+// maxLoadTime is above the time of any load; a longer one in an answer is an error that must not hold later requests.
+const maxLoadTime = 10 * time.Second
+
 // placementTimeout covers the call to the leader, the leader's order to an endpoint and one change of the leader.
 const placementTimeout = 2500 * time.Millisecond
--- a/internal/serve/forward/send.go
+++ b/internal/serve/forward/send.go
@@ -123,7 +123,8 @@
 	reasonFull        = "Full"
 	reasonMissing     = "Missing"
 	reasonError       = "Error"
-	reasonStopped     = "Stopped" // the caller disconnected or its deadline passed
+	reasonMalformed   = "Malformed" // the answer breaks the protocol or exceeds a limit
+	reasonStopped     = "Stopped"   // the caller disconnected or its deadline passed
 )
 
 // errSilent cancels an attempt at an endpoint that sends nothing.
@@ -155,7 +156,7 @@
 	x.sent++
 	if err != nil {
 		x.ran++
-		return mayHaveRun, h.connectionBroken(x, s)
+		return mayHaveRun, h.connectionBroken(x, s, err)
 	}
 	defer func() { _ = answer.Body.Close() }()
 	h.recordActivity(s.inFlight)
@@ -178,8 +179,13 @@
 }
 
 // connectionBroken records the failure of a connection that ended before the answer was complete.
-func (h *Handler) connectionBroken(x *exchange, s attempt) (reason string) {
+func (h *Handler) connectionBroken(x *exchange, s attempt, err error) (reason string) {
 	switch {
+	case errs.Is(err, upstream.ErrMalformed):
+		event.Log(x.ctx, h.options.Logger, event.AnswerMalformed, slog.String("Attempt", x.request.Attempt), slog.String("Endpoint", s.ID),
+			slog.Any("Error", err))
+		h.observe(s.ID, pick.Malformed, 0)
+		return reasonMalformed
 	case errs.Is(context.Cause(s.ctx), errSilent):
 		h.observe(s.ID, pick.Silent, 0)
 		return reasonSilent
@@ -265,33 +271,52 @@
 	}
 }
 
-// relay passes an answer on. An answer that is no stream is read completely first, so that the request can be sent again if the
-// connection breaks.
+// relay passes an answer on. A short answer that is no stream is read completely first, so that the request can be sent again if the
+// connection breaks; a long one is passed on as it arrives.
 func (h *Handler) relay(x *exchange, s attempt, a *upstream.Answer, reply Reply) (attemptResult, string) {
 	if reply.Streamed && a.Status == http.StatusOK {
 		return h.stream(x, s, a)
 	}
-	body, err := io.ReadAll(io.LimitReader(a.Body, maxAnswer+1))
-	if err != nil || len(body) > maxAnswer {
-		return mayHaveRun, h.connectionBroken(x, s)
+	body, err := x.readBuffered(a.Body, maxBufferedAnswer, h.priority(x))
+	long := err == nil && len(body) == maxBufferedAnswer
+	if errs.Is(err, errBuffersFull) {
+		event.Log(x.ctx, h.options.Logger, event.BuffersFull, slog.String("Attempt", x.request.Attempt), slog.String("Endpoint", s.ID), slog.Int("Read", len(body)))
+		long = true
+	} else if err != nil {
+		return mayHaveRun, h.connectionBroken(x, s, err)
+	}
+	if x.headSent {
+		return mayHaveRun, reasonError // a stream that has begun cannot continue with an answer that is no stream
 	}
 	complete := &completeAnswer{status: a.Status, header: a.Header, body: body}
 	if a.Status >= http.StatusInternalServerError {
 		h.observe(s.ID, pick.Failed, 0)
-		x.failedAnswer = complete
-		return mayHaveRun, reasonError
-	}
-	if x.headSent {
-		return mayHaveRun, reasonError // a stream that has begun cannot continue with an answer that is no stream
+		if !long {
+			x.failedAnswer = complete
+			return mayHaveRun, reasonError
+		}
+	} else {
+		h.observe(s.ID, pick.Served, h.options.Now().Sub(s.started))
 	}
-	h.observe(s.ID, pick.Served, h.options.Now().Sub(s.started))
 	x.firstByteAt = h.options.Now()
 	complete.deliver(x)
+	if long {
+		return h.relayRest(x, s, a)
+	}
+	return answered, ""
+}
+
+// relayRest passes on the rest of an answer whose beginning was delivered.
+func (h *Handler) relayRest(x *exchange, s attempt, a *upstream.Answer) (attemptResult, string) {
+	x.headSent = true
+	if _, err := io.Copy(x.ResponseWriter, a.Body); err != nil {
+		return mayHaveRun, h.connectionBroken(x, s, err)
+	}
 	return answered, ""
 }
 
-// maxAnswer is the maximum size in bytes of an answer that is no stream.
-const maxAnswer = 8 << 20
+// maxBufferedAnswer is the size in bytes up to which an answer that is no stream is read before it is passed on.
+const maxBufferedAnswer = 256 << 10
 
 func (h *Handler) logRetry(x *exchange, c choice, v attemptResult, reason string) {
 	event.Log(x.ctx, h.options.Logger, event.RequestRetried, slog.String("Attempt", x.request.Attempt),
--- a/internal/serve/forward/stream.go
+++ b/internal/serve/forward/stream.go
@@ -6,6 +6,8 @@
 	"net/http"
 	"time"
 
+	"github.com/zeebo/errs"
+
 	"lycheevale/internal/place/pick"
 	"lycheevale/internal/wire/upstream"
 )
@@ -25,36 +27,63 @@
 		x.headSent = true
 	}
 	controller := http.NewResponseController(x.ResponseWriter)
-	var pending []byte
+	var pending eventBuffer
 	buffer := make([]byte, streamBuffer)
 	for {
 		n, err := a.Body.Read(buffer)
-		if n > 0 {
+		events := pending.add(buffer[:n], err == io.EOF)
+		if len(events) > 0 {
 			if x.firstByteAt.IsZero() {
 				x.firstByteAt = h.options.Now()
 			}
-			h.recordStreamBytes(s)
-			pending = append(pending, buffer[:n]...)
-		}
-		complete := bytes.LastIndex(pending, eventEnd) + len(eventEnd)
-		if err == io.EOF {
-			complete = len(pending)
-		}
-		if complete >= len(eventEnd) && len(pending) > 0 {
-			if !h.writeEvents(x, controller, pending[:complete]) {
+			h.recordEvents(s)
+			if !h.writeEvents(x, controller, events) {
 				return mayHaveRun, reasonStopped
 			}
-			pending = append(pending[:0], pending[complete:]...)
+			pending.drop(len(events))
 		}
 		switch {
 		case err == io.EOF:
 			return answered, ""
 		case err != nil:
-			return mayHaveRun, h.connectionBroken(x, s)
+			return mayHaveRun, h.connectionBroken(x, s, err)
+		case pending.len() > maxEvent:
+			return mayHaveRun, h.connectionBroken(x, s, errs.Combine(upstream.ErrMalformed, errs.New("event is larger than %d bytes", maxEvent)))
 		}
 	}
 }
 
+// maxEvent is the maximum size of an event in bytes, far above that of a few tokens.
+const maxEvent = 64 << 10
+
+// eventBuffer collects the bytes of a stream until events are complete.
+type eventBuffer struct {
+	content  []byte
+	searched int // bytes in which no further end of an event begins
+}
+
+// add appends bytes and returns the complete events; at the end of the stream it returns everything.
+func (b *eventBuffer) add(content []byte, end bool) (events []byte) {
+	b.content = append(b.content, content...)
+	if end {
+		return b.content
+	}
+	last := bytes.LastIndex(b.content[b.searched:], eventEnd)
+	if last < 0 {
+		b.searched = max(len(b.content)-len(eventEnd)+1, 0)
+		return nil
+	}
+	return b.content[:b.searched+last+len(eventEnd)]
+}
+
+// drop removes events that add has returned.
+func (b *eventBuffer) drop(n int) {
+	b.content = append(b.content[:0], b.content[n:]...)
+	b.searched = 0
+}
+
+func (b *eventBuffer) len() int { return len(b.content) }
+
 // writeEvents writes events to the caller and records the identifier of the last one.
 func (h *Handler) writeEvents(x *exchange, controller *http.ResponseController, events []byte) bool {
 	if _, err := x.Write(events); err != nil {
@@ -74,22 +103,28 @@
 // minDelay is the least delay that is recorded for an endpoint, apart from the time to read prompts.
 const minDelay = 5 * time.Millisecond
 
-// recordStreamBytes records that bytes of a stream arrived; the first ones count as the endpoint's answer.
-func (h *Handler) recordStreamBytes(s attempt) {
+// recordEvents records that complete events of a stream arrived; the first ones count as the endpoint's answer. Bytes of an event that
+// stays incomplete are no progress.
+func (h *Handler) recordEvents(s attempt) {
 	now := h.options.Now()
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	h.silence.RecordBytes(now, s.ID)
-	s.inFlight.lastByteAt = now
-	if !s.inFlight.begun {
-		s.inFlight.begun = true
-		if u := h.uses[[2]string{s.ID, s.inFlight.adapter.Name}]; u != nil {
-			u.answered++
-		}
-		h.promptRead(s.inFlight)
-		delay := now.Sub(s.started)
-		h.reading.Observe(s.inFlight.waiting, delay-s.inFlight.ahead)
-		h.picker.Observe(now, s.ID, pick.Served, max(delay-s.inFlight.ahead-h.reading.Delay(s.inFlight.waiting), minDelay))
-		h.silence.RecordFirstEvent(now.Sub(s.started))
+	h.silence.RecordEvents(now, s.ID)
+	f := s.inFlight
+	if f.begun {
+		h.silence.RecordPause(now.Sub(f.progressAt))
+	}
+	f.progressAt = now
+	if f.begun {
+		return
+	}
+	f.begun = true
+	if u := h.uses[[2]string{s.ID, f.adapter.Name}]; u != nil {
+		u.answered++
 	}
+	h.promptRead(f)
+	delay := now.Sub(s.started)
+	h.reading.Observe(f.waiting, delay-f.ahead)
+	h.picker.Observe(now, s.ID, pick.Served, max(delay-f.ahead-h.reading.Delay(f.waiting), minDelay))
+	h.silence.RecordFirstEvent(delay)
 }
--- a/internal/wire/upstream/options.go
+++ b/internal/wire/upstream/options.go
@@ -14,6 +14,8 @@
 	IdleTimeout time.Duration // after which an idle connection is closed, unless the endpoint states a shorter time
 	MaxIdle     int           // maximum number of idle connections to one endpoint
 	MaxStale    int           // maximum number of answers to earlier requests that are skipped for one request
+	MaxHead     int           // maximum size in bytes of the head of an answer, with the informational answers before it
+	MaxSkipped  int64         // maximum size in bytes of the body of an answer that is skipped
 	Dial        func(ctx context.Context, to netip.AddrPort) (net.Conn, error)
 	// Attempt returns the identifier that an answer echoes, or "" if it has none.
 	Attempt func(h http.Header) string
@@ -30,11 +32,16 @@
 	defaultIdleTimeout = 4 * time.Second
 	defaultMaxIdle     = 64
 	defaultMaxStale    = 3
+	// defaultMaxHead is several times the largest head that endpoints send.
+	defaultMaxHead = 64 << 10
+	// defaultMaxSkipped is far above the size of an answer that is no stream.
+	defaultMaxSkipped = 1 << 20
 )
 
 func newOptions(opts []Option) Options {
 	o := Options{
 		DialTimeout: defaultDialTimeout, IdleTimeout: defaultIdleTimeout, MaxIdle: defaultMaxIdle, MaxStale: defaultMaxStale,
+		MaxHead: defaultMaxHead, MaxSkipped: defaultMaxSkipped,
 		Dial: func(ctx context.Context, to netip.AddrPort) (net.Conn, error) {
 			var d net.Dialer
 			return d.DialContext(ctx, "tcp", to.String())
--- a/internal/wire/upstream/upstream.go
+++ b/internal/wire/upstream/upstream.go
@@ -10,6 +10,7 @@
 	"net"
 	"net/http"
 	"net/netip"
+	"slices"
 	"strconv"
 	"sync"
 	"time"
@@ -24,6 +25,9 @@
 // ErrNotSent marks failures that occurred before any byte of the request can have reached the endpoint; test with errs.Is.
 var ErrNotSent = errs.New("request was not sent")
 
+// ErrMalformed marks answers that break the protocol, such as a head without an end; test with errs.Is.
+var ErrMalformed = errs.New("answer breaks the protocol")
+
 // Request is one request to an endpoint.
 type Request struct {
 	Address netip.AddrPort
@@ -58,10 +62,41 @@
 // conn is a connection that serves one request at a time.
 type conn struct {
 	net.Conn
-	reader    *bufio.Reader
-	idleUntil time.Time
+	reader      *bufio.Reader
+	input       *limitedInput
+	idleUntil   time.Time
+	lastAttempt string // identifier of the last request
+	echoes      bool   // an answer on this connection has echoed the identifier of its request
 }
 
+// limitedInput reads from a connection and fails after a number of bytes while a limit is set.
+type limitedInput struct {
+	net.Conn
+	limited bool
+	left    int
+}
+
+// errHeadTooLarge ends the reading of a head without an end.
+var errHeadTooLarge = errs.Combine(ErrMalformed, errs.New("head of the answer is too large"))
+
+// Read implements io.Reader.
+func (l *limitedInput) Read(p []byte) (n int, err error) {
+	if !l.limited {
+		return l.Conn.Read(p)
+	}
+	if l.left <= 0 {
+		return 0, errHeadTooLarge
+	}
+	n, err = l.Conn.Read(p[:min(len(p), l.left)])
+	l.left -= n
+	return n, err
+}
+
+// limit sets the number of bytes that may be read until unlimit is called.
+func (l *limitedInput) limit(n int) { l.limited, l.left = true, n }
+
+func (l *limitedInput) unlimit() { l.limited = false }
+
 // Opened returns the number of connections opened so far.
 func (p *Pool) Opened() int64 {
 	p.mu.Lock()
@@ -105,17 +140,23 @@
 	}
 }
 
-func (p *Pool) take(address netip.AddrPort) *conn {
+// take returns an idle connection, but none that has just served an earlier try of the same attempt: a late copy of that answer could
+// not be told from the answer to this one.
+func (p *Pool) take(address netip.AddrPort, attempt string) *conn {
 	now := p.options.Now()
 	for {
 		p.mu.Lock()
 		list := p.idle[address]
-		if len(list) == 0 {
+		i := len(list) - 1
+		for i >= 0 && attempt != "" && list[i].lastAttempt == attempt {
+			i--
+		}
+		if i < 0 {
 			p.mu.Unlock()
 			return nil
 		}
-		c := list[len(list)-1]
-		p.idle[address] = list[:len(list)-1]
+		c := list[i]
+		p.idle[address] = slices.Delete(list, i, i+1)
 		p.mu.Unlock()
 		if now.Before(c.idleUntil) && openAndUnread(c.Conn) {
 			return c
@@ -136,7 +177,7 @@
 }
 
 func (p *Pool) connect(ctx context.Context, r Request) (c *conn, err error) {
-	if c := p.take(r.Address); c != nil {
+	if c := p.take(r.Address, r.Attempt); c != nil {
 		return c, nil
 	}
 	return p.open(ctx, r.Address)
@@ -152,7 +193,8 @@
 	p.mu.Lock()
 	p.opened++
 	p.mu.Unlock()
-	return &conn{Conn: raw, reader: bufio.NewReaderSize(raw, readBuffer)}, nil
+	input := &limitedInput{Conn: raw}
+	return &conn{Conn: raw, input: input, reader: bufio.NewReaderSize(input, readBuffer)}, nil
 }
 
 // Probe checks whether an endpoint accepts a new connection, which is kept for the next request. It tries twice, so that one lost
@@ -182,6 +224,7 @@
 	if err != nil {
 		return nil, err
 	}
+	c.lastAttempt = r.Attempt
 	stop := context.AfterFunc(ctx, func() { _ = c.Close() })
 	x := &exchange{pool: p, conn: c, request: r, stop: stop, sent: make(chan error, 1)}
 	x.send()
@@ -238,6 +281,8 @@
 }
 
 func (x *exchange) read() (*Answer, error) {
+	x.conn.input.limit(x.pool.options.MaxHead)
+	defer x.conn.input.unlimit()
 	for skipped := 0; ; {
 		response, err := http.ReadResponse(x.conn.reader, &http.Request{Method: x.request.Method}) //nolint:bodyclose // Answer.Body closes it
 		if err != nil {
@@ -250,19 +295,34 @@
 		if attempt != "" && x.request.Attempt != "" && attempt != x.request.Attempt {
 			// This is a late answer to an earlier request; the answer to this request follows.
 			if skipped++; skipped > x.pool.options.MaxStale {
-				return nil, errs.New("too many answers to other requests")
+				return nil, errs.Combine(ErrMalformed, errs.New("more than %d answers to other requests", x.pool.options.MaxStale))
 			}
-			if _, err := io.Copy(io.Discard, response.Body); err != nil {
+			if err := x.skip(response.Body); err != nil {
 				return nil, err
 			}
 			continue
 		}
+		if attempt == "" && x.conn.echoes && x.request.Attempt != "" {
+			return nil, errs.Combine(ErrMalformed, errs.New("answer to %q echoes no identifier, unlike earlier ones", x.request.Attempt))
+		}
+		x.conn.echoes = x.conn.echoes || attempt != ""
 		a := &Answer{Status: response.StatusCode, Header: response.Header}
 		a.Body = &body{ReadCloser: response.Body, exchange: x, response: response}
 		return a, nil
 	}
 }
 
+// skip reads the body of an answer to an earlier request, and then limits the next head.
+func (x *exchange) skip(body io.Reader) error {
+	x.conn.input.unlimit()
+	n, err := io.Copy(io.Discard, io.LimitReader(body, x.pool.options.MaxSkipped+1))
+	if err == nil && n > x.pool.options.MaxSkipped {
+		err = errs.Combine(ErrMalformed, errs.New("answer to another request is larger than %d bytes", x.pool.options.MaxSkipped))
+	}
+	x.conn.input.limit(x.pool.options.MaxHead)
+	return err
+}
+
 // abandon closes the connection.
 func (x *exchange) abandon() {
 	x.once.Do(func() {
