Spread choices over endpoints whose backlogs are compared

Hypothesis: a random addition as large as the mean backlog of the candidates spreads the choices and vanishes where nothing waits. Change: that addition in place/pick.

--- a/internal/place/pick/pick.go
+++ b/internal/place/pick/pick.go
@@ -172,13 +172,14 @@
 // reports false if every candidate is full or excluded.
 func (p *Picker) Choose(now time.Time, candidates []Endpoint, exclude []string) (id string, ok bool) {
 	best, bestCost, bestEjected := "", 0.0, false
+	spread := backlogSpread(candidates)
 	for _, c := range candidates {
 		if slices.Contains(exclude, c.ID) || p.full(c) {
 			continue
 		}
 		r := p.record(c.ID)
 		ejected := now.Before(r.ejectUntil)
-		cost := p.cost(now, c, r)
+		cost := p.cost(now, c, r) + spread*p.random.Float64()
 		if best == "" || (bestEjected && !ejected) || (bestEjected == ejected && cost < bestCost) {
 			best, bestCost, bestEjected = c.ID, cost, ejected
 		}
@@ -186,6 +187,23 @@
 	return best, best != ""
 }
 
+// backlogSpread returns the maximum random addition to the cost of candidates whose backlogs are compared, in milliseconds. Backlogs
+// are as old as the last report, and all entries see the same ones: without the addition, all of them would send their requests to the
+// endpoint with the least backlog until the next report.
+func backlogSpread(candidates []Endpoint) float64 {
+	if len(candidates) == 0 {
+		return 0
+	}
+	var sum time.Duration
+	for _, c := range candidates {
+		sum += c.Backlog
+	}
+	return spreadFactor * float64(sum.Milliseconds()) / float64(len(candidates))
+}
+
+// spreadFactor makes the mean of the addition equal to the mean backlog.
+const spreadFactor = 2
+
 // full reports whether an endpoint gets no more requests of this entry.
 func (p *Picker) full(c Endpoint) bool {
 	return c.Slots > 0 && float64(c.OtherEntries+p.Active(c.ID)) >= p.options.MaxLoad*float64(c.Slots)
--- a/internal/place/pick/pick_test.go
+++ b/internal/place/pick/pick_test.go
@@ -49,6 +49,26 @@
 	c.Check(choiceShares(p, epoch, candidates(3))["0"] < 0.05, quicktest.IsTrue)
 }
 
+// Dozens of entries choose among the holders of a popular adapter by the same backlogs, which are half a second old, as on
+// spw-repair-grown. Guards against sending all requests of that time to the holder whose backlog was the shortest, and against ignoring
+// backlogs.
+func TestEntriesSpreadOverBacklogs(t *testing.T) {
+	c := quicktest.New(t)
+	list := candidates(10)
+	for i := range list {
+		list[i].Backlog = 300 * time.Millisecond
+	}
+	list[0].Backlog = 0
+	list[1].Backlog = 1500 * time.Millisecond
+	shares := choiceShares(pick.New(pick.Defaults(), 1), epoch, list)
+	c.Check(shares["0"] < 0.75, quicktest.IsTrue, quicktest.Commentf("%v", shares))
+	c.Check(shares["0"] > shares["5"], quicktest.IsTrue, quicktest.Commentf("%v", shares))
+	c.Check(shares["1"], quicktest.Equals, 0.0)
+	// Without backlogs the nearest one is preferred as before.
+	near := []pick.Endpoint{{ID: "near", Slots: 10}, {ID: "far", Slots: 10, Distance: locality.Far}}
+	c.Check(choiceShares(pick.New(pick.Defaults(), 1), epoch, near)["near"] > 0.95, quicktest.IsTrue)
+}
+
 // Guards against sending as many requests to an endpoint that became five times slower as to the others, and against
 // avoiding it forever.
 func TestSlowEndpointIsAvoidedForAWhile(t *testing.T) {
