Accept the connections that wait before a planned stop

Cause: during a planned stop under load, connections with complete requests that the process had not accepted yet were reset with the listener: the balancer may send new ones until the end, if fewer than half of a data centre's entries are ready. Change: base/listener accepts what waits before http.Server.Shutdown closes the listener; entries and the product's instances use it. Ruled out: accepting in Close, tried first: Shutdown holds the server's lock while it closes listeners, so that nothing is accepted.

--- a/internal/node/entry/entry.go
+++ b/internal/node/entry/entry.go
@@ -5,6 +5,7 @@
 import (
 	"context"
 	"log/slog"
+	"net"
 	"net/http"
 	"net/netip"
 	"sync"
@@ -17,6 +18,7 @@
 
 	"lycheevale/internal/base/event"
 	"lycheevale/internal/base/guard"
+	"lycheevale/internal/base/listener"
 	"lycheevale/internal/base/repeat"
 	"lycheevale/internal/limit/buffers"
 	"lycheevale/internal/limit/retry"
@@ -111,6 +113,11 @@
 func (e *Entry) Run(ctx context.Context) (err error) {
 	defer func() { err = Error.Wrap(err) }()
 	s := e.options.Settings
+	inner, err := e.options.Listen(s.Listen.Callers)
+	if err != nil {
+		return err
+	}
+	accepting := listener.New(inner)
 	work, stop := context.WithCancel(context.WithoutCancel(ctx))
 	defer stop()
 	group, work := errgroup.WithContext(work)
@@ -123,12 +130,12 @@
 	group.Go(func() error { return repeat.Every(work, syncInterval, e.guarded("sync", e.sync)) })
 	group.Go(func() error { return repeat.Every(work, sweepInterval, e.guarded("sweep", e.sweep)) })
 	group.Go(func() error { return e.serve(ready, s.Listen.Ready) })
-	group.Go(func() error { return e.serve(callers, s.Listen.Callers) })
+	group.Go(func() error { return serveUntilClosed(callers, accepting) })
 	group.Go(func() error {
 		defer stop()
 		select {
 		case <-ctx.Done():
-			e.drain(ctx, callers)
+			e.drain(ctx, callers, accepting)
 		case <-work.Done():
 			_ = callers.Close() // another part has failed, and its error is returned
 		}
@@ -147,11 +154,15 @@
 )
 
 func (e *Entry) serve(s *http.Server, at netip.AddrPort) error {
-	listener, err := e.options.Listen(at)
+	l, err := e.options.Listen(at)
 	if err != nil {
 		return err
 	}
-	if err := s.Serve(listener); !errs.Is(err, http.ErrServerClosed) {
+	return serveUntilClosed(s, l)
+}
+
+func serveUntilClosed(s *http.Server, l net.Listener) error {
+	if err := s.Serve(l); !errs.Is(err, http.ErrServerClosed) {
 		return err
 	}
 	return nil
@@ -181,14 +192,16 @@
 	exitMargin = 500 * time.Millisecond
 )
 
-// drain reports not ready until the load balancer has detected it, then accepts no more connections and waits for active requests.
-func (e *Entry) drain(ctx context.Context, callers *http.Server) {
+// drain reports not ready until the load balancer has detected it, then accepts the connections that wait and no more, and waits for
+// active requests.
+func (e *Entry) drain(ctx context.Context, callers *http.Server, accepting *listener.Draining) {
 	started := e.options.Now()
 	e.draining.Store(true)
 	e.handler.Close()
 	event.Log(ctx, e.options.Logger, event.InstanceDraining, slog.String("Instance", e.options.Settings.Name))
 	deadline := time.Now().Add(e.options.Settings.Shutdown.Duration() - exitMargin)
 	time.Sleep(readinessDelay)
+	accepting.Drain()
 	end, cancel := context.WithDeadline(context.WithoutCancel(ctx), deadline)
 	defer cancel()
 	err := callers.Shutdown(end)
--- a/internal/node/instance/instance.go
+++ b/internal/node/instance/instance.go
@@ -16,6 +16,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"lycheevale/internal/base/event"
+	"lycheevale/internal/base/listener"
 	"lycheevale/internal/base/metrics"
 	"lycheevale/internal/base/repeat"
 	"lycheevale/internal/base/settings"
@@ -59,7 +60,7 @@
 	closeAudit       func() error // nil without an audit file
 	ready            atomic.Bool
 	draining         atomic.Bool
-	callerListener   net.Listener
+	callerListener   *listener.Draining
 	streamListener   net.Listener
 	operatorListener net.Listener
 }
@@ -231,9 +232,11 @@
 
 func (i *Instance) listen() (err error) {
 	listen := i.settings.Listen
-	if i.callerListener, err = i.options.Listen(listen.Callers); err != nil {
+	callers, err := i.options.Listen(listen.Callers)
+	if err != nil {
 		return err
 	}
+	i.callerListener = listener.New(callers)
 	if i.streamListener, err = i.options.Listen(listen.Streams); err != nil {
 		return err
 	}
--- a/internal/node/instance/servers.go
+++ b/internal/node/instance/servers.go
@@ -81,6 +81,9 @@
 	if !s.instance.options.GracefulStop {
 		return server.Close()
 	}
+	if server == s.callers {
+		s.instance.callerListener.Drain()
+	}
 	err := server.Shutdown(ctx)
 	if err == nil {
 		return nil
