Refuse what engines cannot read in time, and copy adapters only to idle endpoints

Change: an entry refuses a request at once, with a time to return, if the prompts ahead of it take longer than 1.5 latency objectives; a copy of an adapter that another endpoint holds costs 250 ms and counts the backlog of the new endpoint twice.

--- a/internal/place/residency/residency_test.go
+++ b/internal/place/residency/residency_test.go
@@ -359,3 +359,19 @@
 	c.Assert(ok, quicktest.IsTrue)
 	c.Check(choice.Endpoint, quicktest.Equals, "b")
 }
+
+// All endpoints have long backlogs, one of them a shorter one. Guards against fetching copies of adapters that help nobody, and against staying at a
+// busy holder while another endpoint is idle.
+func TestCopiesNeedAnIdleEndpoint(t *testing.T) {
+	c := quicktest.New(t)
+	p := placer(engine("a", "east", holdings(2)), engine("b", "east", nil))
+	p.SetBacklog("a", 2*time.Second)
+	p.SetBacklog("b", 1500*time.Millisecond)
+	choice, ok := p.Want(epoch, adapter("held0"), "east", false)
+	c.Assert(ok, quicktest.IsTrue)
+	c.Check(choice.Endpoint, quicktest.Equals, "a")
+	p.SetBacklog("b", 0)
+	choice, ok = p.Want(epoch, adapter("held0"), "east", false)
+	c.Assert(ok, quicktest.IsTrue)
+	c.Check(choice.Endpoint, quicktest.Equals, "b")
+}
--- a/internal/place/residency/want.go
+++ b/internal/place/residency/want.go
@@ -48,6 +48,9 @@
 		}
 	}
 	if !replicate {
+		if best != nil {
+			bestCost += replicaCost + float64(best.backlog.Milliseconds())
+		}
 		if c, cost := p.cheapestHolder(now, a, dataCentre, avoid); cost <= bestCost && !math.IsInf(cost, 1) {
 			p.hold(now, p.endpoints[c.Endpoint].places[a])
 			return c, true
@@ -103,11 +106,14 @@
 
 // Costs by which endpoints are compared, in milliseconds of a request's time.
 const (
-	nearCost     = 6.0   // two round trips between data centres of one region
-	farCost      = 120.0 // the same between regions
-	loadCost     = 400.0 // for an endpoint whose request slots are all in use
-	victimCost   = 30.0  // for each recent use of the adapter to evict
-	evictionCost = 60.0  // for the unload that precedes the load
+	nearCost   = 6.0   // two round trips between data centres of one region
+	farCost    = 120.0 // the same between regions
+	loadCost   = 400.0 // for an endpoint whose request slots are all in use
+	victimCost = 30.0  // for each recent use of the adapter to evict
+	// replicaCost is for a place and a fetch, if another endpoint holds the adapter. The time to read the prompts that wait counts twice
+	// then: copies do not help where all endpoints are busy.
+	replicaCost  = 250.0
+	evictionCost = 60.0 // for the unload that precedes the load
 	// replaceCost applies if the load of a newer version has to wait until requests on the older one have ended.
 	replaceCost = 1500.0
 )
--- a/internal/serve/forward/forward_test.go
+++ b/internal/serve/forward/forward_test.go
@@ -9,6 +9,7 @@
 	"net/netip"
 	"strconv"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"testing/iotest"
@@ -102,11 +103,13 @@
 	}
 	once := route("once", document.Idempotent)
 	once.MaxAttempts = 1
+	brief := route("brief", document.Streaming)
+	brief.Objective = 400 * time.Millisecond
 	draft := route("draft", document.Streaming)
 	draft.Targets[0].Service = "engines"
 	return document.Document{
 		Version: 1, Services: []document.Service{{Name: "s"}, {Name: "engines", Engine: &document.Engine{}}},
-		Routes:    []document.Route{route("read", document.Idempotent), route("order", document.NonIdempotent), once, draft},
+		Routes:    []document.Route{route("read", document.Idempotent), route("order", document.NonIdempotent), once, brief, draft},
 		Customers: []document.Customer{{Name: "c", Keys: []string{"k"}, CountTokens: true, Rate: 1000, Burst: 1000}},
 	}
 }
@@ -561,3 +564,48 @@
 	r.Check(w.Code, quicktest.Equals, http.StatusBadRequest)
 	r.Check(r.total(), quicktest.Equals, int32(0))
 }
+
+// An engine that reads a thousand tokens in 50 ms gets prompts faster than that, for a route with an objective of 0.4 s, as on the days where most
+// failed requests had waited in an engine's queue. Guards against sending requests that can't be answered in time instead of refusing them at
+// once, truly and with a time to return.
+func TestPromptsBeyondBacklogAreRefused(t *testing.T) {
+	var reading sync.Mutex
+	engine := func(w http.ResponseWriter, q *http.Request) {
+		_, _ = io.Copy(io.Discard, q.Body)
+		reading.Lock()
+		time.Sleep(50 * time.Millisecond)
+		reading.Unlock()
+		w.Header().Set("Content-Type", "text/event-stream")
+		_, _ = io.WriteString(w, "id: 1\ndata: a\n\n")
+	}
+	c := streamCodec()
+	decode := c.Decode
+	c.Decode = func(r *http.Request) (forward.Request, error) {
+		q, err := decode(r)
+		q.PromptTokens = 1000
+		return q, err
+	}
+	r := newFixture(t, []http.HandlerFunc{engine}, forward.WithCodec(c))
+	r.grant(1e7)
+	for range 10 {
+		r.Assert(r.send(http.MethodGet, "/brief/x").Code, quicktest.Equals, http.StatusOK)
+	}
+	var group errgroup.Group
+	var served, refused atomic.Int32
+	for range 60 {
+		group.Go(func() error {
+			w := r.send(http.MethodGet, "/brief/x")
+			switch {
+			case w.Code == http.StatusOK:
+				served.Add(1)
+			case strings.Contains(w.Body.String(), "prompts ahead") && w.Header().Get("Retry-After") != "":
+				refused.Add(1)
+			}
+			return nil
+		})
+		time.Sleep(5 * time.Millisecond)
+	}
+	r.Assert(group.Wait(), quicktest.IsNil)
+	r.Check(served.Load() > 0, quicktest.IsTrue)
+	r.Check(refused.Load() > 0, quicktest.IsTrue, quicktest.Commentf("%d served", served.Load()))
+}
--- a/internal/serve/forward/send.go
+++ b/internal/serve/forward/send.go
@@ -14,6 +14,7 @@
 	"lycheevale/internal/base/refusal"
 	"lycheevale/internal/limit/retry"
 	"lycheevale/internal/place/pick"
+	"lycheevale/internal/state/document"
 	"lycheevale/internal/wire/upstream"
 )
 
@@ -40,6 +41,9 @@
 		if refused != nil {
 			return h.giveUp(x, refused)
 		}
+		if refused := h.checkBacklog(x, c); refused != nil {
+			return h.giveUp(x, refused)
+		}
 		if !h.allowAttempt(x, tries) {
 			return h.giveUp(x, h.refuseWithRetry(refusal.Overloaded, "no further endpoint may be tried"))
 		}
@@ -61,6 +65,32 @@
 	}
 }
 
+// checkBacklog refuses a request that would wait at its endpoint for much longer than its latency objective, because of the prompts ahead of
+// it. An engine reads all prompts that it has accepted, also those whose callers leave, so that accepting more than it reads in time makes
+// every answer late.
+func (h *Handler) checkBacklog(x *exchange, c choice) *refusal.Error {
+	limit := maxBacklog(x.route)
+	if x.sent > 0 || x.request.PromptTokens == 0 || limit <= 0 {
+		return nil
+	}
+	h.mu.Lock()
+	ahead := h.backlog(c.ID)
+	h.mu.Unlock()
+	if ahead <= limit {
+		return nil
+	}
+	refused := h.refuseWithRetry(refusal.Overloaded, "prompts ahead at endpoint %q take %v, limit %v", c.ID, ahead.Round(time.Millisecond), limit)
+	return refused.WithRetryAt(refused.RetryAt.Add(ahead - limit))
+}
+
+// maxBacklog returns the longest time to read the prompts ahead of a request of a route, 0 for no limit.
+func maxBacklog(r *document.Route) time.Duration {
+	return time.Duration(backlogLimit * float64(r.Objective))
+}
+
+// backlogLimit is the time to read the prompts ahead of a request, in latency objectives of its route, up to which it is sent.
+const backlogLimit = 1.5
+
 // missingAdapterPause is roughly a tenth of the load time of an adapter.
 const missingAdapterPause = 30 * time.Millisecond
 
