Name the interval of reports and return errors of the flood server

Cause: the linter and a reading of the diff. Change: names and a comment in residency, errors of a test's server; behaviour unchanged. Measured: linter clean; tests of the packages pass.

--- a/internal/place/residency/residency.go
+++ b/internal/place/residency/residency.go
@@ -52,7 +52,7 @@
 	readyAt   time.Time // when a load is expected to end
 	ordered   bool      // the order of the present state was accepted
 	reported  bool      // the endpoint has reported that it holds the adapter
-	stated    bool      // the endpoint has reported the adapter as held or pending while a load of it was queued here
+	stated    bool      // the endpoint has reported the adapter although a load of it is queued here: an earlier leader has ordered it
 	changedAt time.Time
 	heldUntil time.Time // for requests that were told to use the place and are not reported yet
 	usedAt    time.Time
@@ -111,7 +111,7 @@
 	journal   journal
 	inflight  []transfer
 	active    map[useKey]int   // requests that run, over all entries
-	reports   time.Duration    // interval of entries' reports
+	interval  time.Duration    // of entries' reports
 	reported  map[string][]Use // last report of each entry
 	fullSpeed int              // concurrent fetches, over all endpoints, that the store serves at full speed
 }
@@ -120,15 +120,15 @@
 func New(o Options) *Placer {
 	return &Placer{
 		options: o, endpoints: map[string]*endpoint{}, versions: map[Adapter]int{}, journal: newJournal(), fullSpeed: o.FullSpeedFetches,
-		active: map[useKey]int{}, reported: map[string][]Use{}, reports: defaultReports,
+		active: map[useKey]int{}, reported: map[string][]Use{}, interval: defaultInterval,
 	}
 }
 
-// defaultReports is the interval of entries' reports in a small deployment.
-const defaultReports = 200 * time.Millisecond
+// defaultInterval is the interval of entries' reports in a small deployment.
+const defaultInterval = 200 * time.Millisecond
 
 // SetReportInterval sets the interval in which entries report their uses.
-func (p *Placer) SetReportInterval(interval time.Duration) { p.reports = interval }
+func (p *Placer) SetReportInterval(interval time.Duration) { p.interval = interval }
 
 // SetVersion makes a version of an adapter the only one that requests may run on.
 func (p *Placer) SetVersion(a Adapter, version int) {
--- a/internal/place/residency/room.go
+++ b/internal/place/residency/room.go
@@ -81,7 +81,7 @@
 	if pl.readyAt.After(now) {
 		from = pl.readyAt
 	}
-	if until := from.Add(p.reports + p.options.ReportDelay); until.After(pl.heldUntil) {
+	if until := from.Add(p.interval + p.options.ReportDelay); until.After(pl.heldUntil) {
 		pl.heldUntil = until
 	}
 }
--- a/internal/wire/upstream/flood_test.go
+++ b/internal/wire/upstream/flood_test.go
@@ -31,16 +31,16 @@
 	serve := func(conn net.Conn) error {
 		defer func() { _ = conn.Close() }()
 		if _, err := http.ReadRequest(bufio.NewReader(conn)); err != nil {
-			return nil
+			return err
 		}
 		if _, err := io.WriteString(conn, begin); err != nil {
-			return nil
+			return err
 		}
 		for {
 			n, err := io.WriteString(conn, block)
 			sent.Add(int64(n))
 			if err != nil {
-				return nil // the client has closed the connection
+				return err
 			}
 		}
 	}
@@ -48,14 +48,14 @@
 		for {
 			conn, err := listener.Accept()
 			if err != nil {
-				return nil
+				return err
 			}
 			group.Go(func() error { return serve(conn) })
 		}
 	})
 	t.Cleanup(func() {
 		_ = listener.Close()
-		_ = group.Wait()
+		_ = group.Wait() // the error of a closed listener or connection
 	})
 	return listener.Addr().(*net.TCPAddr).AddrPort(), sent
 }
