--- a/internal/serve/forward/forward_test.go
+++ b/internal/serve/forward/forward_test.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"net/http/httptest"
 	"net/netip"
+	"runtime"
 	"strconv"
 	"strings"
 	"sync"
@@ -56,6 +57,7 @@
 	*quicktest.C
 	handler *forward.Handler
 	hits    []atomic.Int32
+	update  report.Update // the view of the handler
 }
 
 func newFixture(t *testing.T, endpoints []http.HandlerFunc, opts ...forward.Option) *fixture {
@@ -76,6 +78,7 @@
 	}
 	_, err = v.Apply(time.Now(), u, func([]byte) (document.Document, error) { return testDocument(), nil })
 	c.Assert(err, quicktest.IsNil)
+	r.update = u
 	r.handler = forward.New(append([]forward.Option{forward.WithCodec(codec()), forward.WithView(v)}, opts...)...)
 	r.grant(1000)
 	return r
@@ -609,3 +612,107 @@
 	r.Check(served.Load() > 0, quicktest.IsTrue)
 	r.Check(refused.Load() > 0, quicktest.IsTrue, quicktest.Commentf("%d served", served.Load()))
 }
+
+// An endpoint stops announcing itself and disappears from the view while it sends a stream. Guards against cutting the running stream, or starting
+// it again elsewhere, because a machine is silent towards the leader.
+func TestRunningStreamSurvivesSilentEndpoint(t *testing.T) {
+	removed := make(chan struct{})
+	serve := func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("Content-Type", "text/event-stream")
+		_, _ = io.WriteString(w, "id: 1\ndata: a\n\n")
+		w.(http.Flusher).Flush()
+		<-removed
+		_, _ = io.WriteString(w, "id: 2\ndata: b\n\n")
+	}
+	v := view.New()
+	r := newFixture(t, []http.HandlerFunc{serve}, forward.WithCodec(streamCodec()), forward.WithView(v))
+	u := r.update
+	decode := func([]byte) (document.Document, error) { return testDocument(), nil }
+	_, err := v.Apply(time.Now(), u, decode)
+	r.Assert(err, quicktest.IsNil)
+	var group errgroup.Group
+	w := httptest.NewRecorder()
+	group.Go(func() error {
+		q := httptest.NewRequest(http.MethodGet, "/read/x", http.NoBody)
+		q.Header.Set("Key", "k")
+		r.handler.ServeHTTP(w, q)
+		return nil
+	})
+	for r.total() == 0 {
+		time.Sleep(time.Millisecond)
+	}
+	u.Directory, u.Endpoints, u.Content = 2, nil, nil
+	changed, err := v.Apply(time.Now(), u, decode)
+	r.Assert(err, quicktest.IsNil)
+	r.Assert(changed.Removed, quicktest.HasLen, 1)
+	r.handler.Sweep()
+	close(removed)
+	r.Assert(group.Wait(), quicktest.IsNil)
+	r.Check(strings.HasSuffix(w.Body.String(), "data: b\n\n"), quicktest.IsTrue, quicktest.Commentf("%q", w.Body.String()))
+	r.Check(r.total(), quicktest.Equals, int32(1))
+}
+
+// A hundred requests meet endpoints that send heads, lines, events and bodies without end, beside one that is sound. Guards against more memory than an
+// entry has, and against callers that are not served beside them.
+func TestFloodsLeaveOthersServed(t *testing.T) {
+	var sent atomic.Int64
+	raw := func(begin, part string) http.HandlerFunc {
+		return func(w http.ResponseWriter, _ *http.Request) {
+			conn, _, err := w.(http.Hijacker).Hijack()
+			if err != nil {
+				return
+			}
+			defer func() { _ = conn.Close() }()
+			for _, err = io.WriteString(conn, begin); err == nil; _, err = io.WriteString(conn, part) {
+			}
+		}
+	}
+	lines, line := strings.Repeat("Field: value\r\n", 256), strings.Repeat("x", 4096)
+	sound := func(w http.ResponseWriter, q *http.Request) {
+		time.Sleep(60 * time.Millisecond) // slower than the first estimate of the others, so that they are tried
+		respondOK(w, q)
+	}
+	r := newFixture(t, []http.HandlerFunc{
+		raw("HTTP/1.1 200 OK\r\n", lines), raw("HTTP/1.1 200 OK\r\nField: ", line),
+		flood("text/event-stream", line, &sent), flood("text/plain", line, &sent), sound,
+	}, forward.WithCodec(streamCodec()))
+	r.grant(1e7)
+	var group errgroup.Group
+	var served atomic.Int32
+	var highest atomic.Uint64
+	for range 100 {
+		group.Go(func() error {
+			q := httptest.NewRequest(http.MethodGet, "/read/x", http.NoBody)
+			q.Header.Set("Key", "k")
+			w := discardRecorder{httptest.NewRecorder(), &atomic.Int64{}}
+			func() {
+				defer func() { _ = recover() }() // a stream that has begun ends by aborting its connection
+				r.handler.ServeHTTP(w, q)
+			}()
+			if w.Code == http.StatusOK && w.written.Load() == int64(len("fine")) {
+				served.Add(1)
+			}
+			var m runtime.MemStats
+			runtime.ReadMemStats(&m)
+			for was := highest.Load(); m.HeapAlloc > was && !highest.CompareAndSwap(was, m.HeapAlloc); was = highest.Load() {
+			}
+			return nil
+		})
+		time.Sleep(5 * time.Millisecond)
+	}
+	r.Assert(group.Wait(), quicktest.IsNil)
+	r.Check(served.Load() > 0, quicktest.IsTrue)
+	const entryMemory = 184 << 20
+	r.Check(highest.Load() < entryMemory/2, quicktest.IsTrue, quicktest.Commentf("%d bytes of heap", highest.Load()))
+}
+
+// discardRecorder counts the bytes of an answer instead of keeping them.
+type discardRecorder struct {
+	*httptest.ResponseRecorder
+	written *atomic.Int64
+}
+
+func (d discardRecorder) Write(p []byte) (int, error) {
+	d.written.Add(int64(len(p)))
+	return len(p), nil
+}
