--- a/internal/serve/forward/forward.go
+++ b/internal/serve/forward/forward.go
@@ -146,7 +146,8 @@
 		event.Log(x.caller.Context(), h.options.Logger, event.RequestServed, slog.String("Attempt", x.request.Attempt),
 			slog.String("Customer", customer), slog.String("Adapter", x.request.Adapter.Name),
 			slog.String("Endpoint", x.lastEndpoint), slog.Int("Sent", x.sent), slog.Int("Tokens", x.request.Tokens),
-			slog.Int64("SentMillis", x.sentAt.Sub(x.arrived).Milliseconds()), slog.Int64("FirstMillis", o.FirstByte.Milliseconds()), slog.Int64("AfterMillis", o.Duration.Milliseconds()))
+			slog.Int64("SentMillis", x.sentAt.Sub(x.arrived).Milliseconds()), slog.Int64("FirstMillis", o.FirstByte.Milliseconds()), slog.Int64("AfterMillis", o.Duration.Milliseconds()),
+			slog.Any("Parts", x.request.SharedParts))
 	}
 }
 
@@ -306,7 +307,8 @@
 		slog.Any("Bucket", bucket), slog.String("Adapter", x.request.Adapter.Name), slog.String("Code", string(e.Code)), slog.String("Reason", e.Message),
 		slog.String("Ran", string(e.Ran)), slog.Int("Sent", x.sent), slog.String("Endpoint", x.lastEndpoint),
 		slog.Uint64("Document", version), slog.Int64("ViewAgeMillis", h.options.View.Age(h.options.Now()).Milliseconds()),
-		slog.Int64("AfterMillis", h.options.Now().Sub(x.arrived).Milliseconds()), slog.Bool("CallerGone", x.caller.Context().Err() != nil))
+		slog.Int64("AfterMillis", h.options.Now().Sub(x.arrived).Milliseconds()), slog.Bool("CallerGone", x.caller.Context().Err() != nil),
+		slog.Any("Parts", x.request.SharedParts))
 }
 
 // Close sets "Connection: close" on all further answers, so that callers reconnect to another instance.
--- a/internal/serve/forward/types.go
+++ b/internal/serve/forward/types.go
@@ -19,6 +19,7 @@
 	Adapter      residency.Adapter // Name is empty for a base model, Model for a plain service
 	Tokens       int               // prompt and maximum output, 0 if the caller states none
 	PromptTokens int               // 0 if the caller states none
+	SharedParts  []string          // identifiers of the prompt's parts that other requests may share, from its beginning
 	LastEvent    string            // identifier of the last event that the caller received, empty for none
 	Timeout      time.Duration     // how long the caller waits, 0 if not stated
 }
