Quarantine parts of prompts that crash engines

Cause: a failure was only known to the request that met it. It was sent again up to the route's attempts, callers repeated it, and nothing that one entry had seen reached another one. Class of the fault: a cause that travels with requests, taken for a fault of the endpoints.

Change: entries report which parts were exposed to a crash and which ones begin; the leader blames a part after three crashes in a row without a begin, weighed against the other parts of the same crashes (place/quarantine, pure); the part is quarantined by an entry of the log and refused at all entries at once, truly as not run. A begin, of a request under way or of one of two trials, releases it.

Evidence: event 2002 with the parts: the part was in every crash and in no served request, sound parts in up to 93 crashes, each followed by a begin; rare ones in two or three crashes in a row, so that counting crashes alone would blame them.

Ruled out: endpoints that are slow to be left (they refuse connections at once); the retry budget (a request costs at most two engines, callers repeat once).

--- a/internal/base/event/entry.go
+++ b/internal/base/event/entry.go
@@ -4,24 +4,26 @@
 
 // Events 2000 to 2999: the request path at an entry.
 const (
-	RequestRefused   ID = 2001
-	RequestRetried   ID = 2002
-	AnswerDiscarded  ID = 2003
-	StreamRevoked    ID = 2004
-	StreamCut        ID = 2005
-	RequestPanicked  ID = 2006
-	OutcomeUncertain ID = 2007
-	RequestServed    ID = 2008
-	ViewUpdated      ID = 2009
-	LeaderFound      ID = 2010
-	LeaderSilent     ID = 2011
-	AdapterRequested ID = 2012
-	ViewRefused      ID = 2013
-	EndpointProbed   ID = 2014
-	DeputiesNamed    ID = 2015
-	DeputyLent       ID = 2016
-	BuffersFull      ID = 2017
-	AnswerMalformed  ID = 2018
+	RequestRefused    ID = 2001
+	RequestRetried    ID = 2002
+	AnswerDiscarded   ID = 2003
+	StreamRevoked     ID = 2004
+	StreamCut         ID = 2005
+	RequestPanicked   ID = 2006
+	OutcomeUncertain  ID = 2007
+	RequestServed     ID = 2008
+	ViewUpdated       ID = 2009
+	LeaderFound       ID = 2010
+	LeaderSilent      ID = 2011
+	AdapterRequested  ID = 2012
+	ViewRefused       ID = 2013
+	EndpointProbed    ID = 2014
+	DeputiesNamed     ID = 2015
+	DeputyLent        ID = 2016
+	BuffersFull       ID = 2017
+	AnswerMalformed   ID = 2018
+	BrokenUnanswered  ID = 2019
+	QuarantineUpdated ID = 2020
 )
 
 var entryEvents = []Entry{
@@ -42,5 +44,7 @@
 	{DeputiesNamed, slog.LevelInfo, "leader named the deputies that lend without it", "None."},
 	{DeputyLent, slog.LevelInfo, "deputy decided on requests of another entry", "None; lasting: check the control instances."},
 	{BuffersFull, slog.LevelWarn, "memory for bodies of requests and answers is in use", "Frequent: add instances, or find the callers or the endpoint that send large bodies."},
+	{BrokenUnanswered, slog.LevelWarn, "connection of a request broke before its answer began; the endpoint is checked", "Several with the same Parts: see event 5020."},
+	{QuarantineUpdated, slog.LevelInfo, "quarantined parts of prompts changed", "None; see event 5020."},
 	{AnswerMalformed, slog.LevelWarn, "answer of an endpoint breaks the protocol", "Check the endpoint; it gets no requests for a while."},
 }
--- a/internal/base/refusal/refusal.go
+++ b/internal/base/refusal/refusal.go
@@ -28,6 +28,7 @@
 	DeadlineExceeded Code = "DeadlineExceeded"
 	NotFound         Code = "NotFound"
 	UnsupportedType  Code = "UnsupportedType"
+	Quarantined      Code = "Quarantined"
 )
 
 // Ran states whether the refused request may have run.
@@ -52,6 +53,7 @@
 	DeadlineExceeded: http.StatusGatewayTimeout,
 	NotFound:         http.StatusNotFound,
 	UnsupportedType:  http.StatusUnsupportedMediaType,
+	Quarantined:      http.StatusServiceUnavailable,
 }
 
 // Error is a refusal with the details that a caller needs to handle it.
--- a/internal/member/report/encoding_test.go
+++ b/internal/member/report/encoding_test.go
@@ -10,15 +10,23 @@
 
 	"lycheevale/internal/limit/quota"
 	"lycheevale/internal/member/report"
+	"lycheevale/internal/place/quarantine"
 	"lycheevale/internal/place/residency"
 )
 
 var (
+	suspect = quarantine.Part{Service: "s", ID: "91bd"}
 	holding = residency.Holding{Adapter: residency.Adapter{Model: "m", Name: "a7"}, Version: 3}
 	entry   = report.Entry{
 		Name: "edge-1", Address: netip.MustParseAddr("10.0.0.9"), DataCentre: "east", Deputies: 2, Term: 4, Directory: 6, Placement: 9, Active: map[string]int{"i-1": 2},
 		Uses:      []residency.Use{{Endpoint: "i-1", Adapter: holding.Adapter, Count: 3, Active: 2}},
 		Customers: map[string]quota.Use{"c": {Demand: 120, Held: 30, Extra: 400, Missing: 1000, Request: 700}},
+		Crashes: []quarantine.Crash{{
+			Incarnation: quarantine.Incarnation{Endpoint: "i-1", Born: 5}, Service: "s", AgoMillis: 80,
+			Exposed: []quarantine.Exposure{{ID: "5c1e", WaitedMillis: 300, Acknowledged: true}},
+		}},
+		Begins: []quarantine.Begin{{Part: suspect, AgoMillis: 20}}, Suspects: 3, Quarantine: 2,
+		Refused: map[string]quarantine.Refusals{"5c1e": {Total: 2, Alone: 1}},
 	}
 	update = report.Update{
 		Leading: true, Term: 4, Document: 7, Content: []byte("packed"), Directory: 6, Running: []int{2, 0},
@@ -28,6 +36,7 @@
 		Events:       []residency.Event{{Endpoint: "i-1", Holding: holding, Removed: true}},
 		Grants:       map[string]quota.Grant{"c": {Share: 30, Extra: 1000}},
 		DeputyChange: 2, Deputies: []report.Deputy{{Address: netip.MustParseAddr("10.0.0.9"), DataCentre: "east"}},
+		SuspectRevision: 3, Suspects: []quarantine.Part{suspect}, QuarantineRevision: 2, Quarantine: []quarantine.Part{suspect}, Trials: []string{"5c1e"},
 	}
 )
 
--- a/internal/member/report/report.go
+++ b/internal/member/report/report.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"lycheevale/internal/limit/quota"
+	"lycheevale/internal/place/quarantine"
 	"lycheevale/internal/place/residency"
 )
 
@@ -38,6 +39,12 @@
 	Answers    []residency.Use      `json:"Answers,omitempty"` // Count is the number of answers that have begun since the last report
 	Customers  map[string]quota.Use `json:"Customers,omitempty"`
 	Known      []KnownEndpoint      `json:"Known,omitempty"` // set if the leader has asked for it with Tell
+	Crashes    []quarantine.Crash   `json:"Crashes,omitempty"`
+	Begins     []quarantine.Begin   `json:"Begins,omitempty"`     // of the suspects
+	Suspects   uint64               `json:"Suspects,omitempty"`   // known revision of the suspects
+	Quarantine uint64               `json:"Quarantine,omitempty"` // known revision of the quarantined parts
+	// Refused counts requests since the last report, by quarantined part.
+	Refused map[string]quarantine.Refusals `json:"Refused,omitempty"`
 }
 
 // KnownEndpoint is an endpoint that an earlier leader has listed to an entry, with the adapters that it holds.
@@ -70,6 +77,12 @@
 	Deputies     []Deputy               `json:"Deputies,omitempty"`     // all deputies, if their revision has changed
 	Entries      int                    `json:"Entries,omitempty"`
 	EveryMillis  int64                  `json:"EveryMillis,omitempty"` // interval of reports in milliseconds
+
+	SuspectRevision    uint64            `json:"SuspectRevision,omitempty"`
+	Suspects           []quarantine.Part `json:"Suspects,omitempty"` // parts of prompts whose begins are to be reported, if their revision has changed
+	QuarantineRevision uint64            `json:"QuarantineRevision,omitempty"`
+	Quarantine         []quarantine.Part `json:"Quarantine,omitempty"` // all quarantined parts, if their revision has changed
+	Trials             []string          `json:"Trials,omitempty"`     // quarantined parts that one request each may try
 }
 
 // Deputy is an entry that lends tokens while no leader answers.
--- a/internal/member/view/view.go
+++ b/internal/member/view/view.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"lycheevale/internal/member/report"
+	"lycheevale/internal/place/quarantine"
 	"lycheevale/internal/place/residency"
 	"lycheevale/internal/state/document"
 )
@@ -32,6 +33,11 @@
 	backlog        map[string]int // milliseconds to read the waiting prompts of all entries, by endpoint
 	deputies       []report.Deputy
 	deputyRevision uint64 // revision of deputies
+
+	suspects           []quarantine.Part
+	suspectRevision    uint64
+	quarantined        map[string]bool // parts of prompts that no endpoint gets
+	quarantineRevision uint64
 }
 
 // New returns an empty view.
@@ -48,14 +54,16 @@
 	defer v.mu.RUnlock()
 	r.Term, r.Document, r.Adapters = v.term, v.document, v.adapters
 	r.Directory, r.Placement, r.Deputies = v.directory, v.placement, v.deputyRevision
+	r.Suspects, r.Quarantine = v.suspectRevision, v.quarantineRevision
 }
 
 // Changed lists the parts of a view that an update has changed.
 type Changed struct {
-	Document  bool
-	Directory bool
-	Deputies  bool
-	Removed   []report.Endpoint
+	Document   bool
+	Directory  bool
+	Deputies   bool
+	Quarantine bool
+	Removed    []report.Endpoint
 }
 
 // Apply applies an update; decode decodes a document. An update of an older term is ignored, and so is an older document
@@ -86,6 +94,7 @@
 	v.entries = max(u.Entries, 1)
 	v.applyVersions(u)
 	c.Deputies = v.applyDeputies(u)
+	c.Quarantine = v.applyQuarantine(u)
 	c.Directory, c.Removed = v.applyDirectory(u)
 	v.applyRunning(u)
 	v.applyPlacement(u)
@@ -140,6 +149,42 @@
 	return true
 }
 
+func (v *View) applyQuarantine(u report.Update) (changed bool) {
+	if u.SuspectRevision != v.suspectRevision {
+		v.suspects, v.suspectRevision = u.Suspects, u.SuspectRevision
+	}
+	if u.QuarantineRevision <= v.quarantineRevision {
+		return false
+	}
+	v.quarantined, v.quarantineRevision = map[string]bool{}, u.QuarantineRevision
+	for _, p := range u.Quarantine {
+		v.quarantined[p.ID] = true
+	}
+	return true
+}
+
+// Suspects returns the parts of prompts whose begins the leader wants to know. The caller must not change the list.
+func (v *View) Suspects() []quarantine.Part {
+	v.mu.RLock()
+	defer v.mu.RUnlock()
+	return v.suspects
+}
+
+// Quarantined returns those of the parts of a prompt that no endpoint gets.
+func (v *View) Quarantined(parts []string) (list []string) {
+	v.mu.RLock()
+	defer v.mu.RUnlock()
+	if len(v.quarantined) == 0 {
+		return nil
+	}
+	for _, id := range parts {
+		if v.quarantined[id] {
+			list = append(list, id)
+		}
+	}
+	return list
+}
+
 // applyRunning records the running requests and waiting prompts of endpoints, which the update lists in the order of the endpoints.
 func (v *View) applyRunning(u report.Update) {
 	v.running = v.byEndpoint(u.Running, v.running)
--- a/internal/node/control/leader.go
+++ b/internal/node/control/leader.go
@@ -10,6 +10,7 @@
 	"lycheevale/internal/limit/quota"
 	"lycheevale/internal/member/report"
 	"lycheevale/internal/member/roster"
+	"lycheevale/internal/place/quarantine"
 	"lycheevale/internal/place/residency"
 	"lycheevale/internal/place/weights"
 	"lycheevale/internal/state/document"
@@ -43,6 +44,13 @@
 	appointing     bool                     // an appointment of deputies is being proposed
 	appointedAt    time.Time                // when one was last proposed
 	ended          bool
+
+	detector           *quarantine.Detector
+	suspects           []quarantine.Part
+	suspectRevision    uint64 // checksum of suspects
+	detectedAt         time.Time
+	quarantineRevision uint64 // of the stored parts that the detector knows
+	quarantining       bool   // a change of the quarantined parts is being proposed
 }
 
 // entry is the last report of an entry.
@@ -74,6 +82,7 @@
 		control: c, term: term, since: now, ordersFrom: c.ordersFrom(now, term), roster: roster.New(roster.DefaultOptions()), placer: residency.New(placerOptions),
 		pool:    quota.NewPool(now, shareOptions(c.options.Settings)),
 		entries: map[string]*entry{}, active: map[string]int{}, backlog: map[string]int{}, inheritAsked: map[string]bool{}, addresses: map[string]report.Deputy{}, queues: map[string]*orderQueue{}, limits: map[string]quota.Limit{},
+		detector: quarantine.NewDetector(quarantine.DefaultOptions()),
 	}
 }
 
@@ -127,6 +136,7 @@
 	now := ls.now()
 	ls.applyReplicated(ctx)
 	ls.appoint(ctx, now)
+	ls.detect(ctx, now)
 	for _, id := range ls.roster.Expire(now) {
 		event.Log(ctx, ls.control.options.Logger, event.EndpointLost, slog.String("Endpoint", id))
 		ls.removeEndpoint(id)
@@ -237,6 +247,7 @@
 // applyReplicated applies changes of the replicated state.
 func (ls *leaderState) applyReplicated(ctx context.Context) {
 	state := ls.control.machine.Stored()
+	ls.applyQuarantine(state)
 	ls.pool.Appoint(quota.Appointment{Deputies: state.Appoint.Deputies, Former: state.Appoint.Former})
 	if state.Changes > ls.adapterChanges {
 		ls.adapterChanges = state.Changes
--- /dev/null
+++ b/internal/node/control/quarantine.go
@@ -0,0 +1,88 @@
+package control
+
+import (
+	"context"
+	"encoding/binary"
+	"log/slog"
+	"slices"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"lycheevale/internal/base/event"
+	"lycheevale/internal/member/report"
+	"lycheevale/internal/place/quarantine"
+	"lycheevale/internal/state/document"
+)
+
+// detectInterval is half of the shortest interval of reports.
+const detectInterval = 100 * time.Millisecond
+
+// settleReports is the number of report intervals in which all entries have learned of a suspect and reported its begins.
+const settleReports = 3
+
+// recordParts adds what an entry reports of parts of prompts, and fills in what it needs to know.
+func (ls *leaderState) recordParts(u *report.Update, now time.Time, r report.Entry) {
+	ls.detector.Record(now, r.Crashes)
+	ls.detector.RecordBegins(now, r.Begins)
+	if u.Trials = ls.detector.Asked(now, r.Refused); len(u.Trials) > 0 {
+		event.Log(context.Background(), ls.control.options.Logger, event.PartTried, slog.String("Entry", r.Name), slog.Any("Parts", u.Trials))
+	}
+	if u.SuspectRevision = ls.suspectRevision; r.Suspects != u.SuspectRevision {
+		u.Suspects = ls.suspects
+	}
+	state := ls.control.machine.Stored()
+	if u.QuarantineRevision = state.QuarantineRevision; r.Quarantine < u.QuarantineRevision {
+		u.Quarantine = state.Quarantine
+	}
+}
+
+// applyQuarantine passes the stored parts to the detector.
+func (ls *leaderState) applyQuarantine(state document.Stored) {
+	if state.QuarantineRevision > ls.quarantineRevision {
+		ls.quarantineRevision = state.QuarantineRevision
+		ls.detector.SetQuarantined(ls.now(), state.Quarantine)
+	}
+}
+
+// detect decides which parts of prompts are quarantined and released. A change is replicated before any entry follows it, so that it
+// survives the leader.
+func (ls *leaderState) detect(ctx context.Context, now time.Time) {
+	if now.Sub(ls.detectedAt) < detectInterval {
+		return
+	}
+	ls.detectedAt = now
+	ls.detector.SetSettle(settleReports * reportInterval(len(ls.entries)))
+	ls.suspects = ls.detector.Suspects()
+	ls.suspectRevision = checksum(ls.suspects)
+	if ls.quarantining {
+		return
+	}
+	command := document.Command{Action: document.Quarantine, Quarantine: ls.detector.Blame(now), Release: ls.detector.Release(now)}
+	if len(command.Quarantine)+len(command.Release) == 0 {
+		return
+	}
+	ls.quarantining = true
+	c := ls.control
+	c.group.Go(func() error {
+		_, err := c.propose(ctx, command)
+		event.Log(ctx, c.options.Logger, event.PartsQuarantined, slog.Uint64("Term", ls.term), slog.Any("Added", command.Quarantine),
+			slog.Any("Released", command.Release), slog.Any("Error", err))
+		c.mu.Lock()
+		defer c.mu.Unlock()
+		ls.quarantining = false
+		return nil
+	})
+}
+
+// checksum returns a value that identifies a list of parts, 0 for an empty one.
+func checksum(parts []quarantine.Part) uint64 {
+	if len(parts) == 0 {
+		return 0
+	}
+	var text []byte
+	for _, p := range parts {
+		text = slices.Concat(binary.AppendUvarint(text, uint64(len(p.Service))), []byte(p.Service), []byte(p.ID), []byte{0})
+	}
+	return xxhash.Sum64(text)
+}
--- a/internal/node/entry/sync.go
+++ b/internal/node/entry/sync.go
@@ -67,6 +67,7 @@
 		e.nextReportAt = now
 	}
 	e.recordLeader(ctx, to, u)
+	e.handler.Reported(e.reportedAt, r, u)
 	e.apply(ctx, u, now)
 	if e.view.Empty() {
 		e.nextReportAt = now // no request can be served until the leader knows endpoints
@@ -138,6 +139,9 @@
 		event.Log(ctx, e.options.Logger, event.DeputiesNamed, slog.Uint64("Term", u.Term), slog.Uint64("Revision", u.DeputyChange),
 			slog.Any("Deputies", u.Deputies))
 	}
+	if changed.Quarantine {
+		event.Log(ctx, e.options.Logger, event.QuarantineUpdated, slog.Uint64("Revision", u.QuarantineRevision), slog.Any("Parts", u.Quarantine))
+	}
 	index := e.view.Index()
 	if index == nil {
 		return
--- /dev/null
+++ b/internal/place/quarantine/tracker.go
@@ -0,0 +1,210 @@
+package quarantine
+
+import (
+	"maps"
+	"slices"
+	"time"
+)
+
+// Tracker records at an entry which parts were exposed to crashes, and which ones begin. It is not safe for concurrent use.
+type Tracker struct {
+	begun    recentBegins
+	broken   map[Incarnation]*brokenEndpoint
+	crashes  map[Incarnation]*brokenEndpoint // of these, the confirmed ones
+	told     map[Part]time.Time              // begins that the leader of toldTerm has received
+	toldTerm uint64
+}
+
+// brokenEndpoint is an endpoint whose connections broke before answers began.
+type brokenEndpoint struct {
+	incarnation Incarnation
+	service     string
+	at          time.Time // of the first broken connection
+	downAt      time.Time // when the endpoint refused a connection
+	checkedAt   time.Time // when the last check was requested
+	exposed     map[string]exposure
+	reported    bool   // as it is
+	delivered   uint64 // term of the leader that has received the record
+}
+
+type exposure struct {
+	sentAt       time.Time
+	acknowledged bool
+}
+
+const (
+	// confirmTime is the time before and after a broken connection in which a refused one shows that the endpoint has crashed. Restarted
+	// endpoints accept connections after a second or more.
+	confirmTime = time.Second
+	// retention is the time for which crashes are evidence.
+	retention = 10 * time.Minute
+	// maxCrashes and maxExposed limit the memory for crashes and the parts of one crash.
+	maxCrashes = 128
+	maxExposed = 64
+)
+
+// NewTracker returns a tracker without records.
+func NewTracker() *Tracker {
+	return &Tracker{
+		begun: newRecentBegins(), broken: map[Incarnation]*brokenEndpoint{}, crashes: map[Incarnation]*brokenEndpoint{},
+		told: map[Part]time.Time{},
+	}
+}
+
+// Begun records that a request with the parts has begun at an endpoint of a service.
+func (t *Tracker) Begun(now time.Time, service string, parts []string) {
+	for _, id := range parts {
+		t.begun.record(Part{Service: service, ID: id}, now)
+	}
+}
+
+// Attempt is a request at an endpoint that has not begun.
+type Attempt struct {
+	Incarnation  Incarnation
+	Service      string
+	Parts        []string
+	SentAt       time.Time
+	Acknowledged bool // the head of an answer has arrived
+}
+
+// Broken records that the connection of an attempt broke. It reports whether the caller should check if the endpoint accepts connections,
+// and pass a failure to Down.
+func (t *Tracker) Broken(now time.Time, a Attempt) (check bool) {
+	if len(a.Parts) == 0 {
+		return false
+	}
+	b := t.endpoint(now, a.Incarnation)
+	if b.service = a.Service; b.at.IsZero() {
+		b.at = now
+	}
+	for _, id := range a.Parts {
+		e, known := b.exposed[id]
+		if !known && len(b.exposed) >= maxExposed {
+			continue
+		}
+		if a.SentAt.After(e.sentAt) {
+			e.sentAt = a.SentAt
+		}
+		e.acknowledged = e.acknowledged || a.Acknowledged
+		b.exposed[id] = e
+	}
+	b.reported, b.delivered = false, 0
+	t.confirm(b)
+	if !b.downAt.IsZero() || now.Sub(b.checkedAt) < confirmTime {
+		return false
+	}
+	b.checkedAt = now
+	return true
+}
+
+// Down records that an endpoint does not accept connections.
+func (t *Tracker) Down(now time.Time, i Incarnation) {
+	b := t.endpoint(now, i)
+	b.downAt = now
+	t.confirm(b)
+}
+
+func (t *Tracker) endpoint(now time.Time, i Incarnation) *brokenEndpoint {
+	b := t.broken[i]
+	if b == nil {
+		t.expire(now)
+		b = &brokenEndpoint{incarnation: i, exposed: map[string]exposure{}, checkedAt: now.Add(-confirmTime)}
+		t.broken[i] = b
+	}
+	return b
+}
+
+func (t *Tracker) confirm(b *brokenEndpoint) {
+	if !b.at.IsZero() && !b.downAt.IsZero() && b.downAt.Sub(b.at).Abs() <= confirmTime {
+		t.crashes[b.incarnation] = b
+	}
+}
+
+// expire removes old records, and the oldest crash if there are too many.
+func (t *Tracker) expire(now time.Time) {
+	maps.DeleteFunc(t.crashes, func(_ Incarnation, b *brokenEndpoint) bool { return now.Sub(b.at) > retention })
+	if len(t.crashes) >= maxCrashes {
+		oldest := slices.MinFunc(slices.Collect(maps.Values(t.crashes)), func(a, b *brokenEndpoint) int { return a.at.Compare(b.at) })
+		delete(t.crashes, oldest.incarnation)
+	}
+	maps.DeleteFunc(t.broken, func(i Incarnation, b *brokenEndpoint) bool {
+		return t.crashes[i] == nil && now.Sub(b.at) > confirmTime && now.Sub(b.downAt) > confirmTime
+	})
+}
+
+// Report returns the crashes that the leader of a term has not received yet, without parts that have begun here after they were exposed.
+func (t *Tracker) Report(now time.Time, term uint64) (list []Crash) {
+	for i, b := range t.crashes {
+		if b.delivered == term {
+			continue
+		}
+		b.reported = true
+		c := Crash{Incarnation: i, Service: b.service, AgoMillis: millisSince(now, b.at)}
+		for id, e := range b.exposed {
+			if last, known := t.begun.last(Part{Service: b.service, ID: id}); known && last.After(b.at) {
+				continue
+			}
+			c.Exposed = append(c.Exposed, Exposure{ID: id, WaitedMillis: millisSince(b.at, e.sentAt), Acknowledged: e.acknowledged})
+		}
+		if len(c.Exposed) > 0 {
+			list = append(list, c)
+		}
+	}
+	slices.SortFunc(list, func(a, b Crash) int { return int(b.AgoMillis - a.AgoMillis) })
+	return list
+}
+
+// Begins returns when requests with the given parts last began here, unless the leader of the term knows it.
+func (t *Tracker) Begins(now time.Time, term uint64, parts []Part) (list []Begin) {
+	if term != t.toldTerm {
+		t.told, t.toldTerm = map[Part]time.Time{}, term
+	}
+	for _, p := range parts {
+		if at, known := t.begun.last(p); known && at.After(t.told[p]) {
+			list = append(list, Begin{Part: p, AgoMillis: millisSince(now, at)})
+		}
+	}
+	return list
+}
+
+// Delivered records that the leader of a term has received crashes and begins that were reported at a time.
+func (t *Tracker) Delivered(reportedAt time.Time, term uint64, crashes []Crash, begins []Begin) {
+	for _, c := range crashes {
+		if b := t.crashes[c.Incarnation]; b != nil && b.reported {
+			b.delivered = term
+		}
+	}
+	if term != t.toldTerm {
+		return
+	}
+	if len(t.told) > maxGeneration {
+		t.told = map[Part]time.Time{}
+	}
+	for _, b := range begins {
+		t.told[b.Part] = reportedAt
+	}
+}
+
+// recentBegins holds the last begins of the most recent parts, in two generations.
+type recentBegins struct {
+	current, previous map[Part]time.Time
+}
+
+// maxGeneration is the number of parts of one generation.
+const maxGeneration = 4096
+
+func newRecentBegins() recentBegins { return recentBegins{current: map[Part]time.Time{}} }
+
+func (r *recentBegins) record(p Part, at time.Time) {
+	if _, known := r.current[p]; !known && len(r.current) >= maxGeneration {
+		r.current, r.previous = map[Part]time.Time{}, r.current
+	}
+	r.current[p] = at
+}
+
+func (r *recentBegins) last(p Part) (at time.Time, known bool) {
+	if at, known = r.current[p]; !known {
+		at, known = r.previous[p]
+	}
+	return at, known
+}
--- a/internal/serve/forward/forward.go
+++ b/internal/serve/forward/forward.go
@@ -23,6 +23,7 @@
 	"lycheevale/internal/member/report"
 	"lycheevale/internal/place/pick"
 	"lycheevale/internal/place/prefill"
+	"lycheevale/internal/place/quarantine"
 	"lycheevale/internal/place/residency"
 	"lycheevale/internal/place/silence"
 	"lycheevale/internal/state/document"
@@ -48,6 +49,9 @@
 	reportedBacklog map[string]int // milliseconds of this entry's unread prompts as last reported to the leader, by endpoint
 	reportedActive  map[string]int // this entry's active requests as last reported to the leader, by endpoint
 	closing         bool
+	tracker         *quarantine.Tracker
+	refusedParts    map[string]quarantine.Refusals // requests refused since the last report, by quarantined part
+	trials          map[string]time.Time           // until when one request may try a quarantined part
 }
 
 // use counts requests for an adapter at an endpoint.
@@ -83,6 +87,7 @@
 	firstByteAt  time.Time       // of the first byte of the answer
 	lastEndpoint string          // endpoint of the last attempt
 	missingAt    string          // endpoint that did not hold the adapter
+	trial        bool            // it may be sent once with a quarantined part
 	failedAnswer *completeAnswer // error answer of an endpoint, delivered if no later attempt succeeds
 }
 
@@ -93,8 +98,9 @@
 		options: o, picker: pick.New(o.Picker, o.Seed), random: rand.New(rand.NewPCG(o.Seed, o.Seed+1)),
 		budgets: map[string]*retry.Budget{}, uses: map[[2]string]*use{}, placements: map[residency.Adapter]*placement{},
 		silence: silence.New(silence.Defaults()), attempts: map[*inFlight]bool{}, loans: map[string]*loanQueue{}, unread: map[string]int{}, shares: o.Shares,
+		tracker: quarantine.NewTracker(), refusedParts: map[string]quarantine.Refusals{}, trials: map[string]time.Time{},
 	}
-	h.filters = []filter{h.match, h.identify, h.read, h.admit, h.dispatch}
+	h.filters = []filter{h.match, h.identify, h.read, h.checkParts, h.admit, h.dispatch}
 	return h
 }
 
@@ -343,6 +349,7 @@
 		}
 	}
 	h.reportedBacklog = r.Backlog
+	h.reportParts(now, r)
 	for key, u := range h.uses {
 		r.Uses = append(r.Uses, residency.Use{Endpoint: key[0], Adapter: u.adapter, Count: u.count, Active: u.active})
 		if u.answered > 0 {
--- a/internal/serve/forward/inflight.go
+++ b/internal/serve/forward/inflight.go
@@ -15,16 +15,17 @@
 
 // inFlight is an attempt whose endpoint has not finished its answer.
 type inFlight struct {
-	endpoint   report.Endpoint
-	movable    bool // it may be sent to another endpoint, if the retry budget allows it
-	service    string
-	adapter    residency.Adapter
-	begun      bool          // complete events have arrived
-	prompt     int           // tokens
-	ahead      time.Duration // to read the prompts of other entries that waited at the endpoint when it was sent
-	waiting    int           // tokens of this entry that waited there, including its own
-	progressAt time.Time     // of its start, its head or its last complete event
-	cancel     context.CancelCauseFunc
+	endpoint     report.Endpoint
+	movable      bool // it may be sent to another endpoint, if the retry budget allows it
+	service      string
+	adapter      residency.Adapter
+	acknowledged bool          // the head of an answer has arrived
+	begun        bool          // complete events have arrived
+	prompt       int           // tokens
+	ahead        time.Duration // to read the prompts of other entries that waited at the endpoint when it was sent
+	waiting      int           // tokens of this entry that waited there, including its own
+	progressAt   time.Time     // of its start, its head or its last complete event
+	cancel       context.CancelCauseFunc
 }
 
 // startAttempt registers an attempt with the picker and the counts of uses.
@@ -73,9 +74,10 @@
 	f.prompt = 0
 }
 
-func (h *Handler) recordActivity(f *inFlight) {
+func (h *Handler) recordHead(f *inFlight) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
+	f.acknowledged = true
 	now := h.options.Now()
 	h.silence.RecordEvents(now, f.endpoint.ID)
 	f.progressAt = now
@@ -122,6 +124,7 @@
 	h.silence.RecordProbe(now, e.ID, err == nil)
 	if err != nil {
 		h.picker.Observe(now, e.ID, pick.Unreachable, 0)
+		h.recordDown(e)
 	}
 }
 
--- a/internal/serve/forward/send.go
+++ b/internal/serve/forward/send.go
@@ -44,6 +44,9 @@
 		if refused := h.checkBacklog(x, c); refused != nil {
 			return h.giveUp(x, refused)
 		}
+		if refused := h.checkParts(x); refused != nil { // the part may have been quarantined since the request arrived
+			return h.giveUp(x, refused)
+		}
 		if !h.allowAttempt(x, tries) {
 			return h.giveUp(x, h.refuseWithRetry(refusal.Overloaded, "no further endpoint may be tried"))
 		}
@@ -181,6 +184,9 @@
 			return notRun, reasonStopped
 		}
 		h.observe(c.ID, pick.Unreachable, 0)
+		h.mu.Lock()
+		h.recordDown(c.Endpoint)
+		h.mu.Unlock()
 		return notRun, reasonUnreachable
 	}
 	x.sent++
@@ -189,7 +195,7 @@
 		return mayHaveRun, h.connectionBroken(x, s, err)
 	}
 	defer func() { _ = answer.Body.Close() }()
-	h.recordActivity(s.inFlight)
+	h.recordHead(s.inFlight)
 	reply := h.options.Codec.Reply(answer.Status, answer.Header)
 	if reply.Moved || (reply.NotRun && answer.Status == http.StatusServiceUnavailable) || answer.Status == http.StatusTooManyRequests {
 		return h.handleNotRun(x, c, reply)
@@ -224,6 +230,7 @@
 		return reasonStopped
 	}
 	h.observe(s.ID, pick.Failed, 0)
+	h.recordBroken(x, s)
 	return reasonBroken
 }
 
@@ -327,6 +334,7 @@
 		}
 	} else {
 		h.observe(s.ID, pick.Served, h.options.Now().Sub(s.started))
+		h.recordBegin(x)
 	}
 	x.firstByteAt = h.options.Now()
 	complete.deliver(x)
--- a/internal/serve/forward/stream.go
+++ b/internal/serve/forward/stream.go
@@ -36,7 +36,7 @@
 			if x.firstByteAt.IsZero() {
 				x.firstByteAt = h.options.Now()
 			}
-			h.recordEvents(s)
+			h.recordEvents(x, s)
 			if !h.writeEvents(x, controller, events) {
 				return mayHaveRun, reasonStopped
 			}
@@ -105,7 +105,7 @@
 
 // recordEvents records that complete events of a stream arrived; the first ones count as the endpoint's answer. Bytes of an event that
 // stays incomplete are no progress.
-func (h *Handler) recordEvents(s attempt) {
+func (h *Handler) recordEvents(x *exchange, s attempt) {
 	now := h.options.Now()
 	h.mu.Lock()
 	defer h.mu.Unlock()
@@ -119,6 +119,7 @@
 		return
 	}
 	f.begun = true
+	h.tracker.Begun(now, f.service, x.request.SharedParts)
 	if u := h.uses[[2]string{s.ID, f.adapter.Name}]; u != nil {
 		u.answered++
 	}
--- a/internal/state/document/document_test.go
+++ b/internal/state/document/document_test.go
@@ -9,6 +9,7 @@
 
 	"github.com/frankban/quicktest"
 
+	"lycheevale/internal/place/quarantine"
 	"lycheevale/internal/state/document"
 )
 
@@ -167,3 +168,26 @@
 	c.Assert(err, quicktest.IsNil)
 	c.Check(again, quicktest.DeepEquals, document.Command{Action: document.Barrier})
 }
+
+// Guards against quarantined parts of prompts that a restart, a new voter or a second leader forgets or doubles.
+func TestQuarantineSurvivesSnapshot(t *testing.T) {
+	c := quicktest.New(t)
+	m := document.NewMachine()
+	a, b := quarantine.Part{Service: "s", ID: "a"}, quarantine.Part{Service: "s", ID: "b"}
+	change := func(m *document.Machine, added, released []quarantine.Part) bool {
+		return apply(c, m, document.Command{Action: document.Quarantine, Quarantine: added, Release: released}).Stored
+	}
+	c.Check(change(m, []quarantine.Part{a}, nil), quicktest.IsTrue)
+	earlier := m.Stored()
+	c.Check(change(m, []quarantine.Part{a}, nil), quicktest.IsFalse)
+	c.Check(change(m, []quarantine.Part{b}, []quarantine.Part{a}), quicktest.IsTrue)
+	c.Check(earlier.Quarantine, quicktest.DeepEquals, []quarantine.Part{a}) // a state returned to a reader does not change
+	data, err := m.View()()
+	c.Assert(err, quicktest.IsNil)
+	restored := document.NewMachine()
+	c.Assert(restored.Restore(data), quicktest.IsNil)
+	c.Check(restored.Stored().Quarantine, quicktest.DeepEquals, []quarantine.Part{b})
+	c.Check(restored.Stored().QuarantineRevision, quicktest.Equals, uint64(2))
+	c.Check(change(restored, nil, []quarantine.Part{b}), quicktest.IsTrue)
+	c.Check(restored.Stored().Quarantine, quicktest.HasLen, 0)
+}
--- a/internal/state/document/machine.go
+++ b/internal/state/document/machine.go
@@ -2,7 +2,10 @@
 
 import (
 	"encoding/json"
+	"slices"
 	"sync"
+
+	"lycheevale/internal/place/quarantine"
 )
 
 // Action is the type of a command.
@@ -13,6 +16,7 @@
 	Replace    Action = "Replace"    // stores a document unless the stored version is equal or higher
 	SetAdapter Action = "SetAdapter" // records a newer version of an adapter
 	Appoint    Action = "Appoint"    // records the deputies, unless a leader of a later term has done so
+	Quarantine Action = "Quarantine" // adds and removes parts of prompts that no endpoint gets
 	Barrier    Action = "Barrier"    // changes nothing; its result proves that the state was current
 )
 
@@ -24,6 +28,9 @@
 	Packed  []byte          `json:"Packed,omitempty"`  // Content, compressed by Pack
 	Adapter AdapterVersion  `json:"Adapter,omitzero"`
 	Appoint Appointment     `json:"Appoint,omitzero"`
+
+	Quarantine []quarantine.Part `json:"Quarantine,omitempty"` // added
+	Release    []quarantine.Part `json:"Release,omitempty"`    // removed
 }
 
 // Appointment lists the entries that may hold shares of customers' rates, so that a new leader knows which entries may be
@@ -55,6 +62,9 @@
 	Adapters []AdapterVersion `json:"Adapters,omitempty"`
 	Changes  uint64           `json:"Changes"` // number of changes of Adapters
 	Appoint  Appointment      `json:"Appoint,omitzero"`
+
+	Quarantine         []quarantine.Part `json:"Quarantine,omitempty"`
+	QuarantineRevision uint64            `json:"QuarantineRevision,omitempty"` // number of changes of Quarantine
 }
 
 // Machine is the state machine of the configuration log; it is safe for concurrent use.
@@ -114,10 +124,28 @@
 		}
 		m.stored.Appoint = c.Appoint
 		return true
+	case Quarantine:
+		return m.changeQuarantine(c)
 	}
 	return false
 }
 
+// changeQuarantine replaces the list, because readers may still use the old one.
+func (m *Machine) changeQuarantine(c Command) bool {
+	var list []quarantine.Part
+	for _, p := range slices.Concat(m.stored.Quarantine, c.Quarantine) {
+		if !slices.Contains(list, p) && !slices.Contains(c.Release, p) {
+			list = append(list, p)
+		}
+	}
+	if slices.Equal(list, m.stored.Quarantine) {
+		return false
+	}
+	m.stored.Quarantine = list
+	m.stored.QuarantineRevision++
+	return true
+}
+
 // contentAndPacked returns the content of a command in both forms.
 func (c Command) contentAndPacked() (content, packed []byte, err error) {
 	if len(c.Packed) > 0 {
