Report crashes at once, with the begins of the exposed parts

Cause: the first crash reached the leader with the next report (0.5 s at 75 entries), and the begins of common parts came a report later, after the leader had named them as suspects, so that the leader waited for three intervals. Change: an entry reports a crash without waiting, together with what it knows of the exposed parts; the leader waits for two intervals and a tick.

--- a/internal/node/control/quarantine.go
+++ b/internal/node/control/quarantine.go
@@ -19,7 +19,7 @@
 const detectInterval = 100 * time.Millisecond
 
 // settleReports is the number of report intervals in which all entries have learned of a suspect and reported its begins.
-const settleReports = 3
+const settleReports = 2
 
 // recordParts adds what an entry reports of parts of prompts, and fills in what it needs to know.
 func (ls *leaderState) recordParts(u *report.Update, now time.Time, r report.Entry) {
@@ -52,7 +52,7 @@
 		return
 	}
 	ls.detectedAt = now
-	ls.detector.SetSettle(settleReports * reportInterval(len(ls.entries)))
+	ls.detector.SetSettle(settleReports*reportInterval(len(ls.entries)) + detectInterval)
 	ls.suspects = ls.detector.Suspects()
 	ls.suspectRevision = checksum(ls.suspects)
 	if ls.quarantining {
--- a/internal/node/entry/sync.go
+++ b/internal/node/entry/sync.go
@@ -30,7 +30,7 @@
 // sync reports to the leader and applies its answer.
 func (e *Entry) sync(ctx context.Context) {
 	now := e.options.Now()
-	if now.Before(e.nextReportAt) {
+	if now.Before(e.nextReportAt) && !e.handler.HasCrash() {
 		return
 	}
 	r := report.Entry{
--- a/internal/place/quarantine/tracker.go
+++ b/internal/place/quarantine/tracker.go
@@ -154,6 +154,16 @@
 	return list
 }
 
+// HasUnreported reports whether there is a crash that no report has contained as it is.
+func (t *Tracker) HasUnreported() bool {
+	for _, b := range t.crashes {
+		if !b.reported {
+			return true
+		}
+	}
+	return false
+}
+
 // Begins returns when requests with the given parts last began here, unless the leader of the term knows it.
 func (t *Tracker) Begins(now time.Time, term uint64, parts []Part) (list []Begin) {
 	if term != t.toldTerm {
--- a/internal/serve/forward/quarantine.go
+++ b/internal/serve/forward/quarantine.go
@@ -2,6 +2,7 @@
 
 import (
 	"log/slog"
+	"slices"
 	"time"
 
 	"lycheevale/internal/base/event"
@@ -84,11 +85,24 @@
 // reportParts fills in what the leader needs to find parts of prompts that crash endpoints. The caller holds h.mu.
 func (h *Handler) reportParts(now time.Time, r *report.Entry) {
 	r.Crashes = h.tracker.Report(now, r.Term)
-	r.Begins = h.tracker.Begins(now, r.Term, h.options.View.Suspects())
+	asked := slices.Clone(h.options.View.Suspects())
+	for _, c := range r.Crashes {
+		for _, e := range c.Exposed {
+			asked = append(asked, quarantine.Part{Service: c.Service, ID: e.ID})
+		}
+	}
+	r.Begins = h.tracker.Begins(now, r.Term, asked)
 	r.Refused = h.refusedParts
 	h.refusedParts = map[string]quarantine.Refusals{}
 }
 
+// HasCrash reports whether a crash should be reported to the leader without waiting for the next report.
+func (h *Handler) HasCrash() bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.tracker.HasUnreported()
+}
+
 // Reported records that the leader has answered a report, and applies its permits to try quarantined parts.
 func (h *Handler) Reported(at time.Time, r report.Entry, u report.Update) {
 	h.mu.Lock()
