Do not send a request again that may have crashed its endpoint

Cause: a request whose endpoint crashed as it began to answer was sent to a second endpoint, and crashed it as well. Change: it is not sent again if the head of the answer had arrived and one of its parts has never begun at this entry. Requests whose parts are known to begin are sent again as before.

--- a/internal/place/quarantine/tracker.go
+++ b/internal/place/quarantine/tracker.go
@@ -58,6 +58,16 @@
 	}
 }
 
+// Proven reports whether all parts have begun here at endpoints of a service.
+func (t *Tracker) Proven(service string, parts []string) bool {
+	for _, id := range parts {
+		if _, known := t.begun.last(Part{Service: service, ID: id}); !known {
+			return false
+		}
+	}
+	return true
+}
+
 // Attempt is a request at an endpoint that has not begun.
 type Attempt struct {
 	Incarnation  Incarnation
--- a/internal/serve/forward/forward.go
+++ b/internal/serve/forward/forward.go
@@ -87,6 +87,7 @@
 	firstByteAt  time.Time       // of the first byte of the answer
 	lastEndpoint string          // endpoint of the last attempt
 	missingAt    string          // endpoint that did not hold the adapter
+	mayCrash     bool            // it may have crashed the endpoint of the last attempt
 	trial        bool            // it may be sent once with a quarantined part
 	failedAnswer *completeAnswer // error answer of an endpoint, delivered if no later attempt succeeds
 }
--- a/internal/serve/forward/forward_test.go
+++ b/internal/serve/forward/forward_test.go
@@ -37,6 +37,9 @@
 				Attempt: r.Header.Get("Attempt"), Method: r.Method, Host: "h", Target: r.RequestURI, Path: r.URL.Path, Key: r.Header.Get("Key"),
 				Tokens: 100,
 			}
+			if parts := r.Header.Get("Parts"); parts != "" {
+				q.SharedParts = strings.Split(parts, ",")
+			}
 			if a := r.Header.Get("Adapter"); a != "" {
 				q.Adapter = residency.Adapter{Model: "m", Name: a}
 			}
@@ -56,6 +59,7 @@
 type fixture struct {
 	*quicktest.C
 	handler *forward.Handler
+	view    *view.View
 	hits    []atomic.Int32
 	update  report.Update // the view of the handler
 }
@@ -78,7 +82,7 @@
 	}
 	_, err = v.Apply(time.Now(), u, func([]byte) (document.Document, error) { return testDocument(), nil })
 	c.Assert(err, quicktest.IsNil)
-	r.update = u
+	r.update, r.view = u, v
 	r.handler = forward.New(append([]forward.Option{forward.WithCodec(codec()), forward.WithView(v)}, opts...)...)
 	r.grant(1000)
 	return r
--- a/internal/serve/forward/quarantine.go
+++ b/internal/serve/forward/quarantine.go
@@ -54,7 +54,8 @@
 	h.tracker.Begun(h.options.Now(), x.service.Name, x.request.SharedParts)
 }
 
-// recordBroken records a connection that broke before the answer began, and checks whether the endpoint has crashed.
+// recordBroken records a connection that broke before the answer began, and checks whether the endpoint has crashed. If the endpoint had
+// sent the head of the answer and a part has never begun here, the request may have caused that, and is not sent to another endpoint.
 func (h *Handler) recordBroken(x *exchange, s attempt) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
@@ -62,6 +63,7 @@
 	if f.begun {
 		return
 	}
+	x.mayCrash = f.acknowledged && !h.tracker.Proven(x.service.Name, x.request.SharedParts)
 	check := h.tracker.Broken(h.options.Now(), quarantine.Attempt{
 		Incarnation: incarnation(s.Endpoint), Service: x.service.Name, Parts: x.request.SharedParts, SentAt: s.started, Acknowledged: f.acknowledged,
 	})
--- a/internal/serve/forward/send.go
+++ b/internal/serve/forward/send.go
@@ -106,7 +106,7 @@
 
 // repeatable reports whether a request that may have run may go to another endpoint.
 func (h *Handler) repeatable(x *exchange) bool {
-	return x.route.Repeatable() && x.ran < max(x.route.MaxAttempts, 1)
+	return x.route.Repeatable() && x.ran < max(x.route.MaxAttempts, 1) && !x.mayCrash
 }
 
 // allowAttempt reports whether another attempt may be made, and charges repeats to the retry budget.
