Take a stream without framing that ends inside an event as broken off

Callers could see: a stream with neither a length nor chunks, whose endpoint ended inside an event, was delivered as complete, with a part of an event at its end. Cause: at the end of the connection the rest of the buffer was passed on, whether or not an event was whole, and the end of the connection counted as the end of the answer. Change: such a stream is complete only behind a complete event; otherwise it is broken off, and is resumed where its route allows. Framed streams are passed on as before.

TestStreamThatEndsInsideEventIsBroken fails before (two of four cases) and passes now.

--- a/internal/serve/forward/stream.go
+++ b/internal/serve/forward/stream.go
@@ -31,7 +31,7 @@
 	buffer := make([]byte, streamBuffer)
 	for {
 		n, err := a.Body.Read(buffer)
-		events := pending.add(buffer[:n], err == io.EOF)
+		events := pending.add(buffer[:n], err == io.EOF && !a.Unframed)
 		if len(events) > 0 {
 			if x.firstByteAt.IsZero() {
 				x.firstByteAt = h.options.Now()
@@ -43,6 +43,8 @@
 			pending.drop(len(events))
 		}
 		switch {
+		case err == io.EOF && a.Unframed && (pending.len() > 0 || !s.inFlight.begun):
+			return mayHaveRun, h.connectionBroken(x, s, io.ErrUnexpectedEOF)
 		case err == io.EOF:
 			return answered, ""
 		case err != nil:
--- a/internal/wire/upstream/upstream.go
+++ b/internal/wire/upstream/upstream.go
@@ -41,9 +41,10 @@
 
 // Answer is the head of an answer; the caller must close Body.
 type Answer struct {
-	Status int
-	Header http.Header
-	Body   io.ReadCloser
+	Status   int
+	Header   http.Header
+	Body     io.ReadCloser
+	Unframed bool // the body has neither a length nor chunks, and ends with its connection
 }
 
 // Pool keeps idle connections to endpoints. It is safe for concurrent use.
@@ -306,8 +307,11 @@
 			return nil, errs.Combine(ErrMalformed, errs.New("answer to %q echoes no identifier, unlike earlier ones", x.request.Attempt))
 		}
 		x.conn.echoes = x.conn.echoes || attempt != ""
-		a := &Answer{Status: response.StatusCode, Header: response.Header}
-		a.Body = &body{ReadCloser: response.Body, exchange: x, response: response}
+		a := &Answer{
+			Status: response.StatusCode, Header: response.Header,
+			Unframed: response.ContentLength < 0 && len(response.TransferEncoding) == 0,
+		}
+		a.Body = &body{ReadCloser: response.Body, exchange: x, response: response, unframed: a.Unframed}
 		return a, nil
 	}
 }
@@ -332,9 +336,9 @@
 }
 
 // finish returns the connection to the pool if it can be reused, and closes it otherwise.
-func (x *exchange) finish(response *http.Response) {
+func (x *exchange) finish(response *http.Response, unframed bool) {
 	x.once.Do(func() {
-		if !x.stop() || response.Close || (response.ContentLength < 0 && len(response.TransferEncoding) == 0) ||
+		if !x.stop() || response.Close || unframed ||
 			x.conn.reader.Buffered() > 0 || !x.fullyWritten() {
 			_ = x.conn.Close()
 			return
@@ -380,6 +384,7 @@
 	io.ReadCloser
 	exchange *exchange
 	response *http.Response
+	unframed bool
 }
 
 // Read implements io.Reader.
@@ -387,7 +392,7 @@
 	n, err = b.ReadCloser.Read(p)
 	switch {
 	case err == io.EOF:
-		b.exchange.finish(b.response)
+		b.exchange.finish(b.response, b.unframed)
 	case err != nil:
 		b.exchange.abandon()
 	}
