Keep the exposure of a request that an endpoint had begun to answer

Cause, found by reading: an entry keeps 64 exposed parts of a crash, the leader 128; with hundreds of waiting requests the part that crashed the endpoint could be left out. Change: beyond the limit, a part whose answer had begun replaces one of a waiting request.

TestExposuresAreBounded fails before.

--- a/internal/place/quarantine/detector.go
+++ b/internal/place/quarantine/detector.go
@@ -47,7 +47,7 @@
 	service    string
 	at         time.Time
 	recordedAt time.Time // of the first report
-	exposed    map[string]exposure
+	exposed    exposures
 }
 
 // quarantined is a part that no endpoint gets.
@@ -97,15 +97,7 @@
 			k.at = at
 		}
 		for _, e := range c.Exposed {
-			if _, known := k.exposed[e.ID]; !known && len(k.exposed) >= maxRecordedParts {
-				continue
-			}
-			merged := k.exposed[e.ID]
-			if sent := ago(at, e.WaitedMillis); sent.After(merged.sentAt) {
-				merged.sentAt = sent
-			}
-			merged.acknowledged = merged.acknowledged || e.Acknowledged
-			k.exposed[e.ID] = merged
+			k.exposed.add(e.ID, exposure{sentAt: ago(at, e.WaitedMillis), acknowledged: e.Acknowledged}, maxRecordedParts)
 		}
 	}
 }
@@ -123,7 +115,7 @@
 			return d.crashes[a].at.Compare(d.crashes[b].at)
 		}))
 	}
-	k := &crash{service: c.Service, at: at, recordedAt: now, exposed: map[string]exposure{}}
+	k := &crash{service: c.Service, at: at, recordedAt: now, exposed: exposures{}}
 	d.crashes[c.Incarnation] = k
 	return k
 }
--- a/internal/place/quarantine/quarantine_test.go
+++ b/internal/place/quarantine/quarantine_test.go
@@ -169,6 +169,24 @@
 	c.Check(tracker.Begins(at(300), 2, suspects), quicktest.HasLen, 1)
 }
 
+// Hundreds of requests wait at an endpoint that crashes. Guards against leaving out the one whose answer it had begun, and against records without a
+// bound.
+func TestExposuresAreBounded(t *testing.T) {
+	c := quicktest.New(t)
+	tracker := quarantine.NewTracker()
+	for n := range 500 {
+		a := attempt("down", at(0), fmt.Sprint("waiting", n))
+		a.Acknowledged = false
+		tracker.Broken(at(100), a)
+	}
+	tracker.Broken(at(101), attempt("down", at(0), "dead"))
+	tracker.Down(at(150), quarantine.Incarnation{Endpoint: "down", Born: 1})
+	report := tracker.Report(at(200), 1)
+	c.Assert(report, quicktest.HasLen, 1)
+	c.Check(len(report[0].Exposed), quicktest.Equals, 64)
+	c.Check(slices.Contains(report[0].Exposed, quarantine.Exposure{ID: "dead", WaitedMillis: 100, Acknowledged: true}), quicktest.IsTrue)
+}
+
 // Endpoints crash for other causes, alone and in racks, while nine in ten requests have parts of a few common ones and the others rare
 // parts. Guards against blaming any of them.
 func TestOtherCrashesBlameNoPart(t *testing.T) {
--- a/internal/place/quarantine/tracker.go
+++ b/internal/place/quarantine/tracker.go
@@ -22,14 +22,42 @@
 	at          time.Time // of the first broken connection
 	downAt      time.Time // when the endpoint refused a connection
 	checkedAt   time.Time // when the last check was requested
-	exposed     map[string]exposure
+	exposed     exposures
 	reported    bool   // as it is
 	delivered   uint64 // term of the leader that has received the record
 }
 
+// exposure is the latest request with a part that had not begun.
 type exposure struct {
 	sentAt       time.Time
-	acknowledged bool
+	acknowledged bool // the endpoint had sent the head of an answer to one of them
+}
+
+// exposures holds the parts that were exposed to a crash, by identifier.
+type exposures map[string]exposure
+
+// add merges an exposure. Beyond limit parts, an acknowledged one replaces one that is not.
+func (x exposures) add(id string, e exposure, limit int) {
+	if _, known := x[id]; !known && len(x) >= limit && !(e.acknowledged && x.dropUnacknowledged()) {
+		return
+	}
+	merged := x[id]
+	if e.sentAt.After(merged.sentAt) {
+		merged.sentAt = e.sentAt
+	}
+	merged.acknowledged = merged.acknowledged || e.acknowledged
+	x[id] = merged
+}
+
+// dropUnacknowledged removes one part whose requests were not acknowledged, and reports whether there was one.
+func (x exposures) dropUnacknowledged() bool {
+	for id, e := range x {
+		if !e.acknowledged {
+			delete(x, id)
+			return true
+		}
+	}
+	return false
 }
 
 const (
@@ -88,15 +116,7 @@
 		b.at = now
 	}
 	for _, id := range a.Parts {
-		e, known := b.exposed[id]
-		if !known && len(b.exposed) >= maxExposed {
-			continue
-		}
-		if a.SentAt.After(e.sentAt) {
-			e.sentAt = a.SentAt
-		}
-		e.acknowledged = e.acknowledged || a.Acknowledged
-		b.exposed[id] = e
+		b.exposed.add(id, exposure{sentAt: a.SentAt, acknowledged: a.Acknowledged}, maxExposed)
 	}
 	b.reported, b.delivered = false, 0
 	t.confirm(b)
@@ -118,7 +138,7 @@
 	b := t.broken[i]
 	if b == nil {
 		t.expire(now)
-		b = &brokenEndpoint{incarnation: i, exposed: map[string]exposure{}, checkedAt: now.Add(-confirmTime)}
+		b = &brokenEndpoint{incarnation: i, exposed: exposures{}, checkedAt: now.Add(-confirmTime)}
 		t.broken[i] = b
 	}
 	return b
