Send changes to the leader that the instance's own voter follows

Cause: each instance kept the leader that had answered its last change, and learned of another one only after waiting for a whole call, 0.9 s. Every instance, the new leader included, failed its first change after a leader had fallen silent, however long ago that was, while its own voter had followed the new one for seconds. An operator that pauses longer after each failure, and asks another instance each time, meets them one after the other. Class of the fault: two records of one fact, of which the one that is never told is used.

Change: the client of an instance that votes takes the leader from its voter, before each attempt. Instances outside the log find it as before.

TestChangeGoesToFollowedLeader fails before: five seconds after the loss, both remaining voters of three fail their first change within 900 ms; passes now.

Not ruled out: lost acknowledgements alone.

--- a/internal/state/voter/client.go
+++ b/internal/state/voter/client.go
@@ -42,11 +42,12 @@
 
 // Client proposes to a log, also from an instance that is not a voter. It is safe for concurrent use.
 type Client struct {
-	call   peer.Caller
-	method string
-	peers  func() []string
-	mu     sync.Mutex
-	leader string // last instance that led
+	call     peer.Caller
+	method   string
+	peers    func() []string
+	followed func() (leader string, votes bool) // the leader that this instance's own voter follows
+	mu       sync.Mutex
+	leader   string // last instance that led
 	// failed is the voter that did not answer last. It is not tried before retryAt, because the others report it as
 	// their leader until their election timeouts have passed.
 	failed  string
@@ -55,7 +56,7 @@
 
 // NewClient returns a client of the log; peers returns the names of its voters.
 func NewClient(call peer.Caller, group string, peers func() []string) *Client {
-	return &Client{call: call, method: ProposeMethod(group), peers: peers}
+	return &Client{call: call, method: ProposeMethod(group), peers: peers, followed: func() (string, bool) { return "", false }}
 }
 
 // Intervals between two attempts; the first is about one round trip between regions.
@@ -105,6 +106,9 @@
 func (c *Client) target(attempt int) string {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	if leader, votes := c.followed(); votes && !c.isAvoided(leader) {
+		c.leader = leader
+	}
 	peers := c.peers()
 	if c.leader != "" || len(peers) == 0 {
 		return c.leader
--- a/internal/state/voter/failover_test.go
+++ b/internal/state/voter/failover_test.go
@@ -1,6 +1,7 @@
 package voter_test
 
 import (
+	"context"
 	"fmt"
 	"math/rand/v2"
 	"slices"
@@ -64,6 +65,33 @@
 	}
 }
 
+// Guards against instances that send their first change after the loss of a silent leader to that one, although their own voters have followed
+// another for seconds: an operator that asked one instance after the other got no acknowledgement for as long.
+func TestChangeGoesToFollowedLeader(t *testing.T) {
+	const callerPatience = 900 * time.Millisecond
+	virtualtime.Test(t, func(t *testing.T) {
+		c := newCluster(t, 30*time.Millisecond)
+		defer c.stopAll()
+		c.silent = true
+		for id, name := range c.names {
+			c.change(name, id)
+		}
+		c.kill(c.leader())
+		time.Sleep(5 * time.Second)
+		for id, name := range c.names {
+			n := c.node(name)
+			if n == nil {
+				continue
+			}
+			start := time.Now()
+			ctx, cancel := context.WithTimeout(context.Background(), callerPatience)
+			_, err := n.voter.Propose(ctx, modelCommand(len(c.names)+id))
+			cancel()
+			qt.Check(t, err, qt.IsNil, qt.Commentf("%s after %v, leader %s", name, time.Since(start), n.voter.Status().Leader))
+		}
+	})
+}
+
 // Guards against an election caused by a slow link that loses requests and answers.
 func TestSlowLossyLinkCausesNoElection(t *testing.T) {
 	const lossPercent = 10
--- a/internal/state/voter/voter.go
+++ b/internal/state/voter/voter.go
@@ -83,9 +83,17 @@
 	// Without a shared router, as in a test of one voter, its messages are not batched with those of other logs.
 	v.router = &Router{voters: map[string]*Voter{o.Group: v}, queues: map[string]*queue{}}
 	v.client = NewClient(v.callLocal, o.Group, o.Peers)
+	v.client.followed = v.followed
 	return v
 }
 
+// followed returns the leader that this voter follows, "" if it knows none, and whether this voter is a member of the log and so learns of each
+// change of the leader.
+func (v *Voter) followed() (leader string, votes bool) {
+	s := v.Status()
+	return s.Leader, s.Err == nil && s.Config.Voter(s.ID)
+}
+
 // callLocal handles calls to this instance without the network and forwards all others.
 func (v *Voter) callLocal(ctx context.Context, to, method string, params, result any) (err error) {
 	if to == v.options.Name {
