Charge the retry budget when a stalled request is told to leave its endpoint

It also counted endpoints that had already shed the request, and requests without a try left. Class of the fault: a check that is separate from the act.

Change: the budget is charged when a request is told to leave, which it is only if an endpoint that has not shed it has room and a try is left; the next attempt uses that charge.

TestStalledStreamsStayWithoutBudget fails before (1 of 4 streams that stall together completes) and passes now (one moves, three wait and complete).

--- a/internal/serve/forward/forward.go
+++ b/internal/serve/forward/forward.go
@@ -80,6 +80,9 @@
 	arrived      time.Time
 	deadline     time.Time
 	cost         float64         // charged to the customer's rate
+	tries        int             // endpoints that were tried
+	exclude      []string        // endpoints that are not tried again
+	charged      bool            // the retry budget is charged for the next attempt
 	sent         int             // requests that have reached an endpoint
 	ran          int             // of these, requests that may have run
 	headSent     bool            // the head of the answer has been written
--- a/internal/serve/forward/inflight.go
+++ b/internal/serve/forward/inflight.go
@@ -16,7 +16,9 @@
 // inFlight is an attempt whose endpoint has not finished its answer.
 type inFlight struct {
 	endpoint     report.Endpoint
-	movable      bool // it may be sent to another endpoint, if the retry budget allows it
+	movable      bool     // it may be sent to another endpoint, if the retry budget allows it
+	exclude      []string // endpoints that did not run the request
+	leaving      bool     // it has been told to leave its endpoint, and the retry budget is charged
 	service      string
 	adapter      residency.Adapter
 	acknowledged bool          // the head of an answer has arrived
@@ -31,7 +33,7 @@
 // startAttempt registers an attempt with the picker and the counts of uses.
 func (h *Handler) startAttempt(x *exchange, c choice, cancel context.CancelCauseFunc) *inFlight {
 	f := &inFlight{
-		endpoint: c.Endpoint, movable: x.route.Repeatable() && x.ran+1 < x.route.MaxAttempts, service: x.service.Name,
+		endpoint: c.Endpoint, movable: x.route.Repeatable() && x.ran+1 < x.route.MaxAttempts && x.tries+1 < maxEndpointsTried, exclude: x.exclude, service: x.service.Name,
 		adapter: x.request.Adapter, prompt: x.request.PromptTokens, progressAt: h.options.Now(), cancel: cancel,
 	}
 	h.mu.Lock()
@@ -93,7 +95,7 @@
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	for f := range h.attempts {
-		if !f.movable {
+		if !f.movable || f.leaving {
 			continue
 		}
 		switch h.silence.Decide(now, silence.Attempt{
@@ -103,7 +105,7 @@
 		case silence.Probe:
 			h.options.Spawn(func() { h.probe(f.endpoint) })
 		case silence.Leave:
-			if h.canMove(now, f) {
+			if f.leaving = h.takeMove(now, f); f.leaving {
 				f.cancel(errSilent)
 			}
 		}
@@ -131,18 +133,16 @@
 // probeTimeout is twice the longest time to connect.
 const probeTimeout = 800 * time.Millisecond
 
-// canMove reports whether another healthy endpoint could take a request immediately and the retry budget allows it. The caller
-// holds h.mu.
-func (h *Handler) canMove(now time.Time, f *inFlight) bool {
-	_, entries := h.options.View.Version()
-	if b := h.budgets[f.service]; b != nil && !b.Allows(now, entries) {
-		return false
-	}
+// takeMove reports whether another healthy endpoint could take a request immediately, and charges the retry budget, so that requests which
+// leave together do not rely on the same part of it. The caller holds h.mu.
+func (h *Handler) takeMove(now time.Time, f *inFlight) bool {
 	list := h.options.View.Endpoints(f.service)
 	if f.adapter.Name != "" {
 		list, _ = h.options.View.Holders(f.service, f.adapter)
 	}
-	return slices.ContainsFunc(list, func(e report.Endpoint) bool {
-		return e.ID != f.endpoint.ID && h.picker.Healthy(now, e.ID) && h.picker.Load(h.candidate(e)) < 1
+	hasRoom := slices.ContainsFunc(list, func(e report.Endpoint) bool {
+		return e.ID != f.endpoint.ID && !slices.Contains(f.exclude, e.ID) && h.picker.Healthy(now, e.ID) && h.picker.Load(h.candidate(e)) < 1
 	})
+	_, entries := h.options.View.Version()
+	return hasRoom && h.budget(f.service).Take(now, entries)
 }
--- a/internal/serve/forward/send.go
+++ b/internal/serve/forward/send.go
@@ -35,9 +35,8 @@
 	ctx, cancel := context.WithTimeout(x.ctx, x.deadline.Sub(h.options.Now()))
 	defer cancel()
 	x.ctx = ctx
-	var exclude []string
-	for tries := 0; ; tries++ {
-		c, refused := h.place(x, exclude)
+	for ; ; x.tries++ {
+		c, refused := h.place(x, x.exclude)
 		if refused != nil {
 			return h.giveUp(x, refused)
 		}
@@ -47,7 +46,7 @@
 		if refused := h.checkParts(x); refused != nil { // the part may have been quarantined since the request arrived
 			return h.giveUp(x, refused)
 		}
-		if !h.allowAttempt(x, tries) {
+		if !h.allowAttempt(x) {
 			return h.giveUp(x, h.refuseWithRetry(refusal.Overloaded, "no further endpoint may be tried"))
 		}
 		v, reason := h.send(x, c)
@@ -64,7 +63,7 @@
 			h.pauseForAdapter(x)
 			continue
 		}
-		exclude = append(exclude, c.ID)
+		x.exclude = append(slices.Clip(x.exclude), c.ID)
 	}
 }
 
@@ -110,16 +109,16 @@
 }
 
 // allowAttempt reports whether another attempt may be made, and charges repeats to the retry budget.
-func (h *Handler) allowAttempt(x *exchange, tries int) bool {
+func (h *Handler) allowAttempt(x *exchange) bool {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	b := h.budget(x.service.Name)
-	now := h.options.Now()
-	if x.sent == 0 {
-		return tries < maxEndpointsTried
+	charged := x.sent == 0 || x.charged
+	x.charged = false
+	if x.tries >= maxEndpointsTried || charged {
+		return x.tries < maxEndpointsTried
 	}
 	_, entries := h.options.View.Version()
-	return tries < maxEndpointsTried && b.Take(now, entries)
+	return h.budget(x.service.Name).Take(h.options.Now(), entries)
 }
 
 // budget returns the retry budget of a service. The caller holds h.mu.
@@ -223,6 +222,7 @@
 		h.observe(s.ID, pick.Malformed, 0)
 		return reasonMalformed
 	case errs.Is(context.Cause(s.ctx), errSilent):
+		x.charged = true
 		h.observe(s.ID, pick.Silent, 0)
 		return reasonSilent
 	case x.ctx.Err() != nil:
--- a/internal/serve/forward/stream_test.go
+++ b/internal/serve/forward/stream_test.go
@@ -5,11 +5,17 @@
 	"io"
 	"net/http"
 	"net/http/httptest"
+	"strconv"
+	"strings"
+	"sync"
 	"sync/atomic"
 	"testing"
+	"time"
 
 	"github.com/frankban/quicktest"
+	"golang.org/x/sync/errgroup"
 
+	"lycheevale/internal/limit/retry"
 	"lycheevale/internal/serve/forward"
 )
 
@@ -57,3 +63,55 @@
 		})
 	}
 }
+
+// Several streams stall at once, and the retry budget allows one repeat. Guards against ending the others, whose endpoint goes on after a while: each
+// was told to leave it because the budget allowed a repeat, which the first one then used up.
+func TestStalledStreamsStayWithoutBudget(t *testing.T) {
+	const streams = 4
+	var seen sync.Map
+	serve := func(w http.ResponseWriter, q *http.Request) {
+		w.Header().Set("Content-Type", "text/event-stream")
+		_, _ = io.WriteString(w, "id: 1\ndata: a\n\n")
+		_ = http.NewResponseController(w).Flush()
+		if _, again := seen.LoadOrStore(q.Header.Get("Attempt"), true); !again {
+			select {
+			case <-q.Context().Done():
+				return
+			case <-time.After(3 * time.Second):
+			}
+		}
+		_, _ = io.WriteString(w, "id: 2\ndata: b\n\n")
+	}
+	r := newFixture(t, []http.HandlerFunc{serve, serve}, forward.WithCodec(streamCodec()),
+		forward.WithRetry(retry.Options{Window: 10 * time.Second, Slack: 1}))
+	ctx, stop := context.WithCancel(context.Background())
+	var sweeps, callers errgroup.Group
+	sweeps.Go(func() error {
+		for ctx.Err() == nil {
+			r.handler.Sweep()
+			time.Sleep(50 * time.Millisecond)
+		}
+		return nil
+	})
+	var complete, moved atomic.Int32
+	for n := range streams {
+		callers.Go(func() error {
+			defer func() { _ = recover() }() // a stream that is cut ends by aborting its connection
+			q := httptest.NewRequestWithContext(ctx, http.MethodGet, "/long/x", http.NoBody)
+			q.Header.Set("Key", "k")
+			q.Header.Set("Attempt", strconv.Itoa(n))
+			w := httptest.NewRecorder()
+			r.handler.ServeHTTP(w, q)
+			if strings.HasSuffix(w.Body.String(), "data: b\n\n") {
+				complete.Add(1)
+			}
+			moved.Add(int32(strings.Count(w.Body.String(), "data: a") - 1))
+			return nil
+		})
+	}
+	r.Assert(callers.Wait(), quicktest.IsNil)
+	stop()
+	r.Assert(sweeps.Wait(), quicktest.IsNil)
+	r.Check(complete.Load(), quicktest.Equals, int32(streams))
+	r.Check(moved.Load(), quicktest.Equals, int32(1))
+}
