Count a crash whose endpoint had reset a connection before

Cause, found by reading: the first broken connection of an endpoint dated its record, so that a crash long after a reset connection was never within a second of it, and was not reported. Change: the record starts anew unless the crash is confirmed. TestCrashAfterResetIsReported fails before.

--- a/internal/place/quarantine/quarantine_test.go
+++ b/internal/place/quarantine/quarantine_test.go
@@ -169,6 +169,19 @@
 	c.Check(tracker.Begins(at(300), 2, suspects), quicktest.HasLen, 1)
 }
 
+// A connection is reset, and long afterwards the endpoint crashes. Guards against missing that crash, and against counting the request of the reset
+// connection as exposed to it.
+func TestCrashAfterResetIsReported(t *testing.T) {
+	c := quicktest.New(t)
+	tracker := quarantine.NewTracker()
+	tracker.Broken(at(0), attempt("e", at(-100), "reset"))
+	c.Check(tracker.Broken(at(9000), attempt("e", at(8900), "dead")), quicktest.IsTrue)
+	tracker.Down(at(9050), quarantine.Incarnation{Endpoint: "e", Born: 1})
+	report := tracker.Report(at(9100), 1)
+	c.Assert(report, quicktest.HasLen, 1)
+	c.Check(report[0].Exposed, quicktest.DeepEquals, []quarantine.Exposure{{ID: "dead", WaitedMillis: 100, Acknowledged: true}})
+}
+
 // Hundreds of requests wait at an endpoint that crashes. Guards against leaving out the one whose answer it had begun, and against records without a
 // bound.
 func TestExposuresAreBounded(t *testing.T) {
--- a/internal/place/quarantine/tracker.go
+++ b/internal/place/quarantine/tracker.go
@@ -19,11 +19,11 @@
 type brokenEndpoint struct {
 	incarnation Incarnation
 	service     string
-	at          time.Time // of the first broken connection
+	at          time.Time // of the crash, or else of the first connection that broke within confirmTime
 	downAt      time.Time // when the endpoint refused a connection
 	checkedAt   time.Time // when the last check was requested
 	exposed     exposures
-	reported    bool   // as it is
+	reported    bool   // in its current state
 	delivered   uint64 // term of the leader that has received the record
 }
 
@@ -38,10 +38,10 @@
 
 // add merges an exposure. Beyond limit parts, an acknowledged one replaces one that is not.
 func (x exposures) add(id string, e exposure, limit int) {
-	if _, known := x[id]; !known && len(x) >= limit && !(e.acknowledged && x.dropUnacknowledged()) {
+	merged, known := x[id]
+	if !known && len(x) >= limit && (!e.acknowledged || !x.dropUnacknowledged()) {
 		return
 	}
-	merged := x[id]
 	if e.sentAt.After(merged.sentAt) {
 		merged.sentAt = e.sentAt
 	}
@@ -112,9 +112,10 @@
 		return false
 	}
 	b := t.endpoint(now, a.Incarnation)
-	if b.service = a.Service; b.at.IsZero() {
-		b.at = now
+	if t.crashes[a.Incarnation] == nil && now.Sub(b.at) > confirmTime {
+		b.at, b.exposed = now, exposures{} // earlier connections were only reset
 	}
+	b.service = a.Service
 	for _, id := range a.Parts {
 		b.exposed.add(id, exposure{sentAt: a.SentAt, acknowledged: a.Acknowledged}, maxExposed)
 	}
