--- a/internal/state/voter/client.go
+++ b/internal/state/voter/client.go
@@ -45,7 +45,7 @@
 	call     peer.Caller
 	method   string
 	peers    func() []string
-	followed func() (leader string, votes bool) // the leader that this instance's own voter follows
+	followed func() string // the leader that this instance's own voter follows, "" if it knows none
 	mu       sync.Mutex
 	leader   string // last instance that led
 	// failed is the voter that did not answer last. It is not tried before retryAt, because the others report it as
@@ -56,7 +56,7 @@
 
 // NewClient returns a client of the log; peers returns the names of its voters.
 func NewClient(call peer.Caller, group string, peers func() []string) *Client {
-	return &Client{call: call, method: ProposeMethod(group), peers: peers, followed: func() (string, bool) { return "", false }}
+	return &Client{call: call, method: ProposeMethod(group), peers: peers, followed: func() string { return "" }}
 }
 
 // Intervals between two attempts; the first is about one round trip between regions.
@@ -106,7 +106,7 @@
 func (c *Client) target(attempt int) string {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if leader, votes := c.followed(); votes && !c.isAvoided(leader) {
+	if leader := c.followed(); leader != "" && !c.isAvoided(leader) {
 		c.leader = leader
 	}
 	peers := c.peers()
--- a/internal/state/voter/voter.go
+++ b/internal/state/voter/voter.go
@@ -87,11 +87,12 @@
 	return v
 }
 
-// followed returns the leader that this voter follows, "" if it knows none, and whether this voter is a member of the log and so learns of each
-// change of the leader.
-func (v *Voter) followed() (leader string, votes bool) {
-	s := v.Status()
-	return s.Leader, s.Err == nil && s.Config.Voter(s.ID)
+// followed returns the leader that this voter follows, "" if it knows none, as outside the log or after it was removed without notice.
+func (v *Voter) followed() string {
+	if s := v.Status(); s.Err == nil {
+		return s.Leader
+	}
+	return ""
 }
 
 // callLocal handles calls to this instance without the network and forwards all others.
