Keep the check of the retry budget inside its package

Since a stalled request charges the budget as it is told to leave, nothing outside package retry asks whether the budget allows a repeat: Allows is no longer exported. Behaviour is the same.

--- a/internal/limit/retry/retry.go
+++ b/internal/limit/retry/retry.go
@@ -42,15 +42,15 @@
 
 // Take counts a repeat and reports true if the budget allows it; entries is the number of entries that share the slack.
 func (b *Budget) Take(now time.Time, entries int) bool {
-	if !b.Allows(now, entries) {
+	if !b.allows(now, entries) {
 		return false
 	}
 	b.currentSlice(now).repeats++
 	return true
 }
 
-// Allows reports whether Take would count a repeat.
-func (b *Budget) Allows(now time.Time, entries int) bool {
+// allows reports whether Take would count a repeat.
+func (b *Budget) allows(now time.Time, entries int) bool {
 	current := b.currentSlice(now)
 	var requests, repeats float64
 	for _, s := range b.slices {
