--- a/internal/base/event/operator.go
+++ b/internal/base/event/operator.go
@@ -13,6 +13,7 @@
 	AuditFailed         ID = 8007
 	OperatorPanicked    ID = 8008
 	WatchEnded          ID = 8009
+	ControlCallSlow     ID = 8010
 )
 
 var operatorEvents = []Entry{
@@ -25,4 +26,5 @@
 	{AuditFailed, slog.LevelError, "audit log cannot be written", "Free disk space; until then changes are refused, and only withdrawals of keys are made."},
 	{OperatorPanicked, slog.LevelError, "handler of an operator's request panicked", "Report a bug with the stack."},
 	{WatchEnded, slog.LevelInfo, "operator's watch ended", "None; clients resume after the last event."},
+	{ControlCallSlow, slog.LevelWarn, "call to a control instance was refused or answered late", "Many: compare Leader with event 4002 of the others; callers wait a second for an answer."},
 }
--- a/internal/node/control/interface.go
+++ b/internal/node/control/interface.go
@@ -88,6 +88,7 @@
 // Replace stores a configuration, whose content the caller has decoded and checked. A version that is not higher than the
 // stored one changes nothing and is no error.
 func (c *Control) Replace(ctx context.Context, version uint64, content []byte) (err error) {
+	started := c.options.Now()
 	c.mu.Lock()
 	stored := c.machine.Stored()
 	c.mu.Unlock()
@@ -101,19 +102,21 @@
 		id = event.ChangeUncertain
 	}
 	event.Log(ctx, c.options.Logger, id, slog.Uint64("Version", version), slog.Int("Bytes", len(content)),
-		slog.Bool("Stored", result.Stored), slog.Uint64("InEffect", result.Version), slog.Any("Error", err))
+		slog.Bool("Stored", result.Stored), slog.Uint64("InEffect", result.Version), slog.Int64("AfterMillis", c.options.Now().Sub(started).Milliseconds()), slog.Any("Error", err))
 	return err
 }
 
 // SetAdapter sets the current version of an adapter.
 func (c *Control) SetAdapter(ctx context.Context, v document.AdapterVersion) (err error) {
+	started := c.options.Now()
 	result, err := c.propose(ctx, document.Command{Action: document.SetAdapter, Adapter: v})
 	id := event.ChangeApplied
 	if err != nil {
 		id = event.ChangeUncertain
 	}
 	event.Log(ctx, c.options.Logger, id, slog.String("Model", v.Model), slog.String("Adapter", v.Adapter),
-		slog.Int("AdapterVersion", v.Version), slog.Bool("Stored", result.Stored), slog.Any("Error", err))
+		slog.Int("AdapterVersion", v.Version), slog.Bool("Stored", result.Stored),
+		slog.Int64("AfterMillis", c.options.Now().Sub(started).Milliseconds()), slog.Any("Error", err))
 	return err
 }
 
