Hide the secondary axis of burn rates, which has no range

Cause: the chart's secondary axis has no series, so its labels are placed at 0/0, and the conversion of NaN to an integer differs between x86-64 (the least integer, far outside the picture) and arm64 (0). Change: the axis is hidden. Ruled out: fused multiply and add (no other figure differs). Measured: TestReports failed before on arm64 and passes now.

--- a/internal/tool/burn/html.go
+++ b/internal/tool/burn/html.go
@@ -74,6 +74,8 @@
 			return time.Unix(0, int64(v.(float64))).UTC().Format("01-02 15:04")
 		}},
 		YAxis: chart.YAxis{Name: "burn rate", Range: &chart.ContinuousRange{Min: 0, Max: highest}},
+		// Without any series it has no range, and its labels would have no position.
+		YAxisSecondary: chart.YAxis{Style: chart.Hidden()},
 		Series: []chart.Series{
 			chart.TimeSeries{Name: "availability", XValues: at, YValues: availability},
 			chart.TimeSeries{Name: "first token", XValues: at, YValues: firstToken},
