Decode and answer calls between instances without encoding them several times

Evidence: a leader with 78 reports each half a second, 600 requests for places and 120 announcements a second over loopback (trial, processor time of the leader's process, beside other load): 0.41 of a core, of which 0.11 for reports alone and 0.18 for places alone; 25% of it encoded answers, 13% decoded requests: jsonrpc2 decodes a request as a map of any and back, and compacts each answer three times. Change: the serving side of a link decodes requests once and writes answers itself, in the same form on the wire; dialling links still use jsonrpc2. Counters and errors are as before.

--- a/internal/wire/peer/link.go
+++ b/internal/wire/peer/link.go
@@ -217,7 +217,7 @@
 	n := t.node
 	l := &link{target: t, stream: newStream(conn, &n.options, n.options.IdlePing), calls: make(chan struct{}, n.options.MaxCalls)}
 	l.stream.busy = func() bool { return l.pending.Load() > 0 }
-	c := newFrameCounter(n, l.stream)
+	c := newCallCounter(n, l.stream)
 	c.peer.Store(&t.name)
 	// The writer must run before the hello is sent.
 	if !n.spawn(func() { l.stream.run(n.ctx) }) {
--- a/internal/wire/peer/serve.go
+++ b/internal/wire/peer/serve.go
@@ -8,6 +8,7 @@
 	"log/slog"
 	"net"
 	"runtime/debug"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -126,9 +127,10 @@
 		}
 	})
 	defer helloTimer.Stop()
-	conn := jsonrpc2.NewConn(ctx, in.stream, in, in.count.options()...)
-	in.stream.run(ctx)
-	_ = conn.Close()
+	if n.spawn(func() { in.read(ctx) }) {
+		in.stream.run(ctx)
+	}
+	_ = in.stream.Close()
 	n.unregister(in)
 	cancel()
 	in.mu.Lock()
@@ -147,21 +149,47 @@
 	return !in.closed
 }
 
-// Handle implements jsonrpc2.Handler; it runs in the goroutine that reads the link and does not block.
-func (in *incoming) Handle(ctx context.Context, conn *jsonrpc2.Conn, req *jsonrpc2.Request) {
-	if req.Method == helloMethod {
-		in.handleHello(ctx, conn, req)
+// call is a received request. Requests are decoded and answered here and not by jsonrpc2, which encodes and checks each message several
+// times: that took a third of the processor time of a leader with 78 entries.
+type call struct {
+	ID     json.RawMessage `json:"id"`
+	Method string          `json:"method"`
+	Params json.RawMessage `json:"params"`
+	Meta   json.RawMessage `json:"meta"`
+}
+
+// read receives calls until the link is lost.
+func (in *incoming) read(ctx context.Context) {
+	for {
+		body, err := in.stream.readFrame()
+		if err != nil {
+			return // the stream has recorded why
+		}
+		var c call
+		if err := json.Unmarshal(body, &c); err != nil {
+			_ = in.stream.fail(err)
+			return
+		}
+		in.count.countServed(c.Method, received, headerSize+len(body))
+		in.start(ctx, c)
+	}
+}
+
+// start handles a call without blocking.
+func (in *incoming) start(ctx context.Context, c call) {
+	if c.Method == helloMethod {
+		in.handleHello(ctx, c)
 		return
 	}
 	from := in.hello.Load()
-	if from == nil || req.Notif {
+	if from == nil || len(c.ID) == 0 {
 		_ = in.stream.fail(ErrWrongName)
 		return
 	}
 	select {
 	case in.serving <- struct{}{}:
 	default:
-		_ = conn.ReplyWithError(ctx, req.ID, &jsonrpc2.Error{Code: codeBusy, Message: ErrBusy.Error()})
+		_ = in.replyError(c, &jsonrpc2.Error{Code: codeBusy, Message: ErrBusy.Error()})
 		return
 	}
 	if !in.startCall() {
@@ -170,7 +198,7 @@
 	started := in.node.spawn(func() {
 		defer in.wg.Done()
 		defer func() { <-in.serving }()
-		in.serve(ctx, conn, req, from.Name)
+		in.serve(ctx, c, from.Name)
 	})
 	if !started {
 		in.wg.Done()
@@ -178,10 +206,10 @@
 }
 
 // serve answers one call within the deadline of the caller.
-func (in *incoming) serve(ctx context.Context, conn *jsonrpc2.Conn, req *jsonrpc2.Request, from string) {
+func (in *incoming) serve(ctx context.Context, c call, from string) {
 	var m meta
-	if req.Meta != nil {
-		_ = json.Unmarshal(*req.Meta, &m) // without a valid deadline, the default one applies
+	if len(c.Meta) > 0 {
+		_ = json.Unmarshal(c.Meta, &m) // without a valid deadline, the default one applies
 	}
 	limit := in.node.options.CallTimeout
 	if within := time.Duration(m.Within) * time.Microsecond; within > 0 {
@@ -189,36 +217,55 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, limit)
 	defer cancel()
-	result, err := in.handle(ctx, from, req)
+	result, err := in.handle(ctx, from, c)
 	if err == nil {
-		err = conn.Reply(ctx, req.ID, result)
+		err = in.reply(c, result)
 	}
 	if err != nil {
-		_ = conn.ReplyWithError(ctx, req.ID, toRPC(err)) // fails only if the link is lost or its queue is full
+		_ = in.replyError(c, toRPC(err)) // fails only if the link is lost or its queue is full
 	}
 }
 
-func (in *incoming) handle(ctx context.Context, from string, req *jsonrpc2.Request) (result any, err error) {
+// reply queues the result of a call.
+func (in *incoming) reply(c call, result any) error {
+	encoded, err := json.Marshal(result)
+	if err != nil {
+		return err
+	}
+	return in.send(c, "result", encoded)
+}
+
+func (in *incoming) replyError(c call, e *jsonrpc2.Error) error {
+	encoded, err := json.Marshal(e)
+	if err != nil {
+		return err
+	}
+	return in.send(c, "error", encoded)
+}
+
+// send queues an answer with one field beside the identifier of its call.
+func (in *incoming) send(c call, field string, value []byte) error {
+	body := slices.Concat([]byte(`{"id":`), c.ID, []byte(`,"`+field+`":`), value, []byte(`,"jsonrpc":"2.0"}`))
+	return in.stream.writeFrame(body, func(size int) { in.count.countServed(c.Method, sent, size) })
+}
+
+func (in *incoming) handle(ctx context.Context, from string, c call) (result any, err error) {
 	defer func() {
 		if v := recover(); v != nil {
-			event.Log(ctx, in.node.options.Logger, event.HandlerPanicked, slog.String("Method", req.Method),
+			event.Log(ctx, in.node.options.Logger, event.HandlerPanicked, slog.String("Method", c.Method),
 				slog.Any("Value", v), slog.String("Stack", string(debug.Stack())))
-			err = fmt.Errorf("handler of %s failed", req.Method)
+			err = fmt.Errorf("handler of %s failed", c.Method)
 		}
 	}()
-	var params json.RawMessage
-	if req.Params != nil {
-		params = *req.Params
-	}
-	return in.node.options.Mux.Serve(ctx, from, req.Method, params)
+	return in.node.options.Mux.Serve(ctx, from, c.Method, c.Params)
 }
 
 // handleHello handles the hello of the other side, whose name must match its certificate.
-func (in *incoming) handleHello(ctx context.Context, conn *jsonrpc2.Conn, req *jsonrpc2.Request) {
+func (in *incoming) handleHello(ctx context.Context, c call) {
 	var h hello
 	err := ErrWrongName
-	if req.Params != nil && in.hello.Load() == nil {
-		err = json.Unmarshal(*req.Params, &h)
+	if len(c.Params) > 0 && in.hello.Load() == nil {
+		err = json.Unmarshal(c.Params, &h)
 	}
 	if err == nil {
 		err = in.verify(h.Name)
@@ -233,7 +280,7 @@
 		return
 	}
 	in.stream.limit.Store(int64(in.node.options.MaxMessage))
-	if err := conn.Reply(ctx, req.ID, welcome{Name: in.node.options.Name}); err != nil {
+	if err := in.reply(c, welcome{Name: in.node.options.Name}); err != nil {
 		_ = in.stream.fail(err)
 	}
 }
--- a/internal/wire/peer/stream.go
+++ b/internal/wire/peer/stream.go
@@ -93,10 +93,20 @@
 
 // ReadObject implements jsonrpc2.ObjectStream.
 func (s *stream) ReadObject(v any) error {
+	body, err := s.readFrame()
+	if err != nil {
+		return err
+	}
+	s.countMessage(received, headerSize+len(body))
+	return s.fail(json.Unmarshal(body, v))
+}
+
+// readFrame returns the next frame that is no ping or pong, without its header.
+func (s *stream) readFrame() (body []byte, err error) {
 	for {
 		var header [headerSize]byte
 		if _, err := io.ReadFull(s.reader, header[:]); err != nil {
-			return s.fail(err)
+			return nil, s.fail(err)
 		}
 		switch size := binary.BigEndian.Uint32(header[:]); size {
 		case pingHeader:
@@ -108,21 +118,19 @@
 		case pongHeader:
 			s.countPing(received)
 		default:
-			return s.fail(s.readBody(int64(size), v))
+			body, err := s.readBody(int64(size))
+			return body, s.fail(err)
 		}
 	}
 }
 
-func (s *stream) readBody(size int64, v any) error {
+func (s *stream) readBody(size int64) (body []byte, err error) {
 	if size > s.limit.Load() {
-		return ErrTooLarge
-	}
-	body := make([]byte, size)
-	if _, err := io.ReadFull(s.reader, body); err != nil {
-		return err
+		return nil, ErrTooLarge
 	}
-	s.countMessage(received, headerSize+len(body))
-	return json.Unmarshal(body, v)
+	body = make([]byte, size)
+	_, err = io.ReadFull(s.reader, body)
+	return body, err
 }
 
 // WriteObject implements jsonrpc2.ObjectStream. After ErrTooLarge and ErrQueueFull the link stays
@@ -132,6 +140,11 @@
 	if err != nil {
 		return err
 	}
+	return s.writeFrame(body, func(size int) { s.countMessage(sent, size) })
+}
+
+// writeFrame queues a message, and calls count with the size of its frame.
+func (s *stream) writeFrame(body []byte, count func(size int)) error {
 	if len(body) > s.options.MaxMessage {
 		return ErrTooLarge
 	}
@@ -143,7 +156,7 @@
 	}
 	select {
 	case s.queue <- frame:
-		s.countMessage(sent, len(frame))
+		count(len(frame))
 		return nil
 	default:
 		s.queued.Add(-int64(len(frame)))
