--- a/internal/member/report/encoding.go
+++ b/internal/member/report/encoding.go
@@ -1,7 +1,7 @@
 package report
 
 import (
-	"encoding/json"
+	"encoding/base64"
 
 	"github.com/fxamacker/cbor/v2"
 	"github.com/zeebo/errs"
@@ -35,13 +35,17 @@
 	if err != nil {
 		return nil, err
 	}
-	return json.Marshal(packed)
+	data = make([]byte, 0, base64.StdEncoding.EncodedLen(len(packed))+len(`""`))
+	return append(base64.StdEncoding.AppendEncode(append(data, '"'), packed), '"'), nil
 }
 
 func decode(data []byte, v any) (err error) {
 	defer func() { err = Error.Wrap(err) }()
-	var packed []byte
-	if err := json.Unmarshal(data, &packed); err != nil {
+	if len(data) < len(`""`) || data[0] != '"' {
+		return errs.New("message of %d bytes is not a string", len(data))
+	}
+	packed, err := base64.StdEncoding.AppendDecode(nil, data[1:len(data)-1])
+	if err != nil {
 		return err
 	}
 	return cbor.Unmarshal(packed, v)
