Compare places for an adapter only as far as an endpoint can be the best one

Change: the cost of an endpoint is computed term by term and given up once it exceeds the best one; all terms are positive, so that the choice is the same. Fetches are counted once. Places are counted when the line is written.

--- a/internal/node/control/updates.go
+++ b/internal/node/control/updates.go
@@ -241,7 +241,15 @@
 		slog.Int("Version", c.Holding.Version), slog.Bool("Order", c.Order),
 	}
 	if c.Endpoint == "" {
-		attrs = append(attrs, slog.Any("Places", ls.placer.Summary(ls.now())))
+		attrs = append(attrs, slog.Any("Places", placeSummary{ls}))
 	}
 	event.Log(ctx, ls.control.options.Logger, event.AdapterPlaced, attrs...)
 }
+
+// placeSummary counts the places of a leader only if its log line is written, since lines beyond a limit are left out.
+type placeSummary struct{ state *leaderState }
+
+// LogValue implements slog.LogValuer. The caller of the logger holds the mutex of Control.
+func (p placeSummary) LogValue() slog.Value {
+	return slog.AnyValue(p.state.placer.Summary(p.state.now()))
+}
--- a/internal/place/residency/room.go
+++ b/internal/place/residency/room.go
@@ -142,7 +142,7 @@
 
 // MayFreePlace reports whether a place may become free soon, so that it is worth holding a request that found none.
 func (p *Placer) MayFreePlace(now time.Time) bool {
-	if p.queueTime() > p.options.MaxWait {
+	if running, waiting := p.countFetches(); p.queueTime(running+waiting) > p.options.MaxWait {
 		return false
 	}
 	for _, e := range p.endpoints {
--- a/internal/place/residency/want.go
+++ b/internal/place/residency/want.go
@@ -38,12 +38,12 @@
 func (p *Placer) Want(now time.Time, a Adapter, dataCentre string, replicate bool, avoid ...string) (c Choice, ok bool) {
 	var best *endpoint
 	bestCost := math.Inf(1)
-	running, _ := p.countFetches()
+	running, waiting := p.countFetches()
 	for _, e := range p.endpoints {
 		if slices.Contains(avoid, e.ID) {
 			continue
 		}
-		if cost := p.cost(now, e, a, dataCentre, running); cost < bestCost || (cost == bestCost && best != nil && e.ID < best.ID) {
+		if cost := p.cost(now, e, a, dataCentre, running, bestCost); cost < bestCost || (cost == bestCost && best != nil && e.ID < best.ID) {
 			best, bestCost = e, cost
 		}
 	}
@@ -59,16 +59,15 @@
 	if best == nil {
 		return Choice{}, false
 	}
-	return p.reserve(now, best, a)
+	return p.reserve(now, best, a, running, waiting)
 }
 
-// reserve adds a place for a load that has to be ordered, or reports false if the queue of fetches is too long.
-func (p *Placer) reserve(now time.Time, e *endpoint, a Adapter) (c Choice, ok bool) {
+// reserve adds a place for a load that has to be ordered, or reports false if the queue of fetches, of which some run, is too long.
+func (p *Placer) reserve(now time.Time, e *endpoint, a Adapter, running, waiting int) (c Choice, ok bool) {
 	h := Holding{Adapter: a, Version: p.versions[a]}
-	running, _ := p.countFetches()
 	took := p.transferTime(e, h, running)
 	if !e.caches(h) {
-		wait := p.queueTime()
+		wait := p.queueTime(running + waiting)
 		if wait > p.options.MaxWait {
 			return Choice{}, false
 		}
@@ -129,28 +128,30 @@
 	return farCost
 }
 
-// cost returns the cost of loading an adapter at an endpoint for requests from a data centre, infinite if it cannot load it.
-func (p *Placer) cost(now time.Time, e *endpoint, a Adapter, dataCentre string, fetches int) float64 {
-	if !e.Accepting || e.Slots == 0 || !slices.Contains(e.Models, a.Model) || now.Before(e.pausedUntil) {
+// cost returns the cost of loading an adapter at an endpoint for requests from a data centre. It is infinite if the endpoint cannot load the
+// adapter, and may be if it exceeds limit.
+func (p *Placer) cost(now time.Time, e *endpoint, a Adapter, dataCentre string, fetches int, limit float64) float64 {
+	if !e.Accepting || e.Slots == 0 || now.Before(e.pausedUntil) {
+		return math.Inf(1)
+	}
+	cost := loadCost*e.load*e.load + float64(e.backlog.Milliseconds()) + p.distanceCost(e, dataCentre)
+	if cost > limit || !slices.Contains(e.Models, a.Model) {
 		return math.Inf(1)
 	}
-	cost := loadCost*e.load*e.load + float64(e.backlog.Milliseconds())
 	old := e.places[a]
 	switch {
+	case old == nil && len(e.places) >= e.Slots:
+		return math.Inf(1)
 	case old == nil:
 	case old.state != Resident || p.current(old.holding):
 		return math.Inf(1)
 	case p.inUse(now, e, old):
 		cost += replaceCost
 	}
-	cost += p.distanceCost(e, dataCentre)
 	if n := e.loading(); n >= p.options.MaxTransfers {
 		cost += float64(p.options.FetchTime.Milliseconds()) * float64(n-p.options.MaxTransfers+1) / float64(p.options.MaxTransfers)
 	}
 	cost += float64(p.transferTime(e, Holding{Adapter: a, Version: p.versions[a]}, fetches).Milliseconds())
-	if len(e.places) >= e.Slots && old == nil {
-		return math.Inf(1)
-	}
 	if len(e.places) >= e.Slots-p.options.Spare && old == nil {
 		cost += evictionCost
 		if v := p.nextVictim(now, e); v != nil {
@@ -217,9 +218,8 @@
 	return running, waiting
 }
 
-// queueTime returns the expected time until another fetch can be ordered.
-func (p *Placer) queueTime() time.Duration {
-	running, waiting := p.countFetches()
-	ahead := max(running+waiting+1-p.maxFetches(), 0)
+// queueTime returns the expected time until another fetch can be ordered, behind those that run or wait.
+func (p *Placer) queueTime(fetches int) time.Duration {
+	ahead := max(fetches+1-p.maxFetches(), 0)
 	return time.Duration(float64(p.options.FetchTime) * float64(ahead) / float64(p.fullSpeed))
 }
