Limit the requests for places that an entry has at the leader

Cause: entries ask the leader for each adapter at once, whatever it answers. A leader that is slower than requests arrive for a moment, as after an election, gets more of them at a time: each entry has up to 2.5 s of requests there, 22 at its usual rate, 1,700 over 78 entries. They compete with the messages by which it renews its leadership, it loses that, and the next leader begins with the same requests. Change: an entry has six requests for places at the leader at a time; others wait at the entry, as long as before. Class of the fault: an open loop between callers and one process that must not be late with something else.

--- a/internal/serve/forward/forward.go
+++ b/internal/serve/forward/forward.go
@@ -14,6 +14,7 @@
 	"time"
 
 	"github.com/zeebo/errs"
+	"golang.org/x/sync/semaphore"
 
 	"lycheevale/internal/base/event"
 	"lycheevale/internal/base/refusal"
@@ -41,6 +42,7 @@
 	budgets         map[string]*retry.Budget // by service
 	uses            map[[2]string]*use       // by endpoint and adapter
 	placements      map[residency.Adapter]*placement
+	placing         *semaphore.Weighted // requests for places at the leader
 	silence         *silence.Watch
 	attempts        map[*inFlight]bool
 	loans           map[string]*loanQueue // by customer
@@ -100,7 +102,7 @@
 	o := newOptions(opts)
 	h := &Handler{
 		options: o, picker: pick.New(o.Picker, o.Seed), random: rand.New(rand.NewPCG(o.Seed, o.Seed+1)),
-		budgets: map[string]*retry.Budget{}, uses: map[[2]string]*use{}, placements: map[residency.Adapter]*placement{},
+		budgets: map[string]*retry.Budget{}, uses: map[[2]string]*use{}, placements: map[residency.Adapter]*placement{}, placing: semaphore.NewWeighted(maxPlacements),
 		silence: silence.New(silence.Defaults()), attempts: map[*inFlight]bool{}, loans: map[string]*loanQueue{}, unread: map[string]int{}, shares: o.Shares,
 		tracker: quarantine.NewTracker(), refusedParts: map[string]quarantine.Refusals{}, trials: map[string]time.Time{},
 	}
--- a/internal/serve/forward/place.go
+++ b/internal/serve/forward/place.go
@@ -213,7 +213,10 @@
 	h.options.Spawn(func() {
 		ctx, cancel := context.WithTimeout(context.Background(), placementTimeout)
 		defer cancel()
-		w.placed, w.err = h.options.RequestPlacement(ctx, q)
+		if w.err = h.placing.Acquire(ctx, 1); w.err == nil {
+			w.placed, w.err = h.options.RequestPlacement(ctx, q)
+			h.placing.Release(1)
+		}
 		w.placed.InMillis = min(w.placed.InMillis, maxLoadTime.Milliseconds())
 		w.answeredAt = h.options.Now()
 		close(w.done)
@@ -229,6 +232,11 @@
 	return w
 }
 
+// maxPlacements is the number of requests for places that an entry has at the leader at a time; others wait here. A leader that is slower than
+// they arrive would otherwise work on ever more of them at once, and have no time left to renew its leadership. It allows the requests of
+// the busiest entry to wait for a place, each for the longest time.
+const maxPlacements = 6
+
 // maxLoadTime is above the time of any load; a longer one in an answer is an error that must not hold later requests.
 const maxLoadTime = 10 * time.Second
 
