Tell a voter that campaigns after its removal that it was removed

Cause: a voter that is removed while it is partitioned or suspended never gets the entry that says so. Members refuse its pre-votes without a reason, so that it counted itself as a voter, campaigned without end and did not ask to join; it could not vote again without a restart from an empty disk.

Change: the refusal of a pre-vote names the commit index of a configuration without the candidate. A candidate whose last configuration is not later stops campaigning, follows whoever adds it again, and asks to join as any instance outside the log does. A voter that is needed cannot be stopped by an older configuration: it was promoted only after it had stored the entry that added it. Only committed configurations count, so a voter whose removal is not committed may still campaign.

TestRuleScenarios/RemovalNotice fails with the rule off, as the code before behaved: the removed voter is a PreCandidate 3 s after the partition. TestLaggingVoterDoesNotRemove fails if the index is not compared.

--- a/internal/state/consensus/consensus.go
+++ b/internal/state/consensus/consensus.go
@@ -37,6 +37,7 @@
 	deadline       time.Time // when the election timeout ends; at the leader, when the next heartbeat is due
 	lastContact    time.Time // last message of the current leader
 	lastCampaign   time.Time // start of the last campaign of this voter
+	removedAt      uint64    // highest index of a committed configuration without this voter, as stated by another voter
 	quorumDeadline time.Time // when the leader next checks for replies from a majority
 	votes          map[string]bool
 	peers          map[string]*progress
@@ -166,6 +167,7 @@
 	s := Status{
 		ID: c.options.ID, Role: c.role, Term: c.state.Term, Leader: c.leader, LastContact: c.lastContact, Commit: c.commit,
 		Last: c.log.last(), Snapshot: c.log.snapshot.Index, Config: c.log.config(),
+		Removed: c.removed(),
 	}
 	if c.role == Leader {
 		s.Match = map[string]uint64{c.options.ID: c.log.last()}
--- a/internal/state/consensus/election.go
+++ b/internal/state/consensus/election.go
@@ -7,6 +7,10 @@
 func (c *Core) campaign() {
 	c.resetDeadline()
 	c.leader, c.lastCampaign = "", c.clock
+	if c.removed() {
+		c.role = Follower
+		return
+	}
 	// A voter removed by an uncommitted entry may hold the only log that can win the election.
 	if !c.log.config().Voter(c.options.ID) && !c.log.configAt(c.commit).Voter(c.options.ID) {
 		return
@@ -19,6 +23,11 @@
 	c.becomeCandidate()
 }
 
+// removed reports whether another voter has stated that a committed configuration, at least as late as the last one in this log, does
+// not contain this voter. A voter that was added again has a later configuration in its log before it gets its vote back, because a
+// learner is promoted only once it stores all committed entries.
+func (c *Core) removed() bool { return c.removedAt > 0 && c.log.configIndex() <= c.removedAt }
+
 func (c *Core) becomeCandidate() {
 	c.role = Candidate
 	c.setState(c.state.Term+1, c.options.ID)
@@ -95,6 +104,9 @@
 	reply := Message{Kind: PreVoteReply, To: m.From, Term: m.Term, Reject: !granted}
 	if !granted {
 		reply.Term = c.state.Term
+		if _, member := c.log.configAt(c.commit).member(m.From); !member && c.options.Rules.RemovalNotice {
+			reply.Removed, reply.Commit = true, c.commit
+		}
 	} else {
 		c.postponeCampaign()
 	}
@@ -125,6 +137,12 @@
 		// The sender still has contact with a leader. Another voter's campaign may succeed before this voter's next one.
 		c.lastCampaign = time.Time{}
 	}
+	if m.Removed {
+		c.removedAt = max(c.removedAt, m.Commit)
+	}
+	if c.role == PreCandidate && c.removed() {
+		c.role = Follower
+	}
 	if c.role != PreCandidate || m.Reject || m.Term != c.state.Term+1 {
 		return
 	}
--- a/internal/state/consensus/message.go
+++ b/internal/state/consensus/message.go
@@ -28,6 +28,8 @@
 	Entries []Entry `json:"Entries,omitempty"`
 	Reject  bool    `json:"Reject,omitempty"`
 	Hint    uint64  `json:"Hint,omitempty"` // highest index at which the sender's log may match
+	// Removed states in a PreVoteReply that the configuration at Commit, which is committed, does not contain the receiver.
+	Removed bool `json:"Removed,omitempty"`
 	// Snapshot has no Data when the core returns it; the runtime adds the data from disk.
 	Snapshot *Snapshot `json:"Snapshot,omitempty"`
 	// Periodic marks a regular heartbeat, which may be delayed to share a call with those of other logs.
@@ -109,5 +111,6 @@
 	Last        uint64
 	Snapshot    uint64
 	Config      Config
+	Removed     bool              // another voter has stated that this one was removed; Config does not show it yet
 	Match       map[string]uint64 // only at the leader: entries known to be stored by each member
 }
--- a/internal/state/consensus/options.go
+++ b/internal/state/consensus/options.go
@@ -14,6 +14,7 @@
 	OneChange         bool // one membership change at a time
 	CaughtUp          bool // promote a learner only after it has all committed entries
 	MajorityCommit    bool // commit only entries that a majority stores
+	RemovalNotice     bool // tell a voter that campaigns after its removal that it was removed
 }
 
 // Options are the settings of a Core.
@@ -49,6 +50,7 @@
 		Rules: Rules{
 			PreVote: true, LeaderStickiness: true, CheckQuorum: true, UpToDateVote: true, VoteOnce: true,
 			LogMatching: true, CurrentTermCommit: true, OneChange: true, CaughtUp: true, MajorityCommit: true,
+			RemovalNotice: true,
 		},
 	}
 }
--- a/internal/state/consensus/rules_test.go
+++ b/internal/state/consensus/rules_test.go
@@ -44,6 +44,7 @@
 	"CheckQuorum":       {func(r *consensus.Rules) { r.CheckQuorum = false }, isolatedLeader},
 	"CurrentTermCommit": {func(r *consensus.Rules) { r.CurrentTermCommit = false }, previousTermEntry},
 	"CaughtUp":          {func(r *consensus.Rules) { r.CaughtUp = false }, emptyLearner},
+	"RemovalNotice":     {func(r *consensus.Rules) { r.RemovalNotice = false }, removedWhilePartitioned},
 }
 
 // Guards against the faults described at each scenario, and against a scenario that does not depend on its rule.
@@ -148,6 +149,74 @@
 	return nil
 }
 
+// removedWhilePartitioned: a voter that was removed while it was partitioned or suspended must stop campaigning, and vote again after it
+// was added again. It campaigned without end, and did not ask to join.
+func removedWhilePartitioned(c *cluster) error {
+	c.settle(3 * time.Second)
+	leader := c.leader()
+	removed := without(c.ids, leader, "v5")[0]
+	c.nodes[removed].partitioned = true
+	c.settle(3 * time.Second)
+	if err := c.change(leader, consensus.Change{Kind: consensus.Remove, Member: consensus.Member{ID: removed}}); err != nil {
+		return err
+	}
+	c.settle(3 * time.Second)
+	term := c.nodes[leader].core.Status().Term
+	c.connectOnly(c.ids...)
+	c.settle(3 * time.Second)
+	if s := c.nodes[removed].core.Status(); !s.Removed || s.Role != consensus.Follower {
+		return fmt.Errorf("removed voter %s is a %s, knows of its removal: %v", removed, s.Role, s.Removed)
+	}
+	member := consensus.Member{ID: removed, Name: removed}
+	for _, kind := range []consensus.ChangeKind{consensus.AddLearner, consensus.Promote} {
+		if err := c.change(leader, consensus.Change{Kind: kind, Member: member}); err != nil {
+			return err
+		}
+		c.settle(time.Second)
+	}
+	if s := c.nodes[removed].core.Status(); s.Removed || s.Leader != leader || !s.Config.Voter(removed) {
+		return fmt.Errorf("voter %s was added again; it follows %q, removed: %v", removed, s.Leader, s.Removed)
+	}
+	if err := c.unchanged(leader, term); err != nil {
+		return err
+	}
+	c.nodes[leader].partitioned = true
+	c.connectOnly(removed, without(c.ids, removed, leader)[0], without(c.ids, removed, leader)[1])
+	c.settle(5 * time.Second)
+	if c.leader() == "" {
+		return errs.New("no leader is elected among three of five voters, one of them added again")
+	}
+	return c.fault
+}
+
+// A voter stores the entries that add it, and asks for the pre-vote of one that does not have them yet. Guards against taking that
+// one's answer for a removal.
+func TestLaggingVoterDoesNotRemove(t *testing.T) {
+	c := newCluster(nil, func(*consensus.Rules) {}, 3, 1)
+	c.settle(3 * time.Second)
+	leader := c.leader()
+	lagging := without(c.ids, leader, "v3")[0]
+	cutOff := false // v3 gets no messages of the leader
+	c.drop = func(m consensus.Message) bool {
+		return m.To == lagging && len(m.Entries) > 0 || cutOff && m.To == "v3" && m.From == leader
+	}
+	member := consensus.Member{ID: "v3", Name: "v3"}
+	for _, kind := range []consensus.ChangeKind{consensus.AddLearner, consensus.Promote} {
+		if err := c.change(leader, consensus.Change{Kind: kind, Member: member}); err != nil {
+			t.Fatal(err)
+		}
+		c.settle(time.Second)
+	}
+	cutOff = true
+	c.settle(5 * time.Second)
+	if s := c.nodes["v3"].core.Status(); s.Removed || s.Role != consensus.PreCandidate || !s.Config.Voter("v3") {
+		t.Fatalf("voter v3 is a %s, removed: %v", s.Role, s.Removed)
+	}
+	if s := c.nodes[lagging].core.Status(); s.Leader != leader || s.Config.Voter("v3") {
+		t.Fatalf("voter %s follows %q with the voters %v", lagging, s.Leader, s.Config.Voters())
+	}
+}
+
 // Guards against a permanent loss of quorum when a second voter is lost right after the first was replaced.
 func TestSecondVoterIsLostAfterReplacement(t *testing.T) {
 	c := newCluster(nil, func(*consensus.Rules) {}, 3, 2)
--- a/internal/state/voter/join.go
+++ b/internal/state/voter/join.go
@@ -25,7 +25,7 @@
 		l.reconcile(ctx, s)
 		return
 	}
-	if !s.Config.Voter(l.replica.ID()) {
+	if s.Removed || !s.Config.Voter(l.replica.ID()) {
 		l.group.Go(func() error {
 			l.voter.join(ctx, l.replica.ID())
 			return nil
