Learn the leader from other control instances where the own voter knows none

Cause: announcements, reads, reports of entries and requests for places take the leader from the own voter only. An instance outside the log, the sixth of six with five voters or a voter that was replaced while it was suspended, hears of none: it refused announcements and reads after 0.9 s and named no leader to entries, for as long as it stayed outside.

Change: gossip between control instances carries the leader that the sender's own voter follows, its term, and the age of its last message; only what a voter has heard itself is told. An instance whose own voter has heard no leader for three heartbeats uses the newest report, of the highest term, for at most a second. Gossip is also exchanged at once when the own voter follows another leader. Earlier releases ignore the new fields and send none.

TestNewestContactIsKept covers the choice between reports.

--- a/internal/member/council/council.go
+++ b/internal/member/council/council.go
@@ -51,6 +51,28 @@
 	return voters
 }
 
+// Contact is what an instance knows of the leader.
+type Contact struct {
+	Leader  string
+	Term    uint64
+	HeardAt time.Time // when the instance that reports it received the leader's last message
+}
+
+// Current reports whether the leader was heard within maxAge.
+func (c Contact) Current(now time.Time, maxAge time.Duration) bool {
+	return c.Leader != "" && now.Sub(c.HeardAt) <= maxAge
+}
+
+// Merge returns the newer of this contact and one that another instance reports. A contact that is no longer current is replaced by
+// any other one, because a leader of a later term may have lost its majority.
+func (c Contact) Merge(now time.Time, maxAge time.Duration, reported Contact) Contact {
+	newer := reported.Term > c.Term || (reported.Term == c.Term && reported.HeardAt.After(c.HeardAt))
+	if reported.Current(now, maxAge) && (newer || !c.Current(now, maxAge)) {
+		return reported
+	}
+	return c
+}
+
 // Leadership is the state of an instance's own voter.
 type Leadership struct {
 	Leads     bool
--- a/internal/member/council/council_test.go
+++ b/internal/member/council/council_test.go
@@ -57,3 +57,30 @@
 	c.Check(council.Leadership{Term: 3, CheckedAt: now}.KeepsState(3), quicktest.IsFalse)
 	c.Check(council.Leadership{Leads: true, Term: 3, CheckedAt: now}.MayAct(now, 300*time.Millisecond), quicktest.IsTrue)
 }
+
+// Guards against following a leader that is replaced or long silent, as told by instances that do not know better.
+func TestNewestContactIsKept(t *testing.T) {
+	const maxAge = time.Second
+	heard := func(leader string, term uint64, ago time.Duration) council.Contact {
+		return council.Contact{Leader: leader, Term: term, HeardAt: now.Add(-ago)}
+	}
+	known := heard("a", 2, 300*time.Millisecond)
+	for _, test := range []struct {
+		name            string
+		known, reported council.Contact
+		want            string
+	}{
+		{"first report", council.Contact{}, heard("a", 2, 0), "a"},
+		{"later term", known, heard("b", 3, 400*time.Millisecond), "b"},
+		{"earlier term", known, heard("b", 1, 0), "a"},
+		{"earlier term, but the known leader is silent", heard("a", 2, maxAge+1), heard("b", 1, 0), "b"},
+		{"later term, but silent", known, heard("b", 3, maxAge+1), "a"},
+		{"no leader, or an instance of an earlier release", known, heard("", 0, 0), "a"},
+	} {
+		c := quicktest.New(t)
+		c.Check(test.known.Merge(now, maxAge, test.reported).Leader, quicktest.Equals, test.want, quicktest.Commentf("%s", test.name))
+	}
+	c := quicktest.New(t)
+	c.Check(known.Merge(now, maxAge, heard("a", 2, 0)).HeardAt, quicktest.Equals, now)
+	c.Check(known.Merge(now, maxAge, heard("a", 2, time.Second)).HeardAt, quicktest.Equals, known.HeardAt)
+}
--- a/internal/node/control/control.go
+++ b/internal/node/control/control.go
@@ -18,7 +18,6 @@
 	"lycheevale/internal/base/event"
 	"lycheevale/internal/base/repeat"
 	"lycheevale/internal/member/council"
-	"lycheevale/internal/member/report"
 	"lycheevale/internal/state/consensus"
 	"lycheevale/internal/state/document"
 	"lycheevale/internal/state/voter"
@@ -50,6 +49,9 @@
 	lastContact   map[string]time.Time      // other control instances by name, with the time of their last message
 	state         *leaderState              // nil unless this instance leads
 	leader        string                    // the leader if it is reachable, "" if there is none
+	reported      council.Contact           // the leader as other control instances know it
+	gossiped      council.Contact           // the leader of the own voter that was gossiped last
+	gossipNow     chan struct{}             // wakes the exchange of gossip
 	leaderChanged chan struct{}             // closed when leader or state change
 	lastLed       leadPeriod                // the last period in which this instance led
 	leadership    func() council.Leadership // as the voter last reported it; called with mu held
@@ -67,6 +69,7 @@
 	c := &Control{
 		options: o, name: o.Settings.Address.String(), mux: peer.NewMux(), lastContact: map[string]time.Time{},
 		seeds: o.Settings.Seeds, machine: document.NewMachine(), leaderChanged: make(chan struct{}),
+		gossipNow: make(chan struct{}, 1),
 	}
 	c.leadership = c.voterLeadership
 	c.router = voter.NewRouter(c.mux)
@@ -115,16 +118,14 @@
 	group.Go(func() error { return c.peers.Run(ctx) })
 	group.Go(func() error { return c.runVoter(ctx) })
 	group.Go(func() error { return repeat.Every(ctx, tickInterval, c.tick) })
-	// repeat.Every makes the first call immediately, since the first election needs the links.
-	group.Go(func() error { return repeat.Every(ctx, gossipInterval, c.exchangeGossip) })
+	group.Go(func() error { return c.runGossip(ctx) })
 	return group.Wait()
 }
 
 const (
 	// tickInterval is the time resolution of adapter loads, the shortest of which take 25 ms.
-	tickInterval   = 25 * time.Millisecond
-	gossipInterval = 500 * time.Millisecond
-	voterRestart   = 500 * time.Millisecond
+	tickInterval = 25 * time.Millisecond
+	voterRestart = 500 * time.Millisecond
 )
 
 // runVoter runs the voter of the log, and restarts it after a disk failure, which may be temporary.
@@ -231,65 +232,6 @@
 	return council.SelectVoters(now, instances, council.Options{Voters: council.VotersFor(c.options.Settings.Losses), ReplaceAfter: lostAfter})
 }
 
-// gossip is exchanged by control instances.
-type gossip struct {
-	Known []string `json:"Known"`
-}
-
-// exchangeGossip tells the other control instances that this one is alive, and learns of further ones.
-func (c *Control) exchangeGossip(ctx context.Context) {
-	for _, name := range c.gossipPeers() {
-		c.group.Go(func() error {
-			ctx, cancel := context.WithTimeout(ctx, gossipInterval)
-			defer cancel()
-			var answer gossip
-			if err := c.peers.Call(ctx, name, report.GossipMethod, gossip{Known: c.gossipPeers()}, &answer); err == nil {
-				c.recordGossip(name, answer)
-			}
-			return nil // a broken link is logged by package peer
-		})
-	}
-}
-
-// gossipExpiry is the time without a message after which an instance gets no more gossip, unless it is a seed or a voter.
-const gossipExpiry = 30 * time.Second
-
-func (c *Control) gossipPeers() []string {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	all := map[string]bool{}
-	for _, name := range seedNames(c.seeds) {
-		all[name] = true
-	}
-	now := c.options.Now()
-	for name, at := range c.lastContact {
-		if now.Sub(at) < gossipExpiry {
-			all[name] = true
-		} else {
-			delete(c.lastContact, name)
-		}
-	}
-	if c.voter != nil {
-		for _, m := range c.voter.Status().Config.Members {
-			all[m.Name] = true
-		}
-	}
-	delete(all, c.name)
-	return slices.Sorted(maps.Keys(all))
-}
-
-// recordGossip records a message of another instance. Instances that it names get gossip, and count as alive once they answer.
-func (c *Control) recordGossip(name string, g gossip) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	c.lastContact[name] = c.options.Now()
-	for _, other := range g.Known {
-		if _, known := c.lastContact[other]; !known && other != c.name {
-			c.lastContact[other] = c.options.Now().Add(-lostAfter)
-		}
-	}
-}
-
 // voterLeadership returns the leadership that the voter last reported. The caller holds c.mu.
 func (c *Control) voterLeadership() council.Leadership {
 	if c.voter == nil {
@@ -328,31 +270,19 @@
 			slog.Uint64("Document", c.machine.Stored().Version))
 		c.notifyLeaderChange()
 	}
-	if leader := c.reachableLeader(); leader != c.leader {
-		c.leader = leader
-		c.notifyLeaderChange()
+	c.updateLeader()
+	if own := c.gossipContact(); own.Leader != "" && (own.Leader != c.gossiped.Leader || own.Term != c.gossiped.Term) {
+		c.gossiped = own
+		select {
+		case c.gossipNow <- struct{}{}:
+		default:
+		}
 	}
 	if c.state != nil && c.actingTerm() == c.state.term {
 		c.state.tick(ctx)
 	}
 }
 
-// reachableLeader returns the leader, unless it has sent nothing for a few heartbeats, so that calls to it would time out. The caller
-// holds c.mu.
-func (c *Control) reachableLeader() string {
-	if c.voter == nil {
-		return ""
-	}
-	s := c.voter.Status()
-	if s.Role != consensus.Leader && c.options.Now().Sub(s.LastContact) > leaderTimeout {
-		return ""
-	}
-	return s.Leader
-}
-
-// leaderTimeout is three heartbeats.
-const leaderTimeout = 3 * heartbeatInterval
-
 // notifyLeaderChange wakes goroutines that wait for a leader. The caller holds c.mu.
 func (c *Control) notifyLeaderChange() {
 	close(c.leaderChanged)
--- a/internal/node/control/interface.go
+++ b/internal/node/control/interface.go
@@ -38,7 +38,7 @@
 func (c *Control) handle() {
 	c.mux.Handle(report.GossipMethod, peer.Typed(func(_ context.Context, from string, g gossip) (gossip, error) {
 		c.recordGossip(from, g)
-		return gossip{Known: c.gossipPeers()}, nil
+		return c.ownGossip(), nil
 	}))
 	c.mux.Handle(report.SyncMethod, peer.Typed(c.handleSync))
 	c.mux.Handle(report.PlaceMethod, peer.Typed(c.handlePlace))
