Leave a silent leader when another one is followed

Cause: an attempt to propose waits 900 ms for an answer, as long as the whole change of an operator may take. A change that is sent to a leader that has just fallen silent is refused as a whole, even if the own voter follows a new leader after half of that time.

Change: the client looks at the followed leader each 20 ms while it waits. If it has changed, the attempt ends and the proposal goes to the new leader at once. Nothing is sent twice without a change of the leader, so slow links carry a large configuration once; commands are idempotent by version. Ruled out: a shorter timeout for the first attempt, since a slow leader is still the only one that can answer, and a second request to it while the first is under way.

TestChangeLeavesSilentLeader failed before: both remaining voters gave up after 900 ms although one of them led by then. Package voter passes.

--- a/internal/state/voter/client.go
+++ b/internal/state/voter/client.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/zeebo/errs"
+	"golang.org/x/sync/errgroup"
 
 	"github.com/cenkalti/backoff/v5"
 
@@ -45,11 +46,11 @@
 	call     peer.Caller
 	method   string
 	peers    func() []string
-	followed func() string // the leader that this instance's own voter follows, "" if it knows none
+	followed func() string // the leader that this instance follows, "" if it knows none
 	mu       sync.Mutex
 	leader   string // last instance that led
-	// failed is the voter that did not answer last. It is not tried before retryAt, because the others report it as
-	// their leader until their election timeouts have passed.
+	// failed is the voter that did not answer last. It is not tried before retryAt, because the others report it as their
+	// leader until their election timeouts have passed.
 	failed  string
 	retryAt time.Time
 }
@@ -67,8 +68,10 @@
 	// avoidDuration is about the longest election timeout.
 	avoidDuration = 1200 * time.Millisecond
 	// attemptTimeout allows two round trips between regions and a sync, and leaves time to try another voter within the
-	// 2 s allowed for a change.
+	// 2 s allowed for a change. An attempt ends sooner if this instance follows another leader meanwhile.
 	attemptTimeout = 900 * time.Millisecond
+	// followInterval is the time between two looks at the followed leader during an attempt.
+	followInterval = 20 * time.Millisecond
 )
 
 // Propose sends the proposal to one voter after the other until one accepts it or ctx ends; state machines recognise
@@ -133,11 +136,8 @@
 	if to == "" {
 		return nil, ErrNoLeader
 	}
-	ctx, cancel := context.WithTimeout(ctx, attemptTimeout)
-	defer cancel()
 	var answer proposalResult
-	if err := c.call(ctx, to, c.method, proposal{Data: data}, &answer); err != nil {
-		c.setFailed(to)
+	if err := c.callFollowed(ctx, to, proposal{Data: data}, &answer); err != nil {
 		return nil, fmt.Errorf("%w: %w", ErrOutcomeUnknown, err)
 	}
 	switch answer.Outcome {
@@ -154,6 +154,37 @@
 	return nil, ErrOutcomeUnknown
 }
 
+// callFollowed calls one voter. It gives up when this instance follows another leader than before the call, to which the caller
+// proposes next.
+func (c *Client) callFollowed(ctx context.Context, to string, p proposal, answer *proposalResult) error {
+	ctx, cancel := context.WithTimeout(ctx, attemptTimeout)
+	before, next := c.followed(), ""
+	watch := errgroup.Group{}
+	watch.Go(func() error {
+		ticker := time.NewTicker(followInterval)
+		defer ticker.Stop()
+		for {
+			select {
+			case <-ctx.Done():
+				return nil
+			case <-ticker.C:
+			}
+			if leader := c.followed(); leader != "" && leader != before && leader != to {
+				next = leader
+				cancel()
+				return nil
+			}
+		}
+	})
+	err := c.call(ctx, to, c.method, p, answer)
+	cancel()
+	_ = watch.Wait() // never fails
+	if err != nil {
+		c.setFailed(to, next)
+	}
+	return err
+}
+
 func (c *Client) setLeader(name string) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -163,8 +194,9 @@
 	}
 }
 
-func (c *Client) setFailed(name string) {
+// setFailed records that a voter did not answer, and the leader that is followed in its place, if any.
+func (c *Client) setFailed(name, leader string) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.leader, c.failed, c.retryAt = "", name, time.Now().Add(avoidDuration)
+	c.leader, c.failed, c.retryAt = leader, name, time.Now().Add(avoidDuration)
 }
--- a/internal/state/voter/failover_test.go
+++ b/internal/state/voter/failover_test.go
@@ -92,6 +92,38 @@
 	})
 }
 
+// A leader falls silent, and a change is sent to it by both other voters shortly before one of them is elected. Guards against waiting for the
+// silent leader as long as the caller waits, although the own voter follows another leader meanwhile.
+func TestChangeLeavesSilentLeader(t *testing.T) {
+	const callerPatience = 900 * time.Millisecond
+	virtualtime.Test(t, func(t *testing.T) {
+		c := newCluster(t, 30*time.Millisecond)
+		defer c.stopAll()
+		c.silent = true
+		for id, name := range c.names {
+			c.change(name, id)
+		}
+		c.kill(c.leader())
+		time.Sleep(600 * time.Millisecond)
+		group := errgroup.Group{}
+		for id, name := range c.names {
+			n := c.node(name)
+			if n == nil {
+				continue
+			}
+			group.Go(func() error {
+				start := time.Now()
+				ctx, cancel := context.WithTimeout(context.Background(), callerPatience)
+				defer cancel()
+				_, err := n.voter.Propose(ctx, modelCommand(len(c.names)+id))
+				qt.Check(t, err, qt.IsNil, qt.Commentf("%s after %v, leader %s", name, time.Since(start), n.voter.Status().Leader))
+				return nil
+			})
+		}
+		_ = group.Wait()
+	})
+}
+
 // Guards against an election caused by a slow link that loses requests and answers.
 func TestSlowLossyLinkCausesNoElection(t *testing.T) {
 	const lossPercent = 10
