Follow a redirect before the leader that the own voter still follows

Cause: each attempt starts from the leader that the own voter follows. If that one has just been replaced and names its successor, the instance asks it again, and so on until the own voter has heard the successor, at most for the whole time of the change.

Change: an attempt that follows a redirect goes where the redirect points. At most one redirect in a row is followed without a delay, as before.

TestRedirectGoesBeforeFollowedLeader failed before: the replaced leader was asked until the caller's 900 ms had ended.

--- a/internal/state/voter/client.go
+++ b/internal/state/voter/client.go
@@ -86,7 +86,7 @@
 	wait.InitialInterval, wait.MaxInterval = initialRetryInterval, maxRetryInterval
 	followed := false // this attempt follows a redirect without a delay; two voters may redirect to each other
 	for attempt := 0; ; attempt++ {
-		to := c.target(attempt)
+		to := c.target(attempt, followed)
 		result, err := c.try(ctx, to, data)
 		switch {
 		case err == nil || errs.Is(err, ErrTooLarge):
@@ -106,10 +106,11 @@
 	}
 }
 
-func (c *Client) target(attempt int) string {
+// target returns the instance for the next attempt. A redirect is newer than what this instance follows.
+func (c *Client) target(attempt int, redirected bool) string {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if leader := c.followed(); leader != "" && !c.isAvoided(leader) {
+	if leader := c.followed(); leader != "" && !redirected && !c.isAvoided(leader) {
 		c.leader = leader
 	}
 	peers := c.peers()
--- a/internal/state/voter/client_internal_test.go
+++ b/internal/state/voter/client_internal_test.go
@@ -3,8 +3,11 @@
 import (
 	"context"
 	"testing"
+	"time"
 
 	qt "github.com/frankban/quicktest"
+
+	"lycheevale/internal/base/virtualtime"
 )
 
 // An instance was replaced as a voter while it was suspended, and its own voter knows no leader. Guards against asking all instances in turn in place
@@ -26,3 +29,25 @@
 	}
 	qt.Check(t, asked, qt.DeepEquals, []string{"a", "f", "f"})
 }
+
+// The followed leader has just been replaced, and states that. Guards against asking it again and again in place of the leader that it names.
+func TestRedirectGoesBeforeFollowedLeader(t *testing.T) {
+	virtualtime.Test(t, func(t *testing.T) {
+		var asked []string
+		call := func(_ context.Context, to, _ string, _, result any) error {
+			asked = append(asked, to)
+			answer := result.(*proposalResult)
+			if *answer = (proposalResult{Outcome: outcomeNotLeader, Leader: "b"}); to == "b" {
+				*answer = proposalResult{Outcome: outcomeDone}
+			}
+			return nil
+		}
+		c := NewClient(call, "Config", func() []string { return []string{"a", "b", "c"} })
+		c.followed = func() string { return "c" }
+		ctx, cancel := context.WithTimeout(context.Background(), 900*time.Millisecond)
+		defer cancel()
+		_, err := c.Propose(ctx, []byte("x"))
+		qt.Check(t, err, qt.IsNil)
+		qt.Check(t, asked, qt.DeepEquals, []string{"c", "b"})
+	})
+}
