Keep proposing to a followed leader after a broken link

Cause: after any failed call the client avoids the instance for 1.2 s, because others name a lost leader until their election timeouts have passed. When only the link to the leader breaks, and is dialled again after 50 ms, the instance's changes go to instances that do not lead, each with the whole configuration, and are refused for longer than an operator's change may take (0.9 s), although its own voter hears the leader all the time.

Change: a leader that the own voter follows is not avoided. If it is lost, calls to it fail at once, or the attempt ends when another one is followed; guesses at other instances could only redirect to it. Avoidance remains where no leader is followed.

TestBrokenLinkDoesNotAvoidFollowedLeader failed before: with a link that is broken for 100 ms the change was refused after 900 ms, and sent to both other instances. TestLeaderLossMeetsTarget, with silent and with refusing leaders, passes.

--- a/internal/state/voter/client.go
+++ b/internal/state/voter/client.go
@@ -49,8 +49,8 @@
 	followed func() string // the leader that this instance follows, "" if it knows none
 	mu       sync.Mutex
 	leader   string // last instance that led
-	// failed is the voter that did not answer last. It is not tried before retryAt, because the others report it as their
-	// leader until their election timeouts have passed.
+	// failed is the voter that did not answer last. Without a followed leader it is not tried before retryAt, because the
+	// others report it as their leader until their election timeouts have passed.
 	failed  string
 	retryAt time.Time
 }
@@ -110,7 +110,7 @@
 func (c *Client) target(attempt int, redirected bool) string {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if leader := c.followed(); leader != "" && !redirected && !c.isAvoided(leader) {
+	if leader := c.followed(); leader != "" && !redirected {
 		c.leader = leader
 	}
 	peers := c.peers()
