Propose to the leader that gossip names where the own voter knows none

Cause: proposals take the leader from the own voter, announcements and reads from the control instance. An instance outside the log keeps the leader that answered its last change, and loses its first change after each loss of a leader, however long the others have followed another one.

Change: the voter takes the leader for proposals from the control instance (voter.WithLeader), which knows it from its voter or from gossip.

TestChangesLeaveSilentLeader (virtual time, six instances, the leader cut off) failed before at the sixth instance, 1.2 and 2.5 s after the loss: the change was refused after 0.9 s. The case 0.6 s after the loss passed. Twelve runs under the race detector pass.

--- a/internal/node/control/control.go
+++ b/internal/node/control/control.go
@@ -137,6 +137,7 @@
 			voter.WithMachine(voter.StateMachine{Apply: machine.Apply, View: machine.View, Restore: machine.Restore}),
 			voter.WithCaller(c.peers.Call), voter.WithPeers(c.desiredPeers), voter.WithLogger(c.options.Logger),
 			voter.WithSnapshotEvery(snapshotEvery, keepEntries), voter.WithMayBootstrap(c.mayBootstrap), voter.WithNow(c.options.Now),
+			voter.WithLeader(c.knownLeader),
 			voter.WithConsensus(consensus.WithElectionTimeout(electionTimeout), consensus.WithHeartbeat(heartbeatInterval), consensus.WithQuickStart()),
 		)
 		c.mu.Lock()
--- a/internal/node/control/gossip.go
+++ b/internal/node/control/gossip.go
@@ -152,6 +152,13 @@
 	return c.reported
 }
 
+// knownLeader returns the leader that calls go to, "" if none is known.
+func (c *Control) knownLeader() string {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.contact().Leader
+}
+
 // updateLeader follows changes of the leader. The caller holds c.mu.
 func (c *Control) updateLeader() {
 	if leader := c.contact().Leader; leader != c.leader {
--- a/internal/node/control/outside_test.go
+++ b/internal/node/control/outside_test.go
@@ -172,3 +172,33 @@
 		})
 	}
 }
+
+// The leader falls silent, and operators send changes shortly before another one is elected. Guards against instances, of which the first five vote, that
+// wait for the silent leader as long as the operator waits, or send it their first change after it was replaced.
+func TestChangesLeaveSilentLeader(t *testing.T) {
+	for _, after := range []time.Duration{600 * time.Millisecond, 1200 * time.Millisecond, 2500 * time.Millisecond} {
+		t.Run(fmt.Sprint("after=", after), func(t *testing.T) {
+			runSite(t, 6, func(s *site) {
+				for n, c := range s.instances {
+					s.Assert(c.Replace(context.Background(), uint64(n+1), []byte(`{}`)), quicktest.IsNil)
+				}
+				lost := s.leader()
+				s.cut(lost, true)
+				time.Sleep(after)
+				group := errgroup.Group{}
+				for n, c := range s.instances {
+					if c == lost {
+						continue
+					}
+					group.Go(func() error {
+						err := c.Replace(context.Background(), uint64(n+11), []byte(`{}`))
+						s.Check(err, quicktest.IsNil, quicktest.Commentf("instance %d", n))
+						return nil
+					})
+				}
+				_ = group.Wait()
+				s.cut(lost, false)
+			})
+		})
+	}
+}
--- a/internal/state/voter/options.go
+++ b/internal/state/voter/options.go
@@ -23,6 +23,8 @@
 	Call    peer.Caller
 	// Peers returns the names of the instances that should be voters, this one included.
 	Peers func() []string
+	// Leader returns the leader as this instance knows it, "" if it knows none; nil for the one that this voter follows.
+	Leader func() string
 	// MayBootstrap reports whether this instance may create the log when no wanted voter has one.
 	MayBootstrap func() bool
 	Logger       *slog.Logger
@@ -61,6 +63,11 @@
 	return func(o *Options) { o.MayBootstrap = f }
 }
 
+// WithLeader sets the function that returns the leader for proposals, for an instance that also learns of it from other sources.
+func WithLeader(f func() string) Option {
+	return func(o *Options) { o.Leader = f }
+}
+
 // WithNow replaces the clock.
 func WithNow(f func() time.Time) Option {
 	return func(o *Options) { o.Now = f }
--- a/internal/state/voter/voter.go
+++ b/internal/state/voter/voter.go
@@ -87,8 +87,11 @@
 	return v
 }
 
-// followed returns the leader that this voter follows, "" if it knows none, as outside the log or after it was removed without notice.
+// followed returns the leader that this instance follows: that of this voter, unless WithLeader states another source.
 func (v *Voter) followed() string {
+	if v.options.Leader != nil {
+		return v.options.Leader()
+	}
 	if s := v.Status(); s.Err == nil {
 		return s.Leader
 	}
