Acknowledge changes that are stored here without asking the leader

Cause: acknowledgements are lost on their way, and an operator sends the change again, to any instance. Each repeat passed a barrier through the log, or the adapter's version itself, and was refused while no leader answered, although the instance had applied the change.

Change: a configuration or version of an adapter that the own state holds, or a newer one, is acknowledged at once. The state holds committed entries only, so the barrier proved nothing more.

TestStoredChangeNeedsNoLeader failed before: all five instances refused both repeats while they were cut off from each other; changes that are not stored are refused before and after.

--- a/internal/node/control/interface.go
+++ b/internal/node/control/interface.go
@@ -86,17 +86,16 @@
 }
 
 // Replace stores a configuration, whose content the caller has decoded and checked. A version that is not higher than the
-// stored one changes nothing and is no error.
+// stored one changes nothing and is no error; it needs no leader, since what is stored here is committed.
 func (c *Control) Replace(ctx context.Context, version uint64, content []byte) (err error) {
 	started := c.options.Now()
 	c.mu.Lock()
 	stored := c.machine.Stored()
 	c.mu.Unlock()
-	command, err := stored.ReplaceCommand(version, content)
-	if err != nil {
-		return Error.Wrap(err)
+	result := document.Result{Version: stored.Version}
+	if !stored.HoldsDocument(version) {
+		result, err = c.proposeDocument(ctx, stored, version, content)
 	}
-	result, err := c.propose(ctx, command)
 	id := event.ChangeApplied
 	if err != nil {
 		id = event.ChangeUncertain
@@ -106,10 +105,16 @@
 	return err
 }
 
-// SetAdapter sets the current version of an adapter.
+// SetAdapter sets the current version of an adapter, like Replace.
 func (c *Control) SetAdapter(ctx context.Context, v document.AdapterVersion) (err error) {
 	started := c.options.Now()
-	result, err := c.propose(ctx, document.Command{Action: document.SetAdapter, Adapter: v})
+	c.mu.Lock()
+	stored := c.machine.Stored()
+	c.mu.Unlock()
+	result := document.Result{Version: stored.Version}
+	if !stored.HoldsAdapter(v) {
+		result, err = c.propose(ctx, document.Command{Action: document.SetAdapter, Adapter: v})
+	}
 	id := event.ChangeApplied
 	if err != nil {
 		id = event.ChangeUncertain
@@ -120,6 +125,14 @@
 	return err
 }
 
+func (c *Control) proposeDocument(ctx context.Context, stored document.Stored, version uint64, content []byte) (r document.Result, err error) {
+	command, err := stored.ReplaceCommand(version, content)
+	if err != nil {
+		return r, Error.Wrap(err)
+	}
+	return c.propose(ctx, command)
+}
+
 func (c *Control) propose(ctx context.Context, command document.Command) (result document.Result, err error) {
 	defer func() { err = Error.Wrap(err) }()
 	data, err := json.Marshal(command)
--- a/internal/node/control/outside_test.go
+++ b/internal/node/control/outside_test.go
@@ -19,6 +19,7 @@
 	"lycheevale/internal/member/report"
 	"lycheevale/internal/member/roster"
 	"lycheevale/internal/state/consensus"
+	"lycheevale/internal/state/document"
 	"lycheevale/internal/wire/peer"
 )
 
@@ -202,3 +203,28 @@
 		})
 	}
 }
+
+// The acknowledgement of a change is lost, and its sender repeats it at each instance in turn while there is no leader. Guards against refusing
+// changes that are stored already.
+func TestStoredChangeNeedsNoLeader(t *testing.T) {
+	runSite(t, 5, func(s *site) {
+		ctx := context.Background()
+		version := document.AdapterVersion{Model: "m", Adapter: "a", Version: 2}
+		s.Assert(s.instances[0].Replace(ctx, 5, []byte(`{}`)), quicktest.IsNil)
+		s.Assert(s.instances[0].SetAdapter(ctx, version), quicktest.IsNil)
+		time.Sleep(time.Second)
+		for _, c := range s.instances {
+			s.cut(c, true)
+		}
+		time.Sleep(3 * time.Second)
+		s.Assert(s.leader(), quicktest.IsNil)
+		for _, c := range s.instances {
+			s.Check(c.Replace(ctx, 5, []byte(`{}`)), quicktest.IsNil)
+			s.Check(c.SetAdapter(ctx, version), quicktest.IsNil)
+			s.Check(c.Replace(ctx, 6, []byte(`{}`)), quicktest.IsNotNil)
+			version.Version = 3
+			s.Check(c.SetAdapter(ctx, version), quicktest.IsNotNil)
+			version.Version = 2
+		}
+	})
+}
--- a/internal/state/document/machine.go
+++ b/internal/state/document/machine.go
@@ -77,13 +77,23 @@
 // ReplaceCommand returns the command that stores a document. If this or a newer version is already stored, it returns a
 // barrier, whose result also proves that the version, or a newer one, is durable.
 func (s Stored) ReplaceCommand(version uint64, content []byte) (c Command, err error) {
-	if version <= s.Version {
+	if s.HoldsDocument(version) {
 		return Command{Action: Barrier}, nil
 	}
 	packed, err := Pack(content)
 	return Command{Action: Replace, Version: version, Packed: packed}, err
 }
 
+// HoldsDocument reports whether this version of the document, or a newer one, is stored.
+func (s Stored) HoldsDocument(version uint64) bool { return version <= s.Version }
+
+// HoldsAdapter reports whether this version of an adapter, or a newer one, is stored.
+func (s Stored) HoldsAdapter(v AdapterVersion) bool {
+	return slices.ContainsFunc(s.Adapters, func(held AdapterVersion) bool {
+		return held.Model == v.Model && held.Adapter == v.Adapter && held.Version >= v.Version
+	})
+}
+
 // NewMachine returns a machine without any document.
 func NewMachine() *Machine { return &Machine{adapterPositions: map[[2]string]int{}} }
 
