Guard calls to an instance without a working disk

Gossip about the leader mends that too; TestInstanceWithoutDiskKnowsLeader keeps it and fails on, at the announcement, the read and the report of an entry. Nothing in the programs changes.

--- a/internal/node/control/outside_test.go
+++ b/internal/node/control/outside_test.go
@@ -6,6 +6,7 @@
 	"log/slog"
 	"net"
 	"net/netip"
+	"os"
 	"path/filepath"
 	"testing"
 	"time"
@@ -28,6 +29,7 @@
 	*quicktest.C
 	network   *network.Network
 	instances []*Control
+	start     func(c *Control)
 }
 
 const siteVoters = 5
@@ -43,10 +45,11 @@
 		s.network.Latency = func(netip.Addr, netip.Addr) time.Duration { return 30 * time.Millisecond }
 		ctx, cancel := context.WithCancel(t.Context())
 		group := errgroup.Group{}
+		s.start = func(c *Control) { group.Go(func() error { return c.Run(ctx) }) }
 		for n := range instances {
 			c := s.newInstance(n, filepath.Join(folder, fmt.Sprint(n)))
 			s.instances = append(s.instances, c)
-			group.Go(func() error { return c.Run(ctx) })
+			s.start(c)
 		}
 		time.Sleep(6 * time.Second)
 		s.Assert(s.leader(), quicktest.IsNotNil)
@@ -138,6 +141,19 @@
 	})
 }
 
+// The disk of an instance fails, and its voter stops. Guards against refusing announcements, reads and changes until the disk works again.
+func TestInstanceWithoutDiskKnowsLeader(t *testing.T) {
+	file := filepath.Join(t.TempDir(), "file")
+	quicktest.Assert(t, os.WriteFile(file, nil, 0o600), quicktest.IsNil)
+	runSite(t, 5, func(s *site) {
+		failed := s.newInstance(5, filepath.Join(file, "folder"))
+		s.start(failed)
+		time.Sleep(2 * time.Second)
+		s.Assert(failed.voter.Status().Err, quicktest.IsNotNil)
+		s.checkServes(failed, 1)
+	})
+}
+
 // A voter is replaced while it does not answer. Guards against one that counts itself as a voter from then on: it campaigned without end, knew
 // no leader and refused announcements, reads and reports, and could not vote again.
 func TestReplacedVoterKnowsLeader(t *testing.T) {
