Name a reported leader only while others hear it

Voters that have stopped calling a silent leader after three heartbeats (0.45 s) took it again from the reports of the others, who had heard the same last heartbeat, until a second after it: entries were sent to it, and calls waited for it.

Change: a report counts for 0.75 s after the leader's last message, and at a voter only if others have heard the leader two heartbeats later than itself.

TestSilentLeaderIsNotNamed failed before: all four remaining voters named the leader 0.6 s after it was cut off. TestLeaderOfOthersIsNamed (a voter that cannot reach the leader names it to entries) and TestReportedLeaderExpires guard the rest.

--- a/internal/node/control/gossip.go
+++ b/internal/node/control/gossip.go
@@ -25,8 +25,11 @@
 	gossipInterval = 500 * time.Millisecond
 	// leaderTimeout is three heartbeats.
 	leaderTimeout = 3 * heartbeatInterval
-	// reportTimeout allows for the loss of one message of each instance that reports the leader.
-	reportTimeout = 2 * gossipInterval
+	// missedContact is the time by which others must have heard the leader later than the own voter: one of the leader's gossips may follow
+	// its last heartbeat.
+	missedContact = 2 * heartbeatInterval
+	// reportTimeout is the age that a report can reach before the next one of the same instance.
+	reportTimeout = gossipInterval + heartbeatInterval + 100*time.Millisecond
 )
 
 // runGossip exchanges gossip periodically, and at once when the own voter follows another leader. The first exchange is immediate, since
@@ -140,8 +143,8 @@
 	return own
 }
 
-// contact returns the leader that calls go to: the one that the own voter hears, or else the one that others report. The caller holds
-// c.mu.
+// contact returns the leader that calls go to: the one that the own voter hears, or else the one that others report, if they have
+// heard it since. The caller holds c.mu.
 func (c *Control) contact() council.Contact {
 	if own := c.ownContact(); own.Leader != "" {
 		return own
@@ -149,6 +152,9 @@
 	if c.reported.Leader == c.name || !c.reported.Current(c.options.Now(), reportTimeout) {
 		return council.Contact{}
 	}
+	if c.voter != nil && c.reported.HeardAt.Sub(c.voter.Status().LastContact) <= missedContact {
+		return council.Contact{}
+	}
 	return c.reported
 }
 
--- a/internal/node/control/outside_test.go
+++ b/internal/node/control/outside_test.go
@@ -21,6 +21,7 @@
 	"lycheevale/internal/member/roster"
 	"lycheevale/internal/state/consensus"
 	"lycheevale/internal/state/document"
+	"lycheevale/internal/state/voter"
 	"lycheevale/internal/wire/peer"
 )
 
@@ -90,9 +91,15 @@
 	return nil
 }
 
+func status(c *Control) voter.Status {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.voter.Status()
+}
+
 // votes reports whether an instance votes, according to the leader.
 func (s *site) votes(c *Control) bool {
-	for _, m := range s.leader().voter.Status().Config.Members {
+	for _, m := range status(s.leader()).Config.Members {
 		if m.Name == c.name {
 			return !m.Learner
 		}
@@ -149,7 +156,7 @@
 		failed := s.newInstance(5, filepath.Join(file, "folder"))
 		s.start(failed)
 		time.Sleep(2 * time.Second)
-		s.Assert(failed.voter.Status().Err, quicktest.IsNotNil)
+		s.Assert(status(failed).Err, quicktest.IsNotNil)
 		s.checkServes(failed, 1)
 	})
 }
@@ -174,7 +181,7 @@
 				s.Assert(s.votes(replaced), quicktest.IsFalse)
 				time.Sleep(2 * time.Second)
 				s.checkServes(replaced, 1)
-				s.Check(replaced.voter.Status().Role, quicktest.Equals, consensus.Follower)
+				s.Check(status(replaced).Role, quicktest.Equals, consensus.Follower)
 
 				// The instance takes the place of the next one that is lost.
 				lost := s.leader()
@@ -190,6 +197,54 @@
 	}
 }
 
+// Guards against instances that go on naming a silent leader to entries and calling it because others have heard its last messages, too.
+func TestSilentLeaderIsNotNamed(t *testing.T) {
+	runSite(t, 6, func(s *site) {
+		lost := s.leader()
+		s.cut(lost, true)
+		time.Sleep(leaderTimeout + heartbeatInterval)
+		for n, c := range s.instances[:siteVoters] {
+			if c != lost {
+				s.Check(c.knownLeader(), quicktest.Not(quicktest.Equals), lost.name, quicktest.Commentf("voter %d", n))
+			}
+		}
+		time.Sleep(2 * heartbeatInterval)
+		s.Check(s.instances[5].knownLeader(), quicktest.Not(quicktest.Equals), lost.name, quicktest.Commentf("outside the log"))
+		s.cut(lost, false)
+	})
+}
+
+// A voter and the leader cannot reach each other. Guards against telling entries, which may reach both, that no leader is known.
+func TestLeaderOfOthersIsNamed(t *testing.T) {
+	runSite(t, 5, func(s *site) {
+		leader, apart := s.instances[0], s.instances[1]
+		if s.leader() != leader {
+			leader, apart = s.leader(), leader
+		}
+		s.network.Cut(leader.options.Settings.Address, apart.options.Settings.Address)
+		time.Sleep(3 * time.Second)
+		s.Assert(s.leader(), quicktest.Equals, leader)
+		for range 20 {
+			s.Check(apart.knownLeader(), quicktest.Equals, leader.name)
+			time.Sleep(90 * time.Millisecond)
+		}
+		s.cut(apart, false)
+	})
+}
+
+// Guards against naming a leader of whom nothing new is reported, and against taking it from others that this instance leads.
+func TestReportedLeaderExpires(t *testing.T) {
+	c := quicktest.New(t)
+	now := time.Unix(1_800_000_000, 0)
+	control := New(WithSettings(deployment.Settings{}), WithNow(func() time.Time { return now }))
+	control.recordGossip("b", gossip{Leader: "a", Term: 3, AgeMillis: 100})
+	c.Check(control.knownLeader(), quicktest.Equals, "a")
+	now = now.Add(reportTimeout)
+	c.Check(control.knownLeader(), quicktest.Equals, "")
+	control.recordGossip("c", gossip{Leader: control.name, Term: 4})
+	c.Check(control.knownLeader(), quicktest.Equals, "")
+}
+
 // The leader falls silent, and operators send changes shortly before another one is elected. Guards against instances, of which the first five vote, that
 // wait for the silent leader as long as the operator waits, or send it their first change after it was replaced.
 func TestChangesLeaveSilentLeader(t *testing.T) {
