Continue a stream that has begun also at endpoints that refused it before

Found by reading: a stream that has begun and whose attempt ended, also because the entry itself told it to leave a silent endpoint, was cut at once when the other endpoints were full at that moment, although its own endpoint or one of them would have continued it a moment later. Class: a state of a moment is taken for final, where the caller cannot be told to come back. Change: such a stream waits in steps of 150 ms, for at most 1.5 s of the two for which callers wait, and may go to any endpoint again. Attempts, runs and the retry budget bound it as before.

--- a/internal/serve/forward/forward.go
+++ b/internal/serve/forward/forward.go
@@ -70,31 +70,32 @@
 // exchange is the state of one request while the filters process it.
 type exchange struct {
 	http.ResponseWriter
-	caller       *http.Request
-	ctx          context.Context
-	request      Request
-	index        *document.Index
-	route        *document.Route
-	service      *document.Service
-	customer     *document.Customer
-	body         []byte
-	buffers      *buffers.Account
-	arrived      time.Time
-	deadline     time.Time
-	cost         float64         // charged to the customer's rate
-	tries        int             // endpoints that were tried
-	exclude      []string        // endpoints that are not tried again
-	charged      bool            // the retry budget is charged for the next attempt
-	sent         int             // requests that have reached an endpoint
-	ran          int             // of these, requests that may have run
-	headSent     bool            // the head of the answer has been written
-	sentAt       time.Time       // of the last attempt
-	firstByteAt  time.Time       // of the first byte of the answer
-	lastEndpoint string          // endpoint of the last attempt
-	missingAt    string          // endpoint that did not hold the adapter
-	mayCrash     bool            // it may have crashed the endpoint of the last attempt
-	trial        bool            // it may be sent once with a quarantined part
-	failedAnswer *completeAnswer // error answer of an endpoint, delivered if no later attempt succeeds
+	caller        *http.Request
+	ctx           context.Context
+	request       Request
+	index         *document.Index
+	route         *document.Route
+	service       *document.Service
+	customer      *document.Customer
+	body          []byte
+	buffers       *buffers.Account
+	arrived       time.Time
+	deadline      time.Time
+	cost          float64         // charged to the customer's rate
+	tries         int             // endpoints that were tried
+	exclude       []string        // endpoints that are not tried again
+	charged       bool            // the retry budget is charged for the next attempt
+	sent          int             // requests that have reached an endpoint
+	ran           int             // of these, requests that may have run
+	headSent      bool            // the head of the answer has been written
+	sentAt        time.Time       // of the last attempt
+	interruptedAt time.Time       // when the last attempt that may have run ended without its answer
+	firstByteAt   time.Time       // of the first byte of the answer
+	lastEndpoint  string          // endpoint of the last attempt
+	missingAt     string          // endpoint that did not hold the adapter
+	mayCrash      bool            // it may have crashed the endpoint of the last attempt
+	trial         bool            // it may be sent once with a quarantined part
+	failedAnswer  *completeAnswer // error answer of an endpoint, delivered if no later attempt succeeds
 }
 
 // New returns a handler.
--- a/internal/serve/forward/send.go
+++ b/internal/serve/forward/send.go
@@ -38,6 +38,9 @@
 	for ; ; x.tries++ {
 		c, refused := h.place(x, x.exclude)
 		if refused != nil {
+			if h.awaitEndpoint(x) {
+				continue
+			}
 			return h.giveUp(x, refused)
 		}
 		if refused := h.checkBacklog(x, c); refused != nil {
@@ -54,6 +57,9 @@
 			return nil
 		}
 		h.logRetry(x, c, v, reason)
+		if v == mayHaveRun {
+			x.interruptedAt = h.options.Now()
+		}
 		if x.ctx.Err() != nil || (v == mayHaveRun && !h.repeatable(x)) {
 			return h.giveUp(x, refusal.New(refusal.OutcomeUnknown, "endpoint failed: %s", reason))
 		}
@@ -67,6 +73,28 @@
 	}
 }
 
+// awaitEndpoint waits for an endpoint that may continue a stream which has begun and for which there is none now, also for those that refused it
+// before. It returns false if the stream may not be continued or its caller is about to leave.
+func (h *Handler) awaitEndpoint(x *exchange) bool {
+	if !x.headSent || !h.repeatable(x) || x.tries+1 >= maxEndpointsTried || h.options.Now().Sub(x.interruptedAt) >= streamWait {
+		return false
+	}
+	x.exclude = nil
+	select {
+	case <-x.ctx.Done():
+		return false
+	case <-time.After(awaitPause):
+		return true
+	}
+}
+
+const (
+	// streamWait leaves half a second of the shortest gap in a stream, two seconds, after which callers leave.
+	streamWait = 1500 * time.Millisecond
+	// awaitPause is a few times the time to the first event of a free endpoint.
+	awaitPause = 150 * time.Millisecond
+)
+
 // checkBacklog refuses a request that would wait at its endpoint for much longer than its latency objective, because of the prompts ahead of
 // it. An engine reads all prompts that it has accepted, also those whose callers leave, so that accepting more than it reads in time makes
 // every answer late.
--- a/internal/serve/forward/stream_test.go
+++ b/internal/serve/forward/stream_test.go
@@ -115,3 +115,28 @@
 	r.Check(complete.Load(), quicktest.Equals, int32(streams))
 	r.Check(moved.Load(), quicktest.Equals, int32(1))
 }
+
+// A stream breaks in its middle, and the only other endpoint is full. Guards against ending the answer although the endpoint that began it would
+// continue it a moment later.
+func TestBegunStreamReturnsToItsEndpoint(t *testing.T) {
+	var runs atomic.Int32
+	breaks := func(w http.ResponseWriter, q *http.Request) {
+		w.Header().Set("Content-Type", "text/event-stream")
+		if runs.Add(1) == 1 {
+			_, _ = io.WriteString(w, "id: 1\ndata: a\n\n")
+			_ = http.NewResponseController(w).Flush()
+			panic(http.ErrAbortHandler)
+		}
+		_, _ = io.WriteString(w, "id: 2\ndata: b\n\n")
+	}
+	full := streamCodec()
+	full.Reply = func(status int, h http.Header) forward.Reply {
+		reply := streamCodec().Reply(status, h)
+		reply.NotRun = h.Get("Not-Run") != ""
+		return reply
+	}
+	r := newFixture(t, []http.HandlerFunc{breaks, respondFull}, forward.WithCodec(full))
+	w := r.send(http.MethodGet, "/read/x")
+	r.Check(w.Body.String(), quicktest.Equals, "id: 1\ndata: a\n\nid: 2\ndata: b\n\n")
+	r.Check(runs.Load(), quicktest.Equals, int32(2))
+}
