--- a/internal/place/residency/journal.go
+++ b/internal/place/residency/journal.go
@@ -44,7 +44,7 @@
 
 // Snapshot returns one event for each resident adapter of the current version.
 func (p *Placer) Snapshot() (events []Event) {
-	for _, e := range p.endpoints {
+	for _, e := range p.ordered {
 		for _, pl := range e.places {
 			if pl.state == Resident && p.current(pl.holding) {
 				events = append(events, Event{Endpoint: e.ID, Holding: pl.holding})
--- a/internal/place/residency/load_test.go
+++ b/internal/place/residency/load_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math/rand/v2"
 	"slices"
 	"testing"
 	"time"
@@ -130,3 +131,45 @@
 	})
 	quicktest.Check(t, f.refused, quicktest.Equals, 0, quicktest.Commentf("of %d", asked/2))
 }
+
+// Endpoints were compared in the order of a map, and those that can't be the best were passed over before their places were looked at. Guards against
+// choices that differ between two plays of the same requests.
+func TestEqualRequestsAreEquallyPlaced(t *testing.T) {
+	for seed := range uint64(200) {
+		quicktest.Assert(t, playRequests(seed), quicktest.DeepEquals, playRequests(seed), quicktest.Commentf("seed %d", seed))
+	}
+}
+
+// playRequests returns the endpoints that were chosen for the random requests of a seed.
+func playRequests(seed uint64) (chosen []string) {
+	const endpoints = 30
+	random := rand.New(rand.NewPCG(seed, 1))
+	name := func(kind string, n int) string { return fmt.Sprint(kind, random.IntN(n)) }
+	now := time.Unix(1_800_000_000, 0)
+	p := residency.New(residency.Defaults())
+	for e := range endpoints {
+		var held []residency.Holding
+		for range 4 {
+			held = append(held, residency.Holding{Adapter: residency.Adapter{Model: "m", Name: name("a", 200)}, Version: 1})
+		}
+		p.SetEndpoint(now, residency.Endpoint{
+			ID: fmt.Sprint("e", e), DataCentre: name("dc", 3), Models: []string{"m"}, Slots: 5, Accepting: true, Holdings: held,
+		})
+	}
+	for range 200 {
+		now = now.Add(time.Duration(random.IntN(30)) * time.Millisecond)
+		p.SetLoad(name("e", endpoints), float64(random.IntN(65))/64)
+		var uses []residency.Use
+		for range 20 {
+			uses = append(uses, residency.Use{Endpoint: name("e", endpoints), Adapter: residency.Adapter{Model: "m", Name: name("a", 200)}, Count: random.IntN(3)})
+		}
+		p.RecordUses(now, "entry", uses)
+		a := residency.Adapter{Model: "m", Name: name("new", 80)}
+		c, _ := p.Want(now, a, name("dc", 3), true)
+		if c.Order {
+			p.LoadRefused(now.Add(-time.Hour), c.Endpoint, a)
+		}
+		chosen = append(chosen, c.Endpoint)
+	}
+	return chosen
+}
--- a/internal/place/residency/residency.go
+++ b/internal/place/residency/residency.go
@@ -4,6 +4,8 @@
 package residency
 
 import (
+	"slices"
+	"strings"
 	"time"
 
 	"lycheevale/internal/base/locality"
@@ -107,6 +109,7 @@
 type Placer struct {
 	options   Options
 	endpoints map[string]*endpoint
+	ordered   []*endpoint // by identifier, so that equal inputs lead to equal choices
 	versions  map[Adapter]int
 	journal   journal
 	inflight  []transfer
@@ -136,7 +139,7 @@
 		return
 	}
 	p.versions[a] = version
-	for _, e := range p.endpoints {
+	for _, e := range p.ordered {
 		if pl := e.places[a]; pl != nil && pl.state == Resident && !p.current(pl.holding) {
 			p.journal.add(Event{Endpoint: e.ID, Holding: pl.holding, Removed: true})
 		}
@@ -150,8 +153,9 @@
 func (p *Placer) SetEndpoint(now time.Time, s Endpoint) {
 	e := p.endpoints[s.ID]
 	if e == nil {
-		e = &endpoint{addedAt: now, places: map[Adapter]*place{}, dropped: map[Adapter]droppedAdapter{}}
+		e = &endpoint{Endpoint: s, addedAt: now, places: map[Adapter]*place{}, dropped: map[Adapter]droppedAdapter{}}
 		p.endpoints[s.ID] = e
+		p.ordered = slices.Insert(p.ordered, p.position(s.ID), e)
 	}
 	e.Endpoint = s
 	for _, h := range s.Holdings {
@@ -297,6 +301,14 @@
 		}
 	}
 	delete(p.endpoints, id)
+	at := p.position(id)
+	p.ordered = slices.Delete(p.ordered, at, at+1)
+}
+
+// position returns the index in ordered at which an endpoint is or belongs.
+func (p *Placer) position(id string) int {
+	at, _ := slices.BinarySearchFunc(p.ordered, id, func(e *endpoint, id string) int { return strings.Compare(e.ID, id) })
+	return at
 }
 
 // Endpoints returns the IDs of all endpoints in unspecified order.
--- a/internal/place/residency/room.go
+++ b/internal/place/residency/room.go
@@ -132,7 +132,7 @@
 
 // FreePlaces returns the number of places that loads could take immediately.
 func (p *Placer) FreePlaces(now time.Time) (n int) {
-	for _, e := range p.endpoints {
+	for _, e := range p.ordered {
 		if e.Accepting && !now.Before(e.pausedUntil) {
 			n += max(e.Slots-len(e.places), 0)
 		}
@@ -145,7 +145,7 @@
 	if running, waiting := p.countFetches(); p.queueTime(running+waiting) > p.options.MaxWait {
 		return false
 	}
-	for _, e := range p.endpoints {
+	for _, e := range p.ordered {
 		if !e.Accepting || e.Slots == 0 {
 			continue
 		}
@@ -169,7 +169,7 @@
 
 // MakeRoom returns the unloads that keep Options.Spare places free ahead of demand, and marks their places as Leaving.
 func (p *Placer) MakeRoom(now time.Time) (list []Unload) {
-	for _, e := range p.endpoints {
+	for _, e := range p.ordered {
 		if !e.Accepting || e.Slots == 0 || now.Before(e.pausedUntil) {
 			continue
 		}
@@ -209,7 +209,7 @@
 
 // Summary returns the counts as of now.
 func (p *Placer) Summary(now time.Time) (s Summary) {
-	for _, e := range p.endpoints {
+	for _, e := range p.ordered {
 		if !e.Accepting || e.Slots == 0 {
 			continue
 		}
--- a/internal/place/residency/want.go
+++ b/internal/place/residency/want.go
@@ -39,7 +39,7 @@
 	var best *endpoint
 	bestCost := math.Inf(1)
 	running, waiting := p.countFetches()
-	for _, e := range p.endpoints {
+	for _, e := range p.ordered {
 		if slices.Contains(avoid, e.ID) {
 			continue
 		}
@@ -82,7 +82,7 @@
 // cheapestHolder returns the endpoint, among those that hold or load the adapter, where its use costs least, and that cost.
 func (p *Placer) cheapestHolder(now time.Time, a Adapter, dataCentre string, avoid []string) (c Choice, cost float64) {
 	cost = math.Inf(1)
-	for _, e := range p.endpoints {
+	for _, e := range p.ordered {
 		pl := e.places[a]
 		if pl == nil || !e.Accepting || !p.current(pl.holding) || slices.Contains(avoid, e.ID) {
 			continue
