Handle queued messages of the log before its timeouts

Change: the queue first, then the clock. Both belong to the same moment, so no rule of the log depends on their order; answers that still lie in sockets are not helped.

--- a/internal/state/voter/voter.go
+++ b/internal/state/voter/voter.go
@@ -173,25 +173,35 @@
 	defer ticker.Stop()
 	l.publish(ctx)
 	for {
+		due := false
 		select {
 		case <-ctx.Done():
 			return nil
 		case <-ticker.C:
-			l.replica.Tick(l.now())
-			l.maintainMembership(ctx)
+			due = true
 		case in := <-l.voter.inputs:
 			in(ctx, l)
 		}
-		for n := len(l.voter.inputs); n > 0; n-- {
-			in := <-l.voter.inputs
-			in(ctx, l)
-		}
+		l.step(ctx, due)
 		if err := l.flush(ctx); err != nil {
 			return err
 		}
 	}
 }
 
+// step handles the queued inputs, and then the clock if a tick is due: messages that waited while this process had no processor time count
+// before timeouts do.
+func (l *loop) step(ctx context.Context, due bool) {
+	for n := len(l.voter.inputs); n > 0; n-- {
+		in := <-l.voter.inputs
+		in(ctx, l)
+	}
+	if due {
+		l.replica.Tick(l.now())
+		l.maintainMembership(ctx)
+	}
+}
+
 func (l *loop) now() time.Time { return l.voter.options.Now() }
 
 // flush proposes the pending data as one batch, syncs once and delivers the effects.
