Ask the leader for a place only while a request waits for it

Change: a call whose requests have gone is not made; the time of a call begins with the call, and the entry's own queue is an error of its own; replicas are asked for only if a call is free.

--- a/internal/serve/forward/place.go
+++ b/internal/serve/forward/place.go
@@ -5,10 +5,13 @@
 	"slices"
 	"time"
 
+	"github.com/zeebo/errs"
+
 	"lycheevale/internal/base/locality"
 	"lycheevale/internal/base/refusal"
 	"lycheevale/internal/member/report"
 	"lycheevale/internal/place/pick"
+	"lycheevale/internal/place/residency"
 )
 
 // placement is a placement request to the leader, whose answer several requests may share.
@@ -17,6 +20,7 @@
 	placed     report.PlacementReply
 	err        error
 	answeredAt time.Time
+	waiting    int // requests that wait for it; guarded by the mutex of the Handler
 }
 
 // candidates converts endpoints to candidates with their load as known here. The caller holds h.mu.
@@ -151,7 +155,7 @@
 	h.mu.Unlock()
 	far := h.distance(chosen) == locality.Far
 	if (far && uses >= localReplicaUses) || (busy && uses > 0) || slow {
-		h.requestPlacement(report.PlacementRequest{Adapter: a, DataCentre: h.options.DataCentre, Replicate: busy && !far})
+		h.requestReplicaPlacement(report.PlacementRequest{Adapter: a, DataCentre: h.options.DataCentre, Replicate: busy && !far})
 	}
 }
 
@@ -169,6 +173,7 @@
 func (h *Handler) load(x *exchange, exclude []string) (c choice, refused *refusal.Error) {
 	w := h.requestPlacement(report.PlacementRequest{Adapter: x.request.Adapter, DataCentre: h.options.DataCentre, Missing: x.missingAt, Avoid: exclude})
 	x.missingAt = ""
+	defer h.stopWaiting(w)
 	select {
 	case <-w.done:
 	case <-x.ctx.Done():
@@ -198,38 +203,103 @@
 	return choice{Endpoint: e, version: w.placed.Version, loaded: true}, nil
 }
 
-// requestPlacement asks the leader to place an adapter. Requests that may use any endpoint share one call for each adapter.
+// requestPlacement asks the leader to place an adapter, for a request that waits for the answer until stopWaiting. Requests that may use any
+// endpoint share one call for each adapter.
 func (h *Handler) requestPlacement(q report.PlacementRequest) *placement {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	shared := len(q.Avoid) == 0
 	if w := h.placements[q.Adapter]; w != nil && shared {
+		w.waiting++
 		return w
 	}
-	w := &placement{done: make(chan struct{})}
+	w := &placement{done: make(chan struct{}), waiting: 1}
 	if shared {
 		h.placements[q.Adapter] = w
 	}
+	h.options.Spawn(func() { h.callPlacement(w, q, shared) })
+	return w
+}
+
+// requestReplicaPlacement asks the leader for a replica, for which no request waits, unless others use all calls.
+func (h *Handler) requestReplicaPlacement(q report.PlacementRequest) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if h.placements[q.Adapter] != nil || !h.placing.TryAcquire(1) {
+		return
+	}
+	w := &placement{done: make(chan struct{})}
+	h.placements[q.Adapter] = w
 	h.options.Spawn(func() {
-		ctx, cancel := context.WithTimeout(context.Background(), placementTimeout)
-		defer cancel()
-		if w.err = h.placing.Acquire(ctx, 1); w.err == nil {
-			w.placed, w.err = h.options.RequestPlacement(ctx, q)
-			h.placing.Release(1)
-		}
-		w.placed.InMillis = min(w.placed.InMillis, maxLoadTime.Milliseconds())
-		w.answeredAt = h.options.Now()
-		close(w.done)
-		if !shared {
-			return
-		}
-		// Requests that arrive while the adapter is being loaded share the answer.
-		time.Sleep(time.Duration(w.placed.InMillis) * time.Millisecond)
-		h.mu.Lock()
-		defer h.mu.Unlock()
-		delete(h.placements, q.Adapter)
+		h.askLeader(w, q)
+		h.finishPlacement(w, q, true)
 	})
-	return w
+}
+
+// callPlacement calls the leader once it is this call's turn.
+func (h *Handler) callPlacement(w *placement, q report.PlacementRequest, shared bool) {
+	ctx, cancel := context.WithTimeout(context.Background(), placementTimeout)
+	defer cancel()
+	w.err = h.placing.Acquire(ctx, 1)
+	switch {
+	case w.err != nil:
+		w.err = errTurn
+	case h.abandon(w, q.Adapter):
+		h.placing.Release(1)
+		w.err = errTurn
+	default:
+		h.askLeader(w, q)
+	}
+	h.finishPlacement(w, q, shared)
+}
+
+// errTurn ends requests for a place that others at this entry have kept from the leader.
+var errTurn = errs.New("other requests for adapters wait for the leader")
+
+// askLeader calls the leader and records its answer. The caller has acquired one of the calls.
+func (h *Handler) askLeader(w *placement, q report.PlacementRequest) {
+	defer h.placing.Release(1)
+	ctx, cancel := context.WithTimeout(context.Background(), placementTimeout)
+	defer cancel()
+	w.placed, w.err = h.options.RequestPlacement(ctx, q)
+	w.placed.InMillis = min(w.placed.InMillis, maxLoadTime.Milliseconds())
+}
+
+func (h *Handler) finishPlacement(w *placement, q report.PlacementRequest, shared bool) {
+	w.answeredAt = h.options.Now()
+	close(w.done)
+	if !shared {
+		return
+	}
+	// Requests that arrive while the adapter is being loaded share the answer.
+	time.Sleep(time.Duration(w.placed.InMillis) * time.Millisecond)
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.forgetPlacement(w, q.Adapter)
+}
+
+// forgetPlacement makes later requests for the adapter ask anew. The caller holds h.mu.
+func (h *Handler) forgetPlacement(w *placement, a residency.Adapter) {
+	if h.placements[a] == w {
+		delete(h.placements, a)
+	}
+}
+
+// abandon reports whether no request waits for a placement any more, and forgets it then.
+func (h *Handler) abandon(w *placement, a residency.Adapter) bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if w.waiting > 0 {
+		return false
+	}
+	h.forgetPlacement(w, a)
+	return true
+}
+
+func (h *Handler) stopWaiting(w *placement) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	w.waiting--
 }
 
 // maxPlacements is the number of requests for places that an entry has at the leader at a time; others wait here. A leader that is slower than
