--- a/internal/member/report/encoding_test.go
+++ b/internal/member/report/encoding_test.go
@@ -15,7 +15,7 @@
 )
 
 var (
-	suspect = quarantine.Part{Service: "s", ID: "91bd"}
+	suspect = quarantine.Signature{Service: "s", ID: "91bd"}
 	holding = residency.Holding{Adapter: residency.Adapter{Model: "m", Name: "a7"}, Version: 3}
 	entry   = report.Entry{
 		Name: "edge-1", Address: netip.MustParseAddr("10.0.0.9"), DataCentre: "east", Deputies: 2, Term: 4, Directory: 6, Placement: 9, Active: map[string]int{"i-1": 2},
@@ -25,7 +25,7 @@
 			Incarnation: quarantine.Incarnation{Endpoint: "i-1", Born: 5}, Service: "s", AgoMillis: 80,
 			Exposed: []quarantine.Exposure{{ID: "5c1e", WaitedMillis: 300, Acknowledged: true}},
 		}},
-		Begins: []quarantine.Begin{{Part: suspect, AgoMillis: 20}}, Suspects: 3, Quarantine: 2,
+		Begins: []quarantine.Begin{{Signature: suspect, AgoMillis: 20}}, Suspects: 3, Quarantine: 2,
 		Refused: map[string]quarantine.Refusals{"5c1e": {Total: 2, Alone: 1}},
 	}
 	update = report.Update{
@@ -36,7 +36,7 @@
 		Events:       []residency.Event{{Endpoint: "i-1", Holding: holding, Removed: true}},
 		Grants:       map[string]quota.Grant{"c": {Share: 30, Extra: 1000}},
 		DeputyChange: 2, Deputies: []report.Deputy{{Address: netip.MustParseAddr("10.0.0.9"), DataCentre: "east"}},
-		SuspectRevision: 3, Suspects: []quarantine.Part{suspect}, QuarantineRevision: 2, Quarantine: []quarantine.Part{suspect}, Trials: []string{"5c1e"},
+		SuspectRevision: 3, Suspects: []quarantine.Signature{suspect}, QuarantineRevision: 2, Quarantine: []quarantine.Signature{suspect}, Trials: []string{"5c1e"},
 	}
 )
 
@@ -56,6 +56,32 @@
 	c.Check(u, quicktest.CmpEquals(same, cmp.Comparer(func(a, b netip.AddrPort) bool { return a == b })), update)
 }
 
+// Messages as the release before signatures of several kinds encoded them.
+const (
+	earlierEntry  = `"r2ROYW1lZmVkZ2UtMWdBZGRyZXNzRAoAAAlqRGF0YUNlbnRyZWRlYXN0aERlcHV0aWVzAmRUZXJtBGlEaXJlY3RvcnkGaVBsYWNlbWVudAlmQWN0aXZloWNpLTECZFVzZXOBhGNpLTGiZU1vZGVsYW1kTmFtZWJhNwMCaUN1c3RvbWVyc6FhY4X7QF4AAAAAAAD7QD4AAAAAAAD7QHkAAAAAAAD7QI9AAAAAAAD7QIXgAAAAAABnQ3Jhc2hlc4GEgmNpLTEFYXMYUIGDZDVjMWUZASz1ZkJlZ2luc4GCgmFzZDkxYmQUaFN1c3BlY3RzA2pRdWFyYW50aW5lAmdSZWZ1c2VkoWQ1YzFlggIB"`
+	earlierUpdate = `"sGdMZWFkaW5n9WRUZXJtBGhEb2N1bWVudAdnQ29udGVudEZwYWNrZWRpRGlyZWN0b3J5BmlFbmRwb2ludHOBiGNpLTFhc2RlYXN0RgoAAAFQAAQA9IFhbWZFdmVudHOBg2NpLTGDYW1iYTcD9WdSdW5uaW5nggIAZkdyYW50c6FhY4L7QD4AAAAAAAD7QI9AAAAAAABsRGVwdXR5Q2hhbmdlAmhEZXB1dGllc4GCRAoAAAlkZWFzdG9TdXNwZWN0UmV2aXNpb24DaFN1c3BlY3RzgYJhc2Q5MWJkclF1YXJhbnRpbmVSZXZpc2lvbgJqUXVhcmFudGluZYGCYXNkOTFiZGZUcmlhbHOBZDVjMWU="`
+)
+
+// Guards against a change that instances of the release before cannot read, or whose messages this one cannot read.
+func TestEarlierEncoding(t *testing.T) {
+	c := quicktest.New(t)
+	data, err := json.Marshal(entry)
+	c.Assert(err, quicktest.IsNil)
+	c.Check(string(data), quicktest.Equals, earlierEntry)
+	data, err = json.Marshal(update)
+	c.Assert(err, quicktest.IsNil)
+	c.Check(string(data), quicktest.Equals, earlierUpdate)
+	var e report.Entry
+	c.Assert(json.Unmarshal([]byte(earlierEntry), &e), quicktest.IsNil)
+	c.Check(e.Crashes, quicktest.DeepEquals, entry.Crashes)
+	c.Check(e.Begins, quicktest.DeepEquals, entry.Begins)
+	c.Check(e.Refused, quicktest.DeepEquals, entry.Refused)
+	var u report.Update
+	c.Assert(json.Unmarshal([]byte(earlierUpdate), &u), quicktest.IsNil)
+	c.Check(u.Quarantine, quicktest.DeepEquals, update.Quarantine)
+	c.Check(u.Suspects, quicktest.DeepEquals, update.Suspects)
+}
+
 // Guards against a message that makes the decoder panic.
 func FuzzDecode(f *testing.F) {
 	for _, v := range []any{entry, update} {
--- a/internal/member/report/report.go
+++ b/internal/member/report/report.go
@@ -42,8 +42,8 @@
 	Crashes    []quarantine.Crash   `json:"Crashes,omitempty"`
 	Begins     []quarantine.Begin   `json:"Begins,omitempty"`     // of the suspects
 	Suspects   uint64               `json:"Suspects,omitempty"`   // known revision of the suspects
-	Quarantine uint64               `json:"Quarantine,omitempty"` // known revision of the quarantined parts
-	// Refused counts requests since the last report, by quarantined part.
+	Quarantine uint64               `json:"Quarantine,omitempty"` // known revision of the quarantined signatures
+	// Refused counts requests since the last report, by identifier of a quarantined signature.
 	Refused map[string]quarantine.Refusals `json:"Refused,omitempty"`
 }
 
@@ -78,11 +78,11 @@
 	Entries      int                    `json:"Entries,omitempty"`
 	EveryMillis  int64                  `json:"EveryMillis,omitempty"` // interval of reports in milliseconds
 
-	SuspectRevision    uint64            `json:"SuspectRevision,omitempty"`
-	Suspects           []quarantine.Part `json:"Suspects,omitempty"` // parts of prompts whose begins are to be reported, if their revision has changed
-	QuarantineRevision uint64            `json:"QuarantineRevision,omitempty"`
-	Quarantine         []quarantine.Part `json:"Quarantine,omitempty"` // all quarantined parts, if their revision has changed
-	Trials             []string          `json:"Trials,omitempty"`     // quarantined parts that one request each may try
+	SuspectRevision    uint64                 `json:"SuspectRevision,omitempty"`
+	Suspects           []quarantine.Signature `json:"Suspects,omitempty"` // signatures whose begins are to be reported, if their revision has changed
+	QuarantineRevision uint64                 `json:"QuarantineRevision,omitempty"`
+	Quarantine         []quarantine.Signature `json:"Quarantine,omitempty"` // all quarantined signatures, if their revision has changed
+	Trials             []string               `json:"Trials,omitempty"`     // identifiers of quarantined signatures that one request each may try
 }
 
 // Deputy is an entry that lends tokens while no leader answers.
--- a/internal/member/view/view.go
+++ b/internal/member/view/view.go
@@ -34,9 +34,9 @@
 	deputies       []report.Deputy
 	deputyRevision uint64 // revision of deputies
 
-	suspects           []quarantine.Part
+	suspects           []quarantine.Signature
 	suspectRevision    uint64
-	quarantined        map[string]bool // parts of prompts that no endpoint gets
+	quarantined        map[string]bool // identifiers of signatures that no endpoint gets
 	quarantineRevision uint64
 }
 
@@ -157,27 +157,27 @@
 		return false
 	}
 	v.quarantined, v.quarantineRevision = map[string]bool{}, u.QuarantineRevision
-	for _, p := range u.Quarantine {
-		v.quarantined[p.ID] = true
+	for _, s := range u.Quarantine {
+		v.quarantined[s.ID] = true
 	}
 	return true
 }
 
-// Suspects returns the parts of prompts whose begins the leader wants to know. The caller must not change the list.
-func (v *View) Suspects() []quarantine.Part {
+// Suspects returns the signatures whose begins the leader wants to know. The caller must not change the list.
+func (v *View) Suspects() []quarantine.Signature {
 	v.mu.RLock()
 	defer v.mu.RUnlock()
 	return v.suspects
 }
 
-// Quarantined returns those of the parts of a prompt that no endpoint gets.
-func (v *View) Quarantined(parts []string) (list []string) {
+// Quarantined returns those of the signatures of a request that no endpoint gets, by their identifiers.
+func (v *View) Quarantined(signatures []string) (list []string) {
 	v.mu.RLock()
 	defer v.mu.RUnlock()
 	if len(v.quarantined) == 0 {
 		return nil
 	}
-	for _, id := range parts {
+	for _, id := range signatures {
 		if v.quarantined[id] {
 			list = append(list, id)
 		}
--- a/internal/node/control/leader.go
+++ b/internal/node/control/leader.go
@@ -46,11 +46,11 @@
 	ended          bool
 
 	detector           *quarantine.Detector
-	suspects           []quarantine.Part
+	suspects           []quarantine.Signature
 	suspectRevision    uint64 // checksum of suspects
 	detectedAt         time.Time
-	quarantineRevision uint64 // of the stored parts that the detector knows
-	quarantining       bool   // a change of the quarantined parts is being proposed
+	quarantineRevision uint64 // of the stored signatures that the detector knows
+	quarantining       bool   // a change of the quarantined signatures is being proposed
 }
 
 // entry is the last report of an entry.
--- a/internal/node/control/quarantine.go
+++ b/internal/node/control/quarantine.go
@@ -21,8 +21,8 @@
 // settleReports is the number of report intervals in which all entries have learned of a suspect and reported its begins.
 const settleReports = 2
 
-// recordParts adds what an entry reports of parts of prompts, and fills in what it needs to know.
-func (ls *leaderState) recordParts(u *report.Update, now time.Time, r report.Entry) {
+// recordSignatures adds what an entry reports of signatures, and fills in what it needs to know.
+func (ls *leaderState) recordSignatures(u *report.Update, now time.Time, r report.Entry) {
 	ls.detector.Record(now, r.Crashes)
 	ls.detector.RecordBegins(now, r.Begins)
 	if u.Trials = ls.detector.Asked(now, r.Refused); len(u.Trials) > 0 {
@@ -37,7 +37,7 @@
 	}
 }
 
-// applyQuarantine passes the stored parts to the detector.
+// applyQuarantine passes the stored signatures to the detector.
 func (ls *leaderState) applyQuarantine(state document.Stored) {
 	if state.QuarantineRevision > ls.quarantineRevision {
 		ls.quarantineRevision = state.QuarantineRevision
@@ -45,7 +45,7 @@
 	}
 }
 
-// detect decides which parts of prompts are quarantined and released. A change is replicated before any entry follows it, so that it
+// detect decides which signatures are quarantined and released. A change is replicated before any entry follows it, so that it
 // survives the leader.
 func (ls *leaderState) detect(ctx context.Context, now time.Time) {
 	if now.Sub(ls.detectedAt) < detectInterval {
@@ -75,14 +75,14 @@
 	})
 }
 
-// checksum returns a value that identifies a list of parts, 0 for an empty one.
-func checksum(parts []quarantine.Part) uint64 {
-	if len(parts) == 0 {
+// checksum returns a value that identifies a list of signatures, 0 for an empty one.
+func checksum(signatures []quarantine.Signature) uint64 {
+	if len(signatures) == 0 {
 		return 0
 	}
 	var text []byte
-	for _, p := range parts {
-		text = slices.Concat(binary.AppendUvarint(text, uint64(len(p.Service))), []byte(p.Service), []byte(p.ID), []byte{0})
+	for _, s := range signatures {
+		text = slices.Concat(binary.AppendUvarint(text, uint64(len(s.Service))), []byte(s.Service), []byte(s.ID), []byte{0})
 	}
 	return xxhash.Sum64(text)
 }
--- a/internal/node/control/updates.go
+++ b/internal/node/control/updates.go
@@ -74,7 +74,7 @@
 	ls.fillDeputies(&u, r)
 	ls.fillState(&u, r)
 	ls.fillPlacement(&u, r)
-	ls.recordParts(&u, now, r)
+	ls.recordSignatures(&u, now, r)
 	return u
 }
 
--- a/internal/place/quarantine/detector.go
+++ b/internal/place/quarantine/detector.go
@@ -9,37 +9,37 @@
 
 // Options are the settings of a Detector.
 type Options struct {
-	// MinRounds is the number of consecutive crashes that blame a part, each of an endpoint to which the part was sent after the crash before.
+	// MinRounds is the number of consecutive crashes that blame a signature, each of an endpoint to which the signature was sent after the crash before.
 	MinRounds int
-	// Decisive is the number of crashes after which parts are blamed that the evidence does not tell apart.
+	// Decisive is the number of crashes after which signatures are blamed that the evidence does not tell apart.
 	Decisive int
-	// Settle is the time from the first crash in which entries can report that the part begins elsewhere.
+	// Settle is the time from the first crash in which entries can report that the signature begins elsewhere.
 	Settle time.Duration
-	// TrialAfter is the time until one request may try a quarantined part; it doubles with each further trial.
+	// TrialAfter is the time until one request may try a quarantined signature; it doubles with each further trial.
 	TrialAfter time.Duration
-	// SharedTrialAfter is the same for the first trial of parts that were blamed together for the same crashes.
+	// SharedTrialAfter is the same for the first trial of signatures that were blamed together for the same crashes.
 	SharedTrialAfter time.Duration
 	MaxTrials        int
-	// ForgetAfter is the time without a request after which a part is released.
-	ForgetAfter time.Duration
-	MaxParts    int // quarantined parts
+	// ForgetAfter is the time without a request after which a signature is released.
+	ForgetAfter    time.Duration
+	MaxQuarantined int // quarantined signatures
 }
 
 // DefaultOptions returns the settings for entries that report each 200 ms.
 func DefaultOptions() Options {
 	return Options{
 		MinRounds: 3, Decisive: 5, Settle: 700 * time.Millisecond, TrialAfter: time.Minute, SharedTrialAfter: time.Second, MaxTrials: 2,
-		ForgetAfter: time.Hour, MaxParts: 256,
+		ForgetAfter: time.Hour, MaxQuarantined: 256,
 	}
 }
 
-// Detector decides at the leader which parts are quarantined. It is not safe for concurrent use.
+// Detector decides at the leader which signatures are quarantined. It is not safe for concurrent use.
 type Detector struct {
 	options     Options
 	crashes     map[Incarnation]*crash
-	begun       map[Part]time.Time
-	quarantined map[Part]*quarantined
-	together    map[Part]bool // parts that were blamed for the same crashes as another one
+	begun       map[Signature]time.Time
+	quarantined map[Signature]*quarantined
+	together    map[Signature]bool // signatures that were blamed for the same crashes as another one
 }
 
 // crash combines the reports of all entries on one crash.
@@ -50,36 +50,36 @@
 	exposed    exposures
 }
 
-// quarantined is a part that no endpoint gets.
+// quarantined is a signature that no endpoint gets.
 type quarantined struct {
 	since   time.Time
 	askedAt time.Time // of the last request that was refused
-	shared  bool      // another part was blamed for the same crashes
+	shared  bool      // another signature was blamed for the same crashes
 	trials  int
 	trialAt time.Time // earliest time of the next trial
 }
 
 // NewDetector returns a detector without records.
 func NewDetector(o Options) *Detector {
-	return &Detector{options: o, crashes: map[Incarnation]*crash{}, begun: map[Part]time.Time{}, quarantined: map[Part]*quarantined{}, together: map[Part]bool{}}
+	return &Detector{options: o, crashes: map[Incarnation]*crash{}, begun: map[Signature]time.Time{}, quarantined: map[Signature]*quarantined{}, together: map[Signature]bool{}}
 }
 
-// SetSettle changes the time in which entries can report that a part begins.
+// SetSettle changes the time in which entries can report that a signature begins.
 func (d *Detector) SetSettle(settle time.Duration) { d.options.Settle = settle }
 
-// SetQuarantined replaces the quarantined parts, as they are stored.
-func (d *Detector) SetQuarantined(now time.Time, parts []Part) {
+// SetQuarantined replaces the quarantined signatures, as they are stored.
+func (d *Detector) SetQuarantined(now time.Time, signatures []Signature) {
 	former := d.quarantined
-	d.quarantined = map[Part]*quarantined{}
-	for _, p := range parts {
-		q := former[p]
+	d.quarantined = map[Signature]*quarantined{}
+	for _, sig := range signatures {
+		q := former[sig]
 		if q == nil {
-			q = &quarantined{since: now, askedAt: now, shared: d.together[p]}
+			q = &quarantined{since: now, askedAt: now, shared: d.together[sig]}
 			q.trialAt = now.Add(d.trialInterval(q))
 		}
-		d.quarantined[p] = q
+		d.quarantined[sig] = q
 	}
-	d.together = map[Part]bool{}
+	d.together = map[Signature]bool{}
 }
 
 // Record adds crashes that an entry reports.
@@ -97,15 +97,15 @@
 			k.at = at
 		}
 		for _, e := range c.Exposed {
-			k.exposed.add(e.ID, exposure{sentAt: ago(at, e.WaitedMillis), acknowledged: e.Acknowledged}, maxRecordedParts)
+			k.exposed.add(e.ID, exposure{sentAt: ago(at, e.WaitedMillis), acknowledged: e.Acknowledged}, maxRecordedExposed)
 		}
 	}
 }
 
 const (
-	// maxRecorded and maxRecordedParts limit the memory for crashes at the leader.
-	maxRecorded      = 256
-	maxRecordedParts = 128
+	// maxRecorded and maxRecordedExposed limit the memory for crashes at the leader.
+	maxRecorded        = 256
+	maxRecordedExposed = 128
 )
 
 func (d *Detector) add(now, at time.Time, c Crash) *crash {
@@ -122,28 +122,28 @@
 
 func (d *Detector) expire(now time.Time) {
 	maps.DeleteFunc(d.crashes, func(_ Incarnation, k *crash) bool { return now.Sub(k.at) > retention })
-	maps.DeleteFunc(d.begun, func(_ Part, at time.Time) bool { return now.Sub(at) > retention })
+	maps.DeleteFunc(d.begun, func(_ Signature, at time.Time) bool { return now.Sub(at) > retention })
 }
 
 // RecordBegins adds begins that an entry reports.
 func (d *Detector) RecordBegins(now time.Time, list []Begin) {
 	for _, b := range list {
-		if at := ago(now, b.AgoMillis); at.After(d.begun[b.Part]) {
-			d.begun[b.Part] = at
+		if at := ago(now, b.AgoMillis); at.After(d.begun[b.Signature]) {
+			d.begun[b.Signature] = at
 		}
 	}
 }
 
-// suspect is a part with the crashes that it was exposed to since it last began, the oldest first.
+// suspect is a signature with the crashes that it was exposed to since it last began, the oldest first.
 type suspect struct {
-	part         Part
+	signature    Signature
 	crashes      []*crash
-	acknowledged int  // crashes in which the endpoint had sent the head of an answer to a request with the part
+	acknowledged int  // crashes in which the endpoint had sent the head of an answer to a request with the signature
 	hasBegun     bool // it has begun before
 }
 
-// evidence counts crashes twice if the endpoint had sent the head of an answer to a request with the part, and half if the part has begun
-// before. While all endpoints are down, common parts do not begin either.
+// evidence counts crashes twice if the endpoint had sent the head of an answer to a request with the signature, and half if the signature has begun
+// before. While all endpoints are down, common signatures do not begin either.
 func (s *suspect) evidence() int {
 	n := len(s.crashes) + s.acknowledged
 	if s.hasBegun {
@@ -152,7 +152,7 @@
 	return n
 }
 
-// minRounds returns the number of consecutive crashes that blame the part.
+// minRounds returns the number of consecutive crashes that blame the signature.
 func (s *suspect) minRounds(o Options) int {
 	if s.hasBegun {
 		return 2 * o.MinRounds
@@ -160,24 +160,24 @@
 	return o.MinRounds
 }
 
-// suspects returns the parts that may have caused crashes, the strongest evidence first. Crashes that a quarantined part explains are left
+// suspects returns the signatures that may have caused crashes, the strongest evidence first. Crashes that a quarantined signature explains are left
 // out.
 func (d *Detector) suspects(explained map[string]bool) []*suspect {
-	all := map[Part]*suspect{}
+	all := map[Signature]*suspect{}
 	for _, k := range slices.SortedFunc(maps.Values(d.crashes), func(a, b *crash) int { return a.at.Compare(b.at) }) {
 		if k.explainedBy(explained) {
 			continue
 		}
 		for id, e := range k.exposed {
-			p := Part{Service: k.service, ID: id}
-			if d.begun[p].After(e.sentAt) {
+			sig := Signature{Service: k.service, ID: id}
+			if d.begun[sig].After(e.sentAt) {
 				continue
 			}
-			s := all[p]
+			s := all[sig]
 			if s == nil {
-				_, hasBegun := d.begun[p]
-				s = &suspect{part: p, hasBegun: hasBegun}
-				all[p] = s
+				_, hasBegun := d.begun[sig]
+				s = &suspect{signature: sig, hasBegun: hasBegun}
+				all[sig] = s
 			}
 			s.crashes = append(s.crashes, k)
 			if e.acknowledged {
@@ -186,13 +186,13 @@
 		}
 	}
 	return slices.SortedFunc(maps.Values(all), func(a, b *suspect) int {
-		return cmp.Or(b.evidence()-a.evidence(), cmp.Compare(a.part.ID, b.part.ID), cmp.Compare(a.part.Service, b.part.Service))
+		return cmp.Or(b.evidence()-a.evidence(), cmp.Compare(a.signature.ID, b.signature.ID), cmp.Compare(a.signature.Service, b.signature.Service))
 	})
 }
 
-func (k *crash) explainedBy(parts map[string]bool) bool {
+func (k *crash) explainedBy(signatures map[string]bool) bool {
 	for id := range k.exposed {
-		if parts[id] {
+		if signatures[id] {
 			return true
 		}
 	}
@@ -201,33 +201,33 @@
 
 func (d *Detector) explained() map[string]bool {
 	ids := map[string]bool{}
-	for p := range d.quarantined {
-		ids[p.ID] = true
+	for sig := range d.quarantined {
+		ids[sig.ID] = true
 	}
 	return ids
 }
 
-// maxSuspects limits the parts about which entries are asked.
+// maxSuspects limits the signatures about which entries are asked.
 const maxSuspects = 32
 
-// Suspects returns the parts whose begins entries should report: those that may have caused crashes, and the quarantined ones.
-func (d *Detector) Suspects() []Part {
-	list := slices.SortedFunc(maps.Keys(d.quarantined), func(a, b Part) int {
+// Suspects returns the signatures whose begins entries should report: those that may have caused crashes, and the quarantined ones.
+func (d *Detector) Suspects() []Signature {
+	list := slices.SortedFunc(maps.Keys(d.quarantined), func(a, b Signature) int {
 		return cmp.Or(cmp.Compare(a.ID, b.ID), cmp.Compare(a.Service, b.Service))
 	})
 	all := d.suspects(d.explained())
 	for _, s := range all[:min(len(all), maxSuspects)] {
-		list = append(list, s.part)
+		list = append(list, s.signature)
 	}
 	return list
 }
 
-// Blame returns further parts to quarantine. A part explains all crashes that it was exposed to, so that parts which only share requests or
+// Blame returns further signatures to quarantine. A signature explains all crashes that it was exposed to, so that signatures which only share requests or
 // endpoints with it are not blamed for them.
-func (d *Detector) Blame(now time.Time) (parts []Part) {
+func (d *Detector) Blame(now time.Time) (signatures []Signature) {
 	d.expire(now)
 	explained := d.explained()
-	for len(d.quarantined)+len(parts) < d.options.MaxParts {
+	for len(d.quarantined)+len(signatures) < d.options.MaxQuarantined {
 		all := d.suspects(explained)
 		i := slices.IndexFunc(all, func(s *suspect) bool { return d.convincing(now, s) && !d.contested(s, all) })
 		if i < 0 {
@@ -237,12 +237,12 @@
 			return s.evidence() != all[i].evidence() || !slices.Equal(s.crashes, all[i].crashes)
 		})
 		for _, s := range blamed {
-			parts = append(parts, s.part)
-			explained[s.part.ID] = true
-			d.together[s.part] = len(blamed) > 1
+			signatures = append(signatures, s.signature)
+			explained[s.signature.ID] = true
+			d.together[s.signature] = len(blamed) > 1
 		}
 	}
-	return parts
+	return signatures
 }
 
 // convincing reports whether enough endpoints crashed one after the other. Simultaneous crashes, as of a rack, are one round.
@@ -252,14 +252,14 @@
 	}
 	rounds, last := 0, time.Time{}
 	for _, k := range s.crashes {
-		if k.exposed[s.part.ID].sentAt.After(last) {
+		if k.exposed[s.signature.ID].sentAt.After(last) {
 			rounds, last = rounds+1, k.at
 		}
 	}
 	return rounds >= s.minRounds(d.options)
 }
 
-// contested reports whether another part explains crashes of a suspect as well or better. Parts with exactly the same crashes do not contest
+// contested reports whether another signature explains crashes of a suspect as well or better. Parts with exactly the same crashes do not contest
 // each other, because no further crash would tell them apart.
 func (d *Detector) contested(s *suspect, all []*suspect) bool {
 	return slices.ContainsFunc(all, func(t *suspect) bool {
@@ -274,7 +274,7 @@
 	return slices.ContainsFunc(s.crashes, func(k *crash) bool { return slices.Contains(t.crashes, k) })
 }
 
-// trialInterval returns the time until the next trial of a part.
+// trialInterval returns the time until the next trial of a signature.
 func (d *Detector) trialInterval(q *quarantined) time.Duration {
 	if q.shared {
 		return d.options.SharedTrialAfter << q.trials
@@ -282,11 +282,11 @@
 	return d.options.TrialAfter << q.trials
 }
 
-// Asked records requests with quarantined parts that an entry has refused, and returns the parts that this entry may try with one request
-// each, to find out whether they were blamed wrongly. With a second quarantined part a request would not show that.
+// Asked records requests with quarantined signatures that an entry has refused, and returns the signatures that this entry may try with one request
+// each, to find out whether they were blamed wrongly. With a second quarantined signature a request would not show that.
 func (d *Detector) Asked(now time.Time, refused map[string]Refusals) (trials []string) {
-	for p, q := range d.quarantined {
-		r := refused[p.ID]
+	for sig, q := range d.quarantined {
+		r := refused[sig.ID]
 		if r.Total > 0 {
 			q.askedAt = now
 		}
@@ -295,17 +295,17 @@
 		}
 		q.trials++
 		q.trialAt = now.Add(d.trialInterval(q))
-		trials = append(trials, p.ID)
+		trials = append(trials, sig.ID)
 	}
 	return trials
 }
 
-// Release returns quarantined parts that have begun or that no request has had for a long time.
-func (d *Detector) Release(now time.Time) (parts []Part) {
-	for p, q := range d.quarantined {
-		if d.begun[p].After(q.since) || now.Sub(q.askedAt) > d.options.ForgetAfter {
-			parts = append(parts, p)
+// Release returns quarantined signatures that have begun or that no request has had for a long time.
+func (d *Detector) Release(now time.Time) (signatures []Signature) {
+	for sig, q := range d.quarantined {
+		if d.begun[sig].After(q.since) || now.Sub(q.askedAt) > d.options.ForgetAfter {
+			signatures = append(signatures, sig)
 		}
 	}
-	return parts
+	return signatures
 }
--- a/internal/place/quarantine/quarantine.go
+++ b/internal/place/quarantine/quarantine.go
@@ -1,16 +1,17 @@
-// Package quarantine finds parts of prompts that crash every endpoint which begins to answer a request with them. Entries record which
-// requests had not begun when an endpoint crashed, and which parts begin elsewhere; the leader decides from the reports of all entries.
-// The package does no I/O.
+// Package quarantine finds what requests have in common that crash every endpoint which begins to answer them. Entries record which requests
+// had not begun when an endpoint crashed, and which signatures begin elsewhere; the leader decides from the reports of all entries. The
+// package does no I/O.
 package quarantine
 
 import "time"
 
-// Part is a part of a prompt at a service. A part may crash the endpoints of one service, and none of another.
-type Part struct {
+// Signature identifies what requests to a service have in common, for instance a part of their prompts. It may crash the endpoints of one
+// service, and none of another.
+type Signature struct {
 	_ struct{} `cbor:",toarray"`
 
 	Service string `json:"Service"`
-	ID      string `json:"ID"`
+	ID      string `json:"ID"` // of the kind that KindOf returns
 }
 
 // Incarnation identifies one run of an endpoint, which crashes at most once.
@@ -31,7 +32,7 @@
 	Exposed     []Exposure  `json:"Exposed"`
 }
 
-// Exposure is a part of a request that an endpoint had accepted and not begun to answer when it crashed.
+// Exposure is a signature of a request that an endpoint had accepted and not begun to answer when it crashed.
 type Exposure struct {
 	_ struct{} `cbor:",toarray"`
 
@@ -40,20 +41,20 @@
 	Acknowledged bool   `json:"Acknowledged"` // the endpoint had sent the head of an answer to such a request
 }
 
-// Begin states when a request with a part last began at an entry: a complete event or answer has arrived.
+// Begin states when a request with a signature last began at an entry: a complete event or answer has arrived.
 type Begin struct {
 	_ struct{} `cbor:",toarray"`
 
-	Part      Part  `json:"Part"`
-	AgoMillis int64 `json:"AgoMillis"`
+	Signature Signature `json:"Part"`
+	AgoMillis int64     `json:"AgoMillis"`
 }
 
-// Refusals counts requests with a quarantined part that an entry has refused.
+// Refusals counts requests with a quarantined signature that an entry has refused.
 type Refusals struct {
 	_ struct{} `cbor:",toarray"`
 
 	Total int `json:"Total"`
-	Alone int `json:"Alone"` // requests without another quarantined part
+	Alone int `json:"Alone"` // requests without another quarantined signature
 }
 
 // ago returns a time that is stated as an age in milliseconds.
--- a/internal/place/quarantine/quarantine_test.go
+++ b/internal/place/quarantine/quarantine_test.go
@@ -25,11 +25,11 @@
 	return []quarantine.Crash{c}
 }
 
-func part(id string) quarantine.Part { return quarantine.Part{Service: "s", ID: id} }
+func part(id string) quarantine.Signature { return quarantine.Signature{Service: "s", ID: id} }
 
 func begin(ago int64, ids ...string) (list []quarantine.Begin) {
 	for _, id := range ids {
-		list = append(list, quarantine.Begin{Part: part(id), AgoMillis: ago})
+		list = append(list, quarantine.Begin{Signature: part(id), AgoMillis: ago})
 	}
 	return list
 }
@@ -43,8 +43,8 @@
 	d.RecordBegins(at(400), begin(0, "common"))
 	c.Check(d.Blame(at(1000)), quicktest.HasLen, 0) // the second crash
 	d.Record(at(1000), crash(3, true, "common", "dead"))
-	c.Check(d.Suspects(), quicktest.DeepEquals, []quarantine.Part{part("dead"), part("common")})
-	c.Check(d.Blame(at(1000)), quicktest.DeepEquals, []quarantine.Part{part("dead")})
+	c.Check(d.Suspects(), quicktest.DeepEquals, []quarantine.Signature{part("dead"), part("common")})
+	c.Check(d.Blame(at(1000)), quicktest.DeepEquals, []quarantine.Signature{part("dead")})
 }
 
 // Endpoints of a rack crash together under requests with a rare part. Guards against counting them as crashes one after the other.
@@ -70,9 +70,9 @@
 		}
 		d.Record(at(400*n+400), crash(n, true, ids...))
 	}
-	c.Check(d.Blame(at(3000)), quicktest.DeepEquals, []quarantine.Part{part("dead")})
-	c.Check(d.Blame(at(3000)), quicktest.DeepEquals, []quarantine.Part{part("dead")}) // until it is stored
-	d.SetQuarantined(at(3000), []quarantine.Part{part("dead")})
+	c.Check(d.Blame(at(3000)), quicktest.DeepEquals, []quarantine.Signature{part("dead")})
+	c.Check(d.Blame(at(3000)), quicktest.DeepEquals, []quarantine.Signature{part("dead")}) // until it is stored
+	d.SetQuarantined(at(3000), []quarantine.Signature{part("dead")})
 	c.Check(d.Blame(at(9000)), quicktest.HasLen, 0)
 }
 
@@ -83,7 +83,7 @@
 	for n := range 8 {
 		d.Record(at(400*n), crash(n, true, []string{"dead1", "dead2"}[n%2], fmt.Sprint("own", n)))
 	}
-	c.Check(d.Blame(at(5000)), quicktest.DeepEquals, []quarantine.Part{part("dead1"), part("dead2")})
+	c.Check(d.Blame(at(5000)), quicktest.DeepEquals, []quarantine.Signature{part("dead1"), part("dead2")})
 }
 
 // A sound part was only sent together with one that crashes endpoints. Guards against refusing it for long: a request that has the sound part
@@ -94,7 +94,7 @@
 	for n := range 3 {
 		d.Record(at(400*n), crash(n, true, "dead", "sound"))
 	}
-	both := []quarantine.Part{part("dead"), part("sound")}
+	both := []quarantine.Signature{part("dead"), part("sound")}
 	c.Assert(d.Blame(at(2000)), quicktest.DeepEquals, both)
 	d.SetQuarantined(at(2000), both)
 	refused := map[string]quarantine.Refusals{"dead": {Total: 3}, "sound": {Total: 4, Alone: 1}}
@@ -103,18 +103,18 @@
 	c.Check(d.Asked(at(3200), refused), quicktest.HasLen, 0)
 	c.Check(d.Release(at(3300)), quicktest.HasLen, 0)
 	d.RecordBegins(at(3400), begin(100, "sound"))
-	c.Check(d.Release(at(3400)), quicktest.DeepEquals, []quarantine.Part{part("sound")})
+	c.Check(d.Release(at(3400)), quicktest.DeepEquals, []quarantine.Signature{part("sound")})
 	d.SetQuarantined(at(3400), both[:1])
 	c.Check(d.Blame(at(4000)), quicktest.HasLen, 0)
 	c.Check(d.Release(at(3200+3600_000)), quicktest.HasLen, 0)
-	c.Check(d.Release(at(3200+3600_001)), quicktest.DeepEquals, []quarantine.Part{part("dead")})
+	c.Check(d.Release(at(3200+3600_001)), quicktest.DeepEquals, []quarantine.Signature{part("dead")})
 }
 
 // Guards against a part that is tried again and again although each trial crashes an endpoint.
 func TestTrialsAreLimited(t *testing.T) {
 	c := quicktest.New(t)
 	d := quarantine.NewDetector(quarantine.DefaultOptions())
-	d.SetQuarantined(at(0), []quarantine.Part{part("dead")})
+	d.SetQuarantined(at(0), []quarantine.Signature{part("dead")})
 	trials := 0
 	for second := range 24 * 3600 {
 		trials += len(d.Asked(start.Add(time.Duration(second)*time.Second), map[string]quarantine.Refusals{"dead": {Total: 1, Alone: 1}}))
@@ -131,13 +131,13 @@
 		c.Check(d.Blame(at(400*n+400)), quicktest.HasLen, 0)
 		d.Record(at(400*n+400), crash(n, true, "turned"))
 	}
-	c.Check(d.Blame(at(3000)), quicktest.DeepEquals, []quarantine.Part{part("turned")})
+	c.Check(d.Blame(at(3000)), quicktest.DeepEquals, []quarantine.Signature{part("turned")})
 }
 
 // attempt returns an attempt at an endpoint.
 func attempt(endpoint string, sentAt time.Time, ids ...string) quarantine.Attempt {
 	return quarantine.Attempt{
-		Incarnation: quarantine.Incarnation{Endpoint: endpoint, Born: 1}, Service: "s", Parts: ids, SentAt: sentAt, Acknowledged: true,
+		Incarnation: quarantine.Incarnation{Endpoint: endpoint, Born: 1}, Service: "s", Signatures: ids, SentAt: sentAt, Acknowledged: true,
 	}
 }
 
@@ -161,7 +161,7 @@
 	c.Check(tracker.Report(at(300), 1), quicktest.HasLen, 0)
 	c.Check(tracker.Report(at(300), 2), quicktest.HasLen, 1) // a new leader
 
-	suspects := []quarantine.Part{part("a"), part("b")}
+	suspects := []quarantine.Signature{part("a"), part("b")}
 	begins := tracker.Begins(at(250), 1, suspects)
 	c.Check(begins, quicktest.DeepEquals, begin(100, "a"))
 	tracker.Delivered(at(250), 1, nil, begins)
@@ -245,7 +245,7 @@
 				incarnation := quarantine.Incarnation{Endpoint: fmt.Sprint(r.endpoint), Born: born[r.endpoint]}
 				switch {
 				case !up(r.endpoint):
-					tracker.Broken(now, quarantine.Attempt{Incarnation: incarnation, Service: "s", Parts: r.parts, SentAt: r.sentAt})
+					tracker.Broken(now, quarantine.Attempt{Incarnation: incarnation, Service: "s", Signatures: r.parts, SentAt: r.sentAt})
 					tracker.Down(now, incarnation)
 				case now.Sub(r.sentAt) >= waitRounds*interval*time.Millisecond:
 					tracker.Begun(now, "s", r.parts)
--- /dev/null
+++ b/internal/place/quarantine/signature.go
@@ -0,0 +1,68 @@
+package quarantine
+
+import (
+	"crypto/sha256"
+	"encoding/binary"
+	"encoding/hex"
+	"strings"
+)
+
+// Kind is what a signature identifies. A request that has a signature of one kind usually shares its signatures of the later kinds with more
+// requests.
+type Kind int
+
+// Kinds of signatures, the narrowest first.
+const (
+	KindRequest Kind = iota // one exact request
+	KindPart                // a part of prompts
+	KindAdapter
+	KindCustomer
+)
+
+// kinds is the number of kinds.
+const kinds = 4
+
+// prefixes begin the identifiers of each kind. Identifiers of parts have one only if they would be taken for another kind, because stored
+// lists and reports of earlier releases contain them as they are.
+var prefixes = [kinds]string{"request:", "part:", "adapter:", "customer:"}
+
+// KindOf returns the kind of the signature with an identifier.
+func KindOf(id string) Kind {
+	for k, prefix := range prefixes {
+		if strings.HasPrefix(id, prefix) {
+			return Kind(k)
+		}
+	}
+	return KindPart
+}
+
+// Request returns the identifier of an exact request, given everything by which it differs from others. It is a digest of 128 bits.
+func Request(fields ...[]byte) string {
+	h := sha256.New()
+	var length [8]byte
+	for _, f := range fields {
+		binary.BigEndian.PutUint64(length[:], uint64(len(f)))
+		h.Write(length[:])
+		h.Write(f)
+	}
+	return prefixes[KindRequest] + hex.EncodeToString(h.Sum(nil)[:digestSize])
+}
+
+// digestSize is the size in bytes of the digest of a request.
+const digestSize = 16
+
+// Part returns the identifier of a part of prompts.
+func Part(name string) string {
+	for _, prefix := range prefixes {
+		if strings.HasPrefix(name, prefix) {
+			return prefixes[KindPart] + name
+		}
+	}
+	return name
+}
+
+// Adapter returns the identifier of an adapter of a model.
+func Adapter(model, name string) string { return prefixes[KindAdapter] + model + "/" + name }
+
+// Customer returns the identifier of a customer.
+func Customer(name string) string { return prefixes[KindCustomer] + name }
--- a/internal/place/quarantine/tracker.go
+++ b/internal/place/quarantine/tracker.go
@@ -6,12 +6,12 @@
 	"time"
 )
 
-// Tracker records at an entry which parts were exposed to crashes, and which ones begin. It is not safe for concurrent use.
+// Tracker records at an entry which signatures were exposed to crashes, and which ones begin. It is not safe for concurrent use.
 type Tracker struct {
 	begun    recentBegins
 	broken   map[Incarnation]*brokenEndpoint
 	crashes  map[Incarnation]*brokenEndpoint // of these, the confirmed ones
-	told     map[Part]time.Time              // begins that the leader of toldTerm has received
+	told     map[Signature]time.Time         // begins that the leader of toldTerm has received
 	toldTerm uint64
 }
 
@@ -27,16 +27,16 @@
 	delivered   uint64 // term of the leader that has received the record
 }
 
-// exposure is the latest request with a part that had not begun.
+// exposure is the latest request with a signature that had not begun.
 type exposure struct {
 	sentAt       time.Time
 	acknowledged bool // the endpoint had sent the head of an answer to one of them
 }
 
-// exposures holds the parts that were exposed to a crash, by identifier.
+// exposures holds the signatures that were exposed to a crash, by identifier.
 type exposures map[string]exposure
 
-// add merges an exposure. Beyond limit parts, an acknowledged one replaces one that is not.
+// add merges an exposure. Beyond limit signatures, an acknowledged one replaces one that is not.
 func (x exposures) add(id string, e exposure, limit int) {
 	merged, known := x[id]
 	if !known && len(x) >= limit && (!e.acknowledged || !x.dropUnacknowledged()) {
@@ -49,7 +49,7 @@
 	x[id] = merged
 }
 
-// dropUnacknowledged removes one part whose requests were not acknowledged, and reports whether there was one.
+// dropUnacknowledged removes one signature whose requests were not acknowledged, and reports whether there was one.
 func (x exposures) dropUnacknowledged() bool {
 	for id, e := range x {
 		if !e.acknowledged {
@@ -66,7 +66,7 @@
 	confirmTime = time.Second
 	// retention is the time for which crashes are evidence.
 	retention = 10 * time.Minute
-	// maxCrashes and maxExposed limit the memory for crashes and the parts of one crash.
+	// maxCrashes and maxExposed limit the memory for crashes and the signatures of one crash.
 	maxCrashes = 128
 	maxExposed = 64
 )
@@ -75,21 +75,21 @@
 func NewTracker() *Tracker {
 	return &Tracker{
 		begun: newRecentBegins(), broken: map[Incarnation]*brokenEndpoint{}, crashes: map[Incarnation]*brokenEndpoint{},
-		told: map[Part]time.Time{},
+		told: map[Signature]time.Time{},
 	}
 }
 
-// Begun records that a request with the parts has begun at an endpoint of a service.
-func (t *Tracker) Begun(now time.Time, service string, parts []string) {
-	for _, id := range parts {
-		t.begun.record(Part{Service: service, ID: id}, now)
+// Begun records that a request with the signatures has begun at an endpoint of a service.
+func (t *Tracker) Begun(now time.Time, service string, signatures []string) {
+	for _, id := range signatures {
+		t.begun.record(Signature{Service: service, ID: id}, now)
 	}
 }
 
-// Proven reports whether all parts have begun here at endpoints of a service.
-func (t *Tracker) Proven(service string, parts []string) bool {
-	for _, id := range parts {
-		if _, known := t.begun.last(Part{Service: service, ID: id}); !known {
+// Proven reports whether all signatures have begun here at endpoints of a service.
+func (t *Tracker) Proven(service string, signatures []string) bool {
+	for _, id := range signatures {
+		if _, known := t.begun.last(Signature{Service: service, ID: id}); !known {
 			return false
 		}
 	}
@@ -100,7 +100,7 @@
 type Attempt struct {
 	Incarnation  Incarnation
 	Service      string
-	Parts        []string
+	Signatures   []string
 	SentAt       time.Time
 	Acknowledged bool // the head of an answer has arrived
 }
@@ -108,7 +108,7 @@
 // Broken records that the connection of an attempt broke. It reports whether the caller should check if the endpoint accepts connections,
 // and pass a failure to Down.
 func (t *Tracker) Broken(now time.Time, a Attempt) (check bool) {
-	if len(a.Parts) == 0 {
+	if len(a.Signatures) == 0 {
 		return false
 	}
 	b := t.endpoint(now, a.Incarnation)
@@ -116,7 +116,7 @@
 		b.at, b.exposed = now, exposures{} // earlier connections were only reset
 	}
 	b.service = a.Service
-	for _, id := range a.Parts {
+	for _, id := range a.Signatures {
 		b.exposed.add(id, exposure{sentAt: a.SentAt, acknowledged: a.Acknowledged}, maxExposed)
 	}
 	b.reported, b.delivered = false, 0
@@ -163,7 +163,7 @@
 	})
 }
 
-// Report returns the crashes that the leader of a term has not received yet, without parts that have begun here after they were exposed.
+// Report returns the crashes that the leader of a term has not received yet, without signatures that have begun here after they were exposed.
 func (t *Tracker) Report(now time.Time, term uint64) (list []Crash) {
 	for i, b := range t.crashes {
 		if b.delivered == term {
@@ -172,7 +172,7 @@
 		b.reported = true
 		c := Crash{Incarnation: i, Service: b.service, AgoMillis: millisSince(now, b.at)}
 		for id, e := range b.exposed {
-			if last, known := t.begun.last(Part{Service: b.service, ID: id}); known && last.After(b.at) {
+			if last, known := t.begun.last(Signature{Service: b.service, ID: id}); known && last.After(b.at) {
 				continue
 			}
 			c.Exposed = append(c.Exposed, Exposure{ID: id, WaitedMillis: millisSince(b.at, e.sentAt), Acknowledged: e.acknowledged})
@@ -195,14 +195,14 @@
 	return false
 }
 
-// Begins returns when requests with the given parts last began here, unless the leader of the term knows it.
-func (t *Tracker) Begins(now time.Time, term uint64, parts []Part) (list []Begin) {
+// Begins returns when requests with the given signatures last began here, unless the leader of the term knows it.
+func (t *Tracker) Begins(now time.Time, term uint64, signatures []Signature) (list []Begin) {
 	if term != t.toldTerm {
-		t.told, t.toldTerm = map[Part]time.Time{}, term
+		t.told, t.toldTerm = map[Signature]time.Time{}, term
 	}
-	for _, p := range parts {
-		if at, known := t.begun.last(p); known && at.After(t.told[p]) {
-			list = append(list, Begin{Part: p, AgoMillis: millisSince(now, at)})
+	for _, sig := range signatures {
+		if at, known := t.begun.last(sig); known && at.After(t.told[sig]) {
+			list = append(list, Begin{Signature: sig, AgoMillis: millisSince(now, at)})
 		}
 	}
 	return list
@@ -219,33 +219,33 @@
 		return
 	}
 	if len(t.told) > maxGeneration {
-		t.told = map[Part]time.Time{}
+		t.told = map[Signature]time.Time{}
 	}
 	for _, b := range begins {
-		t.told[b.Part] = reportedAt
+		t.told[b.Signature] = reportedAt
 	}
 }
 
-// recentBegins holds the last begins of the most recent parts, in two generations.
+// recentBegins holds the last begins of the most recent signatures, in two generations.
 type recentBegins struct {
-	current, previous map[Part]time.Time
+	current, previous map[Signature]time.Time
 }
 
-// maxGeneration is the number of parts of one generation.
+// maxGeneration is the number of signatures of one generation.
 const maxGeneration = 4096
 
-func newRecentBegins() recentBegins { return recentBegins{current: map[Part]time.Time{}} }
+func newRecentBegins() recentBegins { return recentBegins{current: map[Signature]time.Time{}} }
 
-func (r *recentBegins) record(p Part, at time.Time) {
-	if _, known := r.current[p]; !known && len(r.current) >= maxGeneration {
-		r.current, r.previous = map[Part]time.Time{}, r.current
+func (r *recentBegins) record(sig Signature, at time.Time) {
+	if _, known := r.current[sig]; !known && len(r.current) >= maxGeneration {
+		r.current, r.previous = map[Signature]time.Time{}, r.current
 	}
-	r.current[p] = at
+	r.current[sig] = at
 }
 
-func (r *recentBegins) last(p Part) (at time.Time, known bool) {
-	if at, known = r.current[p]; !known {
-		at, known = r.previous[p]
+func (r *recentBegins) last(sig Signature) (at time.Time, known bool) {
+	if at, known = r.current[sig]; !known {
+		at, known = r.previous[sig]
 	}
 	return at, known
 }
--- a/internal/serve/forward/forward.go
+++ b/internal/serve/forward/forward.go
@@ -34,24 +34,24 @@
 	options Options
 	filters []filter
 
-	mu              sync.Mutex
-	random          *rand.Rand
-	picker          *pick.Picker
-	shares          *quota.EntryPool
-	budgets         map[string]*retry.Budget // by service
-	uses            map[[2]string]*use       // by endpoint and adapter
-	placements      map[residency.Adapter]*placement
-	silence         *silence.Watch
-	attempts        map[*inFlight]bool
-	loans           map[string]*loanQueue // by customer
-	reading         prefill.Speed
-	unread          map[string]int // tokens of prompts that this entry has sent and whose requests have not begun, by endpoint
-	reportedBacklog map[string]int // milliseconds of this entry's unread prompts as last reported to the leader, by endpoint
-	reportedActive  map[string]int // this entry's active requests as last reported to the leader, by endpoint
-	closing         bool
-	tracker         *quarantine.Tracker
-	refusedParts    map[string]quarantine.Refusals // requests refused since the last report, by quarantined part
-	trials          map[string]time.Time           // until when one request may try a quarantined part
+	mu                sync.Mutex
+	random            *rand.Rand
+	picker            *pick.Picker
+	shares            *quota.EntryPool
+	budgets           map[string]*retry.Budget // by service
+	uses              map[[2]string]*use       // by endpoint and adapter
+	placements        map[residency.Adapter]*placement
+	silence           *silence.Watch
+	attempts          map[*inFlight]bool
+	loans             map[string]*loanQueue // by customer
+	reading           prefill.Speed
+	unread            map[string]int // tokens of prompts that this entry has sent and whose requests have not begun, by endpoint
+	reportedBacklog   map[string]int // milliseconds of this entry's unread prompts as last reported to the leader, by endpoint
+	reportedActive    map[string]int // this entry's active requests as last reported to the leader, by endpoint
+	closing           bool
+	tracker           *quarantine.Tracker
+	refusedSignatures map[string]quarantine.Refusals // requests refused since the last report, by quarantined signature
+	trials            map[string]time.Time           // until when one request may try a quarantined signature
 }
 
 // use counts requests for an adapter at an endpoint.
@@ -91,7 +91,7 @@
 	lastEndpoint string          // endpoint of the last attempt
 	missingAt    string          // endpoint that did not hold the adapter
 	mayCrash     bool            // it may have crashed the endpoint of the last attempt
-	trial        bool            // it may be sent once with a quarantined part
+	trial        bool            // it may be sent once with a quarantined signature
 	failedAnswer *completeAnswer // error answer of an endpoint, delivered if no later attempt succeeds
 }
 
@@ -102,9 +102,9 @@
 		options: o, picker: pick.New(o.Picker, o.Seed), random: rand.New(rand.NewPCG(o.Seed, o.Seed+1)),
 		budgets: map[string]*retry.Budget{}, uses: map[[2]string]*use{}, placements: map[residency.Adapter]*placement{},
 		silence: silence.New(silence.Defaults()), attempts: map[*inFlight]bool{}, loans: map[string]*loanQueue{}, unread: map[string]int{}, shares: o.Shares,
-		tracker: quarantine.NewTracker(), refusedParts: map[string]quarantine.Refusals{}, trials: map[string]time.Time{},
+		tracker: quarantine.NewTracker(), refusedSignatures: map[string]quarantine.Refusals{}, trials: map[string]time.Time{},
 	}
-	h.filters = []filter{h.match, h.identify, h.read, h.checkParts, h.admit, h.dispatch}
+	h.filters = []filter{h.match, h.identify, h.read, h.checkSignatures, h.admit, h.dispatch}
 	return h
 }
 
@@ -353,7 +353,7 @@
 		}
 	}
 	h.reportedBacklog = r.Backlog
-	h.reportParts(now, r)
+	h.reportSignatures(now, r)
 	for key, u := range h.uses {
 		r.Uses = append(r.Uses, residency.Use{Endpoint: key[0], Adapter: u.adapter, Count: u.count, Active: u.active})
 		if u.answered > 0 {
--- a/internal/serve/forward/quarantine.go
+++ b/internal/serve/forward/quarantine.go
@@ -11,36 +11,36 @@
 	"lycheevale/internal/place/quarantine"
 )
 
-// checkParts refuses a request with a part that crashes the endpoints which begin to answer it.
-func (h *Handler) checkParts(x *exchange) *refusal.Error {
-	parts := h.options.View.Quarantined(x.request.SharedParts)
-	if len(parts) == 0 || (x.trial && x.ran == 0) {
+// checkSignatures refuses a request with a signature that crashes the endpoints which begin to answer it.
+func (h *Handler) checkSignatures(x *exchange) *refusal.Error {
+	ids := h.options.View.Quarantined(x.request.SharedParts)
+	if len(ids) == 0 || (x.trial && x.ran == 0) {
 		return nil
 	}
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	now := h.options.Now()
-	// With a second quarantined part, a crash would not show which one is to blame.
-	if permitUntil := h.trials[parts[0]]; len(parts) == 1 && now.Before(permitUntil) {
-		delete(h.trials, parts[0])
+	// With a second quarantined signature, a crash would not show which one is to blame.
+	if permitUntil := h.trials[ids[0]]; len(ids) == 1 && now.Before(permitUntil) {
+		delete(h.trials, ids[0])
 		x.trial = true
 		return nil
 	}
-	for _, id := range parts {
-		r := h.refusedParts[id]
+	for _, id := range ids {
+		r := h.refusedSignatures[id]
 		r.Total++
-		if len(parts) == 1 {
+		if len(ids) == 1 {
 			r.Alone++
 		}
-		h.refusedParts[id] = r
+		h.refusedSignatures[id] = r
 	}
-	return refusal.New(refusal.Quarantined, "prompt part %q crashes endpoints", parts[0]).WithRetryAt(now.Add(quarantineRetry))
+	return refusal.New(refusal.Quarantined, "prompt part %q crashes endpoints", ids[0]).WithRetryAt(now.Add(quarantineRetry))
 }
 
 const (
 	// quarantineRetry exceeds what callers wait, so that they do not repeat the request.
 	quarantineRetry = time.Minute
-	// trialTime is the time in which an entry may use a permit to try a quarantined part.
+	// trialTime is the time in which an entry may use a permit to try a quarantined signature.
 	trialTime = 30 * time.Second
 )
 
@@ -55,7 +55,7 @@
 }
 
 // recordBroken records a connection that broke before the answer began, and checks whether the endpoint has crashed. If the endpoint had
-// sent the head of the answer and a part has never begun here, the request may have caused that, and is not sent to another endpoint.
+// sent the head of the answer and one of its signatures has never begun here, the request may have caused that, and is not sent to another endpoint.
 func (h *Handler) recordBroken(x *exchange, s attempt) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
@@ -65,7 +65,7 @@
 	}
 	x.mayCrash = f.acknowledged && !h.tracker.Proven(x.service.Name, x.request.SharedParts)
 	check := h.tracker.Broken(h.options.Now(), quarantine.Attempt{
-		Incarnation: incarnation(s.Endpoint), Service: x.service.Name, Parts: x.request.SharedParts, SentAt: s.started, Acknowledged: f.acknowledged,
+		Incarnation: incarnation(s.Endpoint), Service: x.service.Name, Signatures: x.request.SharedParts, SentAt: s.started, Acknowledged: f.acknowledged,
 	})
 	if !check {
 		return
@@ -84,18 +84,18 @@
 	return quarantine.Incarnation{Endpoint: e.ID, Born: e.Born}
 }
 
-// reportParts fills in what the leader needs to find parts of prompts that crash endpoints. The caller holds h.mu.
-func (h *Handler) reportParts(now time.Time, r *report.Entry) {
+// reportSignatures fills in what the leader needs to find what crashes endpoints. The caller holds h.mu.
+func (h *Handler) reportSignatures(now time.Time, r *report.Entry) {
 	r.Crashes = h.tracker.Report(now, r.Term)
 	asked := slices.Clone(h.options.View.Suspects())
 	for _, c := range r.Crashes {
 		for _, e := range c.Exposed {
-			asked = append(asked, quarantine.Part{Service: c.Service, ID: e.ID})
+			asked = append(asked, quarantine.Signature{Service: c.Service, ID: e.ID})
 		}
 	}
 	r.Begins = h.tracker.Begins(now, r.Term, asked)
-	r.Refused = h.refusedParts
-	h.refusedParts = map[string]quarantine.Refusals{}
+	r.Refused = h.refusedSignatures
+	h.refusedSignatures = map[string]quarantine.Refusals{}
 }
 
 // HasCrash reports whether a crash should be reported to the leader without waiting for the next report.
@@ -105,7 +105,7 @@
 	return h.tracker.HasUnreported()
 }
 
-// Reported records that the leader has answered a report, and applies its permits to try quarantined parts.
+// Reported records that the leader has answered a report, and applies its permits to try quarantined signatures.
 func (h *Handler) Reported(at time.Time, r report.Entry, u report.Update) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
--- a/internal/serve/forward/quarantine_test.go
+++ b/internal/serve/forward/quarantine_test.go
@@ -60,7 +60,7 @@
 // Guards against sending a quarantined part to an endpoint, and against never finding out that it was blamed wrongly.
 func TestQuarantinedPartIsRefused(t *testing.T) {
 	r := newFixture(t, []http.HandlerFunc{respondOK})
-	parts := []quarantine.Part{{Service: "s", ID: "dead"}, {Service: "s", ID: "blamed"}}
+	parts := []quarantine.Signature{{Service: "s", ID: "dead"}, {Service: "s", ID: "blamed"}}
 	r.apply(func(u *report.Update) {
 		u.QuarantineRevision, u.Quarantine, u.SuspectRevision, u.Suspects = 1, parts, 1, parts
 	})
@@ -85,7 +85,7 @@
 	var after report.Entry
 	r.handler.Report(&after, time.Second)
 	r.Assert(after.Begins, quicktest.HasLen, 1)
-	r.Check(after.Begins[0].Part, quicktest.Equals, parts[1])
+	r.Check(after.Begins[0].Signature, quicktest.Equals, parts[1])
 	r.apply(func(u *report.Update) { u.QuarantineRevision, u.Quarantine = 2, parts[:1] })
 	r.Check(r.sendParts("/read/x", "blamed").Code, quicktest.Equals, http.StatusOK)
 }
--- a/internal/serve/forward/send.go
+++ b/internal/serve/forward/send.go
@@ -43,7 +43,7 @@
 		if refused := h.checkBacklog(x, c); refused != nil {
 			return h.giveUp(x, refused)
 		}
-		if refused := h.checkParts(x); refused != nil { // the part may have been quarantined since the request arrived
+		if refused := h.checkSignatures(x); refused != nil { // a signature may have been quarantined since the request arrived
 			return h.giveUp(x, refused)
 		}
 		if !h.allowAttempt(x) {
--- a/internal/state/document/document_test.go
+++ b/internal/state/document/document_test.go
@@ -173,21 +173,31 @@
 func TestQuarantineSurvivesSnapshot(t *testing.T) {
 	c := quicktest.New(t)
 	m := document.NewMachine()
-	a, b := quarantine.Part{Service: "s", ID: "a"}, quarantine.Part{Service: "s", ID: "b"}
-	change := func(m *document.Machine, added, released []quarantine.Part) bool {
+	a, b := quarantine.Signature{Service: "s", ID: "a"}, quarantine.Signature{Service: "s", ID: "b"}
+	change := func(m *document.Machine, added, released []quarantine.Signature) bool {
 		return apply(c, m, document.Command{Action: document.Quarantine, Quarantine: added, Release: released}).Stored
 	}
-	c.Check(change(m, []quarantine.Part{a}, nil), quicktest.IsTrue)
+	c.Check(change(m, []quarantine.Signature{a}, nil), quicktest.IsTrue)
 	earlier := m.Stored()
-	c.Check(change(m, []quarantine.Part{a}, nil), quicktest.IsFalse)
-	c.Check(change(m, []quarantine.Part{b}, []quarantine.Part{a}), quicktest.IsTrue)
-	c.Check(earlier.Quarantine, quicktest.DeepEquals, []quarantine.Part{a}) // a state returned to a reader does not change
+	c.Check(change(m, []quarantine.Signature{a}, nil), quicktest.IsFalse)
+	c.Check(change(m, []quarantine.Signature{b}, []quarantine.Signature{a}), quicktest.IsTrue)
+	c.Check(earlier.Quarantine, quicktest.DeepEquals, []quarantine.Signature{a}) // a state returned to a reader does not change
 	data, err := m.View()()
 	c.Assert(err, quicktest.IsNil)
 	restored := document.NewMachine()
 	c.Assert(restored.Restore(data), quicktest.IsNil)
-	c.Check(restored.Stored().Quarantine, quicktest.DeepEquals, []quarantine.Part{b})
+	c.Check(restored.Stored().Quarantine, quicktest.DeepEquals, []quarantine.Signature{b})
 	c.Check(restored.Stored().QuarantineRevision, quicktest.Equals, uint64(2))
-	c.Check(change(restored, nil, []quarantine.Part{b}), quicktest.IsTrue)
+	c.Check(change(restored, nil, []quarantine.Signature{b}), quicktest.IsTrue)
 	c.Check(restored.Stored().Quarantine, quicktest.HasLen, 0)
 }
+
+// Guards against a list of quarantined parts, stored by the release before signatures of several kinds, that this one cannot read.
+func TestEarlierQuarantineIsRead(t *testing.T) {
+	c := quicktest.New(t)
+	m := document.NewMachine()
+	c.Assert(m.Restore([]byte(`{"Version":0,"Changes":0,"Quarantine":[{"Service":"s","ID":"5c1e"}],"QuarantineRevision":1}`)), quicktest.IsNil)
+	m.Apply([]byte(`{"Action":"Quarantine","Quarantine":[{"Service":"s","ID":"91bd"}],"Release":[{"Service":"s","ID":"5c1e"}]}`))
+	c.Check(m.Stored().Quarantine, quicktest.DeepEquals, []quarantine.Signature{{Service: "s", ID: "91bd"}})
+	c.Check(m.Stored().QuarantineRevision, quicktest.Equals, uint64(2))
+}
--- a/internal/state/document/machine.go
+++ b/internal/state/document/machine.go
@@ -16,7 +16,7 @@
 	Replace    Action = "Replace"    // stores a document unless the stored version is equal or higher
 	SetAdapter Action = "SetAdapter" // records a newer version of an adapter
 	Appoint    Action = "Appoint"    // records the deputies, unless a leader of a later term has done so
-	Quarantine Action = "Quarantine" // adds and removes parts of prompts that no endpoint gets
+	Quarantine Action = "Quarantine" // adds and removes signatures of requests that no endpoint gets
 	Barrier    Action = "Barrier"    // changes nothing; its result proves that the state was current
 )
 
@@ -29,8 +29,8 @@
 	Adapter AdapterVersion  `json:"Adapter,omitzero"`
 	Appoint Appointment     `json:"Appoint,omitzero"`
 
-	Quarantine []quarantine.Part `json:"Quarantine,omitempty"` // added
-	Release    []quarantine.Part `json:"Release,omitempty"`    // removed
+	Quarantine []quarantine.Signature `json:"Quarantine,omitempty"` // added
+	Release    []quarantine.Signature `json:"Release,omitempty"`    // removed
 }
 
 // Appointment lists the entries that may hold shares of customers' rates, so that a new leader knows which entries may be
@@ -63,8 +63,8 @@
 	Changes  uint64           `json:"Changes"` // number of changes of Adapters
 	Appoint  Appointment      `json:"Appoint,omitzero"`
 
-	Quarantine         []quarantine.Part `json:"Quarantine,omitempty"`
-	QuarantineRevision uint64            `json:"QuarantineRevision,omitempty"` // number of changes of Quarantine
+	Quarantine         []quarantine.Signature `json:"Quarantine,omitempty"`
+	QuarantineRevision uint64                 `json:"QuarantineRevision,omitempty"` // number of changes of Quarantine
 }
 
 // Machine is the state machine of the configuration log; it is safe for concurrent use.
@@ -132,10 +132,10 @@
 
 // changeQuarantine replaces the list, because readers may still use the old one.
 func (m *Machine) changeQuarantine(c Command) bool {
-	var list []quarantine.Part
-	for _, p := range slices.Concat(m.stored.Quarantine, c.Quarantine) {
-		if !slices.Contains(list, p) && !slices.Contains(c.Release, p) {
-			list = append(list, p)
+	var list []quarantine.Signature
+	for _, s := range slices.Concat(m.stored.Quarantine, c.Quarantine) {
+		if !slices.Contains(list, s) && !slices.Contains(c.Release, s) {
+			list = append(list, s)
 		}
 	}
 	if slices.Equal(list, m.stored.Quarantine) {
