Compare exact requests, adapters and customers, the narrowest first

What requests have in common is compared per crash, but only for parts of prompts, and a signature that holds more requests always has as many crashes as a narrower one in it. Given the signatures of all kinds, the detector blamed them together: TestExactRequestIsBlamedAlone got the request, both parts, the adapter and the customer; TestPartOfTwoDeadlyRequestsIsNotBlamed the adapter, the customer and the part in place of the two requests; TestCrashesOfAllServicesBlameRequest and TestRecordedExposuresAreBounded nothing; TestAdapterIsBlamed also the customer, after three crashes.

- Entries report the signatures of a request behind that of the exact request (the shape of reports is unchanged), so that the leader knows which signature is inside which.
A wider one with the same crashes as one inside it is not blamed.
Crashes that a quarantined signature explains count as one round for a wider one.
Parts must have crashed endpoints with several requests, adapters and customers with another one in each of five rounds, and are not blamed while something narrower explains half of their crashes.
- Without an acknowledged answer, up to two more rounds are needed if endpoints of the service crash for other causes meanwhile.
- An exact request counts for all services of its route.
It gets one trial.
A customer is to be refused only at the service whose endpoints it crashes.
- The bounds prefer exposures that are acknowledged or repeated; begins of exact requests have generations of their own; a report contains at most 16 crashes.
Entries are asked from the second crash on, and the time to settle runs from there.
- The leader compares anew only after new evidence, only what changed, and decides again when a settle time ends.

Ruled out: an early trial of what was blamed beside other crashes, because two more crashes could exceed what callers' rules allow.

--- a/internal/place/quarantine/detector.go
+++ b/internal/place/quarantine/detector.go
@@ -9,11 +9,13 @@
 
 // Options are the settings of a Detector.
 type Options struct {
-	// MinRounds is the number of consecutive crashes that blame a signature, each of an endpoint to which the signature was sent after the crash before.
+	// MinRounds is the number of consecutive crashes that blame a signature, each of an endpoint to which it was sent after the crash before.
 	MinRounds int
+	// MoreRounds is the number of further ones for adapters and customers, and the most for crashes that the signature does not explain.
+	MoreRounds int
 	// Decisive is the number of crashes after which signatures are blamed that the evidence does not tell apart.
 	Decisive int
-	// Settle is the time from the first crash in which entries can report that the signature begins elsewhere.
+	// Settle is the time from the second crash in which entries can report that the signature begins elsewhere.
 	Settle time.Duration
 	// TrialAfter is the time until one request may try a quarantined signature; it doubles with each further trial.
 	TrialAfter time.Duration
@@ -28,7 +30,7 @@
 // DefaultOptions returns the settings for entries that report each 200 ms.
 func DefaultOptions() Options {
 	return Options{
-		MinRounds: 3, Decisive: 5, Settle: 700 * time.Millisecond, TrialAfter: time.Minute, SharedTrialAfter: time.Second, MaxTrials: 2,
+		MinRounds: 3, MoreRounds: 2, Decisive: 5, Settle: 700 * time.Millisecond, TrialAfter: time.Minute, SharedTrialAfter: time.Second, MaxTrials: 2,
 		ForgetAfter: time.Hour, MaxQuarantined: 256,
 	}
 }
@@ -37,17 +39,45 @@
 type Detector struct {
 	options     Options
 	crashes     map[Incarnation]*crash
-	begun       map[Signature]time.Time
+	records     map[Signature]*record
+	slots       [maxRecorded]*crash
+	repeated    map[*record]bool // exposed to several crashes, or to one since they last began
 	quarantined map[Signature]*quarantined
 	together    map[Signature]bool // signatures that were blamed for the same crashes as another one
+
+	expiredAt time.Time
+
+	changed  bool // there is evidence that the last comparison has not considered
+	all      []*suspect
+	suspects []Signature // those about which entries are asked
+	decided  bool        // blamed is the decision on the last comparison
+	blamed   []Signature
+	reviewAt time.Time // when the decision may change without new evidence, zero for never
 }
 
 // crash combines the reports of all entries on one crash.
 type crash struct {
+	slot       int // position in Detector.slots
 	service    string
 	at         time.Time
 	recordedAt time.Time // of the first report
-	exposed    exposures
+	exposed    map[*record]*exposure
+	requests   []*record // of exposed, the exact requests
+}
+
+// record is what is known of a signature.
+type record struct {
+	signature Signature
+	kind      Kind
+	carries   []*record   // signatures that a request with this exact request has as well
+	exposed   []exposedTo // to crashes since its last begin
+	begun     time.Time   // last begin
+	suspect   *suspect    // as of the last comparison, nil if the evidence has changed
+}
+
+type exposedTo struct {
+	*crash
+	*exposure
 }
 
 // quarantined is a signature that no endpoint gets.
@@ -61,11 +91,18 @@
 
 // NewDetector returns a detector without records.
 func NewDetector(o Options) *Detector {
-	return &Detector{options: o, crashes: map[Incarnation]*crash{}, begun: map[Signature]time.Time{}, quarantined: map[Signature]*quarantined{}, together: map[Signature]bool{}}
+	return &Detector{
+		options: o, crashes: map[Incarnation]*crash{}, records: map[Signature]*record{}, repeated: map[*record]bool{},
+		quarantined: map[Signature]*quarantined{}, together: map[Signature]bool{},
+	}
 }
 
 // SetSettle changes the time in which entries can report that a signature begins.
-func (d *Detector) SetSettle(settle time.Duration) { d.options.Settle = settle }
+func (d *Detector) SetSettle(settle time.Duration) {
+	if settle != d.options.Settle {
+		d.options.Settle, d.changed = settle, true
+	}
+}
 
 // SetQuarantined replaces the quarantined signatures, as they are stored.
 func (d *Detector) SetQuarantined(now time.Time, signatures []Signature) {
@@ -80,6 +117,10 @@
 		d.quarantined[sig] = q
 	}
 	d.together = map[Signature]bool{}
+	for r := range d.repeated {
+		r.suspect = nil
+	}
+	d.changed = true
 }
 
 // Record adds crashes that an entry reports.
@@ -91,187 +132,143 @@
 		}
 		k := d.crashes[c.Incarnation]
 		if k == nil {
+			d.expire(now)
 			k = d.add(now, at, c)
 		}
 		if at.Before(k.at) {
 			k.at = at
+			for r := range k.exposed {
+				r.suspect = nil
+			}
 		}
+		var request *record
 		for _, e := range c.Exposed {
-			k.exposed.add(e.ID, exposure{sentAt: ago(at, e.WaitedMillis), acknowledged: e.Acknowledged}, maxRecordedExposed)
+			r := d.record(NewSignature(c.Service, e.ID))
+			if r.kind == KindRequest {
+				request = r
+			} else if request != nil && !slices.Contains(request.carries, r) {
+				request.carries = append(request.carries, r)
+			}
+			d.expose(k, r, exposure{sentAt: ago(at, e.WaitedMillis), acknowledged: e.Acknowledged})
 		}
+		d.changed = true
 	}
 }
 
 const (
 	// maxRecorded and maxRecordedExposed limit the memory for crashes at the leader.
 	maxRecorded        = 256
-	maxRecordedExposed = 128
+	maxRecordedExposed = 512
 )
 
 func (d *Detector) add(now, at time.Time, c Crash) *crash {
-	d.expire(now)
 	if len(d.crashes) >= maxRecorded {
-		delete(d.crashes, slices.MinFunc(slices.Collect(maps.Keys(d.crashes)), func(a, b Incarnation) int {
+		d.remove(slices.MinFunc(slices.Collect(maps.Keys(d.crashes)), func(a, b Incarnation) int {
 			return d.crashes[a].at.Compare(d.crashes[b].at)
 		}))
 	}
-	k := &crash{service: c.Service, at: at, recordedAt: now, exposed: exposures{}}
-	d.crashes[c.Incarnation] = k
+	k := &crash{slot: slices.Index(d.slots[:], nil), service: c.Service, at: at, recordedAt: now, exposed: map[*record]*exposure{}}
+	d.crashes[c.Incarnation], d.slots[k.slot] = k, k
 	return k
 }
 
-func (d *Detector) expire(now time.Time) {
-	maps.DeleteFunc(d.crashes, func(_ Incarnation, k *crash) bool { return now.Sub(k.at) > retention })
-	maps.DeleteFunc(d.begun, func(_ Signature, at time.Time) bool { return now.Sub(at) > retention })
-}
-
-// RecordBegins adds begins that an entry reports.
-func (d *Detector) RecordBegins(now time.Time, list []Begin) {
-	for _, b := range list {
-		if at := ago(now, b.AgoMillis); at.After(d.begun[b.Signature]) {
-			d.begun[b.Signature] = at
-		}
-	}
-}
-
-// suspect is a signature with the crashes that it was exposed to since it last began, the oldest first.
-type suspect struct {
-	signature    Signature
-	crashes      []*crash
-	acknowledged int  // crashes in which the endpoint had sent the head of an answer to a request with the signature
-	hasBegun     bool // it has begun before
-}
-
-// evidence counts crashes twice if the endpoint had sent the head of an answer to a request with the signature, and half if the signature has begun
-// before. While all endpoints are down, common signatures do not begin either.
-func (s *suspect) evidence() int {
-	n := len(s.crashes) + s.acknowledged
-	if s.hasBegun {
-		return n / 2
-	}
-	return n
-}
-
-// minRounds returns the number of consecutive crashes that blame the signature.
-func (s *suspect) minRounds(o Options) int {
-	if s.hasBegun {
-		return 2 * o.MinRounds
+// record returns the record of a signature.
+func (d *Detector) record(sig Signature) *record {
+	r := d.records[sig]
+	if r == nil {
+		r = &record{signature: sig, kind: KindOf(sig.ID)}
+		d.records[sig] = r
 	}
-	return o.MinRounds
+	return r
 }
 
-// suspects returns the signatures that may have caused crashes, the strongest evidence first. Crashes that a quarantined signature explains are left
-// out.
-func (d *Detector) suspects(explained map[string]bool) []*suspect {
-	all := map[Signature]*suspect{}
-	for _, k := range slices.SortedFunc(maps.Values(d.crashes), func(a, b *crash) int { return a.at.Compare(b.at) }) {
-		if k.explainedBy(explained) {
-			continue
+// expose merges an exposure. Beyond the limit, one that is acknowledged or was exposed to another crash replaces one that is neither.
+func (d *Detector) expose(k *crash, r *record, e exposure) {
+	merged := k.exposed[r]
+	if merged != nil {
+		merged.merge(e)
+	} else {
+		if len(k.exposed) >= maxRecordedExposed && ((!e.acknowledged && len(r.exposed) == 0) || !d.makeRoom(k)) {
+			return
 		}
-		for id, e := range k.exposed {
-			sig := Signature{Service: k.service, ID: id}
-			if d.begun[sig].After(e.sentAt) {
-				continue
-			}
-			s := all[sig]
-			if s == nil {
-				_, hasBegun := d.begun[sig]
-				s = &suspect{signature: sig, hasBegun: hasBegun}
-				all[sig] = s
-			}
-			s.crashes = append(s.crashes, k)
-			if e.acknowledged {
-				s.acknowledged++
-			}
+		merged = &e
+		k.exposed[r] = merged
+		if r.kind == KindRequest {
+			k.requests = append(k.requests, r)
+		}
+	}
+	if !r.begun.After(merged.sentAt) && !slices.ContainsFunc(r.exposed, func(x exposedTo) bool { return x.crash == k }) {
+		r.exposed = append(r.exposed, exposedTo{k, merged})
+		if len(r.exposed) > 1 || !r.begun.IsZero() {
+			d.repeated[r] = true
 		}
 	}
-	return slices.SortedFunc(maps.Values(all), func(a, b *suspect) int {
-		return cmp.Or(b.evidence()-a.evidence(), cmp.Compare(a.signature.ID, b.signature.ID), cmp.Compare(a.signature.Service, b.signature.Service))
-	})
+	r.suspect = nil
 }
 
-func (k *crash) explainedBy(signatures map[string]bool) bool {
-	for id := range k.exposed {
-		if signatures[id] {
+// makeRoom removes one exposure to a crash that was not acknowledged, of a signature without another crash. It reports whether there was one.
+func (d *Detector) makeRoom(k *crash) bool {
+	for r, e := range k.exposed {
+		if !e.acknowledged && len(r.exposed) < 2 {
+			k.requests = slices.DeleteFunc(k.requests, func(other *record) bool { return other == r })
+			delete(k.exposed, r)
+			d.forget(r, func(x exposedTo) bool { return x.crash == k })
 			return true
 		}
 	}
 	return false
 }
 
-func (d *Detector) explained() map[string]bool {
-	ids := map[string]bool{}
-	for sig := range d.quarantined {
-		ids[sig.ID] = true
+// forget removes crashes from a signature.
+func (d *Detector) forget(r *record, remove func(x exposedTo) bool) {
+	r.suspect = nil
+	r.exposed = slices.DeleteFunc(r.exposed, remove)
+	if len(r.exposed) == 0 {
+		delete(d.repeated, r)
+		if r.begun.IsZero() {
+			delete(d.records, r.signature)
+		}
 	}
-	return ids
 }
 
-// maxSuspects limits the signatures about which entries are asked.
-const maxSuspects = 32
-
-// Suspects returns the signatures whose begins entries should report: those that may have caused crashes, and the quarantined ones.
-func (d *Detector) Suspects() []Signature {
-	list := slices.SortedFunc(maps.Keys(d.quarantined), func(a, b Signature) int {
-		return cmp.Or(cmp.Compare(a.ID, b.ID), cmp.Compare(a.Service, b.Service))
-	})
-	all := d.suspects(d.explained())
-	for _, s := range all[:min(len(all), maxSuspects)] {
-		list = append(list, s.signature)
+func (d *Detector) remove(i Incarnation) {
+	k := d.crashes[i]
+	delete(d.crashes, i)
+	d.slots[k.slot] = nil
+	for r := range k.exposed {
+		d.forget(r, func(x exposedTo) bool { return x.crash == k })
 	}
-	return list
+	d.changed = true
 }
 
-// Blame returns further signatures to quarantine. A signature explains all crashes that it was exposed to, so that signatures which only share requests or
-// endpoints with it are not blamed for them.
-func (d *Detector) Blame(now time.Time) (signatures []Signature) {
-	d.expire(now)
-	explained := d.explained()
-	for len(d.quarantined)+len(signatures) < d.options.MaxQuarantined {
-		all := d.suspects(explained)
-		i := slices.IndexFunc(all, func(s *suspect) bool { return d.convincing(now, s) && !d.contested(s, all) })
-		if i < 0 {
-			break
-		}
-		blamed := slices.DeleteFunc(slices.Clone(all), func(s *suspect) bool {
-			return s.evidence() != all[i].evidence() || !slices.Equal(s.crashes, all[i].crashes)
-		})
-		for _, s := range blamed {
-			signatures = append(signatures, s.signature)
-			explained[s.signature.ID] = true
-			d.together[s.signature] = len(blamed) > 1
-		}
-	}
-	return signatures
-}
+// expireInterval limits the cost of looking for old crashes and begins.
+const expireInterval = time.Minute
 
-// convincing reports whether enough endpoints crashed one after the other. Simultaneous crashes, as of a rack, are one round.
-func (d *Detector) convincing(now time.Time, s *suspect) bool {
-	if now.Sub(s.crashes[0].recordedAt) < d.options.Settle {
-		return false
+// expire removes crashes and begins that are no evidence any more.
+func (d *Detector) expire(now time.Time) {
+	if now.Sub(d.expiredAt) < expireInterval {
+		return
 	}
-	rounds, last := 0, time.Time{}
-	for _, k := range s.crashes {
-		if k.exposed[s.signature.ID].sentAt.After(last) {
-			rounds, last = rounds+1, k.at
+	d.expiredAt = now
+	for i, k := range d.crashes {
+		if now.Sub(k.at) > retention {
+			d.remove(i)
 		}
 	}
-	return rounds >= s.minRounds(d.options)
+	maps.DeleteFunc(d.records, func(_ Signature, r *record) bool { return len(r.exposed) == 0 && now.Sub(r.begun) > retention })
 }
 
-// contested reports whether another signature explains crashes of a suspect as well or better. Parts with exactly the same crashes do not contest
-// each other, because no further crash would tell them apart.
-func (d *Detector) contested(s *suspect, all []*suspect) bool {
-	return slices.ContainsFunc(all, func(t *suspect) bool {
-		if t == s || t.evidence() < s.evidence() || !shareCrash(s, t) || slices.Equal(s.crashes, t.crashes) {
-			return false
+// RecordBegins adds begins that an entry reports.
+func (d *Detector) RecordBegins(now time.Time, list []Begin) {
+	for _, b := range list {
+		r := d.record(b.Signature)
+		if at := ago(now, b.AgoMillis); at.After(r.begun) {
+			first, before := r.begun.IsZero(), len(r.exposed)
+			r.begun = at
+			d.forget(r, func(x exposedTo) bool { return at.After(x.sentAt) })
+			d.changed = d.changed || len(r.exposed) < before || (first && before > 0)
 		}
-		return t.evidence() > s.evidence() || len(s.crashes) < d.options.Decisive
-	})
-}
-
-func shareCrash(s, t *suspect) bool {
-	return slices.ContainsFunc(s.crashes, func(k *crash) bool { return slices.Contains(t.crashes, k) })
+	}
 }
 
 // trialInterval returns the time until the next trial of a signature.
@@ -282,15 +279,15 @@
 	return d.options.TrialAfter << q.trials
 }
 
-// Asked records requests with quarantined signatures that an entry has refused, and returns the signatures that this entry may try with one request
-// each, to find out whether they were blamed wrongly. With a second quarantined signature a request would not show that.
+// Asked records requests with quarantined signatures that an entry has refused, and returns the signatures that this entry may try with one
+// request each, to find out whether they were blamed wrongly. With a second quarantined signature a request would not show that.
 func (d *Detector) Asked(now time.Time, refused map[string]Refusals) (trials []string) {
 	for sig, q := range d.quarantined {
 		r := refused[sig.ID]
 		if r.Total > 0 {
 			q.askedAt = now
 		}
-		if r.Alone == 0 || q.trials >= d.options.MaxTrials || now.Before(q.trialAt) {
+		if r.Alone == 0 || q.trials >= d.maxTrials(sig, q) || now.Before(q.trialAt) {
 			continue
 		}
 		q.trials++
@@ -300,12 +297,27 @@
 	return trials
 }
 
+// maxTrials returns the number of trials of a signature. An exact request that was blamed alone gets one: it rarely is sound, and refusing it
+// harms no other request.
+func (d *Detector) maxTrials(sig Signature, q *quarantined) int {
+	if KindOf(sig.ID) == KindRequest && !q.shared {
+		return min(d.options.MaxTrials, 1)
+	}
+	return d.options.MaxTrials
+}
+
 // Release returns quarantined signatures that have begun or that no request has had for a long time.
 func (d *Detector) Release(now time.Time) (signatures []Signature) {
 	for sig, q := range d.quarantined {
-		if d.begun[sig].After(q.since) || now.Sub(q.askedAt) > d.options.ForgetAfter {
+		r := d.records[sig]
+		if (r != nil && r.begun.After(q.since)) || now.Sub(q.askedAt) > d.options.ForgetAfter {
 			signatures = append(signatures, sig)
 		}
 	}
 	return signatures
 }
+
+// compareSignatures orders signatures for reproducible results.
+func compareSignatures(a, b Signature) int {
+	return cmp.Or(cmp.Compare(a.ID, b.ID), cmp.Compare(a.Service, b.Service))
+}
--- a/internal/place/quarantine/quarantine_test.go
+++ b/internal/place/quarantine/quarantine_test.go
@@ -29,7 +29,7 @@
 
 func begin(ago int64, ids ...string) (list []quarantine.Begin) {
 	for _, id := range ids {
-		list = append(list, quarantine.Begin{Signature: part(id), AgoMillis: ago})
+		list = append(list, quarantine.Begin{Signature: signature(id), AgoMillis: ago})
 	}
 	return list
 }
--- a/internal/place/quarantine/signature.go
+++ b/internal/place/quarantine/signature.go
@@ -26,6 +26,11 @@
 // lists and reports of earlier releases contain them as they are.
 var prefixes = [kinds]string{"request:", "part:", "adapter:", "customer:"}
 
+// String returns what callers are told of the kind.
+func (k Kind) String() string {
+	return [kinds]string{"request", "prompt part", "adapter", "customer"}[k]
+}
+
 // KindOf returns the kind of the signature with an identifier.
 func KindOf(id string) Kind {
 	for k, prefix := range prefixes {
@@ -36,6 +41,21 @@
 	return KindPart
 }
 
+// NewSignature returns the signature of requests to a service with an identifier. An exact request has the same one at all services that its
+// route may choose.
+func NewSignature(service, id string) Signature {
+	if KindOf(id) == KindRequest {
+		service = ""
+	}
+	return Signature{Service: service, ID: id}
+}
+
+// AppliesTo reports whether requests to a service are refused while the signature is quarantined. Customers are refused only at the service
+// whose endpoints they crash, because most of what they send to others is sound.
+func (s Signature) AppliesTo(service string) bool {
+	return KindOf(s.ID) != KindCustomer || s.Service == service
+}
+
 // Request returns the identifier of an exact request, given everything by which it differs from others. It is a digest of 128 bits.
 func Request(fields ...[]byte) string {
 	h := sha256.New()
--- a/internal/place/quarantine/tracker.go
+++ b/internal/place/quarantine/tracker.go
@@ -3,28 +3,45 @@
 import (
 	"maps"
 	"slices"
+	"strings"
 	"time"
 )
 
 // Tracker records at an entry which signatures were exposed to crashes, and which ones begin. It is not safe for concurrent use.
 type Tracker struct {
-	begun    recentBegins
-	broken   map[Incarnation]*brokenEndpoint
-	crashes  map[Incarnation]*brokenEndpoint // of these, the confirmed ones
-	told     map[Signature]time.Time         // begins that the leader of toldTerm has received
-	toldTerm uint64
+	begun         recentBegins
+	begunRequests recentBegins // of exact requests, most of which are unique
+	broken        map[Incarnation]*brokenEndpoint
+	crashes       map[Incarnation]*brokenEndpoint // of these, the confirmed ones
+	told          map[Signature]time.Time         // begins that the leader of toldTerm has received
+	toldTerm      uint64
 }
 
 // brokenEndpoint is an endpoint whose connections broke before answers began.
 type brokenEndpoint struct {
 	incarnation Incarnation
 	service     string
-	at          time.Time // of the crash, or else of the first connection that broke within confirmTime
-	downAt      time.Time // when the endpoint refused a connection
-	checkedAt   time.Time // when the last check was requested
-	exposed     exposures
-	reported    bool   // in its current state
-	delivered   uint64 // term of the leader that has received the record
+	at          time.Time                  // of the crash, or else of the first connection that broke within confirmTime
+	downAt      time.Time                  // when the endpoint refused a connection
+	checkedAt   time.Time                  // when the last check was requested
+	exposed     map[string]*exposedRequest // by requestKey
+	reported    bool                       // in its current state
+	delivered   uint64                     // term of the leader that has received the record
+}
+
+// requestKey returns the identifier of the exact request, or what else tells requests apart.
+func requestKey(signatures []string) string {
+	if KindOf(signatures[0]) == KindRequest {
+		return signatures[0]
+	}
+	return strings.Join(signatures, "\n")
+}
+
+// exposedRequest is a request that had not begun, or several that are the same.
+type exposedRequest struct {
+	signatures []string
+	repeated   bool // it was exposed to an earlier crash
+	exposure
 }
 
 // exposure is the latest request with a signature that had not begun.
@@ -33,27 +50,35 @@
 	acknowledged bool // the endpoint had sent the head of an answer to one of them
 }
 
-// exposures holds the signatures that were exposed to a crash, by identifier.
-type exposures map[string]exposure
+func (e *exposure) merge(other exposure) {
+	if other.sentAt.After(e.sentAt) {
+		e.sentAt = other.sentAt
+	}
+	e.acknowledged = e.acknowledged || other.acknowledged
+}
 
-// add merges an exposure. Beyond limit signatures, an acknowledged one replaces one that is not.
-func (x exposures) add(id string, e exposure, limit int) {
-	merged, known := x[id]
-	if !known && len(x) >= limit && (!e.acknowledged || !x.dropUnacknowledged()) {
+// add merges a request. Beyond the limit, one that is acknowledged or repeated replaces one that is neither.
+func (b *brokenEndpoint) add(key string, x exposedRequest) {
+	if merged := b.exposed[key]; merged != nil {
+		merged.merge(x.exposure)
+		for _, id := range x.signatures {
+			if !slices.Contains(merged.signatures, id) {
+				merged.signatures = append(slices.Clip(merged.signatures), id)
+			}
+		}
 		return
 	}
-	if e.sentAt.After(merged.sentAt) {
-		merged.sentAt = e.sentAt
+	if len(b.exposed) >= maxExposed && ((!x.acknowledged && !x.repeated) || !b.makeRoom()) {
+		return
 	}
-	merged.acknowledged = merged.acknowledged || e.acknowledged
-	x[id] = merged
+	b.exposed[key] = &x
 }
 
-// dropUnacknowledged removes one signature whose requests were not acknowledged, and reports whether there was one.
-func (x exposures) dropUnacknowledged() bool {
-	for id, e := range x {
-		if !e.acknowledged {
-			delete(x, id)
+// makeRoom removes one request that was neither acknowledged nor repeated, and reports whether there was one.
+func (b *brokenEndpoint) makeRoom() bool {
+	for key, x := range b.exposed {
+		if !x.acknowledged && !x.repeated {
+			delete(b.exposed, key)
 			return true
 		}
 	}
@@ -66,41 +91,71 @@
 	confirmTime = time.Second
 	// retention is the time for which crashes are evidence.
 	retention = 10 * time.Minute
-	// maxCrashes and maxExposed limit the memory for crashes and the signatures of one crash.
+	// maxCrashes and maxExposed limit the memory for crashes and the requests that were exposed to one crash.
 	maxCrashes = 128
 	maxExposed = 64
+	// maxReported limits the crashes of one report. A new leader gets those of the last ten minutes from all entries.
+	maxReported = 16
 )
 
 // NewTracker returns a tracker without records.
 func NewTracker() *Tracker {
 	return &Tracker{
-		begun: newRecentBegins(), broken: map[Incarnation]*brokenEndpoint{}, crashes: map[Incarnation]*brokenEndpoint{},
-		told: map[Signature]time.Time{},
+		begun: newRecentBegins(), begunRequests: newRecentBegins(),
+		broken: map[Incarnation]*brokenEndpoint{}, crashes: map[Incarnation]*brokenEndpoint{}, told: map[Signature]time.Time{},
 	}
 }
 
 // Begun records that a request with the signatures has begun at an endpoint of a service.
 func (t *Tracker) Begun(now time.Time, service string, signatures []string) {
 	for _, id := range signatures {
-		t.begun.record(Signature{Service: service, ID: id}, now)
+		sig := NewSignature(service, id)
+		t.recent(sig).record(sig, now)
 	}
 }
 
-// Proven reports whether all signatures have begun here at endpoints of a service.
+// recent returns the begins among which those of a signature are.
+func (t *Tracker) recent(sig Signature) *recentBegins {
+	if KindOf(sig.ID) == KindRequest {
+		return &t.begunRequests
+	}
+	return &t.begun
+}
+
+func (t *Tracker) lastBegin(sig Signature) (at time.Time, known bool) { return t.recent(sig).last(sig) }
+
+// Proven reports whether all parts of a request's prompt have begun here at endpoints of a service.
 func (t *Tracker) Proven(service string, signatures []string) bool {
 	for _, id := range signatures {
-		if _, known := t.begun.last(Signature{Service: service, ID: id}); !known {
+		if KindOf(id) != KindPart {
+			continue
+		}
+		if _, known := t.lastBegin(NewSignature(service, id)); !known {
 			return false
 		}
 	}
 	return true
 }
 
+// Repeated reports whether the exact request of an attempt was exposed to the crash of another endpoint, and has not begun here since.
+func (t *Tracker) Repeated(a Attempt) bool {
+	if len(a.Signatures) == 0 || KindOf(a.Signatures[0]) != KindRequest {
+		return false
+	}
+	last, _ := t.lastBegin(NewSignature(a.Service, a.Signatures[0]))
+	for i, b := range t.crashes {
+		if x := b.exposed[a.Signatures[0]]; x != nil && i != a.Incarnation && !last.After(x.sentAt) {
+			return true
+		}
+	}
+	return false
+}
+
 // Attempt is a request at an endpoint that has not begun.
 type Attempt struct {
 	Incarnation  Incarnation
 	Service      string
-	Signatures   []string
+	Signatures   []string // identifiers; that of the exact request, if it is known, is the first
 	SentAt       time.Time
 	Acknowledged bool // the head of an answer has arrived
 }
@@ -113,12 +168,12 @@
 	}
 	b := t.endpoint(now, a.Incarnation)
 	if t.crashes[a.Incarnation] == nil && now.Sub(b.at) > confirmTime {
-		b.at, b.exposed = now, exposures{} // earlier connections were only reset
+		b.at, b.exposed = now, map[string]*exposedRequest{} // earlier connections were only reset
 	}
 	b.service = a.Service
-	for _, id := range a.Signatures {
-		b.exposed.add(id, exposure{sentAt: a.SentAt, acknowledged: a.Acknowledged}, maxExposed)
-	}
+	b.add(requestKey(a.Signatures), exposedRequest{
+		signatures: a.Signatures, repeated: t.Repeated(a), exposure: exposure{sentAt: a.SentAt, acknowledged: a.Acknowledged},
+	})
 	b.reported, b.delivered = false, 0
 	t.confirm(b)
 	if !b.downAt.IsZero() || now.Sub(b.checkedAt) < confirmTime {
@@ -139,7 +194,7 @@
 	b := t.broken[i]
 	if b == nil {
 		t.expire(now)
-		b = &brokenEndpoint{incarnation: i, exposed: exposures{}, checkedAt: now.Add(-confirmTime)}
+		b = &brokenEndpoint{incarnation: i, exposed: map[string]*exposedRequest{}, checkedAt: now.Add(-confirmTime)}
 		t.broken[i] = b
 	}
 	return b
@@ -163,28 +218,61 @@
 	})
 }
 
-// Report returns the crashes that the leader of a term has not received yet, without signatures that have begun here after they were exposed.
+// Report returns crashes that the leader of a term has not received yet, the oldest first, without requests that have begun here after they
+// were exposed. The exposures of the signatures of a request follow that of the exact request.
 func (t *Tracker) Report(now time.Time, term uint64) (list []Crash) {
-	for i, b := range t.crashes {
-		if b.delivered == term {
+	due := slices.SortedFunc(maps.Values(t.crashes), func(a, b *brokenEndpoint) int { return a.at.Compare(b.at) })
+	for _, b := range due {
+		if b.delivered == term || len(list) == maxReported {
 			continue
 		}
 		b.reported = true
-		c := Crash{Incarnation: i, Service: b.service, AgoMillis: millisSince(now, b.at)}
-		for id, e := range b.exposed {
-			if last, known := t.begun.last(Signature{Service: b.service, ID: id}); known && last.After(b.at) {
-				continue
-			}
-			c.Exposed = append(c.Exposed, Exposure{ID: id, WaitedMillis: millisSince(b.at, e.sentAt), Acknowledged: e.acknowledged})
-		}
-		if len(c.Exposed) > 0 {
+		if c := t.report(now, b); len(c.Exposed) > 0 {
 			list = append(list, c)
 		}
 	}
-	slices.SortFunc(list, func(a, b Crash) int { return int(b.AgoMillis - a.AgoMillis) })
 	return list
 }
 
+func (t *Tracker) report(now time.Time, b *brokenEndpoint) Crash {
+	c := Crash{Incarnation: b.incarnation, Service: b.service, AgoMillis: millisSince(now, b.at)}
+	begunSince := func(id string) bool {
+		last, known := t.lastBegin(NewSignature(b.service, id))
+		return known && last.After(b.at)
+	}
+	others := map[string]*exposure{} // of requests that are not known exactly
+	for _, key := range slices.Sorted(maps.Keys(b.exposed)) {
+		x := b.exposed[key]
+		if KindOf(key) != KindRequest {
+			for _, id := range x.signatures {
+				if others[id] == nil {
+					others[id] = &exposure{}
+				}
+				others[id].merge(x.exposure)
+			}
+			continue
+		}
+		if begunSince(key) {
+			continue
+		}
+		for _, id := range x.signatures {
+			if !begunSince(id) {
+				c.Exposed = append(c.Exposed, x.report(b.at, id))
+			}
+		}
+	}
+	for _, id := range slices.Backward(slices.Sorted(maps.Keys(others))) {
+		if !begunSince(id) {
+			c.Exposed = slices.Insert(c.Exposed, 0, others[id].report(b.at, id))
+		}
+	}
+	return c
+}
+
+func (e *exposure) report(crashAt time.Time, id string) Exposure {
+	return Exposure{ID: id, WaitedMillis: millisSince(crashAt, e.sentAt), Acknowledged: e.acknowledged}
+}
+
 // HasUnreported reports whether there is a crash that no report has contained as it is.
 func (t *Tracker) HasUnreported() bool {
 	for _, b := range t.crashes {
@@ -201,7 +289,7 @@
 		t.told, t.toldTerm = map[Signature]time.Time{}, term
 	}
 	for _, sig := range signatures {
-		if at, known := t.begun.last(sig); known && at.After(t.told[sig]) {
+		if at, known := t.lastBegin(sig); known && at.After(t.told[sig]) {
 			list = append(list, Begin{Signature: sig, AgoMillis: millisSince(now, at)})
 		}
 	}
