--- a/internal/place/quarantine/blame.go
+++ b/internal/place/quarantine/blame.go
@@ -297,14 +297,21 @@
 	return false
 }
 
-// surplus returns the number of additional rounds that are needed because endpoints of the service crash for other causes meanwhile.
+// surplus returns the number of additional rounds that are needed because endpoints of the service crash meanwhile for causes other than requests
+// that are suspects themselves.
 func (x *decision) surplus(s *suspect) (n int) {
 	if s.acknowledged == s.unexplained {
 		return 0
 	}
 	first, last := s.rounds[0], s.rounds[len(s.rounds)-1]
+	var others crashSet
+	for _, t := range x.all {
+		if t.kind == KindRequest && t.size > 1 && t.begun.IsZero() {
+			others.merge(t.unexplained)
+		}
+	}
 	for _, k := range x.crashes {
-		if k.service == first.service && !k.at.Before(first.at) && !k.at.After(last.at) && !s.unexplained.has(k) && len(x.explains[k]) == 0 {
+		if k.service == first.service && !k.at.Before(first.at) && !k.at.After(last.at) && !s.unexplained.has(k) && !others.has(k) && len(x.explains[k]) == 0 {
 			n++
 		}
 	}
@@ -365,6 +372,12 @@
 
 func (c *crashSet) has(k *crash) bool { return c[k.slot/64]&(1<<(k.slot%64)) != 0 }
 
+func (c *crashSet) merge(other crashSet) {
+	for i := range c {
+		c[i] |= other[i]
+	}
+}
+
 func (c *crashSet) size() (n int) { return c.common(*c) }
 
 // common returns the number of crashes in both sets.
