Keep requests that crash endpoints from further ones

Cause: entries recorded and reported parts of prompts only. A plain request has none, so its crashes were never checked nor reported; the exact request of a stream was not compared.

An entry computes the signatures of a request once, after its body was read: a digest of method, target, customer and body, the parts, the adapter and the customer. It records begins, crashes and refusals of all of them, of plain requests as well. A request that may be repeated still goes to a second endpoint after a broken connection, unless the same request was exposed to an earlier crash here and has not begun since. Proven is as strict as before: an exact request, an adapter or a customer that has never begun is normal. Logs name the request (key Request of events 2001, 2002, 2008, 2019). The leader computes the checksum of the suspects only when they change.

--- a/internal/base/event/entry.go
+++ b/internal/base/event/entry.go
@@ -44,7 +44,7 @@
 	{DeputiesNamed, slog.LevelInfo, "leader named the deputies that lend without it", "None."},
 	{DeputyLent, slog.LevelInfo, "deputy decided on requests of another entry", "None; lasting: check the control instances."},
 	{BuffersFull, slog.LevelWarn, "memory for bodies of requests and answers is in use", "Frequent: add instances, or find the callers or the endpoint that send large bodies."},
-	{BrokenUnanswered, slog.LevelWarn, "connection of a request broke before its answer began; the endpoint is checked", "Several with the same Parts: see event 5020."},
-	{QuarantineUpdated, slog.LevelInfo, "quarantined parts of prompts changed", "None; see event 5020."},
+	{BrokenUnanswered, slog.LevelWarn, "connection of a request broke before its answer began; the endpoint is checked", "Several with the same Request or Parts: see event 5020."},
+	{QuarantineUpdated, slog.LevelInfo, "quarantined signatures of requests changed", "None; see event 5020."},
 	{AnswerMalformed, slog.LevelWarn, "answer of an endpoint breaks the protocol", "Check the endpoint; it gets no requests for a while."},
 }
--- a/internal/base/event/member.go
+++ b/internal/base/event/member.go
@@ -46,7 +46,7 @@
 	{ControlSilent, slog.LevelWarn, "control instance does not answer", "None if it was stopped; otherwise check its host."},
 	{AdapterPlaced, slog.LevelInfo, "place for an adapter chosen", "None."},
 	{EndpointsInherited, slog.LevelInfo, "new leader took over endpoints that an entry knows", "None; endpoints announce themselves again."},
-	{PartsQuarantined, slog.LevelWarn, "parts of prompts that crash endpoints were quarantined or released", "Added: find the callers that send them (Parts in event 2001), and have the engine fixed."},
-	{PartTried, slog.LevelInfo, "one request may try a quarantined part", "None."},
+	{PartsQuarantined, slog.LevelWarn, "signatures of requests that crash endpoints were quarantined or released", "Added: find the callers that send them (Request, Parts, Adapter and Customer in event 2001), and have the endpoints fixed."},
+	{PartTried, slog.LevelInfo, "one request may try a quarantined signature", "None."},
 	{DeputiesAppointed, slog.LevelInfo, "entries that lend without a leader stored", "Frequent: check why entries come and go."},
 }
--- a/internal/member/view/view.go
+++ b/internal/member/view/view.go
@@ -36,7 +36,7 @@
 
 	suspects           []quarantine.Signature
 	suspectRevision    uint64
-	quarantined        map[string]bool // identifiers of signatures that no endpoint gets
+	quarantined        map[string][]quarantine.Signature // signatures that no endpoint gets, by identifier
 	quarantineRevision uint64
 }
 
@@ -156,9 +156,9 @@
 	if u.QuarantineRevision <= v.quarantineRevision {
 		return false
 	}
-	v.quarantined, v.quarantineRevision = map[string]bool{}, u.QuarantineRevision
+	v.quarantined, v.quarantineRevision = map[string][]quarantine.Signature{}, u.QuarantineRevision
 	for _, s := range u.Quarantine {
-		v.quarantined[s.ID] = true
+		v.quarantined[s.ID] = append(v.quarantined[s.ID], s)
 	}
 	return true
 }
@@ -170,15 +170,15 @@
 	return v.suspects
 }
 
-// Quarantined returns those of the signatures of a request that no endpoint gets, by their identifiers.
-func (v *View) Quarantined(signatures []string) (list []string) {
+// Quarantined returns those of the signatures of a request to a service that no endpoint gets, by their identifiers.
+func (v *View) Quarantined(service string, signatures []string) (list []string) {
 	v.mu.RLock()
 	defer v.mu.RUnlock()
 	if len(v.quarantined) == 0 {
 		return nil
 	}
 	for _, id := range signatures {
-		if v.quarantined[id] {
+		if slices.ContainsFunc(v.quarantined[id], func(s quarantine.Signature) bool { return s.AppliesTo(service) }) {
 			list = append(list, id)
 		}
 	}
--- a/internal/member/view/view_test.go
+++ b/internal/member/view/view_test.go
@@ -8,6 +8,7 @@
 
 	"lycheevale/internal/member/report"
 	"lycheevale/internal/member/view"
+	"lycheevale/internal/place/quarantine"
 	"lycheevale/internal/state/document"
 )
 
@@ -70,3 +71,19 @@
 	c.Check(applyDeputies(2, 3, "b", "c"), quicktest.DeepEquals, []string{"b", "c"})
 	c.Check(applyDeputies(1, 4, "d"), quicktest.DeepEquals, []string{"b", "c"})
 }
+
+// Guards against refusing a customer at services whose endpoints it does not crash, and against sending a request that crashes endpoints to another
+// service of its route.
+func TestQuarantineAppliesToServices(t *testing.T) {
+	c := quicktest.New(t)
+	v := view.New()
+	request, customer := quarantine.Request([]byte("r")), quarantine.Customer("c")
+	u := report.Update{Term: 1, QuarantineRevision: 1, Quarantine: []quarantine.Signature{
+		quarantine.NewSignature("a", request), quarantine.NewSignature("a", customer), {Service: "a", ID: "part"},
+	}}
+	_, err := v.Apply(time.Now(), u, decodeEmpty)
+	c.Assert(err, quicktest.IsNil)
+	all := []string{request, customer, "part", "other"}
+	c.Check(v.Quarantined("a", all), quicktest.DeepEquals, []string{request, customer, "part"})
+	c.Check(v.Quarantined("b", all), quicktest.DeepEquals, []string{request, "part"})
+}
--- a/internal/node/control/quarantine.go
+++ b/internal/node/control/quarantine.go
@@ -53,8 +53,9 @@
 	}
 	ls.detectedAt = now
 	ls.detector.SetSettle(settleReports*reportInterval(len(ls.entries)) + detectInterval)
-	ls.suspects = ls.detector.Suspects()
-	ls.suspectRevision = checksum(ls.suspects)
+	if suspects := ls.detector.Suspects(); !slices.Equal(suspects, ls.suspects) {
+		ls.suspects, ls.suspectRevision = suspects, checksum(suspects)
+	}
 	if ls.quarantining {
 		return
 	}
--- a/internal/serve/forward/forward.go
+++ b/internal/serve/forward/forward.go
@@ -76,6 +76,7 @@
 	service      *document.Service
 	customer     *document.Customer
 	body         []byte
+	signatures   []string // identifiers, that of the exact request first
 	buffers      *buffers.Account
 	arrived      time.Time
 	deadline     time.Time
@@ -104,7 +105,7 @@
 		silence: silence.New(silence.Defaults()), attempts: map[*inFlight]bool{}, loans: map[string]*loanQueue{}, unread: map[string]int{}, shares: o.Shares,
 		tracker: quarantine.NewTracker(), refusedSignatures: map[string]quarantine.Refusals{}, trials: map[string]time.Time{},
 	}
-	h.filters = []filter{h.match, h.identify, h.read, h.checkSignatures, h.admit, h.dispatch}
+	h.filters = []filter{h.match, h.identify, h.read, h.sign, h.checkSignatures, h.admit, h.dispatch}
 	return h
 }
 
@@ -157,7 +158,7 @@
 			slog.String("Customer", customer), slog.String("Adapter", x.request.Adapter.Name),
 			slog.String("Endpoint", x.lastEndpoint), slog.Int("Sent", x.sent), slog.Int("Tokens", x.request.Tokens),
 			slog.Int64("SentMillis", x.sentAt.Sub(x.arrived).Milliseconds()), slog.Int64("FirstMillis", o.FirstByte.Milliseconds()), slog.Int64("AfterMillis", o.Duration.Milliseconds()),
-			slog.Any("Parts", x.request.SharedParts))
+			slog.Any("Parts", x.request.SharedParts), slog.String("Request", x.exactRequest()))
 	}
 }
 
@@ -318,7 +319,7 @@
 		slog.String("Ran", string(e.Ran)), slog.Int("Sent", x.sent), slog.String("Endpoint", x.lastEndpoint),
 		slog.Uint64("Document", version), slog.Int64("ViewAgeMillis", h.options.View.Age(h.options.Now()).Milliseconds()),
 		slog.Int64("AfterMillis", h.options.Now().Sub(x.arrived).Milliseconds()), slog.Bool("CallerGone", x.caller.Context().Err() != nil),
-		slog.Any("Parts", x.request.SharedParts))
+		slog.Any("Parts", x.request.SharedParts), slog.String("Request", x.exactRequest()))
 }
 
 // Close sets "Connection: close" on all further answers, so that callers reconnect to another instance.
--- a/internal/serve/forward/quarantine.go
+++ b/internal/serve/forward/quarantine.go
@@ -11,9 +11,36 @@
 	"lycheevale/internal/place/quarantine"
 )
 
+// sign fills in the signatures of a request.
+func (h *Handler) sign(x *exchange) *refusal.Error {
+	customer := ""
+	if x.customer != nil {
+		customer = x.customer.Name
+	}
+	x.signatures = append(x.signatures, quarantine.Request([]byte(x.request.Method), []byte(x.request.Target), []byte(customer), x.body))
+	for _, part := range x.request.SharedParts {
+		x.signatures = append(x.signatures, quarantine.Part(part))
+	}
+	if a := x.request.Adapter; a.Name != "" {
+		x.signatures = append(x.signatures, quarantine.Adapter(a.Model, a.Name))
+	}
+	if x.customer != nil {
+		x.signatures = append(x.signatures, quarantine.Customer(customer))
+	}
+	return nil
+}
+
+// exactRequest returns the identifier of the exact request, empty for a request that was refused before its body was read.
+func (x *exchange) exactRequest() string {
+	if len(x.signatures) == 0 {
+		return ""
+	}
+	return x.signatures[0]
+}
+
 // checkSignatures refuses a request with a signature that crashes the endpoints which begin to answer it.
 func (h *Handler) checkSignatures(x *exchange) *refusal.Error {
-	ids := h.options.View.Quarantined(x.request.SharedParts)
+	ids := h.options.View.Quarantined(x.service.Name, x.signatures)
 	if len(ids) == 0 || (x.trial && x.ran == 0) {
 		return nil
 	}
@@ -34,7 +61,7 @@
 		}
 		h.refusedSignatures[id] = r
 	}
-	return refusal.New(refusal.Quarantined, "prompt part %q crashes endpoints", ids[0]).WithRetryAt(now.Add(quarantineRetry))
+	return refusal.New(refusal.Quarantined, "%s %q crashes endpoints", quarantine.KindOf(ids[0]), ids[0]).WithRetryAt(now.Add(quarantineRetry))
 }
 
 const (
@@ -46,16 +73,14 @@
 
 // recordBegin records that an endpoint has begun to answer the request.
 func (h *Handler) recordBegin(x *exchange) {
-	if len(x.request.SharedParts) == 0 {
-		return
-	}
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	h.tracker.Begun(h.options.Now(), x.service.Name, x.request.SharedParts)
+	h.tracker.Begun(h.options.Now(), x.service.Name, x.signatures)
 }
 
-// recordBroken records a connection that broke before the answer began, and checks whether the endpoint has crashed. If the endpoint had
-// sent the head of the answer and one of its signatures has never begun here, the request may have caused that, and is not sent to another endpoint.
+// recordBroken records a connection that broke before the answer began, and checks whether the endpoint has crashed. The request may have caused
+// that, and is not sent to another endpoint, if it was exposed to an earlier crash here, or if the endpoint had sent the head of the answer and
+// a part of the prompt has never begun here.
 func (h *Handler) recordBroken(x *exchange, s attempt) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
@@ -63,15 +88,16 @@
 	if f.begun {
 		return
 	}
-	x.mayCrash = f.acknowledged && !h.tracker.Proven(x.service.Name, x.request.SharedParts)
-	check := h.tracker.Broken(h.options.Now(), quarantine.Attempt{
-		Incarnation: incarnation(s.Endpoint), Service: x.service.Name, Signatures: x.request.SharedParts, SentAt: s.started, Acknowledged: f.acknowledged,
-	})
+	a := quarantine.Attempt{
+		Incarnation: incarnation(s.Endpoint), Service: x.service.Name, Signatures: x.signatures, SentAt: s.started, Acknowledged: f.acknowledged,
+	}
+	x.mayCrash = (f.acknowledged && !h.tracker.Proven(a.Service, a.Signatures)) || h.tracker.Repeated(a)
+	check := h.tracker.Broken(h.options.Now(), a)
 	if !check {
 		return
 	}
 	event.Log(x.ctx, h.options.Logger, event.BrokenUnanswered, slog.String("Attempt", x.request.Attempt), slog.String("Endpoint", s.ID),
-		slog.Any("Parts", x.request.SharedParts), slog.Bool("Acknowledged", f.acknowledged))
+		slog.Any("Parts", x.request.SharedParts), slog.String("Request", x.exactRequest()), slog.Bool("Acknowledged", f.acknowledged))
 	h.options.Spawn(func() { h.probe(s.Endpoint) })
 }
 
@@ -90,7 +116,7 @@
 	asked := slices.Clone(h.options.View.Suspects())
 	for _, c := range r.Crashes {
 		for _, e := range c.Exposed {
-			asked = append(asked, quarantine.Signature{Service: c.Service, ID: e.ID})
+			asked = append(asked, quarantine.NewSignature(c.Service, e.ID))
 		}
 	}
 	r.Begins = h.tracker.Begins(now, r.Term, asked)
--- a/internal/serve/forward/send.go
+++ b/internal/serve/forward/send.go
@@ -360,5 +360,5 @@
 	event.Log(x.ctx, h.options.Logger, event.RequestRetried, slog.String("Attempt", x.request.Attempt),
 		slog.String("Endpoint", c.ID), slog.String("Reason", reason), slog.Bool("NotRun", v == notRun),
 		slog.Int("Sent", x.sent), slog.Int("Ran", x.ran), slog.Bool("Begun", x.headSent), slog.String("LastEvent", x.request.LastEvent),
-		slog.Any("Parts", x.request.SharedParts), slog.Int64("AtEndpointMillis", h.options.Now().Sub(x.sentAt).Milliseconds()))
+		slog.Any("Parts", x.request.SharedParts), slog.String("Request", x.exactRequest()), slog.Int64("AtEndpointMillis", h.options.Now().Sub(x.sentAt).Milliseconds()))
 }
--- a/internal/serve/forward/stream.go
+++ b/internal/serve/forward/stream.go
@@ -121,7 +121,7 @@
 		return
 	}
 	f.begun = true
-	h.tracker.Begun(now, f.service, x.request.SharedParts)
+	h.tracker.Begun(now, f.service, x.signatures)
 	if u := h.uses[[2]string{s.ID, f.adapter.Name}]; u != nil {
 		u.answered++
 	}
