--- a/internal/serve/forward/forward.go
+++ b/internal/serve/forward/forward.go
@@ -35,25 +35,25 @@
 	options Options
 	filters []filter
 
-	mu              sync.Mutex
-	random          *rand.Rand
-	picker          *pick.Picker
-	shares          *quota.EntryPool
-	budgets         map[string]*retry.Budget // by service
-	uses            map[[2]string]*use       // by endpoint and adapter
-	placements      map[residency.Adapter]*placement
-	placing         *semaphore.Weighted // requests for places at the leader
-	silence         *silence.Watch
-	attempts        map[*inFlight]bool
-	loans           map[string]*loanQueue // by customer
-	reading         prefill.Speed
-	unread          map[string]int // tokens of prompts that this entry has sent and whose requests have not begun, by endpoint
-	reportedBacklog map[string]int // milliseconds of this entry's unread prompts as last reported to the leader, by endpoint
-	reportedActive  map[string]int // this entry's active requests as last reported to the leader, by endpoint
-	closing         bool
-	tracker         *quarantine.Tracker
-	refusedParts    map[string]quarantine.Refusals // requests refused since the last report, by quarantined part
-	trials          map[string]time.Time           // until when one request may try a quarantined part
+	mu                sync.Mutex
+	random            *rand.Rand
+	picker            *pick.Picker
+	shares            *quota.EntryPool
+	budgets           map[string]*retry.Budget // by service
+	uses              map[[2]string]*use       // by endpoint and adapter
+	placements        map[residency.Adapter]*placement
+	placing           *semaphore.Weighted // requests for places at the leader
+	silence           *silence.Watch
+	attempts          map[*inFlight]bool
+	loans             map[string]*loanQueue // by customer
+	reading           prefill.Speed
+	unread            map[string]int // tokens of prompts that this entry has sent and whose requests have not begun, by endpoint
+	reportedBacklog   map[string]int // milliseconds of this entry's unread prompts as last reported to the leader, by endpoint
+	reportedActive    map[string]int // this entry's active requests as last reported to the leader, by endpoint
+	closing           bool
+	tracker           *quarantine.Tracker
+	refusedSignatures map[string]quarantine.Refusals // requests refused since the last report, by quarantined signature
+	trials            map[string]time.Time           // until when one request may try a quarantined signature
 }
 
 // use counts requests for an adapter at an endpoint.
@@ -78,6 +78,7 @@
 	service       *document.Service
 	customer      *document.Customer
 	body          []byte
+	signatures    []string // identifiers, that of the exact request first
 	buffers       *buffers.Account
 	arrived       time.Time
 	deadline      time.Time
@@ -88,13 +89,13 @@
 	sent          int             // requests that have reached an endpoint
 	ran           int             // of these, requests that may have run
 	headSent      bool            // the head of the answer has been written
-	sentAt        time.Time       // of the last attempt
 	interruptedAt time.Time       // when the last attempt that may have run ended without its answer
+	sentAt        time.Time       // of the last attempt
 	firstByteAt   time.Time       // of the first byte of the answer
 	lastEndpoint  string          // endpoint of the last attempt
 	missingAt     string          // endpoint that did not hold the adapter
 	mayCrash      bool            // it may have crashed the endpoint of the last attempt
-	trial         bool            // it may be sent once with a quarantined part
+	trial         bool            // it may be sent once with a quarantined signature
 	failedAnswer  *completeAnswer // error answer of an endpoint, delivered if no later attempt succeeds
 }
 
@@ -105,9 +106,9 @@
 		options: o, picker: pick.New(o.Picker, o.Seed), random: rand.New(rand.NewPCG(o.Seed, o.Seed+1)),
 		budgets: map[string]*retry.Budget{}, uses: map[[2]string]*use{}, placements: map[residency.Adapter]*placement{}, placing: semaphore.NewWeighted(maxPlacements),
 		silence: silence.New(silence.Defaults()), attempts: map[*inFlight]bool{}, loans: map[string]*loanQueue{}, unread: map[string]int{}, shares: o.Shares,
-		tracker: quarantine.NewTracker(), refusedParts: map[string]quarantine.Refusals{}, trials: map[string]time.Time{},
+		tracker: quarantine.NewTracker(), refusedSignatures: map[string]quarantine.Refusals{}, trials: map[string]time.Time{},
 	}
-	h.filters = []filter{h.match, h.identify, h.read, h.checkParts, h.admit, h.dispatch}
+	h.filters = []filter{h.match, h.identify, h.read, h.sign, h.checkSignatures, h.admit, h.dispatch}
 	return h
 }
 
@@ -160,7 +161,7 @@
 			slog.String("Customer", customer), slog.String("Adapter", x.request.Adapter.Name),
 			slog.String("Endpoint", x.lastEndpoint), slog.Int("Sent", x.sent), slog.Int("Tokens", x.request.Tokens),
 			slog.Int64("SentMillis", x.sentAt.Sub(x.arrived).Milliseconds()), slog.Int64("FirstMillis", o.FirstByte.Milliseconds()), slog.Int64("AfterMillis", o.Duration.Milliseconds()),
-			slog.Any("Parts", x.request.SharedParts))
+			slog.Any("Parts", x.request.SharedParts), slog.String("Request", x.exactRequest()))
 	}
 }
 
@@ -321,7 +322,7 @@
 		slog.String("Ran", string(e.Ran)), slog.Int("Sent", x.sent), slog.String("Endpoint", x.lastEndpoint),
 		slog.Uint64("Document", version), slog.Int64("ViewAgeMillis", h.options.View.Age(h.options.Now()).Milliseconds()),
 		slog.Int64("AfterMillis", h.options.Now().Sub(x.arrived).Milliseconds()), slog.Bool("CallerGone", x.caller.Context().Err() != nil),
-		slog.Any("Parts", x.request.SharedParts))
+		slog.Any("Parts", x.request.SharedParts), slog.String("Request", x.exactRequest()))
 }
 
 // Close sets "Connection: close" on all further answers, so that callers reconnect to another instance.
@@ -356,7 +357,7 @@
 		}
 	}
 	h.reportedBacklog = r.Backlog
-	h.reportParts(now, r)
+	h.reportSignatures(now, r)
 	for key, u := range h.uses {
 		r.Uses = append(r.Uses, residency.Use{Endpoint: key[0], Adapter: u.adapter, Count: u.count, Active: u.active})
 		if u.answered > 0 {
--- a/internal/serve/forward/send.go
+++ b/internal/serve/forward/send.go
@@ -46,7 +46,7 @@
 		if refused := h.checkBacklog(x, c); refused != nil {
 			return h.giveUp(x, refused)
 		}
-		if refused := h.checkParts(x); refused != nil { // the part may have been quarantined since the request arrived
+		if refused := h.checkSignatures(x); refused != nil { // a signature may have been quarantined since the request arrived
 			return h.giveUp(x, refused)
 		}
 		if !h.allowAttempt(x) {
@@ -388,5 +388,5 @@
 	event.Log(x.ctx, h.options.Logger, event.RequestRetried, slog.String("Attempt", x.request.Attempt),
 		slog.String("Endpoint", c.ID), slog.String("Reason", reason), slog.Bool("NotRun", v == notRun),
 		slog.Int("Sent", x.sent), slog.Int("Ran", x.ran), slog.Bool("Begun", x.headSent), slog.String("LastEvent", x.request.LastEvent),
-		slog.Any("Parts", x.request.SharedParts), slog.Int64("AtEndpointMillis", h.options.Now().Sub(x.sentAt).Milliseconds()))
+		slog.Any("Parts", x.request.SharedParts), slog.String("Request", x.exactRequest()), slog.Int64("AtEndpointMillis", h.options.Now().Sub(x.sentAt).Milliseconds()))
 }
