Check an endpoint twice before its broken connection counts as no crash

Callers saw: a part of a prompt that had crashed three engines reached a fourth. Change: an endpoint that accepts the check is checked again after 200 ms, less than any restart takes. Ruled out: the change of the leader (the lost crash came before it in the log).

--- a/internal/serve/forward/inflight.go
+++ b/internal/serve/forward/inflight.go
@@ -103,7 +103,7 @@
 		}) {
 		case silence.Wait:
 		case silence.Probe:
-			h.options.Spawn(func() { h.probe(f.endpoint) })
+			h.options.Spawn(func() { _ = h.probe(f.endpoint) })
 		case silence.Leave:
 			if f.leaving = h.takeMove(now, f); f.leaving {
 				f.cancel(errSilent)
@@ -113,8 +113,8 @@
 	h.silence.Forget(now, silenceRetention)
 }
 
-// probe checks whether a silent endpoint accepts connections.
-func (h *Handler) probe(e report.Endpoint) {
+// probe checks whether an endpoint accepts connections, and records the result.
+func (h *Handler) probe(e report.Endpoint) (accepted bool) {
 	ctx, cancel := context.WithTimeout(context.Background(), probeTimeout)
 	defer cancel()
 	err := h.options.Pool.Probe(ctx, e.Address)
@@ -128,6 +128,7 @@
 		h.picker.Observe(now, e.ID, pick.Unreachable, 0)
 		h.recordDown(e)
 	}
+	return err == nil
 }
 
 // probeTimeout is twice the longest time to connect.
--- a/internal/serve/forward/quarantine.go
+++ b/internal/serve/forward/quarantine.go
@@ -98,9 +98,21 @@
 	}
 	event.Log(x.ctx, h.options.Logger, event.BrokenUnanswered, slog.String("Attempt", x.request.Attempt), slog.String("Endpoint", s.ID),
 		slog.Any("Parts", x.request.SharedParts), slog.String("Request", x.exactRequest()), slog.Bool("Acknowledged", f.acknowledged))
-	h.options.Spawn(func() { h.probe(s.Endpoint) })
+	h.options.Spawn(func() { h.checkCrash(s.Endpoint) })
 }
 
+// checkCrash checks whether an endpoint whose connection broke has crashed. If it accepts a connection it is checked again, because the
+// sockets of a process that ends are closed one after the other.
+func (h *Handler) checkCrash(e report.Endpoint) {
+	if h.probe(e) {
+		time.Sleep(recheckAfter)
+		_ = h.probe(e)
+	}
+}
+
+// recheckAfter is shorter than any restart of an endpoint.
+const recheckAfter = 200 * time.Millisecond
+
 // recordDown records that an endpoint does not accept connections. The caller holds h.mu.
 func (h *Handler) recordDown(e report.Endpoint) {
 	h.tracker.Down(h.options.Now(), incarnation(e))
