Don't call a request not run because its engine refuses the resumption

Cause: when an engine crashes after it has sent the head of an answer, the owner tries to resume the stream. The refused connection of that resumption has the class NotRun, and the owner passed it on as the fate of the request. Over another owner the stream breaks, and the outcome was unknown.

Change: a resumption that fails ends the stream with an error without that class. The fake endpoints of a deployment can crash: they end without an answer and are back after a time with a new incarnation, and announce nothing meanwhile.

Ruled out: classifySend is right for a first attempt, which it proves not run.

--- a/cmd/standin/main.go
+++ b/cmd/standin/main.go
@@ -77,17 +77,18 @@
 	return group.Wait()
 }
 
-func standIn(o options, address netip.AddrPort) (http.Handler, func() engine.Announcement) {
+// standIn returns the handler of the endpoint and a function that returns its announcement; the endpoint is always up.
+func standIn(o options, address netip.AddrPort) (http.Handler, func() (engine.Announcement, bool)) {
 	if o.Kind == string(engine.KindPlain) {
 		started := uint64(time.Now().UnixNano())
-		return fakeservice.New(o.Name), func() engine.Announcement {
+		return fakeservice.New(o.Name), func() (engine.Announcement, bool) {
 			return engine.Announcement{
 				Name: o.Name, DataCentre: o.DataCentre, Address: address, Incarnation: started, Kind: engine.KindPlain,
 				Service: o.Service,
-			}
+			}, true
 		}
 	}
 	e := fakeengine.New(fakeengine.WithName(o.Name, o.DataCentre), fakeengine.WithModel(o.Service, o.Service),
 		fakeengine.WithFetch(fakestore.New().Fetch))
-	return e, func() engine.Announcement { return e.Announcement(address) }
+	return e, func() (engine.Announcement, bool) { return e.Announcement(address), true }
 }
--- a/internal/fake/deployment/deployment.go
+++ b/internal/fake/deployment/deployment.go
@@ -5,6 +5,7 @@
 import (
 	"context"
 	"fmt"
+	"net"
 	"net/http"
 	"net/netip"
 	"path/filepath"
@@ -56,16 +57,6 @@
 // Ready reports whether the instance accepts callers.
 func (i *Instance) Ready() bool { return i.Current().Ready() }
 
-// Endpoint is a running fake engine or plain service.
-type Endpoint struct {
-	Name       string
-	DataCentre string
-	Address    netip.AddrPort
-	Engine     *fakeengine.Engine   // nil for a plain endpoint
-	Service    *fakeservice.Service // nil for an engine
-	Kill       context.CancelFunc
-}
-
 // Deployment is a set of running instances and fake endpoints.
 type Deployment struct {
 	Options   Options
@@ -231,7 +222,7 @@
 		}
 		for n := range o.Services {
 			s := fakeservice.New(fmt.Sprintf("%s-%s-%d", name, o.Service, n+1))
-			announcement := d.plainAnnouncement(s.Name, name)
+			announcement := d.plainAnnouncement(s, name)
 			if err := d.serve(KindService, dc, n, &Endpoint{Name: s.Name, Service: s}, s, announcement); err != nil {
 				return err
 			}
@@ -240,11 +231,10 @@
 	return nil
 }
 
-func (d *Deployment) plainAnnouncement(name, dataCentre string) func(netip.AddrPort) engine.Announcement {
-	incarnation := uint64(time.Now().UnixNano())
+func (d *Deployment) plainAnnouncement(s *fakeservice.Service, dataCentre string) func(netip.AddrPort) engine.Announcement {
 	return func(a netip.AddrPort) engine.Announcement {
 		return engine.Announcement{
-			Name: name, DataCentre: dataCentre, Address: a, Incarnation: incarnation, Kind: engine.KindPlain,
+			Name: s.Name, DataCentre: dataCentre, Address: a, Incarnation: s.Incarnation(), Kind: engine.KindPlain,
 			Service: d.Options.Service,
 		}
 	}
@@ -262,28 +252,21 @@
 	if e.Address, err = d.at(host, portEndpoint); err != nil {
 		return err
 	}
-	listener, err := d.Options.Listen(e.Address)
-	if err != nil {
+	ctx, kill := context.WithCancel(d.ctx)
+	e.Kill, e.listen = kill, func() (net.Listener, error) { return d.Options.Listen(e.Address) }
+	if err := e.open(h); err != nil {
 		return err
 	}
-	ctx, kill := context.WithCancel(d.ctx)
-	e.Kill = kill
-	server := &http.Server{Handler: h, ReadHeaderTimeout: time.Second}
 	client := &http.Client{Transport: &http.Transport{DialContext: d.Options.Dialer(host)}}
-	d.group.Go(func() error {
-		if err := server.Serve(listener); err != http.ErrServerClosed {
-			return err
-		}
-		return nil
-	})
+	d.group.Go(func() error { return e.serve(ctx, h) })
 	d.group.Go(func() error {
 		<-ctx.Done()
 		client.CloseIdleConnections()
-		return server.Close()
+		return nil
 	})
 	d.group.Go(func() error {
-		return fakeengine.Announce(ctx, client, d.addresses(e.DataCentre), func() engine.Announcement {
-			return announcement(e.Address)
+		return fakeengine.Announce(ctx, client, d.addresses(e.DataCentre), func() (a engine.Announcement, up bool) {
+			return announcement(e.Address), !e.Down()
 		})
 	})
 	d.Endpoints = append(d.Endpoints, e)
--- a/internal/fake/engine/command.go
+++ b/internal/fake/engine/command.go
@@ -131,17 +131,18 @@
 	}
 }
 
-// Announce posts the announcements that make returns to the instances in turn until ctx ends.
-func Announce(ctx context.Context, client *http.Client, to []netip.AddrPort, make func() engine.Announcement) error {
+// Announce posts the announcements that make returns to the instances in turn until ctx ends, while the endpoint is up.
+func Announce(ctx context.Context, client *http.Client, to []netip.AddrPort, make func() (a engine.Announcement, up bool)) error {
 	ticker := time.NewTicker(announceInterval)
 	defer ticker.Stop()
 	for i := 0; ; i++ {
-		raw, err := json.Marshal(make())
-		if err != nil {
-			return err
+		if announcement, up := make(); up {
+			raw, err := json.Marshal(announcement)
+			if err != nil {
+				return err
+			}
+			post(ctx, client, to[i%len(to)], raw)
 		}
-		target := to[i%len(to)]
-		post(ctx, client, target, raw)
 		select {
 		case <-ctx.Done():
 			return nil
--- a/internal/fake/engine/options.go
+++ b/internal/fake/engine/options.go
@@ -32,6 +32,7 @@
 	Duplicate  func(attempt string, seq uint64) bool // sends an event twice
 	HeaderWait func(attempt string) time.Duration    // delay before the first byte of the answer
 	FailLoad   func(target string) error             // fails a load
+	Run        func(prompt string)                   // called when the head of the answer has been sent and before the first event
 	NoResume   bool                                  // refuses to resume streams
 }
 
--- a/internal/fake/engine/stream.go
+++ b/internal/fake/engine/stream.go
@@ -23,6 +23,7 @@
 	prompt  int // tokens
 	total   int // tokens to generate
 	seed    uint64
+	text    string // the prompt
 	done    chan struct{}
 	stopped bool
 }
@@ -53,7 +54,7 @@
 	}
 	s := &stream{
 		attempt: r.Header.Get(engine.HeaderAttempt), model: body.Model, chat: body.Messages != nil,
-		prompt: promptTokens(body), total: max(1, body.MaxTokens), seed: body.Seed, done: make(chan struct{}),
+		prompt: promptTokens(body), total: max(1, body.MaxTokens), seed: body.Seed, text: body.Prompt, done: make(chan struct{}),
 	}
 	if problem, status := e.begin(s); problem != "" {
 		refuse(w, status, problem)
@@ -151,6 +152,9 @@
 	w.WriteHeader(http.StatusOK)
 	flusher := http.NewResponseController(w)
 	_ = flusher.Flush()
+	if f.Run != nil && after == 0 {
+		f.Run(s.text)
+	}
 	// Steps follow a fixed schedule: sleeping for StepTime between tokens would add the time of each write and the delay
 	// of each wake-up to the next token.
 	next := time.Now()
--- a/internal/fake/service/service.go
+++ b/internal/fake/service/service.go
@@ -7,6 +7,7 @@
 	"io"
 	"net/http"
 	"sync"
+	"time"
 )
 
 // Service implements http.Handler; the function fields inject faults.
@@ -17,11 +18,12 @@
 	After   func(r *http.Request)              // runs after the order and before the answer
 	mu      sync.Mutex
 	runs    map[string]int
+	started time.Time
 }
 
 // New returns a service with the given name.
 func New(name string) *Service {
-	return &Service{Name: name, runs: map[string]int{}}
+	return &Service{Name: name, runs: map[string]int{}, started: time.Now()}
 }
 
 // Runs returns how often the order with the reference ran.
@@ -31,6 +33,20 @@
 	return s.runs[reference]
 }
 
+// Restart gives the service a new incarnation, as a restart of its process would. What has run is remembered.
+func (s *Service) Restart() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.started = time.Now()
+}
+
+// Incarnation returns the incarnation to announce.
+func (s *Service) Incarnation() uint64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return uint64(s.started.UnixNano())
+}
+
 type order struct {
 	Reference string `json:"reference"`
 }
--- a/internal/node/instance/system_test.go
+++ b/internal/node/instance/system_test.go
@@ -61,6 +61,12 @@
 }
 
 func (s *system) post(i *deployment.Instance, path, body string, headers ...string) (status int, text string) {
+	status, _, text = s.postHeader(i, path, body, headers...)
+	return status, text
+}
+
+// postHeader also returns the header Retry-After.
+func (s *system) postHeader(i *deployment.Instance, path, body string, headers ...string) (status int, retryAfter, text string) {
 	req, err := http.NewRequestWithContext(s.ctx, "POST", "http://"+i.Settings.Listen.Callers.String()+path, bytes.NewReader([]byte(body)))
 	s.Assert(err, qt.IsNil)
 	req.Header.Set("Content-Type", "application/json")
@@ -70,14 +76,14 @@
 	}
 	resp, err := s.client.Do(req)
 	if err != nil {
-		return 0, err.Error()
+		return 0, "", err.Error()
 	}
 	defer resp.Body.Close()
 	raw, err := io.ReadAll(resp.Body)
 	if err != nil {
-		return 0, err.Error()
+		return 0, "", err.Error()
 	}
-	return resp.StatusCode, string(raw)
+	return resp.StatusCode, resp.Header.Get("Retry-After"), string(raw)
 }
 
 func completion(adapter string, tokens int) string {
--- a/internal/serve/owner/stream.go
+++ b/internal/serve/owner/stream.go
@@ -137,7 +137,8 @@
 	t.watch = newWatchdog(t.ctx, o.options.IdleTimeout)
 	answer, err := t.endpoint.client.Resume(t.watch.ctx, t.request.Attempt, t.request.Target(), t.last)
 	if err != nil {
-		return err
+		// Without the class of err: that the endpoint did not accept the resumption does not show that the request has not run.
+		return engine.Error.New("%v; resume: %v", cause, err)
 	}
 	t.answer = answer
 	return nil
