Add the failing test of a request that crashes endpoints in the product's deployment

Cause: the product's path compares no requests. One that crashes endpoints is retried at up to three of them, and again with each repeat.

Change: TestRepeatedDeadlyRequestIsQuarantined sends one such request 20 times to the instances of three data centres in turn, for a model service and for a plain service whose calls must not be repeated. The bound is the number of crashes by which the quarantine of the users' platform blames (MinRounds, 3).

--- a/internal/node/instance/quarantine_test.go
+++ b/internal/node/instance/quarantine_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"fmt"
 	"net/http"
 	"strings"
 	"sync/atomic"
@@ -10,8 +11,10 @@
 
 	qt "github.com/frankban/quicktest"
 
+	"lycheevale/internal/base/knownred"
 	"lycheevale/internal/fake/deployment"
 	fakeengine "lycheevale/internal/fake/engine"
+	"lycheevale/internal/place/quarantine"
 )
 
 const (
@@ -60,6 +63,13 @@
 	return nil
 }
 
+func (d *deadly) crashes() (n int) {
+	for _, e := range d.Endpoints {
+		n += e.Crashes()
+	}
+	return n
+}
+
 // call is a request that can be repeated at any instance.
 type call struct {
 	path, body string
@@ -68,9 +78,23 @@
 // deadlyCalls are requests that crash endpoints, by the kind of the service.
 var deadlyCalls = map[string]call{
 	modelService: {"/v1/completions", `{"model":"draft-00","prompt":"a deadly request","max_tokens":5,"stream":true}`},
+	plainService: {"/ledger/orders", `{"reference":"a deadly order"}`},
 }
 
-const modelService = "model"
+const (
+	modelService = "model"
+	plainService = "plain"
+)
+
+var serviceKinds = []string{modelService, plainService}
+
+// soundCall is a request of a service that crashes nothing.
+func soundCall(kind string, n int) call {
+	if kind == modelService {
+		return call{"/v1/completions", fmt.Sprintf(`{"model":"draft-03","prompt":"sound %d","max_tokens":5,"stream":true}`, n)}
+	}
+	return call{"/ledger/orders", fmt.Sprintf(`{"reference":"sound %d"}`, n)}
+}
 
 // answer is what a caller received.
 type answer struct {
@@ -104,3 +128,36 @@
 		}
 	})
 }
+
+// Guards against a request that crashes the endpoints which begin to run it: repeated at several instances, it reached up to three
+// endpoints each time.
+func TestRepeatedDeadlyRequestIsQuarantined(t *testing.T) {
+	const (
+		repeats  = 20
+		interval = 2 * time.Second
+	)
+	for _, kind := range serviceKinds {
+		t.Run(kind, func(t *testing.T) {
+			crashes, received, served := 0, int64(0), 0
+			runDeadly(t, func(d *deadly) {
+				for n := range repeats {
+					a := d.call(n, deadlyCalls[kind])
+					d.Check(a.status, qt.Not(qt.Equals), http.StatusOK)
+					if a.Error.Code == "Quarantined" {
+						d.Check(a.Error.Ran, qt.Equals, "NotRun")
+						d.Check(a.status, qt.Equals, http.StatusServiceUnavailable)
+						d.Check(a.retryTime, qt.Not(qt.Equals), "")
+					}
+					time.Sleep(interval)
+					if d.call(n+1, soundCall(kind, n)).status == http.StatusOK {
+						served++
+					}
+				}
+				crashes, received = d.crashes(), d.received.Load()
+			})
+			limit := quarantine.DefaultOptions().MinRounds
+			knownred.Target(t, crashes <= limit && served == repeats, "%d crashes, want at most %d; %d of %d sound requests were served; endpoints received the request %d times",
+				crashes, limit, served, repeats, received)
+		})
+	}
+}
