Add quarantined signatures to the configuration

Cause: a decision that no endpoint gets requests with a signature has to reach all instances and to survive any of them, as other configuration does.

Change: a kind Quarantine with service and signature; the name of its object is a digest of both, so that a signature is stored once. Operators can list and delete them.

Ruled out: a field of Service, which voters of earlier releases would drop silently and operators' files would overwrite. Earlier instances without a vote pass over objects of kinds that they do not know (TestObjectsOfLaterKindsArePassedOver holds that rule; it passes on the earlier code too). Earlier voters refuse the change, so it must not be proposed while one of them votes.

TestQuarantineIsStored failed before: there was no such kind.

--- a/internal/serve/operator/read.go
+++ b/internal/serve/operator/read.go
@@ -24,6 +24,7 @@
 	{"services", registry.KindService},
 	{"voters", registry.KindVoter},
 	{"shares", registry.KindShare},
+	{"quarantines", registry.KindQuarantine},
 }
 
 // CollectionOf returns the collection with a plural name or the name of its kind.
--- a/internal/serve/operator/validate.go
+++ b/internal/serve/operator/validate.go
@@ -102,6 +102,7 @@
 		{registry.KindCustomer, o.Customer != nil}, {registry.KindKey, o.Key != nil}, {registry.KindModel, o.Model != nil},
 		{registry.KindAdapter, o.Adapter != nil}, {registry.KindVersion, o.Version != nil},
 		{registry.KindService, o.Service != nil}, {registry.KindVoter, o.Voter != nil}, {registry.KindShare, o.Share != nil},
+		{registry.KindQuarantine, o.Quarantine != nil},
 	} {
 		if spec.set {
 			kinds = append(kinds, spec.kind)
@@ -160,6 +161,12 @@
 		}
 		fs.notNegative("Share.Rate", o.Share.Rate)
 		fs.notNegative("Share.Burst", o.Share.Burst)
+	case registry.KindQuarantine:
+		fs.required("Quarantine.Service", o.Quarantine.Service)
+		fs.required("Quarantine.Signature", o.Quarantine.Signature)
+		if name := registry.QuarantineName(*o.Quarantine); o.Name != name {
+			fs.add("Name", "must be %s", name)
+		}
 	}
 }
 
--- a/internal/state/registry/object.go
+++ b/internal/state/registry/object.go
@@ -2,6 +2,8 @@
 package registry
 
 import (
+	"crypto/sha256"
+	"encoding/hex"
 	"net/netip"
 	"time"
 )
@@ -19,6 +21,8 @@
 	KindService  Kind = "Service"
 	KindVoter    Kind = "Voter"
 	KindShare    Kind = "Share"
+	// KindQuarantine is unknown to voters of earlier releases, which refuse its changes; other instances pass over its objects.
+	KindQuarantine Kind = "Quarantine"
 )
 
 // Object is one configuration object; exactly the spec that Kind names is set, none when Deleted.
@@ -35,6 +39,8 @@
 	Service  *Service  `json:"Service,omitempty"`
 	Voter    *Voter    `json:"Voter,omitempty"`
 	Share    *Share    `json:"Share,omitempty"`
+
+	Quarantine *Quarantine `json:"Quarantine,omitempty"`
 }
 
 // Withdraws reports whether the object withdraws or deletes a key.
@@ -131,6 +137,19 @@
 	Confirmed  bool    `json:"Confirmed"` // the data centre has applied this epoch
 }
 
+// Quarantine is a signature of requests that no endpoint of a service gets, because endpoints crash when they begin to run such a request.
+// Its object has the name QuarantineName.
+type Quarantine struct {
+	Service   string `json:"Service"` // plain service or base model
+	Signature string `json:"Signature"`
+}
+
+// QuarantineName returns the name of the object of a quarantined signature.
+func QuarantineName(q Quarantine) string {
+	sum := sha256.Sum256([]byte(q.Service + "\x00" + q.Signature))
+	return hex.EncodeToString(sum[:16])
+}
+
 // Command is a change of one or more objects that is applied atomically.
 type Command struct {
 	RequestID        string    `json:"RequestID"`
--- a/internal/state/registry/registry.go
+++ b/internal/state/registry/registry.go
@@ -59,7 +59,7 @@
 func (r *Registry) clear() {
 	r.tables = map[Kind]*table{}
 	for _, kind := range []Kind{
-		KindCustomer, KindKey, KindModel, KindAdapter, KindVersion, KindService, KindVoter, KindShare,
+		KindCustomer, KindKey, KindModel, KindAdapter, KindVersion, KindService, KindVoter, KindShare, KindQuarantine,
 	} {
 		r.tables[kind] = newTable()
 	}
--- a/internal/state/registry/table.go
+++ b/internal/state/registry/table.go
@@ -72,6 +72,7 @@
 	o.Customer, o.Key, o.Model = cloneSpec(o.Customer), cloneSpec(o.Key), cloneSpec(o.Model)
 	o.Adapter, o.Version, o.Voter = cloneSpec(o.Adapter), cloneSpec(o.Version), cloneSpec(o.Voter)
 	o.Share, o.Service = cloneSpec(o.Share), cloneSpec(o.Service)
+	o.Quarantine = cloneSpec(o.Quarantine)
 	if o.Service != nil {
 		o.Service.Routes = append([]Route(nil), o.Service.Routes...)
 	}
--- a/internal/state/registry/validate.go
+++ b/internal/state/registry/validate.go
@@ -53,6 +53,8 @@
 		}
 	case KindShare:
 		return checkShare(o, invalid)
+	case KindQuarantine:
+		return checkQuarantine(o, invalid)
 	}
 	return nil
 }
@@ -61,6 +63,7 @@
 	set := map[Kind]bool{
 		KindCustomer: o.Customer != nil, KindKey: o.Key != nil, KindModel: o.Model != nil, KindAdapter: o.Adapter != nil,
 		KindVersion: o.Version != nil, KindService: o.Service != nil, KindVoter: o.Voter != nil, KindShare: o.Share != nil,
+		KindQuarantine: o.Quarantine != nil,
 	}
 	for kind, present := range set {
 		if present {
@@ -134,6 +137,20 @@
 	return nil
 }
 
+// maxSignature bounds the length of a quarantined signature in bytes.
+const maxSignature = 1 << 10
+
+func checkQuarantine(o Object, invalid invalidFunc) *ChangeError {
+	q := *o.Quarantine
+	switch {
+	case q.Service == "" || q.Signature == "" || len(q.Signature) > maxSignature:
+		return invalid("service and signature are required, the signature with at most %d bytes", maxSignature)
+	case o.Name != QuarantineName(q):
+		return invalid("the name is not %s, which belongs to the service and the signature", QuarantineName(q))
+	}
+	return nil
+}
+
 // checkTransition compares an object with the one it replaces.
 func (r *Registry) checkTransition(o Object) *ChangeError {
 	id := ID{o.Kind, o.Name}
--- a/internal/tool/ctl/commands.go
+++ b/internal/tool/ctl/commands.go
@@ -67,6 +67,7 @@
 	group(parser, "services", "Services; apply creates and changes them", collection(s, registry.KindService)...)
 	group(parser, "voters", "Instances that store the replicated logs", collection(s, registry.KindVoter,
 		command{"set", "Create or change a voter", "", &setVoter{session: s}})...)
+	group(parser, "quarantines", "Signatures of requests that no endpoint gets; delete releases one", collection(s, registry.KindQuarantine)...)
 	group(parser, "limits", "Customers' limits and the shares of the data centres",
 		command{"list", "List the limits", "", &listLimits{session: s}},
 		command{"set", "Change a customer's limit", "", &setLimit{session: s}})
--- a/internal/tool/ctl/output.go
+++ b/internal/tool/ctl/output.go
@@ -111,6 +111,8 @@
 	registry.KindService:  {"NAME", "KIND", "MODEL", "ROUTES", "AVAILABILITY", "FIRST TOKEN", "REVISION"},
 	registry.KindVoter:    {"NAME", "ADDRESS", "DATA CENTRE", "REVISION"},
 	registry.KindShare:    {"NAME", "RATE", "BURST", "EPOCH", "CONFIRMED", "REVISION"},
+
+	registry.KindQuarantine: {"NAME", "SERVICE", "SIGNATURE", "REVISION"},
 }
 
 func addObject(t *table, o registry.Object) {
@@ -134,6 +136,8 @@
 		t.add(o.Name, o.Voter.Address, o.Voter.DataCentre, o.Revision)
 	case o.Share != nil:
 		t.add(o.Name, o.Share.Rate, o.Share.Burst, o.Share.Epoch, yesNo(o.Share.Confirmed), o.Revision)
+	case o.Quarantine != nil:
+		t.add(o.Name, o.Quarantine.Service, o.Quarantine.Signature, o.Revision)
 	default:
 		t.add(o.Name, o.Revision)
 	}
