Quarantine requests that crash endpoints in the product's deployment

Cause: no instance compares requests. One that crashes the endpoints which begin to run it is sent to further ones by its retries, and again with each repeat at any instance.

Change: with package place/quarantine, as on the users' platform. The signature of a request is a digest of method, path, query, customer and body. Owners record which requests had not begun when the connection to an engine broke, and which begin; entries do so for plain services. A refused connection right after confirms the crash (serve/isolate). The leader of the configuration log is told of crashes, collects the records of all instances by one instance of each data centre, runs the detector, and stores a blamed signature as an object of the configuration, which reaches all instances with the feed. Entries, and owners after the queue, refuse such requests at once with Quarantined, as not run, to be repeated after a minute. An order is claimed first, so that a resend learns that its outcome is unknown. Permitted trials and releases are those of the platform. A new leader collects everything again; records are reported until the leader confirms them. Nothing is sent while there is neither a crash nor a suspect. Voters ask each other whether they know the new kind, and nothing is proposed before all do.

Ruled out: deciding at each coordinator, which needs three crashes in each data centre; reports with the renewals of each second, which would ask 1,100 instances all the time.

TestRequestOfCrashedEngineMayHaveRun now sends a different request each time; the same one would be refused, which is what the other tests ask for.

--- a/internal/base/event/entry.go
+++ b/internal/base/event/entry.go
@@ -24,6 +24,7 @@
 	AnswerMalformed   ID = 2018
 	BrokenUnanswered  ID = 2019
 	QuarantineUpdated ID = 2020
+	CrashUnreported   ID = 2021
 )
 
 var entryEvents = []Entry{
@@ -46,5 +47,6 @@
 	{BuffersFull, slog.LevelWarn, "memory for bodies of requests and answers is in use", "Frequent: add instances, or find the callers or the endpoint that send large bodies."},
 	{BrokenUnanswered, slog.LevelWarn, "connection of a request broke before its answer began; the endpoint is checked", "Several with the same Parts: see event 5020."},
 	{QuarantineUpdated, slog.LevelInfo, "quarantined parts of prompts changed", "None; see event 5020."},
+	{CrashUnreported, slog.LevelInfo, "leader of the configuration log could not be told of a crashed endpoint", "None; it is told again. Lasting: check the links to the voters."},
 	{AnswerMalformed, slog.LevelWarn, "answer of an endpoint breaks the protocol", "Check the endpoint; it gets no requests for a while."},
 }
--- a/internal/node/instance/instance.go
+++ b/internal/node/instance/instance.go
@@ -51,6 +51,7 @@
 	admit            *admit.Admission
 	permits          *permits
 	duties           *duties
+	isolation        *isolation
 	caller           *caller.Server
 	metrics          metrics.Metrics
 	burn             *burn.Recorder
@@ -87,6 +88,7 @@
 	i.burn = burn.New(burn.WithObjective(i.objective))
 	i.members = i.newMembers()
 	i.permits = newPermits(s.Name, o, i.coordinator, i.links.Call)
+	i.isolation = newIsolation(i)
 	i.owner = i.newOwner()
 	i.targets = newTargets(i)
 	i.admit = admit.New(admit.WithNow(o.Now), admit.WithLimit(i.state.limit), admit.WithCoordinator(i.coordinator),
@@ -196,7 +198,7 @@
 		scheduler.WithOptions(placement), scheduler.WithPermit(i.permits.request), scheduler.WithWeight(i.state.weight),
 	}, i.options.Scheduler...)
 	o := owner.New(owner.WithLogger(i.options.Logger), owner.WithScheduler(scheduler.New(opts...)),
-		owner.WithSource(i.state.source), owner.WithLoadEnded(i.permits.release),
+		owner.WithRecorder(i.isolation.recorder), owner.WithSource(i.state.source), owner.WithLoadEnded(i.permits.release),
 		owner.WithIdleTimeout(i.settings.Timeouts.EndpointRead),
 		owner.WithClient(func(a netip.AddrPort) *engine.Client { return engine.New(a, engine.WithTransport(transport)) }))
 	i.permits.onGranted = o.Wake
@@ -216,6 +218,7 @@
 		c.ChoosePlain = i.targets.choosePlain
 		c.Claim = i.state.claim
 		c.Observe = i.observe
+		c.Recorder = i.isolation.recorder
 		c.MaxResponse = i.settings.Limits.ResponseBytes
 		c.MaxBody = i.settings.Limits.BodyBytes
 		c.DefaultTimeout = i.settings.Timeouts.Request
@@ -287,7 +290,7 @@
 // runners returns the loops of all components, in the order of their dependencies; each returns when its context ends.
 func (i *Instance) runners() []func(context.Context) error {
 	return slices.Concat([]func(context.Context) error{
-		i.links.Run, i.owner.Run, i.members.Run, i.admit.Run, i.permits.run, i.duties.run, i.caller.Run, i.targets.run, i.targets.followRemote,
+		i.links.Run, i.owner.Run, i.members.Run, i.admit.Run, i.permits.run, i.duties.run, i.isolation.run, i.caller.Run, i.targets.run, i.targets.followRemote,
 	}, i.state.runners())
 }
 
--- a/internal/node/instance/operator.go
+++ b/internal/node/instance/operator.go
@@ -34,7 +34,7 @@
 		leader, _ := i.state.leader()
 		return Description{
 			Leader: leader, Name: i.settings.Name, DataCentre: i.settings.DataCentre, Region: i.settings.Region,
-			Streams: i.settings.Listen.Streams, Revision: i.state.registry.Revision(), Roles: i.roles(),
+			Streams: i.settings.Listen.Streams, Revision: i.state.registry.Revision(), Roles: i.roles(), StoresQuarantine: true,
 		}, nil
 	}))
 }
@@ -130,6 +130,12 @@
 	return i.state.registry.Get(kind, name)
 }
 
+// Objects returns the configuration objects of a kind in force at this instance.
+func (i *Instance) Objects(kind registry.Kind) []registry.Object { return i.state.registry.List(kind) }
+
+// Leads reports whether this instance leads the configuration log.
+func (i *Instance) Leads() bool { return i.state.isLeader() }
+
 // Coordinator returns the coordinator of the data centre in this instance's view, or an empty string.
 func (i *Instance) Coordinator() string { return i.members.View().Coordinator }
 
--- a/internal/node/instance/quarantine_test.go
+++ b/internal/node/instance/quarantine_test.go
@@ -3,18 +3,22 @@
 import (
 	"encoding/json"
 	"fmt"
+	"math/rand/v2"
 	"net/http"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
 
 	qt "github.com/frankban/quicktest"
+	"golang.org/x/sync/errgroup"
 
 	"lycheevale/internal/base/knownred"
 	"lycheevale/internal/fake/deployment"
 	fakeengine "lycheevale/internal/fake/engine"
 	"lycheevale/internal/place/quarantine"
+	"lycheevale/internal/state/registry"
 )
 
 const (
@@ -25,18 +29,27 @@
 // deadly is a deployment whose endpoints crash when they begin to run a request with deadlyText.
 type deadly struct {
 	*system
-	received atomic.Int64 // requests with deadlyText that endpoints have received
+	harmless atomic.Bool  // requests with deadlyText no longer crash endpoints
+	wait     atomic.Int64 // time until an endpoint begins to answer a sound request, in nanoseconds
+
+	mu   sync.Mutex
+	seen []string // texts with deadlyText that endpoints have received
 }
 
-func runDeadly(t *testing.T, test func(d *deadly)) {
+func runDeadly(t *testing.T, test func(d *deadly), opts ...deployment.Option) {
 	t.Helper()
 	d := &deadly{}
 	crash := func(name, text string) {
 		if !strings.Contains(text, deadlyText) {
+			time.Sleep(time.Duration(d.wait.Load()))
 			return
 		}
-		d.received.Add(1)
-		d.endpoint(name).Crash(downTime)
+		d.mu.Lock()
+		d.seen = append(d.seen, text)
+		d.mu.Unlock()
+		if !d.harmless.Load() {
+			d.endpoint(name).Crash(downTime)
+		}
 	}
 	runSystem(t, func(s *system) {
 		d.system = s
@@ -46,12 +59,12 @@
 			}
 		}
 		test(d)
-	}, deployment.With(func(o *deployment.Options) {
-		o.Services = 2
+	}, append([]deployment.Option{deployment.With(func(o *deployment.Options) {
+		o.Instances, o.ExtraInstances, o.Services = 1, 1, 2
 		o.EngineOptions = func(name string) []fakeengine.Option {
 			return []fakeengine.Option{fakeengine.WithFaults(fakeengine.Faults{Run: func(prompt string) { crash(name, prompt) }})}
 		}
-	}))
+	})}, opts...)...)
 }
 
 func (d *deadly) endpoint(name string) *deployment.Endpoint {
@@ -63,6 +76,18 @@
 	return nil
 }
 
+// received returns how many requests with a text endpoints have received.
+func (d *deadly) received(text string) (n int) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	for _, seen := range d.seen {
+		if strings.Contains(seen, text) {
+			n++
+		}
+	}
+	return n
+}
+
 func (d *deadly) crashes() (n int) {
 	for _, e := range d.Endpoints {
 		n += e.Crashes()
@@ -72,18 +97,28 @@
 
 // call is a request that can be repeated at any instance.
 type call struct {
-	path, body string
+	path, text string
+}
+
+// body returns the body, which contains the text.
+func (c call) body() string {
+	if c.path == completionsPath {
+		return fmt.Sprintf(`{"model":"draft-00","prompt":%q,"max_tokens":5,"stream":true}`, c.text)
+	}
+	return fmt.Sprintf(`{"reference":%q}`, c.text)
 }
 
 // deadlyCalls are requests that crash endpoints, by the kind of the service.
 var deadlyCalls = map[string]call{
-	modelService: {"/v1/completions", `{"model":"draft-00","prompt":"a deadly request","max_tokens":5,"stream":true}`},
-	plainService: {"/ledger/orders", `{"reference":"a deadly order"}`},
+	modelService: {completionsPath, "a deadly request"},
+	plainService: {ordersPath, "a deadly request"},
 }
 
 const (
-	modelService = "model"
-	plainService = "plain"
+	modelService    = "model"
+	plainService    = "plain"
+	completionsPath = "/v1/completions"
+	ordersPath      = "/ledger/orders"
 )
 
 var serviceKinds = []string{modelService, plainService}
@@ -91,9 +126,9 @@
 // soundCall is a request of a service that crashes nothing.
 func soundCall(kind string, n int) call {
 	if kind == modelService {
-		return call{"/v1/completions", fmt.Sprintf(`{"model":"draft-03","prompt":"sound %d","max_tokens":5,"stream":true}`, n)}
+		return call{completionsPath, fmt.Sprintf("sound %d", n)}
 	}
-	return call{"/ledger/orders", fmt.Sprintf(`{"reference":"sound %d"}`, n)}
+	return call{ordersPath, fmt.Sprintf("sound %d", n)}
 }
 
 // answer is what a caller received.
@@ -106,13 +141,13 @@
 
 func (d *deadly) call(at int, c call) (a answer) {
 	i := d.Instances[at%len(d.Instances)]
-	received := d.received.Load()
-	a.status, a.retryTime, a.text = d.postHeader(i, c.path, c.body)
+	before := d.received(c.text)
+	a.status, a.retryTime, a.text = d.postHeader(i, c.path, c.body())
 	if text := strings.TrimPrefix(a.text, "data: "); strings.HasPrefix(text, `{"error"`) {
 		d.Check(json.Unmarshal([]byte(text), &a), qt.IsNil)
 	}
-	if strings.Contains(c.body, deadlyText) {
-		d.Check(a.Error.Ran == "NotRun" && d.received.Load() > received, qt.IsFalse, qt.Commentf("P8: an endpoint has received it: %s", a.text))
+	if strings.Contains(c.text, deadlyText) {
+		d.Check(a.Error.Ran == "NotRun" && d.received(c.text) > before, qt.IsFalse, qt.Commentf("P8: an endpoint has received it: %s", a.text))
 	}
 	return a
 }
@@ -122,7 +157,8 @@
 func TestRequestOfCrashedEngineMayHaveRun(t *testing.T) {
 	runDeadly(t, func(d *deadly) {
 		for n := range d.Instances {
-			a := d.call(n, deadlyCalls[modelService])
+			c := call{completionsPath, fmt.Sprintf("deadly %d", n)}
+			a := d.call(n, c)
 			d.Check(a.Error.Ran, qt.Equals, "Unknown", qt.Commentf("%s", a.text))
 			time.Sleep(2 * downTime)
 		}
@@ -138,7 +174,7 @@
 	)
 	for _, kind := range serviceKinds {
 		t.Run(kind, func(t *testing.T) {
-			crashes, received, served := 0, int64(0), 0
+			crashes, received, served := 0, 0, 0
 			runDeadly(t, func(d *deadly) {
 				for n := range repeats {
 					a := d.call(n, deadlyCalls[kind])
@@ -153,7 +189,7 @@
 						served++
 					}
 				}
-				crashes, received = d.crashes(), d.received.Load()
+				crashes, received = d.crashes(), d.received(deadlyText)
 			})
 			limit := quarantine.DefaultOptions().MinRounds
 			knownred.Target(t, crashes <= limit && served == repeats, "%d crashes, want at most %d; %d of %d sound requests were served; endpoints received the request %d times",
@@ -161,3 +197,180 @@
 		})
 	}
 }
+
+// quarantined returns the signatures that the last instance refuses.
+func (d *deadly) quarantined() []registry.Object {
+	return d.Instances[len(d.Instances)-1].Current().Objects(registry.KindQuarantine)
+}
+
+// Guards against two requests that crash endpoints at the same time and hide each other, or take the sound ones with them.
+func TestTwoDeadlyRequestsAreQuarantined(t *testing.T) {
+	const (
+		repeats  = 30
+		interval = 500 * time.Millisecond
+	)
+	for _, kind := range serviceKinds {
+		t.Run(kind, func(t *testing.T) {
+			runDeadly(t, func(d *deadly) {
+				other := deadlyCalls[kind]
+				other.text = "another deadly request"
+				both := []call{deadlyCalls[kind], other}
+				var group errgroup.Group
+				refused := make([]bool, len(both))
+				served := 0
+				for at, c := range both {
+					group.Go(func() error {
+						for n := range repeats {
+							refused[at] = d.call(n+at, c).Error.Code == "Quarantined"
+							time.Sleep(interval)
+						}
+						return nil
+					})
+				}
+				d.Check(group.Wait(), qt.IsNil)
+				time.Sleep(downTime)
+				for n := range d.Instances {
+					if d.call(n, soundCall(kind, n)).status == http.StatusOK {
+						served++
+					}
+				}
+				d.Check(refused, qt.DeepEquals, []bool{true, true})
+				d.Check(d.quarantined(), qt.HasLen, len(both))
+				d.Check(served, qt.Equals, len(d.Instances))
+				d.Check(d.crashes() <= len(both)*quarantine.DefaultOptions().Decisive, qt.IsTrue, qt.Commentf("%d crashes", d.crashes()))
+			})
+		})
+	}
+}
+
+// Guards against a request that is blamed for crashes of another cause, such as requests that are often repeated.
+func TestOtherCrashesBlameNoRequest(t *testing.T) {
+	const (
+		seeds   = 5
+		callers = 8
+		length  = 30 * time.Second
+		wait    = 300 * time.Millisecond // many requests have not begun when their endpoint crashes
+	)
+	for seed := range uint64(seeds) {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			runDeadly(t, func(d *deadly) {
+				d.wait.Store(int64(wait))
+				end := time.Now().Add(length)
+				random := rand.New(rand.NewPCG(seed, 1))
+				var group errgroup.Group
+				for n := range callers {
+					pause := 100*time.Millisecond + time.Duration(random.Int64N(int64(200*time.Millisecond)))
+					kind := serviceKinds[n%2]
+					group.Go(func() error {
+						for i := n; time.Now().Before(end); i++ {
+							d.call(i, soundCall(kind, n%4)) // four requests that are repeated all the time
+							d.call(i, soundCall(kind, 1000*n+i))
+							time.Sleep(pause)
+						}
+						return nil
+					})
+				}
+				for time.Now().Before(end) {
+					time.Sleep(time.Duration(random.Int64N(int64(2 * time.Second))))
+					for range 1 + random.IntN(4) {
+						d.Endpoints[random.IntN(len(d.Endpoints))].Crash(downTime)
+					}
+				}
+				d.Check(group.Wait(), qt.IsNil)
+				d.Check(d.quarantined(), qt.HasLen, 0)
+				d.Check(d.crashes() > seeds, qt.IsTrue)
+			}, deployment.With(func(o *deployment.Options) { o.DataCentres, o.ExtraInstances = []string{"brisbane-a"}, 2 }))
+		})
+	}
+}
+
+// Guards against what was learned of crashes, or the decision, that is lost with the instance that leads or coordinates. An instance that is
+// replaced may take along the crashes that only it has seen, those of one request.
+func TestQuarantineOutlivesInstances(t *testing.T) {
+	for _, kind := range serviceKinds {
+		t.Run(kind, func(t *testing.T) {
+			runDeadly(t, func(d *deadly) {
+				const (
+					replaced = 2
+					attempts = 3 // of a request
+				)
+				const withoutVote = 1
+				for range replaced {
+					before := d.crashes()
+					d.call(withoutVote, deadlyCalls[kind])
+					d.Check(d.crashes() > before, qt.IsTrue)
+					time.Sleep(time.Second)
+					d.replace(d.leader())
+					time.Sleep(2 * downTime)
+				}
+				var a answer
+				for n := 0; a.Error.Code != "Quarantined" && n < 2*len(d.Instances); n++ {
+					a = d.call(n, deadlyCalls[kind])
+					time.Sleep(2 * downTime)
+				}
+				d.Check(d.crashes() <= quarantine.DefaultOptions().MinRounds+attempts*replaced, qt.IsTrue, qt.Commentf("%d crashes", d.crashes()))
+				for _, i := range d.Instances {
+					d.replace(i)
+				}
+				time.Sleep(2 * downTime)
+				before := d.received(deadlyText)
+				for n := range d.Instances {
+					d.Check(d.call(n, deadlyCalls[kind]).Error.Code, qt.Equals, "Quarantined")
+				}
+				d.Check(d.received(deadlyText), qt.Equals, before)
+			})
+		})
+	}
+}
+
+// leader returns the instance that leads the configuration log.
+func (d *deadly) leader() *deployment.Instance {
+	for {
+		for _, i := range d.Instances {
+			if i.Current().Leads() {
+				return i
+			}
+		}
+		time.Sleep(100 * time.Millisecond)
+	}
+}
+
+// replace ends an instance without a hand-over and starts it again.
+func (d *deadly) replace(i *deployment.Instance) {
+	for _, other := range d.Instances {
+		if other != i {
+			d.net.Cut(i.Host, other.Host)
+		}
+	}
+	d.Check(d.StopInstance(i), qt.IsNil)
+	d.net.HealAll()
+	d.Assert(d.Restart(i), qt.IsNil)
+	d.Assert(d.WaitReady(d.ctx), qt.IsNil)
+}
+
+// Guards against a wrongly blamed request that is refused for ever.
+func TestWronglyBlamedRequestIsReleased(t *testing.T) {
+	const interval = 5 * time.Second
+	for _, kind := range serviceKinds {
+		t.Run(kind, func(t *testing.T) {
+			runDeadly(t, func(d *deadly) {
+				for n := 0; len(d.quarantined()) == 0; n++ {
+					d.call(n, deadlyCalls[kind])
+					time.Sleep(interval)
+				}
+				d.harmless.Store(true)
+				end := time.Now().Add(2 * quarantine.DefaultOptions().TrialAfter)
+				status := 0
+				for n := 0; status != http.StatusOK && time.Now().Before(end); n++ {
+					status = d.call(n, deadlyCalls[kind]).status
+					time.Sleep(interval)
+				}
+				d.Check(status, qt.Equals, http.StatusOK)
+				d.Check(d.quarantined(), qt.HasLen, 0)
+				for n := range d.Instances {
+					d.Check(d.call(n, deadlyCalls[kind]).status, qt.Equals, http.StatusOK)
+				}
+			})
+		})
+	}
+}
--- a/internal/node/instance/targets.go
+++ b/internal/node/instance/targets.go
@@ -170,6 +170,8 @@
 	Revision   uint64         `json:"Revision"`
 	Roles      []string       `json:"Roles"`
 	Leader     string         `json:"Leader,omitempty"` // of the configuration log, if known to the instance
+
+	StoresQuarantine bool `json:"StoresQuarantine,omitempty"` // a voter that knows the kind Quarantine
 }
 
 // remote returns the client for another owner. It requests the owner's stream address once per peer
@@ -229,7 +231,7 @@
 		return cmp.Or(cmp.Compare(t.running[a.Name], t.running[b.Name]), cmp.Compare(a.Name, b.Name))
 	})
 	t.running[best.Name]++
-	return caller.PlainTarget{Endpoint: best.Name, Address: best.Address.String(), Done: func() {
+	return caller.PlainTarget{Endpoint: best.Name, Address: best.Address.String(), Born: best.Incarnation, Done: func() {
 		t.mu.Lock()
 		defer t.mu.Unlock()
 		if t.running[best.Name]--; t.running[best.Name] == 0 {
--- a/internal/serve/caller/caller.go
+++ b/internal/serve/caller/caller.go
@@ -70,6 +70,11 @@
 	reserved Reservation
 	used     int // tokens
 	outcome  Outcome
+
+	signatures []string // compared by place/quarantine
+	trial      bool     // it may be sent once with a quarantined signature
+	mayHaveRun bool     // an endpoint may have run it
+	begun      bool     // an endpoint has begun to answer the current attempt
 }
 
 func (s *Server) setRequestID(next http.Handler) http.Handler {
@@ -123,7 +128,7 @@
 	x, err := s.newExchange(w, r)
 	defer func() { s.report(x) }()
 	if err == nil {
-		err = s.runFilters(x, s.requireState, s.identify, s.parse, s.authorise, s.admit)
+		err = s.runFilters(x, s.requireState, s.identify, s.parse, s.authorise, s.checkCompletion, s.admit)
 	}
 	if err != nil {
 		s.refuse(x, err)
@@ -172,7 +177,7 @@
 	return owner.Request{
 		Attempt: attempt, Customer: x.customer, Model: x.ref.Model, Adapter: adapterOf(x.ref), Path: x.r.URL.Path,
 		PrefixHash: x.body.prefixHash(), PromptTokens: x.body.promptTokens(), MaxTokens: x.body.MaxTokens,
-		Priority: s.priority(x.customer), Deadline: x.deadline,
+		Priority: s.priority(x.customer), Deadline: x.deadline, Signatures: x.signatures, Trial: x.trial,
 	}
 }
 
--- /dev/null
+++ b/internal/serve/caller/isolate.go
@@ -0,0 +1,47 @@
+package caller
+
+import (
+	"context"
+	"net/netip"
+	"time"
+
+	"lycheevale/internal/place/quarantine"
+)
+
+// signaturesOf returns what a request has in common with others that may crash endpoints.
+func signaturesOf(x *exchange, query string, body []byte) []string {
+	return []string{quarantine.Request([]byte(x.r.Method), []byte(x.r.URL.Path), []byte(query), []byte(x.customer), body)}
+}
+
+// checkCompletion refuses a completion that no endpoint gets.
+func (s *Server) checkCompletion(x *exchange) error { return s.checkQuarantine(x, x.ref.Model) }
+
+// checkQuarantine refuses a request with a quarantined signature. A request that may try it is sent once.
+func (s *Server) checkQuarantine(x *exchange, service string) error {
+	if x.trial && !x.mayHaveRun {
+		return nil
+	}
+	trial, err := s.options.Recorder.Check(service, x.signatures)
+	x.trial = trial
+	return err
+}
+
+// recordBegin records that an endpoint has begun to answer the request.
+func (s *Server) recordBegin(x *exchange, service string) {
+	if !x.begun {
+		x.begun = true
+		s.options.Recorder.Begun(service, x.signatures)
+	}
+}
+
+// recordBroken records a call of a plain service whose connection broke before the whole answer arrived.
+func (s *Server) recordBroken(ctx context.Context, c *plainCall, target PlainTarget, sentAt time.Time, acknowledged bool) {
+	address, err := netip.ParseAddrPort(target.Address)
+	if err != nil || ctx.Err() != nil {
+		return
+	}
+	s.options.Recorder.Broken(ctx, quarantine.Attempt{
+		Incarnation: quarantine.Incarnation{Endpoint: target.Endpoint, Born: int64(target.Born)}, Service: c.route.service,
+		Signatures: c.signatures, SentAt: sentAt, Acknowledged: acknowledged,
+	}, address)
+}
--- a/internal/serve/caller/options.go
+++ b/internal/serve/caller/options.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"time"
 
+	"lycheevale/internal/serve/isolate"
 	"lycheevale/internal/serve/owner"
 	"lycheevale/internal/state/registry"
 )
@@ -20,6 +21,7 @@
 type PlainTarget struct {
 	Endpoint string
 	Address  string // host and port
+	Born     uint64 // incarnation
 	Done     func()
 }
 
@@ -86,6 +88,7 @@
 	ChoosePlain    func(service string, tried []string) (PlainTarget, error)
 	Claim          func(ctx context.Context, customer, key, fingerprint string) (Claim, error)
 	Observe        func(Outcome)
+	Recorder       *isolate.Recorder // of crashes and begins
 	PlainTransport http.RoundTripper
 	MaxBody        int64         // bytes
 	MaxResponse    int64         // bytes of a plain service's response
@@ -117,6 +120,7 @@
 			return Reservation{Settle: func(int) {}}, nil
 		},
 		Observe:        func(Outcome) {},
+		Recorder:       isolate.New(),
 		Trace:          func(*http.Request, Step) {},
 		PlainTransport: newPlainTransport(),
 		MaxBody:        4 << 20,
--- a/internal/serve/caller/plain.go
+++ b/internal/serve/caller/plain.go
@@ -166,6 +166,7 @@
 		}
 		c.body = scrubBody(raw, x.r.Header.Get("Content-Type"))
 		c.query = scrubQuery(x.r.URL.RawQuery)
+		x.signatures = signaturesOf(x, c.query, c.body)
 		return nil
 	}
 }
@@ -220,7 +221,6 @@
 func (s *Server) callWithRetries(ctx context.Context, c *plainCall) (response *StoredResponse, err error) {
 	s.retries.earn()
 	var tried []string
-	mayHaveRun := false
 	for n := 1; ; n++ {
 		var endpoint string
 		response, endpoint, err = s.callOnce(ctx, c, tried, n)
@@ -230,7 +230,7 @@
 		e := refusal.From(err)
 		repeatable := c.route.Idempotent || !s.options.Rules.RunOnce
 		again := e.Ran == refusal.NotRun && e.Code == refusal.Unavailable || repeatable && e.Ran == refusal.Unknown
-		err = s.recordMayHaveRun(&mayHaveRun, err)
+		err = s.recordMayHaveRun(c.exchange, err)
 		if !again || n >= s.options.MaxAttempts || ctx.Err() != nil || !s.retries.spend() || !backoffWait(ctx, n) {
 			return nil, err
 		}
@@ -239,6 +239,9 @@
 }
 
 func (s *Server) callOnce(ctx context.Context, c *plainCall, tried []string, n int) (*StoredResponse, string, error) {
+	if err := s.checkQuarantine(c.exchange, c.route.service); err != nil {
+		return nil, "", err
+	}
 	s.options.Trace(c.r, StepChoose)
 	target, err := s.options.ChoosePlain(c.route.service, tried)
 	if err != nil && len(tried) > 0 {
@@ -268,9 +271,14 @@
 	req.Header = plainHeader(c.r.Header)
 	req.Header.Set(engine.HeaderAttempt, attempt)
 	s.options.Trace(c.r, StepDispatch)
+	sentAt := s.options.Now()
 	resp, err := s.options.PlainTransport.RoundTrip(req)
 	if err != nil {
-		return nil, plainError(err)
+		refused := plainError(err)
+		if refusal.From(refused).Ran == refusal.Unknown {
+			s.recordBroken(ctx, c, target, sentAt, false)
+		}
+		return nil, refused
 	}
 	defer func() { _ = resp.Body.Close() }()
 	if got := resp.Header.Get(engine.HeaderAttempt); got != "" && got != attempt {
@@ -280,8 +288,10 @@
 	s.options.Trace(c.r, StepFirstByte)
 	body, err := io.ReadAll(io.LimitReader(resp.Body, s.options.MaxResponse+1))
 	if err != nil {
+		s.recordBroken(ctx, c, target, sentAt, true)
 		return nil, refusal.New(refusal.OutcomeUnknown, "answer was cut: %v", err)
 	}
+	s.recordBegin(c.exchange, c.route.service)
 	if int64(len(body)) > s.options.MaxResponse {
 		return nil, refusal.New(refusal.OutcomeUnknown, "answer is larger than %d bytes", s.options.MaxResponse)
 	}
--- a/internal/serve/caller/relay.go
+++ b/internal/serve/caller/relay.go
@@ -24,14 +24,13 @@
 	out := newOutput(x, s.options.WriteTimeout)
 	s.retries.earn()
 	var tried []string
-	mayHaveRun := false
 	for n := 1; ; n++ {
 		endpoint, err := s.attempt(ctx, x, out, tried)
 		x.used = out.tokens(x)
 		if err == nil {
 			return
 		}
-		err = s.recordMayHaveRun(&mayHaveRun, err)
+		err = s.recordMayHaveRun(x, err)
 		if !s.mayRetry(ctx, x, out, err, n) || !backoffWait(ctx, n) {
 			s.finishWithError(ctx, x, out, s.endReason(ctx, err))
 			return
@@ -44,12 +43,12 @@
 
 // recordMayHaveRun records whether an attempt may have run. From then on errors of later attempts are marked as unknown
 // too, because a later attempt that did not run proves nothing about the earlier ones.
-func (s *Server) recordMayHaveRun(mayHaveRun *bool, err error) error {
+func (s *Server) recordMayHaveRun(x *exchange, err error) error {
 	e := refusal.From(err)
 	if e.Ran == refusal.Unknown {
-		*mayHaveRun = true
+		x.mayHaveRun = true
 	}
-	if *mayHaveRun && s.options.Rules.RememberRuns {
+	if x.mayHaveRun && s.options.Rules.RememberRuns {
 		return e.WithUnknown()
 	}
 	return err
@@ -87,6 +86,10 @@
 
 // attempt selects an endpoint, dispatches to it and relays its response.
 func (s *Server) attempt(ctx context.Context, x *exchange, out *output, tried []string) (endpoint string, err error) {
+	x.begun = false
+	if err := s.checkCompletion(x); err != nil { // a signature may have been quarantined meanwhile
+		return "", err
+	}
 	request := s.request(x, uuid.NewString())
 	request.Body, err = x.body.forEngine(request.Target(), s.options.Rules.RemoveKeys)
 	if err != nil {
@@ -122,6 +125,7 @@
 			out.flush()
 			return target.Endpoint, err
 		}
+		s.recordBegin(x, x.ref.Model)
 		s.traceEvent(x, e)
 		if err := out.addEvent(s.options.Now(), e); err != nil {
 			return target.Endpoint, err
--- a/internal/serve/owner/options.go
+++ b/internal/serve/owner/options.go
@@ -7,6 +7,7 @@
 
 	"lycheevale/internal/place/scheduler"
 	"lycheevale/internal/serve/engine"
+	"lycheevale/internal/serve/isolate"
 )
 
 // Rules are safety checks; all are enabled by default, and only mutation tests disable one.
@@ -33,6 +34,7 @@
 	MissedPolls  int                                 // consecutive failed polls until an endpoint is considered unreachable
 	Source       func(a scheduler.AdapterRef) string // identifier in the weight store
 	LoadEnded    func(endpoint string, a scheduler.AdapterRef)
+	Recorder     *isolate.Recorder // of crashes and begins
 }
 
 // Option sets one of the Options.
@@ -78,6 +80,11 @@
 	return func(o *Options) { o.LoadEnded = f }
 }
 
+// WithRecorder sets the recorder of crashes and begins.
+func WithRecorder(r *isolate.Recorder) Option {
+	return func(o *Options) { o.Recorder = r }
+}
+
 func defaults() Options {
 	return Options{
 		Rules: AllRules(), Logger: slog.Default(), Scheduler: scheduler.New(), Now: time.Now,
@@ -86,5 +93,6 @@
 		LoadTimeout: 5 * time.Second, LeaseMargin: 200 * time.Millisecond, MaxResumes: 3, MissedPolls: 4,
 		Source:    func(a scheduler.AdapterRef) string { return target(a, "") },
 		LoadEnded: func(string, scheduler.AdapterRef) {},
+		Recorder:  isolate.New(),
 	}
 }
--- a/internal/serve/owner/owner.go
+++ b/internal/serve/owner/owner.go
@@ -28,8 +28,10 @@
 	MaxTokens    int                  `json:"MaxTokens"`
 	Priority     int                  `json:"Priority,omitempty"`
 	Deadline     time.Time            `json:"Deadline"`
-	Endpoint     string               `json:"Endpoint,omitempty"`  // the only endpoint allowed
-	Preferred    string               `json:"Preferred,omitempty"` // the entry's choice
+	Endpoint     string               `json:"Endpoint,omitempty"`   // the only endpoint allowed
+	Preferred    string               `json:"Preferred,omitempty"`  // the entry's choice
+	Signatures   []string             `json:"Signatures,omitempty"` // compared by place/quarantine
+	Trial        bool                 `json:"Trial,omitempty"`      // may run with a quarantined signature
 	Body         []byte               `json:"-"`
 }
 
@@ -313,6 +315,11 @@
 		o.finish(r.Attempt, 0, true)
 		return nil, refusal.New(refusal.Unavailable, "lease of endpoint %s has ended", p.endpoint.name)
 	}
+	// A signature may have been quarantined while the request was queued.
+	if err := o.options.Recorder.Refuse(r.Model, r.Signatures); err != nil && !r.Trial {
+		o.finish(r.Attempt, 0, true)
+		return nil, err
+	}
 	return p.endpoint, nil
 }
 
--- a/internal/serve/owner/stream.go
+++ b/internal/serve/owner/stream.go
@@ -11,6 +11,7 @@
 
 	"lycheevale/internal/base/event"
 	"lycheevale/internal/base/refusal"
+	"lycheevale/internal/place/quarantine"
 	"lycheevale/internal/place/scheduler"
 	"lycheevale/internal/serve/engine"
 )
@@ -45,6 +46,8 @@
 	ctx      context.Context
 	cancel   context.CancelFunc
 	answer   *engine.Answer
+	sentAt   time.Time
+	sentTo   engine.Announcement // the endpoint's incarnation at that time
 	watch    *watchdog
 	last     uint64 // sequence number of the last event yielded
 	resumes  int
@@ -53,13 +56,17 @@
 }
 
 func (o *Owner) open(ctx context.Context, cancel context.CancelFunc, e *ownedEndpoint, r Request) (*Stream, error) {
-	t := &transfer{owner: o, endpoint: e, request: r, ctx: ctx, cancel: cancel}
+	t := &transfer{owner: o, endpoint: e, request: r, ctx: ctx, cancel: cancel, sentAt: o.options.Now()}
+	o.mu.Lock()
+	t.sentTo = e.grant.Endpoint
+	o.mu.Unlock()
 	attempt := engine.Attempt{
 		ID: r.Attempt, Path: r.Path, Model: r.Target(), Priority: r.Priority, Deadline: r.Deadline, Body: r.Body,
 	}
 	t.watch = newWatchdog(ctx, o.options.IdleTimeout)
 	answer, err := e.client.Complete(t.watch.ctx, attempt)
 	if err != nil {
+		t.recordBroken(err, false)
 		t.watch.stop()
 		t.finish(true)
 		return nil, t.toRefusal(err)
@@ -70,6 +77,18 @@
 	}, nil
 }
 
+// recordBroken records an attempt that its endpoint accepted and whose connection broke before the answer began.
+func (t *transfer) recordBroken(cause error, acknowledged bool) {
+	if t.watch.ctx.Err() != nil || engine.NotRun.Has(cause) || engine.WrongAttempt.Has(cause) {
+		return
+	}
+	a := t.sentTo
+	t.owner.options.Recorder.Broken(t.ctx, quarantine.Attempt{
+		Incarnation: quarantine.Incarnation{Endpoint: a.Name, Born: int64(a.Incarnation)}, Service: t.request.Model,
+		Signatures: t.request.Signatures, SentAt: t.sentAt, Acknowledged: acknowledged,
+	}, a.Address)
+}
+
 // toRefusal converts an engine error to a refusal; only class NotRun proves that the request did not run.
 func (t *transfer) toRefusal(err error) error {
 	if engine.NotRun.Has(err) {
@@ -111,6 +130,9 @@
 			return engine.Truncated.New("event %d follows event %d", e.Seq, t.last), true
 		}
 		t.watch.reset()
+		if t.last == 0 {
+			t.owner.options.Recorder.Begun(t.request.Model, t.request.Signatures)
+		}
 		t.last = e.Seq
 		if !yield(e, nil) {
 			return nil, false
@@ -123,6 +145,9 @@
 func (t *transfer) resume(cause error) error {
 	o := t.owner
 	idle := context.Cause(t.watch.ctx) == errIdle
+	if t.last == 0 {
+		t.recordBroken(cause, true)
+	}
 	t.answer.Close()
 	t.watch.stop()
 	if t.ctx.Err() != nil || t.resumes >= o.options.MaxResumes || engine.WrongAttempt.Has(cause) {
