Don't send a request that may crash endpoints to a second one

Cause: a request whose attempt broke was sent to further endpoints, also when its exact request had been exposed to a crash before and had begun nowhere. Each such attempt may cost an endpoint.

Change: an entry remembers the requests whose attempts ended without an answer although an endpoint may have begun them, and knows the suspects about which the leader asks. Such a request is sent once; a request that is interrupted for the first time is still repeated, since most crashes have other causes (TestSoundRequestSurvivesCrash).

Ruled out: no second attempt after any broken one, as on the platform for a request whose head had arrived: engines of this protocol always send the head first, so that each crash of an engine would lose its requests (with that rule TestSoundRequestSurvivesCrash fails with 502).

After: a request takes two endpoints once and one with each repeat until it is quarantined.

--- a/internal/serve/caller/caller.go
+++ b/internal/serve/caller/caller.go
@@ -75,6 +75,7 @@
 	trial      bool     // it may be sent once with a quarantined signature
 	mayHaveRun bool     // an endpoint may have run it
 	begun      bool     // an endpoint has begun to answer the current attempt
+	suspect    bool     // it may be what crashes endpoints
 }
 
 func (s *Server) setRequestID(next http.Handler) http.Handler {
--- a/internal/serve/caller/isolate.go
+++ b/internal/serve/caller/isolate.go
@@ -5,6 +5,7 @@
 	"net/netip"
 	"time"
 
+	"lycheevale/internal/base/refusal"
 	"lycheevale/internal/place/quarantine"
 )
 
@@ -34,6 +35,13 @@
 	}
 }
 
+// recordInterrupted records an attempt that ended without an answer. The request is a suspect if it was exposed to a crash before.
+func (s *Server) recordInterrupted(ctx context.Context, x *exchange, service string, err error) {
+	if err != nil && ctx.Err() == nil && !x.begun && refusal.From(err).Ran == refusal.Unknown {
+		x.suspect = s.options.Recorder.Interrupted(service, x.signatures)
+	}
+}
+
 // recordBroken records a call of a plain service whose connection broke before the whole answer arrived.
 func (s *Server) recordBroken(ctx context.Context, c *plainCall, target PlainTarget, sentAt time.Time, acknowledged bool) {
 	address, err := netip.ParseAddrPort(target.Address)
--- a/internal/serve/caller/plain.go
+++ b/internal/serve/caller/plain.go
@@ -231,7 +231,7 @@
 		repeatable := c.route.Idempotent || !s.options.Rules.RunOnce
 		again := e.Ran == refusal.NotRun && e.Code == refusal.Unavailable || repeatable && e.Ran == refusal.Unknown
 		err = s.recordMayHaveRun(c.exchange, err)
-		if !again || n >= s.options.MaxAttempts || ctx.Err() != nil || !s.retries.spend() || !backoffWait(ctx, n) {
+		if !again || c.suspect || n >= s.options.MaxAttempts || ctx.Err() != nil || !s.retries.spend() || !backoffWait(ctx, n) {
 			return nil, err
 		}
 		tried = append(tried, endpoint)
@@ -258,6 +258,7 @@
 		defer cancel()
 	}
 	response, err := s.exchangePlain(ctx, c, target)
+	s.recordInterrupted(ctx, c.exchange, c.route.service, err)
 	return response, target.Endpoint, err
 }
 
--- a/internal/serve/caller/relay.go
+++ b/internal/serve/caller/relay.go
@@ -30,6 +30,7 @@
 		if err == nil {
 			return
 		}
+		s.recordInterrupted(ctx, x, x.ref.Model, err)
 		err = s.recordMayHaveRun(x, err)
 		if !s.mayRetry(ctx, x, out, err, n) || !backoffWait(ctx, n) {
 			s.finishWithError(ctx, x, out, s.endReason(ctx, err))
@@ -156,7 +157,7 @@
 		return false
 	case e.Ran == refusal.Unknown && out.begun && x.body.Temperature != 0:
 		return false
-	case out.mismatch:
+	case out.mismatch || x.suspect:
 		return false
 	}
 	return s.retries.spend()
--- a/internal/serve/isolate/isolate.go
+++ b/internal/serve/isolate/isolate.go
@@ -6,7 +6,9 @@
 import (
 	"context"
 	"log/slog"
+	"maps"
 	"net/netip"
+	"slices"
 	"sync"
 	"time"
 
@@ -23,6 +25,9 @@
 	retryAfter = time.Minute
 	// trialTime is the time in which an instance may use a permit to try a quarantined signature.
 	trialTime = 30 * time.Second
+	// interruptedTime is the time for which a request that may have crashed an endpoint is remembered, and maxInterrupted their number.
+	interruptedTime = 10 * time.Minute
+	maxInterrupted  = 4096
 )
 
 // Recorder records crashes and begins at an instance, and refuses requests with quarantined signatures. It is safe for concurrent use.
@@ -32,7 +37,8 @@
 
 	mu              sync.Mutex
 	tracker         *quarantine.Tracker
-	suspects        []quarantine.Signature // those about which the leader asks
+	interrupted     map[quarantine.Signature]time.Time // exact requests that may have crashed an endpoint
+	suspects        []quarantine.Signature             // those about which the leader asks
 	suspectRevision uint64
 	quarantined     map[quarantine.Signature]bool
 	revision        uint64                         // of the configuration that quarantined was read from
@@ -58,7 +64,7 @@
 		opt(&o)
 	}
 	return &Recorder{
-		options: o, probes: make(chan probe, maxProbes), tracker: quarantine.NewTracker(),
+		options: o, probes: make(chan probe, maxProbes), tracker: quarantine.NewTracker(), interrupted: map[quarantine.Signature]time.Time{},
 		refused: map[string]quarantine.Refusals{}, trials: map[string]time.Time{},
 		reports: uint64(o.Wall().UnixNano()), // reports before and after a restart differ
 	}
@@ -156,6 +162,35 @@
 	}
 }
 
+// Interrupted records that an attempt of a request ended before its answer began, though an endpoint may have begun to run it. It reports
+// whether the exact request was exposed to a crash before and has not begun anywhere, as far as this instance knows; it may be what crashes
+// endpoints then.
+func (r *Recorder) Interrupted(service string, signatures []string) (again bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	now := r.options.Now()
+	for _, id := range signatures {
+		if quarantine.KindOf(id) != quarantine.KindRequest || r.tracker.Proven(service, []string{id}) {
+			continue
+		}
+		s := quarantine.Signature{Service: service, ID: id}
+		_, known := r.interrupted[s]
+		again = again || known || slices.Contains(r.suspects, s)
+		r.remember(now, s)
+	}
+	return again
+}
+
+func (r *Recorder) remember(now time.Time, s quarantine.Signature) {
+	if len(r.interrupted) >= maxInterrupted {
+		maps.DeleteFunc(r.interrupted, func(_ quarantine.Signature, at time.Time) bool { return now.Sub(at) > interruptedTime })
+	}
+	if len(r.interrupted) >= maxInterrupted {
+		clear(r.interrupted)
+	}
+	r.interrupted[s] = now
+}
+
 // Run checks endpoints and tells the leader of crashes until ctx ends.
 func (r *Recorder) Run(ctx context.Context) error {
 	group, ctx := errgroup.WithContext(ctx)
--- a/internal/serve/isolate/isolate_test.go
+++ b/internal/serve/isolate/isolate_test.go
@@ -259,3 +259,19 @@
 		c.set(func() { c.Check(calls, qt.Equals, 0) })
 	})
 }
+
+// Guards against a request that is sent to a second endpoint although it was exposed to a crash anywhere and has begun nowhere, and against a
+// sound one that is not.
+func TestInterruptedRequestIsSuspectOnce(t *testing.T) {
+	run(t, func(c *cluster) {
+		interrupted := func(at, id string) bool { return c.recorders[at].Interrupted(service, []string{id, "customer:x"}) }
+		c.Check(interrupted("c", other), qt.IsFalse)
+		c.Check(interrupted("c", other), qt.IsTrue)
+		c.recorders["c"].Begun(service, []string{other})
+		c.Check(interrupted("c", other), qt.IsFalse)
+		c.crash("e", request)
+		for name := range c.recorders {
+			c.Check(interrupted(name, request), qt.IsTrue)
+		}
+	})
+}
