Follow signatures of exact requests that hold at all services

Cause: package quarantine gives an exact request one signature for all services, counts only parts as proven, and asks only about signatures that were exposed to several crashes.

Change: service is empty in the object of an exact request. Tracker.HasBegun tells whether an exact request has begun; with Proven no request was a suspect any more.

--- a/internal/serve/isolate/isolate.go
+++ b/internal/serve/isolate/isolate.go
@@ -107,7 +107,7 @@
 }
 
 func refuse(now time.Time, found []string) error {
-	return refusal.New(refusal.Quarantined, "requests with signature %q crash endpoints", found[0]).WithRetryAt(now.Add(retryAfter))
+	return refusal.New(refusal.Quarantined, "%s %q crashes endpoints", quarantine.KindOf(found[0]), found[0]).WithRetryAt(now.Add(retryAfter))
 }
 
 // find returns the quarantined ones of the signatures. The caller holds mu.
@@ -122,7 +122,7 @@
 		return nil
 	}
 	for _, id := range signatures {
-		if r.quarantined[quarantine.Signature{Service: service, ID: id}] {
+		if r.quarantined[quarantine.NewSignature(service, id)] {
 			found = append(found, id)
 		}
 	}
@@ -170,10 +170,10 @@
 	defer r.mu.Unlock()
 	now := r.options.Now()
 	for _, id := range signatures {
-		if quarantine.KindOf(id) != quarantine.KindRequest || r.tracker.Proven(service, []string{id}) {
+		if quarantine.KindOf(id) != quarantine.KindRequest || r.tracker.HasBegun(service, id) {
 			continue
 		}
-		s := quarantine.Signature{Service: service, ID: id}
+		s := quarantine.NewSignature(service, id)
 		_, known := r.interrupted[s]
 		again = again || known || slices.Contains(r.suspects, s)
 		r.remember(now, s)
--- a/internal/serve/isolate/report.go
+++ b/internal/serve/isolate/report.go
@@ -120,7 +120,7 @@
 	crashes := r.tracker.Report(now, q.Term)
 	for _, c := range crashes {
 		for _, e := range c.Exposed {
-			asked = append(asked, quarantine.Signature{Service: c.Service, ID: e.ID})
+			asked = append(asked, quarantine.NewSignature(c.Service, e.ID))
 		}
 	}
 	r.reports++
--- a/internal/serve/operator/validate.go
+++ b/internal/serve/operator/validate.go
@@ -162,7 +162,6 @@
 		fs.notNegative("Share.Rate", o.Share.Rate)
 		fs.notNegative("Share.Burst", o.Share.Burst)
 	case registry.KindQuarantine:
-		fs.required("Quarantine.Service", o.Quarantine.Service)
 		fs.required("Quarantine.Signature", o.Quarantine.Signature)
 		if name := registry.QuarantineName(*o.Quarantine); o.Name != name {
 			fs.add("Name", "must be %s", name)
--- a/internal/state/registry/object.go
+++ b/internal/state/registry/object.go
@@ -137,10 +137,10 @@
 	Confirmed  bool    `json:"Confirmed"` // the data centre has applied this epoch
 }
 
-// Quarantine is a signature of requests that no endpoint of a service gets, because endpoints crash when they begin to run such a request.
+// Quarantine is a signature of requests that no endpoint gets, because endpoints crash when they begin to run such a request.
 // Its object has the name QuarantineName.
 type Quarantine struct {
-	Service   string `json:"Service"` // plain service or base model
+	Service   string `json:"Service,omitempty"` // plain service or base model; empty for an exact request
 	Signature string `json:"Signature"`
 }
 
--- a/internal/state/registry/validate.go
+++ b/internal/state/registry/validate.go
@@ -143,8 +143,8 @@
 func checkQuarantine(o Object, invalid invalidFunc) *ChangeError {
 	q := *o.Quarantine
 	switch {
-	case q.Service == "" || q.Signature == "" || len(q.Signature) > maxSignature:
-		return invalid("service and signature are required, the signature with at most %d bytes", maxSignature)
+	case q.Signature == "" || len(q.Signature) > maxSignature:
+		return invalid("a signature of 1 to %d bytes is required", maxSignature)
 	case o.Name != QuarantineName(q):
 		return invalid("the name is not %s, which belongs to the service and the signature", QuarantineName(q))
 	}
