Compare adapters and customers in the product's deployment

Cause: requests that crash endpoints need not be the same ones; what they share may be an adapter or a customer.

Change: a request also has the signatures of its adapter's version and of its customer. The detector blames the narrowest one that explains the crashes.

Before: TestDeadlyAdapterIsQuarantined, in which each of 20 requests for one adapter is different, ended without a quarantined signature. After: the adapter is quarantined, and requests of the same customer for another adapter are served throughout.

--- a/internal/node/instance/quarantine_test.go
+++ b/internal/node/instance/quarantine_test.go
@@ -1,6 +1,7 @@
 package instance_test
 
 import (
+	"cmp"
 	"encoding/json"
 	"fmt"
 	"math/rand/v2"
@@ -98,20 +99,21 @@
 // call is a request that can be repeated at any instance.
 type call struct {
 	path, text string
+	adapter    string // of a completion; empty for draft-00
 }
 
 // body returns the body, which contains the text.
 func (c call) body() string {
 	if c.path == completionsPath {
-		return fmt.Sprintf(`{"model":"draft-00","prompt":%q,"max_tokens":5,"stream":true}`, c.text)
+		return fmt.Sprintf(`{"model":%q,"prompt":%q,"max_tokens":5,"stream":true}`, cmp.Or(c.adapter, "draft-00"), c.text)
 	}
 	return fmt.Sprintf(`{"reference":%q}`, c.text)
 }
 
 // deadlyCalls are requests that crash endpoints, by the kind of the service.
 var deadlyCalls = map[string]call{
-	modelService: {completionsPath, "a deadly request"},
-	plainService: {ordersPath, "a deadly request"},
+	modelService: {path: completionsPath, text: "a deadly request"},
+	plainService: {path: ordersPath, text: "a deadly request"},
 }
 
 const (
@@ -127,9 +129,9 @@
 // soundCall is a request of a service that crashes nothing.
 func soundCall(kind string, n int) call {
 	if kind == modelService {
-		return call{completionsPath, fmt.Sprintf("sound %d", n)}
+		return call{path: completionsPath, text: fmt.Sprintf("sound %d", n)}
 	}
-	return call{ordersPath, fmt.Sprintf("sound %d", n)}
+	return call{path: ordersPath, text: fmt.Sprintf("sound %d", n)}
 }
 
 // answer is what a caller received.
@@ -162,7 +164,7 @@
 func TestRequestOfCrashedEngineMayHaveRun(t *testing.T) {
 	runDeadly(t, func(d *deadly) {
 		for n := range d.Instances {
-			c := call{completionsPath, fmt.Sprintf("deadly %d", n)}
+			c := call{path: completionsPath, text: fmt.Sprintf("deadly %d", n)}
 			a := d.call(n, c)
 			d.Check(a.Error.Ran, qt.Equals, "Unknown", qt.Commentf("%s", a.text))
 			time.Sleep(2 * downTime)
@@ -383,7 +385,7 @@
 // Guards against a request that crashes an endpoint with each of its attempts. The first broken attempt may be due to another crash, and is
 // repeated; an exact request that was exposed before, and has begun nowhere, is not.
 func TestSuspectIsNotSentAgain(t *testing.T) {
-	for name, c := range map[string]call{"model": deadlyCalls[modelService], "lookup": {lookupPath + "deadly", "deadly"}} {
+	for name, c := range map[string]call{"model": deadlyCalls[modelService], "lookup": {path: lookupPath + "deadly", text: "deadly"}} {
 		t.Run(name, func(t *testing.T) {
 			runDeadly(t, func(d *deadly) {
 				d.Check(d.call(0, c).Error.Ran, qt.Equals, "Unknown")
@@ -425,3 +427,25 @@
 		d.Check(d.crashes(), qt.Equals, len(d.Instances))
 	})
 }
+
+// Guards against an adapter whose requests, each of them different, crash endpoints, and against blame for its customer.
+func TestDeadlyAdapterIsQuarantined(t *testing.T) {
+	const repeats = 20
+	runDeadly(t, func(d *deadly) {
+		var a answer
+		for n := range repeats {
+			sound := call{path: completionsPath, text: fmt.Sprint("sound ", n), adapter: "draft-03"} // of the same customer
+			d.Check(d.call(n, sound).status, qt.Equals, http.StatusOK)
+			if a = d.call(n, call{path: completionsPath, text: fmt.Sprint("deadly ", n)}); a.Error.Code == "Quarantined" {
+				break
+			}
+			time.Sleep(2 * downTime)
+		}
+		d.Check(a.Error.Ran, qt.Equals, "NotRun")
+		var blamed []string
+		for _, o := range d.quarantined() {
+			blamed = append(blamed, o.Quarantine.Signature)
+		}
+		d.Check(blamed, qt.DeepEquals, []string{quarantine.Adapter("quill", "draft-00@v1")})
+	})
+}
--- a/internal/serve/caller/caller.go
+++ b/internal/serve/caller/caller.go
@@ -129,7 +129,7 @@
 	x, err := s.newExchange(w, r)
 	defer func() { s.report(x) }()
 	if err == nil {
-		err = s.runFilters(x, s.requireState, s.identify, s.parse, s.authorise, s.checkCompletion, s.admit)
+		err = s.runFilters(x, s.requireState, s.identify, s.parse, s.authorise, s.signShared, s.checkCompletion, s.admit)
 	}
 	if err != nil {
 		s.refuse(x, err)
--- a/internal/serve/caller/isolate.go
+++ b/internal/serve/caller/isolate.go
@@ -9,9 +9,20 @@
 	"lycheevale/internal/place/quarantine"
 )
 
-// signaturesOf returns what a request has in common with others that may crash endpoints.
-func signaturesOf(x *exchange, query string, body []byte) []string {
-	return []string{quarantine.Request([]byte(x.r.Method), []byte(x.r.URL.Path), []byte(query), []byte(x.customer), body)}
+// sign sets the signature of the exact request, by which it is compared with repeats of it.
+func (x *exchange) sign(query string, body []byte) {
+	x.signatures = []string{quarantine.Request([]byte(x.r.Method), []byte(x.r.URL.Path), []byte(query), []byte(x.customer), body)}
+}
+
+// signShared adds the signatures that a request shares with others of its adapter and its customer.
+func (s *Server) signShared(x *exchange) error {
+	if x.ref.Adapter != "" {
+		x.signatures = append(x.signatures, quarantine.Adapter(x.ref.Model, x.ref.Adapter+"@"+x.ref.Version))
+	}
+	if x.customer != "" {
+		x.signatures = append(x.signatures, quarantine.Customer(x.customer))
+	}
+	return nil
 }
 
 // checkCompletion refuses a completion that no endpoint gets.
--- a/internal/serve/caller/parse.go
+++ b/internal/serve/caller/parse.go
@@ -50,7 +50,7 @@
 	if err != nil {
 		return err
 	}
-	x.signatures = signaturesOf(x, x.r.URL.RawQuery, raw)
+	x.sign(x.r.URL.RawQuery, raw)
 	x.body, err = parseCompletion(raw, x.r.URL.Path == "/v1/chat/completions", s.options.MaxOutput)
 	return err
 }
--- a/internal/serve/caller/plain.go
+++ b/internal/serve/caller/plain.go
@@ -166,8 +166,8 @@
 		}
 		c.body = scrubBody(raw, x.r.Header.Get("Content-Type"))
 		c.query = scrubQuery(x.r.URL.RawQuery)
-		x.signatures = signaturesOf(x, c.query, c.body)
-		return nil
+		x.sign(c.query, c.body)
+		return s.signShared(x)
 	}
 }
 
