--- a/internal/node/instance/quarantine_test.go
+++ b/internal/node/instance/quarantine_test.go
@@ -449,3 +449,27 @@
 		d.Check(blamed, qt.DeepEquals, []string{quarantine.Adapter("quill", "draft-00@v1")})
 	})
 }
+
+// Guards against a resend of an order that may have run and is then refused as not run, because its signature was quarantined since.
+func TestClaimedOrderStaysUnknownInQuarantine(t *testing.T) {
+	runDeadly(t, func(d *deadly) {
+		order := deadlyCalls[plainService]
+		send := func(at int, key string) string {
+			_, _, text := d.send(d.Instances[at], http.MethodPost, order.path, order.body(), "Idempotency-Key", key)
+			return text
+		}
+		d.Check(send(0, "first"), qt.Contains, `"ran":"Unknown"`)
+		for n := 0; len(d.quarantined()) == 0; n++ {
+			time.Sleep(2 * downTime)
+			d.call(n, order)
+		}
+		before := d.received(deadlyText)
+		for at := range d.Instances {
+			d.Check(send(at, "first"), qt.Contains, `"ran":"Unknown"`)
+			other := send(at, "second") // its claim is released each time
+			d.Check(other, qt.Contains, `"Quarantined"`)
+			d.Check(other, qt.Contains, `"ran":"NotRun"`)
+		}
+		d.Check(d.received(deadlyText), qt.Equals, before)
+	})
+}
