--- a/internal/node/instance/isolate.go
+++ b/internal/node/instance/isolate.go
@@ -11,18 +11,19 @@
 	"lycheevale/internal/serve/isolate"
 	"lycheevale/internal/state/consensus"
 	"lycheevale/internal/state/registry"
+	"lycheevale/internal/wire/peer"
 )
 
 // isolation finds requests that crash endpoints: the recorder of this instance and, on voters, the collector of the leader.
 type isolation struct {
 	recorder  *isolate.Recorder
 	collector *isolate.Collector
-	voters    *voterCheck
+	voters    *voterCheck // nil unless this instance is a voter
 }
 
 func newIsolation(i *Instance) *isolation {
 	st := i.state
-	voters := &voterCheck{instance: i, checked: map[string]bool{}}
+	voters := &voterCheck{self: i.settings.Name, voters: st.voters, registry: st.registry, call: i.links.Call, checked: map[string]bool{}}
 	recorder := isolate.New(isolate.With(func(o *isolate.Options) {
 		o.Logger, o.Now, o.Wall, o.Dial, o.Call, o.Registry = i.options.Logger, i.options.Now, i.options.Wall, i.options.Dial, i.links.Call, st.registry
 		o.Leader = st.leader
@@ -38,7 +39,10 @@
 			return result.Err()
 		}
 	}))
-	is := &isolation{recorder: recorder, collector: isolate.NewCollector(recorder), voters: voters}
+	is := &isolation{recorder: recorder, collector: isolate.NewCollector(recorder)}
+	if st.config != nil {
+		is.voters = voters
+	}
 	is.recorder.Register(i.mux)
 	is.collector.Register(i.mux)
 	return is
@@ -47,7 +51,7 @@
 func (is *isolation) run(ctx context.Context) error {
 	group, ctx := errgroup.WithContext(ctx)
 	group.Go(func() error { return is.recorder.Run(ctx) })
-	if is.voters.instance.state.config != nil {
+	if is.voters != nil {
 		group.Go(func() error { return is.collector.Run(ctx) })
 		group.Go(func() error { return is.voters.run(ctx) })
 	}
@@ -69,7 +73,10 @@
 // voterCheck finds out whether all voters know the kind Quarantine. Every voter asks the others before the answer is needed, so that a voter
 // that is lost later prevents no decision.
 type voterCheck struct {
-	instance *Instance
+	self     string
+	voters   func() []string
+	registry *registry.Registry
+	call     peer.Caller
 	mu       sync.Mutex
 	checked  map[string]bool // voters that know the kind
 }
@@ -85,8 +92,8 @@
 func (v *voterCheck) unchecked() (names []string) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
-	for _, name := range v.instance.state.voters() {
-		if !v.checked[name] && name != v.instance.settings.Name {
+	for _, name := range v.voters() {
+		if !v.checked[name] && name != v.self {
 			names = append(names, name)
 		}
 	}
@@ -97,7 +104,7 @@
 	ctx, cancel := context.WithTimeout(ctx, describeTimeout)
 	defer cancel()
 	var d Description
-	if v.instance.links.Call(ctx, name, describeMethod, struct{}{}, &d) != nil || !d.StoresQuarantine {
+	if v.call(ctx, name, describeMethod, struct{}{}, &d) != nil || !d.StoresQuarantine {
 		return
 	}
 	v.mu.Lock()
@@ -107,7 +114,7 @@
 
 // supported returns an error if a voter may not know the kind. Once the log holds such an object, no other voter can follow it.
 func (v *voterCheck) supported() error {
-	if v.instance.state.registry.Count(registry.KindQuarantine) > 0 {
+	if v.registry.Count(registry.KindQuarantine) > 0 {
 		return nil
 	}
 	if names := v.unchecked(); len(names) > 0 {
