--- a/internal/node/instance/system_test.go
+++ b/internal/node/instance/system_test.go
@@ -61,7 +61,13 @@
 }
 
 func (s *system) post(i *deployment.Instance, path, body string, headers ...string) (status int, text string) {
-	req, err := http.NewRequestWithContext(s.ctx, "POST", "http://"+i.Settings.Listen.Callers.String()+path, bytes.NewReader([]byte(body)))
+	status, _, text = s.send(i, http.MethodPost, path, body, headers...)
+	return status, text
+}
+
+// send also returns the header Retry-After.
+func (s *system) send(i *deployment.Instance, method, path, body string, headers ...string) (status int, retryAfter, text string) {
+	req, err := http.NewRequestWithContext(s.ctx, method, "http://"+i.Settings.Listen.Callers.String()+path, bytes.NewReader([]byte(body)))
 	s.Assert(err, qt.IsNil)
 	req.Header.Set("Content-Type", "application/json")
 	req.Header.Set("Authorization", "Bearer "+demo.Key(0))
@@ -70,14 +76,14 @@
 	}
 	resp, err := s.client.Do(req)
 	if err != nil {
-		return 0, err.Error()
+		return 0, "", err.Error()
 	}
 	defer resp.Body.Close()
 	raw, err := io.ReadAll(resp.Body)
 	if err != nil {
-		return 0, err.Error()
+		return 0, "", err.Error()
 	}
-	return resp.StatusCode, string(raw)
+	return resp.StatusCode, resp.Header.Get("Retry-After"), string(raw)
 }
 
 func completion(adapter string, tokens int) string {
