Leave open whether an attempt has run when its resumption is refused

Callers could see, in the product's path: a stream that broke off after four events went on with all events of another attempt up to [DONE] (14 tokens of 10), and a request for a document that had run was refused as Unavailable (NotRun), which invites a retry. Cause: the engine's refusal of the request to resume, or a failed dial of it, is of class NotRun, and the owner took it as proof for the attempt. Change: what ends a stream that an engine has accepted is OutcomeUnknown.

Ruled out: streams of owners at other instances; their readers report every error as unknown.

--- a/internal/serve/caller/fixture_test.go
+++ b/internal/serve/caller/fixture_test.go
@@ -66,6 +66,7 @@
 	starting   bool         // configuration and withdrawn keys are not loaded yet
 	preference []int        // engines in the order of preference
 	dials      atomic.Int64 // connections opened to engines
+	intercept  func(engine int, next http.Handler) http.Handler
 }
 
 // run runs the test with virtual time.
@@ -138,7 +139,11 @@
 			fakeengine.WithInspect(r.inspect), fakeengine.WithStepTime(20*time.Millisecond))
 		r.engines = append(r.engines, e)
 		a := engineAddr(n)
-		r.serve(a, e)
+		var handler http.Handler = e
+		if r.intercept != nil {
+			handler = r.intercept(n, e)
+		}
+		r.serve(a, handler)
 		r.owner.Acquire(owner.Grant{Endpoint: e.Announcement(a), Fence: 1, Deadline: time.Now().Add(time.Hour)})
 		s := fakeservice.New(fmt.Sprintf("ledger-%d", n))
 		s.Inspect = r.inspect
--- a/internal/serve/owner/stream.go
+++ b/internal/serve/owner/stream.go
@@ -90,7 +90,8 @@
 				return
 			}
 			if err = t.resume(err); err != nil {
-				yield(engine.Event{}, t.toRefusal(err))
+				// The attempt has run, also if the engine states that it did not run the request to resume it.
+				yield(engine.Event{}, refusal.New(refusal.OutcomeUnknown, "%v", err))
 				return
 			}
 		}
