Take an end marker that does not follow the last event as a truncated stream

Callers could see, in the product's path: a stream that broke off after event 4 of 10 was resumed, the engine answered with the end marker of event 2 or 11 alone, and four events followed by [DONE] were delivered as a whole answer. Cause: the order of events was checked, but the marker ended the stream whatever its number. Change: the marker must have the number after the last event, or that of the last event, which a marker without an identifier has.

Ruled out by TestAnswersToResume, which passes for these before: answers 500, 503, 421 and 200 with other content, with and without a stream's content type, an empty stream, a gap, a stream from the beginning. The two cases with a marker fail before; all pass now.

--- a/internal/serve/caller/resume_test.go
+++ b/internal/serve/caller/resume_test.go
@@ -1,6 +1,7 @@
 package caller_test
 
 import (
+	"fmt"
 	"net/http"
 	"strings"
 	"testing"
@@ -53,3 +54,75 @@
 		})
 	}
 }
+
+// resumed answers like an engine that resumes a stream, with events of the given numbers; a negative one is that of an end marker.
+func resumed(status int, contentType string, numbers ...int) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		attempt := strings.TrimPrefix(r.URL.Path, "/v1/streams/")
+		w.Header().Set("Content-Type", contentType)
+		w.Header().Set(engine.HeaderAttempt, attempt)
+		w.Header().Set(engine.HeaderModel, "a@v2")
+		w.WriteHeader(status)
+		for _, n := range numbers {
+			text := fmt.Sprintf(`{"choices":[{"index":0,"text":"a@v2:%d ","finish_reason":null}]}`, n)
+			if n < 0 {
+				n, text = -n, engine.DoneMarker
+			}
+			_, _ = w.Write(engine.AppendEvent(nil, attempt, engine.Event{Seq: uint64(n), Data: []byte(text)}))
+		}
+	}
+}
+
+// A stream breaks off after four events of ten, and the engine answers the request to resume it in each of these ways. Guards against the
+// answer's text or a wrong event in the caller's stream, and against a stream that ends as if it were complete.
+func TestAnswersToResume(t *testing.T) {
+	const sse = "text/event-stream"
+	rest := []int{5, 6, 7, 8, 9, 10, -11}
+	text := func(status int, contentType string) http.HandlerFunc {
+		return func(w http.ResponseWriter, _ *http.Request) {
+			w.Header().Set("Content-Type", contentType)
+			w.WriteHeader(status)
+			_, _ = w.Write([]byte("id: 5\ndata: failure of the engine\n\n"))
+		}
+	}
+	for name, test := range map[string]struct {
+		respond http.HandlerFunc
+		whole   bool
+	}{
+		"error":                          {text(500, "text/plain"), false},
+		"error as a stream":              {text(500, sse), false},
+		"full":                           {text(503, "text/plain"), false},
+		"full as a stream":               {text(503, sse), false},
+		"other engine":                   {text(421, sse), false},
+		"other content":                  {text(200, "text/html"), false},
+		"head of the attempt alone":      {resumed(200, "application/json"), false},
+		"empty stream":                   {resumed(200, sse), false},
+		"error with the attempt":         {resumed(500, sse, rest...), false},
+		"rest":                           {resumed(200, sse, rest...), true},
+		"from the beginning":             {resumed(200, sse, append([]int{1, 2, 3, 4}, rest...)...), true},
+		"gap":                            {resumed(200, sse, 7, 8, 9, 10, -11), false},
+		"end marker of an earlier event": {resumed(200, sse, -2), false},
+		"end marker of a later event":    {resumed(200, sse, -11), false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			run(t, func(r *fixture) {
+				r.faults, r.intercept = fakeengine.Faults{CutAfter: once(4)}, answerResumes(test.respond)
+			}, func(r *fixture) {
+				got := r.do("POST", "/v1/completions", key1, stream("a", 10, ""))
+				want := 4
+				if test.whole {
+					want = 10
+				}
+				for n := 1; n <= 10; n++ {
+					copies := strings.Count(got.body, fmt.Sprintf(`"a@v2:%d "`, n))
+					r.Check(copies == 1, qt.Equals, n <= want, qt.Commentf("event %d: %s", n, got.body))
+					r.Check(copies < 2, qt.IsTrue, qt.Commentf("event %d", n))
+				}
+				_, whole := got.tokens()
+				r.Check(whole, qt.Equals, test.whole, qt.Commentf("%s", got.body))
+				r.Check(got.code() == "OutcomeUnknown/Unknown", qt.Equals, !test.whole, qt.Commentf("%s", got.body))
+				r.Check(strings.Contains(got.body, "\ndata: failure"), qt.IsFalse)
+			})
+		})
+	}
+}
--- a/internal/serve/engine/engine.go
+++ b/internal/serve/engine/engine.go
@@ -67,6 +67,7 @@
 	Attempt  string
 	Endpoint string // set by owners, not by engines
 	View     string // value of HeaderView, set by owners
+	after    uint64 // sequence number after which the stream was resumed
 	body     io.ReadCloser
 	client   *Client
 }
@@ -108,7 +109,10 @@
 	}
 	req.Header.Set(HeaderAttempt, attempt)
 	req.Header.Set(HeaderEventID, strconv.FormatUint(after, 10))
-	return c.stream(req, attempt, model)
+	if answer, err = c.stream(req, attempt, model); err == nil {
+		answer.after = after
+	}
+	return answer, err
 }
 
 func (c *Client) stream(req *http.Request, attempt, model string) (*Answer, error) {
--- a/internal/serve/engine/events.go
+++ b/internal/serve/engine/events.go
@@ -12,11 +12,13 @@
 const eventBufferBytes = 2 << 10
 
 // Events yields the events of the answer up to the end marker, which is not yielded. A stream that ends
-// without it yields an error of class Truncated, an event of another attempt one of class WrongAttempt. If beforeWait
-// is not nil, it is called when all received events have been yielded, before waiting for more.
+// without it, or with one that does not follow the last event, yields an error of class Truncated, an event of
+// another attempt one of class WrongAttempt. If beforeWait is not nil, it is called when all received events have
+// been yielded, before waiting for more.
 func (a *Answer) Events(beforeWait func()) iter.Seq2[Event, error] {
 	return func(yield func(Event, error) bool) {
 		r := newEventReader(a, beforeWait)
+		last := a.after
 		for r.next() {
 			event, err := r.event()
 			if err != nil {
@@ -24,8 +26,13 @@
 				return
 			}
 			if string(event.Data) == DoneMarker {
+				// A marker without an identifier has that of the last event.
+				if event.Seq != last && event.Seq != last+1 {
+					yield(Event{}, Truncated.New("end marker %d follows event %d", event.Seq, last))
+				}
 				return
 			}
+			last = max(last, event.Seq)
 			if !yield(event, nil) {
 				return
 			}
