End a stream with an error if its repeated attempt is shorter

Callers could see, in the product's path: a stream of temperature 0 broke off after four events, the next engine answered the repeated request with fewer events, also none, and four events followed by [DONE] were delivered as a whole answer. Cause: each event was compared with those sent before, but not their number at the end. Change: a shorter repeat counts as a different answer.

TestShorterRepeatIsNotComplete fails before for 0 and for 3 events and passes now.

--- a/internal/serve/caller/relay.go
+++ b/internal/serve/caller/relay.go
@@ -127,6 +127,9 @@
 			return target.Endpoint, err
 		}
 	}
+	if err := out.checkLength(); err != nil {
+		return target.Endpoint, err
+	}
 	s.options.Trace(x.r, StepEnd)
 	out.end() // before the stream is closed, so that the caller does not wait for the close
 	return target.Endpoint, nil
@@ -222,6 +225,15 @@
 	return o.write(e.Data)
 }
 
+// checkLength returns an error if a repeated attempt has ended before the events that were already sent.
+func (o *output) checkLength() error {
+	if o.attemptEvents >= len(o.sentHashes) {
+		return nil
+	}
+	o.mismatch = true
+	return refusal.New(refusal.OutcomeUnknown, "repeated attempt gave %d events, %d were sent before", o.attemptEvents, len(o.sentHashes))
+}
+
 // passThrough reports whether an event is forwarded without being decoded: its content is never compared with a
 // repeated attempt, and it does not contain the usage. This holds for most events of most streams.
 func (o *output) passThrough(data []byte) bool {
--- a/internal/serve/caller/resume_test.go
+++ b/internal/serve/caller/resume_test.go
@@ -126,3 +126,32 @@
 		})
 	}
 }
+
+// A stream of temperature 0 breaks off after four events, and the next engine's answer to the repeated request is shorter. Guards against
+// ending the caller's stream as if it were complete.
+func TestShorterRepeatIsNotComplete(t *testing.T) {
+	for _, events := range []int{0, 3, 4} {
+		run(t, func(r *fixture) {
+			r.faults = fakeengine.Faults{CutAfter: once(4), NoResume: true}
+			r.intercept = func(n int, next http.Handler) http.Handler {
+				return http.HandlerFunc(func(w http.ResponseWriter, q *http.Request) {
+					if n == 0 || q.URL.Path != "/v1/completions" {
+						next.ServeHTTP(w, q)
+						return
+					}
+					var numbers []int
+					for i := 1; i <= events; i++ {
+						numbers = append(numbers, i)
+					}
+					q.URL.Path = "/v1/streams/" + q.Header.Get(engine.HeaderAttempt)
+					resumed(http.StatusOK, "text/event-stream", append(numbers, -events-1)...)(w, q)
+				})
+			}
+		}, func(r *fixture) {
+			got := r.do("POST", "/v1/completions", key1, stream("a", 10, `,"temperature":0`))
+			tokens, whole := got.tokens()
+			r.Check(tokens, qt.Equals, 4, qt.Commentf("%d events: %s", events, got.body))
+			r.Check(whole, qt.Equals, events == 4, qt.Commentf("%d events: %s", events, got.body))
+		})
+	}
+}
