Believe an engine's refusal only for the attempt that it answers

Callers could be told, in the product's path, that a request has not run which an engine ran, and it was sent to another engine: an engine that wrote an earlier refusal once more on a kept connection, after the next request was sent there, had that refusal taken as the answer. Cause: the identifier was checked for streams, but not for refusals. Change: a refusal proves that an attempt has not run only if it echoes the attempt, or has no identifier and came on a connection that served no other one; otherwise the outcome is unknown, and idle connections are closed, since the right answer may follow. The fake engine now echoes the identifier in refusals, as the design states for responses.

Ruled out: copies that arrive while the connection is idle (net/http closes it), streams between instances (HTTP/2 tells them apart), plain services (one request a connection). TestLateRefusalIsNoProof fails before in three of four cases and passes now.

--- a/internal/fake/engine/stream.go
+++ b/internal/fake/engine/stream.go
@@ -43,6 +43,7 @@
 }
 
 func (e *Engine) complete(w http.ResponseWriter, r *http.Request) {
+	w.Header().Set(engine.HeaderAttempt, r.Header.Get(engine.HeaderAttempt))
 	var body completionBody
 	if err := json.NewDecoder(r.Body).Decode(&body); err != nil {
 		refuse(w, http.StatusBadRequest, err.Error())
--- a/internal/serve/engine/engine.go
+++ b/internal/serve/engine/engine.go
@@ -8,6 +8,7 @@
 	"io"
 	"net"
 	"net/http"
+	"net/http/httptrace"
 	"net/netip"
 	"strconv"
 	"time"
@@ -116,12 +117,14 @@
 }
 
 func (c *Client) stream(req *http.Request, attempt, model string) (*Answer, error) {
-	resp, err := c.http.Do(req)
+	reused := false
+	trace := &httptrace.ClientTrace{GotConn: func(i httptrace.GotConnInfo) { reused = i.Reused }}
+	resp, err := c.http.Do(req.WithContext(httptrace.WithClientTrace(req.Context(), trace)))
 	if err != nil {
 		return nil, classifySend(err)
 	}
 	if resp.StatusCode != http.StatusOK {
-		return nil, c.options.DecodeError(resp)
+		return nil, c.refusal(resp, attempt, reused)
 	}
 	got, served := resp.Header.Get(HeaderAttempt), resp.Header.Get(HeaderModel)
 	rules := c.options.Rules
@@ -135,6 +138,20 @@
 	}, nil
 }
 
+// refusal returns the error of a response that is no stream. It proves that the attempt did not run only if it answers this attempt: an
+// engine may send an earlier refusal again, late, on a connection that is in use again.
+func (c *Client) refusal(resp *http.Response, attempt string, reused bool) error {
+	got := resp.Header.Get(HeaderAttempt)
+	err := c.options.DecodeError(resp)
+	// HTTP/2 tells responses apart.
+	unidentified := got == "" && reused && resp.ProtoMajor < 2
+	if !NotRun.Has(err) || !c.options.Rules.CheckAttempt || (got == attempt || got == "") && !unidentified {
+		return err
+	}
+	c.CloseIdle() // the response to this attempt may follow on the connection
+	return WrongAttempt.New("asked attempt %s, got a refusal of attempt %q: %v", attempt, got, err)
+}
+
 // classifySend returns an error of class NotRun if no connection was opened, or else of class Error.
 func classifySend(err error) error {
 	var op *net.OpError
--- /dev/null
+++ b/internal/serve/engine/late_test.go
@@ -0,0 +1,90 @@
+package engine_test
+
+import (
+	"bufio"
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"net/netip"
+	"testing"
+	"time"
+
+	"github.com/frankban/quicktest"
+	"golang.org/x/sync/errgroup"
+
+	"lycheevale/internal/serve/engine"
+)
+
+// scripted answers the requests on each connection with the texts, in order, and returns its address.
+func scripted(t *testing.T, texts ...string) netip.AddrPort {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	quicktest.Assert(t, err, quicktest.IsNil)
+	var group errgroup.Group
+	serve := func(conn net.Conn) error {
+		defer func() { _ = conn.Close() }()
+		reader := bufio.NewReader(conn)
+		for _, text := range texts {
+			r, err := http.ReadRequest(reader)
+			if err != nil {
+				return err
+			}
+			if _, err := io.Copy(io.Discard, r.Body); err != nil {
+				return err
+			}
+			if _, err := io.WriteString(conn, text); err != nil {
+				return err
+			}
+		}
+		_, err := reader.ReadByte()
+		return err
+	}
+	group.Go(func() error {
+		for {
+			conn, err := listener.Accept()
+			if err != nil {
+				return err
+			}
+			group.Go(func() error { return serve(conn) })
+		}
+	})
+	t.Cleanup(func() {
+		_ = listener.Close()
+		_ = group.Wait() // the error of a closed listener or connection
+	})
+	return listener.Addr().(*net.TCPAddr).AddrPort()
+}
+
+const (
+	refusedA  = "HTTP/1.1 503 Service Unavailable\r\nX-Attempt-Id: a\r\nX-Not-Run: true\r\nContent-Length: 4\r\n\r\nfull"
+	refusedB  = "HTTP/1.1 503 Service Unavailable\r\nX-Attempt-Id: b\r\nX-Not-Run: true\r\nContent-Length: 4\r\n\r\nfull"
+	anonymous = "HTTP/1.1 503 Service Unavailable\r\nX-Not-Run: true\r\nContent-Length: 4\r\n\r\nfull"
+	servedB   = "HTTP/1.1 200 OK\r\nX-Attempt-Id: b\r\nX-Served-Model: m\r\nContent-Length: 27\r\n\r\nid: b/1\ndata: text of b\n\n..."
+)
+
+// An engine writes a refusal of attempt a once more on the connection on which attempt b is sent next. Guards against taking it as proof
+// that b has not run.
+func TestLateRefusalIsNoProof(t *testing.T) {
+	for _, test := range []struct {
+		name, first, second string
+		notRun              bool
+	}{
+		{"copy", refusedA, refusedA + servedB, false},
+		{"copy alone", refusedA, refusedA, false},
+		{"copy without identifier", anonymous, anonymous + servedB, false},
+		{"own refusal", refusedA, refusedB, true},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			c := engine.New(scripted(t, test.first, test.second))
+			defer c.CloseIdle()
+			ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
+			defer cancel()
+			_, err := c.Complete(ctx, engine.Attempt{ID: "a", Path: "/", Model: "m"})
+			quicktest.Assert(t, engine.NotRun.Has(err), quicktest.IsTrue, quicktest.Commentf("%v", err))
+			_, err = c.Complete(ctx, engine.Attempt{ID: "b", Path: "/", Model: "m"})
+			quicktest.Check(t, err, quicktest.IsNotNil)
+			quicktest.Check(t, engine.NotRun.Has(err), quicktest.Equals, test.notRun, quicktest.Commentf("%v", err))
+		})
+	}
+}
