Refuse a late answer of an attempt as the result of a command

Operators could see, in the product's path: a command to an engine counted as executed, or a state as read or refused, by an answer that belongs to an attempt of a request and arrived late on the same connection. Cause: answers to commands and reports were taken without regard to the identifier that answers to attempts carry.

Open: a late copy of the answer to another command or report carries no identifier and is not recognised. TestLateAnswerIsNoCommandResult fails before for a refusal and for an answer with status 200, and passes now.

--- a/internal/serve/engine/engine.go
+++ b/internal/serve/engine/engine.go
@@ -222,6 +222,8 @@
 	}
 	defer func() { _ = resp.Body.Close() }()
 	switch {
+	case resp.Header.Get(HeaderAttempt) != "":
+		return WrongAttempt.New("answer to %s %s belongs to attempt %q", method, path, resp.Header.Get(HeaderAttempt))
 	case resp.StatusCode == http.StatusConflict:
 		return StaleFence.Wrap(statusError(resp))
 	case resp.StatusCode == http.StatusBadGateway:
--- a/internal/serve/engine/late_test.go
+++ b/internal/serve/engine/late_test.go
@@ -88,3 +88,18 @@
 		})
 	}
 }
+
+// Guards against taking a late answer of an attempt as the answer to a command, which the engine may not have received.
+func TestLateAnswerIsNoCommandResult(t *testing.T) {
+	for _, late := range []string{refusedA, "HTTP/1.1 200 OK\r\nX-Attempt-Id: a\r\nContent-Length: 0\r\n\r\n"} {
+		c := engine.New(scripted(t, refusedA, late))
+		defer c.CloseIdle()
+		ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
+		defer cancel()
+		_, err := c.Complete(ctx, engine.Attempt{ID: "a", Path: "/", Model: "m"})
+		quicktest.Assert(t, err, quicktest.IsNotNil)
+		err = c.SendCommand(ctx, engine.Command{ID: "c"})
+		quicktest.Check(t, err, quicktest.IsNotNil)
+		quicktest.Check(t, engine.NotRun.Has(err), quicktest.IsFalse, quicktest.Commentf("%v", err))
+	}
+}
