Use a connection to an endpoint again only if its answers can be told apart

Callers could be told that a request has not run which an endpoint was running: an endpoint whose answers echo no identifier, or a request without one, left a connection on which a refusal that was written once more was taken as the answer to the next request. Cause: answers without an identifier were refused only after one with an identifier had been seen on the connection, and requests without one used any connection. Change: where answers are identified, a connection is kept only if its answer echoed the request's identifier, and a request without an identifier opens one of its own. Control instances, whose orders carry none, keep their connections as before.

Ruled out, by tests that pass before: copies of refusals 421, 429 and 503 with a body, with the earlier identifier (skipped) or without one (refused), alone, in the packet of the right answer, and between two halves of a body. TestConnectionWithoutIdentifiersIsNotUsedAgain and TestRequestWithoutIdentifierUsesItsOwnConnection fail before (the copy "full" was delivered) and pass now.

--- a/internal/wire/upstream/options.go
+++ b/internal/wire/upstream/options.go
@@ -17,7 +17,7 @@
 	MaxHead     int           // maximum size in bytes of the head of an answer, with the informational answers before it
 	MaxSkipped  int64         // maximum size in bytes of the body of an answer that is skipped
 	Dial        func(ctx context.Context, to netip.AddrPort) (net.Conn, error)
-	// Attempt returns the identifier that an answer echoes, or "" if it has none.
+	// Attempt returns the identifier that an answer echoes, or "" if it has none. Without it, late answers are not recognised.
 	Attempt func(h http.Header) string
 	Now     func() time.Time
 }
@@ -46,8 +46,7 @@
 			var d net.Dialer
 			return d.DialContext(ctx, "tcp", to.String())
 		},
-		Attempt: func(http.Header) string { return "" },
-		Now:     time.Now,
+		Now: time.Now,
 	}
 	for _, opt := range opts {
 		opt(&o)
--- a/internal/wire/upstream/upstream.go
+++ b/internal/wire/upstream/upstream.go
@@ -142,8 +142,11 @@
 }
 
 // take returns an idle connection, but none that has just served an earlier try of the same attempt: a late copy of that answer could
-// not be told from the answer to this one.
+// not be told from the answer to this one. A request without an identifier gets none, since no late answer could be told from its own.
 func (p *Pool) take(address netip.AddrPort, attempt string) *conn {
+	if attempt == "" && p.options.Attempt != nil {
+		return nil
+	}
 	now := p.options.Now()
 	for {
 		p.mu.Lock()
@@ -292,7 +295,7 @@
 		if response.StatusCode < http.StatusOK {
 			continue
 		}
-		attempt := x.pool.options.Attempt(response.Header)
+		attempt := x.pool.attempt(response.Header)
 		if attempt != "" && x.request.Attempt != "" && attempt != x.request.Attempt {
 			// This is a late answer to an earlier request; the answer to this request follows.
 			if skipped++; skipped > x.pool.options.MaxStale {
@@ -316,6 +319,14 @@
 	}
 }
 
+// attempt returns the identifier that an answer echoes, or "" if it has none.
+func (p *Pool) attempt(h http.Header) string {
+	if p.options.Attempt == nil {
+		return ""
+	}
+	return p.options.Attempt(h)
+}
+
 // skip reads the body of an answer to an earlier request, and then limits the next head.
 func (x *exchange) skip(body io.Reader) error {
 	x.conn.input.unlimit()
@@ -338,7 +349,7 @@
 // finish returns the connection to the pool if it can be reused, and closes it otherwise.
 func (x *exchange) finish(response *http.Response, unframed bool) {
 	x.once.Do(func() {
-		if !x.stop() || response.Close || unframed ||
+		if !x.stop() || response.Close || unframed || !x.identified(response) ||
 			x.conn.reader.Buffered() > 0 || !x.fullyWritten() {
 			_ = x.conn.Close()
 			return
@@ -347,6 +358,11 @@
 	})
 }
 
+// identified reports whether later answers on the connection can be told from copies of this one.
+func (x *exchange) identified(response *http.Response) bool {
+	return x.pool.options.Attempt == nil || (x.request.Attempt != "" && x.pool.attempt(response.Header) == x.request.Attempt)
+}
+
 // fullyWritten reports whether the complete request was sent; an endpoint may answer before that.
 func (x *exchange) fullyWritten() bool {
 	select {
