Refuse the answer to HEAD behind a late answer

Callers could see: a late answer to a request of another method, skipped ahead of the answer to a HEAD request, had its body read as the next answer, with any status and identifier that the body states. Cause: no body is read for HEAD, also not that of a skipped answer. Change: the answer is refused and the connection closed. TestLateBodyIsNoAnswerToHead fails before (a refusal inside the body was believed) and passes now.

--- a/internal/wire/upstream/late_test.go
+++ b/internal/wire/upstream/late_test.go
@@ -210,3 +210,17 @@
 	}
 	c.Check(p.Opened(), quicktest.Equals, int64(2))
 }
+
+// A late answer to a request of another method precedes the answer to a HEAD request, which has no body. Guards against reading the late
+// answer's body as an answer.
+func TestLateBodyIsNoAnswerToHead(t *testing.T) {
+	c := quicktest.New(t)
+	inner := refused("503 Service Unavailable", "2")
+	to := serveTexts(t, []string{answer("1", "one"), answer("1", inner) + "HTTP/1.1 200 OK\r\nAttempt: 2\r\n\r\n"})
+	p := pool()
+	_, err := get(p, to, "1")
+	c.Assert(err, quicktest.IsNil)
+	a, err := p.Do(t.Context(), upstream.Request{Address: to, Method: "HEAD", Target: "/x", Host: "h", Attempt: "2"})
+	c.Check(err, quicktest.IsNotNil, quicktest.Commentf("%+v", a))
+	c.Check(errs.Is(err, upstream.ErrMalformed), quicktest.IsTrue, quicktest.Commentf("%v", err))
+}
--- a/internal/wire/upstream/upstream.go
+++ b/internal/wire/upstream/upstream.go
@@ -298,6 +298,9 @@
 		attempt := x.pool.attempt(response.Header)
 		if attempt != "" && x.request.Attempt != "" && attempt != x.request.Attempt {
 			// This is a late answer to an earlier request; the answer to this request follows.
+			if x.request.Method == http.MethodHead {
+				return nil, errs.Combine(ErrMalformed, errs.New("answer to %q precedes that to a HEAD request, and may have a body", attempt))
+			}
 			if skipped++; skipped > x.pool.options.MaxStale {
 				return nil, errs.Combine(ErrMalformed, errs.New("more than %d answers to other requests", x.pool.options.MaxStale))
 			}
