Pass a refusal on only if the endpoint states that the request has not run

Callers could be told that an order has not run which had run, and it ran at up to three endpoints: an endpoint answered 429 without the mark of a request that has not run. An unmarked 408 or 503 was passed on to the caller, to whom each of these statuses is that promise. Cause: 429 counted as not run whatever it stated, and other answers were passed on unchanged. Change: 408, 429 and 503 without the mark count as failed attempts of unknown outcome; the caller gets 502 unless a further attempt, which must be allowed, succeeds. 421 needs no mark: it states that another endpoint has the address. TestUnmarkedStatusIsNoPromise fails before in all six cases (429: 3 hits and 503 for an order) and passes now.

--- a/internal/serve/forward/late_test.go
+++ b/internal/serve/forward/late_test.go
@@ -5,6 +5,7 @@
 	"net/http"
 	"net/http/httptest"
 	"net/netip"
+	"strconv"
 	"strings"
 	"testing"
 
@@ -39,3 +40,25 @@
 	r.Assert(connections, quicktest.HasLen, 2)
 	r.Check(connections[0], quicktest.Not(quicktest.Equals), connections[1])
 }
+
+// respondStatus answers with a status, and does not state that the request has not run.
+func respondStatus(status int) http.HandlerFunc {
+	return func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(status) }
+}
+
+// An endpoint answers with a status by which callers know that a request has not run, without stating that. Guards against sending an order
+// to another endpoint, and against passing on a promise that nobody made.
+func TestUnmarkedStatusIsNoPromise(t *testing.T) {
+	for _, status := range []int{http.StatusRequestTimeout, http.StatusTooManyRequests, http.StatusServiceUnavailable} {
+		for path, hits := range map[string]int32{"/order/x": 1, "/read/x": 2} {
+			t.Run(strconv.Itoa(status)+path, func(t *testing.T) {
+				serve := respondStatus(status)
+				r := newFixture(t, []http.HandlerFunc{serve, serve, serve})
+				w := r.send(http.MethodPost, path)
+				r.Check(w.Code, quicktest.Equals, http.StatusBadGateway)
+				r.Check(w.Header().Get("Retry-After"), quicktest.Equals, "")
+				r.Check(r.total(), quicktest.Equals, hits)
+			})
+		}
+	}
+}
--- a/internal/serve/forward/send.go
+++ b/internal/serve/forward/send.go
@@ -155,6 +155,7 @@
 	reasonFull        = "Full"
 	reasonMissing     = "Missing"
 	reasonError       = "Error"
+	reasonUnmarked    = "Unmarked"  // the endpoint refused, but does not state that the request has not run
 	reasonMalformed   = "Malformed" // the answer breaks the protocol or exceeds a limit
 	reasonStopped     = "Stopped"   // the caller disconnected or its deadline passed
 )
@@ -196,13 +197,23 @@
 	defer func() { _ = answer.Body.Close() }()
 	h.recordHead(s.inFlight)
 	reply := h.options.Codec.Reply(answer.Status, answer.Header)
-	if reply.Moved || (reply.NotRun && answer.Status == http.StatusServiceUnavailable) || answer.Status == http.StatusTooManyRequests {
+	if reply.Moved || (reply.NotRun && promisesNotRun(answer.Status)) {
 		return h.handleNotRun(x, c, reply)
 	}
 	x.ran++
+	if promisesNotRun(answer.Status) {
+		h.observe(c.ID, pick.Failed, 0)
+		return mayHaveRun, reasonUnmarked
+	}
 	return h.relay(x, s, answer, reply)
 }
 
+// promisesNotRun reports whether callers take a status as a promise that the request has not run. It is passed on only if the endpoint
+// states the same.
+func promisesNotRun(status int) bool {
+	return status == http.StatusServiceUnavailable || status == http.StatusTooManyRequests || status == http.StatusRequestTimeout
+}
+
 // handleNotRun handles an answer which states that the request has not run.
 func (h *Handler) handleNotRun(x *exchange, c choice, reply Reply) (attemptResult, string) {
 	if x.request.Adapter.Name != "" && (reply.Moved || c.loaded) {
