Resume a stream after the last identifier, also behind events without one

Callers could see events twice: a stream broke off behind events that arrived together, the last of which (a comment) had no identifier, and was resumed from the beginning, or from an earlier read. Cause: only the last event of a read was searched for an identifier. Change: the last one of the read that has an identifier counts. TestLastIdentifierOfEventsIsSent fails before (Last-Event-Id empty instead of 2) and passes now.

--- a/internal/serve/forward/stream.go
+++ b/internal/serve/forward/stream.go
@@ -94,14 +94,24 @@
 	if err := controller.Flush(); err != nil {
 		return false
 	}
-	complete := bytes.TrimRight(events, "\n")
-	last := complete[bytes.LastIndex(complete, eventEnd)+1:]
-	if id := h.options.Codec.EventID(last); id != "" {
+	if id := h.lastID(events); id != "" {
 		x.request.LastEvent = id
 	}
 	return true
 }
 
+// lastID returns the identifier of the last event that has one.
+func (h *Handler) lastID(events []byte) string {
+	rest := bytes.TrimRight(events, "\n")
+	for {
+		end := bytes.LastIndex(rest, eventEnd)
+		if id := h.options.Codec.EventID(rest[end+1:]); id != "" || end < 0 {
+			return id
+		}
+		rest = rest[:end]
+	}
+}
+
 // minDelay is the least delay that is recorded for an endpoint, apart from the time to read prompts.
 const minDelay = 5 * time.Millisecond
 
--- a/internal/serve/forward/stream_test.go
+++ b/internal/serve/forward/stream_test.go
@@ -115,3 +115,84 @@
 	r.Check(complete.Load(), quicktest.Equals, int32(streams))
 	r.Check(moved.Load(), quicktest.Equals, int32(1))
 }
+
+// resumeCodec reads identifiers of events and sends the last one to the next endpoint.
+func resumeCodec() forward.Codec {
+	c := streamCodec()
+	streamed := c.Reply
+	c.Reply = func(status int, h http.Header) forward.Reply {
+		reply := streamed(status, h)
+		reply.NotRun, reply.Moved = h.Get("Not-Run") != "", status == http.StatusMisdirectedRequest
+		return reply
+	}
+	c.Outgoing = func(_ http.Header, o forward.Outgoing) http.Header {
+		return http.Header{"Last-Event-Id": {o.LastEvent}}
+	}
+	c.EventID = func(event []byte) string {
+		for line := range strings.Lines(string(event)) {
+			if id, found := strings.CutPrefix(line, "id:"); found {
+				return strings.TrimSpace(id)
+			}
+		}
+		return ""
+	}
+	return c
+}
+
+// streamOf writes events and ends or breaks the stream.
+func streamOf(broken bool, events ...string) http.HandlerFunc {
+	return func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("Content-Type", "text/event-stream")
+		w.WriteHeader(http.StatusOK)
+		for _, e := range events {
+			_, _ = io.WriteString(w, e)
+			_ = http.NewResponseController(w).Flush()
+		}
+		_ = http.NewResponseController(w).Flush()
+		if broken {
+			panic(http.ErrAbortHandler)
+		}
+	}
+}
+
+// ask sends a request through a server and returns the answer's body and whether it came complete.
+func (r *fixture) ask(t *testing.T, path string) (body string, complete bool) {
+	t.Helper()
+	entry := httptest.NewServer(r.handler)
+	defer entry.Close()
+	q, err := http.NewRequestWithContext(t.Context(), http.MethodGet, entry.URL+path, http.NoBody)
+	r.Assert(err, quicktest.IsNil)
+	q.Header.Set("Key", "k")
+	q.Header.Set("Attempt", "1")
+	answer, err := entry.Client().Do(q)
+	r.Assert(err, quicktest.IsNil)
+	defer func() { _ = answer.Body.Close() }()
+	content, err := io.ReadAll(answer.Body)
+	return string(content), err == nil
+}
+
+const (
+	event1 = "id: 1\ndata: a\n\n"
+	event2 = "id: 2\ndata: b\n\n"
+	event3 = "id: 3\ndata: c\n\n"
+)
+
+// A stream breaks off behind events that arrived together, the last of which has no identifier. Guards against resuming it from the
+// beginning.
+func TestLastIdentifierOfEventsIsSent(t *testing.T) {
+	var begun atomic.Bool
+	var resumedAfter atomic.Value
+	serve := func(w http.ResponseWriter, q *http.Request) {
+		if begun.Swap(true) {
+			resumedAfter.Store(q.Header.Get("Last-Event-Id"))
+			streamOf(false, event3)(w, q)
+			return
+		}
+		streamOf(true, event1+event2+": still here\n\n")(w, q)
+	}
+	r := newFixture(t, []http.HandlerFunc{serve, serve}, forward.WithCodec(resumeCodec()))
+	body, complete := r.ask(t, "/read/x")
+	r.Check(body, quicktest.Equals, event1+event2+": still here\n\n"+event3)
+	r.Check(complete, quicktest.IsTrue)
+	r.Check(resumedAfter.Load(), quicktest.Equals, "2")
+}
