End an answer that broke off after a part of it was passed on

Callers could see: a long answer that is no stream broke off after 256 KiB, the request was sent to another endpoint, whose stream was written behind that part, and the whole came as complete. Cause: the head counted as that of a stream, which another endpoint may resume. Change: what was passed on of such an answer can't be continued: it is not told to leave a silent endpoint, and if it breaks off, the connection is aborted and the request is not sent again. TestBrokenLongAnswerIsNotContinued fails before (two hits, complete) and passes now.

--- a/internal/serve/forward/forward.go
+++ b/internal/serve/forward/forward.go
@@ -86,6 +86,7 @@
 	sent         int             // requests that have reached an endpoint
 	ran          int             // of these, requests that may have run
 	headSent     bool            // the head of the answer has been written
+	unresumable  bool            // no other endpoint can continue what was delivered
 	sentAt       time.Time       // of the last attempt
 	firstByteAt  time.Time       // of the first byte of the answer
 	lastEndpoint string          // endpoint of the last attempt
--- a/internal/serve/forward/inflight.go
+++ b/internal/serve/forward/inflight.go
@@ -85,6 +85,13 @@
 	f.progressAt = now
 }
 
+// recordUnresumable records that no other endpoint can continue what was delivered of an answer.
+func (h *Handler) recordUnresumable(x *exchange, f *inFlight) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	x.unresumable, f.movable = true, false
+}
+
 // silenceRetention exceeds every period for which a request may stay at a silent endpoint.
 const silenceRetention = time.Minute
 
--- a/internal/serve/forward/send.go
+++ b/internal/serve/forward/send.go
@@ -105,7 +105,7 @@
 
 // repeatable reports whether a request that may have run may go to another endpoint.
 func (h *Handler) repeatable(x *exchange) bool {
-	return x.route.Repeatable() && x.ran < max(x.route.MaxAttempts, 1) && !x.mayCrash
+	return x.route.Repeatable() && x.ran < max(x.route.MaxAttempts, 1) && !x.mayCrash && !x.unresumable
 }
 
 // allowAttempt reports whether another attempt may be made, and charges repeats to the retry budget.
@@ -358,6 +358,7 @@
 // relayRest passes on the rest of an answer whose beginning was delivered.
 func (h *Handler) relayRest(x *exchange, s attempt, a *upstream.Answer) (attemptResult, string) {
 	x.headSent = true
+	h.recordUnresumable(x, s.inFlight)
 	if _, err := io.Copy(x.ResponseWriter, a.Body); err != nil {
 		return mayHaveRun, h.connectionBroken(x, s, err)
 	}
--- a/internal/serve/forward/stream_test.go
+++ b/internal/serve/forward/stream_test.go
@@ -196,3 +196,24 @@
 	r.Check(complete, quicktest.IsTrue)
 	r.Check(resumedAfter.Load(), quicktest.Equals, "2")
 }
+
+// A long answer that is no stream breaks off after a part of it was passed on, and the next endpoint answers with a stream. Guards against
+// the stream behind that part, as if the answer were complete, and against running the request once more in vain.
+func TestBrokenLongAnswerIsNotContinued(t *testing.T) {
+	var begun atomic.Bool
+	part := strings.Repeat("x", 300<<10)
+	serve := func(w http.ResponseWriter, q *http.Request) {
+		if begun.Swap(true) {
+			streamOf(false, event1)(w, q)
+			return
+		}
+		_, _ = io.WriteString(w, part)
+		_ = http.NewResponseController(w).Flush()
+		panic(http.ErrAbortHandler)
+	}
+	r := newFixture(t, []http.HandlerFunc{serve, serve}, forward.WithCodec(resumeCodec()))
+	body, complete := r.ask(t, "/read/x")
+	r.Check(strings.Contains(body, event1), quicktest.IsFalse)
+	r.Check(complete, quicktest.IsFalse)
+	r.Check(r.total(), quicktest.Equals, int32(1))
+}
