Continue a stream only with events that follow the delivered ones

Callers could see events twice, or an event that belongs elsewhere, in a stream that ended as complete: the next endpoint answered the request to resume it from the beginning, from an earlier event, or with an event without a number; and a stream whose events have no identifiers was sent once more from the beginning. Cause: the answer to Last-Event-Id was passed on unchecked. Change: a resumed stream must begin with a higher number than the last one delivered, or its answer counts as malformed; and where what was delivered has no identifier, the stream is neither moved nor sent again.

Three tests expected the fault: their codec read no identifiers, so that a moved stream began anew and the first event came twice. They now read identifiers, their endpoints answer to Last-Event-Id, and they check the whole text where they looked at its end. Ruled out: errors and refusals of the next endpoint with and without a stream's content type, other content, broken and unframed streams. Open: a later event than the next one can't be told, since the protocol only says that identifiers increase.

--- a/internal/serve/forward/forward.go
+++ b/internal/serve/forward/forward.go
@@ -86,6 +86,8 @@
 	sent         int             // requests that have reached an endpoint
 	ran          int             // of these, requests that may have run
 	headSent     bool            // the head of the answer has been written
+	delivered    bool            // events of a stream have been written
+	identified   bool            // one of them had an identifier
 	unresumable  bool            // no other endpoint can continue what was delivered
 	sentAt       time.Time       // of the last attempt
 	firstByteAt  time.Time       // of the first byte of the answer
--- a/internal/serve/forward/forward_test.go
+++ b/internal/serve/forward/forward_test.go
@@ -505,7 +505,9 @@
 	var first atomic.Bool
 	serve := func(w http.ResponseWriter, q *http.Request) {
 		w.Header().Set("Content-Type", "text/event-stream")
-		_, _ = io.WriteString(w, "id: 1\ndata: a\n\n")
+		if q.Header.Get("Last-Event-Id") == "" {
+			_, _ = io.WriteString(w, event1)
+		}
 		w.(http.Flusher).Flush()
 		for stalled := first.CompareAndSwap(false, true); stalled; {
 			if _, err := io.WriteString(w, "x"); err != nil || q.Context().Err() != nil {
@@ -514,9 +516,9 @@
 			w.(http.Flusher).Flush()
 			time.Sleep(20 * time.Millisecond)
 		}
-		_, _ = io.WriteString(w, "id: 2\ndata: b\n\n")
+		_, _ = io.WriteString(w, event2)
 	}
-	r := newFixture(t, []http.HandlerFunc{serve, serve}, forward.WithCodec(streamCodec()))
+	r := newFixture(t, []http.HandlerFunc{serve, serve}, forward.WithCodec(resumeCodec()))
 	ctx, stop := context.WithCancel(context.Background())
 	var group errgroup.Group
 	group.Go(func() error {
@@ -532,7 +534,7 @@
 	r.handler.ServeHTTP(w, q)
 	stop()
 	r.Assert(group.Wait(), quicktest.IsNil)
-	r.Check(strings.HasSuffix(w.Body.String(), "data: b\n\n"), quicktest.IsTrue, quicktest.Commentf("%q", w.Body.String()))
+	r.Check(w.Body.String(), quicktest.Equals, event1+event2)
 	r.Check(r.total(), quicktest.Equals, int32(2))
 }
 
--- a/internal/serve/forward/inflight.go
+++ b/internal/serve/forward/inflight.go
@@ -17,6 +17,7 @@
 type inFlight struct {
 	endpoint     report.Endpoint
 	movable      bool     // it may be sent to another endpoint, if the retry budget allows it
+	unresumable  bool     // no other endpoint can continue what was delivered
 	exclude      []string // endpoints that did not run the request
 	leaving      bool     // it has been told to leave its endpoint, and the retry budget is charged
 	service      string
@@ -85,11 +86,14 @@
 	f.progressAt = now
 }
 
-// recordUnresumable records that no other endpoint can continue what was delivered of an answer.
-func (h *Handler) recordUnresumable(x *exchange, f *inFlight) {
+// recordUnresumable records whether no other endpoint can continue what was delivered of an answer.
+func (h *Handler) recordUnresumable(x *exchange, f *inFlight, unresumable bool) {
+	if x.unresumable == unresumable {
+		return
+	}
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	x.unresumable, f.movable = true, false
+	x.unresumable, f.unresumable = unresumable, unresumable
 }
 
 // silenceRetention exceeds every period for which a request may stay at a silent endpoint.
@@ -102,7 +106,7 @@
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	for f := range h.attempts {
-		if !f.movable || f.leaving {
+		if !f.movable || f.unresumable || f.leaving {
 			continue
 		}
 		switch h.silence.Decide(now, silence.Attempt{
--- a/internal/serve/forward/send.go
+++ b/internal/serve/forward/send.go
@@ -358,7 +358,7 @@
 // relayRest passes on the rest of an answer whose beginning was delivered.
 func (h *Handler) relayRest(x *exchange, s attempt, a *upstream.Answer) (attemptResult, string) {
 	x.headSent = true
-	h.recordUnresumable(x, s.inFlight)
+	h.recordUnresumable(x, s.inFlight, true)
 	if _, err := io.Copy(x.ResponseWriter, a.Body); err != nil {
 		return mayHaveRun, h.connectionBroken(x, s, err)
 	}
--- a/internal/serve/forward/stream.go
+++ b/internal/serve/forward/stream.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"io"
 	"net/http"
+	"strconv"
 	"time"
 
 	"github.com/zeebo/errs"
@@ -33,11 +34,14 @@
 		n, err := a.Body.Read(buffer)
 		events := pending.add(buffer[:n], err == io.EOF && !a.Unframed)
 		if len(events) > 0 {
+			if err := h.checkResumed(x, s, events); err != nil {
+				return mayHaveRun, h.connectionBroken(x, s, err)
+			}
 			if x.firstByteAt.IsZero() {
 				x.firstByteAt = h.options.Now()
 			}
 			h.recordEvents(x, s)
-			if !h.writeEvents(x, controller, events) {
+			if !h.writeEvents(x, s, controller, events) {
 				return mayHaveRun, reasonStopped
 			}
 			pending.drop(len(events))
@@ -86,18 +90,36 @@
 
 func (b *eventBuffer) len() int { return len(b.content) }
 
-// writeEvents writes events to the caller and records the identifier of the last one.
-func (h *Handler) writeEvents(x *exchange, controller *http.ResponseController, events []byte) bool {
-	if _, err := x.Write(events); err != nil {
-		return false
+// checkResumed returns an error if the first events of an attempt do not continue those that were delivered before.
+func (h *Handler) checkResumed(x *exchange, s attempt, events []byte) error {
+	if s.inFlight.begun || !x.delivered {
+		return nil
 	}
-	if err := controller.Flush(); err != nil {
-		return false
+	first, _, _ := bytes.Cut(events, eventEnd)
+	if id := h.options.Codec.EventID(first); !follows(id, x.request.LastEvent) {
+		return errs.Combine(upstream.ErrMalformed, errs.New("resumed stream begins with event %.40q, event %.40q was delivered", id, x.request.LastEvent))
 	}
+	return nil
+}
+
+// follows reports whether an event belongs behind another one: identifiers are increasing numbers.
+func follows(id, before string) bool {
+	n, err := strconv.ParseUint(id, 10, 64)
+	last, errBefore := strconv.ParseUint(before, 10, 64)
+	return err == nil && errBefore == nil && n > last
+}
+
+// writeEvents writes events to the caller and records the last identifier among them. Without any, no other endpoint can resume the stream.
+func (h *Handler) writeEvents(x *exchange, s attempt, controller *http.ResponseController, events []byte) bool {
+	x.delivered = true
 	if id := h.lastID(events); id != "" {
-		x.request.LastEvent = id
+		x.request.LastEvent, x.identified = id, true
+	}
+	h.recordUnresumable(x, s.inFlight, !x.identified)
+	if _, err := x.Write(events); err != nil {
+		return false
 	}
-	return true
+	return controller.Flush() == nil
 }
 
 // lastID returns the identifier of the last event that has one.
--- a/internal/serve/forward/stream_test.go
+++ b/internal/serve/forward/stream_test.go
@@ -7,7 +7,6 @@
 	"net/http/httptest"
 	"strconv"
 	"strings"
-	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -33,27 +32,27 @@
 // Guards against delivering a stream as complete that has neither a length nor chunks and ends inside an event, and against refusing one that ends
 // behind an event, or another answer of that form.
 func TestStreamThatEndsInsideEventIsBroken(t *testing.T) {
-	const whole = "id: 1\ndata: a\n\nid: 2\ndata: b\n\n"
+	const whole = event1 + event2
 	for _, test := range []struct {
 		name, contentType, content, want string
 		hits                             int32
 	}{
-		{"inside an event", "text/event-stream", "id: 1\ndata: a\n\nid: 2\nda", "id: 1\ndata: a\n\n" + whole, 2},
+		{"inside an event", "text/event-stream", event1 + "id: 2\nda", whole, 2},
 		{"before the first event", "text/event-stream", "id: 1", whole, 2},
 		{"behind an event", "text/event-stream", whole, whole, 1},
 		{"no stream", "text/plain", "fine", "fine", 1},
 	} {
 		t.Run(test.name, func(t *testing.T) {
 			var second atomic.Bool
-			serve := func(w http.ResponseWriter, _ *http.Request) {
+			serve := func(w http.ResponseWriter, q *http.Request) {
 				if second.Swap(true) {
-					w.Header().Set("Content-Type", "text/event-stream")
-					_, _ = io.WriteString(w, whole)
+					rest := map[string]string{"": whole, "1": event2}
+					streamOf(false, rest[q.Header.Get("Last-Event-Id")])(w, q)
 					return
 				}
 				writeUnframed(w, test.contentType, test.content)
 			}
-			r := newFixture(t, []http.HandlerFunc{serve, serve}, forward.WithCodec(streamCodec()))
+			r := newFixture(t, []http.HandlerFunc{serve, serve}, forward.WithCodec(resumeCodec()))
 			q := httptest.NewRequestWithContext(context.Background(), http.MethodGet, "/read/x", http.NoBody)
 			q.Header.Set("Key", "k")
 			w := httptest.NewRecorder()
@@ -68,21 +67,23 @@
 // was told to leave it because the budget allowed a repeat, which the first one then used up.
 func TestStalledStreamsStayWithoutBudget(t *testing.T) {
 	const streams = 4
-	var seen sync.Map
+	var moved atomic.Int32
 	serve := func(w http.ResponseWriter, q *http.Request) {
 		w.Header().Set("Content-Type", "text/event-stream")
-		_, _ = io.WriteString(w, "id: 1\ndata: a\n\n")
-		_ = http.NewResponseController(w).Flush()
-		if _, again := seen.LoadOrStore(q.Header.Get("Attempt"), true); !again {
+		if q.Header.Get("Last-Event-Id") != "" {
+			moved.Add(1)
+		} else {
+			_, _ = io.WriteString(w, event1)
+			_ = http.NewResponseController(w).Flush()
 			select {
 			case <-q.Context().Done():
 				return
 			case <-time.After(3 * time.Second):
 			}
 		}
-		_, _ = io.WriteString(w, "id: 2\ndata: b\n\n")
+		_, _ = io.WriteString(w, event2)
 	}
-	r := newFixture(t, []http.HandlerFunc{serve, serve}, forward.WithCodec(streamCodec()),
+	r := newFixture(t, []http.HandlerFunc{serve, serve}, forward.WithCodec(resumeCodec()),
 		forward.WithRetry(retry.Options{Window: 10 * time.Second, Slack: 1}))
 	ctx, stop := context.WithCancel(context.Background())
 	var sweeps, callers errgroup.Group
@@ -93,7 +94,7 @@
 		}
 		return nil
 	})
-	var complete, moved atomic.Int32
+	var complete atomic.Int32
 	for n := range streams {
 		callers.Go(func() error {
 			defer func() { _ = recover() }() // a stream that is cut ends by aborting its connection
@@ -102,10 +103,9 @@
 			q.Header.Set("Attempt", strconv.Itoa(n))
 			w := httptest.NewRecorder()
 			r.handler.ServeHTTP(w, q)
-			if strings.HasSuffix(w.Body.String(), "data: b\n\n") {
+			if w.Body.String() == event1+event2 {
 				complete.Add(1)
 			}
-			moved.Add(int32(strings.Count(w.Body.String(), "data: a") - 1))
 			return nil
 		})
 	}
@@ -155,6 +155,18 @@
 	}
 }
 
+// text answers with a status, a type and a text that looks like an event.
+func text(status int, contentType string, fields ...string) http.HandlerFunc {
+	return func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("Content-Type", contentType)
+		for _, field := range fields {
+			w.Header().Set(field, "1")
+		}
+		w.WriteHeader(status)
+		_, _ = io.WriteString(w, "id: 4\ndata: failure of the endpoint\n\n")
+	}
+}
+
 // ask sends a request through a server and returns the answer's body and whether it came complete.
 func (r *fixture) ask(t *testing.T, path string) (body string, complete bool) {
 	t.Helper()
@@ -175,8 +187,57 @@
 	event1 = "id: 1\ndata: a\n\n"
 	event2 = "id: 2\ndata: b\n\n"
 	event3 = "id: 3\ndata: c\n\n"
+	event4 = "id: 4\ndata: d\n\n"
 )
 
+// A stream breaks off behind its third event, and the next endpoint answers in each of these ways. Guards against the answer's text or head,
+// or an event twice, in the caller's stream, and against a stream that ends as if it were complete.
+func TestAnswersToResume(t *testing.T) {
+	const sse = "text/event-stream"
+	for name, test := range map[string]struct {
+		next  http.HandlerFunc
+		whole bool
+	}{
+		"error":                        {text(500, "text/plain"), false},
+		"error as a stream":            {text(500, sse), false},
+		"unmarked refusal":             {text(503, sse), false},
+		"refusal":                      {text(503, "text/plain", "Not-Run"), false},
+		"refusal as a stream":          {text(503, sse, "Not-Run"), false},
+		"other endpoint":               {text(421, sse), false},
+		"other content":                {text(200, "text/html"), false},
+		"created":                      {text(201, sse), false},
+		"rest":                         {streamOf(false, event4), true},
+		"from the beginning":           {streamOf(false, event1, event2, event3, event4), false},
+		"last event again":             {streamOf(false, event3, event4), false},
+		"earlier event":                {streamOf(false, event2, event4), false},
+		"event without identifier":     {streamOf(false, "data: x\n\n", event4), false},
+		"identifier that is no number": {streamOf(false, "id: x\ndata: x\n\n", event4), false},
+		"unframed, empty":              {func(w http.ResponseWriter, _ *http.Request) { writeUnframed(w, sse, "") }, false},
+		"unframed, broken":             {func(w http.ResponseWriter, _ *http.Request) { writeUnframed(w, sse, event4[:8]) }, false},
+		"unframed, earlier event":      {func(w http.ResponseWriter, _ *http.Request) { writeUnframed(w, sse, event1) }, false},
+		"broken":                       {streamOf(true, event4[:8]), false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			var begun atomic.Bool
+			serve := func(w http.ResponseWriter, q *http.Request) {
+				if begun.Swap(true) {
+					test.next(w, q)
+					return
+				}
+				streamOf(true, event1, event2, event3, "id: 4\nda")(w, q)
+			}
+			r := newFixture(t, []http.HandlerFunc{serve, serve, serve}, forward.WithCodec(resumeCodec()))
+			body, complete := r.ask(t, "/read/x")
+			want := event1 + event2 + event3
+			if test.whole {
+				want += event4
+			}
+			r.Check(body, quicktest.Equals, want)
+			r.Check(complete, quicktest.Equals, test.whole)
+		})
+	}
+}
+
 // A stream breaks off behind events that arrived together, the last of which has no identifier. Guards against resuming it from the
 // beginning.
 func TestLastIdentifierOfEventsIsSent(t *testing.T) {
@@ -217,3 +278,16 @@
 	r.Check(complete, quicktest.IsFalse)
 	r.Check(r.total(), quicktest.Equals, int32(1))
 }
+
+// A stream whose events have no identifiers breaks off. Guards against events twice: another endpoint could only send it from the beginning.
+func TestStreamWithoutIdentifiersIsNotResumed(t *testing.T) {
+	var begun atomic.Bool
+	serve := func(w http.ResponseWriter, q *http.Request) {
+		streamOf(!begun.Swap(true), "data: a\n\n", "data: b\n\n")(w, q)
+	}
+	r := newFixture(t, []http.HandlerFunc{serve, serve}, forward.WithCodec(resumeCodec()))
+	body, complete := r.ask(t, "/read/x")
+	r.Check(body, quicktest.Equals, "data: a\n\ndata: b\n\n")
+	r.Check(complete, quicktest.IsFalse)
+	r.Check(r.total(), quicktest.Equals, int32(1))
+}
