Do not take an empty answer as the rest of a stream

Callers could see: a stream broke off, the next endpoint answered the request to resume it with an empty stream, and the part that was delivered came as complete. Cause: an empty body with chunks ends a stream like any other. Change: a resumed stream without an event counts as a failed attempt. A stream whose last event was delivered and whose end was lost is then broken off as well, which the caller may resume. The case "empty stream" of TestAnswersToResume fails before (complete) and passes now.

--- a/internal/serve/forward/stream.go
+++ b/internal/serve/forward/stream.go
@@ -28,6 +28,7 @@
 		x.headSent = true
 	}
 	controller := http.NewResponseController(x.ResponseWriter)
+	resumed := x.delivered
 	var pending eventBuffer
 	buffer := make([]byte, streamBuffer)
 	for {
@@ -49,6 +50,8 @@
 		switch {
 		case err == io.EOF && a.Unframed && (pending.len() > 0 || !s.inFlight.begun):
 			return mayHaveRun, h.connectionBroken(x, s, io.ErrUnexpectedEOF)
+		case err == io.EOF && resumed && !s.inFlight.begun:
+			return mayHaveRun, reasonError // an endpoint that sends nothing more does not show that the stream was complete
 		case err == io.EOF:
 			return answered, ""
 		case err != nil:
--- a/internal/serve/forward/stream_test.go
+++ b/internal/serve/forward/stream_test.go
@@ -215,6 +215,7 @@
 		"unframed, empty":              {func(w http.ResponseWriter, _ *http.Request) { writeUnframed(w, sse, "") }, false},
 		"unframed, broken":             {func(w http.ResponseWriter, _ *http.Request) { writeUnframed(w, sse, event4[:8]) }, false},
 		"unframed, earlier event":      {func(w http.ResponseWriter, _ *http.Request) { writeUnframed(w, sse, event1) }, false},
+		"empty stream":                 {streamOf(false), false},
 		"broken":                       {streamOf(true, event4[:8]), false},
 	} {
 		t.Run(name, func(t *testing.T) {
