Abort the connection also of a caller that seems to be gone

Callers could see: one that closed its side of the connection after its request, and read on, got the part of a stream that had arrived as a complete answer. Cause: the closed side cancels the request, and the answer of a cancelled request was ended in the usual way, with its last chunk. Change: an answer that has begun and was not completed is always aborted. Its outcome is observed now, which was left out before. TestStreamToHalfClosedCallerIsNotComplete fails before (no error) and passes now.

--- a/internal/serve/forward/forward.go
+++ b/internal/serve/forward/forward.go
@@ -125,6 +125,10 @@
 		h.refuse(x, refused)
 	}
 	h.finish(x, code)
+	if code != served && x.headSent {
+		// Also if the caller seems to be gone: one that has closed its side of the connection would see a complete answer.
+		panic(http.ErrAbortHandler)
+	}
 }
 
 // served is the code of a request that an endpoint answered.
@@ -277,14 +281,11 @@
 // defaultMaxBody is the maximum size of a body in bytes if the configuration sets none.
 const defaultMaxBody = 4 << 20
 
-// refuse answers with an error, or aborts the connection if the answer has begun.
+// refuse answers with an error, unless the answer has begun.
 func (h *Handler) refuse(x *exchange, e *refusal.Error) {
 	h.logRefusal(x, e)
-	if x.caller.Context().Err() != nil {
-		return // the caller has disconnected
-	}
-	if x.headSent {
-		panic(http.ErrAbortHandler)
+	if x.caller.Context().Err() != nil || x.headSent {
+		return // the caller has disconnected, or the connection is aborted
 	}
 	h.refund(x)
 	header := x.Header()
--- a/internal/serve/forward/stream_test.go
+++ b/internal/serve/forward/stream_test.go
@@ -1,8 +1,10 @@
 package forward_test
 
 import (
+	"bufio"
 	"context"
 	"io"
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"strconv"
@@ -292,3 +294,30 @@
 	r.Check(complete, quicktest.IsFalse)
 	r.Check(r.total(), quicktest.Equals, int32(1))
 }
+
+// A caller that has sent its request closes its side of the connection and reads on. Guards against a stream that is cut for this, and ends as
+// if it were complete.
+func TestStreamToHalfClosedCallerIsNotComplete(t *testing.T) {
+	begun := make(chan struct{})
+	serve := func(w http.ResponseWriter, q *http.Request) {
+		streamOf(false, event1)(w, q)
+		close(begun)
+		<-q.Context().Done()
+	}
+	r := newFixture(t, []http.HandlerFunc{serve}, forward.WithCodec(resumeCodec()))
+	entry := httptest.NewServer(r.handler)
+	defer entry.Close()
+	conn, err := net.Dial("tcp", strings.TrimPrefix(entry.URL, "http://"))
+	r.Assert(err, quicktest.IsNil)
+	defer func() { _ = conn.Close() }()
+	_, err = io.WriteString(conn, "GET /long/x HTTP/1.1\r\nHost: h\r\nKey: k\r\nAttempt: 1\r\n\r\n")
+	r.Assert(err, quicktest.IsNil)
+	<-begun
+	r.Assert(conn.(*net.TCPConn).CloseWrite(), quicktest.IsNil)
+	answer, err := http.ReadResponse(bufio.NewReader(conn), nil)
+	r.Assert(err, quicktest.IsNil)
+	defer func() { _ = answer.Body.Close() }()
+	body, err := io.ReadAll(answer.Body)
+	r.Check(string(body), quicktest.Equals, event1)
+	r.Check(err, quicktest.IsNotNil)
+}
