Refuse announcements that decode well and break later

What could happen: one announcement of another writer was listed to all entries with slots of 0, 2^31 or an overflow (such an endpoint is never full, and each entry prefers it), with address 0.0.0.0 (entries connect to themselves), a multicast address or port 0, with names that no header field can carry, with 100,000 models or adapters, which every update then carries, or with an adapter version far beyond the newest one, which hides the other holders; with the last sequence number or a start in the far future it stopped the announcements of the endpoint that it named. Cause: only empty names, the lengths of three names, and negative slots were refused. Change: limits in roster/check.go; the error names the field, shortened. A new leader that inherits endpoints from an entry applies the same.

An announcement with a start in the near future and another's address can't be told from a restart.

--- a/internal/member/roster/roster.go
+++ b/internal/member/roster/roster.go
@@ -80,26 +80,10 @@
 	}
 }
 
-// maxName limits the length of names, in bytes.
-const maxName = 128
-
-func (a Announcement) validate() error {
-	if a.ID == "" || len(a.ID) > maxName || len(a.Service) > maxName || len(a.DataCentre) > maxName {
-		return ErrInvalid
-	}
-	if a.Gone {
-		return nil
-	}
-	if a.Service == "" || !a.Address.IsValid() || a.Slots < 0 {
-		return ErrInvalid
-	}
-	return nil
-}
-
 // Announce records an announcement. Errors are ErrInvalid, ErrOutdated and ErrFull.
 func (r *Roster) Announce(now time.Time, a Announcement) (changed bool, err error) {
 	defer func() { err = Error.Wrap(err) }()
-	if err := a.validate(); err != nil {
+	if err := a.Check(); err != nil {
 		return false, err
 	}
 	old := r.entries[a.ID]
@@ -133,7 +117,7 @@
 func (r *Roster) Inherit(now time.Time, a Announcement) bool {
 	_, addressInUse := r.byAddress[a.Address]
 	p, ended := r.ended[a.ID]
-	if a.validate() != nil || a.Gone || r.entries[a.ID] != nil || addressInUse || (ended && a.Born <= p.born) || len(r.entries) >= r.options.MaxEndpoints {
+	if a.Check() != nil || a.Gone || r.entries[a.ID] != nil || addressInUse || (ended && a.Born <= p.born) || len(r.entries) >= r.options.MaxEndpoints {
 		return false
 	}
 	r.store(now, a, nil)
--- a/internal/member/roster/roster_test.go
+++ b/internal/member/roster/roster_test.go
@@ -1,7 +1,10 @@
 package roster_test
 
 import (
+	"fmt"
+	"math"
 	"net/netip"
+	"strings"
 	"testing"
 	"time"
 
@@ -9,6 +12,7 @@
 	"github.com/zeebo/errs"
 
 	"lycheevale/internal/member/roster"
+	"lycheevale/internal/place/residency"
 )
 
 var epoch = time.Unix(1_800_000_000, 0)
@@ -98,23 +102,90 @@
 	}
 }
 
-// Guards against announcements that are not valid, as other implementations may send them.
+// Another writer announces an endpoint that no request can be sent to, or that breaks later what reads it. Guards against listing it, and against
+// losing another endpoint by it.
 func TestInvalidAnnouncements(t *testing.T) {
-	c := quicktest.New(t)
-	r := roster.New(roster.DefaultOptions())
-	for _, change := range []func(a *roster.Announcement){
-		func(a *roster.Announcement) { a.ID = "" },
-		func(a *roster.Announcement) { a.Service = "" },
-		func(a *roster.Announcement) { a.Address = netip.AddrPort{} },
-		func(a *roster.Announcement) { a.Slots = -1 },
+	holding := func(model, name string, version int) []residency.Holding {
+		return []residency.Holding{{Adapter: residency.Adapter{Model: model, Name: name}, Version: version}}
+	}
+	long := strings.Repeat("x", 129)
+	for name, change := range map[string]func(a *roster.Announcement){
+		"no ID":                     func(a *roster.Announcement) { a.ID = "" },
+		"long ID":                   func(a *roster.Announcement) { a.ID = long },
+		"ID with a line break":      func(a *roster.Announcement) { a.ID = "b\r\nc" },
+		"ID with spaces":            func(a *roster.Announcement) { a.ID = " b" },
+		"ID that is no UTF-8":       func(a *roster.Announcement) { a.ID = "b\xff" },
+		"no service":                func(a *roster.Announcement) { a.Service = "" },
+		"service that is no UTF-8":  func(a *roster.Announcement) { a.Service = "s\xff" },
+		"long data centre":          func(a *roster.Announcement) { a.DataCentre = long },
+		"no address":                func(a *roster.Announcement) { a.Address = netip.AddrPort{} },
+		"any address":               func(a *roster.Announcement) { a.Address = netip.MustParseAddrPort("0.0.0.0:80") },
+		"any address and port":      func(a *roster.Announcement) { a.Address = netip.MustParseAddrPort("0.0.0.0:0") },
+		"port 0":                    func(a *roster.Announcement) { a.Address = netip.MustParseAddrPort("10.0.0.2:0") },
+		"multicast address":         func(a *roster.Announcement) { a.Address = netip.MustParseAddrPort("224.0.0.1:80") },
+		"address with a zone":       func(a *roster.Announcement) { a.Address = netip.MustParseAddrPort("[fe80::1%" + long + "]:80") },
+		"negative slots":            func(a *roster.Announcement) { a.Slots = -1 },
+		"no slots":                  func(a *roster.Announcement) { a.Slots = 0 },
+		"slots beyond 32 bits":      func(a *roster.Announcement) { a.Slots = 1 << 31 },
+		"slots that overflow":       func(a *roster.Announcement) { a.Slots = math.MaxInt },
+		"negative start":            func(a *roster.Announcement) { a.Born = -1 },
+		"start far in the future":   func(a *roster.Announcement) { a.Born = math.MaxInt64 },
+		"last sequence number":      func(a *roster.Announcement) { a.Sequence = math.MaxUint64 },
+		"100,000 models":            func(a *roster.Announcement) { a.Models = numbered(100_000) },
+		"model without a name":      func(a *roster.Announcement) { a.Models = []string{""} },
+		"model with a long name":    func(a *roster.Announcement) { a.Models = []string{long} },
+		"100,000 adapters":          func(a *roster.Announcement) { a.Holdings = adapters(100_000) },
+		"adapter without a name":    func(a *roster.Announcement) { a.Holdings = holding("m", "", 1) },
+		"adapter with a long name":  func(a *roster.Announcement) { a.Holdings = holding("m", long, 1) },
+		"adapter without a model":   func(a *roster.Announcement) { a.Holdings = holding("", "a", 1) },
+		"negative adapter version":  func(a *roster.Announcement) { a.Holdings = holding("m", "a", -1) },
+		"adapter version too large": func(a *roster.Announcement) { a.Holdings = holding("m", "a", math.MaxInt) },
 	} {
-		a := announcement("a", 1, 1)
-		change(&a)
-		_, err := r.Announce(epoch, a)
-		c.Check(errs.Is(err, roster.ErrInvalid), quicktest.IsTrue)
+		t.Run(name, func(t *testing.T) {
+			c := quicktest.New(t)
+			r := roster.New(roster.DefaultOptions())
+			_, err := r.Announce(epoch, announcement("a", 5, 5))
+			c.Assert(err, quicktest.IsNil)
+			odd := announcement("a", 5, 6)
+			change(&odd)
+			_, err = r.Announce(epoch, odd)
+			c.Check(errs.Is(err, roster.ErrInvalid), quicktest.IsTrue, quicktest.Commentf("%v", err))
+			c.Check(roster.New(roster.DefaultOptions()).Inherit(epoch, odd), quicktest.IsFalse)
+			_, err = r.Announce(epoch, announcement("a", 5, 6))
+			c.Check(err, quicktest.IsNil)
+			c.Check(ids(r), quicktest.DeepEquals, []string{"a"})
+		})
 	}
 }
 
+func numbered(n int) (list []string) {
+	for i := range n {
+		list = append(list, fmt.Sprint("n", i))
+	}
+	return list
+}
+
+func adapters(n int) (list []residency.Holding) {
+	for _, name := range numbered(n) {
+		list = append(list, residency.Holding{Adapter: residency.Adapter{Model: "m", Name: name}, Version: 1})
+	}
+	return list
+}
+
+// Guards against refusing announcements that are unusual and sound: an engine with many adapters, two versions of one adapter, a model twice, an
+// ID with slashes, an endpoint that states neither its start nor its data centre.
+func TestUnusualAnnouncements(t *testing.T) {
+	c := quicktest.New(t)
+	r := roster.New(roster.DefaultOptions())
+	a := announcement("a/b/../c", 0, 1)
+	a.DataCentre, a.Slots, a.Models, a.Holdings = "", 4096, []string{"m", "m"}, append(adapters(4095), residency.Holding{
+		Adapter: residency.Adapter{Model: "m", Name: "n1"}, Version: 2,
+	})
+	_, err := r.Announce(epoch, a)
+	c.Check(err, quicktest.IsNil)
+	c.Check(ids(r), quicktest.DeepEquals, []string{"a/b/../c"})
+}
+
 // Guards against an inherited endpoint that stays without announcing itself or replaces something newer.
 func TestInheritedEndpointHasToAnnounceItself(t *testing.T) {
 	c := quicktest.New(t)
