Check announcements where they arrive, and bound what is logged of them

What could happen: a control instance passed an odd announcement of any size on to the leader, and the leader logged its fields in full (2 MB for a service or address of 1 MB); an ID that is no UTF-8 was replaced on the way and listed as another one. Cause: only the leader checked, after the message between instances had been decoded, and the log repeats what is refused. Change: the instance that receives an announcement checks it first; what is refused is logged as an error with the field, shortened. The leader checks again and goes on with the others.

--- a/internal/node/control/interface.go
+++ b/internal/node/control/interface.go
@@ -7,8 +7,6 @@
 	"net/netip"
 	"time"
 
-	"github.com/zeebo/errs"
-
 	"lycheevale/internal/base/event"
 	"lycheevale/internal/member/report"
 	"lycheevale/internal/member/roster"
@@ -51,6 +49,10 @@
 // Only the leader acknowledges that an endpoint leaves, since entries get their endpoints from it.
 func (c *Control) Announce(ctx context.Context, a roster.Announcement) (next netip.AddrPort, err error) {
 	defer func() { err = Error.Wrap(err) }()
+	if err := a.Check(); err != nil {
+		event.Log(ctx, c.options.Logger, event.EndpointAnnounced, slog.Any("Error", err))
+		return next, err
+	}
 	ctx, cancel := context.WithTimeout(ctx, requestTimeout)
 	defer cancel()
 	var answer announceReply
@@ -76,13 +78,18 @@
 	if c.state == nil || c.actingTerm() == 0 {
 		return announceReply{}, nil
 	}
+	if err := a.Check(); err != nil {
+		// The fields may be of any length; the error is not.
+		event.Log(ctx, c.options.Logger, event.EndpointAnnounced, slog.String("From", from), slog.Any("Error", err))
+		return announceReply{Leading: true, Invalid: true}, nil
+	}
 	changed, err := c.state.announce(a)
 	if changed || err != nil {
 		event.Log(ctx, c.options.Logger, event.EndpointAnnounced, slog.String("Endpoint", a.ID), slog.String("From", from),
 			slog.String("Service", a.Service), slog.Any("Address", a.Address), slog.Int64("Born", a.Born),
 			slog.Uint64("Sequence", a.Sequence), slog.Bool("Leaving", a.Leaving), slog.Bool("Gone", a.Gone), slog.Any("Error", err))
 	}
-	return announceReply{Leading: true, Invalid: errs.Is(err, roster.ErrInvalid)}, nil
+	return announceReply{Leading: true}, nil
 }
 
 // Replace stores a configuration, whose content the caller has decoded and checked. A version that is not higher than the
