Acknowledge no announcement that a full roster does not record

What could happen: with 20,000 endpoints listed, further ones were acknowledged and never listed, and did not turn to another instance. Cause: only invalid announcements were reported back to the instance that received one. TestAnnouncementToFullRosterIsNotAcknowledged fails before (no error) and passes now.

--- a/internal/node/control/announce_test.go
+++ b/internal/node/control/announce_test.go
@@ -109,3 +109,16 @@
 		c.Check(errs.Is(err, roster.ErrInvalid), quicktest.IsTrue, quicktest.Commentf("%v", err))
 	}
 }
+
+// The leader lists as many endpoints as it may. Guards against acknowledging an announcement that it does not record.
+func TestAnnouncementToFullRosterIsNotAcknowledged(t *testing.T) {
+	c := quicktest.New(t)
+	leader, _ := leadingControl()
+	o := roster.DefaultOptions()
+	o.MaxEndpoints = 1
+	leader.state.roster = roster.New(o)
+	_, err := leader.Announce(t.Context(), soundAnnouncement("x", 1))
+	c.Assert(err, quicktest.IsNil)
+	_, err = leader.Announce(t.Context(), soundAnnouncement("y", 2))
+	c.Check(errs.Is(err, roster.ErrFull), quicktest.IsTrue, quicktest.Commentf("%v", err))
+}
--- a/internal/node/control/interface.go
+++ b/internal/node/control/interface.go
@@ -7,6 +7,8 @@
 	"net/netip"
 	"time"
 
+	"github.com/zeebo/errs"
+
 	"lycheevale/internal/base/event"
 	"lycheevale/internal/member/report"
 	"lycheevale/internal/member/roster"
@@ -22,6 +24,7 @@
 type announceReply struct {
 	Leading bool `json:"Leading"`
 	Invalid bool `json:"Invalid,omitempty"`
+	Full    bool `json:"Full,omitempty"`
 }
 
 // readReply holds the newest configuration and its version.
@@ -60,8 +63,11 @@
 	if err != nil {
 		return next, err
 	}
-	if answer.Invalid {
+	switch {
+	case answer.Invalid:
 		return next, roster.ErrInvalid
+	case answer.Full:
+		return next, roster.ErrFull
 	}
 	c.mu.Lock()
 	leader := c.leader
@@ -89,7 +95,7 @@
 			slog.String("Service", a.Service), slog.Any("Address", a.Address), slog.Int64("Born", a.Born),
 			slog.Uint64("Sequence", a.Sequence), slog.Bool("Leaving", a.Leaving), slog.Bool("Gone", a.Gone), slog.Any("Error", err))
 	}
-	return announceReply{Leading: true}, nil
+	return announceReply{Leading: true, Full: errs.Is(err, roster.ErrFull)}, nil
 }
 
 // Replace stores a configuration, whose content the caller has decoded and checked. A version that is not higher than the
