--- a/internal/node/control/announce_test.go
+++ b/internal/node/control/announce_test.go
@@ -53,7 +53,9 @@
 		func(a *roster.Announcement) { a.DataCentre = long },
 		func(a *roster.Announcement) { a.Models = []string{long} },
 		func(a *roster.Announcement) { a.Holdings = holdings },
-		func(a *roster.Announcement) { a.Holdings = []residency.Holding{{Adapter: residency.Adapter{Model: "m", Name: long}}} },
+		func(a *roster.Announcement) {
+			a.Holdings = []residency.Holding{{Adapter: residency.Adapter{Model: "m", Name: long}}}
+		},
 		func(a *roster.Announcement) { a.Address = netip.MustParseAddrPort("[fe80::1%" + long + "]:80") },
 		func(a *roster.Announcement) { a.Slots = math.MaxInt },
 		func(a *roster.Announcement) { a.Slots = math.MinInt },
