List an endpoint again whose address one announcement took

What could happen: one announcement with the address of another endpoint and a later start took that endpoint out for two minutes, although it served and announced itself: its incarnation counted as ended, also after the other one had expired (6 s). Cause: what took the address was not distinguished from an endpoint that keeps announcing itself. Change: if an endpoint expires after a single announcement, the one whose address it took may return. A late announcement of an endpoint that has ended is still refused while another has the address. TestDisplacedEndpointReturns fails before (outdated) and passes now.

--- a/internal/member/roster/roster.go
+++ b/internal/member/roster/roster.go
@@ -43,7 +43,8 @@
 type entry struct {
 	Announcement
 	announcedAt time.Time
-	inherited   bool // the endpoint has not announced itself to this leader yet
+	inherited   bool   // the endpoint has not announced itself to this leader yet
+	displaced   string // endpoint that had the address before, until this one has announced itself twice
 }
 
 // Options are the settings of a Roster.
@@ -96,11 +97,13 @@
 	if old != nil && (a.Born < old.Born || (a.Born == old.Born && a.Sequence <= old.Sequence && !old.inherited)) {
 		return false, ErrOutdated
 	}
+	displaced := ""
 	if other := r.entries[r.byAddress[a.Address]]; other != nil && other.ID != a.ID {
 		if a.Born < other.Born {
 			return false, ErrOutdated
 		}
 		r.remove(now, other)
+		displaced = other.ID
 	}
 	if old == nil && len(r.entries) >= r.options.MaxEndpoints {
 		return false, ErrFull
@@ -109,6 +112,7 @@
 		a.Leaving = true // a leaving incarnation does not serve again
 	}
 	r.store(now, a, old)
+	r.entries[a.ID].displaced = displaced
 	return old == nil || !sameState(old.Announcement, a), nil
 }
 
@@ -198,6 +202,9 @@
 		e := r.entries[id]
 		r.remove(now, e)
 		delete(r.ended, id) // the same incarnation may return, since it may only have been cut off
+		if e.displaced != "" {
+			delete(r.ended, e.displaced) // one announcement does not show that the other endpoint has stopped
+		}
 	}
 	for id, p := range r.ended {
 		if now.Sub(p.at) >= r.options.Retention {
--- a/internal/member/roster/roster_test.go
+++ b/internal/member/roster/roster_test.go
@@ -210,3 +210,27 @@
 	c.Assert(err, quicktest.IsNil)
 	c.Check(r.Inherit(epoch, announcement("a", 5, 7)), quicktest.IsFalse, quicktest.Commentf("this incarnation has ended"))
 }
+
+// One announcement names the address of another endpoint, which goes on announcing itself. Guards against refusing that endpoint for longer than the
+// other announcement is valid.
+func TestDisplacedEndpointReturns(t *testing.T) {
+	for _, announced := range []int{1, 2} {
+		c := quicktest.New(t)
+		r := roster.New(roster.DefaultOptions())
+		_, err := r.Announce(epoch, announcement("sound", 5, 1))
+		c.Assert(err, quicktest.IsNil)
+		for n := range announced {
+			_, err = r.Announce(epoch, announcement("odd", 6, uint64(n+1)))
+			c.Assert(err, quicktest.IsNil)
+		}
+		c.Check(ids(r), quicktest.DeepEquals, []string{"odd"})
+		r.Expire(epoch)
+		expireAfter := roster.DefaultOptions().ExpireAfter
+		for at := time.Duration(0); at <= expireAfter; at += time.Second {
+			r.Expire(epoch.Add(at))
+		}
+		_, err = r.Announce(epoch.Add(expireAfter), announcement("sound", 5, 9))
+		// An endpoint that announces itself repeatedly has the address.
+		c.Check(err == nil, quicktest.Equals, announced == 1, quicktest.Commentf("announced %d times: %v", announced, err))
+	}
+}
