Bound the ended endpoints that a leader remembers

Change: as many as endpoints may be listed; the oldest is replaced. TestStoppedEndpointsAreBounded fails before and passes now.

--- a/internal/member/roster/roster.go
+++ b/internal/member/roster/roster.go
@@ -161,7 +161,7 @@
 func (r *Roster) handleGone(now time.Time, a Announcement, old *entry) (changed bool, err error) {
 	if old == nil {
 		if a.Born > r.ended[a.ID].born {
-			r.ended[a.ID] = endedIncarnation{born: a.Born, at: now}
+			r.remember(now, a.ID, a.Born)
 		}
 		return false, nil
 	}
@@ -177,10 +177,24 @@
 	if r.byAddress[e.Address] == e.ID {
 		delete(r.byAddress, e.Address)
 	}
-	r.ended[e.ID] = endedIncarnation{born: e.Born, at: now}
+	r.remember(now, e.ID, e.Born)
 	r.revision++
 }
 
+// remember records an ended incarnation. At the largest number of them, it replaces the oldest.
+func (r *Roster) remember(now time.Time, id string, born int64) {
+	if _, known := r.ended[id]; !known && len(r.ended) >= r.options.MaxEndpoints {
+		oldest, at := "", time.Time{}
+		for other, p := range r.ended {
+			if oldest == "" || p.at.Before(at) || (p.at.Equal(at) && other < oldest) {
+				oldest, at = other, p.at
+			}
+		}
+		delete(r.ended, oldest)
+	}
+	r.ended[id] = endedIncarnation{born: born, at: now}
+}
+
 // maxExpireGap is the longest normal time between two calls of Expire. After a longer one, this process was suspended, and
 // the endpoints may have sent announcements that it did not receive.
 const maxExpireGap = time.Second
--- a/internal/member/roster/roster_test.go
+++ b/internal/member/roster/roster_test.go
@@ -234,3 +234,19 @@
 		c.Check(err == nil, quicktest.Equals, announced == 1, quicktest.Commentf("announced %d times: %v", announced, err))
 	}
 }
+
+// Another writer names more endpoints as stopped than there are. Guards against remembering all of them.
+func TestStoppedEndpointsAreBounded(t *testing.T) {
+	c := quicktest.New(t)
+	r := roster.New(roster.Options{ExpireAfter: time.Hour, Retention: time.Hour, MaxEndpoints: 100})
+	for i := range 1000 {
+		_, err := r.Announce(epoch, roster.Announcement{ID: fmt.Sprint("gone-", i), Gone: true, Born: 5})
+		c.Assert(err, quicktest.IsNil)
+		_, err = r.Announce(epoch, announcement(fmt.Sprint("moved-", i), int64(i+5), 1)) // all have one address
+		c.Assert(err, quicktest.IsNil)
+	}
+	c.Check(r.Ended() <= 100, quicktest.IsTrue, quicktest.Commentf("%d remembered", r.Ended()))
+	c.Check(ids(r), quicktest.DeepEquals, []string{"moved-999"})
+	_, err := r.Announce(epoch, announcement("moved-998", 1003, 2))
+	c.Check(errs.Is(err, roster.ErrOutdated), quicktest.IsTrue)
+}
