Ask for the newest version of an adapter only where it is held

What could happen: one endpoint that announced a far higher version of an adapter than the others had requests sent to those with that version; they refuse it, and entries then took them for endpoints that do not hold the adapter at all. Cause: the list of holders kept those that came before the higher version. Change: it names the holders of the highest version only; an odd one is dropped after its own refusal, and the others serve. TestOddVersionHidesNoHolder fails before and passes now.

--- a/internal/member/view/view.go
+++ b/internal/member/view/view.go
@@ -344,10 +344,13 @@
 	ids := slices.Sorted(maps.Keys(v.holders[a]))
 	for _, id := range ids {
 		e, known := v.endpoints[id]
-		if held := v.holders[a][id]; known && !e.Leaving && e.Service == service && held >= version {
-			list = append(list, e)
-			version = max(version, held)
+		if !known || e.Leaving || e.Service != service || v.holders[a][id] < version {
+			continue
+		}
+		if held := v.holders[a][id]; held > version {
+			list, version = nil, held
 		}
+		list = append(list, e)
 	}
 	return list, version
 }
--- a/internal/member/view/view_test.go
+++ b/internal/member/view/view_test.go
@@ -8,6 +8,7 @@
 
 	"lycheevale/internal/member/report"
 	"lycheevale/internal/member/view"
+	"lycheevale/internal/place/residency"
 	"lycheevale/internal/state/document"
 )
 
@@ -70,3 +71,30 @@
 	c.Check(applyDeputies(2, 3, "b", "c"), quicktest.DeepEquals, []string{"b", "c"})
 	c.Check(applyDeputies(1, 4, "d"), quicktest.DeepEquals, []string{"b", "c"})
 }
+
+// One endpoint announces a version of an adapter far above that of the others. Guards against asking the others for that version, which they refuse,
+// and against losing them for good.
+func TestOddVersionHidesNoHolder(t *testing.T) {
+	c := quicktest.New(t)
+	v := view.New()
+	a := residency.Adapter{Model: "m", Name: "a"}
+	u := report.Update{Leading: true, Term: 1, Directory: 1, Reset: true, Placement: 1}
+	for _, id := range []string{"a", "odd", "z"} {
+		version := 1
+		if id == "odd" {
+			version = 1 << 30
+		}
+		u.Endpoints = append(u.Endpoints, report.Endpoint{ID: id, Service: "s"})
+		u.Events = append(u.Events, residency.Event{Endpoint: id, Holding: residency.Holding{Adapter: a, Version: version}})
+	}
+	_, err := v.Apply(time.Unix(0, 0), u, decodeEmpty)
+	c.Assert(err, quicktest.IsNil)
+	list, version := v.Holders("s", a)
+	for _, e := range list {
+		c.Check(e.ID == "odd", quicktest.Equals, version == 1<<30, quicktest.Commentf("version %d asked of %q", version, e.ID))
+	}
+	v.RemoveHolder("odd", a) // it answered that it does not hold that version
+	list, version = v.Holders("s", a)
+	c.Check(list, quicktest.HasLen, 2)
+	c.Check(version, quicktest.Equals, 1)
+}
