Refuse announcements to the product's directory that break later

What could happen, in the product's path: one announcement with slots or a batch size near the largest integer made the sums of places, by which endpoints are chosen and loads are limited, overflow; address 0.0.0.0, a multicast address or port 0 was listed; an incarnation of 2^64-1 stopped the announcements of the endpoint it named for good. Cause: only negative numbers and long texts were refused. Change: limits for places and incarnations, and addresses and texts are checked. Ruled out: large bodies (4 KiB since before), long names, unknown kinds, fencing numbers. TestOddAnnouncementsAreRefusedAlone fails before in 11 of 17 cases and passes now.

--- a/internal/member/directory/directory.go
+++ b/internal/member/directory/directory.go
@@ -4,9 +4,12 @@
 import (
 	"context"
 	"maps"
+	"net/netip"
 	"slices"
 	"strings"
 	"time"
+	"unicode"
+	"unicode/utf8"
 
 	"github.com/looplab/fsm"
 )
@@ -15,8 +18,13 @@
 // also limits the memory of the directory.
 const maxTextLength = 128
 
-// maxFence limits fencing numbers, so that a faulty endpoint cannot exhaust them.
-const maxFence = 1 << 62
+// Limits of the numbers of an announcement, so that a faulty endpoint cannot exhaust fencing numbers and incarnations, and sums
+// of places do not overflow.
+const (
+	maxFence       = 1 << 62
+	maxIncarnation = 1 << 62   // incarnations are Unix nanoseconds
+	maxPlaces      = 1<<16 - 1 // connections from one address to one port
+)
 
 // Events of the life cycle of an endpoint.
 const (
@@ -99,12 +107,15 @@
 
 func (d *Directory) validate(a Announcement) error {
 	for _, text := range []string{a.Name, a.DataCentre, a.Service, a.Model} {
-		if len(text) > maxTextLength {
+		if len(text) > maxTextLength || !utf8.ValidString(text) || strings.ContainsFunc(text, unicode.IsControl) {
 			return ErrInvalid
 		}
 	}
+	places := func(n int) bool { return n >= 0 && n <= maxPlaces }
 	switch {
-	case a.Name == "" || a.Slots < 0 || a.BatchSize < 0 || a.HighestFence > maxFence || (a.Kind != Engine && a.Kind != Plain):
+	case a.Name == "" || !places(a.Slots) || !places(a.BatchSize) || (a.Kind != Engine && a.Kind != Plain):
+		return ErrInvalid
+	case a.HighestFence > maxFence || a.Incarnation > maxIncarnation || (a.Address.IsValid() && !usable(a.Address)):
 		return ErrInvalid
 	case !a.Address.IsValid() || a.Incarnation == 0:
 		return ErrIncomplete
@@ -114,6 +125,11 @@
 	return nil
 }
 
+// usable reports whether an address is that of one machine and port.
+func usable(a netip.AddrPort) bool {
+	return a.Port() != 0 && !a.Addr().IsUnspecified() && !a.Addr().IsMulticast() && a.Addr().Zone() == ""
+}
+
 func (d *Directory) add(now time.Time, a Announcement) (bool, error) {
 	p := d.removedEndpoints.entries[a.Name]
 	if d.options.IgnoreOlder(p.incarnation, a.Incarnation) {
--- a/internal/member/directory/directory_test.go
+++ b/internal/member/directory/directory_test.go
@@ -2,13 +2,16 @@
 
 import (
 	"fmt"
+	"math"
 	"net/netip"
+	"strings"
 	"testing"
 	"time"
 
 	"lycheevale/internal/base/seeded"
 
 	"github.com/frankban/quicktest"
+	"github.com/zeebo/errs"
 	"pgregory.net/rapid"
 
 	"lycheevale/internal/member/directory"
@@ -161,3 +164,51 @@
 	_, err = d.Announce(epoch, moved)
 	c.Check(err, quicktest.ErrorIs, directory.ErrConflict)
 }
+
+// Another writer announces an endpoint with values that decode well and break later: sums of places that overflow, an address to which nothing can
+// be sent or which is the sender itself, an incarnation that none can follow. Guards against listing it, and against losing the endpoint it names.
+func TestOddAnnouncementsAreRefusedAlone(t *testing.T) {
+	at := func(text string) func(*directory.Announcement) {
+		return func(a *directory.Announcement) { a.Address = netip.MustParseAddrPort(text) }
+	}
+	long := strings.Repeat("x", 129)
+	for name, edit := range map[string]func(*directory.Announcement){
+		"any address":            at("0.0.0.0:9000"),
+		"any address and port":   at("0.0.0.0:0"),
+		"port 0":                 at("127.0.0.1:0"),
+		"multicast":              at("224.0.0.1:9000"),
+		"address with a zone":    at("[fe80::1%" + long + "]:9000"),
+		"negative slots":         func(a *directory.Announcement) { a.Slots = -1 },
+		"slots beyond 32 bits":   func(a *directory.Announcement) { a.Slots = 1 << 31 },
+		"slots that overflow":    func(a *directory.Announcement) { a.Slots = math.MaxInt },
+		"batch that overflows":   func(a *directory.Announcement) { a.BatchSize = math.MaxInt },
+		"last incarnation":       func(a *directory.Announcement) { a.Incarnation = math.MaxUint64 },
+		"last fencing number":    func(a *directory.Announcement) { a.HighestFence = math.MaxUint64 },
+		"no name":                func(a *directory.Announcement) { a.Name = "" },
+		"long name":              func(a *directory.Announcement) { a.Name = long },
+		"name with a line break": func(a *directory.Announcement) { a.Name = "a\r\nb" },
+		"name that is no UTF-8":  func(a *directory.Announcement) { a.Name = "a\xff" },
+		"long model":             func(a *directory.Announcement) { a.Model = long },
+		"unknown kind":           func(a *directory.Announcement) { a.Kind = "Odd" },
+	} {
+		t.Run(name, func(t *testing.T) {
+			c := quicktest.New(t)
+			d := directory.New(directory.WithDataCentre("suva-a"))
+			_, err := d.Announce(epoch, announcement("e", 1))
+			c.Assert(err, quicktest.IsNil)
+			odd := announcement("e", 2)
+			edit(&odd)
+			_, err = d.Announce(epoch, odd)
+			c.Check(errs.Is(err, directory.ErrInvalid) || errs.Is(err, directory.ErrIncomplete), quicktest.IsTrue, quicktest.Commentf("%v", err))
+			_, err = d.Announce(epoch, announcement("e", 1))
+			c.Check(err, quicktest.IsNil)
+			c.Check(d.Snapshot().Endpoints, quicktest.HasLen, 1)
+		})
+	}
+	c := quicktest.New(t)
+	d := directory.New(directory.WithDataCentre("suva-a"))
+	unusual := announcement("a/b", 1)
+	unusual.Slots, unusual.BatchSize = 1<<16-1, 1<<16-1
+	_, err := d.Announce(epoch, unusual)
+	c.Check(err, quicktest.IsNil)
+}
