Decode reports and updates with names that are no UTF-8

What could happen: a request whose adapter or part of a prompt is named in bytes that are no UTF-8, which header fields allow, made the reports of its entry undecodable for the leader while it ran, so that the entry got no updates; an endpoint with such a name made the update undecodable for all entries. Cause: the decoder refuses a whole message for one such text. Change: it accepts them; such names match nothing. TestNamesThatAreNoText fails before ("invalid UTF-8 string") and passes now.

--- a/internal/member/report/encoding.go
+++ b/internal/member/report/encoding.go
@@ -38,11 +38,17 @@
 	return json.Marshal(packed)
 }
 
+// decoding accepts names that are no UTF-8, which callers and endpoints may send: one of them must not spoil a whole message.
+var decoding, errDecoding = cbor.DecOptions{UTF8: cbor.UTF8DecodeInvalid}.DecMode()
+
 func decode(data []byte, v any) (err error) {
 	defer func() { err = Error.Wrap(err) }()
 	var packed []byte
 	if err := json.Unmarshal(data, &packed); err != nil {
 		return err
 	}
-	return cbor.Unmarshal(packed, v)
+	if errDecoding != nil {
+		return errDecoding
+	}
+	return decoding.Unmarshal(packed, v)
 }
--- a/internal/member/report/encoding_test.go
+++ b/internal/member/report/encoding_test.go
@@ -72,3 +72,24 @@
 		_ = json.Unmarshal(data, &u)
 	})
 }
+
+// A caller names an adapter, or an endpoint itself, in bytes that are no UTF-8. Guards against a report or an update that can't be decoded for one such
+// name, so that the entry would stop following the leader.
+func TestNamesThatAreNoText(t *testing.T) {
+	c := quicktest.New(t)
+	const odd = "a\xff"
+	data, err := json.Marshal(report.Entry{
+		Name: "edge-1", Active: map[string]int{odd: 1}, Refused: map[string]quarantine.Refusals{odd: {Total: 1}},
+		Uses: []residency.Use{{Endpoint: "i-1", Adapter: residency.Adapter{Model: "m", Name: odd}, Count: 1}},
+	})
+	c.Assert(err, quicktest.IsNil)
+	var e report.Entry
+	c.Assert(json.Unmarshal(data, &e), quicktest.IsNil)
+	c.Check(e.Name, quicktest.Equals, "edge-1")
+	c.Check(e.Uses, quicktest.HasLen, 1)
+	data, err = json.Marshal(report.Update{Leading: true, Term: 4, Endpoints: []report.Endpoint{{ID: odd, Service: "s"}, {ID: "i-1", Service: "s"}}})
+	c.Assert(err, quicktest.IsNil)
+	var u report.Update
+	c.Assert(json.Unmarshal(data, &u), quicktest.IsNil)
+	c.Check(u.Endpoints, quicktest.HasLen, 2)
+}
