Decode updates with more than 131,072 elements in a list

What could happen: once all endpoints together held more adapters than that, as 32 odd announcements of 4,096 adapters or 3,641 engines of 36 may state, no entry could decode the first update of a new leader, which lists them all. Cause: the decoder's default limit of a list. Change: the size of a message (16 MiB) is the limit. TestLongListIsDecoded (200,000 events) fails before ("exceeded max number of elements") and passes now.

--- a/internal/member/report/encoding.go
+++ b/internal/member/report/encoding.go
@@ -38,8 +38,12 @@
 	return json.Marshal(packed)
 }
 
-// decoding accepts names that are no UTF-8, which callers and endpoints may send: one of them must not spoil a whole message.
-var decoding, errDecoding = cbor.DecOptions{UTF8: cbor.UTF8DecodeInvalid}.DecMode()
+// decoding accepts names that are no UTF-8, which callers and endpoints may send: one of them must not spoil a whole message. The size of a message
+// limits its lists.
+var decoding, errDecoding = cbor.DecOptions{UTF8: cbor.UTF8DecodeInvalid, MaxArrayElements: maxList, MaxMapPairs: maxList}.DecMode()
+
+// maxList is above the number of elements that fit into the largest message.
+const maxList = 16 << 20
 
 func decode(data []byte, v any) (err error) {
 	defer func() { err = Error.Wrap(err) }()
--- a/internal/member/report/encoding_test.go
+++ b/internal/member/report/encoding_test.go
@@ -93,3 +93,17 @@
 	c.Assert(json.Unmarshal(data, &u), quicktest.IsNil)
 	c.Check(u.Endpoints, quicktest.HasLen, 2)
 }
+
+// Five thousand engines hold forty adapters each, or fewer name thousands. Guards against an update whose list is too long for the decoder, so that no
+// entry could follow a new leader.
+func TestLongListIsDecoded(t *testing.T) {
+	c := quicktest.New(t)
+	const length = 5_000 * 40
+	data, err := json.Marshal(report.Update{Leading: true, Reset: true, Events: make([]residency.Event, length)})
+	c.Assert(err, quicktest.IsNil)
+	const largestMessage = 16 << 20
+	c.Assert(len(data) < largestMessage, quicktest.IsTrue)
+	var u report.Update
+	c.Assert(json.Unmarshal(data, &u), quicktest.IsNil)
+	c.Check(u.Events, quicktest.HasLen, length)
+}
