--- a/internal/member/report/encoding.go
+++ b/internal/member/report/encoding.go
@@ -39,6 +39,13 @@
 	return append(base64.StdEncoding.AppendEncode(append(data, '"'), packed), '"'), nil
 }
 
+// decoding accepts names that are no UTF-8, which callers and endpoints may send: one of them must not spoil a whole message. The size of a message
+// limits its lists.
+var decoding, errDecoding = cbor.DecOptions{UTF8: cbor.UTF8DecodeInvalid, MaxArrayElements: maxList, MaxMapPairs: maxList}.DecMode()
+
+// maxList is above the number of elements that fit into the largest message.
+const maxList = 16 << 20
+
 func decode(data []byte, v any) (err error) {
 	defer func() { err = Error.Wrap(err) }()
 	if len(data) < len(`""`) || data[0] != '"' {
@@ -48,5 +55,8 @@
 	if err != nil {
 		return err
 	}
-	return cbor.Unmarshal(packed, v)
+	if errDecoding != nil {
+		return errDecoding
+	}
+	return decoding.Unmarshal(packed, v)
 }
--- a/internal/member/roster/roster.go
+++ b/internal/member/roster/roster.go
@@ -43,7 +43,8 @@
 type entry struct {
 	Announcement
 	announcedAt time.Time
-	inherited   bool // the endpoint has not announced itself to this leader yet
+	inherited   bool   // the endpoint has not announced itself to this leader yet
+	displaced   string // endpoint that had the address before, until this one has announced itself twice
 }
 
 // Options are the settings of a Roster.
@@ -80,26 +81,10 @@
 	}
 }
 
-// maxName limits the length of names, in bytes.
-const maxName = 128
-
-func (a Announcement) validate() error {
-	if a.ID == "" || len(a.ID) > maxName || len(a.Service) > maxName || len(a.DataCentre) > maxName {
-		return ErrInvalid
-	}
-	if a.Gone {
-		return nil
-	}
-	if a.Service == "" || !a.Address.IsValid() || a.Slots < 0 {
-		return ErrInvalid
-	}
-	return nil
-}
-
 // Announce records an announcement. Errors are ErrInvalid, ErrOutdated and ErrFull.
 func (r *Roster) Announce(now time.Time, a Announcement) (changed bool, err error) {
 	defer func() { err = Error.Wrap(err) }()
-	if err := a.validate(); err != nil {
+	if err := a.Check(); err != nil {
 		return false, err
 	}
 	old := r.entries[a.ID]
@@ -112,11 +97,13 @@
 	if old != nil && (a.Born < old.Born || (a.Born == old.Born && a.Sequence <= old.Sequence && !old.inherited)) {
 		return false, ErrOutdated
 	}
+	displaced := ""
 	if other := r.entries[r.byAddress[a.Address]]; other != nil && other.ID != a.ID {
 		if a.Born < other.Born {
 			return false, ErrOutdated
 		}
 		r.remove(now, other)
+		displaced = other.ID
 	}
 	if old == nil && len(r.entries) >= r.options.MaxEndpoints {
 		return false, ErrFull
@@ -125,6 +112,7 @@
 		a.Leaving = true // a leaving incarnation does not serve again
 	}
 	r.store(now, a, old)
+	r.entries[a.ID].displaced = displaced
 	return old == nil || !sameState(old.Announcement, a), nil
 }
 
@@ -133,7 +121,7 @@
 func (r *Roster) Inherit(now time.Time, a Announcement) bool {
 	_, addressInUse := r.byAddress[a.Address]
 	p, ended := r.ended[a.ID]
-	if a.validate() != nil || a.Gone || r.entries[a.ID] != nil || addressInUse || (ended && a.Born <= p.born) || len(r.entries) >= r.options.MaxEndpoints {
+	if a.Check() != nil || a.Gone || r.entries[a.ID] != nil || addressInUse || (ended && a.Born <= p.born) || len(r.entries) >= r.options.MaxEndpoints {
 		return false
 	}
 	r.store(now, a, nil)
@@ -173,7 +161,7 @@
 func (r *Roster) handleGone(now time.Time, a Announcement, old *entry) (changed bool, err error) {
 	if old == nil {
 		if a.Born > r.ended[a.ID].born {
-			r.ended[a.ID] = endedIncarnation{born: a.Born, at: now}
+			r.remember(now, a.ID, a.Born)
 		}
 		return false, nil
 	}
@@ -189,10 +177,24 @@
 	if r.byAddress[e.Address] == e.ID {
 		delete(r.byAddress, e.Address)
 	}
-	r.ended[e.ID] = endedIncarnation{born: e.Born, at: now}
+	r.remember(now, e.ID, e.Born)
 	r.revision++
 }
 
+// remember records an ended incarnation. At the largest number of them, it replaces the oldest.
+func (r *Roster) remember(now time.Time, id string, born int64) {
+	if _, known := r.ended[id]; !known && len(r.ended) >= r.options.MaxEndpoints {
+		oldest, at := "", time.Time{}
+		for other, p := range r.ended {
+			if oldest == "" || p.at.Before(at) || (p.at.Equal(at) && other < oldest) {
+				oldest, at = other, p.at
+			}
+		}
+		delete(r.ended, oldest)
+	}
+	r.ended[id] = endedIncarnation{born: born, at: now}
+}
+
 // maxExpireGap is the longest normal time between two calls of Expire. After a longer one, this process was suspended, and
 // the endpoints may have sent announcements that it did not receive.
 const maxExpireGap = time.Second
@@ -214,6 +216,9 @@
 		e := r.entries[id]
 		r.remove(now, e)
 		delete(r.ended, id) // the same incarnation may return, since it may only have been cut off
+		if e.displaced != "" {
+			delete(r.ended, e.displaced) // one announcement does not show that the other endpoint has stopped
+		}
 	}
 	for id, p := range r.ended {
 		if now.Sub(p.at) >= r.options.Retention {
--- a/internal/node/control/interface.go
+++ b/internal/node/control/interface.go
@@ -24,6 +24,7 @@
 type announceReply struct {
 	Leading bool `json:"Leading"`
 	Invalid bool `json:"Invalid,omitempty"`
+	Full    bool `json:"Full,omitempty"`
 }
 
 // readReply holds the newest configuration and its version.
@@ -51,6 +52,10 @@
 // Only the leader acknowledges that an endpoint leaves, since entries get their endpoints from it.
 func (c *Control) Announce(ctx context.Context, a roster.Announcement) (next netip.AddrPort, err error) {
 	defer func() { err = Error.Wrap(err) }()
+	if err := a.Check(); err != nil {
+		event.Log(ctx, c.options.Logger, event.EndpointAnnounced, slog.Any("Error", err))
+		return next, err
+	}
 	ctx, cancel := context.WithTimeout(ctx, requestTimeout)
 	defer cancel()
 	var answer announceReply
@@ -58,8 +63,11 @@
 	if err != nil {
 		return next, err
 	}
-	if answer.Invalid {
+	switch {
+	case answer.Invalid:
 		return next, roster.ErrInvalid
+	case answer.Full:
+		return next, roster.ErrFull
 	}
 	c.mu.Lock()
 	leader := c.leader
@@ -76,13 +84,18 @@
 	if c.state == nil || c.actingTerm() == 0 {
 		return announceReply{}, nil
 	}
+	if err := a.Check(); err != nil {
+		// The fields may be of any length; the error is not.
+		event.Log(ctx, c.options.Logger, event.EndpointAnnounced, slog.String("From", from), slog.Any("Error", err))
+		return announceReply{Leading: true, Invalid: true}, nil
+	}
 	changed, err := c.state.announce(a)
 	if changed || err != nil {
 		event.Log(ctx, c.options.Logger, event.EndpointAnnounced, slog.String("Endpoint", a.ID), slog.String("From", from),
 			slog.String("Service", a.Service), slog.Any("Address", a.Address), slog.Int64("Born", a.Born),
 			slog.Uint64("Sequence", a.Sequence), slog.Bool("Leaving", a.Leaving), slog.Bool("Gone", a.Gone), slog.Any("Error", err))
 	}
-	return announceReply{Leading: true, Invalid: errs.Is(err, roster.ErrInvalid)}, nil
+	return announceReply{Leading: true, Full: errs.Is(err, roster.ErrFull)}, nil
 }
 
 // Replace stores a configuration, whose content the caller has decoded and checked. A version that is not higher than the
--- a/internal/serve/forward/forward.go
+++ b/internal/serve/forward/forward.go
@@ -89,6 +89,9 @@
 	sent          int             // requests that have reached an endpoint
 	ran           int             // of these, requests that may have run
 	headSent      bool            // the head of the answer has been written
+	delivered     bool            // events of a stream have been written
+	identified    bool            // one of them had an identifier
+	unresumable   bool            // no other endpoint can continue what was delivered
 	interruptedAt time.Time       // when the last attempt that may have run ended without its answer
 	sentAt        time.Time       // of the last attempt
 	firstByteAt   time.Time       // of the first byte of the answer
@@ -126,6 +129,10 @@
 		h.refuse(x, refused)
 	}
 	h.finish(x, code)
+	if code != served && x.headSent {
+		// Also if the caller seems to be gone: one that has closed its side of the connection would see a complete answer.
+		panic(http.ErrAbortHandler)
+	}
 }
 
 // served is the code of a request that an endpoint answered.
@@ -278,14 +285,11 @@
 // defaultMaxBody is the maximum size of a body in bytes if the configuration sets none.
 const defaultMaxBody = 4 << 20
 
-// refuse answers with an error, or aborts the connection if the answer has begun.
+// refuse answers with an error, unless the answer has begun.
 func (h *Handler) refuse(x *exchange, e *refusal.Error) {
 	h.logRefusal(x, e)
-	if x.caller.Context().Err() != nil {
-		return // the caller has disconnected
-	}
-	if x.headSent {
-		panic(http.ErrAbortHandler)
+	if x.caller.Context().Err() != nil || x.headSent {
+		return // the caller has disconnected, or the connection is aborted
 	}
 	h.refund(x)
 	header := x.Header()
--- a/internal/serve/forward/send.go
+++ b/internal/serve/forward/send.go
@@ -133,7 +133,7 @@
 
 // repeatable reports whether a request that may have run may go to another endpoint.
 func (h *Handler) repeatable(x *exchange) bool {
-	return x.route.Repeatable() && x.ran < max(x.route.MaxAttempts, 1) && !x.mayCrash
+	return x.route.Repeatable() && x.ran < max(x.route.MaxAttempts, 1) && !x.mayCrash && !x.unresumable
 }
 
 // allowAttempt reports whether another attempt may be made, and charges repeats to the retry budget.
@@ -183,6 +183,7 @@
 	reasonFull        = "Full"
 	reasonMissing     = "Missing"
 	reasonError       = "Error"
+	reasonUnmarked    = "Unmarked"  // the endpoint refused, but does not state that the request has not run
 	reasonMalformed   = "Malformed" // the answer breaks the protocol or exceeds a limit
 	reasonStopped     = "Stopped"   // the caller disconnected or its deadline passed
 )
@@ -224,13 +225,23 @@
 	defer func() { _ = answer.Body.Close() }()
 	h.recordHead(s.inFlight)
 	reply := h.options.Codec.Reply(answer.Status, answer.Header)
-	if reply.Moved || (reply.NotRun && answer.Status == http.StatusServiceUnavailable) || answer.Status == http.StatusTooManyRequests {
+	if reply.Moved || (reply.NotRun && promisesNotRun(answer.Status)) {
 		return h.handleNotRun(x, c, reply)
 	}
 	x.ran++
+	if promisesNotRun(answer.Status) {
+		h.observe(c.ID, pick.Failed, 0)
+		return mayHaveRun, reasonUnmarked
+	}
 	return h.relay(x, s, answer, reply)
 }
 
+// promisesNotRun reports whether callers take a status as a promise that the request has not run. It is passed on only if the endpoint
+// states the same.
+func promisesNotRun(status int) bool {
+	return status == http.StatusServiceUnavailable || status == http.StatusTooManyRequests || status == http.StatusRequestTimeout
+}
+
 // handleNotRun handles an answer which states that the request has not run.
 func (h *Handler) handleNotRun(x *exchange, c choice, reply Reply) (attemptResult, string) {
 	if x.request.Adapter.Name != "" && (reply.Moved || c.loaded) {
@@ -375,6 +386,7 @@
 // relayRest passes on the rest of an answer whose beginning was delivered.
 func (h *Handler) relayRest(x *exchange, s attempt, a *upstream.Answer) (attemptResult, string) {
 	x.headSent = true
+	h.recordUnresumable(x, s.inFlight, true)
 	if _, err := io.Copy(x.ResponseWriter, a.Body); err != nil {
 		return mayHaveRun, h.connectionBroken(x, s, err)
 	}
