Bound the parts of a request that are compared after a crash

Class: a bound on one level of a nested list. Change: an entry compares at most 32 parts of a request, each once and of at most 64 bytes; the leader compares at most 64 signatures with a request.

--- a/internal/place/quarantine/detector.go
+++ b/internal/place/quarantine/detector.go
@@ -146,7 +146,7 @@
 			r := d.record(NewSignature(c.Service, e.ID))
 			if r.kind == KindRequest {
 				request = r
-			} else if request != nil && !slices.Contains(request.carries, r) {
+			} else if request != nil && len(request.carries) < maxCarried && !slices.Contains(request.carries, r) {
 				request.carries = append(request.carries, r)
 			}
 			d.expose(k, r, exposure{sentAt: ago(at, e.WaitedMillis), acknowledged: e.Acknowledged})
@@ -159,6 +159,8 @@
 	// maxRecorded and maxRecordedExposed limit the memory for crashes at the leader.
 	maxRecorded        = 256
 	maxRecordedExposed = 512
+	// maxCarried limits the signatures of one request that are compared with it.
+	maxCarried = 64
 )
 
 func (d *Detector) add(now, at time.Time, c Crash) *crash {
--- a/internal/serve/forward/quarantine.go
+++ b/internal/serve/forward/quarantine.go
@@ -18,8 +18,10 @@
 		customer = x.customer.Name
 	}
 	x.signatures = append(x.signatures, quarantine.Request([]byte(x.request.Method), []byte(x.request.Target), []byte(customer), x.body))
-	for _, part := range x.request.SharedParts {
-		x.signatures = append(x.signatures, quarantine.Part(part))
+	for _, part := range x.request.SharedParts[:min(len(x.request.SharedParts), maxComparedParts)] {
+		if id := quarantine.Part(part); len(id) <= maxPartBytes && !slices.Contains(x.signatures, id) {
+			x.signatures = append(x.signatures, id)
+		}
 	}
 	if a := x.request.Adapter; a.Name != "" {
 		x.signatures = append(x.signatures, quarantine.Adapter(a.Model, a.Name))
@@ -30,6 +32,13 @@
 	return nil
 }
 
+const (
+	// maxComparedParts and maxPartBytes limit what one request adds to reports of crashes. Callers choose their parts, and real prompts have a
+	// few, whose identifiers are short.
+	maxComparedParts = 32
+	maxPartBytes     = 64
+)
+
 // exactRequest returns the identifier of the exact request, empty for a request that was refused before its body was read.
 func (x *exchange) exactRequest() string {
 	if len(x.signatures) == 0 {
