Use up the permit for a trial only when the request is sent

Change: the first check looks at the permit, and the one before the request is sent uses it. Measured: TestTrialOutlivesOtherRefusal (the reviewer's trial failed on: refused as quarantined after a 429) passes. The product's path still uses the permit before admission: open.

--- a/internal/serve/forward/quarantine.go
+++ b/internal/serve/forward/quarantine.go
@@ -48,7 +48,10 @@
 }
 
 // checkSignatures refuses a request with a signature that crashes the endpoints which begin to answer it.
-func (h *Handler) checkSignatures(x *exchange) *refusal.Error {
+func (h *Handler) checkSignatures(x *exchange) *refusal.Error { return h.checkQuarantine(x, false) }
+
+// checkQuarantine does the same, and uses up a permit for a trial if the request is about to be sent.
+func (h *Handler) checkQuarantine(x *exchange, sending bool) *refusal.Error {
 	ids := h.options.View.Quarantined(x.service.Name, x.signatures)
 	if len(ids) == 0 || (x.trial && x.ran == 0) {
 		return nil
@@ -58,8 +61,10 @@
 	now := h.options.Now()
 	// With a second quarantined signature, a crash would not show which one is to blame.
 	if permitUntil := h.trials[ids[0]]; len(ids) == 1 && now.Before(permitUntil) {
-		delete(h.trials, ids[0])
-		x.trial = true
+		if sending {
+			delete(h.trials, ids[0])
+			x.trial = true
+		}
 		return nil
 	}
 	for _, id := range ids {
--- a/internal/serve/forward/quarantine_test.go
+++ b/internal/serve/forward/quarantine_test.go
@@ -89,3 +89,20 @@
 	r.apply(func(u *report.Update) { u.QuarantineRevision, u.Quarantine = 2, parts[:1] })
 	r.Check(r.sendParts("/read/x", "blamed").Code, quicktest.Equals, http.StatusOK)
 }
+
+// A request with the permit to try a quarantined signature is refused for another reason. Guards against a permit that is used up without a request,
+// after which a sound request stays refused.
+func TestTrialOutlivesOtherRefusal(t *testing.T) {
+	r := newFixture(t, []http.HandlerFunc{respondOK})
+	blamed := []quarantine.Signature{{Service: "s", ID: "blamed"}}
+	r.apply(func(u *report.Update) { u.QuarantineRevision, u.Quarantine = 1, blamed })
+	var sent report.Entry
+	r.handler.Report(&sent, time.Second)
+	r.handler.Reported(time.Now(), sent, report.Update{Trials: []string{"blamed"}})
+	for r.send(http.MethodGet, "/read/x").Code == http.StatusOK {
+	}
+	r.Check(r.sendParts("/read/x", "blamed").Code, quicktest.Equals, http.StatusTooManyRequests)
+	r.grant(1000)
+	r.Check(r.sendParts("/read/x", "blamed").Code, quicktest.Equals, http.StatusOK)
+	r.Check(r.sendParts("/read/x", "blamed").Code, quicktest.Equals, http.StatusServiceUnavailable)
+}
--- a/internal/serve/forward/send.go
+++ b/internal/serve/forward/send.go
@@ -46,12 +46,12 @@
 		if refused := h.checkBacklog(x, c); refused != nil {
 			return h.giveUp(x, refused)
 		}
-		if refused := h.checkSignatures(x); refused != nil { // a signature may have been quarantined since the request arrived
-			return h.giveUp(x, refused)
-		}
 		if !h.allowAttempt(x) {
 			return h.giveUp(x, h.refuseWithRetry(refusal.Overloaded, "no further endpoint may be tried"))
 		}
+		if refused := h.checkQuarantine(x, true); refused != nil { // a signature may have been quarantined since the request arrived
+			return h.giveUp(x, refused)
+		}
 		v, reason := h.send(x, c)
 		if v == answered {
 			return nil
