--- a/internal/place/quarantine/blame_test.go
+++ b/internal/place/quarantine/blame_test.go
@@ -349,3 +349,17 @@
 	}
 	return ids
 }
+
+// Several entries report one crash, and the quarantined request that caused it is in the last report. Guards against blaming a sound request for a
+// crash that is explained only then.
+func TestLateReportExplainsCrash(t *testing.T) {
+	c := quicktest.New(t)
+	d := quarantine.NewDetector(quarantine.DefaultOptions())
+	d.SetQuarantined(at(0), []quarantine.Signature{quarantine.NewSignature("s", "dead")})
+	for n, ms := range []int{0, 300, 600} {
+		d.Record(at(ms), crash(n, true, "sound"))
+		d.Blame(at(ms))
+	}
+	d.Record(at(800), crash(2, true, "dead"))
+	c.Check(d.Blame(at(3000)), quicktest.HasLen, 0)
+}
--- a/internal/place/quarantine/detector.go
+++ b/internal/place/quarantine/detector.go
@@ -198,6 +198,11 @@
 		if r.kind == KindRequest {
 			k.requests = append(k.requests, r)
 		}
+		if d.quarantined[r.signature] != nil { // it explains the crash for the others
+			for other := range k.exposed {
+				other.suspect = nil
+			}
+		}
 	}
 	if !r.begun.After(merged.sentAt) && !slices.ContainsFunc(r.exposed, func(x exposedTo) bool { return x.crash == k }) {
 		r.exposed = append(r.exposed, exposedTo{k, merged})
