Take streams whose identifiers are no numbers as not resumable

Change: they are handled as streams without identifiers. Measured: package forward passes; there is no test of its own.

--- a/internal/serve/forward/forward.go
+++ b/internal/serve/forward/forward.go
@@ -90,7 +90,7 @@
 	ran           int             // of these, requests that may have run
 	headSent      bool            // the head of the answer has been written
 	delivered     bool            // events of a stream have been written
-	identified    bool            // one of them had an identifier
+	identified    bool            // the last identifier is a number, so that another endpoint can continue behind it
 	unresumable   bool            // no other endpoint can continue what was delivered
 	interruptedAt time.Time       // when the last attempt that may have run ended without its answer
 	sentAt        time.Time       // of the last attempt
--- a/internal/serve/forward/stream.go
+++ b/internal/serve/forward/stream.go
@@ -112,11 +112,12 @@
 	return err == nil && errBefore == nil && n > last
 }
 
-// writeEvents writes events to the caller and records the last identifier among them. Without any, no other endpoint can resume the stream.
+// writeEvents writes events to the caller and records the last identifier among them. Without one that is a number, no other endpoint can resume the stream.
 func (h *Handler) writeEvents(x *exchange, s attempt, controller *http.ResponseController, events []byte) bool {
 	x.delivered = true
 	if id := h.lastID(events); id != "" {
-		x.request.LastEvent, x.identified = id, true
+		_, err := strconv.ParseUint(id, 10, 64)
+		x.request.LastEvent, x.identified = id, err == nil
 	}
 	h.recordUnresumable(x, s.inFlight, !x.identified)
 	if _, err := x.Write(events); err != nil {
