Store the departure of an endpoint in the log before it is acknowledged

Callers' requests reached an endpoint 4.3 s after its departure had been acknowledged: the leader held it in memory, lost power right after the acknowledgement, and the next leader took the endpoint over from entries that did not know yet. Class of the fault: an acknowledgement that promises more than the state behind it keeps.

An endpoint that announces that it leaves or has left is acknowledged once the departure is committed. A new leader applies the stored departures to what it takes over from entries, and sends them with its list while that is partial, so that entries do not keep such endpoints either. One that deregisters without a start time at a leader that has not heard of it waits until an entry has told which endpoints there are.

Ruled out by the log: a request that waited for its adapter, and a late heartbeat.

--- a/internal/base/event/member.go
+++ b/internal/base/event/member.go
@@ -25,6 +25,7 @@
 	DeputiesAppointed   ID = 5019
 	PartsQuarantined    ID = 5020
 	PartTried           ID = 5021
+	EndpointDeparted    ID = 5022
 )
 
 var memberEvents = []Entry{
@@ -48,5 +49,6 @@
 	{EndpointsInherited, slog.LevelInfo, "new leader took over endpoints that an entry knows", "None; endpoints announce themselves again."},
 	{PartsQuarantined, slog.LevelWarn, "signatures of requests that crash endpoints were quarantined or released", "Added: find the callers that send them (Request, Parts, Adapter and Customer in event 2001), and have the endpoints fixed."},
 	{PartTried, slog.LevelInfo, "one request may try a quarantined signature", "None."},
+	{EndpointDeparted, slog.LevelInfo, "departures of endpoints stored", "Error: the endpoints have no acknowledgement; check that a majority of the control instances is up."},
 	{DeputiesAppointed, slog.LevelInfo, "entries that lend without a leader stored", "Frequent: check why entries come and go."},
 }
--- a/internal/member/report/report.go
+++ b/internal/member/report/report.go
@@ -66,6 +66,7 @@
 	Directory    uint64                 `json:"Directory,omitempty"`
 	Endpoints    []Endpoint             `json:"Endpoints,omitempty"` // all endpoints, if Directory has changed
 	Partial      bool                   `json:"Partial,omitempty"`   // a new leader may not know all endpoints yet
+	Departed     []Departure            `json:"Departed,omitempty"`  // with Endpoints, if the list is partial
 	Tell         bool                   `json:"Tell,omitempty"`      // the next report must contain Known
 	Placement    uint64                 `json:"Placement,omitempty"`
 	Reset        bool                   `json:"Reset,omitempty"` // Events replace everything
@@ -115,6 +116,20 @@
 	Models     []string       `json:"Models,omitempty"`
 }
 
+// Departure states that an endpoint accepts no more work. It applies to all incarnations of the endpoint up to one.
+type Departure struct {
+	_ struct{} `cbor:",toarray"`
+
+	ID   string `json:"ID"`
+	Born int64  `json:"Born"`           // start time of the last incarnation in Unix milliseconds, 0 if it is not known
+	Gone bool   `json:"Gone,omitempty"` // it has left; otherwise it is leaving, and its answers may still arrive
+}
+
+// Covers reports whether a departure applies to an incarnation that has not announced itself since.
+func (d Departure) Covers(id string, born int64) bool {
+	return d.ID == id && (d.Born == 0 || born <= d.Born)
+}
+
 // PlacementRequest asks the leader to choose an endpoint for an adapter.
 type PlacementRequest struct {
 	Adapter    residency.Adapter `json:"Adapter"`
--- a/internal/member/roster/roster.go
+++ b/internal/member/roster/roster.go
@@ -3,6 +3,7 @@
 package roster
 
 import (
+	"maps"
 	"net/netip"
 	"slices"
 	"strings"
@@ -65,19 +66,24 @@
 	entries    map[string]*entry
 	byAddress  map[netip.AddrPort]string
 	ended      map[string]endedIncarnation // newest ended incarnation, by ID
+	leaving    map[string]endedIncarnation // newest incarnation that is leaving by a stored departure, by ID
 	revision   uint64
 	lastExpire time.Time
 }
 
 type endedIncarnation struct {
-	born int64
+	born int64 // 0 if it is not known
 	at   time.Time
 }
 
+// covers reports whether an incarnation that has not announced itself since has ended.
+func (p endedIncarnation) covers(born int64) bool { return p.born == 0 || born <= p.born }
+
 // New returns an empty roster.
 func New(o Options) *Roster {
 	return &Roster{
-		options: o, entries: map[string]*entry{}, byAddress: map[netip.AddrPort]string{}, ended: map[string]endedIncarnation{}, revision: 1,
+		options: o, entries: map[string]*entry{}, byAddress: map[netip.AddrPort]string{}, ended: map[string]endedIncarnation{},
+		leaving: map[string]endedIncarnation{}, revision: 1,
 	}
 }
 
@@ -108,7 +114,7 @@
 	if old == nil && len(r.entries) >= r.options.MaxEndpoints {
 		return false, ErrFull
 	}
-	if old != nil && old.Born == a.Born && old.Leaving {
+	if p, leaving := r.leaving[a.ID]; (old != nil && old.Born == a.Born && old.Leaving) || (leaving && a.Born <= p.born) {
 		a.Leaving = true // a leaving incarnation does not serve again
 	}
 	r.store(now, a, old)
@@ -121,14 +127,57 @@
 func (r *Roster) Inherit(now time.Time, a Announcement) bool {
 	_, addressInUse := r.byAddress[a.Address]
 	p, ended := r.ended[a.ID]
-	if a.Check() != nil || a.Gone || r.entries[a.ID] != nil || addressInUse || (ended && a.Born <= p.born) || len(r.entries) >= r.options.MaxEndpoints {
+	if a.Check() != nil || a.Gone || r.entries[a.ID] != nil || addressInUse || (ended && p.covers(a.Born)) || len(r.entries) >= r.options.MaxEndpoints {
 		return false
 	}
+	if p, leaving := r.leaving[a.ID]; leaving && p.covers(a.Born) {
+		a.Leaving = true
+	}
 	r.store(now, a, nil)
 	r.entries[a.ID].inherited = true
 	return true
 }
 
+// Departure returns the departure that an announcement has caused, if there is one: it must outlive this roster before the endpoint relies on
+// it. A departure of an endpoint that is not known is returned if others may know it.
+func (r *Roster) Departure(a Announcement, othersMayKnow bool) (d report.Departure, departs bool) {
+	e, p := r.entries[a.ID], r.ended[a.ID]
+	switch {
+	case a.Gone && e == nil && (p.at.IsZero() && othersMayKnow || !p.at.IsZero()):
+		return report.Departure{ID: a.ID, Born: max(p.born, a.Born), Gone: true}, true
+	case a.Leaving && e != nil && e.Leaving && e.Born == a.Born:
+		return report.Departure{ID: a.ID, Born: a.Born}, true
+	}
+	return d, false
+}
+
+// Depart applies a departure that an earlier leader may have recorded.
+func (r *Roster) Depart(now time.Time, d report.Departure) {
+	e := r.entries[d.ID]
+	if e != nil && (!d.Covers(e.ID, e.Born) || (d.Born == 0 && !e.inherited)) {
+		return
+	}
+	if d.Gone && e != nil {
+		r.remove(now, e)
+		return
+	}
+	list := r.leaving
+	if d.Gone {
+		list = r.ended
+	}
+	known, changed := list[d.ID], e != nil && !e.Leaving
+	if e != nil {
+		e.Leaving = true
+	}
+	if known.at.IsZero() || known.born < d.Born {
+		list[d.ID] = endedIncarnation{born: d.Born, at: now}
+		changed = changed || e == nil
+	}
+	if changed {
+		r.revision++
+	}
+}
+
 // RemoveInherited removes an endpoint that was inherited and has not announced itself, and reports whether it removed one.
 func (r *Roster) RemoveInherited(id string) bool {
 	e := r.entries[id]
@@ -220,10 +269,10 @@
 			delete(r.ended, e.displaced) // one announcement does not show that the other endpoint has stopped
 		}
 	}
-	for id, p := range r.ended {
-		if now.Sub(p.at) >= r.options.Retention {
-			delete(r.ended, id)
-		}
+	for _, list := range []map[string]endedIncarnation{r.ended, r.leaving} {
+		maps.DeleteFunc(list, func(id string, p endedIncarnation) bool {
+			return now.Sub(p.at) >= r.options.Retention && r.entries[id] == nil
+		})
 	}
 	return expired
 }
--- a/internal/member/view/view.go
+++ b/internal/member/view/view.go
@@ -130,7 +130,7 @@
 		if _, kept := endpoints[id]; kept {
 			continue
 		}
-		if u.Partial {
+		if u.Partial && !departed(u, &e) {
 			endpoints[id] = e
 			services[e.Service] = append(services[e.Service], e)
 			continue
@@ -141,6 +141,20 @@
 	return true, removed
 }
 
+// departed reports whether an endpoint that a partial list lacks has left, and marks one that is leaving.
+func departed(u report.Update, e *report.Endpoint) bool {
+	for _, d := range u.Departed {
+		if !d.Covers(e.ID, e.Born) {
+			continue
+		}
+		if d.Gone {
+			return true
+		}
+		e.Leaving = true
+	}
+	return false
+}
+
 func (v *View) applyDeputies(u report.Update) (changed bool) {
 	if u.DeputyChange == v.deputyRevision && u.Term == v.term {
 		return false
--- a/internal/member/view/view_test.go
+++ b/internal/member/view/view_test.go
@@ -115,3 +115,24 @@
 	c.Check(list, quicktest.HasLen, 2)
 	c.Check(version, quicktest.Equals, 1)
 }
+
+// A new leader lists the endpoints that it knows, and departures that were stored before. Guards against an entry that goes on sending requests to an
+// endpoint that has left, because the list does not have all endpoints yet.
+func TestPartialListKeepsNoDepartedEndpoint(t *testing.T) {
+	c := quicktest.New(t)
+	v := view.New()
+	decode := func([]byte) (document.Document, error) { return document.Document{}, nil }
+	endpoint := func(id string) report.Endpoint { return report.Endpoint{ID: id, Service: "s", Born: 5} }
+	_, err := v.Apply(time.Unix(0, 0), report.Update{Term: 1, Directory: 1, Endpoints: []report.Endpoint{endpoint("gone"), endpoint("leaving"), endpoint("stays")}}, decode)
+	c.Assert(err, quicktest.IsNil)
+	changed, err := v.Apply(time.Unix(1, 0), report.Update{
+		Term: 2, Directory: 1, Partial: true, Departed: []report.Departure{{ID: "gone", Born: 5, Gone: true}, {ID: "leaving", Born: 5}, {ID: "stays", Born: 4, Gone: true}},
+	}, decode)
+	c.Assert(err, quicktest.IsNil)
+	c.Check(changed.Removed, quicktest.HasLen, 1)
+	c.Check(v.HasEndpoint("gone"), quicktest.IsFalse)
+	c.Check(v.HasEndpoint("leaving"), quicktest.IsTrue)
+	list := v.Endpoints("s")
+	c.Assert(list, quicktest.HasLen, 1)
+	c.Check(list[0].ID, quicktest.Equals, "stays")
+}
--- a/internal/node/control/interface.go
+++ b/internal/node/control/interface.go
@@ -79,15 +79,28 @@
 }
 
 func (c *Control) handleAnnounce(ctx context.Context, from string, a roster.Announcement) (announceReply, error) {
+	reply, departures := c.recordAnnouncement(ctx, from, a)
+	if len(departures.Depart) == 0 {
+		return reply, nil
+	}
+	// An endpoint relies on the acknowledgement of its departure, which therefore has to outlive this leader.
+	_, err := c.propose(ctx, departures)
+	event.Log(ctx, c.options.Logger, event.EndpointDeparted, slog.Any("Departures", departures.Depart), slog.Any("Forgotten", departures.Forget),
+		slog.Any("Error", err))
+	return reply, err
+}
+
+// recordAnnouncement records an announcement, and returns the command that stores the departure which it has caused.
+func (c *Control) recordAnnouncement(ctx context.Context, from string, a roster.Announcement) (reply announceReply, departures document.Command) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.state == nil || c.actingTerm() == 0 {
-		return announceReply{}, nil
+	if c.state == nil || c.actingTerm() == 0 || c.state.mayInherit(a) {
+		return reply, departures
 	}
 	if err := a.Check(); err != nil {
 		// The fields may be of any length; the error is not.
 		event.Log(ctx, c.options.Logger, event.EndpointAnnounced, slog.String("From", from), slog.Any("Error", err))
-		return announceReply{Leading: true, Invalid: true}, nil
+		return announceReply{Leading: true, Invalid: true}, departures
 	}
 	changed, err := c.state.announce(a)
 	if changed || err != nil {
@@ -95,7 +108,7 @@
 			slog.String("Service", a.Service), slog.Any("Address", a.Address), slog.Int64("Born", a.Born),
 			slog.Uint64("Sequence", a.Sequence), slog.Bool("Leaving", a.Leaving), slog.Bool("Gone", a.Gone), slog.Any("Error", err))
 	}
-	return announceReply{Leading: true, Full: errs.Is(err, roster.ErrFull)}, nil
+	return announceReply{Leading: true, Full: errs.Is(err, roster.ErrFull)}, c.state.departureCommand(a)
 }
 
 // Replace stores a configuration, whose content the caller has decoded and checked. A version that is not higher than the
--- a/internal/node/control/leader.go
+++ b/internal/node/control/leader.go
@@ -51,6 +51,9 @@
 	detectedAt         time.Time
 	quarantineRevision uint64 // of the stored signatures that the detector knows
 	quarantining       bool   // a change of the quarantined signatures is being proposed
+
+	departed          map[string]time.Time // when stored departures were first seen here, by endpoint
+	departureRevision uint64               // of the stored departures that the roster knows
 }
 
 // entry is the last report of an entry.
@@ -248,6 +251,7 @@
 func (ls *leaderState) applyReplicated(ctx context.Context) {
 	state := ls.control.machine.Stored()
 	ls.applyQuarantine(state)
+	ls.applyDepartures(state)
 	ls.pool.Appoint(quota.Appointment{Deputies: state.Appoint.Deputies, Former: state.Appoint.Former})
 	if state.Changes > ls.adapterChanges {
 		ls.adapterChanges = state.Changes
--- a/internal/state/document/document_test.go
+++ b/internal/state/document/document_test.go
@@ -9,6 +9,7 @@
 
 	"github.com/frankban/quicktest"
 
+	"lycheevale/internal/member/report"
 	"lycheevale/internal/place/quarantine"
 	"lycheevale/internal/state/document"
 )
@@ -201,3 +202,27 @@
 	c.Check(m.Stored().Quarantine, quicktest.DeepEquals, []quarantine.Signature{{Service: "s", ID: "91bd"}})
 	c.Check(m.Stored().QuarantineRevision, quicktest.Equals, uint64(2))
 }
+
+// Guards against departures of endpoints that a restart forgets, and against an earlier departure that replaces a later one.
+func TestDeparturesSurviveSnapshot(t *testing.T) {
+	c := quicktest.New(t)
+	m := document.NewMachine()
+	depart := func(m *document.Machine, d report.Departure, forget ...string) bool {
+		return apply(c, m, document.Command{Action: document.Depart, Depart: []report.Departure{d}, Forget: forget}).Stored
+	}
+	leaving, gone := report.Departure{ID: "a", Born: 5}, report.Departure{ID: "a", Born: 5, Gone: true}
+	c.Check(depart(m, leaving), quicktest.IsTrue)
+	earlier := m.Stored()
+	c.Check(depart(m, gone), quicktest.IsTrue)
+	c.Check(depart(m, leaving), quicktest.IsFalse)
+	c.Check(depart(m, report.Departure{ID: "a", Born: 4, Gone: true}), quicktest.IsFalse)
+	c.Check(earlier.Departures, quicktest.DeepEquals, []report.Departure{leaving}) // a state returned to a reader does not change
+	data, err := m.View()()
+	c.Assert(err, quicktest.IsNil)
+	restored := document.NewMachine()
+	c.Assert(restored.Restore(data), quicktest.IsNil)
+	c.Check(restored.Stored(), quicktest.DeepEquals, m.Stored())
+	other := report.Departure{ID: "b", Born: 6}
+	c.Check(depart(restored, other, "a"), quicktest.IsTrue)
+	c.Check(restored.Stored().Departures, quicktest.DeepEquals, []report.Departure{other})
+}
--- a/internal/state/document/machine.go
+++ b/internal/state/document/machine.go
@@ -5,6 +5,7 @@
 	"slices"
 	"sync"
 
+	"lycheevale/internal/member/report"
 	"lycheevale/internal/place/quarantine"
 )
 
@@ -17,6 +18,7 @@
 	SetAdapter Action = "SetAdapter" // records a newer version of an adapter
 	Appoint    Action = "Appoint"    // records the deputies, unless a leader of a later term has done so
 	Quarantine Action = "Quarantine" // adds and removes signatures of requests that no endpoint gets
+	Depart     Action = "Depart"     // adds and removes departures of endpoints
 	Barrier    Action = "Barrier"    // changes nothing; its result proves that the state was current
 )
 
@@ -31,6 +33,9 @@
 
 	Quarantine []quarantine.Signature `json:"Quarantine,omitempty"` // added
 	Release    []quarantine.Signature `json:"Release,omitempty"`    // removed
+
+	Depart []report.Departure `json:"Depart,omitempty"` // added
+	Forget []string           `json:"Forget,omitempty"` // identifiers of endpoints whose departures are removed
 }
 
 // Appointment lists the entries that may hold shares of customers' rates, so that a new leader knows which entries may be
@@ -65,6 +70,9 @@
 
 	Quarantine         []quarantine.Signature `json:"Quarantine,omitempty"`
 	QuarantineRevision uint64                 `json:"QuarantineRevision,omitempty"` // number of changes of Quarantine
+
+	Departures        []report.Departure `json:"Departures,omitempty"`        // oldest first, one for each endpoint
+	DepartureRevision uint64             `json:"DepartureRevision,omitempty"` // number of changes of Departures
 }
 
 // Machine is the state machine of the configuration log; it is safe for concurrent use.
@@ -94,6 +102,13 @@
 	})
 }
 
+// HoldsDeparture reports whether a departure, or a later one of the endpoint, is stored.
+func (s Stored) HoldsDeparture(d report.Departure) bool {
+	return slices.ContainsFunc(s.Departures, func(held report.Departure) bool {
+		return held.ID == d.ID && held.Born >= d.Born && (held.Gone || !d.Gone || held.Born > d.Born)
+	})
+}
+
 // NewMachine returns a machine without any document.
 func NewMachine() *Machine { return &Machine{adapterPositions: map[[2]string]int{}} }
 
@@ -136,10 +151,33 @@
 		return true
 	case Quarantine:
 		return m.changeQuarantine(c)
+	case Depart:
+		return m.changeDepartures(c)
 	}
 	return false
 }
 
+// changeDepartures replaces the list, because readers may still use the old one.
+func (m *Machine) changeDepartures(c Command) bool {
+	list := slices.DeleteFunc(slices.Clone(m.stored.Departures), func(d report.Departure) bool { return slices.Contains(c.Forget, d.ID) })
+	for _, d := range c.Depart {
+		if m.stored.HoldsDeparture(d) {
+			continue
+		}
+		list = append(slices.DeleteFunc(list, func(held report.Departure) bool { return held.ID == d.ID }), d)
+	}
+	list = list[max(len(list)-maxDepartures, 0):]
+	if slices.Equal(list, m.stored.Departures) {
+		return false
+	}
+	m.stored.Departures = list
+	m.stored.DepartureRevision++
+	return true
+}
+
+// maxDepartures limits the size of a snapshot; the oldest departures are dropped.
+const maxDepartures = 4096
+
 // changeQuarantine replaces the list, because readers may still use the old one.
 func (m *Machine) changeQuarantine(c Command) bool {
 	var list []quarantine.Signature
