Look an endpoint up again after waiting for its adapter

A request that waited for an adapter was sent to the endpoint that loaded it although the endpoint had announced meanwhile that it leaves, or had left: the entry looked it up before the wait only. A load may take longer than the time for which a leaving endpoint accepts work. Such a request is placed again now, elsewhere.

TestEndpointThatLeavesDuringLoadGetsNoRequest failed before in both forms.

--- a/internal/serve/forward/place.go
+++ b/internal/serve/forward/place.go
@@ -59,8 +59,15 @@
 // choice is the endpoint chosen for an attempt.
 type choice struct {
 	report.Endpoint
-	version int  // of the adapter, 0 for any
-	loaded  bool // the adapter has just been loaded and may not be ready yet
+	version  int  // of the adapter, 0 for any
+	loaded   bool // the adapter has just been loaded and may not be ready yet
+	unlisted bool // the view does not list the endpoint yet, which the leader has named
+}
+
+// accepts reports whether a chosen endpoint still accepts work, for which a request may have waited.
+func (h *Handler) accepts(c choice) bool {
+	e, ok := h.options.View.Endpoint(c.ID)
+	return (ok && e.Born == c.Born) || (c.unlisted && !h.options.View.HasEndpoint(c.ID))
 }
 
 // place chooses the endpoint of the next attempt. If no endpoint holds the adapter, it asks the leader to have it loaded
@@ -187,7 +194,8 @@
 		return c, refused
 	}
 	e, ok := h.options.View.Endpoint(w.placed.Endpoint)
-	if !h.options.View.HasEndpoint(w.placed.Endpoint) && w.placed.Details.Address.IsValid() {
+	unlisted := !h.options.View.HasEndpoint(w.placed.Endpoint) && w.placed.Details.Address.IsValid()
+	if unlisted {
 		// After a restart the leader may name an endpoint that the entry only learns with the answer to its next report.
 		e, ok = w.placed.Details, !w.placed.Details.Leaving
 	}
@@ -200,7 +208,7 @@
 		return c, h.refuseWithRetry(refusal.Unavailable, "the adapter was not loaded in time")
 	case <-time.After(ready.Sub(h.options.Now())):
 	}
-	return choice{Endpoint: e, version: w.placed.Version, loaded: true}, nil
+	return choice{Endpoint: e, version: w.placed.Version, loaded: true, unlisted: unlisted}, nil
 }
 
 // requestPlacement asks the leader to place an adapter, for a request that waits for the answer until stopWaiting. Requests that may use any
--- a/internal/serve/forward/place_test.go
+++ b/internal/serve/forward/place_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"net/http"
 	"net/http/httptest"
+	"slices"
 	"sync"
 	"testing"
 	"time"
@@ -93,3 +94,41 @@
 		quicktest.Check(t, asked, quicktest.Equals, 2*placementLimit) // at 0 and 400 ms
 	})
 }
+
+// An endpoint announces that it leaves while a request waits there for its adapter. Guards against sending the request to it nevertheless: a load may
+// take longer than an endpoint that leaves goes on serving.
+func TestEndpointThatLeavesDuringLoadGetsNoRequest(t *testing.T) {
+	for name, leave := range map[string]func(u *report.Update){
+		"leaving": func(u *report.Update) { u.Endpoints[0].Leaving = true },
+		"gone":    func(u *report.Update) { u.Endpoints = u.Endpoints[1:] },
+	} {
+		t.Run(name, func(t *testing.T) {
+			var r *fixture
+			place := func(_ context.Context, q report.PlacementRequest) (report.PlacementReply, error) {
+				if len(q.Avoid) > 0 {
+					return report.PlacementReply{Endpoint: "1"}, nil
+				}
+				u := r.update
+				u.Directory, u.Endpoints = u.Directory+1, slices.Clone(u.Endpoints)
+				leave(&u)
+				time.AfterFunc(20*time.Millisecond, func() {
+					_, err := r.view.Apply(time.Now(), u, nil)
+					r.Check(err, quicktest.IsNil)
+				})
+				return report.PlacementReply{Endpoint: "0", InMillis: 100}, nil
+			}
+			ok := func(http.ResponseWriter, *http.Request) {}
+			r = newFixture(t, []http.HandlerFunc{ok, ok}, forward.WithRequestPlacement(place))
+			r.update.Content = nil
+			q := httptest.NewRequestWithContext(t.Context(), http.MethodPost, "/draft/x", nil)
+			q.Header.Set("Key", "k")
+			q.Header.Set("Attempt", "1")
+			q.Header.Set("Adapter", "a")
+			w := httptest.NewRecorder()
+			r.handler.ServeHTTP(w, q)
+			r.Check(w.Code, quicktest.Equals, http.StatusOK)
+			r.Check(r.hits[0].Load(), quicktest.Equals, int32(0))
+			r.Check(r.hits[1].Load(), quicktest.Equals, int32(1))
+		})
+	}
+}
--- a/internal/serve/forward/send.go
+++ b/internal/serve/forward/send.go
@@ -43,6 +43,11 @@
 			}
 			return h.giveUp(x, refused)
 		}
+		if !h.accepts(c) {
+			h.logRetry(x, c, notRun, reasonLeft)
+			x.exclude = append(slices.Clip(x.exclude), c.ID)
+			continue
+		}
 		if refused := h.checkBacklog(x, c); refused != nil {
 			return h.giveUp(x, refused)
 		}
@@ -177,6 +182,7 @@
 
 // Reasons for which an attempt was not answered.
 const (
+	reasonLeft        = "Left" // the endpoint has left while its adapter was loaded
 	reasonUnreachable = "Unreachable"
 	reasonBroken      = "Broken"
 	reasonSilent      = "Silent"
