Send no further work to an endpoint that states in an answer that it leaves

An entry takes it as the departure of that incarnation, keeps to it whatever a leader lists, and reports it until the leader's list states it, so that other entries and the placement of adapters follow.

--- a/internal/base/event/entry.go
+++ b/internal/base/event/entry.go
@@ -25,6 +25,7 @@
 	BrokenUnanswered  ID = 2019
 	QuarantineUpdated ID = 2020
 	CrashUnreported   ID = 2021
+	EndpointLeaves    ID = 2022
 )
 
 var entryEvents = []Entry{
@@ -41,6 +42,7 @@
 	{LeaderSilent, slog.LevelWarn, "leader of the control instances does not answer", "Lasting: check the control instances and the way to them."},
 	{AdapterRequested, slog.LevelInfo, "leader was asked for an adapter", "Many failures: check the endpoints' orders (event 5013)."},
 	{ViewRefused, slog.LevelError, "configuration from the leader cannot be read", "Two versions of the program run together; finish the roll-out."},
+	{EndpointLeaves, slog.LevelInfo, "endpoint stated in an answer that it leaves", "None."},
 	{EndpointProbed, slog.LevelInfo, "silent endpoint was probed with a new connection", "With an Error: check the endpoint and the way to it."},
 	{DeputiesNamed, slog.LevelInfo, "leader named the deputies that lend without it", "None."},
 	{DeputyLent, slog.LevelInfo, "deputy decided on requests of another entry", "None; lasting: check the control instances."},
--- a/internal/member/report/report.go
+++ b/internal/member/report/report.go
@@ -38,7 +38,8 @@
 	Uses       []residency.Use      `json:"Uses,omitempty"`
 	Answers    []residency.Use      `json:"Answers,omitempty"` // Count is the number of answers that have begun since the last report
 	Customers  map[string]quota.Use `json:"Customers,omitempty"`
-	Known      []KnownEndpoint      `json:"Known,omitempty"` // set if the leader has asked for it with Tell
+	Known      []KnownEndpoint      `json:"Known,omitempty"`   // set if the leader has asked for it with Tell
+	Leaving    []Departure          `json:"Leaving,omitempty"` // endpoints that have stated in an answer that they leave, unless the leader's list states it
 	Crashes    []quarantine.Crash   `json:"Crashes,omitempty"`
 	Begins     []quarantine.Begin   `json:"Begins,omitempty"`     // of the suspects
 	Suspects   uint64               `json:"Suspects,omitempty"`   // known revision of the suspects
--- a/internal/member/view/view.go
+++ b/internal/member/view/view.go
@@ -28,9 +28,10 @@
 	services       map[string][]report.Endpoint
 	holders        map[residency.Adapter]map[string]int // version by endpoint
 	versions       map[residency.Adapter]int
-	endpointOrder  []string       // endpoints in the order of the leader's list
-	running        map[string]int // running requests of all entries, by endpoint
-	backlog        map[string]int // milliseconds to read the waiting prompts of all entries, by endpoint
+	leaving        map[string]leaving // incarnations that have stated in an answer that they leave, by endpoint
+	endpointOrder  []string           // endpoints in the order of the leader's list
+	running        map[string]int     // running requests of all entries, by endpoint
+	backlog        map[string]int     // milliseconds to read the waiting prompts of all entries, by endpoint
 	deputies       []report.Deputy
 	deputyRevision uint64 // revision of deputies
 
@@ -40,10 +41,19 @@
 	quarantineRevision uint64
 }
 
+// leaving is an incarnation of an endpoint that has stated in an answer that it leaves.
+type leaving struct {
+	born   int64
+	listed bool // the leader's list states it too
+}
+
+// maxLeaving limits the memory for endpoints that have stated that they leave; those that are not listed any more are forgotten first.
+const maxLeaving = 4096
+
 // New returns an empty view.
 func New() *View {
 	return &View{
-		endpoints: map[string]report.Endpoint{}, services: map[string][]report.Endpoint{},
+		leaving: map[string]leaving{}, endpoints: map[string]report.Endpoint{}, services: map[string][]report.Endpoint{},
 		holders: map[residency.Adapter]map[string]int{}, versions: map[residency.Adapter]int{}, entries: 1,
 	}
 }
@@ -55,6 +65,39 @@
 	r.Term, r.Document, r.Adapters = v.term, v.document, v.adapters
 	r.Directory, r.Placement, r.Deputies = v.directory, v.placement, v.deputyRevision
 	r.Suspects, r.Quarantine = v.suspectRevision, v.quarantineRevision
+	for id, l := range v.leaving {
+		if e, known := v.endpoints[id]; known && !l.listed && e.Born == l.born {
+			r.Leaving = append(r.Leaving, report.Departure{ID: id, Born: l.born})
+		}
+	}
+}
+
+// RecordLeaving records that an endpoint has stated in an answer that it leaves, and reports whether that is new. The incarnation gets no more
+// work, also if a leader does not know that it leaves.
+func (v *View) RecordLeaving(e report.Endpoint) (changed bool) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	current, known := v.endpoints[e.ID]
+	if l, recorded := v.leaving[e.ID]; (known && current.Born != e.Born) || (recorded && l.born == e.Born) {
+		return false
+	}
+	if len(v.leaving) >= maxLeaving {
+		maps.DeleteFunc(v.leaving, func(id string, _ leaving) bool { _, known := v.endpoints[id]; return !known })
+	}
+	v.leaving[e.ID] = leaving{born: e.Born, listed: current.Leaving}
+	if !known {
+		return true // the list that names it follows
+	}
+	current.Leaving = true
+	v.endpoints[e.ID] = current
+	services := slices.Clone(v.services[e.Service])
+	for i := range services {
+		if services[i].ID == e.ID {
+			services[i].Leaving = true
+		}
+	}
+	v.services[e.Service] = services
+	return true
 }
 
 // Changed lists the parts of a view that an update has changed.
@@ -120,6 +163,11 @@
 	v.endpointOrder = nil
 	for _, e := range u.Endpoints {
 		v.endpointOrder = append(v.endpointOrder, e.ID)
+		if l, recorded := v.leaving[e.ID]; recorded && l.born == e.Born {
+			l.listed = e.Leaving
+			v.leaving[e.ID] = l
+			e.Leaving = true
+		}
 		if old, known := v.endpoints[e.ID]; known && old.Leaving && old.Born == e.Born {
 			e.Leaving = true // a new leader may not know yet that the endpoint is leaving
 		}
@@ -155,6 +203,14 @@
 	return false
 }
 
+// HasLeft reports whether an incarnation of an endpoint has stated in an answer that it leaves.
+func (v *View) HasLeft(e report.Endpoint) bool {
+	v.mu.RLock()
+	defer v.mu.RUnlock()
+	l, recorded := v.leaving[e.ID]
+	return recorded && l.born == e.Born
+}
+
 func (v *View) applyDeputies(u report.Update) (changed bool) {
 	if u.DeputyChange == v.deputyRevision && u.Term == v.term {
 		return false
--- a/internal/node/control/departures.go
+++ b/internal/node/control/departures.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"lycheevale/internal/member/report"
 	"lycheevale/internal/member/roster"
 	"lycheevale/internal/state/document"
 )
@@ -52,11 +53,23 @@
 			at = now
 		}
 		ls.departed[d.ID] = at
-		ls.roster.Depart(now, d)
-		if current, listed := ls.roster.Get(d.ID); listed {
-			ls.updatePlacer(current)
-		} else {
-			ls.removeEndpoint(d.ID)
-		}
+		ls.depart(now, d)
+	}
+}
+
+// recordLeaving applies what endpoints have stated in their answers to an entry. It need not be stored: the entry states it to each leader.
+func (ls *leaderState) recordLeaving(now time.Time, r report.Entry) {
+	for _, d := range r.Leaving {
+		d.Gone = false
+		ls.depart(now, d)
+	}
+}
+
+func (ls *leaderState) depart(now time.Time, d report.Departure) {
+	ls.roster.Depart(now, d)
+	if current, listed := ls.roster.Get(d.ID); listed {
+		ls.updatePlacer(current)
+	} else {
+		ls.removeEndpoint(d.ID)
 	}
 }
--- a/internal/node/control/updates.go
+++ b/internal/node/control/updates.go
@@ -63,6 +63,7 @@
 	if len(r.Known) > 0 {
 		ls.inherit(now, r)
 	}
+	ls.recordLeaving(now, r)
 	interval := reportInterval(len(ls.entries))
 	ls.placer.SetReportInterval(interval)
 	u := report.Update{
--- a/internal/serve/forward/forward_test.go
+++ b/internal/serve/forward/forward_test.go
@@ -49,7 +49,7 @@
 			return http.Header{"Endpoint": {o.Endpoint}, "Customer": {o.Customer}, "Attempt": {caller.Get("Attempt")}}
 		},
 		Reply: func(status int, h http.Header) forward.Reply {
-			return forward.Reply{NotRun: h.Get("Not-Run") != "", Moved: status == http.StatusMisdirectedRequest}
+			return forward.Reply{NotRun: h.Get("Not-Run") != "", Moved: status == http.StatusMisdirectedRequest, Leaving: h.Get("Leaving") != ""}
 		},
 		EventID: func([]byte) string { return "" },
 	}
--- a/internal/serve/forward/place.go
+++ b/internal/serve/forward/place.go
@@ -67,7 +67,7 @@
 // accepts reports whether a chosen endpoint still accepts work, for which a request may have waited.
 func (h *Handler) accepts(c choice) bool {
 	e, ok := h.options.View.Endpoint(c.ID)
-	return (ok && e.Born == c.Born) || (c.unlisted && !h.options.View.HasEndpoint(c.ID))
+	return (ok && e.Born == c.Born) || (c.unlisted && !h.options.View.HasEndpoint(c.ID) && !h.options.View.HasLeft(c.Endpoint))
 }
 
 // place chooses the endpoint of the next attempt. If no endpoint holds the adapter, it asks the leader to have it loaded
@@ -197,7 +197,7 @@
 	unlisted := !h.options.View.HasEndpoint(w.placed.Endpoint) && w.placed.Details.Address.IsValid()
 	if unlisted {
 		// After a restart the leader may name an endpoint that the entry only learns with the answer to its next report.
-		e, ok = w.placed.Details, !w.placed.Details.Leaving
+		e, ok = w.placed.Details, !w.placed.Details.Leaving && !h.options.View.HasLeft(w.placed.Details)
 	}
 	if !ok || slices.Contains(exclude, e.ID) {
 		return c, h.refuseWithRetry(refusal.Unavailable, "endpoint %q, which loads the adapter, is not available", w.placed.Endpoint)
--- a/internal/serve/forward/send.go
+++ b/internal/serve/forward/send.go
@@ -231,6 +231,7 @@
 	defer func() { _ = answer.Body.Close() }()
 	h.recordHead(s.inFlight)
 	reply := h.options.Codec.Reply(answer.Status, answer.Header)
+	h.recordStatements(x, c, reply)
 	if reply.Moved || (reply.NotRun && promisesNotRun(answer.Status)) {
 		return h.handleNotRun(x, c, reply)
 	}
@@ -242,6 +243,15 @@
 	return h.relay(x, s, answer, reply)
 }
 
+// recordStatements records what an endpoint states about itself in the head of an answer. An answer to a request that was meant for another endpoint
+// states nothing about that one.
+func (h *Handler) recordStatements(x *exchange, c choice, reply Reply) {
+	if reply.Leaving && !reply.Moved && h.options.View.RecordLeaving(c.Endpoint) {
+		event.Log(x.ctx, h.options.Logger, event.EndpointLeaves, slog.String("Attempt", x.request.Attempt), slog.String("Endpoint", c.ID),
+			slog.Int64("Born", c.Born))
+	}
+}
+
 // promisesNotRun reports whether callers take a status as a promise that the request has not run. It is passed on only if the endpoint
 // states the same.
 func promisesNotRun(status int) bool {
--- a/internal/serve/forward/types.go
+++ b/internal/serve/forward/types.go
@@ -39,6 +39,7 @@
 	NotRun   bool // the endpoint states that it has not run the request
 	Moved    bool // the address belongs to another endpoint, or the endpoint lacks the adapter or its version
 	Streamed bool // the body is an event stream
+	Leaving  bool // the endpoint states that it leaves
 }
 
 // Codec translates the protocol of callers and endpoints.
