Send an endpoint no requests for the time that it asks for

An endpoint that turns a request away with 503 may name a time (Retry-After) in which it wants none from this entry. Entries did not read that, and tried it again at once while others were busy. The picker leaves it out now until then, also after a load and for requests that would move there, and if all endpoints of a service have asked for that, callers are refused at once with the time at which the first one wants requests again.

--- a/internal/base/event/entry.go
+++ b/internal/base/event/entry.go
@@ -26,6 +26,7 @@
 	QuarantineUpdated ID = 2020
 	CrashUnreported   ID = 2021
 	EndpointLeaves    ID = 2022
+	EndpointPaused    ID = 2023
 )
 
 var entryEvents = []Entry{
@@ -42,6 +43,7 @@
 	{LeaderSilent, slog.LevelWarn, "leader of the control instances does not answer", "Lasting: check the control instances and the way to them."},
 	{AdapterRequested, slog.LevelInfo, "leader was asked for an adapter", "Many failures: check the endpoints' orders (event 5013)."},
 	{ViewRefused, slog.LevelError, "configuration from the leader cannot be read", "Two versions of the program run together; finish the roll-out."},
+	{EndpointPaused, slog.LevelInfo, "endpoint asked for no requests for some time", "Frequent: check the load of the endpoint."},
 	{EndpointLeaves, slog.LevelInfo, "endpoint stated in an answer that it leaves", "None."},
 	{EndpointProbed, slog.LevelInfo, "silent endpoint was probed with a new connection", "With an Error: check the endpoint and the way to it."},
 	{DeputiesNamed, slog.LevelInfo, "leader named the deputies that lend without it", "None."},
--- a/internal/place/pick/pick.go
+++ b/internal/place/pick/pick.go
@@ -67,6 +67,7 @@
 	refusals        float64
 	connectFailures int // Unreachable, Silent or Malformed outcomes since the last Served one
 	ejectUntil      time.Time
+	pausedUntil     time.Time // it has asked for no requests until then
 }
 
 // New returns a picker without observations.
@@ -83,7 +84,7 @@
 	return r
 }
 
-// Forget removes the records of endpoints without active requests for which keep returns false.
+// Forget removes the records of endpoints without active requests for which keep returns false. A pause ends with them.
 func (p *Picker) Forget(keep func(id string) bool) {
 	for id, r := range p.records {
 		if r.active == 0 && !keep(id) {
@@ -117,6 +118,28 @@
 	return 0
 }
 
+// Pause records that an endpoint wants no requests until a time.
+func (p *Picker) Pause(now time.Time, id string, until time.Time) {
+	r := p.record(id)
+	if latest := now.Add(maxPause); until.After(latest) {
+		until = latest
+	}
+	if until.After(r.pausedUntil) {
+		r.pausedUntil = until
+	}
+}
+
+// maxPause limits the effect of an endpoint that names an absurd time.
+const maxPause = 10 * time.Minute
+
+// PausedUntil returns the time until which an endpoint wants no requests, or the zero time.
+func (p *Picker) PausedUntil(now time.Time, id string) (until time.Time) {
+	if r := p.records[id]; r != nil && now.Before(r.pausedUntil) {
+		return r.pausedUntil
+	}
+	return until
+}
+
 // sampleWeight is the weight of one answer in the moving averages.
 const sampleWeight = 0.2
 
@@ -169,15 +192,15 @@
 )
 
 // Choose returns the best candidate that is not in exclude. It returns an ejected endpoint only if no other is left. It
-// reports false if every candidate is full or excluded.
+// reports false if every candidate is full, paused or excluded.
 func (p *Picker) Choose(now time.Time, candidates []Endpoint, exclude []string) (id string, ok bool) {
 	best, bestCost, bestEjected := "", 0.0, false
 	spread := backlogSpread(candidates)
 	for _, c := range candidates {
-		if slices.Contains(exclude, c.ID) || p.full(c) {
+		r := p.record(c.ID)
+		if slices.Contains(exclude, c.ID) || p.full(c) || now.Before(r.pausedUntil) {
 			continue
 		}
-		r := p.record(c.ID)
 		ejected := now.Before(r.ejectUntil)
 		cost := p.cost(now, c, r) + spread*p.random.Float64()
 		if best == "" || (bestEjected && !ejected) || (bestEjected == ejected && cost < bestCost) {
@@ -220,7 +243,7 @@
 // Healthy reports whether an endpoint is worth waiting for: it is not ejected and has few errors.
 func (p *Picker) Healthy(now time.Time, id string) bool {
 	r := p.record(id)
-	return !now.Before(r.ejectUntil) && r.errors < unhealthyErrors
+	return !now.Before(r.ejectUntil) && !now.Before(r.pausedUntil) && r.errors < unhealthyErrors
 }
 
 // unhealthyErrors is the share of failed requests at which an endpoint counts as unhealthy.
--- a/internal/serve/forward/forward_test.go
+++ b/internal/serve/forward/forward_test.go
@@ -48,8 +48,12 @@
 		Outgoing: func(caller http.Header, o forward.Outgoing) http.Header {
 			return http.Header{"Endpoint": {o.Endpoint}, "Customer": {o.Customer}, "Attempt": {caller.Get("Attempt")}}
 		},
-		Reply: func(status int, h http.Header) forward.Reply {
-			return forward.Reply{NotRun: h.Get("Not-Run") != "", Moved: status == http.StatusMisdirectedRequest, Leaving: h.Get("Leaving") != ""}
+		Reply: func(now time.Time, status int, h http.Header) forward.Reply {
+			reply := forward.Reply{NotRun: h.Get("Not-Run") != "", Moved: status == http.StatusMisdirectedRequest, Leaving: h.Get("Leaving") != ""}
+			if pause, err := time.ParseDuration(h.Get("Pause")); err == nil {
+				reply.RetryAt = now.Add(pause)
+			}
+			return reply
 		},
 		EventID: func([]byte) string { return "" },
 	}
@@ -405,7 +409,7 @@
 // streamCodec recognises event streams.
 func streamCodec() forward.Codec {
 	c := codec()
-	c.Reply = func(_ int, h http.Header) forward.Reply {
+	c.Reply = func(_ time.Time, _ int, h http.Header) forward.Reply {
 		return forward.Reply{Streamed: strings.HasPrefix(h.Get("Content-Type"), "text/event-stream")}
 	}
 	return c
--- a/internal/serve/forward/place.go
+++ b/internal/serve/forward/place.go
@@ -66,6 +66,9 @@
 
 // accepts reports whether a chosen endpoint still accepts work, for which a request may have waited.
 func (h *Handler) accepts(c choice) bool {
+	if len(h.withPaused(nil, []report.Endpoint{c.Endpoint})) > 0 {
+		return false
+	}
 	e, ok := h.options.View.Endpoint(c.ID)
 	return (ok && e.Born == c.Born) || (c.unlisted && !h.options.View.HasEndpoint(c.ID) && !h.options.View.HasLeft(c.Endpoint))
 }
@@ -80,7 +83,7 @@
 		}
 		e, ok := h.choose(x, list, exclude)
 		if !ok {
-			return c, h.refuseWithRetry(refusal.Overloaded, "no endpoint of the service has room")
+			return c, h.refuseUntilPauseEnds(list)
 		}
 		return choice{Endpoint: e}, nil
 	}
@@ -89,7 +92,43 @@
 		h.requestReplica(x, e)
 		return choice{Endpoint: e, version: version}, nil
 	}
-	return h.load(x, exclude)
+	return h.load(x, h.withPaused(exclude, holders))
+}
+
+// withPaused adds those of the endpoints to a list that want no requests now.
+func (h *Handler) withPaused(list []string, endpoints []report.Endpoint) []string {
+	now := h.options.Now()
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	for _, e := range endpoints {
+		if !h.picker.PausedUntil(now, e.ID).IsZero() && !slices.Contains(list, e.ID) {
+			list = append(slices.Clip(list), e.ID)
+		}
+	}
+	return list
+}
+
+// refuseUntilPauseEnds returns a refusal of a request that none of its endpoints takes. If all of them want no requests now, the request may be
+// retried when the first one does.
+func (h *Handler) refuseUntilPauseEnds(list []report.Endpoint) *refusal.Error {
+	refused := h.refuseWithRetry(refusal.Overloaded, "no endpoint of the service has room")
+	now := h.options.Now()
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	first := time.Time{}
+	for _, e := range list {
+		until := h.picker.PausedUntil(now, e.ID)
+		if until.IsZero() {
+			return refused
+		}
+		if first.IsZero() || until.Before(first) {
+			first = until
+		}
+	}
+	if first.IsZero() {
+		return refused
+	}
+	return refused.WithRetryAt(refused.RetryAt.Add(first.Sub(now)))
 }
 
 // refuseWithRetry returns a refusal with a time to retry.
--- a/internal/serve/forward/send.go
+++ b/internal/serve/forward/send.go
@@ -182,7 +182,7 @@
 
 // Reasons for which an attempt was not answered.
 const (
-	reasonLeft        = "Left" // the endpoint has left while its adapter was loaded
+	reasonLeft        = "Left" // the endpoint wants no more requests, since its adapter was requested
 	reasonUnreachable = "Unreachable"
 	reasonBroken      = "Broken"
 	reasonSilent      = "Silent"
@@ -230,7 +230,7 @@
 	}
 	defer func() { _ = answer.Body.Close() }()
 	h.recordHead(s.inFlight)
-	reply := h.options.Codec.Reply(answer.Status, answer.Header)
+	reply := h.options.Codec.Reply(h.options.Now(), answer.Status, answer.Header)
 	h.recordStatements(x, c, reply)
 	if reply.Moved || (reply.NotRun && promisesNotRun(answer.Status)) {
 		return h.handleNotRun(x, c, reply)
@@ -250,6 +250,15 @@
 		event.Log(x.ctx, h.options.Logger, event.EndpointLeaves, slog.String("Attempt", x.request.Attempt), slog.String("Endpoint", c.ID),
 			slog.Int64("Born", c.Born))
 	}
+	now := h.options.Now()
+	if reply.Moved || !reply.RetryAt.After(now) {
+		return
+	}
+	event.Log(x.ctx, h.options.Logger, event.EndpointPaused, slog.String("Attempt", x.request.Attempt), slog.String("Endpoint", c.ID),
+		slog.Int64("ForMillis", reply.RetryAt.Sub(now).Milliseconds()))
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.picker.Pause(now, c.ID, reply.RetryAt)
 }
 
 // promisesNotRun reports whether callers take a status as a promise that the request has not run. It is passed on only if the endpoint
--- a/internal/serve/forward/stream_test.go
+++ b/internal/serve/forward/stream_test.go
@@ -141,8 +141,8 @@
 func resumeCodec() forward.Codec {
 	c := streamCodec()
 	streamed := c.Reply
-	c.Reply = func(status int, h http.Header) forward.Reply {
-		reply := streamed(status, h)
+	c.Reply = func(now time.Time, status int, h http.Header) forward.Reply {
+		reply := streamed(now, status, h)
 		reply.NotRun, reply.Moved = h.Get("Not-Run") != "", status == http.StatusMisdirectedRequest
 		return reply
 	}
--- a/internal/serve/forward/types.go
+++ b/internal/serve/forward/types.go
@@ -40,6 +40,8 @@
 	Moved    bool // the address belongs to another endpoint, or the endpoint lacks the adapter or its version
 	Streamed bool // the body is an event stream
 	Leaving  bool // the endpoint states that it leaves
+	// RetryAt is the time before which the endpoint wants no more requests of this entry, or the zero time.
+	RetryAt time.Time
 }
 
 // Codec translates the protocol of callers and endpoints.
@@ -47,7 +49,7 @@
 	Decode func(r *http.Request) (Request, error)
 	// Outgoing returns the header fields for an endpoint, derived from the caller's.
 	Outgoing func(caller http.Header, o Outgoing) http.Header
-	Reply    func(status int, h http.Header) Reply
+	Reply    func(now time.Time, status int, h http.Header) Reply
 	// EventID returns the identifier of a complete event, "" if it has none.
 	EventID func(event []byte) string
 }
