Share the rate that an endpoint names among all entries

An endpoint in need names the number of requests a second that it takes from all entries together (Server-Limit), for as long as it says so.

Entries and the leader keep the latest statement of each endpoint (limit/ceiling). Its rate is divided as a customer's is, by a second pool of limit/quota: the leader lends single requests from an exact bucket, and deputies hold shares for the time without a leader. A second mechanism was weighed and not built: equal parts for each entry would give 78 entries a burst of one request each, or less than one request a second. An entry that is lent nothing leaves the endpoint alone until it may ask again, and sends elsewhere, or refuses at once with that time.

--- a/internal/base/event/entry.go
+++ b/internal/base/event/entry.go
@@ -27,6 +27,8 @@
 	CrashUnreported   ID = 2021
 	EndpointLeaves    ID = 2022
 	EndpointPaused    ID = 2023
+	EndpointLimit     ID = 2024
+	EndpointAtLimit   ID = 2025
 )
 
 var entryEvents = []Entry{
@@ -44,6 +46,8 @@
 	{AdapterRequested, slog.LevelInfo, "leader was asked for an adapter", "Many failures: check the endpoints' orders (event 5013)."},
 	{ViewRefused, slog.LevelError, "configuration from the leader cannot be read", "Two versions of the program run together; finish the roll-out."},
 	{EndpointPaused, slog.LevelInfo, "endpoint asked for no requests for some time", "Frequent: check the load of the endpoint."},
+	{EndpointLimit, slog.LevelInfo, "endpoint named another number of requests that it takes, or none any more", "Frequent: check the load of the endpoint."},
+	{EndpointAtLimit, slog.LevelInfo, "endpoint takes no more requests of this entry for now", "Many: check the load of the endpoint that it names."},
 	{EndpointLeaves, slog.LevelInfo, "endpoint stated in an answer that it leaves", "None."},
 	{EndpointProbed, slog.LevelInfo, "silent endpoint was probed with a new connection", "With an Error: check the endpoint and the way to it."},
 	{DeputiesNamed, slog.LevelInfo, "leader named the deputies that lend without it", "None."},
--- a/internal/limit/quota/deputy.go
+++ b/internal/limit/quota/deputy.go
@@ -131,13 +131,17 @@
 // into debt by one request, which the burst and the tolerance must cover, and each share should allow at least one request per
 // second.
 func (t Tolerance) Deputies(limit Limit, available int) int {
-	covered := (limit.Burst + t.extraLimit(limit)) / largeRequest
-	worth := max(limit.Rate/largeRequest, minDeputies)
+	request := t.Request
+	if request <= 0 {
+		request = largeRequest
+	}
+	covered := (limit.Burst + t.extraLimit(limit)) / request
+	worth := max(limit.Rate/request, minDeputies)
 	return min(max(int(min(covered, worth)), 1), available)
 }
 
 const (
-	// largeRequest is above the size of most requests, in tokens.
+	// largeRequest is above the size of most requests of customers, in tokens.
 	largeRequest = 4000
 	// minDeputies hold shares of every customer whose burst covers them, so that one may be lost.
 	minDeputies = 2
--- a/internal/limit/quota/pool.go
+++ b/internal/limit/quota/pool.go
@@ -24,6 +24,7 @@
 	Window  time.Duration // over which use is counted
 	Overage float64       // part of what the limit allows in the window
 	Slack   float64       // tokens in the window
+	Request float64       // tokens of a large request; those of customers if it is 0
 }
 
 // Pool lends tokens of customers to entries, and divides each rate among its deputies for the time in which no leader answers.
--- a/internal/limit/quota/quota.go
+++ b/internal/limit/quota/quota.go
@@ -4,6 +4,7 @@
 package quota
 
 import (
+	"maps"
 	"math"
 	"time"
 )
@@ -69,6 +70,11 @@
 	p.terms = terms
 }
 
+// Keep forgets customers for which keep returns false.
+func (p *EntryPool) Keep(keep func(customer string) bool) {
+	maps.DeleteFunc(p.accounts, func(customer string, _ *account) bool { return !keep(customer) })
+}
+
 func (p *EntryPool) account(now time.Time, customer string) *account {
 	a := p.accounts[customer]
 	if a == nil {
--- a/internal/member/report/report.go
+++ b/internal/member/report/report.go
@@ -6,6 +6,7 @@
 	"net/netip"
 	"time"
 
+	"lycheevale/internal/limit/ceiling"
 	"lycheevale/internal/limit/quota"
 	"lycheevale/internal/place/quarantine"
 	"lycheevale/internal/place/residency"
@@ -44,6 +45,10 @@
 	Begins     []quarantine.Begin   `json:"Begins,omitempty"`     // of the suspects
 	Suspects   uint64               `json:"Suspects,omitempty"`   // known revision of the suspects
 	Quarantine uint64               `json:"Quarantine,omitempty"` // known revision of the quarantined signatures
+	// Ceilings lists the rates that endpoints have named, as far as known here, and EndpointUses the use of shares of them, by endpoint.
+	Ceilings        []ceiling.Named      `json:"Ceilings,omitempty"`
+	CeilingRevision uint64               `json:"CeilingRevision,omitempty"` // known revision of the leader's list, in Term
+	EndpointUses    map[string]quota.Use `json:"EndpointUses,omitempty"`
 	// Refused counts requests since the last report, by identifier of a quarantined signature.
 	Refused map[string]quarantine.Refusals `json:"Refused,omitempty"`
 }
@@ -80,6 +85,10 @@
 	Entries      int                    `json:"Entries,omitempty"`
 	EveryMillis  int64                  `json:"EveryMillis,omitempty"` // interval of reports in milliseconds
 
+	CeilingRevision uint64                 `json:"CeilingRevision,omitempty"`
+	Ceilings        []ceiling.Named        `json:"Ceilings,omitempty"`       // all rates that endpoints have named, if their revision has changed
+	EndpointGrants  map[string]quota.Grant `json:"EndpointGrants,omitempty"` // shares of these rates, by endpoint; only those of deputies
+
 	SuspectRevision    uint64                 `json:"SuspectRevision,omitempty"`
 	Suspects           []quarantine.Signature `json:"Suspects,omitempty"` // signatures whose begins are to be reported, if their revision has changed
 	QuarantineRevision uint64                 `json:"QuarantineRevision,omitempty"`
@@ -150,9 +159,10 @@
 	InMillis int64    `json:"InMillis,omitempty"` // milliseconds from this reply until requests can be sent
 }
 
-// LoanRequest asks the leader to admit requests of a customer.
+// LoanRequest asks the leader to admit requests of a customer, or requests to an endpoint that has named a rate.
 type LoanRequest struct {
-	Customer string    `json:"Customer"`
+	Customer string    `json:"Customer,omitempty"`
+	Endpoint string    `json:"Endpoint,omitempty"`
 	Requests []float64 `json:"Requests"` // tokens of each request
 }
 
--- a/internal/node/control/interface.go
+++ b/internal/node/control/interface.go
@@ -301,10 +301,10 @@
 		return report.LoanReply{}, nil
 	}
 	now := c.options.Now()
-	limit := c.state.limits[l.Customer] // a customer without a limit has a zero rate
+	pool, limit := c.state.lender(l)
 	answer := report.LoanReply{Leading: true}
 	for _, tokens := range l.Requests {
-		retryAt, admitted := c.state.pool.Borrow(now, l.Customer, tokens, limit)
+		retryAt, admitted := pool.Borrow(now, l.Customer+l.Endpoint, tokens, limit)
 		answer.Add(now, retryAt, admitted)
 	}
 	return answer, nil
--- a/internal/node/control/leader.go
+++ b/internal/node/control/leader.go
@@ -7,6 +7,7 @@
 
 	"lycheevale/internal/base/deployment"
 	"lycheevale/internal/base/event"
+	"lycheevale/internal/limit/ceiling"
 	"lycheevale/internal/limit/quota"
 	"lycheevale/internal/member/report"
 	"lycheevale/internal/member/roster"
@@ -26,6 +27,8 @@
 	roster         *roster.Roster
 	placer         *residency.Placer
 	pool           *quota.Pool
+	endpointPool   *quota.Pool      // of requests to endpoints that name rates
+	ceilings       *ceiling.Book    // rates that endpoints name
 	weights        *weights.Planner // nil until a configuration is known
 	entries        map[string]*entry
 	index          *document.Index
@@ -83,7 +86,7 @@
 	placerOptions.Regions = c.options.Settings.Regions
 	return &leaderState{
 		control: c, term: term, since: now, ordersFrom: c.ordersFrom(now, term), roster: roster.New(roster.DefaultOptions()), placer: residency.New(placerOptions),
-		pool:    quota.NewPool(now, shareOptions(c.options.Settings)),
+		pool: quota.NewPool(now, shareOptions(Tolerance(c.options.Settings))), endpointPool: quota.NewPool(now, shareOptions(EndpointTolerance())), ceilings: ceiling.New(),
 		entries: map[string]*entry{}, active: map[string]int{}, backlog: map[string]int{}, inheritAsked: map[string]bool{}, addresses: map[string]report.Deputy{}, queues: map[string]*orderQueue{}, limits: map[string]quota.Limit{},
 		detector: quarantine.NewDetector(quarantine.DefaultOptions()),
 	}
@@ -101,11 +104,8 @@
 	return now.Add(lease)
 }
 
-func shareOptions(s deployment.Settings) quota.Options {
-	return quota.Options{
-		Lease: ShareLease, LeaderlessAfter: assumedLeaderlessAfter,
-		Tolerance: Tolerance(s),
-	}
+func shareOptions(t quota.Tolerance) quota.Options {
+	return quota.Options{Lease: ShareLease, LeaderlessAfter: assumedLeaderlessAfter, Tolerance: t}
 }
 
 // Limit returns the rate limit of a customer.
@@ -144,6 +144,7 @@
 		event.Log(ctx, ls.control.options.Logger, event.EndpointLost, slog.String("Endpoint", id))
 		ls.removeEndpoint(id)
 	}
+	ls.ceilings.Forget(now, func(id string) bool { _, listed := ls.roster.Get(id); return listed || ls.partial() })
 	ls.removeSilentEntries(now)
 	ls.placer.Tick(now)
 	ls.wakeWaiters(ls.placer.FreePlaces(now))
@@ -252,7 +253,9 @@
 	state := ls.control.machine.Stored()
 	ls.applyQuarantine(state)
 	ls.applyDepartures(state)
-	ls.pool.Appoint(quota.Appointment{Deputies: state.Appoint.Deputies, Former: state.Appoint.Former})
+	for _, pool := range []*quota.Pool{ls.pool, ls.endpointPool} {
+		pool.Appoint(quota.Appointment{Deputies: state.Appoint.Deputies, Former: state.Appoint.Former})
+	}
 	if state.Changes > ls.adapterChanges {
 		ls.adapterChanges = state.Changes
 		for _, v := range state.Adapters {
--- a/internal/node/control/updates.go
+++ b/internal/node/control/updates.go
@@ -72,6 +72,7 @@
 		Grants:      ls.pool.Report(now, quota.Report{Entry: r.Name, DataCentre: r.DataCentre, Uses: r.Customers}, ls.limits),
 	}
 	u.Tell = ls.requestsKnownEndpoints(r)
+	ls.fillCeilings(&u, now, r)
 	ls.fillDeputies(&u, r)
 	ls.fillState(&u, r)
 	ls.fillPlacement(&u, r)
--- a/internal/node/entry/borrow.go
+++ b/internal/node/entry/borrow.go
@@ -34,7 +34,7 @@
 	} else {
 		err = ErrNoLeader
 	}
-	for _, address := range e.nearestDeputies(l.Customer) {
+	for _, address := range e.nearestDeputies(e.deputyCount(l)) {
 		answer, callErr := e.callLender(ctx, address, report.LendMethod, l)
 		if callErr == nil {
 			return answer, nil
@@ -82,12 +82,21 @@
 	return l
 }
 
-// nearestDeputies returns the deputies to ask, nearest first, among those that hold shares of a customer. Deputies at the same
+// deputyCount returns how many of the deputies hold shares of the rate of a customer or an endpoint.
+func (e *Entry) deputyCount(l report.LoanRequest) int {
+	available := len(e.view.Deputies())
+	if l.Endpoint != "" {
+		return control.EndpointTolerance().Deputies(e.handler.EndpointLimit(l.Endpoint), available)
+	}
+	return control.Tolerance(e.options.Settings).Deputies(e.limit(l.Customer), available)
+}
+
+// nearestDeputies returns the deputies to ask, nearest first, among the first ones of the list. Deputies at the same
 // distance are ordered by a hash with this entry's name, so that entries ask different ones.
-func (e *Entry) nearestDeputies(customer string) (addresses []string) {
+func (e *Entry) nearestDeputies(count int) (addresses []string) {
 	s := e.options.Settings
 	list := slices.Clone(e.view.Deputies())
-	list = list[:control.Tolerance(s).Deputies(e.limit(customer), len(list))]
+	list = list[:min(count, len(list))]
 	rank := func(d report.Deputy) uint64 { return xxhash.Sum64String(s.Name + d.Address.String()) }
 	slices.SortFunc(list, func(a, b report.Deputy) int {
 		return cmp.Or(
@@ -107,7 +116,7 @@
 func (e *Entry) lend(ctx context.Context, from string, l report.LoanRequest) (report.LoanReply, error) {
 	if answer, lends := e.handler.Lend(l); lends {
 		event.Log(ctx, e.options.Logger, event.DeputyLent, slog.String("Entry", from), slog.String("Customer", l.Customer),
-			slog.Any("Requests", l.Requests), slog.Any("Admitted", answer.Admitted), slog.Int64("InMillis", answer.InMillis))
+			slog.String("Endpoint", l.Endpoint), slog.Any("Requests", l.Requests), slog.Any("Admitted", answer.Admitted), slog.Int64("InMillis", answer.InMillis))
 		return answer, nil
 	}
 	return e.borrowFromLeader(ctx, l)
--- a/internal/node/entry/sync.go
+++ b/internal/node/entry/sync.go
@@ -68,7 +68,7 @@
 	}
 	e.recordLeader(ctx, to, u)
 	e.handler.Reported(e.reportedAt, r, u)
-	e.apply(ctx, u, now)
+	e.apply(ctx, r, u, now)
 	if e.view.Empty() {
 		e.nextReportAt = now // no request can be served until the leader knows endpoints
 	}
@@ -121,7 +121,7 @@
 	e.outage.Answered()
 }
 
-func (e *Entry) apply(ctx context.Context, u report.Update, sentAt time.Time) {
+func (e *Entry) apply(ctx context.Context, r report.Entry, u report.Update, sentAt time.Time) {
 	changed, err := e.view.Apply(e.options.Now(), u, e.options.Decode)
 	if err != nil {
 		event.Log(ctx, e.options.Logger, event.ViewRefused, slog.Uint64("Version", u.Document), slog.Any("Error", err))
@@ -153,6 +153,7 @@
 	// The leader may have delayed the answer, and measures the time since this entry's last report from it.
 	terms := quota.Terms{LeaderlessFrom: e.options.Now().Add(control.LeaderlessAfter), Expires: sentAt.Add(control.ShareLease)}
 	e.handler.Grant(terms, u.Grants, limits)
+	e.handler.GrantEndpoints(sentAt, r, u, terms)
 	e.serving.Store(true)
 }
 
--- a/internal/serve/forward/admit.go
+++ b/internal/serve/forward/admit.go
@@ -7,6 +7,7 @@
 	"github.com/zeebo/errs"
 
 	"lycheevale/internal/base/refusal"
+	"lycheevale/internal/limit/quota"
 	"lycheevale/internal/member/report"
 )
 
@@ -29,7 +30,7 @@
 	h.mu.Unlock()
 	if borrow {
 		var err error
-		if retryAt, admitted, err = h.borrow(x, cost, retryAt); err != nil {
+		if retryAt, admitted, err = h.borrow(x, report.LoanRequest{Customer: x.customer.Name}, cost, retryAt); err != nil {
 			return refusal.New(refusal.Unavailable, "the customer's rate is not known: %v", err).WithRetryAt(h.retryAtWithLeader(x, retryAt))
 		}
 	}
@@ -40,13 +41,16 @@
 	return nil
 }
 
-// loanQueue holds the requests of a customer that the leader is asked to admit. One call runs at a time: requests that arrive
+// loanQueue holds the requests of a customer, or to an endpoint that has named a rate, that the leader is asked to admit. One call runs at a time: requests that arrive
 // meanwhile are batched into the next one, so that a slow leader gets fewer calls.
 type loanQueue struct {
 	waiting []*pendingLoan
 	running bool
 }
 
+// loanKey names a customer or an endpoint.
+type loanKey struct{ customer, endpoint string }
+
 type pendingLoan struct {
 	cost     float64
 	done     chan struct{}
@@ -55,23 +59,23 @@
 	err      error
 }
 
-// borrow asks the leader to admit the request from the reserve of the customer's rate. While the reserve is empty, further requests
-// are refused without a call.
-func (h *Handler) borrow(x *exchange, cost float64, retryAt time.Time) (at time.Time, admitted bool, err error) {
+// borrow asks the leader to admit the request from the reserve of its customer's or endpoint's rate, which loan names. While the reserve is empty,
+// further requests are refused without a call.
+func (h *Handler) borrow(x *exchange, loan report.LoanRequest, cost float64, retryAt time.Time) (at time.Time, admitted bool, err error) {
 	l := &pendingLoan{cost: cost, retryAt: retryAt, done: make(chan struct{})}
-	customer := x.customer.Name
+	key := loanKey{loan.Customer, loan.Endpoint}
 	h.mu.Lock()
-	queue := h.loans[customer]
+	queue := h.loans[key]
 	if queue == nil {
 		queue = &loanQueue{}
-		h.loans[customer] = queue
+		h.loans[key] = queue
 	}
 	queue.waiting = append(queue.waiting, l)
 	start := !queue.running
 	queue.running = true
 	h.mu.Unlock()
 	if start {
-		h.options.Spawn(func() { h.runLoans(customer, queue) })
+		h.options.Spawn(func() { h.runLoans(key, queue) })
 	}
 	select {
 	case <-l.done:
@@ -82,26 +86,28 @@
 }
 
 // runLoans calls the leader until the queue is empty.
-func (h *Handler) runLoans(customer string, queue *loanQueue) {
+func (h *Handler) runLoans(key loanKey, queue *loanQueue) {
 	for {
 		h.mu.Lock()
 		batch := queue.waiting
 		queue.waiting = nil
-		queue.running = len(batch) > 0
+		if queue.running = len(batch) > 0; !queue.running {
+			delete(h.loans, key)
+		}
 		h.mu.Unlock()
 		if len(batch) == 0 {
 			return
 		}
-		loan := report.LoanRequest{Customer: customer}
+		loan := report.LoanRequest{Customer: key.customer, Endpoint: key.endpoint}
 		for _, l := range batch {
 			loan.Requests = append(loan.Requests, l.cost)
 		}
 		answer, err := h.options.Borrow(context.Background(), loan)
-		h.completeLoans(customer, batch, answer, err)
+		h.completeLoans(key, batch, answer, err)
 	}
 }
 
-func (h *Handler) completeLoans(customer string, batch []*pendingLoan, answer report.LoanReply, err error) {
+func (h *Handler) completeLoans(key loanKey, batch []*pendingLoan, answer report.LoanReply, err error) {
 	if err == nil && len(answer.Admitted) != len(batch) {
 		err = errs.New("%d decisions on %d requests", len(answer.Admitted), len(batch))
 	}
@@ -119,12 +125,20 @@
 	}
 	if denied {
 		h.mu.Lock()
-		h.shares.Denied(back, customer)
+		h.lenderShares(key.endpoint).Denied(back, key.customer+key.endpoint)
 		h.mu.Unlock()
 	}
 }
 
-// Lend admits requests of another entry from this entry's shares of the customer's rate. It returns false if this entry has none
+// lenderShares returns this entry's shares of customers' rates, or of those that endpoints have named. The caller holds h.mu.
+func (h *Handler) lenderShares(endpoint string) *quota.EntryPool {
+	if endpoint != "" {
+		return h.endpointShares
+	}
+	return h.shares
+}
+
+// Lend admits requests of another entry from this entry's shares of the customer's or endpoint's rate. It returns false if this entry has none
 // that it may lend.
 func (h *Handler) Lend(l report.LoanRequest) (answer report.LoanReply, lends bool) {
 	h.mu.Lock()
@@ -132,7 +146,7 @@
 	now := h.options.Now()
 	answer.Leading = true
 	for _, cost := range l.Requests {
-		retryAt, admitted, lends := h.shares.Lend(now, l.Customer, cost)
+		retryAt, admitted, lends := h.lenderShares(l.Endpoint).Lend(now, l.Customer+l.Endpoint, cost)
 		if !lends {
 			return report.LoanReply{}, false
 		}
--- a/internal/serve/forward/forward.go
+++ b/internal/serve/forward/forward.go
@@ -19,6 +19,7 @@
 	"lycheevale/internal/base/event"
 	"lycheevale/internal/base/refusal"
 	"lycheevale/internal/limit/buffers"
+	"lycheevale/internal/limit/ceiling"
 	"lycheevale/internal/limit/quota"
 	"lycheevale/internal/limit/retry"
 	"lycheevale/internal/member/report"
@@ -45,7 +46,10 @@
 	placing           *semaphore.Weighted // requests for places at the leader
 	silence           *silence.Watch
 	attempts          map[*inFlight]bool
-	loans             map[string]*loanQueue // by customer
+	loans             map[loanKey]*loanQueue
+	ceilings          *ceiling.Book    // rates that endpoints have named
+	endpointShares    *quota.EntryPool // of these rates, by endpoint
+	ceilingRevision   uint64           // of the leader's list of these rates
 	reading           prefill.Speed
 	unread            map[string]int // tokens of prompts that this entry has sent and whose requests have not begun, by endpoint
 	reportedBacklog   map[string]int // milliseconds of this entry's unread prompts as last reported to the leader, by endpoint
@@ -108,7 +112,7 @@
 	h := &Handler{
 		options: o, picker: pick.New(o.Picker, o.Seed), random: rand.New(rand.NewPCG(o.Seed, o.Seed+1)),
 		budgets: map[string]*retry.Budget{}, uses: map[[2]string]*use{}, placements: map[residency.Adapter]*placement{}, placing: semaphore.NewWeighted(maxPlacements),
-		silence: silence.New(silence.Defaults()), attempts: map[*inFlight]bool{}, loans: map[string]*loanQueue{}, unread: map[string]int{}, shares: o.Shares,
+		silence: silence.New(silence.Defaults()), attempts: map[*inFlight]bool{}, loans: map[loanKey]*loanQueue{}, ceilings: ceiling.New(), endpointShares: quota.NewEntryPool(), unread: map[string]int{}, shares: o.Shares,
 		tracker: quarantine.NewTracker(), refusedSignatures: map[string]quarantine.Refusals{}, trials: map[string]time.Time{},
 	}
 	h.filters = []filter{h.match, h.identify, h.read, h.sign, h.checkSignatures, h.admit, h.dispatch}
@@ -348,6 +352,7 @@
 	defer h.mu.Unlock()
 	now := h.options.Now()
 	r.Customers = h.shares.Report(now, elapsed)
+	h.reportCeilings(now, r, elapsed)
 	r.Active = map[string]int{}
 	h.picker.Forget(h.options.View.HasEndpoint)
 	for id, n := range h.picker.Running() {
--- a/internal/serve/forward/send.go
+++ b/internal/serve/forward/send.go
@@ -36,18 +36,13 @@
 	defer cancel()
 	x.ctx = ctx
 	for ; ; x.tries++ {
-		c, refused := h.place(x, x.exclude)
+		c, refused := h.placeAdmitted(x)
 		if refused != nil {
 			if h.awaitEndpoint(x) {
 				continue
 			}
 			return h.giveUp(x, refused)
 		}
-		if !h.accepts(c) {
-			h.logRetry(x, c, notRun, reasonLeft)
-			x.exclude = append(slices.Clip(x.exclude), c.ID)
-			continue
-		}
 		if refused := h.checkBacklog(x, c); refused != nil {
 			return h.giveUp(x, refused)
 		}
@@ -250,6 +245,9 @@
 		event.Log(x.ctx, h.options.Logger, event.EndpointLeaves, slog.String("Attempt", x.request.Attempt), slog.String("Endpoint", c.ID),
 			slog.Int64("Born", c.Born))
 	}
+	if !reply.Moved {
+		h.recordCeiling(x, c, reply.Limit)
+	}
 	now := h.options.Now()
 	if reply.Moved || !reply.RetryAt.After(now) {
 		return
--- a/internal/serve/forward/types.go
+++ b/internal/serve/forward/types.go
@@ -40,6 +40,8 @@
 	Moved    bool // the address belongs to another endpoint, or the endpoint lacks the adapter or its version
 	Streamed bool // the body is an event stream
 	Leaving  bool // the endpoint states that it leaves
+	// Limit is the number of requests a second that the endpoint takes from all entries together, 0 if it names none.
+	Limit float64
 	// RetryAt is the time before which the endpoint wants no more requests of this entry, or the zero time.
 	RetryAt time.Time
 }
