Test that a cut head of an answer is no answer

Reported by other operators: a head that ended in the middle was delivered as a 200 without a body. It can't happen here: an answer is taken only once its head is complete. TestCutHeadIsNoAnswer cuts it at each byte; it passed at once.

--- a/internal/wire/upstream/late_test.go
+++ b/internal/wire/upstream/late_test.go
@@ -224,3 +224,26 @@
 	c.Check(err, quicktest.IsNotNil, quicktest.Commentf("%+v", a))
 	c.Check(errs.Is(err, upstream.ErrMalformed), quicktest.IsTrue, quicktest.Commentf("%v", err))
 }
+
+// An endpoint stops in the middle of the head of its answer and closes the connection. Guards against taking the part that arrived as a complete answer
+// without a body, or with a shorter one.
+func TestCutHeadIsNoAnswer(t *testing.T) {
+	c := quicktest.New(t)
+	whole := "HTTP/1.1 200 OK\r\nAttempt: 1\r\nContent-Type: text/plain\r\nContent-Length: 12\r\n\r\n"
+	for n := range len(whole) {
+		p := upstream.New(upstream.WithDial(func(context.Context, netip.AddrPort) (net.Conn, error) {
+			entry, endpoint := net.Pipe()
+			var group errgroup.Group
+			group.Go(func() error {
+				if _, err := http.ReadRequest(bufio.NewReader(endpoint)); err != nil {
+					return err
+				}
+				_, err := io.WriteString(endpoint, whole[:n])
+				return errs.Combine(err, endpoint.Close())
+			})
+			return entry, nil
+		}))
+		_, err := get(p, netip.MustParseAddrPort("127.0.0.1:1"), "1")
+		c.Check(err, quicktest.IsNotNil, quicktest.Commentf("after %q", whole[:n]))
+	}
+}
