Test that disks which are full in turn leave a majority

Reported by other operators: changes were refused for good after the disks of counted machines had been full one after another.

--- a/internal/state/voter/diskfault_test.go
+++ b/internal/state/voter/diskfault_test.go
@@ -198,3 +198,33 @@
 		qt.Assert(t, c.voters(), qt.HasLen, 3)
 	})
 }
+
+// The disks of all voters are full for some seconds, one after the other, while changes arrive and each voter is started again and again. Guards against a
+// voter that stays out once its disk has room: the last full disk would then leave no majority.
+func TestDisksFullInTurn(t *testing.T) {
+	virtualtime.Test(t, func(t *testing.T) {
+		c := newCluster(t, 30*time.Millisecond)
+		defer c.stopAll()
+		c.allowErrors = true
+		id := 0
+		for _, full := range append(slices.Clone(c.names), c.names...) {
+			c.setFault(full, diskFaults["full disk"])
+			other := c.names[(slices.Index(c.names, full)+1)%len(c.names)]
+			for until := time.Now().Add(4 * time.Second); time.Now().Before(until); id++ {
+				c.change(other, id)
+				time.Sleep(500 * time.Millisecond)
+				if c.stoppedByDisk(full) {
+					c.kill(full)
+					c.start(full)
+				}
+			}
+			c.setFault(full, nil)
+			if c.node(full).voter.Status().Err != nil {
+				c.kill(full)
+				c.start(full)
+			}
+			time.Sleep(2 * time.Second)
+		}
+		c.recoverVoters(t, id)
+	})
+}
