Name the reason and the type that two meanings had come to share

The roster's record of an ended incarnation also serves for one that is leaving, and an attempt ends as unavailable, not as left, where the endpoint takes no more for now. placeAdmitted stands beside place.

--- a/internal/member/roster/roster.go
+++ b/internal/member/roster/roster.go
@@ -65,25 +65,26 @@
 	options    Options
 	entries    map[string]*entry
 	byAddress  map[netip.AddrPort]string
-	ended      map[string]endedIncarnation // newest ended incarnation, by ID
-	leaving    map[string]endedIncarnation // newest incarnation that is leaving by a stored departure, by ID
+	ended      map[string]incarnation // newest ended incarnation, by ID
+	leaving    map[string]incarnation // newest incarnation that is leaving by a stored departure, by ID
 	revision   uint64
 	lastExpire time.Time
 }
 
-type endedIncarnation struct {
-	born int64 // 0 if it is not known
-	at   time.Time
+// incarnation is the newest one of an endpoint that has ended or is leaving.
+type incarnation struct {
+	born int64     // 0 if it is not known
+	at   time.Time // when that was recorded
 }
 
-// covers reports whether an incarnation that has not announced itself since has ended.
-func (p endedIncarnation) covers(born int64) bool { return p.born == 0 || born <= p.born }
+// covers reports whether an incarnation that has not announced itself since is this one or an earlier one.
+func (p incarnation) covers(born int64) bool { return p.born == 0 || born <= p.born }
 
 // New returns an empty roster.
 func New(o Options) *Roster {
 	return &Roster{
-		options: o, entries: map[string]*entry{}, byAddress: map[netip.AddrPort]string{}, ended: map[string]endedIncarnation{},
-		leaving: map[string]endedIncarnation{}, revision: 1,
+		options: o, entries: map[string]*entry{}, byAddress: map[netip.AddrPort]string{}, ended: map[string]incarnation{},
+		leaving: map[string]incarnation{}, revision: 1,
 	}
 }
 
@@ -143,7 +144,7 @@
 func (r *Roster) Departure(a Announcement, othersMayKnow bool) (d report.Departure, departs bool) {
 	e, p := r.entries[a.ID], r.ended[a.ID]
 	switch {
-	case a.Gone && e == nil && (p.at.IsZero() && othersMayKnow || !p.at.IsZero()):
+	case a.Gone && e == nil && (!p.at.IsZero() || othersMayKnow):
 		return report.Departure{ID: a.ID, Born: max(p.born, a.Born), Gone: true}, true
 	case a.Leaving && e != nil && e.Leaving && e.Born == a.Born:
 		return report.Departure{ID: a.ID, Born: a.Born}, true
@@ -170,7 +171,7 @@
 		e.Leaving = true
 	}
 	if known.at.IsZero() || known.born < d.Born {
-		list[d.ID] = endedIncarnation{born: d.Born, at: now}
+		list[d.ID] = incarnation{born: d.Born, at: now}
 		changed = changed || e == nil
 	}
 	if changed {
@@ -241,7 +242,7 @@
 		}
 		delete(r.ended, oldest)
 	}
-	r.ended[id] = endedIncarnation{born: born, at: now}
+	r.ended[id] = incarnation{born: born, at: now}
 }
 
 // maxExpireGap is the longest normal time between two calls of Expire. After a longer one, this process was suspended, and
@@ -269,8 +270,8 @@
 			delete(r.ended, e.displaced) // one announcement does not show that the other endpoint has stopped
 		}
 	}
-	for _, list := range []map[string]endedIncarnation{r.ended, r.leaving} {
-		maps.DeleteFunc(list, func(id string, p endedIncarnation) bool {
+	for _, list := range []map[string]incarnation{r.ended, r.leaving} {
+		maps.DeleteFunc(list, func(id string, p incarnation) bool {
 			return now.Sub(p.at) >= r.options.Retention && r.entries[id] == nil
 		})
 	}
--- a/internal/serve/forward/ceiling.go
+++ b/internal/serve/forward/ceiling.go
@@ -2,30 +2,14 @@
 
 import (
 	"log/slog"
-	"slices"
 	"time"
 
 	"lycheevale/internal/base/event"
-	"lycheevale/internal/base/refusal"
 	"lycheevale/internal/limit/ceiling"
 	"lycheevale/internal/limit/quota"
 	"lycheevale/internal/member/report"
 )
 
-// placeAdmitted chooses the endpoint of the next attempt, among those that still take requests when it is their turn.
-func (h *Handler) placeAdmitted(x *exchange) (c choice, refused *refusal.Error) {
-	for {
-		if c, refused = h.place(x, x.exclude); refused != nil {
-			return c, refused
-		}
-		if h.accepts(c) && h.admitToEndpoint(x, c) {
-			return c, nil
-		}
-		h.logRetry(x, c, notRun, reasonLeft)
-		x.exclude = append(slices.Clip(x.exclude), c.ID)
-	}
-}
-
 // admitToEndpoint charges a request to the rate that its endpoint has named, which all entries share. An endpoint that takes no more for now gets no
 // further request of this entry until it may.
 func (h *Handler) admitToEndpoint(x *exchange, c choice) bool {
--- a/internal/serve/forward/place.go
+++ b/internal/serve/forward/place.go
@@ -73,6 +73,20 @@
 	return (ok && e.Born == c.Born) || (c.unlisted && !h.options.View.HasEndpoint(c.ID) && !h.options.View.HasLeft(c.Endpoint))
 }
 
+// placeAdmitted chooses the endpoint of the next attempt, among those that still take requests when it is their turn.
+func (h *Handler) placeAdmitted(x *exchange) (c choice, refused *refusal.Error) {
+	for {
+		if c, refused = h.place(x, x.exclude); refused != nil {
+			return c, refused
+		}
+		if h.accepts(c) && h.admitToEndpoint(x, c) {
+			return c, nil
+		}
+		h.logRetry(x, c, notRun, reasonUnavailable)
+		x.exclude = append(slices.Clip(x.exclude), c.ID)
+	}
+}
+
 // place chooses the endpoint of the next attempt. If no endpoint holds the adapter, it asks the leader to have it loaded
 // and waits for that.
 func (h *Handler) place(x *exchange, exclude []string) (c choice, refused *refusal.Error) {
--- a/internal/serve/forward/send.go
+++ b/internal/serve/forward/send.go
@@ -177,7 +177,7 @@
 
 // Reasons for which an attempt was not answered.
 const (
-	reasonLeft        = "Left" // the endpoint wants no more requests, since its adapter was requested
+	reasonUnavailable = "Unavailable" // the endpoint has left, or takes no more requests of this entry for now
 	reasonUnreachable = "Unreachable"
 	reasonBroken      = "Broken"
 	reasonSilent      = "Silent"
