--- a/internal/node/entry/entry.go
+++ b/internal/node/entry/entry.go
@@ -42,8 +42,7 @@
 	outage     *outage.Outage
 	background errgroup.Group // calls to the leader, which end with their timeouts; a stop does not wait for them
 	draining   atomic.Bool
-	serving    atomic.Bool  // a configuration is known
-	callers    atomic.Int64 // open connections of callers
+	serving    atomic.Bool // a configuration is known
 
 	mu            sync.Mutex
 	seeds         []netip.AddrPort
@@ -124,7 +123,7 @@
 	group, work := errgroup.WithContext(work)
 	callers := &http.Server{
 		Handler: e.handler, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
-		ErrorLog: slog.NewLogLogger(e.options.Logger.Handler(), slog.LevelDebug), ConnState: e.countConnection,
+		ErrorLog: slog.NewLogLogger(e.options.Logger.Handler(), slog.LevelDebug),
 	}
 	ready := &http.Server{Handler: e.readiness(), ReadHeaderTimeout: headerTimeout}
 	group.Go(func() error { return e.peers.Run(work) })
@@ -163,22 +162,12 @@
 }
 
 func serveUntilClosed(s *http.Server, l net.Listener) error {
-	if err := s.Serve(l); !errs.Is(err, http.ErrServerClosed) && !errs.Is(err, net.ErrClosed) {
+	if err := s.Serve(l); !errs.Is(err, http.ErrServerClosed) {
 		return err
 	}
 	return nil
 }
 
-func (e *Entry) countConnection(_ net.Conn, state http.ConnState) {
-	switch state {
-	case http.StateNew:
-		e.callers.Add(1)
-	case http.StateClosed, http.StateHijacked:
-		e.callers.Add(-1)
-	case http.StateActive, http.StateIdle:
-	}
-}
-
 func (e *Entry) sweep(context.Context) {
 	e.handler.Sweep()
 	e.options.Pool.Sweep()
@@ -208,14 +197,11 @@
 func (e *Entry) drain(ctx context.Context, callers *http.Server, accepting *listener.Draining) {
 	started := e.options.Now()
 	e.draining.Store(true)
+	e.handler.Close()
 	event.Log(ctx, e.options.Logger, event.InstanceDraining, slog.String("Instance", e.options.Settings.Name))
 	deadline := time.Now().Add(e.options.Settings.Shutdown.Duration() - exitMargin)
-	e.handler.Close(started.Add(readinessDelay), started.Add(e.options.Settings.Shutdown.Duration()-exitMargin))
 	time.Sleep(readinessDelay)
 	accepting.Drain()
-	_ = accepting.Close() // later connections are reset, so that their callers try another instance at once
-	callers.SetKeepAlivesEnabled(false)
-	e.awaitFirstRequests()
 	end, cancel := context.WithDeadline(context.WithoutCancel(ctx), deadline)
 	defer cancel()
 	err := callers.Shutdown(end)
@@ -224,20 +210,6 @@
 	_ = callers.Close() // aborts requests that are still active
 }
 
-// awaitFirstRequests waits for the requests of callers that have just connected, until all connections are closed. http.Server.Shutdown would read such
-// a request and close the connection without an answer.
-func (e *Entry) awaitFirstRequests() {
-	for waitUntil := time.Now().Add(firstRequestWait); e.callers.Load() > 0 && time.Now().Before(waitUntil); {
-		time.Sleep(connectionPoll)
-	}
-}
-
-const (
-	// firstRequestWait exceeds the time after which callers that have connected send their requests.
-	firstRequestWait = 3500 * time.Millisecond
-	connectionPoll   = 20 * time.Millisecond
-)
-
 // SetSeeds replaces the seeds.
 func (e *Entry) SetSeeds(seeds []netip.AddrPort) {
 	e.mu.Lock()
--- a/internal/serve/forward/forward.go
+++ b/internal/serve/forward/forward.go
@@ -55,8 +55,6 @@
 	reportedBacklog   map[string]int // milliseconds of this entry's unread prompts as last reported to the leader, by endpoint
 	reportedActive    map[string]int // this entry's active requests as last reported to the leader, by endpoint
 	closing           bool
-	refuseFrom        time.Time // from then on, requests are refused that may last longer than until stopAt
-	stopAt            time.Time // when a planned stop cuts the requests that still run
 	tracker           *quarantine.Tracker
 	refusedSignatures map[string]quarantine.Refusals // requests refused since the last report, by quarantined signature
 	trials            map[string]time.Time           // until when one request may try a quarantined signature
@@ -200,7 +198,7 @@
 	h.mu.Lock()
 	h.budget(x.service.Name).Request(x.arrived)
 	h.mu.Unlock()
-	return h.checkStop(x)
+	return nil
 }
 
 // startupRetry is roughly the time from the start of an instance to its first configuration.
@@ -335,23 +333,11 @@
 		slog.Any("Parts", x.request.SharedParts), slog.String("Request", x.exactRequest()))
 }
 
-// Close sets "Connection: close" on all further answers, so that callers reconnect to another instance. From a time on, when new callers know that
-// this one stops, it refuses requests that may not be answered before the stop cuts them.
-func (h *Handler) Close(refuseFrom, stopAt time.Time) {
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	h.closing, h.refuseFrom, h.stopAt = true, refuseFrom, stopAt
-}
-
-// checkStop refuses a request that comes late in a planned stop and may last longer than it. Another instance can still answer in time.
-func (h *Handler) checkStop(x *exchange) *refusal.Error {
+// Close sets "Connection: close" on all further answers, so that callers reconnect to another instance.
+func (h *Handler) Close() {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	if !h.closing || x.arrived.Before(h.refuseFrom) || x.deadline.Before(h.stopAt) {
-		return nil
-	}
-	return refusal.New(refusal.Unavailable, "this instance stops in %v, the request may last %v", h.stopAt.Sub(x.arrived).Round(time.Millisecond),
-		x.deadline.Sub(x.arrived)).WithRetryAt(x.arrived)
+	h.closing = true
 }
 
 func (h *Handler) isClosing() bool {
