--- a/internal/place/residency/residency.go
+++ b/internal/place/residency/residency.go
@@ -219,7 +219,11 @@
 
 // addPending adds a place for an adapter that the endpoint reports as being loaded. It may replace an older version, whose answers may still arrive.
 func (p *Placer) addPending(now time.Time, e *endpoint, h Holding) {
-	if e.places[h.Adapter] != nil {
+	switch old := e.places[h.Adapter]; {
+	case old == nil:
+	case old.replaces != nil:
+		e.recordDropped(now, old.replaces.holding, p.options.CachedAdapters)
+	case old.replacedBy(h):
 		p.remove(now, e, h.Adapter)
 	}
 	p.startTransfer(e, &place{
--- a/internal/place/residency/residency_test.go
+++ b/internal/place/residency/residency_test.go
@@ -165,6 +165,29 @@
 	c.Check(ok && again.Order, quicktest.IsTrue, quicktest.Commentf("the new version is still wanted"))
 }
 
+// A load was not answered, and an exact state shows that it is in progress. Guards against taking the adapter for one that the endpoint has held before:
+// answers would not confirm it for seconds, so that its place could not be used for another one.
+func TestAnswersConfirmUnansweredLoad(t *testing.T) {
+	c := quicktest.New(t)
+	p := placer(engine("a", "east", holdings(5)))
+	now := epoch.Add(5 * time.Second)
+	_, ok := p.Want(now, adapter("cold"), "east", false)
+	c.Assert(ok, quicktest.IsTrue)
+	p.LoadUnanswered(now, "a", holding(adapter("cold")))
+	p.Reconcile(now.Add(100*time.Millisecond), "a", holdings(5), []residency.Holding{holding(adapter("cold"))})
+	now = now.Add(time.Second)
+	p.Tick(now)
+	var uses []residency.Use
+	for _, h := range holdings(5) {
+		uses = append(uses, residency.Use{Endpoint: "a", Adapter: h.Adapter, Active: 1})
+	}
+	p.RecordUses(now, "entry", uses)
+	p.RecordAnswers(now, []residency.Use{{Endpoint: "a", Adapter: adapter("cold"), Count: 1}})
+	unloads := p.MakeRoom(now.Add(time.Second))
+	c.Assert(unloads, quicktest.HasLen, 1)
+	c.Check(unloads[0].Holding.Name, quicktest.Equals, "cold")
+}
+
 // An exact state shows that an adapter is gone while its unload is queued, and the adapter is wanted again. Guards against the unload
 // removing the place of the load that is queued behind it.
 func TestLateUnloadKeepsPlaceOfNewLoad(t *testing.T) {
