Say once what the departures, pauses and rates of endpoints repeated

Behaviour as before, tests unchanged; found by reading the diff. - The leader told its placement of every stored departure again with each new one, and of each leaving endpoint with each report: only of changes now. - Partial lists and the departures that go with them shared one condition in two places. - Remembered incarnations are kept as long as before; a listed endpoint that is leaving says so itself. - One endpoint's pause was looked up through a list of one; a moved answer was checked three times; Book.State had a case that changed nothing. - EntryPool.Keep is called Forget, as in the packages beside it.

--- a/internal/limit/ceiling/ceiling.go
+++ b/internal/limit/ceiling/ceiling.go
@@ -53,14 +53,11 @@
 // State records what an endpoint has stated in an answer to a request that was sent at a time: a rate, or 0 for none. It reports whether the rate has
 // changed.
 func (b *Book) State(now, sent time.Time, endpoint string, rate float64) (changed bool) {
-	before, known := b.records[endpoint]
-	switch {
-	case rate <= 0 && (!known || before.rate == 0 || sent.Before(before.stated)):
-		return false
-	case rate > 0:
+	before := b.records[endpoint]
+	if rate > 0 {
 		rate = max(rate, minRate)
-	default:
-		rate = 0
+	} else if before.rate == 0 || sent.Before(before.stated) {
+		return false // nothing ends
 	}
 	return b.set(endpoint, record{rate: rate, stated: now, own: true})
 }
--- a/internal/limit/quota/quota.go
+++ b/internal/limit/quota/quota.go
@@ -70,8 +70,8 @@
 	p.terms = terms
 }
 
-// Keep forgets customers for which keep returns false.
-func (p *EntryPool) Keep(keep func(customer string) bool) {
+// Forget removes customers for which keep returns false.
+func (p *EntryPool) Forget(keep func(customer string) bool) {
 	maps.DeleteFunc(p.accounts, func(customer string, _ *account) bool { return !keep(customer) })
 }
 
--- a/internal/member/roster/roster.go
+++ b/internal/member/roster/roster.go
@@ -152,31 +152,32 @@
 	return d, false
 }
 
-// Depart applies a departure that an earlier leader may have recorded.
-func (r *Roster) Depart(now time.Time, d report.Departure) {
+// Depart applies a departure that an earlier leader may have recorded, and reports whether that changes the list of endpoints, or what may be added
+// to it.
+func (r *Roster) Depart(now time.Time, d report.Departure) (changed bool) {
 	e := r.entries[d.ID]
 	if e != nil && (!d.Covers(e.ID, e.Born) || (d.Born == 0 && !e.inherited)) {
-		return
+		return false
 	}
 	if d.Gone && e != nil {
 		r.remove(now, e)
-		return
+		return true
 	}
 	list := r.leaving
 	if d.Gone {
 		list = r.ended
 	}
-	known, changed := list[d.ID], e != nil && !e.Leaving
-	if e != nil {
-		e.Leaving = true
-	}
-	if known.at.IsZero() || known.born < d.Born {
+	if known := list[d.ID]; known.at.IsZero() || known.born < d.Born {
 		list[d.ID] = incarnation{born: d.Born, at: now}
-		changed = changed || e == nil
+		changed = e == nil
+	}
+	if e != nil && !e.Leaving {
+		e.Leaving, changed = true, true
 	}
 	if changed {
 		r.revision++
 	}
+	return changed
 }
 
 // RemoveInherited removes an endpoint that was inherited and has not announced itself, and reports whether it removed one.
@@ -271,9 +272,7 @@
 		}
 	}
 	for _, list := range []map[string]incarnation{r.ended, r.leaving} {
-		maps.DeleteFunc(list, func(id string, p incarnation) bool {
-			return now.Sub(p.at) >= r.options.Retention && r.entries[id] == nil
-		})
+		maps.DeleteFunc(list, func(_ string, p incarnation) bool { return now.Sub(p.at) >= r.options.Retention })
 	}
 	return expired
 }
--- a/internal/node/control/departures.go
+++ b/internal/node/control/departures.go
@@ -66,7 +66,9 @@
 }
 
 func (ls *leaderState) depart(now time.Time, d report.Departure) {
-	ls.roster.Depart(now, d)
+	if !ls.roster.Depart(now, d) {
+		return
+	}
 	if current, listed := ls.roster.Get(d.ID); listed {
 		ls.updatePlacer(current)
 	} else {
--- a/internal/node/control/updates.go
+++ b/internal/node/control/updates.go
@@ -76,7 +76,6 @@
 	ls.fillDeputies(&u, r)
 	ls.fillState(&u, r)
 	ls.fillPlacement(&u, r)
-	ls.fillDepartures(&u, r)
 	ls.recordSignatures(&u, now, r)
 	return u
 }
@@ -197,6 +196,9 @@
 	known := r.Term == ls.term
 	if !known || r.Directory != u.Directory {
 		u.Endpoints = ls.endpoints()
+		if u.Partial { // the entry must not keep these beyond the list
+			u.Departed = ls.control.machine.Stored().Departures
+		}
 	}
 	if known {
 		events, next, lost := ls.placer.Since(r.Placement)
@@ -212,13 +214,6 @@
 	}
 }
 
-// fillDepartures fills in the endpoints that an entry must not keep beyond a partial list.
-func (ls *leaderState) fillDepartures(u *report.Update, r report.Entry) {
-	if u.Partial && (r.Term != ls.term || r.Directory != u.Directory) {
-		u.Departed = ls.control.machine.Stored().Departures
-	}
-}
-
 // placeAdapter chooses a place for an adapter. The channel receives whether the order was accepted; it is nil if no order is needed.
 // If no place was found, the caller logs that once it gives up.
 func (ls *leaderState) placeAdapter(ctx context.Context, from string, w report.PlacementRequest) (placed report.PlacementReply, accepted <-chan bool) {
--- a/internal/serve/forward/ceiling.go
+++ b/internal/serve/forward/ceiling.go
@@ -48,7 +48,7 @@
 // maxLimitSpread bounds the time for which an entry leaves an endpoint alone that may take requests again.
 const maxLimitSpread = 3 * time.Second
 
-// recordCeiling records the rate that an endpoint has named in an answer, or that it names none any more.
+// recordCeiling records the rate that an endpoint has named in an answer, or that it names none any more, which is a rate of 0.
 func (h *Handler) recordCeiling(x *exchange, c choice, rate float64) {
 	now := h.options.Now()
 	h.mu.Lock()
@@ -63,7 +63,7 @@
 // reportCeilings fills in the rates that endpoints have named here, and the use of shares of rates. The caller holds h.mu.
 func (h *Handler) reportCeilings(now time.Time, r *report.Entry, elapsed time.Duration) {
 	h.ceilings.Forget(now, h.options.View.HasEndpoint)
-	h.endpointShares.Keep(func(id string) bool { _, limited := h.ceilings.Limit(id); return limited })
+	h.endpointShares.Forget(func(id string) bool { _, limited := h.ceilings.Limit(id); return limited })
 	r.Ceilings, r.CeilingRevision = h.ceilings.Own(now), h.ceilingRevision
 	for id, u := range h.endpointShares.Report(now, elapsed) {
 		if u.Held <= 0 {
--- a/internal/serve/forward/place.go
+++ b/internal/serve/forward/place.go
@@ -66,7 +66,10 @@
 
 // accepts reports whether a chosen endpoint still accepts work, for which a request may have waited.
 func (h *Handler) accepts(c choice) bool {
-	if len(h.withPaused(nil, []report.Endpoint{c.Endpoint})) > 0 {
+	h.mu.Lock()
+	paused := !h.picker.PausedUntil(h.options.Now(), c.ID).IsZero()
+	h.mu.Unlock()
+	if paused {
 		return false
 	}
 	e, ok := h.options.View.Endpoint(c.ID)
--- a/internal/serve/forward/send.go
+++ b/internal/serve/forward/send.go
@@ -241,15 +241,16 @@
 // recordStatements records what an endpoint states about itself in the head of an answer. An answer to a request that was meant for another endpoint
 // states nothing about that one.
 func (h *Handler) recordStatements(x *exchange, c choice, reply Reply) {
-	if reply.Leaving && !reply.Moved && h.options.View.RecordLeaving(c.Endpoint) {
+	if reply.Moved {
+		return
+	}
+	if reply.Leaving && h.options.View.RecordLeaving(c.Endpoint) {
 		event.Log(x.ctx, h.options.Logger, event.EndpointLeaves, slog.String("Attempt", x.request.Attempt), slog.String("Endpoint", c.ID),
 			slog.Int64("Born", c.Born))
 	}
-	if !reply.Moved {
-		h.recordCeiling(x, c, reply.Limit)
-	}
+	h.recordCeiling(x, c, reply.Limit)
 	now := h.options.Now()
-	if reply.Moved || !reply.RetryAt.After(now) {
+	if !reply.RetryAt.After(now) {
 		return
 	}
 	event.Log(x.ctx, h.options.Logger, event.EndpointPaused, slog.String("Attempt", x.request.Attempt), slog.String("Endpoint", c.ID),
