Continue streams at the software version that began them

It happened also after all entries had restarted, and after the endpoints of the former version had left.

Cause: nothing read the version that endpoints announce, or the attempt that a caller names when it continues a stream, and no instance knew what another one had begun. Class: state of a caller's request that is kept only where the request happened to arrive.

Change: announcements, the roster and the entries' list carry the software version. An entry continues a stream only at endpoints of the version that sent its first event. Entries record who began each stream and report that to the leader while a service has several versions, again to each new leader; an entry that is asked to continue a stream which it has not begun asks the leader. Where one version is left, it is taken; where several are and nobody knows, the request is refused at once (503, not run). An endpoint of a version that is new to its service gets work only once the version is stored and all entries had the time to learn of it, two intervals of reports.

--- a/internal/base/event/entry.go
+++ b/internal/base/event/entry.go
@@ -29,6 +29,7 @@
 	EndpointPaused    ID = 2023
 	EndpointLimit     ID = 2024
 	EndpointAtLimit   ID = 2025
+	StreamContinued   ID = 2026
 )
 
 var entryEvents = []Entry{
@@ -48,6 +49,7 @@
 	{EndpointPaused, slog.LevelInfo, "endpoint asked for no requests for some time", "Frequent: check the load of the endpoint."},
 	{EndpointLimit, slog.LevelInfo, "endpoint named another number of requests that it takes, or none any more", "Frequent: check the load of the endpoint."},
 	{EndpointAtLimit, slog.LevelInfo, "endpoint takes no more requests of this entry for now", "Many: check the load of the endpoint that it names."},
+	{StreamContinued, slog.LevelInfo, "software version of a stream that a caller continues was looked up", "Many without Known: check the control instances; several entries may have restarted."},
 	{EndpointLeaves, slog.LevelInfo, "endpoint stated in an answer that it leaves", "None."},
 	{EndpointProbed, slog.LevelInfo, "silent endpoint was probed with a new connection", "With an Error: check the endpoint and the way to it."},
 	{DeputiesNamed, slog.LevelInfo, "leader named the deputies that lend without it", "None."},
--- a/internal/member/report/report.go
+++ b/internal/member/report/report.go
@@ -8,6 +8,7 @@
 
 	"lycheevale/internal/limit/ceiling"
 	"lycheevale/internal/limit/quota"
+	"lycheevale/internal/place/origin"
 	"lycheevale/internal/place/quarantine"
 	"lycheevale/internal/place/residency"
 )
@@ -17,6 +18,7 @@
 	SyncMethod     = "Fleet.Sync"
 	PlaceMethod    = "Fleet.Want"
 	BorrowMethod   = "Fleet.Borrow"
+	OriginMethod   = "Fleet.Origin"
 	LendMethod     = "Fleet.Lend" // method of a deputy
 	AnnounceMethod = "Fleet.Announce"
 	GossipMethod   = "Fleet.Gossip"
@@ -49,6 +51,8 @@
 	Ceilings        []ceiling.Named      `json:"Ceilings,omitempty"`
 	CeilingRevision uint64               `json:"CeilingRevision,omitempty"` // known revision of the leader's list, in Term
 	EndpointUses    map[string]quota.Use `json:"EndpointUses,omitempty"`
+	// Streams lists streams that have begun at services with several software versions, unless the leader has confirmed them.
+	Streams []origin.Stream `json:"Streams,omitempty"`
 	// Refused counts requests since the last report, by identifier of a quarantined signature.
 	Refused map[string]quarantine.Refusals `json:"Refused,omitempty"`
 }
@@ -56,6 +60,7 @@
 // KnownEndpoint is an endpoint that an earlier leader has listed to an entry, with the adapters that it holds.
 type KnownEndpoint struct {
 	Endpoint Endpoint            `json:"Endpoint"`
+	Software string              `json:"Software,omitempty"`
 	Holdings []residency.Holding `json:"Holdings,omitempty"`
 }
 
@@ -71,6 +76,7 @@
 	Adapters     []Version              `json:"Adapters,omitempty"` // all adapters
 	Directory    uint64                 `json:"Directory,omitempty"`
 	Endpoints    []Endpoint             `json:"Endpoints,omitempty"` // all endpoints, if Directory has changed
+	Software     []string               `json:"Software,omitempty"`  // of each of the Endpoints; omitted if none names its software
 	Partial      bool                   `json:"Partial,omitempty"`   // a new leader may not know all endpoints yet
 	Departed     []Departure            `json:"Departed,omitempty"`  // with Endpoints, if the list is partial
 	Tell         bool                   `json:"Tell,omitempty"`      // the next report must contain Known
@@ -82,6 +88,7 @@
 	Grants       map[string]quota.Grant `json:"Grants,omitempty"`       // by customer
 	DeputyChange uint64                 `json:"DeputyChange,omitempty"` // revision of Deputies
 	Deputies     []Deputy               `json:"Deputies,omitempty"`     // all deputies, if their revision has changed
+	Versions     map[string][]string    `json:"Versions,omitempty"`     // software versions that may have begun streams, by service
 	Entries      int                    `json:"Entries,omitempty"`
 	EveryMillis  int64                  `json:"EveryMillis,omitempty"` // interval of reports in milliseconds
 
@@ -124,6 +131,7 @@
 	Born       int64          `json:"Born"` // start time of this incarnation in Unix milliseconds
 	Leaving    bool           `json:"Leaving,omitempty"`
 	Models     []string       `json:"Models,omitempty"`
+	Software   string         `json:"Software,omitempty" cbor:"-"` // Update and KnownEndpoint hold it apart, for instances of earlier releases
 }
 
 // Departure states that an endpoint accepts no more work. It applies to all incarnations of the endpoint up to one.
@@ -159,6 +167,21 @@
 	InMillis int64    `json:"InMillis,omitempty"` // milliseconds from this reply until requests can be sent
 }
 
+// OriginRequest asks the leader which software version of a service began a stream.
+type OriginRequest struct {
+	Service string `json:"Service"`
+	Attempt string `json:"Attempt"` // the caller's attempt that brought the first event
+}
+
+// OriginReply answers an OriginRequest.
+type OriginReply struct {
+	Leading  bool             `json:"Leading"`
+	Leader   string           `json:"Leader,omitempty"`
+	Known    bool             `json:"Known"`
+	Software *origin.Software `json:"Software,omitempty"` // set if Known
+	Versions []string         `json:"Versions,omitempty"` // that may have begun streams of the service
+}
+
 // LoanRequest asks the leader to admit requests of a customer, or requests to an endpoint that has named a rate.
 type LoanRequest struct {
 	Customer string    `json:"Customer,omitempty"`
--- a/internal/member/roster/check.go
+++ b/internal/member/roster/check.go
@@ -36,6 +36,8 @@
 		return invalid("data centre", shorten(a.DataCentre))
 	case !a.usableAddress():
 		return invalid("address", shorten(a.Address.String()))
+	case a.Software != "" && !validName(a.Software):
+		return invalid("software version", shorten(a.Software))
 	case a.Sequence >= maxNumber:
 		return invalid("sequence number", a.Sequence)
 	case a.Slots < 1 || a.Slots > maxSlots:
--- a/internal/member/roster/roster.go
+++ b/internal/member/roster/roster.go
@@ -34,6 +34,7 @@
 	Born       int64          `json:"Born"`     // start time of this incarnation in Unix milliseconds
 	Sequence   uint64         `json:"Sequence"` // increases with each announcement of this incarnation
 	Slots      int            `json:"Slots,omitempty"`
+	Software   string         `json:"Software,omitempty"` // version of the endpoint's software, empty if it names none
 	Leaving    bool           `json:"Leaving,omitempty"`
 	Gone       bool           `json:"Gone,omitempty"` // the endpoint has stopped; only ID and Born are set
 
@@ -118,6 +119,9 @@
 	if p, leaving := r.leaving[a.ID]; (old != nil && old.Born == a.Born && old.Leaving) || (leaving && a.Born <= p.born) {
 		a.Leaving = true // a leaving incarnation does not serve again
 	}
+	if old != nil && old.Born == a.Born && old.Software != "" {
+		a.Software = old.Software // it does not change within one incarnation
+	}
 	r.store(now, a, old)
 	r.entries[a.ID].displaced = displaced
 	return old == nil || !sameState(old.Announcement, a), nil
@@ -195,7 +199,8 @@
 // sameState reports whether two announcements agree in all fields that are sent to entries.
 func sameState(a, b Announcement) bool {
 	return a.Service == b.Service && a.DataCentre == b.DataCentre && a.Address == b.Address && a.Born == b.Born &&
-		a.Slots == b.Slots && a.Leaving == b.Leaving && slices.Equal(a.Models, b.Models)
+		a.Slots == b.Slots && a.Software == b.Software && a.Leaving == b.Leaving &&
+		slices.Equal(a.Models, b.Models)
 }
 
 func (r *Roster) store(now time.Time, a Announcement, old *entry) {
@@ -301,7 +306,7 @@
 func (e *entry) endpoint() report.Endpoint {
 	return report.Endpoint{
 		ID: e.ID, Service: e.Service, DataCentre: e.DataCentre, Address: e.Address, Slots: e.Slots,
-		Born: e.Born, Leaving: e.Leaving, Models: e.Models,
+		Born: e.Born, Leaving: e.Leaving, Models: e.Models, Software: e.Software,
 	}
 }
 
--- a/internal/member/view/view.go
+++ b/internal/member/view/view.go
@@ -28,10 +28,11 @@
 	services       map[string][]report.Endpoint
 	holders        map[residency.Adapter]map[string]int // version by endpoint
 	versions       map[residency.Adapter]int
-	leaving        map[string]leaving // incarnations that have stated in an answer that they leave, by endpoint
-	endpointOrder  []string           // endpoints in the order of the leader's list
-	running        map[string]int     // running requests of all entries, by endpoint
-	backlog        map[string]int     // milliseconds to read the waiting prompts of all entries, by endpoint
+	leaving        map[string]leaving  // incarnations that have stated in an answer that they leave, by endpoint
+	endpointOrder  []string            // endpoints in the order of the leader's list
+	running        map[string]int      // running requests of all entries, by endpoint
+	backlog        map[string]int      // milliseconds to read the waiting prompts of all entries, by endpoint
+	software       map[string][]string // versions that may have begun streams, by service
 	deputies       []report.Deputy
 	deputyRevision uint64 // revision of deputies
 
@@ -135,6 +136,7 @@
 		c.Document = true
 	}
 	v.entries = max(u.Entries, 1)
+	v.software = u.Versions
 	v.applyVersions(u)
 	c.Deputies = v.applyDeputies(u)
 	c.Quarantine = v.applyQuarantine(u)
@@ -161,8 +163,11 @@
 	}
 	endpoints, services := map[string]report.Endpoint{}, map[string][]report.Endpoint{}
 	v.endpointOrder = nil
-	for _, e := range u.Endpoints {
+	for i, e := range u.Endpoints {
 		v.endpointOrder = append(v.endpointOrder, e.ID)
+		if len(u.Software) == len(u.Endpoints) {
+			e.Software = u.Software[i]
+		}
 		if l, recorded := v.leaving[e.ID]; recorded && l.born == e.Born {
 			l.listed = e.Leaving
 			v.leaving[e.ID] = l
@@ -385,9 +390,29 @@
 	}
 	for id, e := range v.endpoints {
 		if !e.Leaving {
-			list = append(list, report.KnownEndpoint{Endpoint: e, Holdings: holdings[id]})
+			list = append(list, report.KnownEndpoint{Endpoint: e, Software: e.Software, Holdings: holdings[id]})
+		}
+	}
+	return list
+}
+
+// Software returns the software versions that may have begun streams of a service; none if the leader does not state them.
+func (v *View) Software(service string) []string {
+	v.mu.RLock()
+	defer v.mu.RUnlock()
+	return v.software[service]
+}
+
+// MixedServices returns the services with several software versions that may have begun streams, sorted.
+func (v *View) MixedServices() (list []string) {
+	v.mu.RLock()
+	defer v.mu.RUnlock()
+	for service, versions := range v.software {
+		if len(versions) > 1 {
+			list = append(list, service)
 		}
 	}
+	slices.Sort(list)
 	return list
 }
 
--- a/internal/node/control/interface.go
+++ b/internal/node/control/interface.go
@@ -44,6 +44,7 @@
 	c.mux.Handle(report.SyncMethod, peer.Typed(c.handleSync))
 	c.mux.Handle(report.PlaceMethod, peer.Typed(c.handlePlace))
 	c.mux.Handle(report.BorrowMethod, peer.Typed(c.handleBorrow))
+	c.mux.Handle(report.OriginMethod, peer.Typed(c.handleOrigin))
 	c.mux.Handle(report.AnnounceMethod, peer.Typed(c.handleAnnounce))
 	c.mux.Handle(report.ReadMethod, peer.Typed(c.handleRead))
 }
@@ -102,11 +103,14 @@
 		event.Log(ctx, c.options.Logger, event.EndpointAnnounced, slog.String("From", from), slog.Any("Error", err))
 		return announceReply{Leading: true, Invalid: true}, departures
 	}
+	if !c.state.admitsSoftware(a) {
+		return reply, departures // it announces itself again
+	}
 	changed, err := c.state.announce(a)
 	if changed || err != nil {
 		event.Log(ctx, c.options.Logger, event.EndpointAnnounced, slog.String("Endpoint", a.ID), slog.String("From", from),
 			slog.String("Service", a.Service), slog.Any("Address", a.Address), slog.Int64("Born", a.Born),
-			slog.Uint64("Sequence", a.Sequence), slog.Bool("Leaving", a.Leaving), slog.Bool("Gone", a.Gone), slog.Any("Error", err))
+			slog.Uint64("Sequence", a.Sequence), slog.String("Software", a.Software), slog.Bool("Leaving", a.Leaving), slog.Bool("Gone", a.Gone), slog.Any("Error", err))
 	}
 	return announceReply{Leading: true, Full: errs.Is(err, roster.ErrFull)}, c.state.departureCommand(a)
 }
--- a/internal/node/control/leader.go
+++ b/internal/node/control/leader.go
@@ -11,6 +11,7 @@
 	"lycheevale/internal/limit/quota"
 	"lycheevale/internal/member/report"
 	"lycheevale/internal/member/roster"
+	"lycheevale/internal/place/origin"
 	"lycheevale/internal/place/quarantine"
 	"lycheevale/internal/place/residency"
 	"lycheevale/internal/place/weights"
@@ -57,6 +58,12 @@
 
 	departed          map[string]time.Time // when stored departures were first seen here, by endpoint
 	departureRevision uint64               // of the stored departures that the roster knows
+
+	census           *origin.Census
+	softwareRevision uint64 // of the stored software versions that the census knows
+	storingSoftware  bool   // a change of the stored software versions is being proposed
+	countedAt        time.Time
+	streams          *origin.Book
 }
 
 // entry is the last report of an entry.
@@ -88,7 +95,7 @@
 		control: c, term: term, since: now, ordersFrom: c.ordersFrom(now, term), roster: roster.New(roster.DefaultOptions()), placer: residency.New(placerOptions),
 		pool: quota.NewPool(now, shareOptions(Tolerance(c.options.Settings))), endpointPool: quota.NewPool(now, shareOptions(EndpointTolerance())), ceilings: ceiling.New(),
 		entries: map[string]*entry{}, active: map[string]int{}, backlog: map[string]int{}, inheritAsked: map[string]bool{}, addresses: map[string]report.Deputy{}, queues: map[string]*orderQueue{}, limits: map[string]quota.Limit{},
-		detector: quarantine.NewDetector(quarantine.DefaultOptions()),
+		detector: quarantine.NewDetector(quarantine.DefaultOptions()), census: origin.NewCensus(), streams: origin.New(origin.MaxStreams),
 	}
 }
 
@@ -140,6 +147,7 @@
 	ls.applyReplicated(ctx)
 	ls.appoint(ctx, now)
 	ls.detect(ctx, now)
+	ls.countSoftware(ctx, now)
 	for _, id := range ls.roster.Expire(now) {
 		event.Log(ctx, ls.control.options.Logger, event.EndpointLost, slog.String("Endpoint", id))
 		ls.removeEndpoint(id)
@@ -253,6 +261,7 @@
 	state := ls.control.machine.Stored()
 	ls.applyQuarantine(state)
 	ls.applyDepartures(state)
+	ls.applySoftware(state)
 	for _, pool := range []*quota.Pool{ls.pool, ls.endpointPool} {
 		pool.Appoint(quota.Appointment{Deputies: state.Appoint.Deputies, Former: state.Appoint.Former})
 	}
--- /dev/null
+++ b/internal/node/control/software.go
@@ -0,0 +1,135 @@
+package control
+
+import (
+	"context"
+	"log/slog"
+	"time"
+
+	"lycheevale/internal/base/event"
+	"lycheevale/internal/member/report"
+	"lycheevale/internal/member/roster"
+	"lycheevale/internal/place/origin"
+	"lycheevale/internal/state/document"
+)
+
+func softwareOf(a roster.Announcement) origin.Software {
+	return origin.Software{Service: a.Service, Version: a.Software}
+}
+
+// software returns the software version of each endpoint, or nothing if none names one.
+func software(list []report.Endpoint) (versions []string) {
+	named := false
+	for _, e := range list {
+		versions = append(versions, e.Software)
+		named = named || e.Software != ""
+	}
+	if !named {
+		return nil
+	}
+	return versions
+}
+
+// admitsSoftware reports whether an announcement may be recorded. An endpoint with a software version that is new to its service gets work only once
+// the version is stored and all entries know that there are several: until then, they would continue streams of others there.
+func (ls *leaderState) admitsSoftware(a roster.Announcement) bool {
+	if a.Gone || a.Leaving {
+		return true // it gets no work
+	}
+	if current, listed := ls.roster.Get(a.ID); listed && current.Born == a.Born {
+		return true
+	}
+	now, s := ls.now(), softwareOf(a)
+	ls.census.Observe(now, s)
+	return ls.census.Usable(now, s, ls.settleTime())
+}
+
+// settleTime is the time in which all entries have learned something from the answers to their reports.
+func (ls *leaderState) settleTime() time.Duration {
+	return settleReports * reportInterval(len(ls.entries))
+}
+
+// countInterval is short compared with the time for which software versions count.
+const countInterval = 100 * time.Millisecond
+
+// countSoftware records which software versions serve, and stores changes, so that a new leader knows which versions may have begun streams.
+func (ls *leaderState) countSoftware(ctx context.Context, now time.Time) {
+	if now.Sub(ls.countedAt) < countInterval || ls.storingSoftware {
+		return
+	}
+	ls.countedAt = now
+	for _, e := range ls.endpoints() {
+		ls.census.Observe(now, origin.Software{Service: e.Service, Version: e.Software})
+	}
+	retention := ls.streamRetention()
+	ls.streams.Forget(now, retention)
+	added, removed := ls.census.Changes(now, retention)
+	if len(added)+len(removed) == 0 {
+		return
+	}
+	ls.storingSoftware = true
+	c := ls.control
+	c.group.Go(func() error {
+		_, err := c.propose(ctx, document.Command{Action: document.Software, Introduce: added, Retire: removed})
+		event.Log(ctx, c.options.Logger, event.SoftwareChanged, slog.Uint64("Term", ls.term), slog.Any("Added", added), slog.Any("Removed", removed),
+			slog.Any("Error", err))
+		c.mu.Lock()
+		defer c.mu.Unlock()
+		ls.storingSoftware = false
+		return nil
+	})
+}
+
+func (ls *leaderState) streamRetention() time.Duration {
+	if ls.index == nil {
+		return origin.Retention(0)
+	}
+	return origin.Retention(ls.index.LongestTimeout())
+}
+
+// applySoftware passes the stored software versions to the census.
+func (ls *leaderState) applySoftware(stored document.Stored) {
+	if stored.SoftwareRevision > ls.softwareRevision {
+		ls.softwareRevision = stored.SoftwareRevision
+		ls.census.Restore(ls.now(), stored.Software)
+	}
+}
+
+// recordStreams records the streams that have begun at an entry.
+func (ls *leaderState) recordStreams(now time.Time, r report.Entry) {
+	for _, s := range r.Streams {
+		ls.streams.Record(now, s)
+	}
+}
+
+// handleOrigin answers which software version began a stream. If that is not known, it waits for the next reports of the entries.
+func (c *Control) handleOrigin(ctx context.Context, _ string, q report.OriginRequest) (reply report.OriginReply, err error) {
+	arrived := c.options.Now()
+	for {
+		c.mu.Lock()
+		if c.state == nil || c.actingTerm() == 0 {
+			defer c.mu.Unlock()
+			return report.OriginReply{Leader: c.leader}, nil
+		}
+		reply, settled := c.state.origin(q), c.options.Now().Sub(arrived) >= c.state.settleTime()
+		c.mu.Unlock()
+		if reply.Known || settled {
+			return reply, nil
+		}
+		select {
+		case <-ctx.Done():
+			return reply, ctx.Err()
+		case <-time.After(originInterval):
+		}
+	}
+}
+
+// originInterval is short compared with the interval of reports.
+const originInterval = 50 * time.Millisecond
+
+func (ls *leaderState) origin(q report.OriginRequest) report.OriginReply {
+	reply := report.OriginReply{Leading: true, Versions: ls.census.Versions(q.Service)}
+	if s, known := ls.streams.Find(q.Attempt); known {
+		reply.Known, reply.Software = true, &s
+	}
+	return reply
+}
--- a/internal/node/control/updates.go
+++ b/internal/node/control/updates.go
@@ -64,12 +64,13 @@
 		ls.inherit(now, r)
 	}
 	ls.recordLeaving(now, r)
+	ls.recordStreams(now, r)
 	interval := reportInterval(len(ls.entries))
 	ls.placer.SetReportInterval(interval)
 	u := report.Update{
 		Leading: true, Instances: ls.control.liveInstances(), Term: ls.term, Running: ls.listed(ls.active), Backlog: ls.listed(ls.backlog), Entries: len(ls.entries),
-		EveryMillis: interval.Milliseconds(),
-		Grants:      ls.pool.Report(now, quota.Report{Entry: r.Name, DataCentre: r.DataCentre, Uses: r.Customers}, ls.limits),
+		EveryMillis: interval.Milliseconds(), Versions: ls.census.All(),
+		Grants: ls.pool.Report(now, quota.Report{Entry: r.Name, DataCentre: r.DataCentre, Uses: r.Customers}, ls.limits),
 	}
 	u.Tell = ls.requestsKnownEndpoints(r)
 	ls.fillCeilings(&u, now, r)
@@ -196,6 +197,7 @@
 	known := r.Term == ls.term
 	if !known || r.Directory != u.Directory {
 		u.Endpoints = ls.endpoints()
+		u.Software = software(u.Endpoints)
 		if u.Partial { // the entry must not keep these beyond the list
 			u.Departed = ls.control.machine.Stored().Departures
 		}
@@ -211,6 +213,7 @@
 	u.Reset, u.Events, u.Placement = true, ls.placer.Snapshot(), next
 	if len(u.Endpoints) == 0 {
 		u.Endpoints = ls.endpoints()
+		u.Software = software(u.Endpoints)
 	}
 }
 
--- a/internal/node/entry/sync.go
+++ b/internal/node/entry/sync.go
@@ -184,3 +184,27 @@
 		}
 	}
 }
+
+// findOrigin asks the leader which software version began a stream. While no leader answers, it tries again until ctx ends.
+func (e *Entry) findOrigin(ctx context.Context, q report.OriginRequest) (reply report.OriginReply, err error) {
+	for {
+		e.mu.Lock()
+		leader := e.leader
+		e.mu.Unlock()
+		err = ErrNoLeader
+		if leader != "" {
+			reply = report.OriginReply{}
+			if err = e.peers.Call(ctx, leader, report.OriginMethod, q, &reply); err == nil && reply.Leading {
+				return reply, nil
+			}
+		}
+		select {
+		case <-ctx.Done():
+			return reply, errs.Combine(ErrNoLeader, err)
+		case <-time.After(originRetry):
+		}
+	}
+}
+
+// originRetry is a quarter of the interval in which an entry looks for a leader.
+const originRetry = syncInterval / 4
--- /dev/null
+++ b/internal/place/origin/census.go
@@ -0,0 +1,105 @@
+package origin
+
+import (
+	"maps"
+	"slices"
+	"time"
+)
+
+// Census records which software versions have served each service lately, and so may have begun streams that are still to be continued. It reads no
+// clock and does no I/O. It is not safe for concurrent use.
+type Census struct {
+	versions map[Software]*period
+}
+
+// period is the time in which a software version has served.
+type period struct {
+	since   time.Time // when it was first recorded here
+	until   time.Time // when an endpoint last served with it
+	durable bool      // it is stored, and so outlives this leader
+}
+
+// NewCensus returns an empty census.
+func NewCensus() *Census { return &Census{versions: map[Software]*period{}} }
+
+// Observe records that an endpoint serves, or is about to serve, with a software version.
+func (c *Census) Observe(now time.Time, s Software) {
+	p := c.versions[s]
+	if p == nil {
+		p = &period{since: now}
+		c.versions[s] = p
+	}
+	p.until = now
+}
+
+// Restore records the versions that are stored. Those of an earlier leader count from now on, since their last endpoint may have left just now.
+func (c *Census) Restore(now time.Time, stored []Software) {
+	for _, p := range c.versions {
+		p.durable = false
+	}
+	for _, s := range stored {
+		if c.versions[s] == nil {
+			c.versions[s] = &period{since: now, until: now}
+		}
+		c.versions[s].durable = true
+	}
+}
+
+// Usable reports whether endpoints with a software version may serve: the service has no other, or all of them are stored and each entry has had the
+// time to learn that there are several.
+func (c *Census) Usable(now time.Time, s Software, settle time.Duration) bool {
+	p := c.versions[s]
+	if p == nil {
+		return false
+	}
+	others := 0
+	for other, q := range c.versions {
+		if other.Service != s.Service || other == s {
+			continue
+		}
+		if !q.durable {
+			return false
+		}
+		others++
+	}
+	return others == 0 || (p.durable && now.Sub(p.since) >= settle)
+}
+
+// Versions returns the software versions that may have begun streams of a service, sorted.
+func (c *Census) Versions(service string) (list []string) {
+	for s := range c.versions {
+		if s.Service == service {
+			list = append(list, s.Version)
+		}
+	}
+	slices.Sort(list)
+	return list
+}
+
+// All returns the software versions of all services by service, sorted.
+func (c *Census) All() map[string][]string {
+	all := map[string][]string{}
+	for _, s := range slices.SortedFunc(maps.Keys(c.versions), Software.compare) {
+		all[s.Service] = append(all[s.Service], s.Version)
+	}
+	return all
+}
+
+// Changes returns the versions that are to be stored, and those that are to be removed because no stream of theirs can be continued any more.
+func (c *Census) Changes(now time.Time, retention time.Duration) (added, removed []Software) {
+	for s, p := range c.versions {
+		switch {
+		case now.Sub(p.until) >= retention:
+			if p.durable {
+				removed = append(removed, s)
+			} else {
+				delete(c.versions, s)
+			}
+		case !p.durable && (s.Version != "" || len(c.Versions(s.Service)) > 1): // nothing distinguishes endpoints that name no software
+			added = append(added, s)
+		}
+	}
+	slices.SortFunc(added, Software.compare)
+	slices.SortFunc(removed, Software.compare)
+	return added, removed
+}
--- a/internal/serve/forward/forward.go
+++ b/internal/serve/forward/forward.go
@@ -23,6 +23,7 @@
 	"lycheevale/internal/limit/quota"
 	"lycheevale/internal/limit/retry"
 	"lycheevale/internal/member/report"
+	"lycheevale/internal/place/origin"
 	"lycheevale/internal/place/pick"
 	"lycheevale/internal/place/prefill"
 	"lycheevale/internal/place/quarantine"
@@ -58,6 +59,7 @@
 	tracker           *quarantine.Tracker
 	refusedSignatures map[string]quarantine.Refusals // requests refused since the last report, by quarantined signature
 	trials            map[string]time.Time           // until when one request may try a quarantined signature
+	streams           *origin.Book
 }
 
 // use counts requests for an adapter at an endpoint.
@@ -96,6 +98,7 @@
 	delivered     bool            // events of a stream have been written
 	identified    bool            // the last identifier is a number, so that another endpoint can continue behind it
 	unresumable   bool            // no other endpoint can continue what was delivered
+	software      *string         // version that began the stream; others must not continue it
 	interruptedAt time.Time       // when the last attempt that may have run ended without its answer
 	sentAt        time.Time       // of the last attempt
 	firstByteAt   time.Time       // of the first byte of the answer
@@ -113,9 +116,9 @@
 		options: o, picker: pick.New(o.Picker, o.Seed), random: rand.New(rand.NewPCG(o.Seed, o.Seed+1)),
 		budgets: map[string]*retry.Budget{}, uses: map[[2]string]*use{}, placements: map[residency.Adapter]*placement{}, placing: semaphore.NewWeighted(maxPlacements),
 		silence: silence.New(silence.Defaults()), attempts: map[*inFlight]bool{}, loans: map[loanKey]*loanQueue{}, ceilings: ceiling.New(), endpointShares: quota.NewEntryPool(), unread: map[string]int{}, shares: o.Shares,
-		tracker: quarantine.NewTracker(), refusedSignatures: map[string]quarantine.Refusals{}, trials: map[string]time.Time{},
+		tracker: quarantine.NewTracker(), refusedSignatures: map[string]quarantine.Refusals{}, trials: map[string]time.Time{}, streams: origin.New(origin.MaxStreams),
 	}
-	h.filters = []filter{h.match, h.identify, h.read, h.sign, h.checkSignatures, h.admit, h.dispatch}
+	h.filters = []filter{h.match, h.identify, h.read, h.sign, h.checkSignatures, h.findOrigin, h.admit, h.dispatch}
 	return h
 }
 
@@ -367,6 +370,7 @@
 	}
 	h.reportedBacklog = r.Backlog
 	h.reportSignatures(now, r)
+	h.reportStreams(now, r)
 	for key, u := range h.uses {
 		r.Uses = append(r.Uses, residency.Use{Endpoint: key[0], Adapter: u.adapter, Count: u.count, Active: u.active})
 		if u.answered > 0 {
--- a/internal/serve/forward/inflight.go
+++ b/internal/serve/forward/inflight.go
@@ -21,6 +21,7 @@
 	exclude      []string // endpoints that did not run the request
 	leaving      bool     // it has been told to leave its endpoint, and the retry budget is charged
 	service      string
+	software     *string // version that began the stream
 	adapter      residency.Adapter
 	acknowledged bool          // the head of an answer has arrived
 	begun        bool          // complete events have arrived
@@ -34,7 +35,7 @@
 // startAttempt registers an attempt with the picker and the counts of uses.
 func (h *Handler) startAttempt(x *exchange, c choice, cancel context.CancelCauseFunc) *inFlight {
 	f := &inFlight{
-		endpoint: c.Endpoint, movable: x.route.Repeatable() && x.ran+1 < x.route.MaxAttempts && x.tries+1 < maxEndpointsTried, exclude: x.exclude, service: x.service.Name,
+		endpoint: c.Endpoint, movable: x.route.Repeatable() && x.ran+1 < x.route.MaxAttempts && x.tries+1 < maxEndpointsTried, exclude: x.exclude, service: x.service.Name, software: x.software,
 		adapter: x.request.Adapter, prompt: x.request.PromptTokens, progressAt: h.options.Now(), cancel: cancel,
 	}
 	h.mu.Lock()
@@ -152,7 +153,7 @@
 	if f.adapter.Name != "" {
 		list, _ = h.options.View.Holders(f.service, f.adapter)
 	}
-	hasRoom := slices.ContainsFunc(list, func(e report.Endpoint) bool {
+	hasRoom := slices.ContainsFunc(sameSoftware(list, f.software), func(e report.Endpoint) bool {
 		return e.ID != f.endpoint.ID && !slices.Contains(f.exclude, e.ID) && h.picker.Healthy(now, e.ID) && h.picker.Load(h.candidate(e)) < 1
 	})
 	_, entries := h.options.View.Version()
--- a/internal/serve/forward/options.go
+++ b/internal/serve/forward/options.go
@@ -33,6 +33,8 @@
 	RequestPlacement func(ctx context.Context, w report.PlacementRequest) (report.PlacementReply, error)
 	// Borrow asks the leader to admit requests that exceed the entry's tokens of their customer.
 	Borrow func(ctx context.Context, l report.LoanRequest) (report.LoanReply, error)
+	// FindOrigin asks the leader which software version began a stream.
+	FindOrigin func(ctx context.Context, q report.OriginRequest) (report.OriginReply, error)
 	// LeaderExpectedAt returns the time at which a leader is expected to answer again; zero while one answers.
 	LeaderExpectedAt func() time.Time
 	Observe          func(Outcome)
@@ -53,6 +55,9 @@
 		Borrow: func(_ context.Context, l report.LoanRequest) (report.LoanReply, error) {
 			return report.LoanReply{Leading: true, Admitted: make([]bool, len(l.Requests))}, nil
 		},
+		FindOrigin: func(context.Context, report.OriginRequest) (report.OriginReply, error) {
+			return report.OriginReply{Leading: true}, nil
+		},
 		Spawn: func(f func()) {
 			var group errgroup.Group
 			group.Go(func() error { f(); return nil })
@@ -123,3 +128,8 @@
 func WithBorrow(f func(ctx context.Context, l report.LoanRequest) (report.LoanReply, error)) Option {
 	return func(o *Options) { o.Borrow = f }
 }
+
+// WithFindOrigin sets the call that asks the leader which software version began a stream.
+func WithFindOrigin(f func(ctx context.Context, q report.OriginRequest) (report.OriginReply, error)) Option {
+	return func(o *Options) { o.FindOrigin = f }
+}
--- /dev/null
+++ b/internal/serve/forward/origin.go
@@ -0,0 +1,160 @@
+package forward
+
+import (
+	"context"
+	"log/slog"
+	"slices"
+	"time"
+
+	"lycheevale/internal/base/event"
+	"lycheevale/internal/base/refusal"
+	"lycheevale/internal/member/report"
+	"lycheevale/internal/place/origin"
+	"lycheevale/internal/state/document"
+)
+
+// findOrigin finds the software version that began a stream which the caller continues. The request is refused if that is not known, or if no endpoint
+// of the version is left.
+func (h *Handler) findOrigin(x *exchange) *refusal.Error {
+	if x.request.LastEvent == "" || !x.route.Repeatable() {
+		return nil
+	}
+	asked := h.options.Now()
+	software, source, refused := h.origin(x)
+	x.software = software
+	version := ""
+	if software != nil {
+		version = *software
+	}
+	event.Log(x.ctx, h.options.Logger, event.StreamContinued, slog.String("Attempt", x.request.Attempt), slog.String("Continues", x.request.Continues),
+		slog.String("LastEvent", x.request.LastEvent), slog.String("Service", x.service.Name), slog.Bool("Known", software != nil), slog.String("Software", version),
+		slog.String("Source", source), slog.Any("Versions", h.options.View.Software(x.service.Name)),
+		slog.Int64("ViewAgeMillis", h.options.View.Age(asked).Milliseconds()), slog.Int64("AfterMillis", h.options.Now().Sub(asked).Milliseconds()))
+	if refused != nil || software == nil {
+		return refused
+	}
+	if !slices.ContainsFunc(h.options.View.Endpoints(x.service.Name), func(e report.Endpoint) bool { return e.Software == version }) {
+		return h.refuseWithRetry(refusal.Unavailable, "no endpoint of software version %q, which began the stream, is in service", version)
+	}
+	return nil
+}
+
+// Sources of the software version of a stream.
+const (
+	sourceOwn      = "Own"      // this entry began the stream
+	sourceSole     = "Sole"     // the service has only one version
+	sourceLeader   = "Leader"   // another entry has reported the stream
+	sourceUnstated = "Unstated" // the leader states no versions
+)
+
+// origin returns the software version that began a stream, or nil if the leader does not follow versions.
+func (h *Handler) origin(x *exchange) (software *string, source string, refused *refusal.Error) {
+	h.mu.Lock()
+	s, known := h.streams.Find(x.request.Continues)
+	h.mu.Unlock()
+	if known {
+		return h.atOrigin(x, s), sourceOwn, nil
+	}
+	now := h.options.Now()
+	switch versions := h.options.View.Software(x.service.Name); {
+	case len(versions) == 0 && !h.options.View.Empty():
+		return nil, sourceUnstated, nil
+	case len(versions) == 1 && h.options.View.Age(now) < maxVersionsAge:
+		return &versions[0], sourceSole, nil
+	}
+	ctx, cancel := context.WithTimeout(x.ctx, originTimeout)
+	defer cancel()
+	reply, err := h.options.FindOrigin(ctx, report.OriginRequest{Service: x.service.Name, Attempt: x.request.Continues})
+	switch {
+	case err != nil:
+		refused = h.refuseWithRetry(refusal.Unavailable, "software version that began the stream: %v", err)
+		return nil, sourceLeader, refused.WithRetryAt(h.retryAtWithLeader(x, refused.RetryAt))
+	case reply.Software != nil:
+		return h.atOrigin(x, *reply.Software), sourceLeader, nil
+	case len(reply.Versions) == 1:
+		return &reply.Versions[0], sourceLeader, nil
+	}
+	return nil, sourceLeader, refusal.New(refusal.Unavailable, "which of the software versions %q began the stream is not known", reply.Versions)
+}
+
+// atOrigin returns the software version that began a stream, and sends the stream to the service of that version if its route allows it. It returns
+// nil if the route leads to other services now, which have versions of their own.
+func (h *Handler) atOrigin(x *exchange, s origin.Software) *string {
+	if s.Service != x.service.Name {
+		if !slices.ContainsFunc(x.route.Targets, func(t document.Target) bool { return t.Service == s.Service }) {
+			return nil
+		}
+		x.service = x.index.Service(s.Service)
+	}
+	return &s.Version
+}
+
+const (
+	// maxVersionsAge is the age of the leader's list of software versions up to which it is taken as complete: several intervals of reports, and the
+	// time without a leader after most of its failures.
+	maxVersionsAge = 3 * time.Second
+	// originTimeout covers the call to the leader and the next reports of the other entries.
+	originTimeout = 1500 * time.Millisecond
+)
+
+// recordOrigin records that the first events of a stream were delivered, which only endpoints of the same software version may continue.
+func (h *Handler) recordOrigin(x *exchange, s attempt) {
+	if x.delivered || !x.route.Repeatable() {
+		return
+	}
+	attempt := x.request.Attempt
+	if x.request.LastEvent != "" {
+		attempt = x.request.Continues
+	}
+	if x.software == nil {
+		x.software = &s.Software
+	}
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	s.inFlight.software = x.software
+	h.streams.Record(h.options.Now(), origin.Stream{Attempt: attempt, Software: origin.Software{Service: x.service.Name, Version: s.Software}})
+}
+
+// reportStreams fills in the streams that the leader has to know. The caller holds h.mu.
+func (h *Handler) reportStreams(now time.Time, r *report.Entry) {
+	retention := origin.Retention(0)
+	if index := h.options.View.Index(); index != nil {
+		retention = origin.Retention(index.LongestTimeout())
+	}
+	h.streams.Forget(now, retention)
+	r.Streams = h.streams.Unconfirmed(r.Term, h.options.View.MixedServices(), maxReportedStreams)
+}
+
+// maxReportedStreams limits the size of a report; the rest follows with the next ones.
+const maxReportedStreams = 1000
+
+// continuing returns those of the endpoints that may continue what was delivered of a stream.
+func (x *exchange) continuing(list []report.Endpoint) []report.Endpoint {
+	return sameSoftware(list, x.software)
+}
+
+// sameSoftware returns the endpoints of a software version, or all of them if it is nil.
+func sameSoftware(list []report.Endpoint, software *string) (same []report.Endpoint) {
+	if software == nil {
+		return list
+	}
+	for _, e := range list {
+		if e.Software == *software {
+			same = append(same, e)
+		}
+	}
+	return same
+}
+
+// withOtherSoftware adds those of the endpoints to a list that must not continue the stream.
+func (x *exchange) withOtherSoftware(list []string, endpoints []report.Endpoint) []string {
+	if x.software == nil {
+		return list
+	}
+	for _, e := range endpoints {
+		if e.Software != *x.software && !slices.Contains(list, e.ID) {
+			list = append(slices.Clip(list), e.ID)
+		}
+	}
+	return list
+}
--- /dev/null
+++ b/internal/serve/forward/origin_test.go
@@ -0,0 +1,120 @@
+package forward_test
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/frankban/quicktest"
+
+	"lycheevale/internal/member/report"
+	"lycheevale/internal/place/origin"
+	"lycheevale/internal/serve/forward"
+	"lycheevale/internal/state/document"
+)
+
+// setSoftware states the software version of each endpoint, and those that may have begun streams.
+func (r *fixture) setSoftware(at time.Time, software []string, versions ...string) {
+	r.update.Software, r.update.Versions = software, map[string][]string{"s": versions}
+	r.update.Directory++
+	r.update.Content = nil
+	_, err := r.view.Apply(at, r.update, func([]byte) (document.Document, error) { return document.Document{}, nil })
+	r.Assert(err, quicktest.IsNil)
+}
+
+// continueCodec reads the fields of a stream that the caller continues.
+func continueCodec() forward.Codec {
+	c := resumeCodec()
+	decode := c.Decode
+	c.Decode = func(r *http.Request) (forward.Request, error) {
+		q, err := decode(r)
+		q.LastEvent, q.Continues = r.Header.Get("Last-Event-Id"), r.Header.Get("Continues")
+		return q, err
+	}
+	return c
+}
+
+// writes answers with a stream whose events name the endpoint's software version.
+func writes(version string, broken bool) http.HandlerFunc {
+	return func(w http.ResponseWriter, q *http.Request) {
+		first := 1
+		if last := q.Header.Get("Last-Event-Id"); last != "" {
+			_, _ = fmt.Sscan(last, &first)
+			first++
+		}
+		streamOf(broken && first == 1, fmt.Sprintf("id: %d\ndata: %s\n\n", first, version), fmt.Sprintf("id: %d\ndata: %s\n\n", first+1, version))(w, q)
+	}
+}
+
+// An endpoint breaks off in the middle of a stream. Guards against a continuation by an endpoint of another software version, and against none although
+// one of the same version serves, which may be the same endpoint.
+func TestBrokenStreamContinuesAtItsVersion(t *testing.T) {
+	for seed := range uint64(20) {
+		r := newFixture(t, []http.HandlerFunc{writes("v1", true), writes("v2", true), writes("v1", true)}, forward.WithCodec(resumeCodec()), forward.WithSeed(seed))
+		r.setSoftware(time.Now(), []string{"v1", "v2", "v1"}, "v1", "v2")
+		body, complete := r.ask(t, "/read/x")
+		joined := strings.Contains(body, "v1") && strings.Contains(body, "v2")
+		r.Check(joined, quicktest.IsFalse, quicktest.Commentf("seed %d: %s", seed, body))
+		r.Check(complete, quicktest.IsTrue, quicktest.Commentf("seed %d: %s", seed, body))
+	}
+}
+
+// A caller continues a stream that another entry began. Guards against a continuation at another software version, at an unknown one, or by a list of
+// versions that may be out of date.
+func TestContinuedStreamGoesToItsVersion(t *testing.T) {
+	newer := &origin.Software{Service: "s", Version: "v2"}
+	for name, test := range map[string]struct {
+		versions []string
+		age      time.Duration // of the view
+		reply    report.OriginReply
+		err      error
+		hits     []int32
+		asked    bool
+	}{
+		"sole version":           {versions: []string{"v2"}, hits: []int32{0, 1}},
+		"sole version, old view": {versions: []string{"v2"}, age: 4 * time.Second, reply: report.OriginReply{Leading: true, Versions: []string{"v1", "v2"}}, hits: []int32{0, 0}, asked: true},
+		"confirmed by leader":    {versions: []string{"v2"}, age: 4 * time.Second, reply: report.OriginReply{Leading: true, Versions: []string{"v2"}}, hits: []int32{0, 1}, asked: true},
+		"known to leader":        {versions: []string{"v1", "v2"}, reply: report.OriginReply{Leading: true, Known: true, Software: newer}, hits: []int32{0, 1}, asked: true},
+		"unknown":                {versions: []string{"v1", "v2"}, reply: report.OriginReply{Leading: true, Versions: []string{"v1", "v2"}}, hits: []int32{0, 0}, asked: true},
+		"no leader":              {versions: []string{"v1", "v2"}, err: context.DeadlineExceeded, hits: []int32{0, 0}, asked: true},
+		"not in service": {
+			versions: []string{"v1", "v2", "v3"}, reply: report.OriginReply{Leading: true, Known: true, Software: &origin.Software{Service: "s", Version: "v3"}},
+			hits: []int32{0, 0}, asked: true,
+		},
+		"leader of an earlier release": {hits: nil},
+	} {
+		t.Run(name, func(t *testing.T) {
+			asked := false
+			r := newFixture(t, []http.HandlerFunc{writes("v1", false), writes("v2", false)}, forward.WithCodec(continueCodec()),
+				forward.WithFindOrigin(func(_ context.Context, q report.OriginRequest) (report.OriginReply, error) {
+					asked = true
+					r := quicktest.New(t)
+					r.Check(q, quicktest.Equals, report.OriginRequest{Service: "s", Attempt: "0"})
+					return test.reply, test.err
+				}))
+			r.setSoftware(time.Now().Add(-test.age), []string{"v1", "v2"}, test.versions...)
+			q := httptest.NewRequestWithContext(t.Context(), http.MethodGet, "/read/x", http.NoBody)
+			q.Header.Set("Key", "k")
+			q.Header.Set("Attempt", "1")
+			q.Header.Set("Last-Event-Id", "7")
+			q.Header.Set("Continues", "0")
+			w := httptest.NewRecorder()
+			r.handler.ServeHTTP(w, q)
+			r.Check(asked, quicktest.Equals, test.asked)
+			if test.hits == nil {
+				r.Check(w.Code, quicktest.Equals, http.StatusOK)
+				return
+			}
+			r.Check([]int32{r.hits[0].Load(), r.hits[1].Load()}, quicktest.DeepEquals, test.hits)
+			status := http.StatusOK
+			if test.hits[1] == 0 {
+				status = http.StatusServiceUnavailable
+			}
+			r.Check(w.Code, quicktest.Equals, status, quicktest.Commentf("%s", w.Body))
+		})
+	}
+}
--- a/internal/serve/forward/place.go
+++ b/internal/serve/forward/place.go
@@ -98,6 +98,7 @@
 		if x.service.Engine != nil {
 			list = slices.DeleteFunc(list, func(e report.Endpoint) bool { return !slices.Contains(e.Models, x.request.Adapter.Model) })
 		}
+		list = x.continuing(list)
 		e, ok := h.choose(x, list, exclude)
 		if !ok {
 			return c, h.refuseUntilPauseEnds(list)
@@ -105,11 +106,12 @@
 		return choice{Endpoint: e}, nil
 	}
 	holders, version := h.options.View.Holders(x.service.Name, x.request.Adapter)
+	holders = x.continuing(holders)
 	if e, ok := h.choose(x, holders, exclude); ok {
 		h.requestReplica(x, e)
 		return choice{Endpoint: e, version: version}, nil
 	}
-	return h.load(x, h.withPaused(exclude, holders))
+	return h.load(x, x.withOtherSoftware(h.withPaused(exclude, holders), h.options.View.Endpoints(x.service.Name)))
 }
 
 // withPaused adds those of the endpoints to a list that want no requests now.
@@ -255,7 +257,7 @@
 		// After a restart the leader may name an endpoint that the entry only learns with the answer to its next report.
 		e, ok = w.placed.Details, !w.placed.Details.Leaving && !h.options.View.HasLeft(w.placed.Details)
 	}
-	if !ok || slices.Contains(exclude, e.ID) {
+	if !ok || slices.Contains(exclude, e.ID) || (x.software != nil && e.Software != *x.software) {
 		return c, h.refuseWithRetry(refusal.Unavailable, "endpoint %q, which loads the adapter, is not available", w.placed.Endpoint)
 	}
 	ready := w.answeredAt.Add(time.Duration(w.placed.InMillis) * time.Millisecond)
--- a/internal/serve/forward/quarantine.go
+++ b/internal/serve/forward/quarantine.go
@@ -163,6 +163,7 @@
 	defer h.mu.Unlock()
 	if u.Term == r.Term {
 		h.tracker.Delivered(at, u.Term, r.Crashes, r.Begins)
+		h.streams.Confirm(u.Term, r.Streams)
 	}
 	for _, id := range u.Trials {
 		h.trials[id] = h.options.Now().Add(trialTime)
--- a/internal/serve/forward/stream.go
+++ b/internal/serve/forward/stream.go
@@ -114,6 +114,7 @@
 
 // writeEvents writes events to the caller and records the last identifier among them. Without one that is a number, no other endpoint can resume the stream.
 func (h *Handler) writeEvents(x *exchange, s attempt, controller *http.ResponseController, events []byte) bool {
+	h.recordOrigin(x, s)
 	x.delivered = true
 	if id := h.lastID(events); id != "" {
 		_, err := strconv.ParseUint(id, 10, 64)
--- a/internal/serve/forward/types.go
+++ b/internal/serve/forward/types.go
@@ -21,6 +21,7 @@
 	PromptTokens int               // 0 if the caller states none
 	SharedParts  []string          // identifiers of the prompt's parts that other requests may share, from its beginning
 	LastEvent    string            // identifier of the last event that the caller received, empty for none
+	Continues    string            // with LastEvent: the attempt that brought the first event of the stream
 	Timeout      time.Duration     // how long the caller waits, 0 if not stated
 }
 
--- a/internal/state/document/document.go
+++ b/internal/state/document/document.go
@@ -184,8 +184,13 @@
 	routes    map[string][]*Route // by host, longest prefix first
 	services  map[string]*Service
 	customers map[string]*Customer // by key
+
+	longestTimeout time.Duration
 }
 
+// LongestTimeout returns the longest timeout of a route.
+func (x *Index) LongestTimeout() time.Duration { return x.longestTimeout }
+
 // NewIndex builds the lookup tables of a document.
 func NewIndex(d Document) *Index {
 	x := &Index{
@@ -194,6 +199,7 @@
 	for i := range d.Routes {
 		r := &d.Routes[i]
 		x.routes[r.Host] = append(x.routes[r.Host], r)
+		x.longestTimeout = max(x.longestTimeout, r.Timeout)
 	}
 	for _, list := range x.routes {
 		slices.SortFunc(list, func(a, b *Route) int { return len(b.Prefix) - len(a.Prefix) })
--- a/internal/state/document/machine.go
+++ b/internal/state/document/machine.go
@@ -6,6 +6,7 @@
 	"sync"
 
 	"lycheevale/internal/member/report"
+	"lycheevale/internal/place/origin"
 	"lycheevale/internal/place/quarantine"
 )
 
@@ -19,6 +20,7 @@
 	Appoint    Action = "Appoint"    // records the deputies, unless a leader of a later term has done so
 	Quarantine Action = "Quarantine" // adds and removes signatures of requests that no endpoint gets
 	Depart     Action = "Depart"     // adds and removes departures of endpoints
+	Software   Action = "Software"   // adds and removes software versions of services
 	Barrier    Action = "Barrier"    // changes nothing; its result proves that the state was current
 )
 
@@ -36,6 +38,9 @@
 
 	Depart []report.Departure `json:"Depart,omitempty"` // added
 	Forget []string           `json:"Forget,omitempty"` // identifiers of endpoints whose departures are removed
+
+	Introduce []origin.Software `json:"Introduce,omitempty"` // added
+	Retire    []origin.Software `json:"Retire,omitempty"`    // removed
 }
 
 // Appointment lists the entries that may hold shares of customers' rates, so that a new leader knows which entries may be
@@ -73,6 +78,9 @@
 
 	Departures        []report.Departure `json:"Departures,omitempty"`        // oldest first, one for each endpoint
 	DepartureRevision uint64             `json:"DepartureRevision,omitempty"` // number of changes of Departures
+
+	Software         []origin.Software `json:"Software,omitempty"`         // versions that may have begun streams which are still to be continued
+	SoftwareRevision uint64            `json:"SoftwareRevision,omitempty"` // number of changes of Software
 }
 
 // Machine is the state machine of the configuration log; it is safe for concurrent use.
@@ -153,10 +161,28 @@
 		return m.changeQuarantine(c)
 	case Depart:
 		return m.changeDepartures(c)
+	case Software:
+		return m.changeSoftware(c)
 	}
 	return false
 }
 
+// changeSoftware replaces the list, because readers may still use the old one.
+func (m *Machine) changeSoftware(c Command) bool {
+	list := slices.DeleteFunc(slices.Clone(m.stored.Software), func(s origin.Software) bool { return slices.Contains(c.Retire, s) })
+	for _, s := range c.Introduce {
+		if !slices.Contains(list, s) {
+			list = append(list, s)
+		}
+	}
+	if slices.Equal(list, m.stored.Software) {
+		return false
+	}
+	m.stored.Software = list
+	m.stored.SoftwareRevision++
+	return true
+}
+
 // changeDepartures replaces the list, because readers may still use the old one.
 func (m *Machine) changeDepartures(c Command) bool {
 	list := slices.DeleteFunc(slices.Clone(m.stored.Departures), func(d report.Departure) bool { return slices.Contains(c.Forget, d.ID) })
