--- a/internal/member/report/encoding_test.go
+++ b/internal/member/report/encoding_test.go
@@ -10,6 +10,7 @@
 
 	"lycheevale/internal/limit/quota"
 	"lycheevale/internal/member/report"
+	"lycheevale/internal/place/origin"
 	"lycheevale/internal/place/quarantine"
 	"lycheevale/internal/place/residency"
 )
@@ -56,6 +57,31 @@
 	c.Check(u, quicktest.CmpEquals(same, cmp.Comparer(func(a, b netip.AddrPort) bool { return a == b })), update)
 }
 
+// Guards against streams and software versions that encoding and decoding lose.
+func TestSoftwareIsEncoded(t *testing.T) {
+	c := quicktest.New(t)
+	software := origin.Software{Service: "s", Version: "v2"}
+	data, err := json.Marshal(report.Entry{
+		Streams: []origin.Stream{{Attempt: "9c41", Software: software}}, Known: []report.KnownEndpoint{{Endpoint: report.Endpoint{ID: "i-1"}, Software: "v2"}},
+	})
+	c.Assert(err, quicktest.IsNil)
+	var e report.Entry
+	c.Assert(json.Unmarshal(data, &e), quicktest.IsNil)
+	c.Check(e.Streams, quicktest.DeepEquals, []origin.Stream{{Attempt: "9c41", Software: software}})
+	c.Check(e.Known[0].Software, quicktest.Equals, "v2")
+	data, err = json.Marshal(report.Update{Software: []string{"v1", "v2"}, Versions: map[string][]string{"s": {"v1", "v2"}}})
+	c.Assert(err, quicktest.IsNil)
+	var u report.Update
+	c.Assert(json.Unmarshal(data, &u), quicktest.IsNil)
+	c.Check(u.Software, quicktest.DeepEquals, []string{"v1", "v2"})
+	c.Check(u.Versions, quicktest.DeepEquals, map[string][]string{"s": {"v1", "v2"}})
+	data, err = json.Marshal(report.OriginReply{Known: true, Software: &software})
+	c.Assert(err, quicktest.IsNil)
+	var o report.OriginReply
+	c.Assert(json.Unmarshal(data, &o), quicktest.IsNil)
+	c.Check(*o.Software, quicktest.Equals, software)
+}
+
 // Messages as the release before signatures of several kinds encoded them.
 const (
 	earlierEntry  = `"r2ROYW1lZmVkZ2UtMWdBZGRyZXNzRAoAAAlqRGF0YUNlbnRyZWRlYXN0aERlcHV0aWVzAmRUZXJtBGlEaXJlY3RvcnkGaVBsYWNlbWVudAlmQWN0aXZloWNpLTECZFVzZXOBhGNpLTGiZU1vZGVsYW1kTmFtZWJhNwMCaUN1c3RvbWVyc6FhY4X7QF4AAAAAAAD7QD4AAAAAAAD7QHkAAAAAAAD7QI9AAAAAAAD7QIXgAAAAAABnQ3Jhc2hlc4GEgmNpLTEFYXMYUIGDZDVjMWUZASz1ZkJlZ2luc4GCgmFzZDkxYmQUaFN1c3BlY3RzA2pRdWFyYW50aW5lAmdSZWZ1c2VkoWQ1YzFlggIB"`
--- a/internal/member/roster/roster_test.go
+++ b/internal/member/roster/roster_test.go
@@ -250,3 +250,20 @@
 	_, err := r.Announce(epoch, announcement("moved-998", 1003, 2))
 	c.Check(errs.Is(err, roster.ErrOutdated), quicktest.IsTrue)
 }
+
+// A late or odd announcement of a running endpoint names another software version, or none. Guards against streams that go on at an endpoint whose version
+// is not the one that runs, and against a restarted endpoint that keeps its earlier version.
+func TestSoftwareChangesOnlyWithIncarnation(t *testing.T) {
+	c := quicktest.New(t)
+	r := roster.New(roster.DefaultOptions())
+	for sequence, test := range []struct {
+		born           int64
+		announced, set string
+	}{{1, "v1", "v1"}, {1, "v2", "v1"}, {1, "", "v1"}, {2, "v2", "v2"}} {
+		a := announcement("a", test.born, uint64(sequence+1))
+		a.Software = test.announced
+		_, err := r.Announce(epoch, a)
+		c.Assert(err, quicktest.IsNil)
+		c.Check(r.Endpoints()[0].Software, quicktest.Equals, test.set, quicktest.Commentf("%+v", test))
+	}
+}
--- a/internal/state/document/document_test.go
+++ b/internal/state/document/document_test.go
@@ -10,6 +10,7 @@
 	"github.com/frankban/quicktest"
 
 	"lycheevale/internal/member/report"
+	"lycheevale/internal/place/origin"
 	"lycheevale/internal/place/quarantine"
 	"lycheevale/internal/state/document"
 )
@@ -226,3 +227,26 @@
 	c.Check(depart(restored, other, "a"), quicktest.IsTrue)
 	c.Check(restored.Stored().Departures, quicktest.DeepEquals, []report.Departure{other})
 }
+
+// Guards against software versions that a restart forgets: streams of a version that has just left would go on at another one.
+func TestSoftwareSurvivesSnapshot(t *testing.T) {
+	c := quicktest.New(t)
+	m := document.NewMachine()
+	former, newer := origin.Software{Service: "s", Version: "v1"}, origin.Software{Service: "s", Version: "v2"}
+	change := func(added, removed []origin.Software) bool {
+		return apply(c, m, document.Command{Action: document.Software, Introduce: added, Retire: removed}).Stored
+	}
+	c.Check(change([]origin.Software{former}, nil), quicktest.IsTrue)
+	earlier := m.Stored()
+	c.Check(change([]origin.Software{former, newer}, nil), quicktest.IsTrue)
+	c.Check(change([]origin.Software{newer}, nil), quicktest.IsFalse)
+	c.Check(earlier.Software, quicktest.DeepEquals, []origin.Software{former}) // a state returned to a reader does not change
+	data, err := m.View()()
+	c.Assert(err, quicktest.IsNil)
+	restored := document.NewMachine()
+	c.Assert(restored.Restore(data), quicktest.IsNil)
+	c.Check(restored.Stored(), quicktest.DeepEquals, m.Stored())
+	c.Check(change(nil, []origin.Software{former}), quicktest.IsTrue)
+	c.Check(m.Stored().Software, quicktest.DeepEquals, []origin.Software{newer})
+	c.Check(m.Stored().SoftwareRevision, quicktest.Equals, uint64(3))
+}
