Give a new software version work only when no entry relies on a list without it

An entry that cannot reach the leader takes the only version of its list for 3 s. Endpoints of a new version got work two intervals of reports after their first announcement (0.4 s), so that such an entry could continue one of their streams at the former version. The leader now waits until each entry has reported since, or has been silent for 3 s; a new leader counts the silence from its start, and 3 s are the longest wait. Versions that an earlier leader has stored wait no longer.

--- a/internal/member/report/report.go
+++ b/internal/member/report/report.go
@@ -64,6 +64,10 @@
 	Holdings []residency.Holding `json:"Holdings,omitempty"`
 }
 
+// VersionsLease is the time after the leader's last answer for which an entry takes its list of software versions as complete: several intervals of
+// reports, and the time without a leader after most of its failures.
+const VersionsLease = 3 * time.Second
+
 // Update answers an Entry. Parts that the entry already has are left out.
 type Update struct {
 	Leading      bool                   `json:"Leading"`
--- a/internal/node/control/leader.go
+++ b/internal/node/control/leader.go
@@ -63,6 +63,7 @@
 	softwareRevision uint64 // of the stored software versions that the census knows
 	storingSoftware  bool   // a change of the stored software versions is being proposed
 	countedAt        time.Time
+	informedAt       time.Time // when the entries that have stopped reporting do not rely on their lists of software versions any more
 	streams          *origin.Book
 }
 
@@ -95,7 +96,7 @@
 		control: c, term: term, since: now, ordersFrom: c.ordersFrom(now, term), roster: roster.New(roster.DefaultOptions()), placer: residency.New(placerOptions),
 		pool: quota.NewPool(now, shareOptions(Tolerance(c.options.Settings))), endpointPool: quota.NewPool(now, shareOptions(EndpointTolerance())), ceilings: ceiling.New(),
 		entries: map[string]*entry{}, active: map[string]int{}, backlog: map[string]int{}, inheritAsked: map[string]bool{}, addresses: map[string]report.Deputy{}, queues: map[string]*orderQueue{}, limits: map[string]quota.Limit{},
-		detector: quarantine.NewDetector(quarantine.DefaultOptions()), census: origin.NewCensus(), streams: origin.New(origin.MaxStreams),
+		detector: quarantine.NewDetector(quarantine.DefaultOptions()), census: origin.NewCensus(), informedAt: now.Add(report.VersionsLease), streams: origin.New(origin.MaxStreams),
 	}
 }
 
--- a/internal/node/control/software.go
+++ b/internal/node/control/software.go
@@ -40,7 +40,29 @@
 	}
 	now, s := ls.now(), softwareOf(a)
 	ls.census.Observe(now, s)
-	return ls.census.Usable(now, s, ls.settleTime())
+	return ls.census.Usable(s, ls.informed)
+}
+
+// informed reports whether no entry uses a list of software versions from before a time: each has had the answers to its next reports, or has been silent
+// for so long that it does not rely on its list.
+func (ls *leaderState) informed(since time.Time) bool {
+	now := ls.now()
+	if now.Sub(since) >= report.VersionsLease {
+		return true
+	}
+	for _, e := range ls.entries {
+		if !e.at.After(since) {
+			return false
+		}
+	}
+	return now.Sub(since) >= ls.settleTime() && !now.Before(ls.informedAt)
+}
+
+// recordSilentEntry records that an entry has stopped reporting, which may be running still.
+func (ls *leaderState) recordSilentEntry(e *entry) {
+	if until := e.at.Add(report.VersionsLease); until.After(ls.informedAt) {
+		ls.informedAt = until
+	}
 }
 
 // settleTime is the time in which all entries have learned something from the answers to their reports.
--- a/internal/node/control/updates.go
+++ b/internal/node/control/updates.go
@@ -153,6 +153,7 @@
 func (ls *leaderState) removeSilentEntries(now time.Time) {
 	for name, e := range ls.entries {
 		if now.Sub(e.at) >= entrySilence {
+			ls.recordSilentEntry(e)
 			delete(ls.entries, name)
 			ls.placer.RemoveEntry(name)
 			ls.addActive(e.active, -1)
--- a/internal/place/origin/census.go
+++ b/internal/place/origin/census.go
@@ -14,7 +14,7 @@
 
 // period is the time in which a software version has served.
 type period struct {
-	since   time.Time // when it was first recorded here
+	since   time.Time // when it was first recorded here; zero if an earlier leader had stored it
 	until   time.Time // when an endpoint last served with it
 	durable bool      // it is stored, and so outlives this leader
 }
@@ -39,15 +39,15 @@
 	}
 	for _, s := range stored {
 		if c.versions[s] == nil {
-			c.versions[s] = &period{since: now, until: now}
+			c.versions[s] = &period{until: now}
 		}
 		c.versions[s].durable = true
 	}
 }
 
-// Usable reports whether endpoints with a software version may serve: the service has no other, or all of them are stored and each entry has had the
-// time to learn that there are several.
-func (c *Census) Usable(now time.Time, s Software, settle time.Duration) bool {
+// Usable reports whether endpoints with a software version may serve: the service has no other, or all of them are stored and all entries are
+// informed of what was recorded at the time when this one was.
+func (c *Census) Usable(s Software, informed func(since time.Time) bool) bool {
 	p := c.versions[s]
 	if p == nil {
 		return false
@@ -62,7 +62,7 @@
 		}
 		others++
 	}
-	return others == 0 || (p.durable && now.Sub(p.since) >= settle)
+	return others == 0 || (p.durable && (p.since.IsZero() || informed(p.since)))
 }
 
 // Versions returns the software versions that may have begun streams of a service, sorted.
--- a/internal/place/origin/origin_test.go
+++ b/internal/place/origin/origin_test.go
@@ -16,8 +16,6 @@
 	newer  = origin.Software{Service: "s", Version: "v2"}
 )
 
-const settle = 400 * time.Millisecond
-
 // Guards against a new leader that is not told of the streams which entries had reported to an earlier one, and against reports of streams at services
 // with one software version.
 func TestStreamsAreReportedToEachLeader(t *testing.T) {
@@ -85,14 +83,25 @@
 	c := quicktest.New(t)
 	census := origin.NewCensus()
 	census.Observe(start, former)
-	c.Check(census.Usable(start, former, settle), quicktest.IsTrue)
+	informed := false
+	isInformed := func(since time.Time) bool {
+		c.Check(since, quicktest.Equals, start)
+		return informed
+	}
+	c.Check(census.Usable(former, isInformed), quicktest.IsTrue)
 	census.Observe(start, newer)
-	c.Check(census.Usable(start.Add(settle), newer, settle), quicktest.IsFalse)
+	informed = true
+	c.Check(census.Usable(newer, isInformed), quicktest.IsFalse)
 	added, _ := census.Changes(start, time.Minute)
 	c.Check(added, quicktest.DeepEquals, []origin.Software{former, newer})
 	census.Restore(start.Add(100*time.Millisecond), added)
-	c.Check(census.Usable(start.Add(settle-1), newer, settle), quicktest.IsFalse)
-	c.Check(census.Usable(start.Add(settle), newer, settle), quicktest.IsTrue)
+	c.Check(census.Usable(newer, isInformed), quicktest.IsTrue)
+	informed = false
+	c.Check(census.Usable(newer, isInformed), quicktest.IsFalse)
+	c.Check(census.Usable(former, isInformed), quicktest.IsFalse)
+	next := origin.NewCensus()
+	next.Restore(start, added)
+	c.Check(next.Usable(newer, isInformed), quicktest.IsTrue)
 }
 
 // Guards against a log entry for endpoints that name no software.
--- a/internal/serve/forward/origin.go
+++ b/internal/serve/forward/origin.go
@@ -59,7 +59,7 @@
 	switch versions := h.options.View.Software(x.service.Name); {
 	case len(versions) == 0 && !h.options.View.Empty():
 		return nil, sourceUnstated, nil
-	case len(versions) == 1 && h.options.View.Age(now) < maxVersionsAge:
+	case len(versions) == 1 && h.options.View.Age(now) < report.VersionsLease:
 		return &versions[0], sourceSole, nil
 	}
 	ctx, cancel := context.WithTimeout(x.ctx, originTimeout)
@@ -89,13 +89,8 @@
 	return &s.Version
 }
 
-const (
-	// maxVersionsAge is the age of the leader's list of software versions up to which it is taken as complete: several intervals of reports, and the
-	// time without a leader after most of its failures.
-	maxVersionsAge = 3 * time.Second
-	// originTimeout covers the call to the leader and the next reports of the other entries.
-	originTimeout = 1500 * time.Millisecond
-)
+// originTimeout covers the call to the leader and the next reports of the other entries.
+const originTimeout = 1500 * time.Millisecond
 
 // recordOrigin records that the first events of a stream were delivered, which only endpoints of the same software version may continue.
 func (h *Handler) recordOrigin(x *exchange, s attempt) {
