Give requests that continue a stream the tokens of their customer first

Cause: all requests of a customer compete for its tokens in the order in which they happen to arrive. Callers come back at once when an entry ends, each for its whole stream, and new requests arrive all the while.

Change: a request that continues a stream waits up to 1.5 s for its tokens and claims them at the leader; new requests get what exceeds the claims. The tokens used stay within the rate. Such a request is not refused for the prompts ahead of it either.

Evidence: TestContinuedStreamsGetTokensFirst fails without the precedence (streams still wait after 2 s), and checks the rate.

--- a/internal/limit/quota/pool.go
+++ b/internal/limit/quota/pool.go
@@ -52,8 +52,10 @@
 
 // reserve is a token bucket of one customer that all entries draw from.
 type reserve struct {
-	level float64
-	at    time.Time
+	level        float64
+	at           time.Time
+	claimed      float64 // tokens that are kept for requests of precedence First
+	claimedUntil time.Time
 }
 
 // Options are the settings of a Pool.
@@ -172,7 +174,7 @@
 	b, most := p.fill(now, customer, limit)
 	room := p.options.Tolerance.extraLimit(limit) + heldPart*limit.Burst
 	part := max(room*u.Demand/max(max(t.demand, 0)+u.Demand, 1), u.Request)
-	grant := max(min(u.Missing, part-u.Extra, room-max(t.extra, 0)-u.Extra, b.level-topUpLevel*most), 0)
+	grant := max(min(u.Missing, part-u.Extra, room-max(t.extra, 0)-u.Extra, b.level-b.claimed-topUpLevel*most), 0)
 	b.level -= grant
 	return grant
 }
@@ -198,6 +200,9 @@
 	most = limit.Burst - max(p.totals[customer].extra-p.options.Tolerance.extraLimit(limit), 0)
 	b.level = min(b.level+p.lendable(now, customer, limit)*now.Sub(b.at).Seconds(), most)
 	b.at = now
+	if !now.Before(b.claimedUntil) {
+		b.claimed = 0
+	}
 	return b, most
 }
 
@@ -206,8 +211,23 @@
 	return max(limit.Rate-p.silentShares[customer]-p.unreportedShares(now, customer, limit), (1-sharedPart)*limit.Rate)
 }
 
+// Precedence is the order in which requests get tokens of the reserve.
+type Precedence int
+
+const (
+	// Later requests get what the others leave.
+	Later Precedence = iota
+	// First is the precedence of a request that goes before later ones, and claims its tokens if it is not admitted.
+	First
+	// FirstAgain is the precedence of a request that has claimed its tokens.
+	FirstAgain
+)
+
+// claimTime is the time after the last claim for which tokens are kept for claims. It exceeds the time for which a request waits for its tokens.
+const claimTime = 2 * time.Second
+
 // Borrow admits one request from the reserve, or returns the time at which it may be retried.
-func (p *Pool) Borrow(now time.Time, customer string, cost float64, limit Limit) (retryAt time.Time, admitted bool) {
+func (p *Pool) Borrow(now time.Time, customer string, cost float64, limit Limit, precedence Precedence) (retryAt time.Time, admitted bool) {
 	if limit.Rate <= 0 {
 		return time.Time{}, true
 	}
@@ -216,6 +236,16 @@
 	}
 	b, most := p.fill(now, customer, limit)
 	need := min(cost, max(most, 0))
+	switch {
+	case precedence == Later:
+		need += b.claimed
+	case b.level < need && precedence == First:
+		b.claimed += cost
+		b.claimedUntil = now.Add(claimTime)
+		need = max(need, b.claimed)
+	case b.level >= need && precedence == FirstAgain:
+		b.claimed = max(b.claimed-cost, 0)
+	}
 	if b.level >= need {
 		b.level -= cost
 		return time.Time{}, true
--- a/internal/limit/quota/quota_test.go
+++ b/internal/limit/quota/quota_test.go
@@ -171,8 +171,8 @@
 	}
 	for admitted := true; admitted; {
 		var retryAt time.Time
-		if retryAt, admitted = f.pool.Borrow(f.now, "c", cost, f.limits["c"]); !admitted {
-			_, again := f.pool.Borrow(retryAt.Add(time.Millisecond), "c", cost, f.limits["c"])
+		if retryAt, admitted = f.pool.Borrow(f.now, "c", cost, f.limits["c"], quota.Later); !admitted {
+			_, again := f.pool.Borrow(retryAt.Add(time.Millisecond), "c", cost, f.limits["c"], quota.Later)
 			c.Check(again, quicktest.IsTrue)
 		}
 	}
@@ -225,7 +225,7 @@
 				case admitted:
 				case leads:
 					o.borrowed++
-					_, admitted = f.pool.Borrow(f.now, "c", cost, l.limit)
+					_, admitted = f.pool.Borrow(f.now, "c", cost, l.limit, quota.Later)
 				default:
 					admitted = f.borrowFromDeputies(i, cost)
 				}
@@ -375,7 +375,7 @@
 					if !ok && cut(i) {
 						ok = f.borrowFromDeputies(i, cost)
 					} else if !ok {
-						_, ok = f.pool.Borrow(f.now, "c", cost, limit)
+						_, ok = f.pool.Borrow(f.now, "c", cost, limit, quota.Later)
 					}
 					if ok {
 						tokens += cost
@@ -408,15 +408,54 @@
 	limit := quota.Limit{Rate: 1000, Burst: 1000}
 	p := quota.NewPool(now, quota.Options{Lease: time.Minute, LeaderlessAfter: time.Second})
 	for _, figure := range []float64{math.NaN(), math.Inf(1), math.Inf(-1), -5} {
-		_, admitted := p.Borrow(now, "c", figure, limit)
+		_, admitted := p.Borrow(now, "c", figure, limit, quota.Later)
 		c.Check(admitted, quicktest.IsFalse, quicktest.Commentf("%v", figure))
 		p.Report(now, quota.Report{Entry: "e", Uses: map[string]quota.Use{"c": {Demand: figure, Extra: figure, Missing: figure}}}, map[string]quota.Limit{"c": limit})
 	}
 	now = now.Add(time.Second)
-	_, admitted := p.Borrow(now, "c", 500, limit)
+	_, admitted := p.Borrow(now, "c", 500, limit, quota.Later)
 	c.Check(admitted, quicktest.IsTrue)
 	grants := p.Report(now, quota.Report{Entry: "e", Uses: map[string]quota.Use{"c": {Demand: 100, Missing: 100, Request: 100}}}, map[string]quota.Limit{"c": limit})
 	c.Check(grants["c"].Extra >= 0, quicktest.IsTrue)
-	_, admitted = p.Borrow(now, "c", 5000, limit)
+	_, admitted = p.Borrow(now, "c", 5000, limit, quota.Later)
 	c.Check(admitted, quicktest.IsFalse)
 }
+
+// A customer uses its whole rate, and some of its callers continue streams that broke off. Guards against new requests that take the tokens first, so that
+// fewer streams go on than new ones begin, and against more tokens than the rate allows.
+func TestContinuedStreamsGetTokensFirst(t *testing.T) {
+	c := quicktest.New(t)
+	limit := quota.Limit{Rate: 10_000, Burst: 10_000}
+	start := time.Unix(1_800_000_000, 0)
+	p := quota.NewPool(start, quota.Options{Lease: 30 * time.Second, LeaderlessAfter: time.Second})
+	const cost, streams = 1000, 8
+	var waiting [streams]time.Time // when each stream is tried again; zero once it has its tokens
+	for i := range waiting {
+		waiting[i] = start
+	}
+	used, last := 0.0, start
+	for now := start; now.Before(start.Add(2 * time.Second)); now = now.Add(10 * time.Millisecond) {
+		if _, admitted := p.Borrow(now, "c", cost, limit, quota.Later); admitted {
+			used += cost
+		}
+		for i, at := range waiting {
+			if at.IsZero() || now.Before(at) {
+				continue
+			}
+			precedence := quota.FirstAgain
+			if at.Equal(start) {
+				precedence = quota.First
+			}
+			retryAt, admitted := p.Borrow(now, "c", cost, limit, precedence)
+			waiting[i] = retryAt
+			if admitted {
+				used += cost
+				last = now
+			}
+		}
+	}
+	c.Check(waiting, quicktest.Equals, [streams]time.Time{})
+	c.Check(last.Sub(start) <= time.Second, quicktest.IsTrue, quicktest.Commentf("the last stream waited %v", last.Sub(start)))
+	c.Check(used <= 2*limit.Rate, quicktest.IsTrue, quicktest.Commentf("%v tokens in 2 s", used))
+	c.Check(used >= 1.9*limit.Rate, quicktest.IsTrue, quicktest.Commentf("%v tokens in 2 s", used))
+}
--- a/internal/member/report/report.go
+++ b/internal/member/report/report.go
@@ -191,6 +191,16 @@
 	Customer string    `json:"Customer,omitempty"`
 	Endpoint string    `json:"Endpoint,omitempty"`
 	Requests []float64 `json:"Requests"` // tokens of each request
+	// Precedence holds that of each request; omitted if all are of quota.Later.
+	Precedence []quota.Precedence `json:"Precedence,omitempty"`
+}
+
+// Order returns the precedence of a request.
+func (l LoanRequest) Order(i int) quota.Precedence {
+	if i >= len(l.Precedence) {
+		return quota.Later
+	}
+	return l.Precedence[i]
 }
 
 // LoanReply answers a LoanRequest.
--- a/internal/node/control/interface.go
+++ b/internal/node/control/interface.go
@@ -307,8 +307,8 @@
 	now := c.options.Now()
 	pool, limit := c.state.lender(l)
 	answer := report.LoanReply{Leading: true}
-	for _, tokens := range l.Requests {
-		retryAt, admitted := pool.Borrow(now, l.Customer+l.Endpoint, tokens, limit)
+	for i, tokens := range l.Requests {
+		retryAt, admitted := pool.Borrow(now, l.Customer+l.Endpoint, tokens, limit, l.Order(i))
 		answer.Add(now, retryAt, admitted)
 	}
 	return answer, nil
--- a/internal/serve/forward/admit.go
+++ b/internal/serve/forward/admit.go
@@ -23,22 +23,60 @@
 			cost = float64(x.customer.DefaultTokens)
 		}
 	}
-	h.mu.Lock()
-	now := h.options.Now()
-	retryAt, admitted := h.shares.Take(now, x.customer.Name, cost)
-	borrow := !admitted && h.shares.MayBorrow(now, x.customer.Name)
-	h.mu.Unlock()
-	if borrow {
-		var err error
-		if retryAt, admitted, err = h.borrow(x, report.LoanRequest{Customer: x.customer.Name}, cost, retryAt); err != nil {
+	precedence := quota.Later
+	if x.request.LastEvent != "" {
+		precedence = quota.First // its caller has the beginning of the answer, which is paid for
+	}
+	for {
+		retryAt, admitted, err := h.charge(x, cost, precedence)
+		now := h.options.Now()
+		switch {
+		case err == nil && admitted:
+			x.cost = cost
+			return nil
+		case precedence != quota.Later && retryAt.Sub(x.arrived) < continueWait:
+			precedence = quota.FirstAgain
+			if x.sleep(retryAt.Sub(now)) {
+				continue
+			}
+		}
+		if err != nil {
 			return refusal.New(refusal.Unavailable, "the customer's rate is not known: %v", err).WithRetryAt(h.retryAtWithLeader(x, retryAt))
 		}
-	}
-	if !admitted {
 		return refusal.New(refusal.OverRate, "customer is over its rate").WithRetryAt(retryAt)
 	}
-	x.cost = cost
-	return nil
+}
+
+// continueWait is the time for which a request that continues a stream waits for tokens. It leaves half a second of the shortest gap in a stream, two
+// seconds, after which callers leave.
+const continueWait = 1500 * time.Millisecond
+
+// sleep waits, and reports whether the caller is still there.
+func (x *exchange) sleep(wait time.Duration) bool {
+	select {
+	case <-x.ctx.Done():
+		return false
+	case <-time.After(max(wait, minSleep)):
+		return true
+	}
+}
+
+// minSleep limits how often a waiting request asks the leader.
+const minSleep = 20 * time.Millisecond
+
+// charge takes tokens for a request from this entry's, or else from the reserve of its customer's rate. Requests of a higher precedence ask the leader
+// also while the reserve is empty.
+func (h *Handler) charge(x *exchange, cost float64, precedence quota.Precedence) (retryAt time.Time, admitted bool, err error) {
+	customer := x.customer.Name
+	h.mu.Lock()
+	now := h.options.Now()
+	retryAt, admitted = h.shares.Take(now, customer, cost)
+	borrow := !admitted && (precedence != quota.Later || h.shares.MayBorrow(now, customer))
+	h.mu.Unlock()
+	if !borrow {
+		return retryAt, admitted, nil
+	}
+	return h.borrow(x, report.LoanRequest{Customer: customer}, cost, retryAt, precedence)
 }
 
 // loanQueue holds the requests of a customer, or to an endpoint that has named a rate, that the leader is asked to admit. One call runs at a time: requests that arrive
@@ -52,17 +90,18 @@
 type loanKey struct{ customer, endpoint string }
 
 type pendingLoan struct {
-	cost     float64
-	done     chan struct{}
-	admitted bool
-	retryAt  time.Time
-	err      error
+	cost       float64
+	precedence quota.Precedence
+	done       chan struct{}
+	admitted   bool
+	retryAt    time.Time
+	err        error
 }
 
 // borrow asks the leader to admit the request from the reserve of its customer's or endpoint's rate, which loan names. While the reserve is empty,
 // further requests are refused without a call.
-func (h *Handler) borrow(x *exchange, loan report.LoanRequest, cost float64, retryAt time.Time) (at time.Time, admitted bool, err error) {
-	l := &pendingLoan{cost: cost, retryAt: retryAt, done: make(chan struct{})}
+func (h *Handler) borrow(x *exchange, loan report.LoanRequest, cost float64, retryAt time.Time, precedence quota.Precedence) (at time.Time, admitted bool, err error) {
+	l := &pendingLoan{cost: cost, precedence: precedence, retryAt: retryAt, done: make(chan struct{})}
 	key := loanKey{loan.Customer, loan.Endpoint}
 	h.mu.Lock()
 	queue := h.loans[key]
@@ -99,8 +138,14 @@
 			return
 		}
 		loan := report.LoanRequest{Customer: key.customer, Endpoint: key.endpoint}
+		first := false
 		for _, l := range batch {
 			loan.Requests = append(loan.Requests, l.cost)
+			loan.Precedence = append(loan.Precedence, l.precedence)
+			first = first || l.precedence != quota.Later
+		}
+		if !first {
+			loan.Precedence = nil
 		}
 		answer, err := h.options.Borrow(context.Background(), loan)
 		h.completeLoans(key, batch, answer, err)
--- a/internal/serve/forward/ceiling.go
+++ b/internal/serve/forward/ceiling.go
@@ -25,7 +25,7 @@
 	h.mu.Unlock()
 	var err error
 	if borrow {
-		retryAt, admitted, err = h.borrow(x, report.LoanRequest{Endpoint: c.ID}, ceiling.Unit, retryAt)
+		retryAt, admitted, err = h.borrow(x, report.LoanRequest{Endpoint: c.ID}, ceiling.Unit, retryAt, quota.Later)
 	}
 	if admitted {
 		return true
--- a/internal/serve/forward/send.go
+++ b/internal/serve/forward/send.go
@@ -100,8 +100,8 @@
 // every answer late.
 func (h *Handler) checkBacklog(x *exchange, c choice) *refusal.Error {
 	limit := maxBacklog(x.route)
-	if x.sent > 0 || x.request.PromptTokens == 0 || limit <= 0 {
-		return nil
+	if x.sent > 0 || x.request.PromptTokens == 0 || limit <= 0 || x.request.LastEvent != "" {
+		return nil // the caller of a stream that is continued has the beginning of the answer
 	}
 	h.mu.Lock()
 	ahead := h.backlog(c.ID)
