Let entries confirm which software versions they know, and close gaps found in review

A reviewer who had not seen the work found, by reading and with trials on a copy, ways in which streams could still be joined: - An entry was taken as informed of a new version once it had reported; the answer could be lost, and its view counted as young from when the answer was applied, so that an entry which was suspended or cut off took the only version of its list for longer than the leader assumed. Entries now state the revision of the versions that they know, and a view's age counts from the report that it answers. A lookup of an unknown stream ends once all entries have reported since.

--- a/internal/member/report/report.go
+++ b/internal/member/report/report.go
@@ -51,6 +51,7 @@
 	Ceilings        []ceiling.Named      `json:"Ceilings,omitempty"`
 	CeilingRevision uint64               `json:"CeilingRevision,omitempty"` // known revision of the leader's list, in Term
 	EndpointUses    map[string]quota.Use `json:"EndpointUses,omitempty"`
+	Versions        uint64               `json:"Versions,omitempty"` // known VersionsRevision, in Term
 	// Streams lists streams that have begun at services with several software versions, unless the leader has confirmed them.
 	Streams []origin.Stream `json:"Streams,omitempty"`
 	// Refused counts requests since the last report, by identifier of a quarantined signature.
@@ -94,7 +95,9 @@
 	Deputies     []Deputy               `json:"Deputies,omitempty"`     // all deputies, if their revision has changed
 	Versions     map[string][]string    `json:"Versions,omitempty"`     // software versions that may have begun streams, by service
 	Entries      int                    `json:"Entries,omitempty"`
-	EveryMillis  int64                  `json:"EveryMillis,omitempty"` // interval of reports in milliseconds
+
+	VersionsRevision uint64 `json:"VersionsRevision,omitempty"` // of Versions
+	EveryMillis      int64  `json:"EveryMillis,omitempty"`      // interval of reports in milliseconds
 
 	CeilingRevision uint64                 `json:"CeilingRevision,omitempty"`
 	Ceilings        []ceiling.Named        `json:"Ceilings,omitempty"`       // all rates that endpoints have named, if their revision has changed
--- a/internal/member/roster/roster.go
+++ b/internal/member/roster/roster.go
@@ -99,17 +99,11 @@
 	if a.Gone {
 		return r.handleGone(now, a, old)
 	}
-	if p, ended := r.ended[a.ID]; ended && a.Born <= p.born {
-		return false, ErrOutdated
-	}
-	if old != nil && (a.Born < old.Born || (a.Born == old.Born && a.Sequence <= old.Sequence && !old.inherited)) {
+	if r.Outdated(a) {
 		return false, ErrOutdated
 	}
 	displaced := ""
 	if other := r.entries[r.byAddress[a.Address]]; other != nil && other.ID != a.ID {
-		if a.Born < other.Born {
-			return false, ErrOutdated
-		}
 		r.remove(now, other)
 		displaced = other.ID
 	}
@@ -127,6 +121,27 @@
 	return old == nil || !sameState(old.Announcement, a), nil
 }
 
+// Outdated reports whether something newer than an announcement is known of the endpoint or its address.
+func (r *Roster) Outdated(a Announcement) bool {
+	if p, ended := r.ended[a.ID]; ended && a.Born <= p.born {
+		return true
+	}
+	if old := r.entries[a.ID]; old != nil && (a.Born < old.Born || (a.Born == old.Born && a.Sequence <= old.Sequence && !old.inherited)) {
+		return true
+	}
+	other := r.entries[r.byAddress[a.Address]]
+	return other != nil && other.ID != a.ID && a.Born < other.Born
+}
+
+// End removes an endpoint whose listed incarnation has ended, and reports whether there was one.
+func (r *Roster) End(now time.Time, id string) bool {
+	e := r.entries[id]
+	if e != nil {
+		r.remove(now, e)
+	}
+	return e != nil
+}
+
 // Inherit records an endpoint that an earlier leader has listed, until the endpoint announces itself. It reports whether the
 // endpoint was recorded; it is not if something newer is known, or the roster is full.
 func (r *Roster) Inherit(now time.Time, a Announcement) bool {
--- a/internal/member/view/view.go
+++ b/internal/member/view/view.go
@@ -33,6 +33,7 @@
 	running        map[string]int      // running requests of all entries, by endpoint
 	backlog        map[string]int      // milliseconds to read the waiting prompts of all entries, by endpoint
 	software       map[string][]string // versions that may have begun streams, by service
+	softwareKnown  uint64              // revision of software
 	deputies       []report.Deputy
 	deputyRevision uint64 // revision of deputies
 
@@ -66,6 +67,7 @@
 	r.Term, r.Document, r.Adapters = v.term, v.document, v.adapters
 	r.Directory, r.Placement, r.Deputies = v.directory, v.placement, v.deputyRevision
 	r.Suspects, r.Quarantine = v.suspectRevision, v.quarantineRevision
+	r.Versions = v.softwareKnown
 	for id, l := range v.leaving {
 		if e, known := v.endpoints[id]; known && !l.listed && e.Born == l.born {
 			r.Leaving = append(r.Leaving, report.Departure{ID: id, Born: l.born})
@@ -110,9 +112,9 @@
 	Removed    []report.Endpoint
 }
 
-// Apply applies an update; decode decodes a document. An update of an older term is ignored, and so is an older document
-// in an update.
-func (v *View) Apply(now time.Time, u report.Update, decode func([]byte) (document.Document, error)) (c Changed, err error) {
+// Apply applies the update that answers a report sent at a time; decode decodes a document. An update of an older term is ignored, and so is an
+// older document in an update.
+func (v *View) Apply(sentAt time.Time, u report.Update, decode func([]byte) (document.Document, error)) (c Changed, err error) {
 	var index *document.Index
 	if len(u.Content) > 0 {
 		content, err := document.Unpack(u.Content)
@@ -130,13 +132,13 @@
 	if u.Term < v.term {
 		return c, nil
 	}
-	v.updatedAt = now
+	v.updatedAt = sentAt // the update may have waited, in a process that was suspended, too
 	if index != nil && u.Document > v.document {
 		v.index, v.document = index, u.Document
 		c.Document = true
 	}
 	v.entries = max(u.Entries, 1)
-	v.software = u.Versions
+	v.software, v.softwareKnown = u.Versions, u.VersionsRevision
 	v.applyVersions(u)
 	c.Deputies = v.applyDeputies(u)
 	c.Quarantine = v.applyQuarantine(u)
@@ -344,7 +346,7 @@
 	return v.index
 }
 
-// Age returns the time since the last update.
+// Age returns the time since the report that the last update answers.
 func (v *View) Age(now time.Time) time.Duration {
 	v.mu.RLock()
 	defer v.mu.RUnlock()
--- a/internal/node/control/interface.go
+++ b/internal/node/control/interface.go
@@ -104,7 +104,7 @@
 		return announceReply{Leading: true, Invalid: true}, departures
 	}
 	if !c.state.admitsSoftware(a) {
-		return reply, departures // it announces itself again
+		return reply, departures // the instance that passes it on repeats it
 	}
 	changed, err := c.state.announce(a)
 	if changed || err != nil {
--- a/internal/node/control/leader.go
+++ b/internal/node/control/leader.go
@@ -72,6 +72,8 @@
 	active  map[string]int
 	backlog map[string]int
 	at      time.Time
+	// versions is the revision of the census that the entry knows.
+	versions uint64
 }
 
 const (
--- a/internal/node/control/software.go
+++ b/internal/node/control/software.go
@@ -35,27 +35,34 @@
 	if a.Gone || a.Leaving {
 		return true // it gets no work
 	}
-	if current, listed := ls.roster.Get(a.ID); listed && current.Born == a.Born {
+	current, listed := ls.roster.Get(a.ID)
+	if (listed && current.Born == a.Born && (current.Software != "" || a.Software == "")) || ls.roster.Outdated(a) {
 		return true
 	}
 	now, s := ls.now(), softwareOf(a)
 	ls.census.Observe(now, s)
-	return ls.census.Usable(s, ls.informed)
+	if ls.census.Usable(s, ls.informed) {
+		return true
+	}
+	if listed && current.Born < a.Born && ls.roster.End(now, a.ID) { // its earlier incarnation has ended
+		ls.removeEndpoint(a.ID)
+	}
+	return false
 }
 
-// informed reports whether no entry uses a list of software versions from before a time: each has had the answers to its next reports, or has been silent
-// for so long that it does not rely on its list.
-func (ls *leaderState) informed(since time.Time) bool {
+// informed reports whether no entry relies on a list of software versions that lacks those of a revision of the census, which was made at a time: each has
+// reported that it knows the revision, or its list is too old.
+func (ls *leaderState) informed(since time.Time, revision uint64) bool {
 	now := ls.now()
 	if now.Sub(since) >= report.VersionsLease {
 		return true
 	}
 	for _, e := range ls.entries {
-		if !e.at.After(since) {
+		if e.versions < revision {
 			return false
 		}
 	}
-	return now.Sub(since) >= ls.settleTime() && !now.Before(ls.informedAt)
+	return !now.Before(ls.informedAt)
 }
 
 // recordSilentEntry records that an entry has stopped reporting, which may be running still.
@@ -65,7 +72,7 @@
 	}
 }
 
-// settleTime is the time in which all entries have learned something from the answers to their reports.
+// settleTime is the time in which all entries have reported again.
 func (ls *leaderState) settleTime() time.Duration {
 	return settleReports * reportInterval(len(ls.entries))
 }
@@ -132,7 +139,7 @@
 			defer c.mu.Unlock()
 			return report.OriginReply{Leader: c.leader}, nil
 		}
-		reply, settled := c.state.origin(q), c.options.Now().Sub(arrived) >= c.state.settleTime()
+		reply, settled := c.state.origin(q), c.state.haveReported(arrived)
 		c.mu.Unlock()
 		if reply.Known || settled {
 			return reply, nil
@@ -145,6 +152,19 @@
 	}
 }
 
+// haveReported reports whether all entries have reported since a time, or have had the time to.
+func (ls *leaderState) haveReported(since time.Time) bool {
+	if ls.now().Sub(since) >= ls.settleTime() {
+		return true
+	}
+	for _, e := range ls.entries {
+		if !e.at.After(since) {
+			return false
+		}
+	}
+	return len(ls.entries) > 0
+}
+
 // originInterval is short compared with the interval of reports.
 const originInterval = 50 * time.Millisecond
 
--- a/internal/node/control/software_test.go
+++ b/internal/node/control/software_test.go
@@ -1,12 +1,14 @@
 package control
 
 import (
+	"net/netip"
 	"testing"
 	"time"
 
 	"github.com/frankban/quicktest"
 
 	"lycheevale/internal/member/report"
+	"lycheevale/internal/member/roster"
 )
 
 // A software version appears while entries report, are silent, or have stopped. Guards against endpoints of the version that get work while an entry still
@@ -18,20 +20,48 @@
 	ls := newLeaderState(&Control{options: Options{Now: func() time.Time { return now }}}, 1)
 	now = start.Add(time.Minute)
 	since := now
-	ls.recordActive(since.Add(-100*time.Millisecond), report.Entry{Name: "reports"})
-	ls.recordActive(since.Add(-1200*time.Millisecond), report.Entry{Name: "silent"})
+	const revision = 3
+	record := func(name string, after time.Duration, versions uint64) {
+		ls.recordActive(since.Add(after), report.Entry{Name: name, Term: ls.term, Versions: versions})
+	}
 	at := func(after time.Duration) bool {
 		now = since.Add(after)
 		ls.removeSilentEntries(now)
-		return ls.informed(since)
+		return ls.informed(since, revision)
 	}
+	record("reports", -100*time.Millisecond, revision-1)
+	record("silent", -1200*time.Millisecond, revision-1)
 	c.Check(at(100*time.Millisecond), quicktest.IsFalse)
-	ls.recordActive(since.Add(200*time.Millisecond), report.Entry{Name: "reports"})
+	record("reports", 200*time.Millisecond, revision-1) // the answer with the revision follows
+	c.Check(at(250*time.Millisecond), quicktest.IsFalse)
+	record("reports", 280*time.Millisecond, revision)
 	c.Check(at(300*time.Millisecond), quicktest.IsFalse) // the other one has been silent for 1.5 s, and may use its list until 1.8 s
 	for _, step := range []time.Duration{time.Second, 1700 * time.Millisecond, 1800 * time.Millisecond} {
-		ls.recordActive(since.Add(step), report.Entry{Name: "reports"})
+		record("reports", step, revision)
 		c.Check(at(step), quicktest.Equals, step == 1800*time.Millisecond, quicktest.Commentf("after %v", step))
 	}
-	ls.recordSilentEntry(&entry{at: since.Add(3 * time.Second)})
-	c.Check(at(report.VersionsLease), quicktest.IsTrue)
+	record("reports", 2*time.Second, 1)
+	c.Check(at(2*time.Second), quicktest.IsFalse)
+	c.Check(at(report.VersionsLease), quicktest.IsTrue) // its list is too old
+}
+
+// An endpoint restarts under its identity with a software version that is new to its service. Guards against an endpoint that is listed with its earlier
+// version until the new one may be used, and gets streams of that version.
+func TestRestartedEndpointIsNotListedWithFormerVersion(t *testing.T) {
+	c := quicktest.New(t)
+	now := time.Unix(1_800_000_000, 0)
+	ls := newLeaderState(&Control{options: Options{Now: func() time.Time { return now }}}, 1)
+	a := roster.Announcement{
+		ID: "e", Service: "s", Address: netip.MustParseAddrPort("10.0.0.1:80"), Born: 1, Sequence: 9, Slots: 4, Software: "v1",
+	}
+	c.Assert(ls.admitsSoftware(a), quicktest.IsTrue)
+	_, err := ls.announce(a)
+	c.Assert(err, quicktest.IsNil)
+	late := a
+	late.Sequence, late.Software = 8, "v3"
+	c.Check(ls.admitsSoftware(late), quicktest.IsTrue) // the roster refuses it
+	a.Born, a.Sequence, a.Software = 2, 1, "v2"
+	c.Check(ls.admitsSoftware(a), quicktest.IsFalse)
+	c.Check(ls.endpoints(), quicktest.HasLen, 0)
+	c.Check(ls.census.Versions("s"), quicktest.DeepEquals, []string{"v1", "v2"})
 }
--- a/internal/node/control/updates.go
+++ b/internal/node/control/updates.go
@@ -69,7 +69,7 @@
 	ls.placer.SetReportInterval(interval)
 	u := report.Update{
 		Leading: true, Instances: ls.control.liveInstances(), Term: ls.term, Running: ls.listed(ls.active), Backlog: ls.listed(ls.backlog), Entries: len(ls.entries),
-		EveryMillis: interval.Milliseconds(), Versions: ls.census.All(),
+		EveryMillis: interval.Milliseconds(), Versions: ls.census.All(), VersionsRevision: ls.census.Revision(),
 		Grants: ls.pool.Report(now, quota.Report{Entry: r.Name, DataCentre: r.DataCentre, Uses: r.Customers}, ls.limits),
 	}
 	u.Tell = ls.requestsKnownEndpoints(r)
@@ -103,7 +103,11 @@
 	}
 	maps.DeleteFunc(r.Active, notPositive)
 	maps.DeleteFunc(r.Backlog, notPositive)
-	ls.entries[r.Name] = &entry{active: r.Active, backlog: r.Backlog, at: now}
+	e := &entry{active: r.Active, backlog: r.Backlog, at: now}
+	if r.Term == ls.term {
+		e.versions = r.Versions
+	}
+	ls.entries[r.Name] = e
 	ls.addresses[r.Name] = report.Deputy{Address: r.Address, DataCentre: r.DataCentre}
 	ls.addActive(r.Active, 1)
 	ls.addBacklog(r.Backlog, 1)
--- a/internal/node/entry/sync.go
+++ b/internal/node/entry/sync.go
@@ -122,7 +122,7 @@
 }
 
 func (e *Entry) apply(ctx context.Context, r report.Entry, u report.Update, sentAt time.Time) {
-	changed, err := e.view.Apply(e.options.Now(), u, e.options.Decode)
+	changed, err := e.view.Apply(sentAt, u, e.options.Decode)
 	if err != nil {
 		event.Log(ctx, e.options.Logger, event.ViewRefused, slog.Uint64("Version", u.Document), slog.Any("Error", err))
 		return
--- a/internal/place/origin/census.go
+++ b/internal/place/origin/census.go
@@ -10,28 +10,40 @@
 // clock and does no I/O. It is not safe for concurrent use.
 type Census struct {
 	versions map[Software]*period
+	revision uint64 // increases with each version that is added
 }
 
 // period is the time in which a software version has served.
 type period struct {
-	since   time.Time // when it was first recorded here; zero if an earlier leader had stored it
-	until   time.Time // when an endpoint last served with it
-	durable bool      // it is stored, and so outlives this leader
+	since    time.Time // when it was first recorded here; zero if an earlier leader had stored it
+	revision uint64    // of the census that has it
+	until    time.Time // when an endpoint last served with it
+	durable  bool      // it is stored, and so outlives this leader
 }
 
 // NewCensus returns an empty census.
 func NewCensus() *Census { return &Census{versions: map[Software]*period{}} }
 
+// maxVersions limits the memory for versions of services; endpoints with further ones get no work.
+const maxVersions = 10_000
+
 // Observe records that an endpoint serves, or is about to serve, with a software version.
 func (c *Census) Observe(now time.Time, s Software) {
 	p := c.versions[s]
 	if p == nil {
-		p = &period{since: now}
+		if len(c.versions) >= maxVersions {
+			return
+		}
+		c.revision++
+		p = &period{since: now, revision: c.revision}
 		c.versions[s] = p
 	}
 	p.until = now
 }
 
+// Revision returns a number that increases with each version that is added.
+func (c *Census) Revision() uint64 { return c.revision }
+
 // Restore records the versions that are stored. Those of an earlier leader count from now on, since their last endpoint may have left just now.
 func (c *Census) Restore(now time.Time, stored []Software) {
 	for _, p := range c.versions {
@@ -39,15 +51,16 @@
 	}
 	for _, s := range stored {
 		if c.versions[s] == nil {
-			c.versions[s] = &period{until: now}
+			c.revision++
+			c.versions[s] = &period{until: now, revision: c.revision}
 		}
 		c.versions[s].durable = true
 	}
 }
 
 // Usable reports whether endpoints with a software version may serve: the service has no other, or all of them are stored and all entries are
-// informed of what was recorded at the time when this one was.
-func (c *Census) Usable(s Software, informed func(since time.Time) bool) bool {
+// informed of the revision of the census that has this one.
+func (c *Census) Usable(s Software, informed func(since time.Time, revision uint64) bool) bool {
 	p := c.versions[s]
 	if p == nil {
 		return false
@@ -62,7 +75,7 @@
 		}
 		others++
 	}
-	return others == 0 || (p.durable && (p.since.IsZero() || informed(p.since)))
+	return others == 0 || (p.durable && (p.since.IsZero() || informed(p.since, p.revision)))
 }
 
 // Versions returns the software versions that may have begun streams of a service, sorted.
@@ -91,6 +104,7 @@
 		switch {
 		case now.Sub(p.until) >= retention:
 			if p.durable {
+				p.durable = false // an endpoint that returns meanwhile waits until it is stored again
 				removed = append(removed, s)
 			} else {
 				delete(c.versions, s)
--- a/internal/place/origin/origin.go
+++ b/internal/place/origin/origin.go
@@ -60,9 +60,15 @@
 // maxAttempt limits the memory for one identifier in bytes; a stream with a longer one is not recorded.
 const maxAttempt = 128
 
-// Record records a stream. Where the stream is known, the earlier record stays.
+// Record records a stream. Where the stream is known, the earlier record stays, unless its route leads to another service now.
 func (b *Book) Record(now time.Time, s Stream) {
-	if len(s.Attempt) == 0 || len(s.Attempt) > maxAttempt || b.streams[s.Attempt] != nil {
+	if len(s.Attempt) == 0 || len(s.Attempt) > maxAttempt {
+		return
+	}
+	if r := b.streams[s.Attempt]; r != nil {
+		if r.Software.Service != s.Software.Service {
+			r.Software, r.sent = s.Software, 0
+		}
 		return
 	}
 	if len(b.streams) >= b.limit {
@@ -82,12 +88,12 @@
 	return r.Software, true
 }
 
-// Unconfirmed returns the oldest streams of some services that the leader of a term has not confirmed, at most limit.
+// Unconfirmed returns the newest streams of some services that the leader of a term has not confirmed, at most limit; older ones have mostly ended.
 func (b *Book) Unconfirmed(term uint64, services []string, limit int) (list []Stream) {
 	if len(services) == 0 {
 		return nil
 	}
-	for _, r := range b.order[b.dropped:] {
+	for _, r := range slices.Backward(b.order[b.dropped:]) {
 		if len(list) >= limit {
 			break
 		}
--- a/internal/place/origin/origin_test.go
+++ b/internal/place/origin/origin_test.go
@@ -70,6 +70,10 @@
 	census.Observe(at, newer)
 	_, removed := census.Changes(at, time.Minute)
 	c.Check(removed, quicktest.DeepEquals, []origin.Software{former})
+	census.Observe(at, former)
+	c.Check(census.Usable(former, func(time.Time, uint64) bool { return true }), quicktest.IsFalse) // it returns while it is being removed
+	census.Restore(at, []origin.Software{newer})
+	census.Changes(at.Add(time.Minute), time.Minute)
 	census.Restore(at, []origin.Software{newer})
 	census.Observe(at, newer)
 	added, removed := census.Changes(at, time.Minute)
@@ -84,8 +88,9 @@
 	census := origin.NewCensus()
 	census.Observe(start, former)
 	informed := false
-	isInformed := func(since time.Time) bool {
+	isInformed := func(since time.Time, revision uint64) bool {
 		c.Check(since, quicktest.Equals, start)
+		c.Check(revision <= census.Revision(), quicktest.IsTrue)
 		return informed
 	}
 	c.Check(census.Usable(former, isInformed), quicktest.IsTrue)
--- a/internal/serve/forward/origin.go
+++ b/internal/serve/forward/origin.go
@@ -16,10 +16,11 @@
 // findOrigin finds the software version that began a stream which the caller continues. The request is refused if that is not known, or if no endpoint
 // of the version is left.
 func (h *Handler) findOrigin(x *exchange) *refusal.Error {
-	if x.request.LastEvent == "" || !x.route.Repeatable() {
+	if x.request.LastEvent == "" {
 		return nil
 	}
 	asked := h.options.Now()
+	age := h.options.View.Age(asked)
 	software, source, refused := h.origin(x)
 	x.software = software
 	version := ""
@@ -29,7 +30,7 @@
 	event.Log(x.ctx, h.options.Logger, event.StreamContinued, slog.String("Attempt", x.request.Attempt), slog.String("Continues", x.request.Continues),
 		slog.String("LastEvent", x.request.LastEvent), slog.String("Service", x.service.Name), slog.Bool("Known", software != nil), slog.String("Software", version),
 		slog.String("Source", source), slog.Any("Versions", h.options.View.Software(x.service.Name)),
-		slog.Int64("ViewAgeMillis", h.options.View.Age(asked).Milliseconds()), slog.Int64("AfterMillis", h.options.Now().Sub(asked).Milliseconds()))
+		slog.Int64("ViewAgeMillis", age.Milliseconds()), slog.Int64("AfterMillis", h.options.Now().Sub(asked).Milliseconds()))
 	if refused != nil || software == nil {
 		return refused
 	}
@@ -94,7 +95,7 @@
 
 // recordOrigin records that the first events of a stream were delivered, which only endpoints of the same software version may continue.
 func (h *Handler) recordOrigin(x *exchange, s attempt) {
-	if x.delivered || !x.route.Repeatable() {
+	if x.delivered {
 		return
 	}
 	attempt := x.request.Attempt
