Let a new leader act only once it has applied what was committed before

The status of a voter now has the term of its last committed entry, and a control instance leads once that is its own term.

TestNewLeaderIsBehindUntilItsTermIsCommitted shows the state between the two moments.

--- a/internal/node/control/control.go
+++ b/internal/node/control/control.go
@@ -233,13 +233,14 @@
 	return council.SelectVoters(now, instances, council.Options{Voters: council.VotersFor(c.options.Settings.Losses), ReplaceAfter: lostAfter})
 }
 
-// voterLeadership returns the leadership that the voter last reported. The caller holds c.mu.
+// voterLeadership returns the leadership that the voter last reported. A leader acts once it has applied what its predecessors have committed. The
+// caller holds c.mu.
 func (c *Control) voterLeadership() council.Leadership {
 	if c.voter == nil {
 		return council.Leadership{}
 	}
 	s := c.voter.Status()
-	return council.Leadership{Leads: s.Role == consensus.Leader && s.Err == nil, Term: s.Term, CheckedAt: s.LeaderKnownAt}
+	return council.Leadership{Leads: s.Role == consensus.Leader && s.CommitTerm == s.Term && s.Err == nil, Term: s.Term, CheckedAt: s.LeaderKnownAt}
 }
 
 // actingTerm returns the term in which this instance leads and may act, or 0. The caller holds c.mu.
--- a/internal/state/consensus/consensus.go
+++ b/internal/state/consensus/consensus.go
@@ -169,6 +169,7 @@
 		Last: c.log.last(), Snapshot: c.log.snapshot.Index, Config: c.log.config(),
 		Removed: c.removed(),
 	}
+	s.CommitTerm, _ = c.log.term(c.commit) // 0 before the first entry
 	if c.role == Leader {
 		s.Match = map[string]uint64{c.options.ID: c.log.last()}
 		for id, p := range c.peers {
--- a/internal/state/consensus/message.go
+++ b/internal/state/consensus/message.go
@@ -108,6 +108,7 @@
 	Leader      string    // identity, "" if unknown
 	LastContact time.Time // last message of the leader, at a follower
 	Commit      uint64
+	CommitTerm  uint64 // of the entry at Commit; a leader has all committed entries behind it once this is its Term
 	Last        uint64
 	Snapshot    uint64
 	Config      Config
--- a/internal/state/consensus/rules_test.go
+++ b/internal/state/consensus/rules_test.go
@@ -6,6 +6,7 @@
 	"testing"
 	"time"
 
+	"github.com/frankban/quicktest"
 	"github.com/zeebo/errs"
 
 	"lycheevale/internal/state/consensus"
@@ -345,6 +346,41 @@
 	}
 }
 
+// A voter becomes leader before it has applied what an earlier leader has committed. Guards against a leader that is taken as up to date then: after all
+// instances had restarted, one acted on the state of its last snapshot.
+func TestNewLeaderIsBehindUntilItsTermIsCommitted(t *testing.T) {
+	c := quicktest.New(t)
+	cluster := newCluster(nil, func(*consensus.Rules) {}, 3, 0)
+	cluster.settle(3 * time.Second)
+	first := cluster.leader()
+	c.Assert(first, quicktest.Not(quicktest.Equals), "")
+	cluster.propose(first)
+	cluster.settle(time.Second)
+	committed := cluster.nodes[first].core.Status().Commit
+	rest := without(cluster.ids, first)
+	cluster.connectOnly(rest...)
+	second := ""
+	for range 1000 {
+		for _, id := range rest {
+			cluster.tick(id, 10*time.Millisecond)
+		}
+		for len(cluster.network) > 0 && second == "" {
+			cluster.deliver(0, false, false)
+			second = cluster.leader()
+		}
+		if second != "" {
+			break
+		}
+	}
+	c.Assert(second, quicktest.Not(quicktest.Equals), "")
+	s := cluster.nodes[second].core.Status()
+	c.Check(s.CommitTerm < s.Term, quicktest.IsTrue, quicktest.Commentf("%+v", s))
+	cluster.settle(time.Second)
+	s = cluster.nodes[second].core.Status()
+	c.Check(s.CommitTerm, quicktest.Equals, s.Term)
+	c.Check(s.Commit > committed, quicktest.IsTrue, quicktest.Commentf("%+v, %d was committed before", s, committed))
+}
+
 func ExampleCore_Propose() {
 	alone := consensus.Snapshot{Index: 1, Term: 1, Config: consensus.Config{Members: []consensus.Member{{ID: "a"}}}}
 	now := time.Unix(0, 0)
