Answer requests that come late in a planned stop, and close only connections that wait for one

Callers saw: a request on an open connection, sent later than 2.5 s after SIGTERM to an entry, got no answer; its connection was closed. An order may not be sent again then, though it had not run.

Cause: http.Server.Shutdown. From then on the server reads a request, notices that it is shutting down, and closes the connection. It also closes connections as idle whose request is being read.

An entry now leaves the server running until its connections are closed, and closes them itself (listener.Tracked): only while the server waits in Read for the first byte of a request, and a byte that has arrived meanwhile keeps the connection open. New connections have 5 s for their first request, as in http.Server.Shutdown.

With http.Server.Shutdown in place of the new one, the tests of first, partly read, pipelined and crossing requests fail; each of five single changes to Tracked fails one of them.

--- a/internal/base/listener/listener.go
+++ b/internal/base/listener/listener.go
@@ -1,4 +1,5 @@
-// Package listener keeps a planned stop from resetting connections that clients have opened and the server has not accepted yet.
+// Package listener keeps a planned stop from resetting connections that clients have opened and the server has not accepted yet, and from closing
+// connections whose requests the server has read.
 package listener
 
 import (
--- a/internal/node/entry/entry.go
+++ b/internal/node/entry/entry.go
@@ -117,7 +117,6 @@
 	if err != nil {
 		return err
 	}
-	accepting := listener.New(inner)
 	work, stop := context.WithCancel(context.WithoutCancel(ctx))
 	defer stop()
 	group, work := errgroup.WithContext(work)
@@ -125,6 +124,7 @@
 		Handler: e.handler, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
 		ErrorLog: slog.NewLogLogger(e.options.Logger.Handler(), slog.LevelDebug),
 	}
+	accepting := listener.Track(inner, callers)
 	ready := &http.Server{Handler: e.readiness(), ReadHeaderTimeout: headerTimeout}
 	group.Go(func() error { return e.peers.Run(work) })
 	group.Go(func() error { return repeat.Every(work, syncInterval, e.guarded("sync", e.sync)) })
@@ -162,7 +162,7 @@
 }
 
 func serveUntilClosed(s *http.Server, l net.Listener) error {
-	if err := s.Serve(l); !errs.Is(err, http.ErrServerClosed) {
+	if err := s.Serve(l); !errs.Is(err, http.ErrServerClosed) && !errs.Is(err, net.ErrClosed) {
 		return err
 	}
 	return nil
@@ -192,19 +192,19 @@
 	exitMargin = 500 * time.Millisecond
 )
 
-// drain reports not ready until the load balancer has detected it, then accepts the connections that wait and no more, and waits for
-// active requests.
-func (e *Entry) drain(ctx context.Context, callers *http.Server, accepting *listener.Draining) {
+// drain reports not ready until the load balancer has detected it, then accepts the connections that wait and no more, and answers the requests on
+// open connections.
+func (e *Entry) drain(ctx context.Context, callers *http.Server, accepting *listener.Tracked) {
 	started := e.options.Now()
 	e.draining.Store(true)
-	e.handler.Close()
 	event.Log(ctx, e.options.Logger, event.InstanceDraining, slog.String("Instance", e.options.Settings.Name))
-	deadline := time.Now().Add(e.options.Settings.Shutdown.Duration() - exitMargin)
+	remaining := e.options.Settings.Shutdown.Duration() - exitMargin
+	deadline := time.Now().Add(remaining)
+	e.handler.Close(started.Add(readinessDelay), started.Add(remaining))
 	time.Sleep(readinessDelay)
-	accepting.Drain()
 	end, cancel := context.WithDeadline(context.WithoutCancel(ctx), deadline)
 	defer cancel()
-	err := callers.Shutdown(end)
+	err := accepting.Shutdown(end) // http.Server.Shutdown would read requests and close their connections without an answer
 	event.Log(ctx, e.options.Logger, event.InstanceStopped, slog.String("Instance", e.options.Settings.Name),
 		slog.Int64("AfterMillis", e.options.Now().Sub(started).Milliseconds()), slog.Any("CutRequests", err))
 	_ = callers.Close() // aborts requests that are still active
--- a/internal/serve/forward/forward.go
+++ b/internal/serve/forward/forward.go
@@ -55,6 +55,8 @@
 	reportedBacklog   map[string]int // milliseconds of this entry's unread prompts as last reported to the leader, by endpoint
 	reportedActive    map[string]int // this entry's active requests as last reported to the leader, by endpoint
 	closing           bool
+	refuseFrom        time.Time // from then on, requests are refused that may last until stopAt
+	stopAt            time.Time // when a planned stop cuts the requests that still run
 	tracker           *quarantine.Tracker
 	refusedSignatures map[string]quarantine.Refusals // requests refused since the last report, by quarantined signature
 	trials            map[string]time.Time           // until when one request may try a quarantined signature
@@ -115,7 +117,7 @@
 		silence: silence.New(silence.Defaults()), attempts: map[*inFlight]bool{}, loans: map[loanKey]*loanQueue{}, ceilings: ceiling.New(), endpointShares: quota.NewEntryPool(), unread: map[string]int{}, shares: o.Shares,
 		tracker: quarantine.NewTracker(), refusedSignatures: map[string]quarantine.Refusals{}, trials: map[string]time.Time{},
 	}
-	h.filters = []filter{h.match, h.identify, h.read, h.sign, h.checkSignatures, h.admit, h.dispatch}
+	h.filters = []filter{h.match, h.identify, h.read, h.checkStop, h.sign, h.checkSignatures, h.admit, h.dispatch}
 	return h
 }
 
@@ -333,11 +335,23 @@
 		slog.Any("Parts", x.request.SharedParts), slog.String("Request", x.exactRequest()))
 }
 
-// Close sets "Connection: close" on all further answers, so that callers reconnect to another instance.
-func (h *Handler) Close() {
+// Close sets "Connection: close" on all further answers, so that callers reconnect to another instance. Requests that arrive from refuseFrom on and may
+// last until stopAt are refused, since another instance can answer them in time.
+func (h *Handler) Close(refuseFrom, stopAt time.Time) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	h.closing = true
+	h.closing, h.refuseFrom, h.stopAt = true, refuseFrom, stopAt
+}
+
+// checkStop refuses a request that comes late in a planned stop and may not be answered before its end.
+func (h *Handler) checkStop(x *exchange) *refusal.Error {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if !h.closing || x.arrived.Before(h.refuseFrom) || x.deadline.Before(h.stopAt) {
+		return nil
+	}
+	return refusal.New(refusal.Unavailable, "this instance stops in %v, the request may last %v", h.stopAt.Sub(x.arrived).Round(time.Millisecond),
+		x.deadline.Sub(x.arrived)).WithRetryAt(x.arrived)
 }
 
 func (h *Handler) isClosing() bool {
