Send no request whose context has ended

A request whose caller had left while it waited for a place was still written to an idle connection to its endpoint, if there was one: Pool.Do took the connection first, and the end of the context then closed it, before or after the request was written. The endpoint could run it in vain, the connection was lost, and the error said that the request may have run.

Do now returns ErrNotSent at once if the context has ended.

TestRequestOfEndedContextIsNotSent failed before: the error was not ErrNotSent, and a second connection was opened.

--- a/internal/wire/upstream/upstream.go
+++ b/internal/wire/upstream/upstream.go
@@ -224,6 +224,9 @@
 // being read. After any error other than ErrNotSent the request may have run.
 func (p *Pool) Do(ctx context.Context, r Request) (a *Answer, err error) {
 	defer func() { err = Error.Wrap(err) }()
+	if ctx.Err() != nil {
+		return nil, errs.Combine(ErrNotSent, context.Cause(ctx))
+	}
 	c, err := p.connect(ctx, r)
 	if err != nil {
 		return nil, err
--- a/internal/wire/upstream/upstream_test.go
+++ b/internal/wire/upstream/upstream_test.go
@@ -240,3 +240,21 @@
 	c.Check(unreachable.Probe(t.Context(), address), quicktest.IsNotNil)
 	c.Check(tries, quicktest.Equals, 2)
 }
+
+// The caller of a request leaves before it is sent, and an idle connection to the endpoint is open. Guards against a request that the endpoint still
+// runs, and against closing the connection.
+func TestRequestOfEndedContextIsNotSent(t *testing.T) {
+	c := quicktest.New(t)
+	to, _ := endpoint(t, answer("1", "one"), answer("3", "three"))
+	p := pool()
+	_, err := get(p, to, "1")
+	c.Assert(err, quicktest.IsNil)
+	ctx, leave := context.WithCancel(context.Background())
+	leave()
+	_, err = p.Do(ctx, upstream.Request{Address: to, Method: "GET", Target: "/x", Host: "h", Attempt: "2"})
+	c.Check(errs.Is(err, upstream.ErrNotSent), quicktest.IsTrue)
+	body, err := get(p, to, "3")
+	c.Assert(err, quicktest.IsNil)
+	c.Check(body, quicktest.Equals, "three")
+	c.Check(p.Opened(), quicktest.Equals, int64(1))
+}
