Keep a request at a silent endpoint until another one has begun to answer it

Whenever the others refused the request, began it and broke off, or a limit was reached (retry budget, tries, attempts of the route), nothing was left that could have gone on. The same held for requests that had not begun and for answers that are no streams; there callers got an error for an answer that was on its way.

The exchange now has one goroutine that serves the caller and decides, and each attempt has one that receives the answer (attempt.go). Whichever comes first decides: complete events of the silent endpoint end the search; an attempt that the search returns has the first complete events behind those delivered, or an answer that is no stream, and only then is the run at the silent endpoint cancelled. A search that fails leaves the request where it is. Requests that the search has sent count for the route's attempts and the retry budget as before; the refusals count for the tries only while the silence lasts. Waits for an endpoint no longer count as tries.

--- a/internal/limit/buffers/buffers.go
+++ b/internal/limit/buffers/buffers.go
@@ -26,7 +26,7 @@
 	return int64(float64(b.limit) * (1 - reservedPart*rank))
 }
 
-// Account is the part of a budget that one request uses. It is not safe for concurrent use.
+// Account is the part of a budget that one request uses. It is safe for concurrent use.
 type Account struct {
 	budget *Budget
 	used   int64
--- a/internal/place/silence/silence.go
+++ b/internal/place/silence/silence.go
@@ -1,4 +1,4 @@
-// Package silence decides when a request leaves an endpoint that sends no bytes. A busy engine may be silent for seconds
+// Package silence decides when another endpoint is sought for a request whose endpoint sends no bytes. A busy engine may be silent for seconds
 // before the first event of a stream, so a probe with a new connection distinguishes an unreachable endpoint from a slow one.
 // The package does no I/O: callers record observations and execute its decisions.
 package silence
@@ -12,7 +12,7 @@
 const (
 	Wait  Action = iota
 	Probe        // check with a new connection whether the endpoint accepts connections
-	Leave        // the request goes to another endpoint, if one may take it
+	Leave        // the request goes to another endpoint, if one begins to answer it first
 )
 
 // Options are the settings of a Watch.
--- a/internal/serve/forward/forward.go
+++ b/internal/serve/forward/forward.go
@@ -89,14 +89,16 @@
 	cost          float64         // charged to the customer's rate
 	tries         int             // endpoints that were tried
 	exclude       []string        // endpoints that are not tried again
+	silent        []string        // of these, endpoints at which the request stays while this search looks for another one
+	search        *search         // for another endpoint, while that of the last attempt is silent
 	charged       bool            // the retry budget is charged for the next attempt
 	sent          int             // requests that have reached an endpoint
-	ran           int             // of these, requests that may have run
+	ran           int             // of these, requests that may have run or run now
 	headSent      bool            // the head of the answer has been written
 	delivered     bool            // events of a stream have been written
 	identified    bool            // the last identifier is a number, so that another endpoint can continue behind it
 	unresumable   bool            // no other endpoint can continue what was delivered
-	interruptedAt time.Time       // when the last attempt that may have run ended without its answer
+	interruptedAt time.Time       // when the last attempt that may have run ended without its answer, or its endpoint was found to be silent
 	sentAt        time.Time       // of the last attempt
 	firstByteAt   time.Time       // of the first byte of the answer
 	lastEndpoint  string          // endpoint of the last attempt
--- a/internal/serve/forward/forward_test.go
+++ b/internal/serve/forward/forward_test.go
@@ -69,29 +69,39 @@
 }
 
 func newFixture(t *testing.T, endpoints []http.HandlerFunc, opts ...forward.Option) *fixture {
-	c := quicktest.New(t)
-	r := &fixture{C: c, hits: make([]atomic.Int32, len(endpoints))}
-	v := view.New()
-	content, err := document.Pack([]byte("{}"))
-	c.Assert(err, quicktest.IsNil)
-	u := report.Update{Leading: true, Term: 1, Document: 1, Directory: 1, Content: content, Entries: 1}
+	r := &fixture{C: quicktest.New(t), hits: make([]atomic.Int32, len(endpoints))}
+	var addresses []netip.AddrPort
 	for i, serve := range endpoints {
-		server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, q *http.Request) {
-			r.hits[i].Add(1)
-			serve(w, q)
-		}))
+		server := httptest.NewServer(r.countHits(i, serve))
 		t.Cleanup(server.Close)
-		address := netip.MustParseAddrPort(strings.TrimPrefix(server.URL, "http://"))
-		u.Endpoints = append(u.Endpoints, report.Endpoint{ID: fmt.Sprint(i), Service: "s", Address: address, Slots: 4})
+		addresses = append(addresses, netip.MustParseAddrPort(strings.TrimPrefix(server.URL, "http://")))
 	}
-	_, err = v.Apply(time.Now(), u, func([]byte) (document.Document, error) { return testDocument(), nil })
-	c.Assert(err, quicktest.IsNil)
-	r.update, r.view = u, v
-	r.handler = forward.New(append([]forward.Option{forward.WithCodec(codec()), forward.WithView(v)}, opts...)...)
-	r.grant(1000)
+	r.start(addresses, opts)
 	return r
 }
 
+func (r *fixture) countHits(endpoint int, serve http.HandlerFunc) http.HandlerFunc {
+	return func(w http.ResponseWriter, q *http.Request) {
+		r.hits[endpoint].Add(1)
+		serve(w, q)
+	}
+}
+
+// start creates the handler, whose view lists endpoints with the given addresses.
+func (r *fixture) start(addresses []netip.AddrPort, opts []forward.Option) {
+	content, err := document.Pack([]byte("{}"))
+	r.Assert(err, quicktest.IsNil)
+	r.update = report.Update{Leading: true, Term: 1, Document: 1, Directory: 1, Content: content, Entries: 1}
+	for i, address := range addresses {
+		r.update.Endpoints = append(r.update.Endpoints, report.Endpoint{ID: fmt.Sprint(i), Service: "s", Address: address, Slots: 4})
+	}
+	r.view = view.New()
+	_, err = r.view.Apply(time.Now(), r.update, func([]byte) (document.Document, error) { return testDocument(), nil })
+	r.Assert(err, quicktest.IsNil)
+	r.handler = forward.New(append([]forward.Option{forward.WithCodec(codec()), forward.WithView(r.view)}, opts...)...)
+	r.grant(1000)
+}
+
 // grant gives the entry tokens of the customer.
 func (r *fixture) grant(tokens float64) {
 	terms := quota.Terms{LeaderlessFrom: time.Now().Add(time.Hour), Expires: time.Now().Add(time.Hour)}
@@ -116,13 +126,15 @@
 	once.MaxAttempts = 1
 	long := route("long", document.Idempotent)
 	long.Timeout = 20 * time.Second
+	triple := route("triple", document.Idempotent)
+	triple.Timeout, triple.MaxAttempts = 20*time.Second, 3
 	brief := route("brief", document.Streaming)
 	brief.Objective = 400 * time.Millisecond
 	draft := route("draft", document.Streaming)
 	draft.Targets[0].Service = "engines"
 	return document.Document{
 		Version: 1, Services: []document.Service{{Name: "s"}, {Name: "engines", Engine: &document.Engine{}}},
-		Routes:    []document.Route{route("read", document.Idempotent), route("order", document.NonIdempotent), once, long, brief, draft},
+		Routes:    []document.Route{route("read", document.Idempotent), route("order", document.NonIdempotent), once, long, triple, brief, draft},
 		Customers: []document.Customer{{Name: "c", Keys: []string{"k"}, CountTokens: true, Rate: 1000, Burst: 1000}},
 	}
 }
--- a/internal/serve/forward/inflight.go
+++ b/internal/serve/forward/inflight.go
@@ -19,7 +19,7 @@
 	movable      bool     // it may be sent to another endpoint, if the retry budget allows it
 	unresumable  bool     // no other endpoint can continue what was delivered
 	exclude      []string // endpoints that did not run the request
-	leaving      bool     // it has been told to leave its endpoint, and the retry budget is charged
+	leaving      bool     // another endpoint is sought since the last progress, and the retry budget is charged
 	service      string
 	adapter      residency.Adapter
 	acknowledged bool          // the head of an answer has arrived
@@ -28,14 +28,14 @@
 	ahead        time.Duration // to read the prompts of other entries that waited at the endpoint when it was sent
 	waiting      int           // tokens of this entry that waited there, including its own
 	progressAt   time.Time     // of its start, its head or its last complete event
-	cancel       context.CancelCauseFunc
+	leave        chan struct{} // tells the request to look for another endpoint
 }
 
 // startAttempt registers an attempt with the picker and the counts of uses.
-func (h *Handler) startAttempt(x *exchange, c choice, cancel context.CancelCauseFunc) *inFlight {
+func (h *Handler) startAttempt(x *exchange, c choice) *inFlight {
 	f := &inFlight{
-		endpoint: c.Endpoint, movable: x.route.Repeatable() && x.ran+1 < x.route.MaxAttempts && x.tries+1 < maxEndpointsTried, exclude: x.exclude, service: x.service.Name,
-		adapter: x.request.Adapter, prompt: x.request.PromptTokens, progressAt: h.options.Now(), cancel: cancel,
+		endpoint: c.Endpoint, movable: h.movable(x), exclude: x.exclude, service: x.service.Name,
+		adapter: x.request.Adapter, prompt: x.request.PromptTokens, progressAt: h.options.Now(), leave: make(chan struct{}, 1),
 	}
 	h.mu.Lock()
 	defer h.mu.Unlock()
@@ -57,8 +57,14 @@
 	return f
 }
 
-// endAttempt removes an attempt that startAttempt registered.
-func (h *Handler) endAttempt(x *exchange, s attempt) {
+// movable reports whether a request that has been sent to an endpoint may be sent to another one.
+func (h *Handler) movable(x *exchange) bool {
+	return h.repeatable(x) && x.tries < maxEndpointsTried
+}
+
+// endAttempt ends an attempt and removes what startAttempt has registered.
+func (h *Handler) endAttempt(x *exchange, s *attempt) {
+	s.end()
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	h.picker.End(s.ID)
@@ -77,13 +83,25 @@
 	f.prompt = 0
 }
 
-func (h *Handler) recordHead(f *inFlight) {
+func (h *Handler) recordHead(x *exchange, f *inFlight) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	f.acknowledged = true
 	now := h.options.Now()
 	h.silence.RecordEvents(now, f.endpoint.ID)
 	f.progressAt = now
+	if x.search == nil { // otherwise the search goes on: no event has arrived
+		f.stay()
+	}
+}
+
+// stay allows another search for an endpoint, should this one fall silent again. The caller holds the mutex of the Handler.
+func (f *inFlight) stay() {
+	f.leaving = false
+	select {
+	case <-f.leave:
+	default:
+	}
 }
 
 // recordUnresumable records whether no other endpoint can continue what was delivered of an answer.
@@ -99,7 +117,7 @@
 // silenceRetention exceeds every period for which a request may stay at a silent endpoint.
 const silenceRetention = time.Minute
 
-// Sweep moves requests away from silent endpoints; call it a few times a second. A request stays if it may not be sent
+// Sweep lets requests at silent endpoints look for another endpoint; call it a few times a second. A request stays if it may not be sent
 // again or if no other endpoint could take it immediately.
 func (h *Handler) Sweep() {
 	now := h.options.Now()
@@ -117,7 +135,7 @@
 			h.options.Spawn(func() { _ = h.probe(f.endpoint) })
 		case silence.Leave:
 			if f.leaving = h.takeMove(now, f); f.leaving {
-				f.cancel(errSilent)
+				f.leave <- struct{}{} // does not block: it is empty unless the request is leaving
 			}
 		}
 	}
--- a/internal/serve/forward/quarantine.go
+++ b/internal/serve/forward/quarantine.go
@@ -95,7 +95,7 @@
 // recordBroken records a connection that broke before the answer began, and checks whether the endpoint has crashed. The request may have caused
 // that, and is not sent to another endpoint, if it was exposed to an earlier crash here, or if the endpoint had sent the head of the answer and
 // a part of the prompt has never begun here.
-func (h *Handler) recordBroken(x *exchange, s attempt) {
+func (h *Handler) recordBroken(x *exchange, s *attempt) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	f := s.inFlight
--- a/internal/serve/forward/send.go
+++ b/internal/serve/forward/send.go
@@ -23,6 +23,7 @@
 
 const (
 	answered   attemptResult = iota // the complete answer has been delivered
+	begun                           // a part of the answer can be delivered
 	notRun                          // the endpoint has not run the request
 	mayHaveRun                      // the request may have run, or has failed
 )
@@ -35,51 +36,91 @@
 	ctx, cancel := context.WithTimeout(x.ctx, x.deadline.Sub(h.options.Now()))
 	defer cancel()
 	x.ctx = ctx
-	for ; ; x.tries++ {
-		c, refused := h.placeAdmitted(x)
-		if refused != nil {
-			if h.awaitEndpoint(x) {
-				continue
-			}
-			return h.giveUp(x, refused)
-		}
-		if refused := h.checkBacklog(x, c); refused != nil {
-			return h.giveUp(x, refused)
+	s, refused := h.begin(x)
+	for refused == nil {
+		v, reason := h.deliver(x, s)
+		if v == answered {
+			h.stopSearch(x, s)
+			return nil
 		}
-		if !h.allowAttempt(x) {
-			return h.giveUp(x, h.refuseWithRetry(refusal.Overloaded, "no further endpoint may be tried"))
+		if s, refused = h.replace(x, s, v, reason); s == nil && refused == nil {
+			s, refused = h.begin(x)
 		}
-		if refused := h.checkQuarantine(x, true); refused != nil { // a signature may have been quarantined since the request arrived
-			return h.giveUp(x, refused)
+	}
+	return h.giveUp(x, refused)
+}
+
+// begin sends the request to endpoints until one has begun to answer. The attempt that it returns has an answer that is no stream, or the first
+// events of one; nothing of it has been delivered.
+func (h *Handler) begin(x *exchange) (s *attempt, refused *refusal.Error) {
+	for {
+		c, refused := h.placeAllowed(x)
+		if refused != nil {
+			return nil, refused
 		}
-		v, reason := h.send(x, c)
-		if v == answered {
-			return nil
+		s = h.start(x, c)
+		v, reason := h.awaitBegin(x, s)
+		if v == begun {
+			h.stopSearch(x, s)
+			return s, nil
 		}
-		h.logRetry(x, c, v, reason)
-		if v == mayHaveRun {
-			x.interruptedAt = h.options.Now()
+		h.endAttempt(x, s)
+		if s, refused = h.replace(x, s, v, reason); s != nil || refused != nil {
+			return s, refused
 		}
-		if x.ctx.Err() != nil || (v == mayHaveRun && !h.repeatable(x)) {
-			return h.giveUp(x, refusal.New(refusal.OutcomeUnknown, "endpoint failed: %s", reason))
+	}
+}
+
+// placeAllowed chooses the endpoint of the next attempt, if one may be made.
+func (h *Handler) placeAllowed(x *exchange) (c choice, refused *refusal.Error) {
+	for {
+		c, refused = h.placeAdmitted(x)
+		if refused == nil {
+			break
 		}
-		if v == notRun && reason == reasonMissing {
-			// The adapter is not ready yet or has been evicted; the leader knows which.
-			x.missingAt = c.ID
-			h.pauseForAdapter(x)
-			continue
+		if !h.awaitEndpoint(x) {
+			return c, refused
 		}
-		x.exclude = append(slices.Clip(x.exclude), c.ID)
 	}
+	if refused = h.checkBacklog(x, c); refused != nil {
+		return c, refused
+	}
+	if !h.allowAttempt(x) {
+		return c, h.refuseWithRetry(refusal.Overloaded, "no further endpoint may be tried")
+	}
+	return c, h.checkQuarantine(x, true) // a signature may have been quarantined since the request arrived
 }
 
-// awaitEndpoint waits for an endpoint that may continue a stream which has begun and for which there is none now, also for those that refused it
-// before. It returns false if the stream may not be continued or its caller is about to leave.
+// replace returns the attempt that a search has found in place of one that was not answered, or none if the request may be sent again, or a refusal.
+func (h *Handler) replace(x *exchange, s *attempt, v attemptResult, reason string) (next *attempt, refused *refusal.Error) {
+	h.logRetry(x, s.choice, v, reason)
+	if v == mayHaveRun {
+		x.interruptedAt = h.options.Now()
+	}
+	if next = h.finishSearch(x); next != nil {
+		return next, nil
+	}
+	if x.ctx.Err() != nil || (v == mayHaveRun && !h.repeatable(x)) {
+		return nil, refusal.New(refusal.OutcomeUnknown, "endpoint failed: %s", reason)
+	}
+	if v == notRun && reason == reasonMissing {
+		// The adapter is not ready yet or has been evicted; the leader knows which.
+		x.missingAt = s.ID
+		h.pauseForAdapter(x)
+		return nil, nil
+	}
+	x.exclude = append(slices.Clip(x.exclude), s.ID)
+	return nil, nil
+}
+
+// awaitEndpoint waits for an endpoint that may take over a stream which has begun, or a request at a silent endpoint, if there is none now; also for
+// those that refused it before. It returns false if no other one may take it or its caller is about to leave.
 func (h *Handler) awaitEndpoint(x *exchange) bool {
-	if !x.headSent || !h.repeatable(x) || x.tries+1 >= maxEndpointsTried || h.options.Now().Sub(x.interruptedAt) >= streamWait {
+	runs := x.headSent || len(x.silent) > 0
+	if !runs || !h.repeatable(x) || x.tries >= maxEndpointsTried || h.options.Now().Sub(x.interruptedAt) >= streamWait {
 		return false
 	}
-	x.exclude = nil
+	x.exclude = x.silent
 	select {
 	case <-x.ctx.Done():
 		return false
@@ -189,55 +230,6 @@
 	reasonStopped     = "Stopped"   // the caller disconnected or its deadline passed
 )
 
-// errSilent cancels an attempt at an endpoint that sends nothing.
-var errSilent = errs.New("endpoint is silent")
-
-// attempt is one sending of a request to an endpoint.
-type attempt struct {
-	choice
-	ctx      context.Context
-	inFlight *inFlight
-	started  time.Time
-}
-
-// send sends the request to one endpoint and relays the answer.
-func (h *Handler) send(x *exchange, c choice) (v attemptResult, reason string) {
-	ctx, cancel := context.WithCancelCause(x.ctx)
-	defer cancel(nil)
-	s := attempt{choice: c, ctx: ctx, inFlight: h.startAttempt(x, c, cancel), started: h.options.Now()}
-	defer h.endAttempt(x, s)
-	x.lastEndpoint, x.sentAt = c.ID, s.started
-	answer, err := h.options.Pool.Do(ctx, h.outgoing(x, c))
-	if errs.Is(err, upstream.ErrNotSent) {
-		if x.ctx.Err() != nil {
-			return notRun, reasonStopped
-		}
-		h.observe(c.ID, pick.Unreachable, 0)
-		h.mu.Lock()
-		h.recordDown(c.Endpoint)
-		h.mu.Unlock()
-		return notRun, reasonUnreachable
-	}
-	x.sent++
-	if err != nil {
-		x.ran++
-		return mayHaveRun, h.connectionBroken(x, s, err)
-	}
-	defer func() { _ = answer.Body.Close() }()
-	h.recordHead(s.inFlight)
-	reply := h.options.Codec.Reply(h.options.Now(), answer.Status, answer.Header)
-	h.recordStatements(x, c, reply)
-	if reply.Moved || (reply.NotRun && promisesNotRun(answer.Status)) {
-		return h.handleNotRun(x, c, reply)
-	}
-	x.ran++
-	if promisesNotRun(answer.Status) {
-		h.observe(c.ID, pick.Failed, 0)
-		return mayHaveRun, reasonUnmarked
-	}
-	return h.relay(x, s, answer, reply)
-}
-
 // recordStatements records what an endpoint states about itself in the head of an answer. An answer to a request that was meant for another endpoint
 // states nothing about that one.
 func (h *Handler) recordStatements(x *exchange, c choice, reply Reply) {
@@ -277,16 +269,14 @@
 }
 
 // connectionBroken records the failure of a connection that ended before the answer was complete.
-func (h *Handler) connectionBroken(x *exchange, s attempt, err error) (reason string) {
+func (h *Handler) connectionBroken(x *exchange, s *attempt, err error) (reason string) {
 	switch {
 	case errs.Is(err, upstream.ErrMalformed):
 		event.Log(x.ctx, h.options.Logger, event.AnswerMalformed, slog.String("Attempt", x.request.Attempt), slog.String("Endpoint", s.ID),
 			slog.Any("Error", err))
 		h.observe(s.ID, pick.Malformed, 0)
 		return reasonMalformed
-	case errs.Is(context.Cause(s.ctx), errSilent):
-		x.charged = true
-		h.observe(s.ID, pick.Silent, 0)
+	case errs.Is(err, errReplaced):
 		return reasonSilent
 	case x.ctx.Err() != nil:
 		h.observeUnanswered(s)
@@ -299,7 +289,7 @@
 
 // observeUnanswered records an endpoint as silent if it sent nothing until the caller disconnected or its deadline passed. Without
 // this, an endpoint that accepts requests and never answers would keep receiving them.
-func (h *Handler) observeUnanswered(s attempt) {
+func (h *Handler) observeUnanswered(s *attempt) {
 	now := h.options.Now()
 	h.mu.Lock()
 	defer h.mu.Unlock()
@@ -371,47 +361,53 @@
 	}
 }
 
-// relay passes an answer on. A short answer that is no stream is read completely first, so that the request can be sent again if the
-// connection breaks; a long one is passed on as it arrives.
-func (h *Handler) relay(x *exchange, s attempt, a *upstream.Answer, reply Reply) (attemptResult, string) {
-	if reply.Streamed && a.Status == http.StatusOK {
-		return h.stream(x, s, a)
-	}
-	body, err := x.readBuffered(a.Body, maxBufferedAnswer, h.priority(x))
-	long := err == nil && len(body) == maxBufferedAnswer
+// awaitAnswer reads a short answer that is no stream completely, so that the request can be sent again if the connection breaks, and the beginning of
+// a long one.
+func (h *Handler) awaitAnswer(x *exchange, s *attempt) (attemptResult, string) {
+	body, err := x.readBuffered(h.body(x, s), maxBufferedAnswer, h.priority(x))
+	s.long = err == nil && len(body) == maxBufferedAnswer
 	if errs.Is(err, errBuffersFull) {
 		event.Log(x.ctx, h.options.Logger, event.BuffersFull, slog.String("Attempt", x.request.Attempt), slog.String("Endpoint", s.ID), slog.Int("Read", len(body)))
-		long = true
+		s.long = true
 	} else if err != nil {
 		return mayHaveRun, h.connectionBroken(x, s, err)
 	}
 	if x.headSent {
 		return mayHaveRun, reasonError // a stream that has begun cannot continue with an answer that is no stream
 	}
-	complete := &completeAnswer{status: a.Status, header: a.Header, body: body}
-	if a.Status >= http.StatusInternalServerError {
+	s.complete = &completeAnswer{status: s.answer.Status, header: s.answer.Header, body: body}
+	if s.answer.Status >= http.StatusInternalServerError {
 		h.observe(s.ID, pick.Failed, 0)
-		if !long {
-			x.failedAnswer = complete
+		if !s.long {
+			x.failedAnswer = s.complete
 			return mayHaveRun, reasonError
 		}
-	} else {
-		h.observe(s.ID, pick.Served, h.options.Now().Sub(s.started))
-		h.recordBegin(x)
+		return begun, ""
+	}
+	h.observe(s.ID, pick.Served, h.options.Now().Sub(s.started))
+	h.recordBegin(x)
+	return begun, ""
+}
+
+// deliver passes on the answer of an attempt that has begun, and ends it. A long answer is passed on as it arrives.
+func (h *Handler) deliver(x *exchange, s *attempt) (attemptResult, string) {
+	defer h.endAttempt(x, s)
+	if s.complete == nil {
+		return h.stream(x, s)
 	}
 	x.firstByteAt = h.options.Now()
-	complete.deliver(x)
-	if long {
-		return h.relayRest(x, s, a)
+	s.complete.deliver(x)
+	if s.long {
+		return h.relayRest(x, s)
 	}
 	return answered, ""
 }
 
 // relayRest passes on the rest of an answer whose beginning was delivered.
-func (h *Handler) relayRest(x *exchange, s attempt, a *upstream.Answer) (attemptResult, string) {
+func (h *Handler) relayRest(x *exchange, s *attempt) (attemptResult, string) {
 	x.headSent = true
 	h.recordUnresumable(x, s.inFlight, true)
-	if _, err := io.Copy(x.ResponseWriter, a.Body); err != nil {
+	if _, err := io.Copy(x.ResponseWriter, h.body(x, s)); err != nil {
 		return mayHaveRun, h.connectionBroken(x, s, err)
 	}
 	return answered, ""
--- a/internal/serve/forward/stream.go
+++ b/internal/serve/forward/stream.go
@@ -19,49 +19,81 @@
 // streamBuffer is the size of a read in bytes; it holds several events.
 const streamBuffer = 4 << 10
 
+// awaitStream waits for the first complete events of a stream.
+func (h *Handler) awaitStream(x *exchange, s *attempt) (attemptResult, string) {
+	s.firstEvents, s.firstErr = h.nextEvents(x, s)
+	if len(s.firstEvents) == 0 {
+		if v, reason := h.streamEnded(x, s, s.firstErr); v != answered {
+			return v, reason
+		}
+	}
+	return begun, ""
+}
+
 // stream relays complete events as they arrive. If the connection breaks, another endpoint can resume the stream after the
 // last event that the caller received.
-func (h *Handler) stream(x *exchange, s attempt, a *upstream.Answer) (attemptResult, string) {
+func (h *Handler) stream(x *exchange, s *attempt) (attemptResult, string) {
 	if !x.headSent {
-		copyHeader(x.Header(), a.Header)
-		x.WriteHeader(a.Status)
+		copyHeader(x.Header(), s.answer.Header)
+		x.WriteHeader(s.answer.Status)
 		x.headSent = true
 	}
 	controller := http.NewResponseController(x.ResponseWriter)
-	resumed := x.delivered
-	var pending eventBuffer
-	buffer := make([]byte, streamBuffer)
+	events, err := s.firstEvents, s.firstErr
 	for {
-		n, err := a.Body.Read(buffer)
-		events := pending.add(buffer[:n], err == io.EOF && !a.Unframed)
 		if len(events) > 0 {
-			if err := h.checkResumed(x, s, events); err != nil {
-				return mayHaveRun, h.connectionBroken(x, s, err)
-			}
 			if x.firstByteAt.IsZero() {
 				x.firstByteAt = h.options.Now()
 			}
-			h.recordEvents(x, s)
 			if !h.writeEvents(x, s, controller, events) {
 				return mayHaveRun, reasonStopped
 			}
-			pending.drop(len(events))
 		}
+		if err != nil {
+			return h.streamEnded(x, s, err)
+		}
+		events, err = h.nextEvents(x, s)
+	}
+}
+
+// nextEvents waits for the next complete events of a stream, or for its end, which is io.EOF unless the stream broke off. The events are valid until the
+// next call.
+func (h *Handler) nextEvents(x *exchange, s *attempt) (events []byte, err error) {
+	s.pending.drop(s.returned)
+	s.returned = 0
+	for {
+		p := h.nextPart(x, s)
+		events = s.pending.add(p.content, p.err == io.EOF && !s.answer.Unframed)
 		switch {
-		case err == io.EOF && a.Unframed && (pending.len() > 0 || !s.inFlight.begun):
-			return mayHaveRun, h.connectionBroken(x, s, io.ErrUnexpectedEOF)
-		case err == io.EOF && resumed && !s.inFlight.begun:
-			return mayHaveRun, reasonError // an endpoint that sends nothing more does not show that the stream was complete
-		case err == io.EOF:
-			return answered, ""
-		case err != nil:
-			return mayHaveRun, h.connectionBroken(x, s, err)
-		case pending.len() > maxEvent:
-			return mayHaveRun, h.connectionBroken(x, s, errs.Combine(upstream.ErrMalformed, errs.New("event is larger than %d bytes", maxEvent)))
+		case len(events) > 0:
+			if err := h.checkResumed(x, s, events); err != nil {
+				return nil, err
+			}
+			h.stopSearch(x, s)
+			h.recordEvents(x, s)
+			s.returned = len(events)
+			return events, p.err
+		case p.err != nil:
+			return nil, p.err
+		case s.pending.len() > maxEvent:
+			return nil, errs.Combine(upstream.ErrMalformed, errs.New("event is larger than %d bytes", maxEvent))
 		}
 	}
 }
 
+// streamEnded returns what the end of a stream means.
+func (h *Handler) streamEnded(x *exchange, s *attempt, err error) (attemptResult, string) {
+	switch {
+	case err != io.EOF:
+		return mayHaveRun, h.connectionBroken(x, s, err)
+	case s.answer.Unframed && (s.pending.len() > s.returned || !s.inFlight.begun):
+		return mayHaveRun, h.connectionBroken(x, s, io.ErrUnexpectedEOF)
+	case s.resumes && !s.inFlight.begun:
+		return mayHaveRun, reasonError // an endpoint that sends nothing more does not show that the stream was complete
+	}
+	return answered, ""
+}
+
 // maxEvent is the maximum size of an event in bytes, far above that of a few tokens.
 const maxEvent = 64 << 10
 
@@ -94,7 +126,7 @@
 func (b *eventBuffer) len() int { return len(b.content) }
 
 // checkResumed returns an error if the first events of an attempt do not continue those that were delivered before.
-func (h *Handler) checkResumed(x *exchange, s attempt, events []byte) error {
+func (h *Handler) checkResumed(x *exchange, s *attempt, events []byte) error {
 	if s.inFlight.begun || !x.delivered {
 		return nil
 	}
@@ -113,7 +145,7 @@
 }
 
 // writeEvents writes events to the caller and records the last identifier among them. Without one that is a number, no other endpoint can resume the stream.
-func (h *Handler) writeEvents(x *exchange, s attempt, controller *http.ResponseController, events []byte) bool {
+func (h *Handler) writeEvents(x *exchange, s *attempt, controller *http.ResponseController, events []byte) bool {
 	x.delivered = true
 	if id := h.lastID(events); id != "" {
 		_, err := strconv.ParseUint(id, 10, 64)
@@ -143,7 +175,7 @@
 
 // recordEvents records that complete events of a stream arrived; the first ones count as the endpoint's answer. Bytes of an event that
 // stays incomplete are no progress.
-func (h *Handler) recordEvents(x *exchange, s attempt) {
+func (h *Handler) recordEvents(x *exchange, s *attempt) {
 	now := h.options.Now()
 	h.mu.Lock()
 	defer h.mu.Unlock()
@@ -153,6 +185,7 @@
 		h.silence.RecordPause(now.Sub(f.progressAt))
 	}
 	f.progressAt = now
+	f.stay()
 	if f.begun {
 		return
 	}
