Wait for the retry budget before a begun stream is given up

Callers saw a stream that broke off at its endpoint end at once if the retry budget was exhausted at that moment, although an endpoint that may take the stream later was already waited for, for up to 1.5 s, when there was none. The budget is a sliding window, to which each request adds, so that the next repeat is often allowed a moment later.

A begun stream, and a search for another endpoint for a silent request, now wait for the budget in the same way and with the same bound (awaitEndpoint). Requests of which nothing was delivered are refused at once, as before.

TestBrokenStreamWaitsForBudget failed before: the stream ended after its first event.

--- a/internal/serve/forward/send.go
+++ b/internal/serve/forward/send.go
@@ -76,19 +76,18 @@
 	for {
 		c, refused = h.placeAdmitted(x)
 		if refused == nil {
-			break
+			if refused = h.checkBacklog(x, c); refused != nil {
+				return c, refused
+			}
+			if h.allowAttempt(x) {
+				return c, h.checkQuarantine(x, true) // a signature may have been quarantined since the request arrived
+			}
+			refused = h.refuseWithRetry(refusal.Overloaded, "no further endpoint may be tried")
 		}
 		if !h.awaitEndpoint(x) {
 			return c, refused
 		}
 	}
-	if refused = h.checkBacklog(x, c); refused != nil {
-		return c, refused
-	}
-	if !h.allowAttempt(x) {
-		return c, h.refuseWithRetry(refusal.Overloaded, "no further endpoint may be tried")
-	}
-	return c, h.checkQuarantine(x, true) // a signature may have been quarantined since the request arrived
 }
 
 // replace returns the attempt that a search has found in place of one that was not answered, or none if the request may be sent again, or a refusal.
--- a/internal/serve/forward/silent_test.go
+++ b/internal/serve/forward/silent_test.go
@@ -392,6 +392,36 @@
 	})
 }
 
+// A stream breaks off while the retry budget is exhausted, which is free again a second later. Guards against a cut stream.
+func TestBrokenStreamWaitsForBudget(t *testing.T) {
+	first := func(w http.ResponseWriter, q *http.Request) {
+		w.Header().Set("Content-Type", "text/event-stream")
+		send(w, event1)
+		pause(q, 500*time.Millisecond)
+		panic(http.ErrAbortHandler)
+	}
+	runSilent(t, 2, firstThen(first, streamOf(false, event2)), func(r *fixture) {
+		r.grant(1e6)
+		var group errgroup.Group
+		group.Go(func() error {
+			body, complete := r.stream("/long/x")
+			r.Check(body, quicktest.Equals, event1+event2)
+			r.Check(complete, quicktest.IsTrue)
+			return nil
+		})
+		time.Sleep(time.Second)
+		for range 10 { // requests of others raise the budget
+			group.Go(func() error {
+				body, _ := r.stream("/long/x")
+				r.Check(body, quicktest.Equals, event2)
+				return nil
+			})
+			time.Sleep(50 * time.Millisecond)
+		}
+		r.Check(group.Wait(), quicktest.IsNil)
+	}, forward.WithRetry(retry.Options{Ratio: 0.1, Window: 10 * time.Second}))
+}
+
 // A caller leaves while another endpoint is sought for its silent stream. Guards against endpoints that go on with the request.
 func TestLeavingCallerEndsAllAttempts(t *testing.T) {
 	var running atomic.Int32
