Take no estimates from the delays of endpoints that were found silent

The first events after a search has begun no longer count for these estimates, and a prompt whose request looks for another endpoint no longer counts as waiting at the silent one.

TestSilencesDoNotChangeEstimates failed before: after six silences, the next silent request was not moved within the two seconds of its silence.

--- a/internal/serve/forward/forward_test.go
+++ b/internal/serve/forward/forward_test.go
@@ -127,7 +127,7 @@
 	long := route("long", document.Idempotent)
 	long.Timeout = 20 * time.Second
 	triple := route("triple", document.Idempotent)
-	triple.Timeout, triple.MaxAttempts = 20*time.Second, 3
+	triple.Timeout, triple.Objective, triple.MaxAttempts = 20*time.Second, 400*time.Millisecond, 3
 	brief := route("brief", document.Streaming)
 	brief.Objective = 400 * time.Millisecond
 	draft := route("draft", document.Streaming)
--- a/internal/serve/forward/inflight.go
+++ b/internal/serve/forward/inflight.go
@@ -29,6 +29,7 @@
 	waiting      int           // tokens of this entry that waited there, including its own
 	progressAt   time.Time     // of its start, its head or its last complete event
 	leave        chan struct{} // tells the request to look for another endpoint
+	silent       bool          // that has happened since its last event
 }
 
 // startAttempt registers an attempt with the picker and the counts of uses.
@@ -135,6 +136,7 @@
 			h.options.Spawn(func() { _ = h.probe(f.endpoint) })
 		case silence.Leave:
 			if f.leaving = h.takeMove(now, f); f.leaving {
+				f.silent = true
 				f.leave <- struct{}{} // does not block: it is empty unless the request is leaving
 			}
 		}
--- a/internal/serve/forward/search.go
+++ b/internal/serve/forward/search.go
@@ -26,9 +26,13 @@
 // errReplaced ends an attempt at a silent endpoint whose request another endpoint has begun to answer.
 var errReplaced = errs.New("another endpoint has taken the request over")
 
-// startSearch looks for another endpoint. The retry budget is charged already.
+// startSearch looks for another endpoint. The retry budget is charged already. The prompt no longer counts as one that the silent endpoint will
+// have read soon.
 func (h *Handler) startSearch(x *exchange, s *attempt) {
 	h.observe(s.ID, pick.Silent, 0)
+	h.mu.Lock()
+	h.promptRead(s.inFlight)
+	h.mu.Unlock()
 	ctx, cancel := context.WithCancel(x.ctx)
 	r := &search{exchange: *x, sent: x.sent, ran: x.ran, cancel: cancel, done: make(chan struct{})}
 	y := &r.exchange
--- a/internal/serve/forward/silent_test.go
+++ b/internal/serve/forward/silent_test.go
@@ -422,6 +422,46 @@
 	}, forward.WithRetry(retry.Options{Ratio: 0.1, Window: 10 * time.Second}))
 }
 
+// Endpoints fall silent for two seconds before they go on, several times. Guards against these delays taken as the usual ones, so that the next request
+// stays longer at a silent endpoint.
+func TestSilencesDoNotChangeEstimates(t *testing.T) {
+	var moves atomic.Bool
+	var silent atomic.Int32
+	serve := func(w http.ResponseWriter, q *http.Request) {
+		switch {
+		case silent.Add(1) == 1:
+			pausing(false, 2*time.Second)(w, q)
+		case moves.Load():
+			streamOf(false, event1)(w, q)
+		default:
+			respondFull(w, q)
+		}
+	}
+	c := resumeCodec()
+	decode := c.Decode
+	c.Decode = func(r *http.Request) (forward.Request, error) {
+		q, err := decode(r)
+		q.PromptTokens = 1000
+		return q, err
+	}
+	runSilent(t, 3, serve, func(r *fixture) {
+		r.grant(1e6)
+		for range 6 {
+			_, complete := r.stream("/triple/x")
+			r.Check(complete, quicktest.IsTrue)
+			time.Sleep(10 * time.Second)
+			silent.Store(0)
+		}
+		moves.Store(true)
+		started := time.Now()
+		body, complete := r.stream("/triple/x")
+		r.Check(body, quicktest.Equals, event1)
+		r.Check(complete, quicktest.IsTrue)
+		took := time.Since(started)
+		r.Check(took < 1200*time.Millisecond, quicktest.IsTrue, quicktest.Commentf("%v", took))
+	}, forward.WithCodec(c))
+}
+
 // A caller leaves while another endpoint is sought for its silent stream. Guards against endpoints that go on with the request.
 func TestLeavingCallerEndsAllAttempts(t *testing.T) {
 	var running atomic.Int32
--- a/internal/serve/forward/stream.go
+++ b/internal/serve/forward/stream.go
@@ -181,10 +181,11 @@
 	defer h.mu.Unlock()
 	h.silence.RecordEvents(now, s.ID)
 	f := s.inFlight
-	if f.begun {
+	wasSilent := f.silent
+	if f.begun && !wasSilent {
 		h.silence.RecordPause(now.Sub(f.progressAt))
 	}
-	f.progressAt = now
+	f.progressAt, f.silent = now, false
 	f.stay()
 	if f.begun {
 		return
@@ -195,6 +196,9 @@
 		u.answered++
 	}
 	h.promptRead(f)
+	if wasSilent {
+		return // its delay does not show how long other prompts take
+	}
 	delay := now.Sub(s.started)
 	h.reading.Observe(f.waiting, delay-f.ahead)
 	h.picker.Observe(now, s.ID, pick.Served, max(delay-f.ahead-h.reading.Delay(f.waiting), minDelay))
