--- a/internal/member/roster/roster.go
+++ b/internal/member/roster/roster.go
@@ -34,6 +34,7 @@
 	Born       int64          `json:"Born"`     // start time of this incarnation in Unix milliseconds
 	Sequence   uint64         `json:"Sequence"` // increases with each announcement of this incarnation
 	Slots      int            `json:"Slots,omitempty"`
+	Software   string         `json:"Software,omitempty"` // version of the endpoint's software, empty if it names none
 	Leaving    bool           `json:"Leaving,omitempty"`
 	Gone       bool           `json:"Gone,omitempty"` // the endpoint has stopped; only ID and Born are set
 
@@ -98,17 +99,11 @@
 	if a.Gone {
 		return r.handleGone(now, a, old)
 	}
-	if p, ended := r.ended[a.ID]; ended && a.Born <= p.born {
-		return false, ErrOutdated
-	}
-	if old != nil && (a.Born < old.Born || (a.Born == old.Born && a.Sequence <= old.Sequence && !old.inherited)) {
+	if r.Outdated(a) {
 		return false, ErrOutdated
 	}
 	displaced := ""
 	if other := r.entries[r.byAddress[a.Address]]; other != nil && other.ID != a.ID {
-		if a.Born < other.Born {
-			return false, ErrOutdated
-		}
 		r.remove(now, other)
 		displaced = other.ID
 	}
@@ -118,11 +113,35 @@
 	if p, leaving := r.leaving[a.ID]; (old != nil && old.Born == a.Born && old.Leaving) || (leaving && a.Born <= p.born) {
 		a.Leaving = true // a leaving incarnation does not serve again
 	}
+	if old != nil && old.Born == a.Born && old.Software != "" {
+		a.Software = old.Software // it does not change within one incarnation
+	}
 	r.store(now, a, old)
 	r.entries[a.ID].displaced = displaced
 	return old == nil || !sameState(old.Announcement, a), nil
 }
 
+// Outdated reports whether something newer than an announcement is known of the endpoint or its address.
+func (r *Roster) Outdated(a Announcement) bool {
+	if p, ended := r.ended[a.ID]; ended && a.Born <= p.born {
+		return true
+	}
+	if old := r.entries[a.ID]; old != nil && (a.Born < old.Born || (a.Born == old.Born && a.Sequence <= old.Sequence && !old.inherited)) {
+		return true
+	}
+	other := r.entries[r.byAddress[a.Address]]
+	return other != nil && other.ID != a.ID && a.Born < other.Born
+}
+
+// End removes an endpoint whose listed incarnation has ended, and reports whether there was one.
+func (r *Roster) End(now time.Time, id string) bool {
+	e := r.entries[id]
+	if e != nil {
+		r.remove(now, e)
+	}
+	return e != nil
+}
+
 // Inherit records an endpoint that an earlier leader has listed, until the endpoint announces itself. It reports whether the
 // endpoint was recorded; it is not if something newer is known, or the roster is full.
 func (r *Roster) Inherit(now time.Time, a Announcement) bool {
@@ -195,7 +214,8 @@
 // sameState reports whether two announcements agree in all fields that are sent to entries.
 func sameState(a, b Announcement) bool {
 	return a.Service == b.Service && a.DataCentre == b.DataCentre && a.Address == b.Address && a.Born == b.Born &&
-		a.Slots == b.Slots && a.Leaving == b.Leaving && slices.Equal(a.Models, b.Models)
+		a.Slots == b.Slots && a.Software == b.Software && a.Leaving == b.Leaving &&
+		slices.Equal(a.Models, b.Models)
 }
 
 func (r *Roster) store(now time.Time, a Announcement, old *entry) {
@@ -301,7 +321,7 @@
 func (e *entry) endpoint() report.Endpoint {
 	return report.Endpoint{
 		ID: e.ID, Service: e.Service, DataCentre: e.DataCentre, Address: e.Address, Slots: e.Slots,
-		Born: e.Born, Leaving: e.Leaving, Models: e.Models,
+		Born: e.Born, Leaving: e.Leaving, Models: e.Models, Software: e.Software,
 	}
 }
 
--- a/internal/member/view/view.go
+++ b/internal/member/view/view.go
@@ -28,10 +28,12 @@
 	services       map[string][]report.Endpoint
 	holders        map[residency.Adapter]map[string]int // version by endpoint
 	versions       map[residency.Adapter]int
-	leaving        map[string]leaving // incarnations that have stated in an answer that they leave, by endpoint
-	endpointOrder  []string           // endpoints in the order of the leader's list
-	running        map[string]int     // running requests of all entries, by endpoint
-	backlog        map[string]int     // milliseconds to read the waiting prompts of all entries, by endpoint
+	leaving        map[string]leaving  // incarnations that have stated in an answer that they leave, by endpoint
+	endpointOrder  []string            // endpoints in the order of the leader's list
+	running        map[string]int      // running requests of all entries, by endpoint
+	backlog        map[string]int      // milliseconds to read the waiting prompts of all entries, by endpoint
+	software       map[string][]string // versions that may have begun streams, by service
+	softwareKnown  uint64              // revision of software
 	deputies       []report.Deputy
 	deputyRevision uint64 // revision of deputies
 
@@ -65,6 +67,7 @@
 	r.Term, r.Document, r.Adapters = v.term, v.document, v.adapters
 	r.Directory, r.Placement, r.Deputies = v.directory, v.placement, v.deputyRevision
 	r.Suspects, r.Quarantine = v.suspectRevision, v.quarantineRevision
+	r.Versions = v.softwareKnown
 	for id, l := range v.leaving {
 		if e, known := v.endpoints[id]; known && !l.listed && e.Born == l.born {
 			r.Leaving = append(r.Leaving, report.Departure{ID: id, Born: l.born})
@@ -109,9 +112,9 @@
 	Removed    []report.Endpoint
 }
 
-// Apply applies an update; decode decodes a document. An update of an older term is ignored, and so is an older document
-// in an update.
-func (v *View) Apply(now time.Time, u report.Update, decode func([]byte) (document.Document, error)) (c Changed, err error) {
+// Apply applies the update that answers a report sent at a time; decode decodes a document. An update of an older term is ignored, and so is an
+// older document in an update.
+func (v *View) Apply(sentAt time.Time, u report.Update, decode func([]byte) (document.Document, error)) (c Changed, err error) {
 	var index *document.Index
 	if len(u.Content) > 0 {
 		content, err := document.Unpack(u.Content)
@@ -129,12 +132,13 @@
 	if u.Term < v.term {
 		return c, nil
 	}
-	v.updatedAt = now
+	v.updatedAt = sentAt // the update may have waited, in a process that was suspended, too
 	if index != nil && u.Document > v.document {
 		v.index, v.document = index, u.Document
 		c.Document = true
 	}
 	v.entries = max(u.Entries, 1)
+	v.software, v.softwareKnown = u.Versions, u.VersionsRevision
 	v.applyVersions(u)
 	c.Deputies = v.applyDeputies(u)
 	c.Quarantine = v.applyQuarantine(u)
@@ -161,8 +165,11 @@
 	}
 	endpoints, services := map[string]report.Endpoint{}, map[string][]report.Endpoint{}
 	v.endpointOrder = nil
-	for _, e := range u.Endpoints {
+	for i, e := range u.Endpoints {
 		v.endpointOrder = append(v.endpointOrder, e.ID)
+		if len(u.Software) == len(u.Endpoints) {
+			e.Software = u.Software[i]
+		}
 		if l, recorded := v.leaving[e.ID]; recorded && l.born == e.Born {
 			l.listed = e.Leaving
 			v.leaving[e.ID] = l
@@ -339,7 +346,7 @@
 	return v.index
 }
 
-// Age returns the time since the last update.
+// Age returns the time since the report that the last update answers.
 func (v *View) Age(now time.Time) time.Duration {
 	v.mu.RLock()
 	defer v.mu.RUnlock()
@@ -385,9 +392,29 @@
 	}
 	for id, e := range v.endpoints {
 		if !e.Leaving {
-			list = append(list, report.KnownEndpoint{Endpoint: e, Holdings: holdings[id]})
+			list = append(list, report.KnownEndpoint{Endpoint: e, Software: e.Software, Holdings: holdings[id]})
+		}
+	}
+	return list
+}
+
+// Software returns the software versions that may have begun streams of a service; none if the leader does not state them.
+func (v *View) Software(service string) []string {
+	v.mu.RLock()
+	defer v.mu.RUnlock()
+	return v.software[service]
+}
+
+// MixedServices returns the services with several software versions that may have begun streams, sorted.
+func (v *View) MixedServices() (list []string) {
+	v.mu.RLock()
+	defer v.mu.RUnlock()
+	for service, versions := range v.software {
+		if len(versions) > 1 {
+			list = append(list, service)
 		}
 	}
+	slices.Sort(list)
 	return list
 }
 
--- a/internal/node/control/updates.go
+++ b/internal/node/control/updates.go
@@ -64,12 +64,13 @@
 		ls.inherit(now, r)
 	}
 	ls.recordLeaving(now, r)
+	ls.recordStreams(now, r)
 	interval := reportInterval(len(ls.entries))
 	ls.placer.SetReportInterval(interval)
 	u := report.Update{
 		Leading: true, Instances: ls.control.liveInstances(), Term: ls.term, Running: ls.listed(ls.active), Backlog: ls.listed(ls.backlog), Entries: len(ls.entries),
-		EveryMillis: interval.Milliseconds(),
-		Grants:      ls.pool.Report(now, quota.Report{Entry: r.Name, DataCentre: r.DataCentre, Uses: r.Customers}, ls.limits),
+		EveryMillis: interval.Milliseconds(), Versions: ls.census.All(), VersionsRevision: ls.census.Revision(),
+		Grants: ls.pool.Report(now, quota.Report{Entry: r.Name, DataCentre: r.DataCentre, Uses: r.Customers}, ls.limits),
 	}
 	u.Tell = ls.requestsKnownEndpoints(r)
 	ls.fillCeilings(&u, now, r)
@@ -102,7 +103,11 @@
 	}
 	maps.DeleteFunc(r.Active, notPositive)
 	maps.DeleteFunc(r.Backlog, notPositive)
-	ls.entries[r.Name] = &entry{active: r.Active, backlog: r.Backlog, at: now}
+	e := &entry{active: r.Active, backlog: r.Backlog, at: now}
+	if r.Term == ls.term {
+		e.versions = r.Versions
+	}
+	ls.entries[r.Name] = e
 	ls.addresses[r.Name] = report.Deputy{Address: r.Address, DataCentre: r.DataCentre}
 	ls.addActive(r.Active, 1)
 	ls.addBacklog(r.Backlog, 1)
@@ -152,6 +157,7 @@
 func (ls *leaderState) removeSilentEntries(now time.Time) {
 	for name, e := range ls.entries {
 		if now.Sub(e.at) >= entrySilence {
+			ls.recordSilentEntry(e)
 			delete(ls.entries, name)
 			ls.placer.RemoveEntry(name)
 			ls.addActive(e.active, -1)
@@ -196,6 +202,7 @@
 	known := r.Term == ls.term
 	if !known || r.Directory != u.Directory {
 		u.Endpoints = ls.endpoints()
+		u.Software = software(u.Endpoints)
 		if u.Partial { // the entry must not keep these beyond the list
 			u.Departed = ls.control.machine.Stored().Departures
 		}
@@ -211,6 +218,7 @@
 	u.Reset, u.Events, u.Placement = true, ls.placer.Snapshot(), next
 	if len(u.Endpoints) == 0 {
 		u.Endpoints = ls.endpoints()
+		u.Software = software(u.Endpoints)
 	}
 }
 
