Detect searches that run beside each other, go uncounted or return to the silent endpoint

Three mutations of the search for another endpoint passed its tests: one that forgets the runs of a search, one that starts a second search when the head of an answer arrives, and one that sends the request to its silent endpoint once more. The tests now let an endpoint fall silent twice, send a head within the search, and have no other endpoint that accepts connections; each of the three mutations fails one of them. Not detected is a search that is not stopped when the silent answer ends: it ends with the request.

--- a/internal/serve/forward/silent_test.go
+++ b/internal/serve/forward/silent_test.go
@@ -29,6 +29,12 @@
 
 // runSilent runs an entry that looks for silent endpoints, and endpoints that all serve the same way, in virtual time.
 func runSilent(t *testing.T, endpoints int, serve http.HandlerFunc, test func(r *fixture), opts ...forward.Option) {
+	t.Helper()
+	runSilentBeside(t, endpoints, 0, serve, test, opts...)
+}
+
+// runSilentBeside does the same beside endpoints that accept no connections.
+func runSilentBeside(t *testing.T, endpoints, unreachable int, serve http.HandlerFunc, test func(r *fixture), opts ...forward.Option) {
 	t.Helper()
 	virtualtime.Test(t, func(t *testing.T) {
 		r := &fixture{C: quicktest.New(t), hits: make([]atomic.Int32, endpoints)}
@@ -37,13 +43,17 @@
 		var group errgroup.Group
 		var servers []*http.Server
 		var addresses []netip.AddrPort
-		for i := range endpoints {
+		for i := range endpoints + unreachable {
 			address := netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, 1, 0, byte(i + 1)}), 80)
+			addresses = append(addresses, address)
+			if i >= endpoints {
+				continue
+			}
 			listener, err := n.Listen(address)
 			r.Assert(err, quicktest.IsNil)
 			server := &http.Server{Handler: r.countHits(i, serve), ReadHeaderTimeout: time.Minute}
 			group.Go(func() error { return server.Serve(listener) })
-			servers, addresses = append(servers, server), append(addresses, address)
+			servers = append(servers, server)
 		}
 		dial := n.Dialer(netip.MustParseAddr("127.1.0.100"))
 		pool := upstream.New(upstream.WithDial(func(ctx context.Context, to netip.AddrPort) (net.Conn, error) { return dial(ctx, "tcp", to.String()) }))
@@ -221,6 +231,8 @@
 	const sse = "text/event-stream"
 	lateHead := func(w http.ResponseWriter, q *http.Request) {
 		pause(q, 1200*time.Millisecond)
+		w.Header().Set("Content-Type", sse)
+		send(w, "")
 		pausing(false, 2200*time.Millisecond)(w, q)
 	}
 	lateEnd := func(w http.ResponseWriter, q *http.Request) {
@@ -238,9 +250,10 @@
 					unavailable()[name](w, q)
 				})
 				runSilent(t, 3, serve, func(r *fixture) {
-					body, complete := r.stream("/triple/x")
+					body, complete := r.stream("/long/x")
 					r.Check(body, quicktest.Equals, event1+event2+event3)
 					r.Check(complete, quicktest.IsTrue)
+					r.Check(name == "full" || r.total() == 2, quicktest.IsTrue, quicktest.Commentf("%d requests", r.total()))
 					time.Sleep(100 * time.Millisecond)
 					r.Check(running.Load(), quicktest.Equals, int32(0))
 				})
@@ -273,10 +286,20 @@
 	}
 }
 
-// Guards against more endpoints that may have run a request than its route allows: the silent one counts.
+// A stream's endpoint is silent twice, and the others break off. Guards against more endpoints that may have run the request than its route allows: the
+// silent one counts, and so do those that a search has tried.
 func TestSilentEndpointCountsAsAttempt(t *testing.T) {
+	silentTwice := func(w http.ResponseWriter, q *http.Request) {
+		w.Header().Set("Content-Type", "text/event-stream")
+		for _, event := range []string{event1, event2, event3} {
+			send(w, event)
+			if !pause(q, 2500*time.Millisecond) {
+				return
+			}
+		}
+	}
 	for path, hits := range map[string]int32{"/long/x": 2, "/triple/x": 3} {
-		runSilent(t, 5, firstThen(pausing(true, 2500*time.Millisecond), dropConnection), func(r *fixture) {
+		runSilent(t, 5, firstThen(silentTwice, dropConnection), func(r *fixture) {
 			_, complete := r.stream(path)
 			r.Check(complete, quicktest.IsTrue)
 			r.Check(r.total(), quicktest.Equals, hits)
@@ -284,6 +307,23 @@
 	}
 }
 
+// A stream's endpoint is silent, and no other one accepts connections. Guards against a cut stream, and against sending the request to the silent endpoint
+// once more, which would run it twice at the same time.
+func TestSilentStreamIsNotSentToItsEndpointAgain(t *testing.T) {
+	for unreachable := range 4 {
+		runSilentBeside(t, 1, unreachable, pausing(true, 2500*time.Millisecond), func(r *fixture) {
+			for range 4 { // until an endpoint that accepts connections is chosen first
+				before := r.total()
+				body, complete := r.stream("/triple/x")
+				r.Check(body, quicktest.Equals, event1+event2+event3)
+				r.Check(complete, quicktest.IsTrue)
+				r.Check(r.total()-before, quicktest.Equals, int32(1))
+				time.Sleep(20 * time.Second)
+			}
+		})
+	}
+}
+
 // A stream's endpoint is silent and comes back too late, or never. Guards against events that are missing or come twice, and against two endpoints
 // that work on one request at the same time.
 func TestSilentStreamGoesOnAtAnotherEndpoint(t *testing.T) {
