--- a/internal/serve/forward/origin.go
+++ b/internal/serve/forward/origin.go
@@ -94,7 +94,7 @@
 const originTimeout = 1500 * time.Millisecond
 
 // recordOrigin records that the first events of a stream were delivered, which only endpoints of the same software version may continue.
-func (h *Handler) recordOrigin(x *exchange, s attempt) {
+func (h *Handler) recordOrigin(x *exchange, s *attempt) {
 	if x.delivered {
 		return
 	}
