Weigh suspects again once something else explains other crashes

A deadly request beside a second one was sent to further endpoints although the crash that spoke against it had been explained meanwhile. Another crash of the service asks for one more round, unless a request that was exposed to several crashes explains it. Whether there were rounds enough was decided once and kept until the suspect itself was exposed to a further crash, so that the second crash of the other request had no effect on the first.

TestLaterEvidenceExplainsOtherCrash failed before: no signature was blamed after three crashes of one request, one of another between them, and a second one of the other. Verdicts are formed anew with all evidence now.

--- a/internal/place/quarantine/blame.go
+++ b/internal/place/quarantine/blame.go
@@ -34,6 +34,7 @@
 		if r.suspect == nil {
 			r.suspect = newSuspect(r, explains)
 		}
+		r.suspect.verdict = unknown // new evidence may explain what else has crashed
 		if r.suspect.size > 0 && !explained[r] {
 			d.all = append(d.all, r.suspect)
 		}
@@ -66,7 +67,8 @@
 	}
 	d.decided, d.reviewAt, d.blamed = true, time.Time{}, nil
 	explained := d.explained()
-	x := decision{Detector: d, now: now, all: d.all, explains: explanations(explained)}
+	x := decision{Detector: d, now: now, explains: explanations(explained)}
+	x.setAll(d.all)
 	for range min(maxDecisions, d.options.MaxQuarantined-len(d.quarantined)) {
 		blamed := x.next()
 		if len(blamed) == 0 {
@@ -78,7 +80,7 @@
 			d.together[s.signature] = len(blamed) > 1
 		}
 		x.explains = explanations(explained)
-		x.all = findSuspects(x.all, explained, x.explains)
+		x.setAll(findSuspects(x.all, explained, x.explains))
 	}
 	return d.blamed
 }
@@ -86,9 +88,20 @@
 // decision is what one call of Blame considers.
 type decision struct {
 	*Detector
-	now      time.Time
-	all      []*suspect
-	explains map[*crash][]*record // signatures that are quarantined or will be, by crash
+	now        time.Time
+	all        []*suspect
+	byRequests crashSet             // crashes that exact requests may have caused which were exposed to several and have never begun
+	explains   map[*crash][]*record // signatures that are quarantined or will be, by crash
+}
+
+// setAll replaces the suspects.
+func (x *decision) setAll(all []*suspect) {
+	x.all, x.byRequests = all, crashSet{}
+	for _, s := range all {
+		if s.kind == KindRequest && s.size > 1 && s.begun.IsZero() {
+			x.byRequests.merge(s.unexplained)
+		}
+	}
 }
 
 // suspect is a signature with the crashes that it was exposed to since it last began.
@@ -304,14 +317,8 @@
 		return 0
 	}
 	first, last := s.rounds[0], s.rounds[len(s.rounds)-1]
-	var others crashSet
-	for _, t := range x.all {
-		if t.kind == KindRequest && t.size > 1 && t.begun.IsZero() {
-			others.merge(t.unexplained)
-		}
-	}
 	for _, k := range x.crashes {
-		if k.service == first.service && !k.at.Before(first.at) && !k.at.After(last.at) && !s.unexplained.has(k) && !others.has(k) && len(x.explains[k]) == 0 {
+		if k.service == first.service && !k.at.Before(first.at) && !k.at.After(last.at) && !s.unexplained.has(k) && !x.byRequests.has(k) && len(x.explains[k]) == 0 {
 			n++
 		}
 	}
--- a/internal/place/quarantine/blame_test.go
+++ b/internal/place/quarantine/blame_test.go
@@ -363,3 +363,16 @@
 	d.Record(at(800), crash(2, true, "dead"))
 	c.Check(d.Blame(at(3000)), quicktest.HasLen, 0)
 }
+
+// An endpoint that crashed meanwhile turns out to have crashed under another deadly request. Guards against asking for as many further crashes of the
+// first one as if its cause were still unknown.
+func TestLaterEvidenceExplainsOtherCrash(t *testing.T) {
+	c := quicktest.New(t)
+	d := quarantine.NewDetector(quarantine.DefaultOptions())
+	for n, name := range []string{"dead", "other", "dead", "dead"} {
+		d.Record(at(900*n), crashOf(n, false, sent(name)))
+	}
+	c.Check(d.Blame(at(4000)), quicktest.HasLen, 0)
+	d.Record(at(4500), crashOf(4, false, sent("other")))
+	c.Check(d.Blame(at(6000)), quicktest.DeepEquals, []quarantine.Signature{signature(exact("dead"))})
+}
