Count the acknowledged copies of a deadly request one by one

Cause: the leader counted endpoints that crash one after the other, however many copies of the request each of them had.

The leader counts the copies of each entry, and blames the request after three if two crashes came one after the other, or five in one round; then it is tried after a second, as what was blamed together.

Open: copies at a plain service, whose head comes with its end, and of requests with a deadly part count as one.

--- a/internal/place/quarantine/blame.go
+++ b/internal/place/quarantine/blame.go
@@ -77,7 +77,7 @@
 		for _, s := range blamed {
 			d.blamed = append(d.blamed, s.signature)
 			explained[s.record] = true
-			d.together[s.signature] = len(blamed) > 1
+			d.uncertain[s.signature] = len(blamed) > 1 || s.verdict == enoughAtOnce
 		}
 		x.explains = explanations(explained)
 		x.setAll(findSuspects(x.all, explained, x.explains))
@@ -121,6 +121,7 @@
 type round struct {
 	*crash
 	sentAt time.Time
+	copies int     // acknowledged copies of an exact request
 	source *record // quarantined signature of a narrower kind that explains the crash, nil if none does
 }
 
@@ -131,6 +132,7 @@
 	unknown verdict = iota
 	tooFew
 	enough
+	enoughAtOnce // in a single round
 )
 
 // minRounds returns the number of consecutive crashes that blame the signature. It is higher for adapters and customers, which many sound requests
@@ -184,7 +186,7 @@
 	s := &suspect{record: r}
 	var sources []*record
 	for _, x := range r.exposed {
-		one := round{crash: x.crash, sentAt: x.sentAt}
+		one := round{crash: x.crash, sentAt: x.sentAt, copies: x.count()}
 		if by := explains[x.crash]; len(by) > 0 {
 			if one.source = x.widestInside(by, r); one.source == nil {
 				continue
@@ -262,52 +264,53 @@
 	return s.evidence == t.evidence && s.unexplained == t.unexplained
 }
 
-// convincing reports whether enough endpoints crashed one after the other, and entries have had the time to report begins since.
+// convincing reports whether the evidence is enough, and entries have had the time to report begins since.
 func (x *decision) convincing(s *suspect) bool {
 	if s.verdict == unknown {
-		s.verdict = tooFew
-		if x.isEnough(s) {
-			s.verdict = enough
-		}
+		s.verdict = x.weigh(s)
 	}
 	if s.verdict == tooFew {
 		return false
 	}
-	settled := s.rounds[1].recordedAt.Add(x.options.Settle)
+	settled := s.rounds[min(1, len(s.rounds)-1)].recordedAt.Add(x.options.Settle)
 	if x.now.Before(settled) && (x.reviewAt.IsZero() || settled.Before(x.reviewAt)) {
 		x.reviewAt = settled
 	}
 	return !x.now.Before(settled)
 }
 
-// isEnough reports whether enough endpoints crashed one after the other. Simultaneous crashes, as of a rack, are one round, and so are all that a
+// weigh decides whether enough endpoints crashed one after the other. Simultaneous crashes, as of a rack, are one round, and so are all that a
 // quarantined signature explains. A signature that several requests may have must have crashed endpoints with several of them, an adapter or
 // a customer in each round with another one. More rounds are needed if endpoints crash for another cause as well, unless they had
-// acknowledged requests with the signature.
-func (x *decision) isEnough(s *suspect) bool {
-	count, fresh, last, surplus := 0, 0, time.Time{}, -1
+// acknowledged requests with the signature. Copies of an exact request count one by one if they were acknowledged, because a further round may
+// cost as many attempts; those of a single round must be more, since endpoints may crash for another cause.
+func (x *decision) weigh(s *suspect) verdict {
+	count, rounds, fresh, last := 0, 0, 0, time.Time{}
 	minRounds := s.minRounds(x.options)
 	minFresh := [kinds]int{KindPart: 2, KindAdapter: minRounds, KindCustomer: minRounds}[s.kind]
 	seen := map[*record]bool{}
 	for _, one := range s.rounds {
+		count += one.copies
 		if !one.sentAt.After(last) || (one.source != nil && seen[one.source]) {
 			continue
 		}
-		count, last = count+1, one.at
+		rounds, last = rounds+1, one.at
+		if one.copies == 0 {
+			count++
+		}
 		if fresh < minFresh && s.showsAnother(one, seen) {
 			fresh++
 		}
-		if count < minRounds || fresh < minFresh {
-			continue
-		}
-		if surplus < 0 {
-			surplus = x.surplus(s)
-		}
-		if count >= minRounds+surplus {
-			return true
-		}
 	}
-	return false
+	switch {
+	case count < minRounds || fresh < minFresh || count < minRounds+x.surplus(s):
+		return tooFew
+	case rounds > 1:
+		return enough
+	case count >= x.options.Decisive:
+		return enoughAtOnce
+	}
+	return tooFew
 }
 
 // surplus returns the number of additional rounds that are needed because endpoints of the service crash meanwhile for causes other than requests
