Let copies decide between deadly requests at the same endpoint

Cause, in the run that was traced: an endpoint crashed under both requests and each had one more crash of its own, so that their evidence was equal, whatever the copies. Requests that the evidence does not tell apart wait for five crashes. When the second one was quarantined first, it explained the shared crash, and with it the copies of the first one.

Between two exact requests, further acknowledged copies now count as evidence. Wider signatures are compared as before, so that a popular sound request does not outweigh a deadly part.

TestCopiesDecideBetweenRequests failed without the comparison.

--- a/internal/place/quarantine/blame.go
+++ b/internal/place/quarantine/blame.go
@@ -114,6 +114,7 @@
 	// evidence counts crashes twice if they are acknowledged, and half if the signature has begun before: while all endpoints are down, common
 	// signatures do not begin either.
 	evidence int
+	copies   int // of an exact request in unexplained crashes, each crash's first one not counted
 	verdict  verdict
 }
 
@@ -199,6 +200,7 @@
 			if x.acknowledged {
 				s.acknowledged.add(x.crash)
 			}
+			s.copies += max(one.copies-1, 0)
 		}
 		s.rounds = append(s.rounds, one)
 	}
@@ -354,6 +356,9 @@
 		if t == s || common == 0 {
 			return false
 		}
+		if s.kind == KindRequest && t.kind == KindRequest && s.evidence+s.copies > t.evidence+t.copies {
+			return false
+		}
 		same := s.unexplained == t.unexplained
 		inside := t.kind < s.kind && slices.Contains(t.carries, s.record)
 		switch {
--- a/internal/place/quarantine/blame_test.go
+++ b/internal/place/quarantine/blame_test.go
@@ -424,3 +424,16 @@
 	d.RecordBegins(at(400), begin(1000, exact("popular")))
 	c.Check(d.Blame(at(3000)), quicktest.HasLen, 0)
 }
+
+// Two deadly requests are at the same endpoint once, and one of them several times. Guards against waiting until one has crashed further endpoints
+// alone, which loses what the copies show.
+func TestCopiesDecideBetweenRequests(t *testing.T) {
+	c := quicktest.New(t)
+	d := quarantine.NewDetector(quarantine.DefaultOptions())
+	d.Record(at(0), "entry", copies(0, "dead", 200))
+	shared := copies(1, "dead", 200, 200, 100)
+	shared[0].Exposed = append(shared[0].Exposed, copies(1, "other", 200)[0].Exposed...)
+	d.Record(at(900), "entry", shared)
+	d.Record(at(1800), "entry", copies(2, "other", 200))
+	c.Check(d.Blame(at(3000)), quicktest.DeepEquals, []quarantine.Signature{signature(exact("dead"))})
+}
