--- a/internal/node/control/software.go
+++ b/internal/node/control/software.go
@@ -30,7 +30,7 @@
 }
 
 // admitsSoftware reports whether an announcement may be recorded. An endpoint with a software version that is new to its service gets work only once
-// the version is stored and all entries know that there are several: until then, they would continue streams of others there.
+// the version is stored and no entry relies on a list without it: such an entry would continue the endpoint's streams at another version.
 func (ls *leaderState) admitsSoftware(a roster.Announcement) bool {
 	if a.Gone || a.Leaving {
 		return true // it gets no work
--- a/internal/serve/forward/origin.go
+++ b/internal/serve/forward/origin.go
@@ -21,7 +21,7 @@
 	}
 	asked := h.options.Now()
 	age := h.options.View.Age(asked)
-	software, source, refused := h.origin(x)
+	software, source, refused := h.lookUpOrigin(x)
 	x.software = software
 	version := ""
 	if software != nil {
@@ -48,13 +48,13 @@
 	sourceUnstated = "Unstated" // the leader states no versions
 )
 
-// origin returns the software version that began a stream, or nil if the leader does not follow versions.
-func (h *Handler) origin(x *exchange) (software *string, source string, refused *refusal.Error) {
+// lookUpOrigin returns the software version that began a stream, or nil if the leader does not follow versions.
+func (h *Handler) lookUpOrigin(x *exchange) (software *string, source string, refused *refusal.Error) {
 	h.mu.Lock()
 	s, known := h.streams.Find(x.request.Continues)
 	h.mu.Unlock()
 	if known {
-		return h.atOrigin(x, s), sourceOwn, nil
+		return h.moveToOrigin(x, s), sourceOwn, nil
 	}
 	now := h.options.Now()
 	switch versions := h.options.View.Software(x.service.Name); {
@@ -71,16 +71,16 @@
 		refused = h.refuseWithRetry(refusal.Unavailable, "software version that began the stream: %v", err)
 		return nil, sourceLeader, refused.WithRetryAt(h.retryAtWithLeader(x, refused.RetryAt))
 	case reply.Software != nil:
-		return h.atOrigin(x, *reply.Software), sourceLeader, nil
+		return h.moveToOrigin(x, *reply.Software), sourceLeader, nil
 	case len(reply.Versions) == 1:
 		return &reply.Versions[0], sourceLeader, nil
 	}
 	return nil, sourceLeader, refusal.New(refusal.Unavailable, "which of the software versions %q began the stream is not known", reply.Versions)
 }
 
-// atOrigin returns the software version that began a stream, and sends the stream to the service of that version if its route allows it. It returns
+// moveToOrigin returns the software version that began a stream, and sends the stream to the service of that version if its route allows it. It returns
 // nil if the route leads to other services now, which have versions of their own.
-func (h *Handler) atOrigin(x *exchange, s origin.Software) *string {
+func (h *Handler) moveToOrigin(x *exchange, s origin.Software) *string {
 	if s.Service != x.service.Name {
 		if !slices.ContainsFunc(x.route.Targets, func(t document.Target) bool { return t.Service == s.Service }) {
 			return nil
