End the search of a request that may crash endpoints, search again while an endpoint hangs, and keep a sound run against a failure elsewhere

Found in review of the search for another endpoint, by a reviewer who had not seen the work; each was shown by a test in virtual time: - When the silent endpoint broke and the request may have caused that, a search that still ran sent the request on (four more sendings in the trial). The same where the endpoint that the search had found broke, and the silent one refused after that. - A search took place once. A request at an endpoint that hung for good waited until its deadline, although others had room later. A search now takes success only.

TestSuspectIsNotSentOnBySearch, TestSuspectOfSearchIsNotSentOn, TestHungRequestIsSearchedForAgain and TestFailureElsewhereDoesNotReplaceSilentEndpoint fail before and pass now. Three functions of the search have names that tell them apart: cancelSearch, joinSearch and mergeSearch.

--- a/internal/serve/forward/attempt.go
+++ b/internal/serve/forward/attempt.go
@@ -141,7 +141,8 @@
 			if x.search.found != nil {
 				return part{err: errReplaced}
 			}
-			h.stopSearch(x, s)
+			h.cancelSearch(x, s)
+			h.allowSearch(s.inFlight, h.options.Now().Add(streamWait))
 		}
 	}
 }
--- a/internal/serve/forward/inflight.go
+++ b/internal/serve/forward/inflight.go
@@ -30,6 +30,7 @@
 	waiting      int           // tokens of this entry that waited there, including its own
 	progressAt   time.Time     // of its start, its head or its last complete event
 	leave        chan struct{} // tells the request to look for another endpoint
+	searchFrom   time.Time     // when the next search may begin, after one that has found no endpoint
 	silent       bool          // that has happened since its last event
 }
 
@@ -97,6 +98,13 @@
 	}
 }
 
+// allowSearch allows another search from a time on, while the endpoint stays silent.
+func (h *Handler) allowSearch(f *inFlight, from time.Time) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	f.leaving, f.searchFrom = false, from
+}
+
 // stay allows another search for an endpoint, should this one fall silent again. The caller holds the mutex of the Handler.
 func (f *inFlight) stay() {
 	f.leaving = false
@@ -126,7 +134,7 @@
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	for f := range h.attempts {
-		if !f.movable || f.unresumable || f.leaving {
+		if !f.movable || f.unresumable || f.leaving || now.Before(f.searchFrom) {
 			continue
 		}
 		switch h.silence.Decide(now, silence.Attempt{
--- a/internal/serve/forward/search.go
+++ b/internal/serve/forward/search.go
@@ -55,9 +55,9 @@
 	return r.done
 }
 
-// stopSearch ends a search, if there is one, because the request stays at its endpoint. Refusals of others count no longer, so that it may be moved
+// cancelSearch ends a search, if there is one, because the request stays at its endpoint. Refusals of others count no longer, so that it may be moved
 // later.
-func (h *Handler) stopSearch(x *exchange, s *attempt) {
+func (h *Handler) cancelSearch(x *exchange, s *attempt) {
 	r := x.search
 	if r == nil {
 		return
@@ -67,21 +67,21 @@
 	if r.found != nil {
 		h.endAttempt(&r.exchange, r.found)
 	}
-	x.endSearch()
+	x.mergeSearch()
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	s.inFlight.movable = h.movable(x)
 }
 
-// finishSearch waits for the end of a search, if there is one, because the attempt for which it began has ended. It returns the attempt that was found,
+// joinSearch waits for the end of a search, if there is one, because the attempt for which it began has ended. It returns the attempt that was found,
 // or nil.
-func (h *Handler) finishSearch(x *exchange) *attempt {
+func (h *Handler) joinSearch(x *exchange) *attempt {
 	r := x.search
 	if r == nil {
 		return nil
 	}
 	<-r.done
-	x.endSearch()
+	x.mergeSearch()
 	x.tries, x.exclude, x.missingAt, x.charged = r.exchange.tries, r.exchange.exclude, r.exchange.missingAt, r.exchange.charged
 	if r.found != nil {
 		x.lastEndpoint, x.sentAt = r.found.ID, r.found.started
@@ -89,8 +89,8 @@
 	return r.found
 }
 
-// endSearch adds what a search has sent to the exchange.
-func (x *exchange) endSearch() {
+// mergeSearch adds what a search has sent to the exchange.
+func (x *exchange) mergeSearch() {
 	r := x.search
 	x.search = nil
 	y := &r.exchange
@@ -102,3 +102,12 @@
 		x.failedAnswer = y.failedAnswer
 	}
 }
+
+// cancelUnfinishedSearch ends a search that has not come to its end by itself.
+func (h *Handler) cancelUnfinishedSearch(x *exchange, s *attempt) {
+	select {
+	case <-x.search.finished():
+	default:
+		h.cancelSearch(x, s)
+	}
+}
--- a/internal/serve/forward/send.go
+++ b/internal/serve/forward/send.go
@@ -40,7 +40,7 @@
 	for refused == nil {
 		v, reason := h.deliver(x, s)
 		if v == answered {
-			h.stopSearch(x, s)
+			h.cancelSearch(x, s)
 			return nil
 		}
 		if s, refused = h.replace(x, s, v, reason); s == nil && refused == nil {
@@ -61,7 +61,7 @@
 		s = h.start(x, c)
 		v, reason := h.awaitBegin(x, s)
 		if v == begun {
-			h.stopSearch(x, s)
+			h.cancelSearch(x, s)
 			return s, nil
 		}
 		h.endAttempt(x, s)
@@ -96,10 +96,13 @@
 	if v == mayHaveRun {
 		x.interruptedAt = h.options.Now()
 	}
-	if next = h.finishSearch(x); next != nil {
+	if x.mayCrash {
+		h.cancelUnfinishedSearch(x, s) // the request may crash the next endpoint too
+	}
+	if next = h.joinSearch(x); next != nil {
 		return next, nil
 	}
-	if x.ctx.Err() != nil || (v == mayHaveRun && !h.repeatable(x)) {
+	if x.ctx.Err() != nil || ((v == mayHaveRun || x.ran > 0) && !h.repeatable(x)) {
 		return nil, refusal.New(refusal.OutcomeUnknown, "endpoint failed: %s", reason)
 	}
 	if v == notRun && reason == reasonMissing {
@@ -374,6 +377,9 @@
 	if x.headSent {
 		return mayHaveRun, reasonError // a stream that has begun cannot continue with an answer that is no stream
 	}
+	if len(x.silent) > 0 && s.answer.Status >= http.StatusMultipleChoices {
+		return mayHaveRun, reasonError // a failure here is no reason to give up the endpoint that is silent
+	}
 	s.complete = &completeAnswer{status: s.answer.Status, header: s.answer.Header, body: body}
 	if s.answer.Status >= http.StatusInternalServerError {
 		h.observe(s.ID, pick.Failed, 0)
--- a/internal/serve/forward/silent_test.go
+++ b/internal/serve/forward/silent_test.go
@@ -524,3 +524,96 @@
 		r.Check(running.Load(), quicktest.Equals, int32(0))
 	})
 }
+
+// An endpoint falls silent after the head of its answer, and breaks while the request looks for another endpoint. Guards against a request that may have
+// crashed its endpoint and is sent on by that search.
+func TestSuspectIsNotSentOnBySearch(t *testing.T) {
+	for breaks := 1000 * time.Millisecond; breaks < 2200*time.Millisecond; breaks += 200 * time.Millisecond {
+		var brokenAt atomic.Int64
+		var late atomic.Int32
+		first := func(w http.ResponseWriter, q *http.Request) {
+			w.Header().Set("Content-Type", "text/event-stream")
+			send(w, "")
+			pause(q, breaks)
+			brokenAt.Store(time.Now().UnixMilli())
+			panic(http.ErrAbortHandler)
+		}
+		others := func(w http.ResponseWriter, q *http.Request) {
+			if at := brokenAt.Load(); at > 0 && time.Now().UnixMilli()-at > 100 {
+				late.Add(1)
+			}
+			respondFull(w, q)
+		}
+		runSilent(t, 3, firstThen(first, others), func(r *fixture) {
+			r.streamWithParts("/triple/x", "p1")
+			r.Check(late.Load(), quicktest.Equals, int32(0), quicktest.Commentf("breaks after %v", breaks))
+		})
+	}
+}
+
+// The endpoint that a search has found breaks after the head of its answer, and then the silent one refuses. Guards against a third endpoint that gets a
+// request which may crash it.
+func TestSuspectOfSearchIsNotSentOn(t *testing.T) {
+	var n, late atomic.Int32
+	serve := func(w http.ResponseWriter, q *http.Request) {
+		switch n.Add(1) {
+		case 1:
+			pause(q, 1300*time.Millisecond)
+			respondFull(w, q)
+		case 2:
+			w.Header().Set("Content-Type", "text/event-stream")
+			send(w, "")
+			pause(q, 50*time.Millisecond)
+			panic(http.ErrAbortHandler)
+		default:
+			late.Add(1)
+			streamOf(false, event1)(w, q)
+		}
+	}
+	runSilent(t, 4, serve, func(r *fixture) {
+		r.streamWithParts("/triple/x", "p1")
+		r.Check(late.Load(), quicktest.Equals, int32(0))
+	})
+}
+
+// An endpoint hangs for good, and the others are full for four seconds. Guards against a request that looks for another endpoint only once and waits for its
+// deadline then.
+func TestHungRequestIsSearchedForAgain(t *testing.T) {
+	started := time.Time{}
+	hangs := func(_ http.ResponseWriter, q *http.Request) { <-q.Context().Done() }
+	others := func(w http.ResponseWriter, q *http.Request) {
+		if time.Since(started) < 4*time.Second {
+			respondFull(w, q)
+			return
+		}
+		streamOf(false, event1, event2, event3)(w, q)
+	}
+	runSilent(t, 3, firstThen(hangs, others), func(r *fixture) {
+		started = time.Now()
+		body, complete := r.stream("/triple/x")
+		r.Check(complete, quicktest.IsTrue, quicktest.Commentf("%q after %v", body, time.Since(started)))
+	})
+}
+
+// An endpoint is silent for two seconds, and the next one answers with a failure. Guards against the failure in place of the sound endpoint's answer.
+func TestFailureElsewhereDoesNotReplaceSilentEndpoint(t *testing.T) {
+	for _, status := range []int{http.StatusFound, http.StatusBadRequest, http.StatusNotFound, http.StatusConflict} {
+		others := func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(status) }
+		runSilent(t, 3, firstThen(pausing(false, 2*time.Second), others), func(r *fixture) {
+			body, complete := r.stream("/long/x")
+			r.Check(complete, quicktest.IsTrue, quicktest.Commentf("status %d: %q", status, body))
+		})
+	}
+}
+
+// streamWithParts sends a request with parts of a prompt to the handler.
+func (r *fixture) streamWithParts(path, parts string) {
+	q := httptest.NewRequestWithContext(r.Context(), http.MethodGet, path, http.NoBody)
+	q.Header.Set("Key", "k")
+	q.Header.Set("Attempt", "1")
+	q.Header.Set("Parts", parts)
+	func() {
+		defer func() { _ = recover() }() // a connection that is cut
+		r.handler.ServeHTTP(httptest.NewRecorder(), q)
+	}()
+}
--- a/internal/serve/forward/stream.go
+++ b/internal/serve/forward/stream.go
@@ -69,7 +69,7 @@
 			if err := h.checkResumed(x, s, events); err != nil {
 				return nil, err
 			}
-			h.stopSearch(x, s)
+			h.cancelSearch(x, s)
 			h.recordEvents(x, s)
 			s.returned = len(events)
 			return events, p.err
