--- a/internal/place/quarantine/blame.go
+++ b/internal/place/quarantine/blame.go
@@ -34,7 +34,6 @@
 		if r.suspect == nil {
 			r.suspect = newSuspect(r, explains)
 		}
-		r.suspect.verdict = unknown // new evidence may explain what else has crashed
 		if r.suspect.size > 0 && !explained[r] {
 			d.all = append(d.all, r.suspect)
 		}
@@ -67,8 +66,7 @@
 	}
 	d.decided, d.reviewAt, d.blamed = true, time.Time{}, nil
 	explained := d.explained()
-	x := decision{Detector: d, now: now, explains: explanations(explained)}
-	x.setAll(d.all)
+	x := decision{Detector: d, now: now, all: d.all, explains: explanations(explained)}
 	for range min(maxDecisions, d.options.MaxQuarantined-len(d.quarantined)) {
 		blamed := x.next()
 		if len(blamed) == 0 {
@@ -77,10 +75,10 @@
 		for _, s := range blamed {
 			d.blamed = append(d.blamed, s.signature)
 			explained[s.record] = true
-			d.uncertain[s.signature] = len(blamed) > 1 || s.verdict == enoughAtOnce
+			d.together[s.signature] = len(blamed) > 1
 		}
 		x.explains = explanations(explained)
-		x.setAll(findSuspects(x.all, explained, x.explains))
+		x.all = findSuspects(x.all, explained, x.explains)
 	}
 	return d.blamed
 }
@@ -88,20 +86,9 @@
 // decision is what one call of Blame considers.
 type decision struct {
 	*Detector
-	now        time.Time
-	all        []*suspect
-	byRequests crashSet             // crashes that exact requests may have caused which were exposed to several and have never begun
-	explains   map[*crash][]*record // signatures that are quarantined or will be, by crash
-}
-
-// setAll replaces the suspects.
-func (x *decision) setAll(all []*suspect) {
-	x.all, x.byRequests = all, crashSet{}
-	for _, s := range all {
-		if s.kind == KindRequest && s.size > 1 && s.begun.IsZero() {
-			x.byRequests.merge(s.unexplained)
-		}
-	}
+	now      time.Time
+	all      []*suspect
+	explains map[*crash][]*record // signatures that are quarantined or will be, by crash
 }
 
 // suspect is a signature with the crashes that it was exposed to since it last began.
@@ -114,7 +101,6 @@
 	// evidence counts crashes twice if they are acknowledged, and half if the signature has begun before: while all endpoints are down, common
 	// signatures do not begin either.
 	evidence int
-	copies   int // of an exact request in unexplained crashes, each crash's first one not counted
 	verdict  verdict
 }
 
@@ -122,7 +108,6 @@
 type round struct {
 	*crash
 	sentAt time.Time
-	copies int     // acknowledged copies of an exact request
 	source *record // quarantined signature of a narrower kind that explains the crash, nil if none does
 }
 
@@ -133,7 +118,6 @@
 	unknown verdict = iota
 	tooFew
 	enough
-	enoughAtOnce // in a single round
 )
 
 // minRounds returns the number of consecutive crashes that blame the signature. It is higher for adapters and customers, which many sound requests
@@ -187,7 +171,7 @@
 	s := &suspect{record: r}
 	var sources []*record
 	for _, x := range r.exposed {
-		one := round{crash: x.crash, sentAt: x.sentAt, copies: x.count()}
+		one := round{crash: x.crash, sentAt: x.sentAt}
 		if by := explains[x.crash]; len(by) > 0 {
 			if one.source = x.widestInside(by, r); one.source == nil {
 				continue
@@ -200,7 +184,6 @@
 			if x.acknowledged {
 				s.acknowledged.add(x.crash)
 			}
-			s.copies += max(one.copies-1, 0)
 		}
 		s.rounds = append(s.rounds, one)
 	}
@@ -266,53 +249,52 @@
 	return s.evidence == t.evidence && s.unexplained == t.unexplained
 }
 
-// convincing reports whether the evidence is enough, and entries have had the time to report begins since.
+// convincing reports whether enough endpoints crashed one after the other, and entries have had the time to report begins since.
 func (x *decision) convincing(s *suspect) bool {
 	if s.verdict == unknown {
-		s.verdict = x.weigh(s)
+		s.verdict = tooFew
+		if x.isEnough(s) {
+			s.verdict = enough
+		}
 	}
 	if s.verdict == tooFew {
 		return false
 	}
-	settled := s.rounds[min(1, len(s.rounds)-1)].recordedAt.Add(x.options.Settle)
+	settled := s.rounds[1].recordedAt.Add(x.options.Settle)
 	if x.now.Before(settled) && (x.reviewAt.IsZero() || settled.Before(x.reviewAt)) {
 		x.reviewAt = settled
 	}
 	return !x.now.Before(settled)
 }
 
-// weigh decides whether enough endpoints crashed one after the other. Simultaneous crashes, as of a rack, are one round, and so are all that a
+// isEnough reports whether enough endpoints crashed one after the other. Simultaneous crashes, as of a rack, are one round, and so are all that a
 // quarantined signature explains. A signature that several requests may have must have crashed endpoints with several of them, an adapter or
 // a customer in each round with another one. More rounds are needed if endpoints crash for another cause as well, unless they had
-// acknowledged requests with the signature. Copies of an exact request count one by one if they were acknowledged, because a further round may
-// cost as many attempts; those of a single round must be more, since endpoints may crash for another cause.
-func (x *decision) weigh(s *suspect) verdict {
-	count, rounds, fresh, last := 0, 0, 0, time.Time{}
+// acknowledged requests with the signature.
+func (x *decision) isEnough(s *suspect) bool {
+	count, fresh, last, surplus := 0, 0, time.Time{}, -1
 	minRounds := s.minRounds(x.options)
 	minFresh := [kinds]int{KindPart: 2, KindAdapter: minRounds, KindCustomer: minRounds}[s.kind]
 	seen := map[*record]bool{}
 	for _, one := range s.rounds {
-		count += one.copies
 		if !one.sentAt.After(last) || (one.source != nil && seen[one.source]) {
 			continue
 		}
-		rounds, last = rounds+1, one.at
-		if one.copies == 0 {
-			count++
-		}
+		count, last = count+1, one.at
 		if fresh < minFresh && s.showsAnother(one, seen) {
 			fresh++
 		}
+		if count < minRounds || fresh < minFresh {
+			continue
+		}
+		if surplus < 0 {
+			surplus = x.surplus(s)
+		}
+		if count >= minRounds+surplus {
+			return true
+		}
 	}
-	switch {
-	case count < minRounds || fresh < minFresh || count < minRounds+x.surplus(s):
-		return tooFew
-	case rounds > 1:
-		return enough
-	case count >= x.options.Decisive:
-		return enoughAtOnce
-	}
-	return tooFew
+	return false
 }
 
 // surplus returns the number of additional rounds that are needed because endpoints of the service crash meanwhile for causes other than requests
@@ -322,8 +304,14 @@
 		return 0
 	}
 	first, last := s.rounds[0], s.rounds[len(s.rounds)-1]
+	var others crashSet
+	for _, t := range x.all {
+		if t.kind == KindRequest && t.size > 1 && t.begun.IsZero() {
+			others.merge(t.unexplained)
+		}
+	}
 	for _, k := range x.crashes {
-		if k.service == first.service && !k.at.Before(first.at) && !k.at.After(last.at) && !s.unexplained.has(k) && !x.byRequests.has(k) && len(x.explains[k]) == 0 {
+		if k.service == first.service && !k.at.Before(first.at) && !k.at.After(last.at) && !s.unexplained.has(k) && !others.has(k) && len(x.explains[k]) == 0 {
 			n++
 		}
 	}
@@ -356,9 +344,6 @@
 		if t == s || common == 0 {
 			return false
 		}
-		if s.kind == KindRequest && t.kind == KindRequest && s.evidence+s.copies > t.evidence+t.copies {
-			return false
-		}
 		same := s.unexplained == t.unexplained
 		inside := t.kind < s.kind && slices.Contains(t.carries, s.record)
 		switch {
--- a/internal/place/quarantine/detector.go
+++ b/internal/place/quarantine/detector.go
@@ -9,20 +9,17 @@
 
 // Options are the settings of a Detector.
 type Options struct {
-	// MinRounds is the number of consecutive crashes that blame a signature, each of an endpoint to which it was sent after the crash before. Of an
-	// exact request, acknowledged copies count one by one.
+	// MinRounds is the number of consecutive crashes that blame a signature, each of an endpoint to which it was sent after the crash before.
 	MinRounds int
 	// MoreRounds is the number of further ones for adapters and customers, and the most for crashes that the signature does not explain.
 	MoreRounds int
-	// Decisive is the number of crashes after which signatures are blamed that the evidence does not tell apart, and of acknowledged copies of an
-	// exact request that blame it in a single round.
+	// Decisive is the number of crashes after which signatures are blamed that the evidence does not tell apart.
 	Decisive int
 	// Settle is the time from the second crash in which entries can report that the signature begins elsewhere.
 	Settle time.Duration
 	// TrialAfter is the time until one request may try a quarantined signature; it doubles with each further trial.
 	TrialAfter time.Duration
-	// SharedTrialAfter is the same for the first trial of signatures that were blamed together for the same crashes, and of a request that was
-	// blamed in a single round.
+	// SharedTrialAfter is the same for the first trial of signatures that were blamed together for the same crashes.
 	SharedTrialAfter time.Duration
 	MaxTrials        int
 	// ForgetAfter is the time without a request after which a signature is released.
@@ -44,9 +41,9 @@
 	crashes     map[Incarnation]*crash
 	records     map[Signature]*record
 	slots       [maxRecorded]*crash
-	repeated    map[*record]bool // exposed to several crashes, to one since they last began, or to one with many copies
+	repeated    map[*record]bool // exposed to several crashes, or to one since they last began
 	quarantined map[Signature]*quarantined
-	uncertain   map[Signature]bool // signatures that were blamed for the same crashes as another one, or in a single round
+	together    map[Signature]bool // signatures that were blamed for the same crashes as another one
 
 	expiredAt time.Time
 
@@ -85,18 +82,18 @@
 
 // quarantined is a signature that no endpoint gets.
 type quarantined struct {
-	since     time.Time
-	askedAt   time.Time // of the last request that was refused
-	uncertain bool      // another signature was blamed for the same crashes, or it was blamed in a single round
-	trials    int
-	trialAt   time.Time // earliest time of the next trial
+	since   time.Time
+	askedAt time.Time // of the last request that was refused
+	shared  bool      // another signature was blamed for the same crashes
+	trials  int
+	trialAt time.Time // earliest time of the next trial
 }
 
 // NewDetector returns a detector without records.
 func NewDetector(o Options) *Detector {
 	return &Detector{
 		options: o, crashes: map[Incarnation]*crash{}, records: map[Signature]*record{}, repeated: map[*record]bool{},
-		quarantined: map[Signature]*quarantined{}, uncertain: map[Signature]bool{},
+		quarantined: map[Signature]*quarantined{}, together: map[Signature]bool{},
 	}
 }
 
@@ -114,20 +111,20 @@
 	for _, sig := range signatures {
 		q := former[sig]
 		if q == nil {
-			q = &quarantined{since: now, askedAt: now, uncertain: d.uncertain[sig]}
+			q = &quarantined{since: now, askedAt: now, shared: d.together[sig]}
 			q.trialAt = now.Add(d.trialInterval(q))
 		}
 		d.quarantined[sig] = q
 	}
-	d.uncertain = map[Signature]bool{}
+	d.together = map[Signature]bool{}
 	for r := range d.repeated {
 		r.suspect = nil
 	}
 	d.changed = true
 }
 
-// Record adds crashes that an entry reports. It may report a crash again with further requests.
-func (d *Detector) Record(now time.Time, entry string, list []Crash) {
+// Record adds crashes that an entry reports.
+func (d *Detector) Record(now time.Time, list []Crash) {
 	for _, c := range list {
 		at := ago(now, c.AgoMillis)
 		if now.Sub(at) > retention {
@@ -145,19 +142,14 @@
 			}
 		}
 		var request *record
-		copies := map[*record]int{}
 		for _, e := range c.Exposed {
-			r, x := d.record(NewSignature(c.Service, e.ID)), exposure{sentAt: ago(at, e.WaitedMillis), acknowledged: e.Acknowledged}
+			r := d.record(NewSignature(c.Service, e.ID))
 			if r.kind == KindRequest {
 				request = r
-				if e.Acknowledged {
-					copies[r]++
-					x.copies = map[string]int{entry: copies[r]}
-				}
 			} else if request != nil && len(request.carries) < maxCarried && !slices.Contains(request.carries, r) {
 				request.carries = append(request.carries, r)
 			}
-			d.expose(k, r, x)
+			d.expose(k, r, exposure{sentAt: ago(at, e.WaitedMillis), acknowledged: e.Acknowledged})
 		}
 		d.changed = true
 	}
@@ -214,9 +206,9 @@
 	}
 	if !r.begun.After(merged.sentAt) && !slices.ContainsFunc(r.exposed, func(x exposedTo) bool { return x.crash == k }) {
 		r.exposed = append(r.exposed, exposedTo{k, merged})
-	}
-	if len(r.exposed) > 1 || (len(r.exposed) > 0 && (!r.begun.IsZero() || merged.count() >= d.options.Decisive)) {
-		d.repeated[r] = true
+		if len(r.exposed) > 1 || !r.begun.IsZero() {
+			d.repeated[r] = true
+		}
 	}
 	r.suspect = nil
 }
@@ -288,7 +280,7 @@
 
 // trialInterval returns the time until the next trial of a signature.
 func (d *Detector) trialInterval(q *quarantined) time.Duration {
-	if q.uncertain {
+	if q.shared {
 		return d.options.SharedTrialAfter << q.trials
 	}
 	return d.options.TrialAfter << q.trials
@@ -315,7 +307,7 @@
 // maxTrials returns the number of trials of a signature. An exact request that was blamed alone gets one: it rarely is sound, and refusing it
 // harms no other request.
 func (d *Detector) maxTrials(sig Signature, q *quarantined) int {
-	if KindOf(sig.ID) == KindRequest && !q.uncertain {
+	if KindOf(sig.ID) == KindRequest && !q.shared {
 		return min(d.options.MaxTrials, 1)
 	}
 	return d.options.MaxTrials
--- a/internal/place/quarantine/quarantine.go
+++ b/internal/place/quarantine/quarantine.go
@@ -32,8 +32,7 @@
 	Exposed     []Exposure  `json:"Exposed"`
 }
 
-// Exposure is a signature of a request that an endpoint had accepted and not begun to answer when it crashed. An exact request has one for each
-// acknowledged copy.
+// Exposure is a signature of a request that an endpoint had accepted and not begun to answer when it crashed.
 type Exposure struct {
 	_ struct{} `cbor:",toarray"`
 
--- a/internal/place/quarantine/tracker.go
+++ b/internal/place/quarantine/tracker.go
@@ -40,24 +40,14 @@
 // exposedRequest is a request that had not begun, or several that are the same.
 type exposedRequest struct {
 	signatures []string
-	repeated   bool        // it was exposed to an earlier crash
-	copiesSent []time.Time // when acknowledged ones were sent, at most maxCopies
+	repeated   bool // it was exposed to an earlier crash
 	exposure
 }
 
-// addCopy adds one of the same requests.
-func (x *exposedRequest) addCopy(e exposure) {
-	x.merge(e)
-	if e.acknowledged && len(x.copiesSent) < maxCopies {
-		x.copiesSent = append(x.copiesSent, e.sentAt)
-	}
-}
-
 // exposure is the latest request with a signature that had not begun.
 type exposure struct {
 	sentAt       time.Time
-	acknowledged bool           // the endpoint had sent the head of an answer to one of them
-	copies       map[string]int // at the leader, acknowledged copies of an exact request by entry
+	acknowledged bool // the endpoint had sent the head of an answer to one of them
 }
 
 func (e *exposure) merge(other exposure) {
@@ -65,26 +55,12 @@
 		e.sentAt = other.sentAt
 	}
 	e.acknowledged = e.acknowledged || other.acknowledged
-	for entry, n := range other.copies {
-		if e.copies == nil {
-			e.copies = map[string]int{}
-		}
-		e.copies[entry] = max(e.copies[entry], n) // a report contains what the entry has reported before
-	}
-}
-
-// count returns the number of acknowledged copies.
-func (e *exposure) count() (n int) {
-	for _, copies := range e.copies {
-		n += copies
-	}
-	return n
 }
 
 // add merges a request. Beyond the limit, one that is acknowledged or repeated replaces one that is neither.
-func (b *brokenEndpoint) add(key string, x exposedRequest, e exposure) {
+func (b *brokenEndpoint) add(key string, x exposedRequest) {
 	if merged := b.exposed[key]; merged != nil {
-		merged.addCopy(e)
+		merged.merge(x.exposure)
 		for _, id := range x.signatures {
 			if !slices.Contains(merged.signatures, id) {
 				merged.signatures = append(slices.Clip(merged.signatures), id)
@@ -92,10 +68,9 @@
 		}
 		return
 	}
-	if len(b.exposed) >= maxExposed && ((!e.acknowledged && !x.repeated) || !b.makeRoom()) {
+	if len(b.exposed) >= maxExposed && ((!x.acknowledged && !x.repeated) || !b.makeRoom()) {
 		return
 	}
-	x.addCopy(e)
 	b.exposed[key] = &x
 }
 
@@ -119,8 +94,6 @@
 	// maxCrashes and maxExposed limit the memory for crashes and the requests that were exposed to one crash.
 	maxCrashes = 128
 	maxExposed = 64
-	// maxCopies limits the acknowledged copies of a request that are reported one by one.
-	maxCopies = 8
 	// maxReported limits the crashes of one report. A new leader gets those of the last ten minutes from all entries.
 	maxReported = 16
 )
@@ -198,8 +171,9 @@
 		b.at, b.exposed = now, map[string]*exposedRequest{} // earlier connections were only reset
 	}
 	b.service = a.Service
-	b.add(requestKey(a.Signatures), exposedRequest{signatures: a.Signatures, repeated: t.Repeated(a)},
-		exposure{sentAt: a.SentAt, acknowledged: a.Acknowledged})
+	b.add(requestKey(a.Signatures), exposedRequest{
+		signatures: a.Signatures, repeated: t.Repeated(a), exposure: exposure{sentAt: a.SentAt, acknowledged: a.Acknowledged},
+	})
 	b.reported, b.delivered = false, 0
 	t.confirm(b)
 	if !b.downAt.IsZero() || now.Sub(b.checkedAt) < confirmTime {
@@ -281,8 +255,7 @@
 		if begunSince(key) {
 			continue
 		}
-		c.Exposed = append(c.Exposed, x.reportCopies(b.at, key)...)
-		for _, id := range x.signatures[1:] {
+		for _, id := range x.signatures {
 			if !begunSince(id) {
 				c.Exposed = append(c.Exposed, x.report(b.at, id))
 			}
@@ -300,17 +273,6 @@
 	return Exposure{ID: id, WaitedMillis: millisSince(crashAt, e.sentAt), Acknowledged: e.acknowledged}
 }
 
-// reportCopies returns an exposure for each acknowledged copy, and one for the latest request if it is none of them.
-func (x *exposedRequest) reportCopies(crashAt time.Time, id string) (list []Exposure) {
-	if !slices.Contains(x.copiesSent, x.sentAt) {
-		list = append(list, Exposure{ID: id, WaitedMillis: millisSince(crashAt, x.sentAt)})
-	}
-	for _, sentAt := range x.copiesSent {
-		list = append(list, Exposure{ID: id, WaitedMillis: millisSince(crashAt, sentAt), Acknowledged: true})
-	}
-	return list
-}
-
 // HasUnreported reports whether there is a crash that no report has contained as it is.
 func (t *Tracker) HasUnreported() bool {
 	for _, b := range t.crashes {
