review: show orders beyond a worker's places after a late copy of an answer

Cause: orders and reports carry no identifier, and the pool of control instances does not ask for one, so that the leader takes a late second copy of a 200 for the answer to its next order. It counts an adapter as unloaded that the worker drops only after its run. Change: case 2, a script with one faulty worker of three and one extra answer.

--- a/review/stand/main.go
+++ b/review/stand/main.go
@@ -20,6 +20,7 @@
 
 var cases = map[string]func(s *site, trouble bool) int{
 	"orderly-leave": orderlyLeave,
+	"late-copy":     lateCopy,
 }
 
 func main() {
