review: show an order of a leader that was frozen and replaced

Cause: runQueue checks that its instance leads, then waits up to 2 s for a free transfer and sends the order without checking again; executeOrder and sendOrder do not read ended. Workers there do not check fencing tokens.

--- a/review/stand/latecopy.go
+++ b/review/stand/latecopy.go
@@ -32,7 +32,7 @@
 	}
 	s.startAll()
 	time.Sleep(2 * time.Second)
-	if !s.replace(config(1)) || !s.awaitReady() {
+	if !s.replace(s.config(1)) || !s.awaitReady() {
 		return failed
 	}
 	time.Sleep(2 * contactTime)
--- a/review/stand/main.go
+++ b/review/stand/main.go
@@ -21,6 +21,7 @@
 var cases = map[string]func(s *site, trouble bool) int{
 	"orderly-leave": orderlyLeave,
 	"late-copy":     lateCopy,
+	"stale-leader":  staleLeader,
 }
 
 func main() {
--- a/review/stand/site.go
+++ b/review/stand/site.go
@@ -29,11 +29,14 @@
 
 // site is a small deployment: a control instance and an entry in each zone, as processes.
 type site struct {
-	binary  string
-	folder  string
-	octet   int // second octet of all loopback addresses of this run
-	port    int // first port of this run
-	started time.Time
+	binary   string
+	folder   string
+	octet    int // second octet of all loopback addresses of this run
+	port     int // first port of this run
+	started  time.Time
+	unfenced bool // workers do not check fencing tokens
+	places   int  // for adapters at a worker
+	store    store
 
 	recordMu sync.Mutex
 	record   *os.File
@@ -44,7 +47,7 @@
 }
 
 func newSite(record string) (s *site, err error) {
-	s = &site{binary: "target/lycheevale", started: time.Now(), processes: map[string]*exec.Cmd{}}
+	s = &site{binary: "target/lycheevale", started: time.Now(), processes: map[string]*exec.Cmd{}, places: adapterSlots}
 	if _, err := os.Stat(s.binary); err != nil {
 		return nil, err
 	}
@@ -114,8 +117,8 @@
 	}
 	return fmt.Sprintf("Name: %q\nAddress: %s\nDataCentre: %q\nRegions:\n%sListen:\n%s  Peers: %s:%d\n  Metrics: %s:%d\nSeeds: [%s]\nBootstrap: %v\n%s"+
 		"MemoryMB: 284\nLosses: 1\nShutdownMillis: 8000\nRetry:\n  Ratio: 0.2\n  WindowSeconds: 10\n  Slack: 58\n"+
-		"Rates:\n  WindowSeconds: 8\n  Overage: 0.1\n  Slack: 17000\nOrderLeaseMillis: 3000\nHeartbeatMillis: 1200\nEndpointsFence: true\n",
-		fmt.Sprint(role, "-", zones[zone][0]), host, zones[zone][0], regions.String(), listen, host, s.port+3, host, s.port+4, seeds.String()[1:], bootstrap, data)
+		"Rates:\n  WindowSeconds: 8\n  Overage: 0.1\n  Slack: 17000\nOrderLeaseMillis: 3000\nHeartbeatMillis: 1200\nEndpointsFence: %v\n",
+		fmt.Sprint(role, "-", zones[zone][0]), host, zones[zone][0], regions.String(), listen, host, s.port+3, host, s.port+4, seeds.String()[1:], bootstrap, data, !s.unfenced)
 }
 
 // start starts a program as the deploy file does.
@@ -145,16 +148,6 @@
 	must(cmd.Process.Signal(sig))
 }
 
-// kill ends a process and waits for its end.
-func (s *site) kill(name string) {
-	s.mu.Lock()
-	cmd := s.processes[name]
-	delete(s.processes, name)
-	s.mu.Unlock()
-	s.note("kill %s", name)
-	_ = cmd.Process.Kill()
-	_ = cmd.Wait()
-}
 
 func (s *site) startAll() {
 	for zone := range zones {
@@ -250,7 +243,7 @@
 }
 
 // config is a configuration like those of the site, with one model service and one plain service.
-func config(version int) map[string]any {
+func (s *site) config(version int) map[string]any {
 	route := func(name, prefix, kind, service string, timeout, attempts int, resumable bool) map[string]any {
 		objective := 1000
 		if service == "desk" {
@@ -269,7 +262,7 @@
 		},
 		"services": []any{
 			map[string]any{"name": "llm", "healthPath": "/healthz", "maxConns": 370, "protocol": "h1", "tls": false, "engine": map[string]any{
-				"slots": 64, "kvCapacity": 122202, "weightsMb": 66000, "adapterSlots": adapterSlots, "loadsPerS": 2.1, "stride": 2,
+				"slots": 64, "kvCapacity": 122202, "weightsMb": 66000, "adapterSlots": s.places, "loadsPerS": 2.1, "stride": 2,
 				"models": []any{map[string]any{"name": "base", "weightsMb": 65100, "loadS": 3.9, "adapters": 3000, "adapterMb": 40}},
 			}},
 			map[string]any{"name": "desk", "healthPath": "/healthz", "maxConns": 110, "protocol": "h1", "tls": false},
--- a/review/stand/worker.go
+++ b/review/stand/worker.go
@@ -27,6 +27,9 @@
 	// extra returns bytes that are sent before the answer to an order that has just arrived.
 	extra func(w *worker, c *workerConn, operation, adapter string, inUse bool) []byte
 
+	// ordered is called when an order has arrived.
+	ordered func(w *worker, holder string, fence uint64)
+
 	mu         sync.Mutex
 	listener   net.Listener
 	conns      map[net.Conn]bool
@@ -226,6 +229,9 @@
 	w.mu.Lock()
 	inUse := w.active[o.Adapter] > 0
 	w.mu.Unlock()
+	if w.ordered != nil {
+		w.ordered(w, o.Holder, o.FencingToken)
+	}
 	if w.extra != nil {
 		if b := w.extra(w, c, o.Operation, o.Adapter, inUse); len(b) > 0 {
 			w.site.note("%s: before the answer to %s %s, a second copy of the last answer on connection %d: %.15q", w.id, o.Operation, o.Adapter, c.number, b)
@@ -234,11 +240,11 @@
 		}
 	}
 	status, overload := w.execute(o.Operation, o.Adapter, max(o.Version, 1), o.Precondition, o.FencingToken)
-	w.site.note("%s: order %s %s, precondition %v, fence %d, on connection %d: %d; %s", w.id, o.Operation, o.Adapter, deref(o.Precondition), o.FencingToken,
+	w.site.note("%s: order %s %s, precondition %v, fence %d of %s, on connection %d: %d; %s", w.id, o.Operation, o.Adapter, deref(o.Precondition), o.FencingToken, o.Holder,
 		c.number, status, w.places())
 	w.answer(c, status, q, "", "")
 	if overload {
-		w.site.note("%s: ordered to load %s beyond its %d places: crash", w.id, o.Adapter, adapterSlots)
+		w.site.note("%s: ordered to load %s beyond its %d places: crash", w.id, o.Adapter, w.site.places)
 		w.crash()
 	}
 }
@@ -270,12 +276,12 @@
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	switch {
-	case fence < w.fence:
+	case fence < w.fence && !w.site.unfenced:
 		return http.StatusPreconditionFailed, false
 	case precondition != nil && *precondition != w.sequence:
 		return http.StatusConflict, false
 	}
-	w.fence = fence
+	w.fence = max(w.fence, fence)
 	if operation == "unload" {
 		if _, held := w.adapters[adapter]; !held {
 			return http.StatusOK, false
@@ -293,13 +299,14 @@
 	}
 	w.sequence++
 	w.pending[adapter] = version
-	took := 250 * time.Millisecond
-	if w.known[adapter] {
-		took /= 10
+	took, fetched := 25*time.Millisecond, func() {}
+	if !w.known[adapter] {
+		took, fetched = w.site.store.fetch()
 	}
 	w.known[adapter] = true
 	born := w.born
 	time.AfterFunc(took, func() {
+		fetched()
 		w.mu.Lock()
 		defer w.mu.Unlock()
 		if w.born == born {
@@ -307,7 +314,7 @@
 			w.adapters[adapter] = version
 		}
 	})
-	if len(w.adapters)+len(w.pending) > adapterSlots {
+	if len(w.adapters)+len(w.pending) > w.site.places {
 		w.overload = adapter
 		return http.StatusAccepted, true
 	}
@@ -415,3 +422,24 @@
 		}
 	}
 }
+
+// store is the weight store. A fetch of an adapter takes 250 ms while no more than 8 are on their way, and longer in proportion beyond.
+type store struct {
+	mu      sync.Mutex
+	running int
+}
+
+const fullSpeedFetches = 8
+
+// fetch returns how long a fetch takes that begins now, and a function that ends it.
+func (s *store) fetch() (took time.Duration, end func()) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.running++
+	took = 250 * time.Millisecond * time.Duration(max(s.running, fullSpeedFetches)) / fullSpeedFetches
+	return took, func() {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		s.running--
+	}
+}
