review: show a request that crashes workers without end, with another query each time

Cause: the signature of an exact request includes the query, so that a request which comes again with the same path, caller and body and another query is never found.

--- a/review/stand/main.go
+++ b/review/stand/main.go
@@ -22,6 +22,7 @@
 	"orderly-leave": orderlyLeave,
 	"late-copy":     lateCopy,
 	"stale-leader":  staleLeader,
+	"deadly-query":  deadlyQuery,
 }
 
 func main() {
--- a/review/stand/site.go
+++ b/review/stand/site.go
@@ -148,7 +148,6 @@
 	must(cmd.Process.Signal(sig))
 }
 
-
 func (s *site) startAll() {
 	for zone := range zones {
 		s.start("control", zone, true)
--- a/review/stand/worker.go
+++ b/review/stand/worker.go
@@ -27,6 +27,8 @@
 	// extra returns bytes that are sent before the answer to an order that has just arrived.
 	extra func(w *worker, c *workerConn, operation, adapter string, inUse bool) []byte
 
+	// deadly crashes the worker if a request does that, and reports whether it did.
+	deadly func(w *worker, q *http.Request) bool
 	// ordered is called when an order has arrived.
 	ordered func(w *worker, holder string, fence uint64)
 
@@ -339,6 +341,9 @@
 		return
 	}
 	w.site.note("%s: ran %s %s", w.id, id, adapter)
+	if w.deadly != nil && w.deadly(w, q) {
+		return
+	}
 	defer w.ended(adapter)
 	seal := "X-Server-Seal: " + w.id + "." + id + "\r\n"
 	if w.model == "" {
