review: show copies of a request that crash workers as one round of evidence

Cause: only a crash to which the request was sent after the crash before counts as a further round, so that copies under way at once cost a worker each for one round of three.

--- a/review/stand/deadly.go
+++ b/review/stand/deadly.go
@@ -11,6 +11,7 @@
 
 const (
 	deadlyPath   = "/lookup/claims"
+	deadlyPart   = "/part/claims"
 	restartTime  = 3 * time.Second // a crashed worker is back after some seconds
 	maxRetries   = 3               // of rule BUDGET
 	deadlyEvery  = 2500 * time.Millisecond
@@ -28,7 +29,7 @@
 
 // crashes reports whether a worker crashes, and ends it.
 func (l *deadlyLog) crash(w *worker, q *http.Request) bool {
-	if q.URL.Path != deadlyPath {
+	if q.URL.Path != deadlyPath && q.URL.Path != deadlyPart {
 		return false
 	}
 	l.mu.Lock()
@@ -41,6 +42,7 @@
 		l.late++
 	}
 	l.mu.Unlock()
+	time.Sleep(w.pause) // it has begun to run it
 	l.site.note("%s: %s %s: crash %d", w.id, q.Header.Get("X-Attempt-Id"), q.URL.RequestURI(), n)
 	w.crash()
 	time.AfterFunc(restartTime, func() {
@@ -92,15 +94,7 @@
 	}
 	close(stop)
 	users.Wait()
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	s.note("%d crashes, %d later than %v after the third", l.crashes, l.late, contactTime)
-	if l.late > maxRetries {
-		s.note("BUDGET broken")
-		return broken
-	}
-	s.note("BUDGET held")
-	return held
+	return l.judge()
 }
 
 // lookUp sends sound requests.
@@ -123,3 +117,64 @@
 
 // varyQuery is off with QUERY=same.
 var varyQuery = os.Getenv("QUERY") != "same"
+
+const (
+	copiesEvery  = 9 * time.Second
+	copiesRounds = 5
+)
+
+// deadlyCopies sends three copies of a request that crashes workers at once, one to each entry, and repeats that.
+func deadlyCopies(s *site, trouble bool) int {
+	l := &deadlyLog{site: s}
+	for zone := range zones {
+		s.newWorker(zone, "llm", zones[zone][0], "base", 64)
+		w := s.newWorker(len(zones)+zone, "desk", zones[zone][0], "", 6)
+		if trouble {
+			w.deadly = l.crash
+		}
+	}
+	s.startAll()
+	time.Sleep(2 * time.Second)
+	if !s.replace(s.config(1)) || !s.awaitReady() {
+		return failed
+	}
+	time.Sleep(2 * contactTime)
+	stop := make(chan struct{})
+	var users sync.WaitGroup
+	for zone := range zones {
+		users.Add(1)
+		go func() {
+			defer users.Done()
+			s.lookUp(zone, stop)
+		}()
+	}
+	time.Sleep(contactTime)
+	for range copiesRounds {
+		for zone := range copiesAtOnce {
+			users.Add(1)
+			go func() {
+				defer users.Done()
+				s.send(request{zone: zone, method: http.MethodPost, path: deadlyPart, body: "claim 17", timeout: 1200 * time.Millisecond})
+			}()
+		}
+		time.Sleep(copiesEvery)
+	}
+	close(stop)
+	users.Wait()
+	return l.judge()
+}
+
+// copiesAtOnce is 1 with COPIES=1.
+var copiesAtOnce = map[bool]int{false: len(zones), true: 1}[os.Getenv("COPIES") == "1"]
+
+func (l *deadlyLog) judge() int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.site.note("%d crashes, %d later than %v after the third", l.crashes, l.late, contactTime)
+	if l.late > maxRetries {
+		l.site.note("BUDGET broken")
+		return broken
+	}
+	l.site.note("BUDGET held")
+	return held
+}
--- a/review/stand/main.go
+++ b/review/stand/main.go
@@ -23,6 +23,7 @@
 	"late-copy":     lateCopy,
 	"stale-leader":  staleLeader,
 	"deadly-query":  deadlyQuery,
+	"deadly-copies": deadlyCopies,
 }
 
 func main() {
