--- a/review/stand/halfclose.go
+++ b/review/stand/halfclose.go
@@ -10,15 +10,15 @@
 	"time"
 )
 
-// giveUpAfter is half of the objective of orders, after which clients leave (give_up).
-const giveUpAfter = 100 * time.Millisecond
+// giveUpAfter is within half of the objective of orders, within which clients leave (give_up).
+const giveUpAfter = 5 * time.Millisecond
 
 // orderlyLeave lets a fifth of the clients leave before their answer: they end their side of the connection and read what still comes.
 func orderlyLeave(s *site, trouble bool) int {
 	for zone := range zones {
 		s.newWorker(zone, "llm", zones[zone][0], "base", 64)
 		w := s.newWorker(len(zones)+zone, "desk", zones[zone][0], "", 6)
-		w.pause = 250 * time.Millisecond
+		w.pause = 15 * time.Millisecond // the work of an order on the sheet
 	}
 	s.startAll()
 	time.Sleep(2 * time.Second)
--- a/review/stand/main.go
+++ b/review/stand/main.go
@@ -5,6 +5,8 @@
 import (
 	"fmt"
 	"os"
+	"os/signal"
+	"syscall"
 	"time"
 )
 
@@ -52,7 +54,11 @@
 		}()
 		done <- play(s, trouble)
 	}()
+	signals := make(chan os.Signal, 1)
+	signal.Notify(signals, os.Interrupt, syscall.SIGTERM)
 	select {
+	case <-signals:
+		code = failed
 	case code = <-done:
 	case <-time.After(limit):
 		s.note("the case did not end in time")
--- a/review/stand/worker.go
+++ b/review/stand/worker.go
@@ -329,12 +329,19 @@
 	w.mu.Lock()
 	version, held := w.adapters[adapter]
 	expected := q.Header.Get("X-Expect-Version")
-	missing := w.model != "" && (model != w.model || (adapter != "" && (!held || w.leaving[adapter] || (expected != "" && expected != strconv.Itoa(version)))))
-	if !missing {
+	_, loading := w.pending[adapter]
+	ordered := loading || w.leaving[adapter] // an order that concerns the request is not complete
+	missing := w.model != "" && (model != w.model || (adapter != "" && (!held || (expected != "" && expected != strconv.Itoa(version)))))
+	if !missing && !ordered {
 		w.active[adapter]++
 		w.runs[id]++
 	}
 	w.mu.Unlock()
+	if ordered {
+		w.site.note("%s: refused %s, an order for %s is not complete", w.id, id, adapter)
+		w.answer(c, http.StatusServiceUnavailable, q, "", "X-Not-Executed: 1\r\n")
+		return
+	}
 	if missing {
 		w.site.note("%s: refused %s, %s is not here", w.id, id, adapter)
 		w.answer(c, http.StatusMisdirectedRequest, q, "", "X-Not-Executed: 1\r\n")
