Continue a broken stream for as long as its caller waits, also after six refusals

Cause: refusals count for the six endpoints that a request may try. Each takes 60 ms between regions and a missing adapter 30 ms more, so that they are used up within 0.4 s, although the stream may wait for 1.5 s; an adapter alone takes 250 ms to load. Class: a limit on work was used as a limit on time. Now a begun stream whose endpoint has broken off may be tried once more after each pause of 150 ms until the 1.5 s are over; each further try is charged to the retry budget as before, and the route's attempts hold. Evidence: TestBrokenStreamOutlivesRefusals failed before in 12 of 18 cases (all of 700 and 1,200 ms), TestBrokenStreamWaitsForItsAdapter with a load of 900 ms; both pass now. TestBrokenStreamIsGivenUp and TestBrokenStreamOutlivesConfiguration passed before and after: the other two hypotheses, a configuration that arrives meanwhile and the retry budget, end no stream before its time.

--- a/internal/serve/forward/send.go
+++ b/internal/serve/forward/send.go
@@ -28,7 +28,8 @@
 	mayHaveRun                      // the request may have run, or has failed
 )
 
-// maxEndpointsTried limits the attempts of one request, including those at endpoints that did not run it.
+// maxEndpointsTried limits the attempts of one request, including those at endpoints that did not run it. A begun stream that breaks off may be tried
+// once more after each awaitPause.
 const maxEndpointsTried = 6
 
 // dispatch sends the request to endpoints until one answers or no further attempt is allowed.
@@ -118,8 +119,9 @@
 // awaitEndpoint waits for an endpoint that may take over a stream which has begun, or a request at a silent endpoint, if there is none now; also for
 // those that refused it before. It returns false if no other one may take it or its caller is about to leave.
 func (h *Handler) awaitEndpoint(x *exchange) bool {
-	runs := x.headSent || len(x.silent) > 0
-	if !runs || !h.repeatable(x) || x.tries >= maxEndpointsTried || h.options.Now().Sub(x.interruptedAt) >= streamWait {
+	broken := x.headSent && len(x.silent) == 0
+	waits := broken || (len(x.silent) > 0 && x.tries < maxEndpointsTried)
+	if !waits || !h.repeatable(x) || h.options.Now().Sub(x.interruptedAt) >= streamWait {
 		return false
 	}
 	x.exclude = x.silent
@@ -127,8 +129,11 @@
 	case <-x.ctx.Done():
 		return false
 	case <-time.After(awaitPause):
-		return true
 	}
+	if broken {
+		x.tries = min(x.tries, maxEndpointsTried-1) // refusals must not end a stream before its time; the pauses limit the further tries
+	}
+	return true
 }
 
 const (
