Allow a stream as many tries for each endpoint that it loses

Callers saw a stream stall until its deadline at an endpoint that hung, or cut off, although others were free. Cause: the tries of a request were counted over its whole life, so that a stream which had been refused five times after one break could not leave the next endpoint. The tries count again from the attempt that has begun to answer; the route's attempts and the retry budget limit the sendings as before. Evidence: TestContinuedStreamMayStillMove failed before (the stream ended behind its second event), and passes now, as do all tests of serve/forward.

--- a/internal/serve/forward/broken_test.go
+++ b/internal/serve/forward/broken_test.go
@@ -155,3 +155,28 @@
 	}()
 	return w.Body.String(), complete
 }
+
+// A stream breaks off, five endpoints refuse it, and the one that continues it hangs. Guards against a stream that stays at a hung endpoint because it
+// used up its tries in an earlier search.
+func TestContinuedStreamMayStillMove(t *testing.T) {
+	var arrivals atomic.Int32
+	serve := func(w http.ResponseWriter, q *http.Request) {
+		switch n := arrivals.Add(1); {
+		case n == 1:
+			breaksAfterFirst(w, q)
+		case n <= 6:
+			respondFull(w, q)
+		case n == 7:
+			w.Header().Set("Content-Type", "text/event-stream")
+			send(w, event2)
+			<-q.Context().Done()
+		default:
+			streamOf(false, event3)(w, q)
+		}
+	}
+	runSilent(t, 9, serve, func(r *fixture) {
+		body, complete := r.stream("/triple/x")
+		r.Check(body, quicktest.Equals, event1+event2+event3)
+		r.Check(complete, quicktest.IsTrue)
+	}, forward.WithRetry(retry.Options{Window: 10 * time.Second, Slack: 30}))
+}
--- a/internal/serve/forward/send.go
+++ b/internal/serve/forward/send.go
@@ -63,6 +63,7 @@
 		v, reason := h.awaitBegin(x, s)
 		if v == begun {
 			h.cancelSearch(x, s)
+			h.allowTries(x, s.inFlight)
 			return s, nil
 		}
 		h.endAttempt(x, s)
@@ -72,6 +73,14 @@
 	}
 }
 
+// allowTries forgets the tries before an endpoint has begun to answer, so that as many are allowed if it breaks off or falls silent.
+func (h *Handler) allowTries(x *exchange, f *inFlight) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	x.tries = 1
+	f.movable = h.movable(x)
+}
+
 // placeAllowed chooses the endpoint of the next attempt, if one may be made.
 func (h *Handler) placeAllowed(x *exchange) (c choice, refused *refusal.Error) {
 	for {
