Take a blocked write to a caller for no silence of its endpoint

Callers saw streams that broke off cut although other endpoints were free. Cause: while a write to a slow caller blocks, no event of its endpoint is recorded, so that the endpoint seems silent after 1.3 s; the retry budget was charged for a move that then did not take place, and streams that really broke off found it exhausted. Evidence: TestSlowCallerUsesNoRetryBudget failed before with 1.7 and 4 s (with 1 s it passed), and passes now. Two atomic writes for each group of events.

--- a/internal/serve/forward/broken_test.go
+++ b/internal/serve/forward/broken_test.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"net/http/httptest"
 	"slices"
+	"strconv"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -180,3 +181,49 @@
 		r.Check(complete, quicktest.IsTrue)
 	}, forward.WithRetry(retry.Options{Window: 10 * time.Second, Slack: 30}))
 }
+
+// blockingWriter is a caller that reads nothing for some time after its first event.
+type blockingWriter struct {
+	*httptest.ResponseRecorder
+	blocks time.Duration
+}
+
+// Write implements io.Writer.
+func (w *blockingWriter) Write(content []byte) (int, error) {
+	time.Sleep(w.blocks)
+	w.blocks = 0
+	return w.ResponseRecorder.Write(content)
+}
+
+// A caller reads its stream slowly, and another caller's stream breaks off. Guards against a cut stream because the retry budget was charged for the slow
+// one, whose endpoint seemed silent.
+func TestSlowCallerUsesNoRetryBudget(t *testing.T) {
+	var breaks atomic.Bool
+	serve := func(w http.ResponseWriter, q *http.Request) {
+		if breaks.Swap(false) {
+			breaksAfterFirst(w, q)
+			return
+		}
+		w.Header().Set("Content-Type", "text/event-stream")
+		events := []string{event1, event2, event3}
+		last, _ := strconv.Atoi(q.Header.Get("Last-Event-Id"))
+		for _, event := range events[last:] {
+			send(w, event)
+			pause(q, 20*time.Millisecond)
+		}
+	}
+	for _, blocks := range []time.Duration{time.Second, 1700 * time.Millisecond, 4 * time.Second} {
+		runSilent(t, 3, serve, func(r *fixture) {
+			q := httptest.NewRequestWithContext(context.Background(), http.MethodGet, "/triple/x", http.NoBody)
+			q.Header.Set("Key", "k")
+			q.Header.Set("Attempt", "1")
+			w := &blockingWriter{httptest.NewRecorder(), blocks}
+			r.handler.ServeHTTP(w, q)
+			r.Check(w.Body.String(), quicktest.Equals, event1+event2+event3)
+			breaks.Store(true)
+			body, complete := r.stream("/triple/x")
+			r.Check(body, quicktest.Equals, event1+event2+event3, quicktest.Commentf("blocked for %v", blocks))
+			r.Check(complete, quicktest.IsTrue)
+		}, forward.WithRetry(retry.Options{Window: 10 * time.Second, Slack: 1}))
+	}
+}
--- a/internal/serve/forward/inflight.go
+++ b/internal/serve/forward/inflight.go
@@ -4,6 +4,7 @@
 	"context"
 	"log/slog"
 	"slices"
+	"sync/atomic"
 	"time"
 
 	"lycheevale/internal/base/event"
@@ -32,6 +33,7 @@
 	leave        chan struct{} // tells the request to look for another endpoint
 	searchFrom   time.Time     // when the next search may begin, after one that has found no endpoint
 	silent       bool          // that has happened since its last event
+	delivering   atomic.Bool   // while a write to the caller blocks, nothing more is read from the endpoint
 }
 
 // startAttempt registers an attempt with the picker and the counts of uses.
@@ -98,6 +100,23 @@
 	}
 }
 
+// awaitCaller records that a write to the caller begins, for which the endpoint is not to blame, and returns a function that records its end.
+func (h *Handler) awaitCaller(f *inFlight) (written func()) {
+	began := h.options.Now()
+	f.delivering.Store(true)
+	return func() {
+		if now := h.options.Now(); now.Sub(began) > briefWrite {
+			h.mu.Lock()
+			f.progressAt = now
+			h.mu.Unlock()
+		}
+		f.delivering.Store(false)
+	}
+}
+
+// briefWrite is far below the shortest time after which a silent endpoint is left.
+const briefWrite = 50 * time.Millisecond
+
 // allowSearch allows another search from a time on, while the endpoint stays silent.
 func (h *Handler) allowSearch(f *inFlight, from time.Time) {
 	h.mu.Lock()
@@ -134,7 +153,7 @@
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	for f := range h.attempts {
-		if !f.movable || f.unresumable || f.leaving || now.Before(f.searchFrom) {
+		if !f.movable || f.unresumable || f.leaving || f.delivering.Load() || now.Before(f.searchFrom) {
 			continue
 		}
 		switch h.silence.Decide(now, silence.Attempt{
--- a/internal/serve/forward/stream.go
+++ b/internal/serve/forward/stream.go
@@ -153,6 +153,7 @@
 		x.request.LastEvent, x.identified = id, err == nil
 	}
 	h.recordUnresumable(x, s.inFlight, !x.identified)
+	defer h.awaitCaller(s.inFlight)()
 	if _, err := x.Write(events); err != nil {
 		return false
 	}
