--- a/internal/serve/forward/send.go
+++ b/internal/serve/forward/send.go
@@ -89,10 +89,9 @@
 			if refused = h.checkBacklog(x, c); refused != nil {
 				return c, refused
 			}
-			if h.allowAttempt(x) {
+			if refused = h.allowAttempt(x); refused == nil {
 				return c, h.checkQuarantine(x, true) // a signature may have been quarantined since the request arrived
 			}
-			refused = h.refuseWithRetry(refusal.Overloaded, "no further endpoint may be tried")
 		}
 		if !h.awaitEndpoint(x) {
 			return c, refused
@@ -193,17 +192,24 @@
 	return x.route.Repeatable() && x.ran < max(x.route.MaxAttempts, 1) && !x.mayCrash && !x.unresumable
 }
 
-// allowAttempt reports whether another attempt may be made, and charges repeats to the retry budget.
-func (h *Handler) allowAttempt(x *exchange) bool {
-	h.mu.Lock()
-	defer h.mu.Unlock()
+// allowAttempt refuses a request that may not be sent to another endpoint, and charges repeats to the retry budget.
+func (h *Handler) allowAttempt(x *exchange) *refusal.Error {
+	if x.tries >= maxEndpointsTried {
+		return h.refuseWithRetry(refusal.Overloaded, "%d endpoints were tried", x.tries)
+	}
 	charged := x.sent == 0 || x.charged
 	x.charged = false
-	if x.tries >= maxEndpointsTried || charged {
-		return x.tries < maxEndpointsTried
+	if charged || h.takeRepeat(x.service.Name) {
+		return nil
 	}
+	return h.refuseWithRetry(refusal.Overloaded, "the retry budget of service %q is exhausted", x.service.Name)
+}
+
+func (h *Handler) takeRepeat(service string) bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
 	_, entries := h.options.View.Version()
-	return h.budget(x.service.Name).Take(h.options.Now(), entries)
+	return h.budget(service).Take(h.options.Now(), entries)
 }
 
 // budget returns the retry budget of a service. The caller holds h.mu.
