--- a/internal/place/residency/residency_test.go
+++ b/internal/place/residency/residency_test.go
@@ -84,6 +84,30 @@
 	c.Check(ok, quicktest.IsTrue)
 }
 
+// Unloads that an endpoint has accepted do not end, because requests go on with their adapters. Guards against an endpoint that gets no further adapters
+// meanwhile, although others that it holds are not used: they were not unloaded, since the pending unloads counted as room.
+func TestPendingUnloadsDoNotBlockEndpoint(t *testing.T) {
+	c := quicktest.New(t)
+	p := placer(engine("a", "east", holdings(6)))
+	now := epoch.Add(5 * time.Second)
+	for _, u := range p.MakeRoom(now) {
+		p.UnloadAccepted(now, "a", u.Holding.Adapter, false)
+	}
+	c.Check(p.MakeRoom(now.Add(time.Second)), quicktest.HasLen, 0)
+	now = now.Add(3 * time.Second)
+	p.Reconcile(now, "a", holdings(6), nil)
+	unloads := p.MakeRoom(now)
+	c.Assert(unloads, quicktest.HasLen, 2)
+	for _, u := range unloads {
+		p.UnloadAccepted(now, "a", u.Holding.Adapter, true)
+	}
+	for _, name := range []string{"cold", "other"} {
+		_, ok := p.Want(now, adapter(name), "east", false)
+		c.Check(ok, quicktest.IsTrue)
+	}
+	c.Check(p.MayLoad("a", adapter("third")), quicktest.IsFalse)
+}
+
 // Guards against exceeding an endpoint's slots, as seen on the bench: an announcement does not list loads in progress and
 // may be seconds old.
 func TestAnnouncementFreesNoPlace(t *testing.T) {
