--- a/internal/limit/buffers/buffers.go
+++ b/internal/limit/buffers/buffers.go
@@ -2,7 +2,16 @@
 // limit, a hundred bodies of the largest size each take more memory than an instance has.
 package buffers
 
-import "sync"
+import (
+	"io"
+	"slices"
+	"sync"
+
+	"github.com/zeebo/errs"
+)
+
+// ErrFull ends the reading of a body that the budget does not allow; test with errs.Is.
+var ErrFull = errs.New("the memory for bodies of requests and answers is in use")
 
 // Budget is the memory that all requests share. It is safe for concurrent use.
 type Budget struct {
@@ -48,6 +57,31 @@
 	return true
 }
 
+// minRead is the size of the first read of a body in bytes; each further read doubles what has been read.
+const minRead = 4 << 10
+
+// Read appends to content until it holds limit bytes. The account takes the memory as it is needed. It returns what it has read also with an error.
+func (a *Account) Read(content []byte, r io.Reader, limit int64, priority int) ([]byte, error) {
+	for int64(len(content)) < limit {
+		if len(content) == cap(content) {
+			room := min(limit-int64(len(content)), max(int64(len(content)), minRead))
+			if !a.Take(room, priority) {
+				return content, ErrFull
+			}
+			content = slices.Grow(content, int(room))
+		}
+		n, err := r.Read(content[len(content):min(int64(cap(content)), limit)])
+		content = content[:len(content)+n]
+		if err == io.EOF {
+			return content, nil
+		}
+		if err != nil {
+			return content, err // also io.ErrUnexpectedEOF, the end of a connection in the middle of a body
+		}
+	}
+	return content, nil
+}
+
 // Close returns all bytes of the account to the budget.
 func (a *Account) Close() {
 	a.budget.mu.Lock()
--- a/internal/node/control/orders.go
+++ b/internal/node/control/orders.go
@@ -109,7 +109,10 @@
 // knows of; otherwise the next accepted order confirms it.
 func (ls *leaderState) refresh(ctx context.Context, to report.Endpoint, l *orderQueue) {
 	known, sequence := ls.sequenceKnown(l), ls.sequence(l)
-	if ls.fetchState(ctx, to, l) != nil {
+	if err := ls.fetchState(ctx, to, l); err != nil {
+		if errs.Is(err, upstream.ErrMalformed) {
+			event.Log(ctx, ls.control.options.Logger, event.AnswerMalformed, slog.String("Endpoint", to.ID), slog.Any("Error", err))
+		}
 		return // the next refresh tries again
 	}
 	ls.control.mu.Lock()
--- a/internal/serve/forward/forward.go
+++ b/internal/serve/forward/forward.go
@@ -8,7 +8,6 @@
 	"log/slog"
 	"math/rand/v2"
 	"net/http"
-	"slices"
 	"strconv"
 	"sync"
 	"time"
@@ -251,9 +250,9 @@
 	if x.caller.ContentLength > maxBody {
 		return refusal.New(refusal.TooLarge, "body exceeds %d bytes", maxBody)
 	}
-	body, err := x.readBuffered(x.caller.Body, maxBody+1, h.priority(x))
+	body, err := x.buffers.Read(nil, x.caller.Body, maxBody+1, h.priority(x))
 	switch {
-	case errs.Is(err, errBuffersFull):
+	case errs.Is(err, buffers.ErrFull):
 		event.Log(x.ctx, h.options.Logger, event.BuffersFull, slog.String("Attempt", x.request.Attempt), slog.Int("Read", len(body)))
 		return h.refuseWithRetry(refusal.Overloaded, "%v", err)
 	case err != nil:
@@ -265,34 +264,6 @@
 	return nil
 }
 
-// errBuffersFull ends the reading of a body that the memory for bodies does not allow.
-var errBuffersFull = errs.New("the memory for bodies of requests and answers is in use")
-
-// readBuffered reads at most limit bytes, within the memory for bodies. It returns what it has read also with an error.
-func (x *exchange) readBuffered(r io.Reader, limit int64, priority int) (content []byte, err error) {
-	for int64(len(content)) < limit {
-		if len(content) == cap(content) {
-			room := min(limit-int64(len(content)), max(int64(len(content)), minRead))
-			if !x.buffers.Take(room, priority) {
-				return content, errBuffersFull
-			}
-			content = slices.Grow(content, int(room))
-		}
-		n, err := r.Read(content[len(content):min(int64(cap(content)), limit)])
-		content = content[:len(content)+n]
-		if err == io.EOF {
-			return content, nil
-		}
-		if err != nil {
-			return content, err // also io.ErrUnexpectedEOF, the end of a connection in the middle of a body
-		}
-	}
-	return content, nil
-}
-
-// minRead is the size of the first read of a body in bytes; each further read doubles what has been read.
-const minRead = 4 << 10
-
 // defaultMaxBody is the maximum size of a body in bytes if the configuration sets none.
 const defaultMaxBody = 4 << 20
 
--- a/internal/serve/forward/send.go
+++ b/internal/serve/forward/send.go
@@ -12,6 +12,7 @@
 
 	"lycheevale/internal/base/event"
 	"lycheevale/internal/base/refusal"
+	"lycheevale/internal/limit/buffers"
 	"lycheevale/internal/limit/retry"
 	"lycheevale/internal/place/pick"
 	"lycheevale/internal/state/document"
@@ -366,9 +367,9 @@
 // awaitAnswer reads a short answer that is no stream completely, so that the request can be sent again if the connection breaks, and the beginning of
 // a long one.
 func (h *Handler) awaitAnswer(x *exchange, s *attempt) (attemptResult, string) {
-	body, err := x.readBuffered(h.body(x, s), maxBufferedAnswer, h.priority(x))
+	body, err := x.buffers.Read(nil, h.body(x, s), maxBufferedAnswer, h.priority(x))
 	s.long = err == nil && len(body) == maxBufferedAnswer
-	if errs.Is(err, errBuffersFull) {
+	if errs.Is(err, buffers.ErrFull) {
 		event.Log(x.ctx, h.options.Logger, event.BuffersFull, slog.String("Attempt", x.request.Attempt), slog.String("Endpoint", s.ID), slog.Int("Read", len(body)))
 		s.long = true
 	} else if err != nil {
