wire/upstream: bound the lines of a head

A broken endpoint that sends heads of many short fields took more memory than an entry has, within the limit of 64 KiB for a head: decoded, a field takes a few hundred bytes, however short its text is, and the head is kept for as long as its answer is in use.

A head may have 256 lines now, several times the number that endpoints send. They are counted where the bytes are read, up to the empty line that ends the head, since the decoder of the standard library has no such limit; lines that were read ahead together with the answer before do not count, which is at most one read buffer. A longer head is malformed, as one with too many bytes.

--- a/internal/wire/upstream/options.go
+++ b/internal/wire/upstream/options.go
@@ -10,13 +10,14 @@
 
 // Options are the settings of a Pool.
 type Options struct {
-	DialTimeout time.Duration // to connect to an endpoint
-	IdleTimeout time.Duration // after which an idle connection is closed, unless the endpoint states a shorter time
-	MaxIdle     int           // maximum number of idle connections to one endpoint
-	MaxStale    int           // maximum number of answers to earlier requests that are skipped for one request
-	MaxHead     int           // maximum size in bytes of the head of an answer, with the informational answers before it
-	MaxSkipped  int64         // maximum size in bytes of the body of an answer that is skipped
-	Dial        func(ctx context.Context, to netip.AddrPort) (net.Conn, error)
+	DialTimeout  time.Duration // to connect to an endpoint
+	IdleTimeout  time.Duration // after which an idle connection is closed, unless the endpoint states a shorter time
+	MaxIdle      int           // maximum number of idle connections to one endpoint
+	MaxStale     int           // maximum number of answers to earlier requests that are skipped for one request
+	MaxHead      int           // maximum size in bytes of the head of an answer, with the informational answers before it
+	MaxHeadLines int           // maximum number of lines of a head, apart from those that arrive with the answer before it
+	MaxSkipped   int64         // maximum size in bytes of the body of an answer that is skipped
+	Dial         func(ctx context.Context, to netip.AddrPort) (net.Conn, error)
 	// Attempt returns the identifier that an answer echoes, or "" if it has none. Without it, late answers are not recognised.
 	Attempt func(h http.Header) string
 	Now     func() time.Time
@@ -34,6 +35,8 @@
 	defaultMaxStale    = 3
 	// defaultMaxHead is several times the largest head that endpoints send.
 	defaultMaxHead = 64 << 10
+	// defaultMaxHeadLines is several times the number of fields that endpoints send. A field takes a few hundred bytes of memory, however short it is.
+	defaultMaxHeadLines = 256
 	// defaultMaxSkipped is far above the size of an answer that is no stream.
 	defaultMaxSkipped = 1 << 20
 )
@@ -41,7 +44,7 @@
 func newOptions(opts []Option) Options {
 	o := Options{
 		DialTimeout: defaultDialTimeout, IdleTimeout: defaultIdleTimeout, MaxIdle: defaultMaxIdle, MaxStale: defaultMaxStale,
-		MaxHead: defaultMaxHead, MaxSkipped: defaultMaxSkipped,
+		MaxHead: defaultMaxHead, MaxHeadLines: defaultMaxHeadLines, MaxSkipped: defaultMaxSkipped,
 		Dial: func(ctx context.Context, to netip.AddrPort) (net.Conn, error) {
 			var d net.Dialer
 			return d.DialContext(ctx, "tcp", to.String())
--- a/internal/wire/upstream/upstream.go
+++ b/internal/wire/upstream/upstream.go
@@ -70,34 +70,6 @@
 	echoes      bool   // an answer on this connection has echoed the identifier of its request
 }
 
-// limitedInput reads from a connection and fails after a number of bytes while a limit is set.
-type limitedInput struct {
-	net.Conn
-	limited bool
-	left    int
-}
-
-// errHeadTooLarge ends the reading of a head without an end.
-var errHeadTooLarge = errs.Combine(ErrMalformed, errs.New("head of the answer is too large"))
-
-// Read implements io.Reader.
-func (l *limitedInput) Read(p []byte) (n int, err error) {
-	if !l.limited {
-		return l.Conn.Read(p)
-	}
-	if l.left <= 0 {
-		return 0, errHeadTooLarge
-	}
-	n, err = l.Conn.Read(p[:min(len(p), l.left)])
-	l.left -= n
-	return n, err
-}
-
-// limit sets the number of bytes that may be read until unlimit is called.
-func (l *limitedInput) limit(n int) { l.limited, l.left = true, n }
-
-func (l *limitedInput) unlimit() { l.limited = false }
-
 // Opened returns the number of connections opened so far.
 func (p *Pool) Opened() int64 {
 	p.mu.Lock()
@@ -197,7 +169,7 @@
 	p.mu.Lock()
 	p.opened++
 	p.mu.Unlock()
-	input := &limitedInput{Conn: raw}
+	input := &limitedInput{Conn: raw, maxLines: p.options.MaxHeadLines}
 	return &conn{Conn: raw, input: input, reader: bufio.NewReaderSize(input, readBuffer)}, nil
 }
 
@@ -291,6 +263,7 @@
 	x.conn.input.limit(x.pool.options.MaxHead)
 	defer x.conn.input.unlimit()
 	for skipped := 0; ; {
+		x.conn.input.beginHead()
 		response, err := http.ReadResponse(x.conn.reader, &http.Request{Method: x.request.Method}) //nolint:bodyclose // Answer.Body closes it
 		if err != nil {
 			return nil, err
