forward: bound the size of an answer

A broken endpoint that sent complete events, or a long answer that is no stream, without end was passed on as fast as the processor allowed, to a caller that reads it, until the request's deadline. No memory grew, but a core was busy for each such request, while other callers waited for it, and the endpoint counted as sound and kept getting requests.

Cause: events and buffers were bounded, the answer was not.

--- a/internal/serve/forward/attempt.go
+++ b/internal/serve/forward/attempt.go
@@ -79,15 +79,23 @@
 	}
 	// One buffer is read into while the other one is in use by the receiver of the last part.
 	var buffers [2][streamBuffer]byte
+	read := 0
 	for i := 0; err == nil; i = 1 - i {
 		var n int
 		n, err = answer.Body.Read(buffers[i][:])
+		if read += n; read > maxAnswer {
+			n, err = 0, errs.Combine(upstream.ErrMalformed, errs.New("answer is larger than %d bytes", maxAnswer))
+		}
 		if !s.pass(part{content: buffers[i][:n], err: err}) {
 			return
 		}
 	}
 }
 
+// maxAnswer is the maximum size of the body of an answer in bytes, sixteen times the largest body of a request. Without it, an endpoint that sends
+// bytes without end would keep a core busy until the request's deadline.
+const maxAnswer = 16 * defaultMaxBody
+
 // pass reports whether a part was wanted.
 func (s *attempt) pass(p part) bool {
 	select {
--- a/internal/serve/forward/forward_test.go
+++ b/internal/serve/forward/forward_test.go
@@ -126,6 +126,8 @@
 	once.MaxAttempts = 1
 	long := route("long", document.Idempotent)
 	long.Timeout = 20 * time.Second
+	minutes := route("minutes", document.Idempotent)
+	minutes.Timeout = 5 * time.Minute
 	triple := route("triple", document.Idempotent)
 	triple.Timeout, triple.Objective, triple.MaxAttempts = 20*time.Second, 400*time.Millisecond, 3
 	brief := route("brief", document.Streaming)
@@ -134,7 +136,7 @@
 	draft.Targets[0].Service = "engines"
 	return document.Document{
 		Version: 1, Services: []document.Service{{Name: "s"}, {Name: "engines", Engine: &document.Engine{}}},
-		Routes:    []document.Route{route("read", document.Idempotent), route("order", document.NonIdempotent), once, long, triple, brief, draft},
+		Routes:    []document.Route{route("read", document.Idempotent), route("order", document.NonIdempotent), once, long, minutes, triple, brief, draft},
 		Customers: []document.Customer{{Name: "c", Keys: []string{"k"}, CountTokens: true, Rate: 1000, Burst: 1000}},
 	}
 }
