forward: count empty lines as no event

An endpoint that had stalled, and sent a line feed now and then, kept its callers until their deadline: two of them end an event, so that empty lines counted as complete events, that is as the beginning of an answer and as progress. The streams were never moved to another endpoint.

The buffer of events returns empty lines only together with the event that follows them, or at the end of the stream, so that what is delivered stays the same, byte for byte. A stream without length or chunks that ends behind an event and empty lines is complete, as it was.

--- a/internal/serve/forward/endless_test.go
+++ b/internal/serve/forward/endless_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"io"
 	"net/http"
 	"net/http/httptest"
 	"strings"
@@ -10,6 +11,7 @@
 	"time"
 
 	"github.com/frankban/quicktest"
+	"golang.org/x/sync/errgroup"
 
 	"lycheevale/internal/serve/forward"
 )
@@ -48,3 +50,52 @@
 		})
 	}
 }
+
+// An endpoint sends a byte of its head, or of the space between events, now and then. Guards against a request that waits for it until its deadline
+// because bytes arrive.
+func TestSlowBytesWithoutEndAreLeft(t *testing.T) {
+	for _, test := range []struct{ name, begin, part string }{
+		{"head", "HTTP/1.1 200 OK\r\nField: ", "x"},
+		{"informational answers", "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 103 Early Hints\r\nLink: ", "x"},
+		{"empty events", "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n\r\n", "\n"},
+		{"empty events behind an event", "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n\r\n" + event1, "\n"},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			var first atomic.Bool
+			serve := func(w http.ResponseWriter, q *http.Request) {
+				if !first.CompareAndSwap(false, true) {
+					rest := event2
+					if q.Header.Get("Last-Event-Id") == "" {
+						rest = event1 + event2
+					}
+					streamOf(false, rest)(w, q)
+					return
+				}
+				conn, _, err := http.NewResponseController(w).Hijack()
+				if err != nil {
+					return
+				}
+				defer func() { _ = conn.Close() }()
+				for _, err = io.WriteString(conn, test.begin); err == nil; _, err = io.WriteString(conn, test.part) {
+					time.Sleep(20 * time.Millisecond)
+				}
+			}
+			r := newFixture(t, []http.HandlerFunc{serve, serve}, forward.WithCodec(resumeCodec()))
+			ctx, stop := context.WithCancel(context.Background())
+			var sweeps errgroup.Group
+			sweeps.Go(func() error {
+				for ctx.Err() == nil {
+					r.handler.Sweep()
+					time.Sleep(20 * time.Millisecond)
+				}
+				return nil
+			})
+			body, complete := r.ask(t, "/long/x")
+			stop()
+			r.Assert(sweeps.Wait(), quicktest.IsNil)
+			r.Check(complete, quicktest.IsTrue)
+			r.Check(strings.ReplaceAll(body, "\n\n\n", "\n\n"), quicktest.Equals, event1+event2)
+			r.Check(r.total(), quicktest.Equals, int32(2))
+		})
+	}
+}
--- a/internal/serve/forward/stream.go
+++ b/internal/serve/forward/stream.go
@@ -86,7 +86,7 @@
 	switch {
 	case err != io.EOF:
 		return mayHaveRun, h.connectionBroken(x, s, err)
-	case s.answer.Unframed && (s.pending.len() > s.returned || !s.inFlight.begun):
+	case s.answer.Unframed && (s.pending.endsInside(s.returned) || !s.inFlight.begun):
 		return mayHaveRun, h.connectionBroken(x, s, io.ErrUnexpectedEOF)
 	case s.resumes && !s.inFlight.begun:
 		return mayHaveRun, reasonError // an endpoint that sends nothing more does not show that the stream was complete
@@ -103,12 +103,13 @@
 	searched int // bytes in which no further end of an event begins
 }
 
-// add appends bytes and returns the complete events; at the end of the stream it returns everything.
+// add appends bytes and returns the complete events; at the end of the stream it returns everything. Empty lines alone are no event.
 func (b *eventBuffer) add(content []byte, end bool) (events []byte) {
 	b.content = append(b.content, content...)
 	if end {
 		return b.content
 	}
+	b.searched = max(b.searched, b.emptyLines(0))
 	last := bytes.LastIndex(b.content[b.searched:], eventEnd)
 	if last < 0 {
 		b.searched = max(len(b.content)-len(eventEnd)+1, 0)
@@ -123,6 +124,14 @@
 	b.searched = 0
 }
 
+// emptyLines returns the number of line feeds from a position on.
+func (b *eventBuffer) emptyLines(from int) int {
+	return len(b.content) - from - len(bytes.TrimLeft(b.content[from:], "\n"))
+}
+
+// endsInside reports whether the content from a position on is the beginning of an event.
+func (b *eventBuffer) endsInside(from int) bool { return from+b.emptyLines(from) < len(b.content) }
+
 func (b *eventBuffer) len() int { return len(b.content) }
 
 // checkResumed returns an error if the first events of an attempt do not continue those that were delivered before.
