wire/peer: read long messages within a common memory

Another instance, or whatever has connected in its place, that announced a message of the largest size took its memory at once, on each link, whether the bytes came or not, and kept it for as long as a byte came now and then. Links of the users' platform take up to 16 MiB a message; an entry has 184 MB, and its end takes the requests of its callers.

Messages over 64 KiB are now read as they arrive, and all links of a node share 32 MiB for them, two of the largest ones; what exceeds that closes its link, and the accepting side logs it as refused (event 7003) with the instance and the bytes. Such a message must be complete within the timeout of calls, after which nobody waits for it.

--- a/internal/wire/peer/link.go
+++ b/internal/wire/peer/link.go
@@ -215,7 +215,7 @@
 
 func newLink(t *target, conn net.Conn) *link {
 	n := t.node
-	l := &link{target: t, stream: newStream(conn, &n.options, n.options.IdlePing), calls: make(chan struct{}, n.options.MaxCalls)}
+	l := &link{target: t, stream: newStream(conn, n, n.options.IdlePing), calls: make(chan struct{}, n.options.MaxCalls)}
 	l.stream.busy = func() bool { return l.pending.Load() > 0 }
 	c := newCallCounter(n, l.stream)
 	c.peer.Store(&t.name)
--- a/internal/wire/peer/options.go
+++ b/internal/wire/peer/options.go
@@ -21,6 +21,7 @@
 	defaultMinRetryWait     = 50 * time.Millisecond
 	defaultMaxRetryWait     = 5 * time.Second
 	defaultMaxMessage       = 4 << 20
+	defaultMaxReceived      = 32 << 20 // a sixth of the memory of the smallest process, and two of the largest messages
 	defaultMaxQueue         = 512
 	defaultMaxQueueBytes    = 16 << 20
 	defaultMaxCalls         = 512
@@ -49,6 +50,7 @@
 	MinRetryWait     time.Duration // wait after the first failed dial, before jitter
 	MaxRetryWait     time.Duration // longest wait after a failed dial, before jitter
 	MaxMessage       int           // bytes
+	MaxReceived      int           // bytes of messages over 64 KiB that are being received on all links
 	MaxQueue         int           // messages waiting to be written to a link
 	MaxQueueBytes    int           // bytes waiting to be written to a link
 	MaxCalls         int           // calls in progress on a link
@@ -160,6 +162,7 @@
 		MinRetryWait:     defaultMinRetryWait,
 		MaxRetryWait:     defaultMaxRetryWait,
 		MaxMessage:       defaultMaxMessage,
+		MaxReceived:      defaultMaxReceived,
 		MaxQueue:         defaultMaxQueue,
 		MaxQueueBytes:    defaultMaxQueueBytes,
 		MaxCalls:         defaultMaxCalls,
--- a/internal/wire/peer/peer.go
+++ b/internal/wire/peer/peer.go
@@ -13,17 +13,20 @@
 	"github.com/zeebo/errs"
 
 	"golang.org/x/sync/errgroup"
+
+	"lycheevale/internal/limit/buffers"
 )
 
 // Node holds this instance's side of all links.
 type Node struct {
-	options Options
-	process uint64 // distinguishes restarts of this instance
-	meter   *meter
-	ready   chan struct{}
-	address netip.AddrPort
-	ctx     context.Context
-	cancel  context.CancelFunc
+	options  Options
+	received *buffers.Budget // of messages that are being received
+	process  uint64          // distinguishes restarts of this instance
+	meter    *meter
+	ready    chan struct{}
+	address  netip.AddrPort
+	ctx      context.Context
+	cancel   context.CancelFunc
 
 	mu         sync.Mutex // never held while dialling
 	group      errgroup.Group
@@ -42,6 +45,7 @@
 		targets:  map[string]*target{},
 		incoming: map[string]*incoming{},
 	}
+	n.received = buffers.New(int64(n.options.MaxReceived))
 	n.process = uint64(n.options.Now().UnixNano())
 	n.meter = newMeter(n.options.Scope)
 	n.ctx, n.cancel = context.WithCancel(context.Background())
--- a/internal/wire/peer/serve.go
+++ b/internal/wire/peer/serve.go
@@ -18,6 +18,7 @@
 	"github.com/sourcegraph/jsonrpc2"
 
 	"lycheevale/internal/base/event"
+	"lycheevale/internal/limit/buffers"
 )
 
 const (
@@ -110,7 +111,7 @@
 	in := &incoming{
 		node:    n,
 		raw:     conn,
-		stream:  newStream(conn, &n.options, acceptedPingFactor*n.options.IdlePing),
+		stream:  newStream(conn, n, acceptedPingFactor*n.options.IdlePing),
 		serving: make(chan struct{}, n.options.MaxServing),
 	}
 	in.count = newFrameCounter(n, in.stream)
@@ -163,7 +164,8 @@
 	for {
 		body, err := in.stream.readFrame()
 		if err != nil {
-			return // the stream has recorded why
+			in.logLimit(ctx, err)
+			return
 		}
 		var c call
 		if err := json.Unmarshal(body, &c); err != nil {
@@ -175,6 +177,19 @@
 	}
 }
 
+// logLimit logs that a link was closed because of a limit. Other causes are logged by the side that has dialled.
+func (in *incoming) logLimit(ctx context.Context, err error) {
+	if !errs.Is(err, ErrTooLarge) && !errs.Is(err, buffers.ErrFull) {
+		return
+	}
+	name := ""
+	if h := in.hello.Load(); h != nil {
+		name = h.Name
+	}
+	event.Log(ctx, in.node.options.Logger, event.LinkRefused, slog.String("Address", in.raw.RemoteAddr().String()),
+		slog.String("Instance", name), slog.Any("Error", err))
+}
+
 // start handles a call without blocking.
 func (in *incoming) start(ctx context.Context, c call) {
 	if c.Method == helloMethod {
--- a/internal/wire/peer/stream.go
+++ b/internal/wire/peer/stream.go
@@ -14,6 +14,7 @@
 	"github.com/zeebo/errs"
 
 	"lycheevale/internal/base/chain"
+	"lycheevale/internal/limit/buffers"
 )
 
 // A frame is a header of four bytes and, unless it is a ping or a pong, as many bytes of JSON as the
@@ -29,6 +30,8 @@
 	maxHelloSize = 4 << 10
 	// writeChunk is the number of bytes written within one deadline, so that large messages on slow links do not time out.
 	writeChunk = 64 << 10
+	// shortMessage is the size in bytes up to which a message is read without counting its memory.
+	shortMessage = 64 << 10
 	// checksPerTimeout is the number of checks of a link within each of its timeouts.
 	checksPerTimeout = 4
 )
@@ -39,9 +42,11 @@
 	conn    net.Conn
 	reader  *bufio.Reader
 	options *Options
-	limit   atomic.Int64 // maximum size of a received message, in bytes
-	busy    func() bool  // reports whether a call is in progress
-	idle    time.Duration
+	// received is the memory for long messages that are being received.
+	received *buffers.Budget
+	limit    atomic.Int64 // maximum size of a received message, in bytes
+	busy     func() bool  // reports whether a call is in progress
+	idle     time.Duration
 
 	queue  chan []byte
 	queued atomic.Int64 // bytes
@@ -56,10 +61,12 @@
 	countPing    func(direction)
 }
 
-func newStream(conn net.Conn, o *Options, idle time.Duration) *stream {
+func newStream(conn net.Conn, n *Node, idle time.Duration) *stream {
+	o := &n.options
 	s := &stream{
 		conn:         conn,
 		options:      o,
+		received:     n.received,
 		idle:         idle,
 		busy:         func() bool { return false },
 		queue:        make(chan []byte, o.MaxQueue),
@@ -125,12 +132,31 @@
 }
 
 func (s *stream) readBody(size int64) (body []byte, err error) {
-	if size > s.limit.Load() {
-		return nil, ErrTooLarge
+	if limit := s.limit.Load(); size > limit {
+		return nil, errs.Combine(ErrTooLarge, errs.New("message of %d bytes, limit %d", size, limit))
 	}
-	body = make([]byte, size)
-	_, err = io.ReadFull(s.reader, body)
-	return body, err
+	if size <= shortMessage {
+		body = make([]byte, size)
+		_, err = io.ReadFull(s.reader, body)
+		return body, err
+	}
+	return s.readLong(size)
+}
+
+// readLong reads a long message, within the memory that all links of the node share for these. The other side may never send what it has announced.
+func (s *stream) readLong(size int64) (body []byte, err error) {
+	if err := s.conn.SetReadDeadline(s.options.Now().Add(s.options.CallTimeout)); err != nil {
+		return nil, err
+	}
+	account := s.received.Account()
+	defer account.Close()
+	if body, err = account.Read(nil, s.reader, size, 0); err != nil {
+		return nil, errs.Combine(err, errs.New("%d of %d bytes of a message were received", len(body), size))
+	}
+	if int64(len(body)) < size {
+		return nil, io.ErrUnexpectedEOF
+	}
+	return body, s.conn.SetReadDeadline(time.Time{})
 }
 
 // WriteObject implements jsonrpc2.ObjectStream. After ErrTooLarge and ErrQueueFull the link stays
