wire/peer: close a link on which pings come without end

Another instance, or what has taken its address, that sent pings as fast as it could kept a core of the machine busy for as long as it liked: a frame of four zero bytes is a ping, it was answered, and the link counted as alive. Callers of that machine waited for the processor.

A link closes now at 256 pings or pongs within the timeout of a probe, in which two are usual, and the accepting side logs it with the instance and the figures. TestUsualPingsKeepLink guards against closing a link on which a thousand arrive at the usual rate.

--- a/internal/wire/peer/errors.go
+++ b/internal/wire/peer/errors.go
@@ -25,6 +25,7 @@
 	ErrInsecure        = errs.New("TLS is required for addresses other than loopback")
 	ErrWrongName       = errs.New("name of the other instance does not match")
 	ErrLinkLost        = errs.New("link was lost before the answer")
+	ErrTooManyPings    = errs.New("other side sends pings without end")
 	ErrSilent          = errs.New("link went silent")
 	ErrReplaced        = errs.New("link was replaced by a newer one")
 	ErrBusy            = errs.New("the other side has too many calls in progress")
--- a/internal/wire/peer/flood_test.go
+++ b/internal/wire/peer/flood_test.go
@@ -2,7 +2,11 @@
 
 import (
 	"bytes"
+	"context"
 	"encoding/binary"
+	"log/slog"
+	"net"
+	"net/netip"
 	"runtime"
 	"runtime/debug"
 	"strconv"
@@ -93,3 +97,75 @@
 		_ = n.group.Wait()
 	})
 }
+
+// pingUntilClosed sends pings, of which many fit into a read, until the link is closed or a limit is reached.
+func pingUntilClosed(conn net.Conn, limit int) (sent int) {
+	block := make([]byte, 4<<10)
+	for sent < limit {
+		written, err := conn.Write(block)
+		sent += written / headerSize
+		if err != nil {
+			return sent
+		}
+	}
+	return sent
+}
+
+// Another instance, or what has taken its address, sends pings without end. Guards against a link that keeps a core busy and counts as alive.
+func TestPingsWithoutEndCloseLink(t *testing.T) {
+	const limit = 1 << 20
+	t.Run("accepted", func(t *testing.T) {
+		virtualtime.Test(t, func(t *testing.T) {
+			n := echoNode()
+			client, done := acceptPipe(n)
+			n.spawn(func() { _, _ = new(bytes.Buffer).ReadFrom(client) })
+			_, err := client.Write(frame(helloFrame))
+			quicktest.Assert(t, err, quicktest.IsNil)
+			quicktest.Check(t, pingUntilClosed(client, limit) < limit, quicktest.IsTrue)
+			_ = client.Close()
+			<-done
+			n.end()
+			_ = n.group.Wait()
+		})
+	})
+	t.Run("dialled", func(t *testing.T) {
+		virtualtime.Test(t, func(t *testing.T) {
+			client, server := net.Pipe()
+			n := New(WithName("a"), WithLogger(slog.New(slog.DiscardHandler)),
+				WithResolve(func(string) (netip.AddrPort, bool) { return netip.MustParseAddrPort("127.0.0.1:1"), true }),
+				WithDial(func(context.Context, netip.AddrPort) (net.Conn, error) { return client, nil }))
+			pinged := make(chan int, 1)
+			n.spawn(func() { _, _ = new(bytes.Buffer).ReadFrom(server) })
+			n.spawn(func() {
+				pinged <- pingUntilClosed(server, limit)
+				_ = server.Close()
+			})
+			ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+			defer cancel()
+			err := n.Call(ctx, "b", "Echo", nil, nil)
+			quicktest.Check(t, err, quicktest.IsNotNil)
+			quicktest.Check(t, <-pinged < limit, quicktest.IsTrue)
+			n.end()
+			_ = n.group.Wait()
+		})
+	})
+}
+
+// Guards against closing a link on which pings arrive at the usual rate for a long time.
+func TestUsualPingsKeepLink(t *testing.T) {
+	virtualtime.Test(t, func(t *testing.T) {
+		n := echoNode()
+		client, done := acceptPipe(n)
+		n.spawn(func() { _, _ = new(bytes.Buffer).ReadFrom(client) })
+		_, err := client.Write(frame(helloFrame))
+		for range 1000 {
+			quicktest.Assert(t, err, quicktest.IsNil)
+			time.Sleep(n.options.BusyPing / checksPerTimeout)
+			_, err = client.Write(binary.BigEndian.AppendUint32(nil, pingHeader))
+		}
+		_ = client.Close()
+		<-done
+		n.end()
+		_ = n.group.Wait()
+	})
+}
--- a/internal/wire/peer/serve.go
+++ b/internal/wire/peer/serve.go
@@ -179,7 +179,7 @@
 
 // logLimit logs that a link was closed because of a limit. Other causes are logged by the side that has dialled.
 func (in *incoming) logLimit(ctx context.Context, err error) {
-	if !errs.Is(err, ErrTooLarge) && !errs.Is(err, buffers.ErrFull) {
+	if !errs.Is(err, ErrTooLarge) && !errs.Is(err, ErrTooManyPings) && !errs.Is(err, buffers.ErrFull) {
 		return
 	}
 	name := ""
--- a/internal/wire/peer/stream.go
+++ b/internal/wire/peer/stream.go
@@ -32,6 +32,8 @@
 	writeChunk = 64 << 10
 	// shortMessage is the size in bytes up to which a message is read without counting its memory.
 	shortMessage = 64 << 10
+	// maxPings is the number of pings and pongs within the timeout of a probe at which a link closes; usual are two.
+	maxPings = 256
 	// checksPerTimeout is the number of checks of a link within each of its timeouts.
 	checksPerTimeout = 4
 )
@@ -55,6 +57,9 @@
 	once   sync.Once
 	cause  error // set before closed is closed
 
+	pings      int       // since pingsSince
+	pingsSince time.Time // used by the reader only
+
 	lastRead     atomic.Int64 // nanoseconds from started to the last byte that was read
 	started      time.Time
 	countMessage func(direction, int) // size of the object just read or about to be written
@@ -115,7 +120,13 @@
 		if _, err := io.ReadFull(s.reader, header[:]); err != nil {
 			return nil, s.fail(err)
 		}
-		switch size := binary.BigEndian.Uint32(header[:]); size {
+		size := binary.BigEndian.Uint32(header[:])
+		if size == pingHeader || size == pongHeader {
+			if err := s.limitPings(); err != nil {
+				return nil, s.fail(err)
+			}
+		}
+		switch size {
 		case pingHeader:
 			s.countPing(received)
 			select {
@@ -131,6 +142,19 @@
 	}
 }
 
+// limitPings fails if pings and pongs arrive much faster than any side sends them.
+func (s *stream) limitPings() error {
+	if s.pings++; s.pings < maxPings {
+		return nil
+	}
+	now := s.options.Now()
+	if now.Sub(s.pingsSince) < s.options.ProbeTimeout {
+		return errs.Combine(ErrTooManyPings, errs.New("%d within %v", s.pings, now.Sub(s.pingsSince)))
+	}
+	s.pings, s.pingsSince = 0, now
+	return nil
+}
+
 func (s *stream) readBody(size int64) (body []byte, err error) {
 	if limit := s.limit.Load(); size > limit {
 		return nil, errs.Combine(ErrTooLarge, errs.New("message of %d bytes, limit %d", size, limit))
