--- a/internal/wire/peer/stream.go
+++ b/internal/wire/peer/stream.go
@@ -14,6 +14,7 @@
 	"github.com/zeebo/errs"
 
 	"lycheevale/internal/base/chain"
+	"lycheevale/internal/limit/buffers"
 )
 
 // A frame is a header of four bytes and, unless it is a ping or a pong, as many bytes of JSON as the
@@ -29,6 +30,10 @@
 	maxHelloSize = 4 << 10
 	// writeChunk is the number of bytes written within one deadline, so that large messages on slow links do not time out.
 	writeChunk = 64 << 10
+	// shortMessage is the size in bytes up to which a message is read without counting its memory.
+	shortMessage = 64 << 10
+	// maxPings is the number of pings and pongs within the timeout of a probe at which a link closes; usual are two.
+	maxPings = 256
 	// checksPerTimeout is the number of checks of a link within each of its timeouts.
 	checksPerTimeout = 4
 )
@@ -39,9 +44,11 @@
 	conn    net.Conn
 	reader  *bufio.Reader
 	options *Options
-	limit   atomic.Int64 // maximum size of a received message, in bytes
-	busy    func() bool  // reports whether a call is in progress
-	idle    time.Duration
+	// received is the memory for long messages that are being received.
+	received *buffers.Budget
+	limit    atomic.Int64 // maximum size of a received message, in bytes
+	busy     func() bool  // reports whether a call is in progress
+	idle     time.Duration
 
 	queue  chan []byte
 	queued atomic.Int64 // bytes
@@ -50,16 +57,21 @@
 	once   sync.Once
 	cause  error // set before closed is closed
 
+	pings      int       // since pingsSince
+	pingsSince time.Time // used by the reader only
+
 	lastRead     atomic.Int64 // nanoseconds from started to the last byte that was read
 	started      time.Time
 	countMessage func(direction, int) // size of the object just read or about to be written
 	countPing    func(direction)
 }
 
-func newStream(conn net.Conn, o *Options, idle time.Duration) *stream {
+func newStream(conn net.Conn, n *Node, idle time.Duration) *stream {
+	o := &n.options
 	s := &stream{
 		conn:         conn,
 		options:      o,
+		received:     n.received,
 		idle:         idle,
 		busy:         func() bool { return false },
 		queue:        make(chan []byte, o.MaxQueue),
@@ -108,7 +120,13 @@
 		if _, err := io.ReadFull(s.reader, header[:]); err != nil {
 			return nil, s.fail(err)
 		}
-		switch size := binary.BigEndian.Uint32(header[:]); size {
+		size := binary.BigEndian.Uint32(header[:])
+		if size == pingHeader || size == pongHeader {
+			if err := s.limitPings(); err != nil {
+				return nil, s.fail(err)
+			}
+		}
+		switch size {
 		case pingHeader:
 			s.countPing(received)
 			select {
@@ -124,13 +142,45 @@
 	}
 }
 
+// limitPings fails if pings and pongs arrive much faster than any side sends them.
+func (s *stream) limitPings() error {
+	if s.pings++; s.pings < maxPings {
+		return nil
+	}
+	now := s.options.Now()
+	if now.Sub(s.pingsSince) < s.options.ProbeTimeout {
+		return errs.Combine(ErrTooManyPings, errs.New("%d within %v", s.pings, now.Sub(s.pingsSince)))
+	}
+	s.pings, s.pingsSince = 0, now
+	return nil
+}
+
 func (s *stream) readBody(size int64) (body []byte, err error) {
-	if size > s.limit.Load() {
-		return nil, ErrTooLarge
+	if limit := s.limit.Load(); size > limit {
+		return nil, errs.Combine(ErrTooLarge, errs.New("message of %d bytes, limit %d", size, limit))
+	}
+	if size <= shortMessage {
+		body = make([]byte, size)
+		_, err = io.ReadFull(s.reader, body)
+		return body, err
+	}
+	return s.readLong(size)
+}
+
+// readLong reads a long message, within the memory that all links of the node share for these. The other side may never send what it has announced.
+func (s *stream) readLong(size int64) (body []byte, err error) {
+	if err := s.conn.SetReadDeadline(s.options.Now().Add(s.options.CallTimeout)); err != nil {
+		return nil, err
+	}
+	account := s.received.Account()
+	defer account.Close()
+	if body, err = account.Read(nil, s.reader, size, 0); err != nil {
+		return nil, errs.Combine(err, errs.New("%d of %d bytes of a message were received", len(body), size))
+	}
+	if int64(len(body)) < size {
+		return nil, io.ErrUnexpectedEOF
 	}
-	body = make([]byte, size)
-	_, err = io.ReadFull(s.reader, body)
-	return body, err
+	return body, s.conn.SetReadDeadline(time.Time{})
 }
 
 // WriteObject implements jsonrpc2.ObjectStream. After ErrTooLarge and ErrQueueFull the link stays
