Read the list of software versions and its age together

What callers saw: nothing yet. An entry that wakes from a suspension, or is reached again, may continue a stream of another entry at the version that its old list names alone (ORDER).

Cause: an entry relies on a list with one version if the list is at most 3 s old, but read the list and its age one after the other. If the answer to a report was applied in between, the old list counted as new. The same holds for the question whether the leader states versions at all, which was read after the list and now is read before it: a list is at least as new.

The window is some nanoseconds of each lookup at an entry that has just woken; it was not seen in a test of a whole site.

What an entry decides by itself and by the answer of a leader is in place/origin now, without clock and I/O, so that a model can use it.

--- a/internal/member/view/view.go
+++ b/internal/member/view/view.go
@@ -398,11 +398,12 @@
 	return list
 }
 
-// Software returns the software versions that may have begun streams of a service; none if the leader does not state them.
-func (v *View) Software(service string) []string {
+// Software returns the software versions that may have begun streams of a service, none if the leader does not state them, and whether the list is
+// current: no endpoint with another version gets work before the list is older.
+func (v *View) Software(service string, now time.Time) (versions []string, current bool) {
 	v.mu.RLock()
 	defer v.mu.RUnlock()
-	return v.software[service]
+	return v.software[service], now.Sub(v.updatedAt) < report.VersionsLease
 }
 
 // MixedServices returns the services with several software versions that may have begun streams, sorted.
--- a/internal/member/view/view_test.go
+++ b/internal/member/view/view_test.go
@@ -5,6 +5,8 @@
 	"time"
 
 	"github.com/frankban/quicktest"
+	"github.com/zeebo/errs"
+	"golang.org/x/sync/errgroup"
 
 	"lycheevale/internal/member/report"
 	"lycheevale/internal/member/view"
@@ -136,3 +138,39 @@
 	c.Assert(list, quicktest.HasLen, 1)
 	c.Check(list[0].ID, quicktest.Equals, "stays")
 }
+
+// An entry that was suspended reads its list of software versions while the answer to its next report is applied. Guards against an old list that is
+// taken for current because the new one has come meanwhile.
+func TestListOfVersionsIsReadWithItsAge(t *testing.T) {
+	c := quicktest.New(t)
+	now := time.Unix(1_800_000_000, 0)
+	v := view.New()
+	apply := func(sentAt time.Time, versions ...string) error {
+		_, err := v.Apply(sentAt, report.Update{Term: 1, Versions: map[string][]string{"s": versions}}, nil)
+		return err
+	}
+	c.Assert(apply(now.Add(-report.VersionsLease), "v1"), quicktest.IsNil)
+	var group errgroup.Group
+	done := make(chan struct{})
+	group.Go(func() error {
+		for {
+			select {
+			case <-done:
+				return nil
+			default:
+			}
+			if err := errs.Combine(apply(now.Add(-report.VersionsLease), "v1"), apply(now, "v1", "v2")); err != nil {
+				return err
+			}
+		}
+	})
+	relied := 0
+	for range 300_000 {
+		if versions, current := v.Software("s", now); len(versions) == 1 && current {
+			relied++
+		}
+	}
+	close(done)
+	c.Check(group.Wait(), quicktest.IsNil)
+	c.Check(relied, quicktest.Equals, 0)
+}
--- a/internal/serve/forward/origin.go
+++ b/internal/serve/forward/origin.go
@@ -21,6 +21,7 @@
 	}
 	asked := h.options.Now()
 	age := h.options.View.Age(asked)
+	versions, _ := h.options.View.Software(x.service.Name, asked)
 	software, source, refused := h.lookUpOrigin(x)
 	x.software = software
 	version := ""
@@ -29,7 +30,7 @@
 	}
 	event.Log(x.ctx, h.options.Logger, event.StreamContinued, slog.String("Attempt", x.request.Attempt), slog.String("Continues", x.request.Continues),
 		slog.String("LastEvent", x.request.LastEvent), slog.String("Service", x.service.Name), slog.Bool("Known", software != nil), slog.String("Software", version),
-		slog.String("Source", source), slog.Any("Versions", h.options.View.Software(x.service.Name)),
+		slog.String("Source", string(source)), slog.Any("Versions", versions),
 		slog.Int64("ViewAgeMillis", age.Milliseconds()), slog.Int64("AfterMillis", h.options.Now().Sub(asked).Milliseconds()))
 	if refused != nil || software == nil {
 		return refused
@@ -40,42 +41,40 @@
 	return nil
 }
 
-// Sources of the software version of a stream.
-const (
-	sourceOwn      = "Own"      // this entry began the stream
-	sourceSole     = "Sole"     // the service has only one version
-	sourceLeader   = "Leader"   // another entry has reported the stream
-	sourceUnstated = "Unstated" // the leader states no versions
-)
-
 // lookUpOrigin returns the software version that began a stream, or nil if the leader does not follow versions.
-func (h *Handler) lookUpOrigin(x *exchange) (software *string, source string, refused *refusal.Error) {
+func (h *Handler) lookUpOrigin(x *exchange) (software *string, source origin.Source, refused *refusal.Error) {
+	k := origin.Knowledge{Service: x.service.Name, Endpoints: !h.options.View.Empty()}
+	k.Versions, k.Current = h.options.View.Software(x.service.Name, h.options.Now())
 	h.mu.Lock()
-	s, known := h.streams.Find(x.request.Continues)
+	if s, known := h.streams.Find(x.request.Continues); known {
+		k.Recorded = &s
+	}
 	h.mu.Unlock()
-	if known {
-		return h.moveToOrigin(x, s), sourceOwn, nil
+	s, source := k.Decide()
+	if source == origin.Leader {
+		if s, refused = h.askOrigin(x); refused != nil {
+			return nil, source, refused
+		}
 	}
-	now := h.options.Now()
-	switch versions := h.options.View.Software(x.service.Name); {
-	case len(versions) == 0 && !h.options.View.Empty():
-		return nil, sourceUnstated, nil
-	case len(versions) == 1 && h.options.View.Age(now) < report.VersionsLease:
-		return &versions[0], sourceSole, nil
+	if s == nil {
+		return nil, source, nil
 	}
+	return h.moveToOrigin(x, *s), source, nil
+}
+
+// askOrigin asks the leader which software version began a stream.
+func (h *Handler) askOrigin(x *exchange) (s *origin.Software, refused *refusal.Error) {
 	ctx, cancel := context.WithTimeout(x.ctx, originTimeout)
 	defer cancel()
 	reply, err := h.options.FindOrigin(ctx, report.OriginRequest{Service: x.service.Name, Attempt: x.request.Continues})
-	switch {
-	case err != nil:
+	if err != nil {
 		refused = h.refuseWithRetry(refusal.Unavailable, "software version that began the stream: %v", err)
-		return nil, sourceLeader, refused.WithRetryAt(h.retryAtWithLeader(x, refused.RetryAt))
-	case reply.Software != nil:
-		return h.moveToOrigin(x, *reply.Software), sourceLeader, nil
-	case len(reply.Versions) == 1:
-		return &reply.Versions[0], sourceLeader, nil
+		return nil, refused.WithRetryAt(h.retryAtWithLeader(x, refused.RetryAt))
+	}
+	if s = origin.DecideByReply(x.service.Name, reply.Software, reply.Versions); s == nil {
+		return nil, refusal.New(refusal.Unavailable, "which of the software versions %q began the stream is not known", reply.Versions)
 	}
-	return nil, sourceLeader, refusal.New(refusal.Unavailable, "which of the software versions %q began the stream is not known", reply.Versions)
+	return s, nil
 }
 
 // moveToOrigin returns the software version that began a stream, and sends the stream to the service of that version if its route allows it. It returns
