End the former incarnation of an endpoint that waits to be listed

What callers saw: an endpoint restarts under its identity with a newer software version while the leader is replaced. Entries in step with the new leader go on using it as one of its former version for up to 3.6 s, so that streams of that version go on there (ORDER).

Cause: a leader that does not admit the new version yet does not list the endpoint. But the list of a new leader is partial for three heartbeats, and entries keep what a partial list lacks, unless a departure names it. The leader knew that the former incarnation had ended and did not say so. It could also inherit the former incarnation from an entry after it had heard of the new one.

Fix: such an announcement is a departure of all earlier incarnations. The roster remembers it, and partial lists name it. It need not be stored, since the endpoint announces itself to each leader.

Roster.End had no other use.

The model (software_model_test.go) runs the code of leaders, views, rosters, census and books in virtual steps; entries are suspended, cut off from the newest leader or from all, or wake with old answers in their buffers; leaders are replaced, with the former one acting for a second or waking. TestEntryOutOfStepKeepsVersionsApart holds one schedule for each case in which an entry is out of step; each joins versions when the rule is removed that it names: the lease on a list, the age by the time of the report, the version within an answer, and that a leader that was replaced does not act.

--- a/internal/member/roster/roster.go
+++ b/internal/member/roster/roster.go
@@ -133,15 +133,6 @@
 	return other != nil && other.ID != a.ID && a.Born < other.Born
 }
 
-// End removes an endpoint whose listed incarnation has ended, and reports whether there was one.
-func (r *Roster) End(now time.Time, id string) bool {
-	e := r.entries[id]
-	if e != nil {
-		r.remove(now, e)
-	}
-	return e != nil
-}
-
 // Inherit records an endpoint that an earlier leader has listed, until the endpoint announces itself. It reports whether the
 // endpoint was recorded; it is not if something newer is known, or the roster is full.
 func (r *Roster) Inherit(now time.Time, a Announcement) bool {
--- a/internal/node/control/leader.go
+++ b/internal/node/control/leader.go
@@ -58,6 +58,7 @@
 
 	departed          map[string]time.Time // when stored departures were first seen here, by endpoint
 	departureRevision uint64               // of the stored departures that the roster knows
+	superseded        []report.Departure   // incarnations that newer ones have followed which are not listed yet, while the list is partial
 
 	census           *origin.Census
 	softwareRevision uint64 // of the stored software versions that the census knows
--- a/internal/node/control/software.go
+++ b/internal/node/control/software.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"log/slog"
+	"slices"
 	"time"
 
 	"lycheevale/internal/base/event"
@@ -44,12 +45,25 @@
 	if ls.census.Usable(s, ls.informed) {
 		return true
 	}
-	if listed && current.Born < a.Born && ls.roster.End(now, a.ID) { // its earlier incarnation has ended
-		ls.removeEndpoint(a.ID)
+	if !listed || current.Born < a.Born {
+		ls.supersede(now, a)
 	}
 	return false
 }
 
+// supersede records that the earlier incarnations of an endpoint have ended, also those that an earlier leader has listed to entries. The roster does not
+// know the new one yet.
+func (ls *leaderState) supersede(now time.Time, a roster.Announcement) {
+	d := report.Departure{ID: a.ID, Born: a.Born - 1, Gone: true}
+	if d.Born == 0 { // it would cover the new one
+		return
+	}
+	ls.depart(now, d)
+	if ls.partial() && !slices.Contains(ls.superseded, d) {
+		ls.superseded = append(ls.superseded, d)
+	}
+}
+
 // informed reports whether no entry relies on a list of software versions that lacks those of a revision of the census, which was made at a time: each has
 // reported that it knows the revision, or its list is too old.
 func (ls *leaderState) informed(since time.Time, revision uint64) bool {
@@ -85,13 +99,7 @@
 	if now.Sub(ls.countedAt) < countInterval || ls.storingSoftware {
 		return
 	}
-	ls.countedAt = now
-	for _, e := range ls.endpoints() {
-		ls.census.Observe(now, origin.Software{Service: e.Service, Version: e.Software})
-	}
-	retention := ls.streamRetention()
-	ls.streams.Forget(now, retention)
-	added, removed := ls.census.Changes(now, retention)
+	added, removed := ls.softwareChanges(now)
 	if len(added)+len(removed) == 0 {
 		return
 	}
@@ -108,6 +116,17 @@
 	})
 }
 
+// softwareChanges records which software versions serve now, and returns the changes that are to be stored.
+func (ls *leaderState) softwareChanges(now time.Time) (added, removed []origin.Software) {
+	ls.countedAt = now
+	for _, e := range ls.endpoints() {
+		ls.census.Observe(now, origin.Software{Service: e.Service, Version: e.Software})
+	}
+	retention := ls.streamRetention()
+	ls.streams.Forget(now, retention)
+	return ls.census.Changes(now, retention)
+}
+
 func (ls *leaderState) streamRetention() time.Duration {
 	if ls.index == nil {
 		return origin.Retention(0)
--- /dev/null
+++ b/internal/node/control/software_cases_test.go
@@ -0,0 +1,101 @@
+package control
+
+import (
+	"testing"
+	"time"
+
+	"github.com/frankban/quicktest"
+)
+
+// checkApart checks that no stream of a model holds events of two software versions.
+func (m *softwareModel) checkApart(c *quicktest.C) {
+	c.Helper()
+	c.Check(m.broken, quicktest.IsNil, quicktest.Commentf("%q", m.trace))
+}
+
+// An endpoint restarts under its identity with a new software version, and announces itself to a leader that has just been elected. Guards against
+// entries that go on using it as one of its former version, which the partial list of the leader left them.
+func TestEndpointRestartedBesideNewLeaderHasNotItsFormerVersion(t *testing.T) {
+	c := quicktest.New(t)
+	m := newSoftwareModel("v1")
+	m.begin(m.entries[0], 1)
+	m.replaceLeader(false, true)
+	m.restart(m.endpoints[0], "v2")
+	for range 50 {
+		m.wait(modelSlice)
+		m.takeUp(m.streams[0], m.entries[0], 0)
+	}
+	m.checkApart(c)
+	c.Check(m.streams[0].versions, quicktest.DeepEquals, []string{"v1"})
+}
+
+// release adds an endpoint of a new software version and begins streams at all endpoints that an entry lists after some time.
+func (m *softwareModel) release(e *modelEntry, after time.Duration) {
+	m.join("v2")
+	m.wait(after)
+	for n := range e.view.Endpoints(modelService) {
+		m.begin(e, n)
+	}
+}
+
+func (m *softwareModel) takeUpAll(e *modelEntry) {
+	for _, s := range m.streams {
+		m.takeUp(s, e, 0)
+	}
+}
+
+// An entry is out of step while an endpoint of a new software version joins. Guards against streams of that endpoint which the entry continues at its
+// former version, as it does without the rule that is named.
+func TestEntryOutOfStepKeepsVersionsApart(t *testing.T) {
+	for _, test := range []struct {
+		name string
+		rule modelGuard
+		run  func(m *softwareModel, e, other *modelEntry)
+	}{
+		{"suspended", lease, func(m *softwareModel, e, other *modelEntry) {
+			m.suspend(e, false)
+			m.release(other, 4*time.Second)
+			m.wake(e, false)
+			m.takeUpAll(e)
+		}},
+		{"cut off from the leader", lease, func(m *softwareModel, e, other *modelEntry) {
+			e.reach = reachFormer
+			m.release(other, 4*time.Second)
+			m.takeUpAll(e)
+		}},
+		{"cut off from all instances", lease, func(m *softwareModel, e, other *modelEntry) {
+			e.reach = reachNone
+			m.release(other, 4*time.Second)
+			m.takeUpAll(e)
+		}},
+		{"wakes with an old answer", sentTime, func(m *softwareModel, e, other *modelEntry) {
+			m.suspend(e, true)
+			m.release(other, 4*time.Second)
+			m.wake(e, true)
+			m.takeUpAll(e)
+		}},
+		{"continues an answer", sameVersion, func(m *softwareModel, e, _ *modelEntry) {
+			m.release(e, time.Second)
+			for n, s := range m.streams {
+				m.continueWithin(s, n+1)
+			}
+		}},
+		{"follows a leader that was replaced", formerLeader, func(m *softwareModel, e, other *modelEntry) {
+			e.reach = reachFormer
+			m.replaceLeader(false, true)
+			m.release(other, 5*time.Second)
+			m.takeUpAll(e)
+		}},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			c := quicktest.New(t)
+			m := newSoftwareModel("v1")
+			test.run(m, m.entries[0], m.entries[1])
+			m.checkApart(c)
+			c.Check(m.streams, quicktest.HasLen, 3)
+			m = newSoftwareModel("v1", test.rule)
+			test.run(m, m.entries[0], m.entries[1])
+			c.Check(m.broken, quicktest.IsNotNil, quicktest.Commentf("%q", m.trace))
+		})
+	}
+}
--- a/internal/node/control/updates.go
+++ b/internal/node/control/updates.go
@@ -204,7 +204,7 @@
 		u.Endpoints = ls.endpoints()
 		u.Software = software(u.Endpoints)
 		if u.Partial { // the entry must not keep these beyond the list
-			u.Departed = ls.control.machine.Stored().Departures
+			u.Departed = slices.Concat(ls.control.machine.Stored().Departures, ls.superseded)
 		}
 	}
 	if known {
