List a stored software version once entries know it

An entry was out of step while workers of a new version joined; streams that had begun on these through other entries were taken up there and went on at a worker of another version (ORDER).

Cause: a leader lists an endpoint of a version that is new to its service once the version is stored and no entry relies on a list without it. If the leader ended between the two, its successor took "stored" for both, and listed the endpoint at once. An entry that the successor did not reach went on relying on its list with the former version alone until that was 3 s old.

Fix: the census distinguishes a version that is stored from one with which endpoints have been listed. A new leader knows the latter from the endpoints that it takes over from entries, and otherwise waits as for a version that is new. So a replaced leader costs a wait only to versions that no entry has used, or after all entries have restarted with several versions stored.

The test also checks that a further leader, which inherits endpoints of both, lists another one of the newer version within 0.7 s.

Changed check: TestNewVersionWaitsUntilItIsKnown required of a new leader that a stored version is usable while entries are not informed, which is this fault. It now requires that it is not, that it is once an endpoint with it is known to have been listed, and that the other one still waits for entries.

--- a/internal/node/control/inherit.go
+++ b/internal/node/control/inherit.go
@@ -36,7 +36,7 @@
 			ID: k.Endpoint.ID, Service: k.Endpoint.Service, DataCentre: k.Endpoint.DataCentre, Address: k.Endpoint.Address,
 			Born: k.Endpoint.Born, Slots: k.Endpoint.Slots, Software: k.Software, Models: k.Endpoint.Models, Holdings: k.Holdings,
 		}
-		ls.census.Observe(now, softwareOf(a))
+		ls.census.ObserveListed(now, softwareOf(a))
 		if first && ls.roster.Inherit(now, a) {
 			taken, _ := ls.roster.Get(a.ID) // it may be leaving, by a stored departure
 			ls.updatePlacer(taken)
--- a/internal/node/control/software.go
+++ b/internal/node/control/software.go
@@ -43,6 +43,7 @@
 	now, s := ls.now(), softwareOf(a)
 	ls.census.Observe(now, s)
 	if ls.census.Usable(s, ls.informed) {
+		ls.census.ObserveListed(now, s)
 		return true
 	}
 	if !listed || current.Born < a.Born {
--- a/internal/node/control/software_cases_test.go
+++ b/internal/node/control/software_cases_test.go
@@ -99,3 +99,28 @@
 		})
 	}
 }
+
+// A leader ends after it has stored a new software version and before it has listed an endpoint with it. Guards against a successor that lists the endpoint
+// at once, while an entry that is cut off still relies on a list without the version; and against one that waits although entries knew it.
+func TestStoredVersionWaitsForEntriesAtNewLeader(t *testing.T) {
+	c := quicktest.New(t)
+	m := newSoftwareModel("v1")
+	e, other := m.entries[0], m.entries[1]
+	e.reach = reachNone
+	m.release(other, 300*time.Millisecond)
+	c.Assert(m.leaders[0].control.machine.Stored().Software, quicktest.HasLen, 2)
+	m.replaceLeader(false, false)
+	for range 60 {
+		m.wait(modelSlice)
+		for n := range other.view.Endpoints(modelService) {
+			m.begin(other, n)
+			m.takeUp(m.streams[len(m.streams)-1], e, 0)
+		}
+	}
+	m.checkApart(c)
+	c.Check(other.view.Endpoints(modelService), quicktest.HasLen, 3)
+	m.replaceLeader(false, false)
+	m.join("v2")
+	m.wait(700 * time.Millisecond)
+	c.Check(other.view.Endpoints(modelService), quicktest.HasLen, 4)
+}
--- a/internal/place/origin/census.go
+++ b/internal/place/origin/census.go
@@ -15,10 +15,11 @@
 
 // period is the time in which a software version has served.
 type period struct {
-	since    time.Time // when it was first recorded here; zero if an earlier leader had stored it
+	since    time.Time // when it was first recorded here
 	revision uint64    // of the census that has it
 	until    time.Time // when an endpoint last served with it
 	durable  bool      // it is stored, and so outlives this leader
+	listed   bool      // endpoints have been listed with it, before which all entries were informed
 }
 
 // NewCensus returns an empty census.
@@ -41,6 +42,14 @@
 	p.until = now
 }
 
+// ObserveListed records that this leader or an earlier one has listed an endpoint with a software version.
+func (c *Census) ObserveListed(now time.Time, s Software) {
+	c.Observe(now, s)
+	if p := c.versions[s]; p != nil {
+		p.listed = true
+	}
+}
+
 // Revision returns a number that increases with each version that is added.
 func (c *Census) Revision() uint64 { return c.revision }
 
@@ -52,14 +61,14 @@
 	for _, s := range stored {
 		if c.versions[s] == nil {
 			c.revision++
-			c.versions[s] = &period{until: now, revision: c.revision}
+			c.versions[s] = &period{since: now, until: now, revision: c.revision}
 		}
 		c.versions[s].durable = true
 	}
 }
 
-// Usable reports whether endpoints with a software version may serve: the service has no other, or all of them are stored and all entries are
-// informed of the revision of the census that has this one.
+// Usable reports whether endpoints with a software version may serve: the service has no other, or all of them are stored, and endpoints have been listed
+// with this one or all entries are informed of the revision of the census that has it. That an earlier leader has stored it does not show that entries know.
 func (c *Census) Usable(s Software, informed func(since time.Time, revision uint64) bool) bool {
 	p := c.versions[s]
 	if p == nil {
@@ -75,7 +84,7 @@
 		}
 		others++
 	}
-	return others == 0 || (p.durable && (p.since.IsZero() || informed(p.since, p.revision)))
+	return others == 0 || (p.durable && (p.listed || informed(p.since, p.revision)))
 }
 
 // Versions returns the software versions that may have begun streams of a service, sorted.
--- a/internal/place/origin/origin_test.go
+++ b/internal/place/origin/origin_test.go
@@ -106,7 +106,12 @@
 	c.Check(census.Usable(former, isInformed), quicktest.IsFalse)
 	next := origin.NewCensus()
 	next.Restore(start, added)
+	c.Check(next.Usable(newer, isInformed), quicktest.IsFalse) // an earlier leader may have stored it just before its end
+	next.ObserveListed(start, newer)
 	c.Check(next.Usable(newer, isInformed), quicktest.IsTrue)
+	c.Check(next.Usable(former, isInformed), quicktest.IsFalse)
+	informed = true
+	c.Check(next.Usable(former, isInformed), quicktest.IsTrue)
 }
 
 // Guards against a log entry for endpoints that name no software.
