Count the time of a former leader's lists from its end

What callers saw: nothing yet. During a partition, an entry on the side of the former leader continues streams of an endpoint that has joined on the other side with a new software version, at its own former version (ORDER).

Cause: a new leader lists the first endpoint of a version 3 s after its own start, when lists of earlier leaders are too old to rely on. But a leader that is cut off from the others steps down only when no answer has come for up to two election timeouts, and answers entries meanwhile. Their lists are current for 3 s after that.

Fix: a new leader waits for the longest overlap as well, two election timeouts and the age up to which its state is believed (1.7 s). The wait also holds for a version whose 3 s have passed at this leader. At the first leader of a deployment that has no configuration, there is nothing to wait for, as no stream can have begun.

Evidence: TestNewVersionWaitsForListsOfFormerLeader, with the overlap left out on a scratch copy: "stream-42 holds events of the software versions [v2 v1]", 3 s after the change of leader.

--- a/internal/node/control/leader.go
+++ b/internal/node/control/leader.go
@@ -65,6 +65,7 @@
 	storingSoftware  bool   // a change of the stored software versions is being proposed
 	countedAt        time.Time
 	informedAt       time.Time // when the entries that have stopped reporting do not rely on their lists of software versions any more
+	outdatedAt       time.Time // when no entry relies on a list of an earlier leader any more
 	streams          *origin.Book
 }
 
@@ -99,7 +100,7 @@
 		control: c, term: term, since: now, ordersFrom: c.ordersFrom(now, term), roster: roster.New(roster.DefaultOptions()), placer: residency.New(placerOptions),
 		pool: quota.NewPool(now, shareOptions(Tolerance(c.options.Settings))), endpointPool: quota.NewPool(now, shareOptions(EndpointTolerance())), ceilings: ceiling.New(),
 		entries: map[string]*entry{}, active: map[string]int{}, backlog: map[string]int{}, inheritAsked: map[string]bool{}, addresses: map[string]report.Deputy{}, queues: map[string]*orderQueue{}, limits: map[string]quota.Limit{},
-		detector: quarantine.NewDetector(quarantine.DefaultOptions()), census: origin.NewCensus(), informedAt: now.Add(report.VersionsLease), streams: origin.New(origin.MaxStreams),
+		detector: quarantine.NewDetector(quarantine.DefaultOptions()), census: origin.NewCensus(), outdatedAt: c.earlierListsUntil(now), streams: origin.New(origin.MaxStreams),
 	}
 }
 
--- a/internal/node/control/software.go
+++ b/internal/node/control/software.go
@@ -69,6 +69,9 @@
 // reported that it knows the revision, or its list is too old.
 func (ls *leaderState) informed(since time.Time, revision uint64) bool {
 	now := ls.now()
+	if now.Before(ls.outdatedAt) {
+		return false
+	}
 	if now.Sub(since) >= report.VersionsLease {
 		return true
 	}
@@ -80,6 +83,18 @@
 	return !now.Before(ls.informedAt)
 }
 
+// maxOverlap is the longest time for which a leader that has lost the majority acts beside its successor: it steps down when no answer has come for two
+// election timeouts, and its state may be read for a moment longer.
+const maxOverlap = 2*electionTimeout + maxStatusAge
+
+// earlierListsUntil returns when no entry relies on a list of a leader before one that begins now. Without a configuration, no stream can have begun.
+func (c *Control) earlierListsUntil(now time.Time) time.Time {
+	if c.machine == nil || c.machine.Stored().Version == 0 {
+		return time.Time{}
+	}
+	return now.Add(maxOverlap + report.VersionsLease)
+}
+
 // recordSilentEntry records that an entry has stopped reporting, which may be running still.
 func (ls *leaderState) recordSilentEntry(e *entry) {
 	if until := e.at.Add(report.VersionsLease); until.After(ls.informedAt) {
--- a/internal/node/control/software_cases_test.go
+++ b/internal/node/control/software_cases_test.go
@@ -124,3 +124,23 @@
 	m.wait(700 * time.Millisecond)
 	c.Check(other.view.Endpoints(modelService), quicktest.HasLen, 4)
 }
+
+// An entry stays in touch with a leader that is cut off from the others, and which answers it beside its successor. Guards against a successor that lists an
+// endpoint of a new software version while the entry relies on the last list of the former leader.
+func TestNewVersionWaitsForListsOfFormerLeader(t *testing.T) {
+	c := quicktest.New(t)
+	m := newSoftwareModel("v1")
+	e, other := m.entries[0], m.entries[1]
+	e.reach = reachFormer
+	m.replaceLeader(true, false)
+	m.release(other, time.Second)
+	for range 60 {
+		m.wait(modelSlice)
+		for n := range other.view.Endpoints(modelService) {
+			m.begin(other, n)
+			m.takeUp(m.streams[len(m.streams)-1], e, 0)
+		}
+	}
+	m.checkApart(c)
+	c.Check(other.view.Endpoints(modelService), quicktest.HasLen, 3)
+}
