Take no version for the only one before the census is complete

What callers saw: nothing yet. A service whose endpoints name no software version is upgraded to one that does while the leader is replaced; streams of both go on at the other one (ORDER).

Cause: a leader lists an endpoint at once if its version is the only one of the service. A version without a name is stored only beside others, and a first one with a name some moments after its first endpoint is listed. A new leader that hears of the newer version first takes it for the only one, lists it and tells entries so; entries that it does not reach rely on lists with the other one alone.

Fix: until lists of earlier leaders are outdated, a version with a name that is neither stored nor known to have been listed waits, and is not stored alone, which would make it look safe to the next leader. Endpoints without a name need not wait: only the first version with a name can be newer. Without a configuration there is nothing to wait for, so the first start of a deployment is as before.

Evidence: TestFirstNamedVersionWaitsAtNewLeader fails on a scratch copy without the wait, and on one that stores the version alone: "stream-4 holds events of the software versions [v2 ]". Tests of control, origin and the stand-in's site pass.

--- a/internal/node/control/leader.go
+++ b/internal/node/control/leader.go
@@ -96,12 +96,14 @@
 	now := c.options.Now()
 	placerOptions := c.options.Placer
 	placerOptions.Regions = c.options.Settings.Regions
-	return &leaderState{
+	ls := &leaderState{
 		control: c, term: term, since: now, ordersFrom: c.ordersFrom(now, term), roster: roster.New(roster.DefaultOptions()), placer: residency.New(placerOptions),
 		pool: quota.NewPool(now, shareOptions(Tolerance(c.options.Settings))), endpointPool: quota.NewPool(now, shareOptions(EndpointTolerance())), ceilings: ceiling.New(),
 		entries: map[string]*entry{}, active: map[string]int{}, backlog: map[string]int{}, inheritAsked: map[string]bool{}, addresses: map[string]report.Deputy{}, queues: map[string]*orderQueue{}, limits: map[string]quota.Limit{},
 		detector: quarantine.NewDetector(quarantine.DefaultOptions()), census: origin.NewCensus(), outdatedAt: c.earlierListsUntil(now), streams: origin.New(origin.MaxStreams),
 	}
+	ls.census.Expect(ls.outdatedAt)
+	return ls
 }
 
 // ordersFrom returns the time from which a new leader may send orders. Endpoints that do not check fencing numbers could accept
--- a/internal/node/control/software_cases_test.go
+++ b/internal/node/control/software_cases_test.go
@@ -144,3 +144,36 @@
 	m.checkApart(c)
 	c.Check(other.view.Endpoints(modelService), quicktest.HasLen, 3)
 }
+
+// All endpoints of a service name no software version, which is not stored, and the first one with a version announces itself to a new leader. Guards
+// against a leader that takes that version for the only one.
+func TestFirstNamedVersionWaitsAtNewLeader(t *testing.T) {
+	c := quicktest.New(t)
+	m := newSoftwareModel("")
+	e, other := m.entries[0], m.entries[1]
+	e.reach = reachNone
+	for n := range other.view.Endpoints(modelService) {
+		m.begin(other, n)
+	}
+	m.replaceLeader(false, false)
+	for n := range 2 {
+		m.endpoints[n].silent = true
+		m.entries[n+1].reach = reachNone
+	}
+	m.join("v2")
+	m.wait(400 * time.Millisecond)
+	for n := range 2 {
+		m.endpoints[n].silent = false
+		m.entries[n+1].reach = reachAll
+	}
+	for range 60 {
+		m.takeUpAll(e)
+		m.takeUpAll(m.entries[2])
+		m.wait(modelSlice)
+		for n := range other.view.Endpoints(modelService) {
+			m.begin(other, n)
+		}
+	}
+	m.checkApart(c)
+	c.Check(other.view.Endpoints(modelService), quicktest.HasLen, 3)
+}
--- a/internal/node/control/software_model_test.go
+++ b/internal/node/control/software_model_test.go
@@ -83,7 +83,8 @@
 
 type modelEndpoint struct {
 	roster.Announcement
-	heard map[uint64]time.Time // when leaders heard of this incarnation, by term
+	heard  map[uint64]time.Time // when leaders heard of this incarnation, by term
+	silent bool                 // its announcements reach no leader
 }
 
 type modelStream struct {
@@ -200,7 +201,7 @@
 			}
 		}
 		for _, e := range m.endpoints {
-			if m.slices%5 == 0 || !m.leaders[m.newest()].lists(e) {
+			if !e.silent && (m.slices%5 == 0 || !m.leaders[m.newest()].lists(e)) {
 				m.announce(e, m.newest())
 			}
 		}
--- a/internal/place/origin/census.go
+++ b/internal/place/origin/census.go
@@ -11,6 +11,8 @@
 type Census struct {
 	versions map[Software]*period
 	revision uint64 // increases with each version that is added
+	// expectUntil is the time until which versions may be missing, zero once it has passed.
+	expectUntil time.Time
 }
 
 // period is the time in which a software version has served.
@@ -25,11 +27,17 @@
 // NewCensus returns an empty census.
 func NewCensus() *Census { return &Census{versions: map[Software]*period{}} }
 
+// Expect states that until a time, versions may be missing that an earlier leader has listed and not stored.
+func (c *Census) Expect(until time.Time) { c.expectUntil = until }
+
 // maxVersions limits the memory for versions of services; endpoints with further ones get no work.
 const maxVersions = 10_000
 
 // Observe records that an endpoint serves, or is about to serve, with a software version.
 func (c *Census) Observe(now time.Time, s Software) {
+	if !now.Before(c.expectUntil) {
+		c.expectUntil = time.Time{}
+	}
 	p := c.versions[s]
 	if p == nil {
 		if len(c.versions) >= maxVersions {
@@ -69,6 +77,7 @@
 
 // Usable reports whether endpoints with a software version may serve: the service has no other, or all of them are stored, and endpoints have been listed
 // with this one or all entries are informed of the revision of the census that has it. That an earlier leader has stored it does not show that entries know.
+// Call it after Observe.
 func (c *Census) Usable(s Software, informed func(since time.Time, revision uint64) bool) bool {
 	p := c.versions[s]
 	if p == nil {
@@ -84,9 +93,15 @@
 		}
 		others++
 	}
-	return others == 0 || (p.durable && (p.listed || informed(p.since, p.revision)))
+	if others == 0 {
+		return p.durable || p.listed || !c.mayHide(s)
+	}
+	return p.durable && (p.listed || informed(p.since, p.revision))
 }
 
+// mayHide reports whether the only known version of a service may not be the only one. One without a name is not stored while it is the only one.
+func (c *Census) mayHide(s Software) bool { return s.Version != "" && !c.expectUntil.IsZero() }
+
 // Versions returns the software versions that may have begun streams of a service, sorted.
 func (c *Census) Versions(service string) (list []string) {
 	for s := range c.versions {
@@ -118,7 +133,8 @@
 			} else {
 				delete(c.versions, s)
 			}
-		case !p.durable && (s.Version != "" || len(c.Versions(s.Service)) > 1): // nothing distinguishes endpoints that name no software
+		case p.durable:
+		case len(c.Versions(s.Service)) > 1, s.Version != "" && (p.listed || !c.mayHide(s)): // nothing distinguishes endpoints that name no software
 			added = append(added, s)
 		}
 	}
