Do not count a leader that was suspended in its loop as checked

What callers saw: nothing yet. A leader that is suspended and wakes after another was elected may answer for some milliseconds from what it knew: entries by its old list, lookups of streams by its old versions, and orders.

Cause: an instance acts while its voter has run within 0.3 s. The voter published the time after it had handled an input. If it was suspended while it did, for example in a sync of the disk, that was the time of waking, although the core's clock had not been read: the core steps down when it has not run for an election timeout, but only at its next tick or message.

Fix: the time is not published while the core is that late. The same condition decides both, so that what is published is a leader that would stay one. Slow syncs below an election timeout change nothing.

Evidence: TestSuspendedLeaderIsNotChecked without the change in voter.go: LeaderKnownAt is the time of waking, 1 s after the last run. Tests of voter, consensus and simulation pass.

--- a/internal/state/consensus/consensus.go
+++ b/internal/state/consensus/consensus.go
@@ -77,16 +77,19 @@
 	return c, nil
 }
 
+// Late reports whether the core has not run for an election timeout.
+func (c *Core) Late(now time.Time) bool { return now.Sub(c.lastTime) >= c.options.ElectionTimeout }
+
 // advance moves the core's clock forwards only, so that a clock step backwards cannot postpone deadlines. A leader that
 // was suspended for an election timeout steps down first, because replies from before the suspension no longer prove
 // that it has a majority.
 func (c *Core) advance(now time.Time) {
-	d := now.Sub(c.lastTime)
-	if d > 0 {
+	late := c.Late(now)
+	if d := now.Sub(c.lastTime); d > 0 {
 		c.clock = c.clock.Add(d)
 	}
 	c.lastTime = now
-	if c.role == Leader && d >= c.options.ElectionTimeout && c.options.Rules.CheckQuorum {
+	if c.role == Leader && late && c.options.Rules.CheckQuorum {
 		c.becomeFollower("")
 	}
 }
--- a/internal/state/voter/replica.go
+++ b/internal/state/voter/replica.go
@@ -185,6 +185,9 @@
 // Applied returns the index of the last applied entry.
 func (r *Replica) Applied() uint64 { return r.applied }
 
+// Late reports whether the core has not run for so long that a leader steps down when it does.
+func (r *Replica) Late(now time.Time) bool { return r.core.Late(now) }
+
 // Tick advances the core's clock.
 func (r *Replica) Tick(now time.Time) { r.collect(r.core.Tick(now)) }
 
--- a/internal/state/voter/voter.go
+++ b/internal/state/voter/voter.go
@@ -297,8 +297,8 @@
 	v := l.voter
 	v.mu.Lock()
 	v.status.Status, v.status.Applied, v.status.Leader = s, l.replica.Applied(), leaderName(s)
-	if s.Leader != "" {
-		v.status.LeaderKnownAt = l.now()
+	if now := l.now(); s.Leader != "" && !l.replica.Late(now) {
+		v.status.LeaderKnownAt = now
 	}
 	v.mu.Unlock()
 	if s.Snapshot > l.loggedSnapshot {
