--- a/internal/node/control/leader.go
+++ b/internal/node/control/leader.go
@@ -58,12 +58,14 @@
 
 	departed          map[string]time.Time // when stored departures were first seen here, by endpoint
 	departureRevision uint64               // of the stored departures that the roster knows
+	superseded        []report.Departure   // incarnations that newer ones have followed which are not listed yet, while the list is partial
 
 	census           *origin.Census
 	softwareRevision uint64 // of the stored software versions that the census knows
 	storingSoftware  bool   // a change of the stored software versions is being proposed
 	countedAt        time.Time
 	informedAt       time.Time // when the entries that have stopped reporting do not rely on their lists of software versions any more
+	outdatedAt       time.Time // when no entry relies on a list of an earlier leader any more
 	streams          *origin.Book
 }
 
@@ -94,12 +96,14 @@
 	now := c.options.Now()
 	placerOptions := c.options.Placer
 	placerOptions.Regions = c.options.Settings.Regions
-	return &leaderState{
+	ls := &leaderState{
 		control: c, term: term, since: now, ordersFrom: c.ordersFrom(now, term), roster: roster.New(roster.DefaultOptions()), placer: residency.New(placerOptions),
 		pool: quota.NewPool(now, shareOptions(Tolerance(c.options.Settings))), endpointPool: quota.NewPool(now, shareOptions(EndpointTolerance())), ceilings: ceiling.New(),
 		entries: map[string]*entry{}, active: map[string]int{}, backlog: map[string]int{}, inheritAsked: map[string]bool{}, addresses: map[string]report.Deputy{}, queues: map[string]*orderQueue{}, limits: map[string]quota.Limit{},
-		detector: quarantine.NewDetector(quarantine.DefaultOptions()), census: origin.NewCensus(), informedAt: now.Add(report.VersionsLease), streams: origin.New(origin.MaxStreams),
+		detector: quarantine.NewDetector(quarantine.DefaultOptions()), census: origin.NewCensus(), outdatedAt: c.earlierListsUntil(now), streams: origin.New(origin.MaxStreams),
 	}
+	ls.census.Expect(ls.outdatedAt)
+	return ls
 }
 
 // ordersFrom returns the time from which a new leader may send orders. Endpoints that do not check fencing numbers could accept
