Abort the connection of an answer that no handler has completed

A caller that closed its side of the connection before its answer had begun got "200 OK" with an empty body, also for an order whose outcome nobody knew: the entry's handler returned without writing, and net/http completes that with an implicit 200. The same held for every server of the programs, and for a stream whose handler returned half-way: the last chunk makes it look complete. "OPTIONS *" was answered with 200 by net/http without asking the handler.

All servers are now created by base/httpserver. Its guard aborts the connection (HTTP/2: resets the stream) if a handler returns with nothing written, after a write that failed, from a stream that it has not declared complete, or from an answer in parts while its client disconnected. The servers of streams declare their ends; readiness writes its 200 instead of relying on the implicit one. TestNoOtherServersAreCreated keeps it the only place.

--- /dev/null
+++ b/internal/base/httpserver/httpserver.go
@@ -0,0 +1,122 @@
+// Package httpserver creates the HTTP servers of the programs. An answer is complete only if its handler has said so; the connection of any other one is
+// aborted, which net/http would end as a complete answer, with status 200 and an empty body if nothing was written.
+package httpserver
+
+import (
+	"context"
+	"log"
+	"net/http"
+
+	"github.com/zeebo/errs"
+)
+
+// New returns a server for a handler, whose other fields the caller may set before it serves.
+func New(h http.Handler) *http.Server {
+	return &http.Server{
+		Handler:                      Guard(h),
+		DisableGeneralOptionsHandler: true, // it answers "OPTIONS *" with 200 without asking the handler
+	}
+}
+
+// Guard returns a handler that aborts the connection if next returns without a complete answer. An answer that was written at once is complete. One that was
+// flushed before its end, or that was written in parts while its client disconnected, is complete after Complete.
+func Guard(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		a := &answer{ResponseWriter: w}
+		next.ServeHTTP(a, r)
+		if err := a.check(r.Context().Err()); err != nil {
+			logAborted(r, err)
+			panic(http.ErrAbortHandler)
+		}
+	})
+}
+
+// Complete states that the handler has written its whole answer. It does nothing for a writer of another server.
+func Complete(w http.ResponseWriter) {
+	for {
+		if a, ok := w.(*answer); ok {
+			a.complete = true
+			return
+		}
+		wrapper, ok := w.(interface{ Unwrap() http.ResponseWriter })
+		if !ok {
+			return
+		}
+		w = wrapper.Unwrap()
+	}
+}
+
+// answer records what a handler writes.
+type answer struct {
+	http.ResponseWriter
+	begun    bool
+	writes   int
+	flushed  bool
+	failed   error // of a write
+	complete bool
+}
+
+// check returns why the answer is not complete; disconnected is the error of the request's context.
+func (a *answer) check(disconnected error) error {
+	switch {
+	case a.failed != nil:
+		return a.failed
+	case a.complete && a.begun:
+		return nil
+	case !a.begun:
+		return errs.Combine(errs.New("nothing was written"), disconnected)
+	case a.flushed:
+		return errs.Combine(errs.New("the handler has not completed the stream"), disconnected)
+	case a.writes > 1 && disconnected != nil:
+		return disconnected
+	}
+	return nil
+}
+
+// WriteHeader implements http.ResponseWriter.
+func (a *answer) WriteHeader(status int) {
+	if status >= http.StatusOK || status == http.StatusSwitchingProtocols {
+		a.begun = true
+	}
+	a.ResponseWriter.WriteHeader(status)
+}
+
+// Write implements http.ResponseWriter.
+func (a *answer) Write(p []byte) (n int, err error) {
+	a.begun = true
+	a.writes++
+	n, err = a.ResponseWriter.Write(p)
+	if err != nil && !errs.Is(err, http.ErrBodyNotAllowed) {
+		a.failed = err
+	}
+	return n, err
+}
+
+// FlushError is called by http.ResponseController.
+func (a *answer) FlushError() error {
+	a.begun, a.flushed = true, true
+	err := http.NewResponseController(a.ResponseWriter).Flush()
+	if err != nil {
+		a.failed = err
+	}
+	return err
+}
+
+// Flush implements http.Flusher.
+func (a *answer) Flush() { _ = a.FlushError() }
+
+// Unwrap returns the writer of the answer, for http.ResponseController.
+func (a *answer) Unwrap() http.ResponseWriter { return a.ResponseWriter }
+
+func logAborted(r *http.Request, reason error) {
+	if l := errorLog(r.Context()); l != nil {
+		l.Printf("answer to %s %.100q aborted: %v", r.Method, r.URL.Path, reason)
+	}
+}
+
+func errorLog(ctx context.Context) *log.Logger {
+	if s, ok := ctx.Value(http.ServerContextKey).(*http.Server); ok {
+		return s.ErrorLog
+	}
+	return nil
+}
--- a/internal/node/entry/entry.go
+++ b/internal/node/entry/entry.go
@@ -18,6 +18,7 @@
 
 	"lycheevale/internal/base/event"
 	"lycheevale/internal/base/guard"
+	"lycheevale/internal/base/httpserver"
 	"lycheevale/internal/base/listener"
 	"lycheevale/internal/base/repeat"
 	"lycheevale/internal/limit/buffers"
@@ -121,12 +122,12 @@
 	work, stop := context.WithCancel(context.WithoutCancel(ctx))
 	defer stop()
 	group, work := errgroup.WithContext(work)
-	callers := &http.Server{
-		Handler: e.handler, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
-		ErrorLog: slog.NewLogLogger(e.options.Logger.Handler(), slog.LevelDebug),
-	}
+	callers := httpserver.New(e.handler)
+	callers.ReadHeaderTimeout, callers.IdleTimeout, callers.MaxHeaderBytes = headerTimeout, idleTimeout, maxHeaderBytes
+	callers.ErrorLog = slog.NewLogLogger(e.options.Logger.Handler(), slog.LevelDebug)
 	accepting := listener.Track(inner, callers)
-	ready := &http.Server{Handler: e.readiness(), ReadHeaderTimeout: headerTimeout}
+	ready := httpserver.New(e.readiness())
+	ready.ReadHeaderTimeout = headerTimeout
 	group.Go(func() error { return e.peers.Run(work) })
 	group.Go(func() error { return repeat.Every(work, syncInterval, e.guarded("sync", e.sync)) })
 	group.Go(func() error { return repeat.Every(work, sweepInterval, e.guarded("sweep", e.sweep)) })
@@ -180,7 +181,9 @@
 	mux.HandleFunc("GET "+e.options.ReadyPath, func(w http.ResponseWriter, _ *http.Request) {
 		if e.draining.Load() || !e.serving.Load() {
 			w.WriteHeader(http.StatusServiceUnavailable)
+			return
 		}
+		w.WriteHeader(http.StatusOK)
 	})
 	return mux
 }
--- a/internal/node/instance/servers.go
+++ b/internal/node/instance/servers.go
@@ -9,6 +9,7 @@
 
 	"github.com/zeebo/errs"
 
+	"lycheevale/internal/base/httpserver"
 	"lycheevale/internal/base/refusal"
 	"lycheevale/internal/base/settings"
 	"lycheevale/internal/serve/engine"
@@ -28,18 +29,20 @@
 	errorLog := slog.NewLogLogger(i.options.Logger.Handler(), slog.LevelDebug)
 	base := func(net.Listener) context.Context { return ctx }
 	t := i.settings.Timeouts
-	callers := &http.Server{
-		Handler: i.callerHandler(), MaxHeaderBytes: i.settings.Limits.HeaderBytes, ReadHeaderTimeout: t.HeaderRead,
-		ReadTimeout: t.BodyRead, IdleTimeout: t.Idle, ErrorLog: errorLog, BaseContext: base,
+	create := func(h http.Handler) *http.Server {
+		s := httpserver.New(h)
+		s.ReadHeaderTimeout, s.ErrorLog, s.BaseContext = t.HeaderRead, errorLog, base
+		return s
 	}
-	streams := &http.Server{Handler: i.owner.Handler(), ReadHeaderTimeout: t.HeaderRead, ErrorLog: errorLog, BaseContext: base}
+	callers := create(i.callerHandler())
+	callers.MaxHeaderBytes, callers.ReadTimeout, callers.IdleTimeout = i.settings.Limits.HeaderBytes, t.BodyRead, t.Idle
+	streams := create(i.owner.Handler())
 	owner.Configure(streams)
 	if i.keys != nil {
 		streams.TLSConfig = i.keys.Server()
 	}
-	operators := &http.Server{
-		Handler: i.operatorHandler(), ReadHeaderTimeout: t.HeaderRead, IdleTimeout: t.Idle, ErrorLog: errorLog, BaseContext: base,
-	}
+	operators := create(i.operatorHandler())
+	operators.IdleTimeout = t.Idle
 	return &servers{callers: callers, streams: streams, operators: operators, instance: i}
 }
 
--- a/internal/serve/caller/relay.go
+++ b/internal/serve/caller/relay.go
@@ -12,6 +12,7 @@
 	"github.com/zeebo/errs"
 
 	"lycheevale/internal/base/event"
+	"lycheevale/internal/base/httpserver"
 	"lycheevale/internal/base/refusal"
 	"lycheevale/internal/serve/engine"
 )
@@ -293,6 +294,7 @@
 	raw, _ := json.Marshal(errorBodyOf(e))
 	_ = o.write(raw)
 	o.flush()
+	httpserver.Complete(o.x.w) // with this event as its last one
 }
 
 // end finishes a complete response.
@@ -300,6 +302,7 @@
 	if o.x.body.Stream {
 		_ = o.write([]byte(engine.DoneMarker))
 		o.flush()
+		httpserver.Complete(o.x.w)
 		return
 	}
 	writeJSON(o.x.w, http.StatusOK, o.assembled.document(o.x))
--- a/internal/serve/operator/operator.go
+++ b/internal/serve/operator/operator.go
@@ -11,6 +11,8 @@
 	"github.com/justinas/alice"
 	"github.com/zeebo/errs"
 	"golang.org/x/sync/errgroup"
+
+	"lycheevale/internal/base/httpserver"
 )
 
 // Error is the class of errors of this package.
@@ -72,13 +74,9 @@
 func (s *Server) Run(ctx context.Context, l net.Listener) (err error) {
 	defer func() { err = Error.Wrap(err) }()
 	group, ctx := errgroup.WithContext(ctx)
-	server := &http.Server{
-		Handler:           s.Handler(),
-		ReadHeaderTimeout: s.options.HeaderRead,
-		IdleTimeout:       s.options.Idle,
-		MaxHeaderBytes:    s.options.HeaderBytes,
-		ErrorLog:          slog.NewLogLogger(s.options.Logger.Handler(), slog.LevelDebug),
-	}
+	server := httpserver.New(s.Handler())
+	server.ReadHeaderTimeout, server.IdleTimeout, server.MaxHeaderBytes = s.options.HeaderRead, s.options.Idle, s.options.HeaderBytes
+	server.ErrorLog = slog.NewLogLogger(s.options.Logger.Handler(), slog.LevelDebug)
 	group.Go(func() error {
 		if err := server.Serve(l); !errs.Is(err, http.ErrServerClosed) {
 			return err
--- a/internal/serve/operator/watch.go
+++ b/internal/serve/operator/watch.go
@@ -12,6 +12,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"lycheevale/internal/base/event"
+	"lycheevale/internal/base/httpserver"
 	"lycheevale/internal/base/refusal"
 )
 
@@ -42,7 +43,9 @@
 		})
 	})
 	group.Go(func() error { return s.writeEvents(ctx, w, events) })
-	if err := group.Wait(); err != nil && ctx.Err() == nil || s.watching.Err() != nil {
+	err = group.Wait()
+	httpserver.Complete(w) // a watch has no last event
+	if err != nil && ctx.Err() == nil || s.watching.Err() != nil {
 		event.Log(r.Context(), s.options.Logger, event.WatchEnded,
 			slog.String("Operator", operatorOf(r.Context()).Name), slog.Any("Error", err))
 	}
--- a/internal/serve/owner/remote.go
+++ b/internal/serve/owner/remote.go
@@ -10,6 +10,7 @@
 	"sync/atomic"
 	"time"
 
+	"lycheevale/internal/base/httpserver"
 	"lycheevale/internal/base/refusal"
 	"lycheevale/internal/place/scheduler"
 	"lycheevale/internal/serve/engine"
@@ -92,6 +93,7 @@
 		write(e)
 	}
 	write(engine.Event{Seq: last + 1, Data: []byte(engine.DoneMarker)})
+	httpserver.Complete(w)
 }
 
 func writeRefusal(w http.ResponseWriter, e *refusal.Error) {
--- a/internal/tool/fleetcmd/fleetcmd.go
+++ b/internal/tool/fleetcmd/fleetcmd.go
@@ -20,6 +20,7 @@
 
 	"lycheevale/internal/base/deployment"
 	"lycheevale/internal/base/event"
+	"lycheevale/internal/base/httpserver"
 	"lycheevale/internal/base/logsink"
 	"lycheevale/internal/base/metrics"
 	"lycheevale/internal/tool/exitcode"
@@ -92,7 +93,8 @@
 func (p Process) run(ctx context.Context, part Part) error {
 	group, ctx := errgroup.WithContext(ctx)
 	work, stop := context.WithCancel(context.WithoutCancel(ctx))
-	server := &http.Server{Handler: p.Metrics.Handler, ReadHeaderTimeout: time.Second}
+	server := httpserver.New(p.Metrics.Handler)
+	server.ReadHeaderTimeout = time.Second
 	if at := p.Settings.Listen.Metrics; at.IsValid() {
 		server.Addr = at.String()
 		group.Go(func() error {
