Tell callers that close their side what became of their request

The entry took the end of the connection for a caller that has left, cancelled everything, and wrote nothing. The charge of a request that had not run was not returned either.

An order that is being sent now goes on until its deadline without its caller: breaking it off leaves open what has happened, and costs the one who reads on the answer. Until its first byte is written (upstream.Request.OnSend) it still ends with its caller, and no second try is made. What may be repeated, and streams, end at once as before. Refusals are written also if the caller seems gone; after a close nobody reads them. A request that no endpoint has run is refused as not run if its caller leaves or its time passes between two tries; it was 504, unknown. A write to a caller that fails in a long answer no longer counts as a failure of the endpoint.

--- a/internal/serve/forward/attempt.go
+++ b/internal/serve/forward/attempt.go
@@ -10,6 +10,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"lycheevale/internal/place/pick"
+	"lycheevale/internal/state/document"
 	"lycheevale/internal/wire/upstream"
 )
 
@@ -20,6 +21,7 @@
 	inFlight *inFlight
 	started  time.Time
 	resumes  bool // it continues a stream of which events were delivered
+	ctx      context.Context
 	cancel   context.CancelFunc
 	ended    chan struct{} // closed when no further parts are wanted
 	parts    chan part
@@ -45,9 +47,9 @@
 
 // start sends the request to an endpoint.
 func (h *Handler) start(x *exchange, c choice) *attempt {
-	ctx, cancel := context.WithCancel(x.ctx)
+	ctx, cancel, detach := h.attemptContext(x)
 	s := &attempt{
-		choice: c, started: h.options.Now(), resumes: x.delivered, cancel: cancel,
+		choice: c, started: h.options.Now(), resumes: x.delivered, ctx: ctx, cancel: cancel,
 		ended: make(chan struct{}), parts: make(chan part), wanted: make(chan struct{}),
 	}
 	x.tries++
@@ -56,6 +58,7 @@
 	s.inFlight = h.startAttempt(x, c)
 	x.lastEndpoint, x.sentAt = c.ID, s.started
 	request := h.outgoing(x, c)
+	request.OnSend = detach
 	s.receiver.Go(func() error {
 		s.receive(ctx, h.options.Pool, request)
 		return nil
@@ -63,6 +66,22 @@
 	return s
 }
 
+// attemptContext returns the context of an attempt, which ends when the caller leaves. An order that is being sent goes on without its caller: breaking it off
+// would leave open what has happened, and a caller that has only closed its side of the connection gets the answer.
+func (h *Handler) attemptContext(x *exchange) (ctx context.Context, cancel context.CancelFunc, detach func()) {
+	if x.route.Kind != document.NonIdempotent {
+		ctx, cancel = context.WithCancel(x.ctx)
+		return ctx, cancel, nil
+	}
+	ctx, cancel = context.WithTimeout(context.WithoutCancel(x.ctx), x.deadline.Sub(h.options.Now()))
+	stop := context.AfterFunc(x.ctx, cancel)
+	return ctx, cancel, func() {
+		if !stop() {
+			cancel()
+		}
+	}
+}
+
 // receive passes on the answer until no further parts are wanted.
 func (s *attempt) receive(ctx context.Context, pool *upstream.Pool, r upstream.Request) {
 	answer, err := pool.Do(ctx, r)
--- a/internal/serve/forward/forward.go
+++ b/internal/serve/forward/forward.go
@@ -17,6 +17,7 @@
 	"golang.org/x/sync/semaphore"
 
 	"lycheevale/internal/base/event"
+	"lycheevale/internal/base/httpserver"
 	"lycheevale/internal/base/refusal"
 	"lycheevale/internal/limit/buffers"
 	"lycheevale/internal/limit/ceiling"
@@ -144,6 +145,7 @@
 		// Also if the caller seems to be gone: one that has closed its side of the connection would see a complete answer.
 		panic(http.ErrAbortHandler)
 	}
+	httpserver.Complete(w)
 }
 
 // served is the code of a request that an endpoint answered.
@@ -179,7 +181,7 @@
 			slog.String("Customer", customer), slog.String("Adapter", x.request.Adapter.Name),
 			slog.String("Endpoint", x.lastEndpoint), slog.Int("Sent", x.sent), slog.Int("Tokens", x.request.Tokens),
 			slog.Int64("SentMillis", x.sentAt.Sub(x.arrived).Milliseconds()), slog.Int64("FirstMillis", o.FirstByte.Milliseconds()), slog.Int64("AfterMillis", o.Duration.Milliseconds()),
-			slog.Any("Parts", x.request.SharedParts), slog.String("Request", x.exactRequest()))
+			slog.Bool("CallerGone", x.caller.Context().Err() != nil), slog.Any("Parts", x.request.SharedParts), slog.String("Request", x.exactRequest()))
 	}
 }
 
@@ -296,11 +298,12 @@
 // defaultMaxBody is the maximum size of a body in bytes if the configuration sets none.
 const defaultMaxBody = 4 << 20
 
-// refuse answers with an error, unless the answer has begun.
+// refuse answers with an error, unless the answer has begun. A caller that seems to be gone gets it too: it may have closed only its side of the
+// connection.
 func (h *Handler) refuse(x *exchange, e *refusal.Error) {
 	h.logRefusal(x, e)
-	if x.caller.Context().Err() != nil || x.headSent {
-		return // the caller has disconnected, or the connection is aborted
+	if x.headSent {
+		return // the connection is aborted
 	}
 	h.refund(x)
 	header := x.Header()
--- a/internal/serve/forward/send.go
+++ b/internal/serve/forward/send.go
@@ -102,6 +102,9 @@
 	if next = h.joinSearch(x); next != nil {
 		return next, nil
 	}
+	if x.ctx.Err() != nil && v == notRun && x.ran == 0 {
+		return nil, h.refuseWithRetry(refusal.Unavailable, "the caller left or its time has passed, and no endpoint has run the request: %s", reason)
+	}
 	if x.ctx.Err() != nil || ((v == mayHaveRun || x.ran > 0) && !h.repeatable(x)) {
 		return nil, refusal.New(refusal.OutcomeUnknown, "endpoint failed: %s", reason)
 	}
@@ -280,7 +283,7 @@
 		return reasonMalformed
 	case errs.Is(err, errReplaced):
 		return reasonSilent
-	case x.ctx.Err() != nil:
+	case s.ctx.Err() != nil:
 		h.observeUnanswered(s)
 		return reasonStopped
 	}
@@ -412,12 +415,28 @@
 func (h *Handler) relayRest(x *exchange, s *attempt) (attemptResult, string) {
 	x.headSent = true
 	h.recordUnresumable(x, s.inFlight, true)
-	if _, err := io.Copy(x.ResponseWriter, h.body(x, s)); err != nil {
+	w := &callerWriter{Writer: x.ResponseWriter}
+	if _, err := io.Copy(w, h.body(x, s)); w.failed {
+		return mayHaveRun, reasonStopped
+	} else if err != nil {
 		return mayHaveRun, h.connectionBroken(x, s, err)
 	}
 	return answered, ""
 }
 
+// callerWriter records that a write has failed, which is not the endpoint's fault.
+type callerWriter struct {
+	io.Writer
+	failed bool
+}
+
+// Write implements io.Writer.
+func (w *callerWriter) Write(p []byte) (n int, err error) {
+	n, err = w.Writer.Write(p)
+	w.failed = w.failed || err != nil
+	return n, err
+}
+
 // maxBufferedAnswer is the size in bytes up to which an answer that is no stream is read before it is passed on.
 const maxBufferedAnswer = 256 << 10
 
--- a/internal/wire/upstream/upstream.go
+++ b/internal/wire/upstream/upstream.go
@@ -37,6 +37,7 @@
 	Header  http.Header
 	Body    []byte
 	Attempt string // identifier that the answer must echo, if it echoes one
+	OnSend  func() // called before the first byte is written; nil for nothing
 }
 
 // Answer is the head of an answer; the caller must close Body.
@@ -231,6 +232,13 @@
 	if err != nil {
 		return nil, err
 	}
+	if r.OnSend != nil {
+		r.OnSend()
+	}
+	if ctx.Err() != nil {
+		_ = c.Close()
+		return nil, errs.Combine(ErrNotSent, context.Cause(ctx))
+	}
 	c.lastAttempt = r.Attempt
 	stop := context.AfterFunc(ctx, func() { _ = c.Close() })
 	x := &exchange{pool: p, conn: c, request: r, stop: stop, sent: make(chan error, 1)}
--- a/internal/wire/upstream/upstream_test.go
+++ b/internal/wire/upstream/upstream_test.go
@@ -258,3 +258,12 @@
 	c.Check(body, quicktest.Equals, "three")
 	c.Check(p.Opened(), quicktest.Equals, int64(1))
 }
+
+// The caller of a request leaves while a connection is opened for it. Guards against sending it all the same.
+func TestRequestThatEndsBeforeItIsSent(t *testing.T) {
+	c := quicktest.New(t)
+	to, _ := endpoint(t, answer("1", "one"))
+	ctx, cancel := context.WithCancel(t.Context())
+	_, err := pool().Do(ctx, upstream.Request{Address: to, Method: "POST", Target: "/", Host: "h", Attempt: "1", OnSend: cancel})
+	c.Check(errs.Is(err, upstream.ErrNotSent), quicktest.IsTrue, quicktest.Commentf("%v", err))
+}
