Keep the rate of an endpoint that is away from the leader

An endpoint that had named a rate (Server-Limit), whose announcements then did not reach the leader for over 6 s, got as many requests as before when it was back: the leader and the entries dropped its statement with the endpoint, although entries may go on reaching it and it may still be in need. The rule has no such exception ("for as long as it says so").

The book now drops a statement two minutes after its endpoint was last listed. It costs nothing if the endpoint is sound again: the first answer without the statement ends it.

--- a/internal/limit/ceiling/ceiling.go
+++ b/internal/limit/ceiling/ceiling.go
@@ -22,6 +22,8 @@
 	burstTime = 500 * time.Millisecond
 	// retention exceeds the time in which all entries have learned that an endpoint names no rate any more.
 	retention = 30 * time.Second
+	// awayRetention exceeds the time for which an endpoint is usually cut off from the leader.
+	awayRetention = 2 * time.Minute
 	// maxEndpoints limits the memory for endpoints that name rates.
 	maxEndpoints = 20_000
 )
@@ -44,7 +46,8 @@
 type record struct {
 	rate   float64 // requests per second, 0 for none
 	stated time.Time
-	own    bool // in an answer that was received here
+	own    bool      // in an answer that was received here
+	away   time.Time // since when its endpoint is not listed
 }
 
 // New returns an empty book.
@@ -97,10 +100,20 @@
 	b.Merge(now, list)
 }
 
-// Forget removes endpoints for which keep returns false, and old statements that an endpoint names no rate.
-func (b *Book) Forget(now time.Time, keep func(endpoint string) bool) {
-	b.delete(func(endpoint string, r record) bool {
-		return !keep(endpoint) || (r.rate == 0 && now.Sub(r.stated) >= retention)
+// Forget removes endpoints that have not been listed for some time, and old statements that an endpoint names no rate. One that is back takes no more than
+// before until it says so.
+func (b *Book) Forget(now time.Time, listed func(endpoint string) bool) {
+	for endpoint, r := range b.records {
+		switch {
+		case listed(endpoint):
+			r.away = time.Time{}
+		case r.away.IsZero():
+			r.away = now
+		}
+		b.records[endpoint] = r
+	}
+	b.delete(func(_ string, r record) bool {
+		return (!r.away.IsZero() && now.Sub(r.away) >= awayRetention) || (r.rate == 0 && now.Sub(r.stated) >= retention)
 	})
 }
 
--- a/internal/limit/ceiling/ceiling_test.go
+++ b/internal/limit/ceiling/ceiling_test.go
@@ -85,3 +85,21 @@
 	c.Check(rate(b, "x"), quicktest.Equals, 0.0)
 	c.Check(rate(b, "y"), quicktest.Equals, 3.0)
 }
+
+// An endpoint that names a rate is not listed for some seconds. Guards against forgetting its rate before it is back, and against keeping it without end.
+func TestRateOutlivesAbsence(t *testing.T) {
+	c := quicktest.New(t)
+	b := ceiling.New()
+	b.State(at(1), at(0), "x", 2)
+	listed := func(string) bool { return true }
+	unlisted := func(string) bool { return false }
+	for seconds := 200.0; seconds < 300; seconds++ {
+		b.Forget(at(seconds), unlisted)
+	}
+	b.Forget(at(300), listed)
+	c.Check(rate(b, "x"), quicktest.Equals, 2.0)
+	b.Forget(at(310), unlisted)
+	c.Check(rate(b, "x"), quicktest.Equals, 2.0)
+	b.Forget(at(430), unlisted)
+	c.Check(b.List(at(430)), quicktest.HasLen, 0)
+}
