Keep the time until which an endpoint wants no requests while it is away

An endpoint that had answered 503 with Retry-After, whose announcements then did not reach the leader for over 6 s, got requests again as soon as it was back, before that time was over: the entry's picker dropped its record with the endpoint. Only a restart, freeze or cut of the entry excuses that.

Picker.Forget keeps the record until the time is over. So that an endpoint that starts again under the same name is not left alone for what its earlier incarnation has asked for (it would now be up to ten minutes, and was so already within the 6 s), a later start time ends the pause.

TestEndpointThatReturnsKeepsItsStatements failed before: two requests instead of one. TestLaterIncarnationIsNotLeftAlone fails without the second part: one request instead of two.

--- a/internal/place/pick/pick.go
+++ b/internal/place/pick/pick.go
@@ -68,6 +68,7 @@
 	connectFailures int // Unreachable, Silent or Malformed outcomes since the last Served one
 	ejectUntil      time.Time
 	pausedUntil     time.Time // it has asked for no requests until then
+	born            int64     // start time of the incarnation for which that holds
 }
 
 // New returns a picker without observations.
@@ -84,10 +85,11 @@
 	return r
 }
 
-// Forget removes the records of endpoints without active requests for which keep returns false. A pause ends with them.
-func (p *Picker) Forget(keep func(id string) bool) {
+// Forget removes the records of endpoints without active requests for which keep returns false, unless they want no requests now: they may be back before that
+// ends.
+func (p *Picker) Forget(now time.Time, keep func(id string) bool) {
 	for id, r := range p.records {
-		if r.active == 0 && !keep(id) {
+		if r.active == 0 && !keep(id) && !now.Before(r.pausedUntil) {
 			delete(p.records, id)
 		}
 	}
@@ -132,6 +134,13 @@
 // maxPause limits the effect of an endpoint that names an absurd time.
 const maxPause = 10 * time.Minute
 
+// SetBorn records the start time of an endpoint's incarnation. What an earlier one has asked for ends with it.
+func (p *Picker) SetBorn(id string, born int64) {
+	if r := p.record(id); born > r.born {
+		r.pausedUntil, r.born = time.Time{}, born
+	}
+}
+
 // PausedUntil returns the time until which an endpoint wants no requests, or the zero time.
 func (p *Picker) PausedUntil(now time.Time, id string) (until time.Time) {
 	if r := p.records[id]; r != nil && now.Before(r.pausedUntil) {
--- a/internal/serve/forward/forward.go
+++ b/internal/serve/forward/forward.go
@@ -376,7 +376,7 @@
 	r.Customers = h.shares.Report(now, elapsed)
 	h.reportCeilings(now, r, elapsed)
 	r.Active = map[string]int{}
-	h.picker.Forget(h.options.View.HasEndpoint)
+	h.picker.Forget(now, h.options.View.HasEndpoint)
 	for id, n := range h.picker.Running() {
 		r.Active[id] = n
 	}
--- a/internal/serve/forward/place.go
+++ b/internal/serve/forward/place.go
@@ -32,6 +32,7 @@
 }
 
 func (h *Handler) candidate(e report.Endpoint) pick.Endpoint {
+	h.picker.SetBorn(e.ID, e.Born)
 	slots := e.Slots
 	if len(e.Models) == 0 {
 		slots *= requestsPerPlainSlot
