Continue no stream at a service whose weight is 0

Weight 0 now counts like a service that is not listed: the stream goes on at one to which the route leads. TestContinuedStreamFollowsWeights failed before in its case "weight 0" (the old service was hit); the cases "both weights" and "not listed" passed before and pass now.

--- a/internal/serve/forward/origin.go
+++ b/internal/serve/forward/origin.go
@@ -82,7 +82,7 @@
 // nil if the route leads to other services now, which have versions of their own.
 func (h *Handler) moveToOrigin(x *exchange, s origin.Software) *string {
 	if s.Service != x.service.Name {
-		if !slices.ContainsFunc(x.route.Targets, func(t document.Target) bool { return t.Service == s.Service }) {
+		if !slices.ContainsFunc(x.route.Targets, func(t document.Target) bool { return t.Service == s.Service && t.Weight > 0 }) {
 			return nil
 		}
 		x.service = x.index.Service(s.Service)
--- a/internal/serve/forward/origin_test.go
+++ b/internal/serve/forward/origin_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"net/http"
 	"net/http/httptest"
+	"slices"
 	"strings"
 	"testing"
 	"time"
@@ -118,3 +119,42 @@
 		})
 	}
 }
+
+// A caller continues a stream whose service gets no requests of the route any more: it is not listed, or has weight 0. Guards against running the request there,
+// which only an older configuration allows.
+func TestContinuedStreamFollowsWeights(t *testing.T) {
+	for name, test := range map[string]struct {
+		targets []document.Target
+		hits    []int32
+	}{
+		"both weights": {[]document.Target{{Service: "s", Weight: 1}, {Service: "old", Weight: 1}}, []int32{0, 1}},
+		"weight 0":     {[]document.Target{{Service: "s", Weight: 1}, {Service: "old", Weight: 0}}, []int32{1, 0}},
+		"not listed":   {[]document.Target{{Service: "s", Weight: 1}}, []int32{1, 0}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			r := newFixture(t, []http.HandlerFunc{writes("v1", false), writes("v1", false)}, forward.WithCodec(continueCodec()),
+				forward.WithFindOrigin(func(context.Context, report.OriginRequest) (report.OriginReply, error) {
+					return report.OriginReply{Leading: true, Known: true, Software: &origin.Software{Service: "old", Version: "v1"}}, nil
+				}))
+			d := testDocument()
+			d.Services = append(d.Services, document.Service{Name: "old"})
+			d.Routes[0].Targets = test.targets
+			u := r.update
+			u.Document, u.Directory = 2, 2
+			u.Endpoints = slices.Clone(u.Endpoints)
+			u.Endpoints[1].Service = "old"
+			u.Software, u.Versions = []string{"v1", "v1"}, map[string][]string{"s": {"v1", "v2"}, "old": {"v1", "v2"}}
+			_, err := r.view.Apply(time.Now(), u, func([]byte) (document.Document, error) { return d, nil })
+			r.Assert(err, quicktest.IsNil)
+			q := httptest.NewRequestWithContext(t.Context(), http.MethodGet, "/read/x", http.NoBody)
+			q.Header.Set("Key", "k")
+			q.Header.Set("Attempt", "1")
+			q.Header.Set("Last-Event-Id", "7")
+			q.Header.Set("Continues", "0")
+			w := httptest.NewRecorder()
+			r.handler.ServeHTTP(w, q)
+			r.Check(w.Code, quicktest.Equals, http.StatusOK)
+			r.Check([]int32{r.hits[0].Load(), r.hits[1].Load()}, quicktest.DeepEquals, test.hits)
+		})
+	}
+}
