Start a deployment without one of its first control instances

If one of the three seeds was lost at the very first start, before the log existed, the deployment never came up: no leader, no configuration accepted, although two of three were there and one loss is borne. The first seed by name created the log, and only once all seeds had answered that they have none. A seed that came back without its disk (isBootstrap=false) and was the first by name could never create it, and one that was replaced at another address was waited for without end.

A majority elects a leader. There is no creator, so that there can be no second log: each entry needs the votes of a majority of the same voters. A seed that has lost its disk is started without Bootstrap, gets another identity, joins as a learner, and its first identity is removed.

--- a/internal/base/deployment/deployment.go
+++ b/internal/base/deployment/deployment.go
@@ -23,7 +23,7 @@
 	Regions    locality.Regions `yaml:"Regions"` // region of each data centre; those of one region are a few milliseconds apart
 	Listen     Listen           `yaml:"Listen"`
 	Seeds      []netip.AddrPort `yaml:"Seeds"`     // control interfaces of some control instances
-	Bootstrap  bool             `yaml:"Bootstrap"` // first start of the whole system: the seeds may create the log
+	Bootstrap  bool             `yaml:"Bootstrap"` // first start of the whole system: the seeds create the log; false at any later start
 	DataFolder string           `yaml:"DataFolder"`
 	MemoryMB   int64            `yaml:"MemoryMB"`
 	Losses     int              `yaml:"Losses"` // number of control instances that may fail at the same time
--- a/internal/node/control/control.go
+++ b/internal/node/control/control.go
@@ -136,7 +136,7 @@
 			voter.WithGroup(logGroup), voter.WithName(c.name), voter.WithDir(filepath.Join(c.options.Settings.DataFolder, "log")),
 			voter.WithMachine(voter.StateMachine{Apply: machine.Apply, View: machine.View, Restore: machine.Restore}),
 			voter.WithCaller(c.peers.Call), voter.WithPeers(c.desiredPeers), voter.WithLogger(c.options.Logger),
-			voter.WithSnapshotEvery(snapshotEvery, keepEntries), voter.WithMayBootstrap(c.mayBootstrap), voter.WithNow(c.options.Now),
+			voter.WithSnapshotEvery(snapshotEvery, keepEntries), voter.WithFirstVoters(c.firstVoters()), voter.WithMayBootstrap(func() bool { return false }), voter.WithNow(c.options.Now),
 			voter.WithLeader(c.knownLeader),
 			voter.WithConsensus(consensus.WithElectionTimeout(electionTimeout), consensus.WithHeartbeat(heartbeatInterval), consensus.WithQuickStart()),
 		)
@@ -178,9 +178,12 @@
 	return list
 }
 
-// mayBootstrap reports whether this instance is one of those that create the log at the first start of the deployment.
-func (c *Control) mayBootstrap() bool {
-	return c.options.Settings.Bootstrap && slices.Contains(seedNames(c.options.Settings.Seeds), c.name)
+// firstVoters returns the instances that create the log if this is the first start of the deployment and this instance is one of them.
+func (c *Control) firstVoters() []string {
+	if names := seedNames(c.options.Settings.Seeds); c.options.Settings.Bootstrap && slices.Contains(names, c.name) {
+		return names
+	}
+	return nil
 }
 
 // desiredPeers returns the names of the instances that should vote, as far as known here.
@@ -194,9 +197,6 @@
 	if status.Role == consensus.Leader {
 		return c.desiredVoters(status)
 	}
-	if status.Last == 0 && c.mayBootstrap() {
-		return slices.Sorted(slices.Values(seedNames(c.options.Settings.Seeds)))
-	}
 	all := map[string]bool{c.name: true}
 	for _, name := range seedNames(c.seeds) {
 		all[name] = true
--- a/internal/node/control/outside_test.go
+++ b/internal/node/control/outside_test.go
@@ -30,6 +30,7 @@
 	*quicktest.C
 	network   *network.Network
 	instances []*Control
+	seeds     int // instances that create the log
 	start     func(c *Control)
 }
 
@@ -42,7 +43,7 @@
 	t.Helper()
 	folder := t.TempDir()
 	virtualtime.Test(t, func(t *testing.T) {
-		s := &site{C: quicktest.New(t), network: network.New()}
+		s := &site{C: quicktest.New(t), network: network.New(), seeds: siteVoters}
 		s.network.Latency = func(netip.Addr, netip.Addr) time.Duration { return 30 * time.Millisecond }
 		ctx, cancel := context.WithCancel(t.Context())
 		group := errgroup.Group{}
@@ -64,11 +65,11 @@
 func (s *site) newInstance(n int, folder string) *Control {
 	address := siteAddress(n)
 	settings := deployment.Settings{
-		Name: address.String(), Address: address, Losses: 2, Heartbeat: 1200, Fencing: true, DataFolder: folder, Bootstrap: n < siteVoters,
+		Name: address.String(), Address: address, Losses: s.seeds / 2, Heartbeat: 1200, Fencing: true, DataFolder: folder, Bootstrap: n < s.seeds,
 	}
 	settings.Listen.Peers = netip.AddrPortFrom(address, 7600)
 	settings.Listen.Control = netip.AddrPortFrom(address, 8229)
-	for seed := range siteVoters {
+	for seed := range s.seeds {
 		settings.Seeds = append(settings.Seeds, netip.AddrPortFrom(siteAddress(seed), 8229))
 	}
 	dial := s.network.Dialer(address)
--- a/internal/state/voter/join.go
+++ b/internal/state/voter/join.go
@@ -33,6 +33,18 @@
 	}
 }
 
+// firstConfig returns the configuration of the first voters, empty at a later start.
+func (v *Voter) firstConfig() (config consensus.Config) {
+	for _, name := range slices.Compact(slices.Sorted(slices.Values(v.options.FirstVoters))) {
+		config.Members = append(config.Members, consensus.Member{ID: firstIdentity(name), Name: name})
+	}
+	return config
+}
+
+// firstIdentity returns the identity of a first voter, which all of them know. One that has lost its disk gets another one, because it is not started as a
+// first voter again.
+func firstIdentity(name string) string { return "First-" + name }
+
 // join contacts all wanted voters. Only if none of them has a log, the first by name creates it; a voter that lost its
 // disk can therefore not create a second log while another voter still has the first.
 func (v *Voter) join(ctx context.Context, id string) {
--- a/internal/state/voter/options.go
+++ b/internal/state/voter/options.go
@@ -25,6 +25,10 @@
 	Peers func() []string
 	// Leader returns the leader as this instance knows it, "" if it knows none; nil for the one that this voter follows.
 	Leader func() string
+	// FirstVoters are the names of the instances that create the log together at the first start of the deployment, each with the same first entry, so that
+	// a majority of them suffices. They must be the same at all of them, and be left out at any later start. Without them, the first of Peers by name
+	// creates the log once all of Peers answer that they have none.
+	FirstVoters []string
 	// MayBootstrap reports whether this instance may create the log when no wanted voter has one.
 	MayBootstrap func() bool
 	Logger       *slog.Logger
@@ -63,6 +67,11 @@
 	return func(o *Options) { o.MayBootstrap = f }
 }
 
+// WithFirstVoters sets the names of the instances that create the log together at the first start of the deployment; none at a later start.
+func WithFirstVoters(names []string) Option {
+	return func(o *Options) { o.FirstVoters = names }
+}
+
 // WithLeader sets the function that returns the leader for proposals, for an instance that also learns of it from other sources.
 func WithLeader(f func() string) Option {
 	return func(o *Options) { o.Leader = f }
--- a/internal/state/voter/voter.go
+++ b/internal/state/voter/voter.go
@@ -152,10 +152,20 @@
 	// Voters that start simultaneously with equal seeds would campaign together and split every vote.
 	seed := uint64(now.UnixNano()) ^ xxhash.Sum64String(v.options.Group+"/"+v.options.Name)
 	replicaOptions.Consensus = slices.Concat([]consensus.Option{consensus.WithSeed(seed)}, replicaOptions.Consensus)
+	first := v.firstConfig()
+	if first.Voter(firstIdentity(v.options.Name)) {
+		replicaOptions.NewIdentity = func() string { return firstIdentity(v.options.Name) }
+	}
 	replica, err := OpenReplica(now, store, v.options.Machine, replicaOptions)
 	if err != nil {
 		return err
 	}
+	if first.Voter(replica.ID()) && replica.Status().Last == 0 {
+		if err := replica.Bootstrap(now, first); err != nil {
+			return err
+		}
+		event.Log(ctx, v.options.Logger, event.LogBootstrapped, slog.String("Group", v.options.Group), slog.Int("Voters", len(first.Members)))
+	}
 	event.Log(ctx, v.options.Logger, event.VoterStarted, slog.String("Group", v.options.Group),
 		slog.String("Identity", replica.ID()), slog.Uint64("Applied", replica.Applied()))
 	group, ctx := errgroup.WithContext(ctx)
