Ask all instances at once when a voter joins

A voter without a log that wanted to join asked the other instances one after the other, within 2 s for all of them. One that answers nothing (a machine without power, or cut off) and comes before the leader by name used up that time, the calls after it failed at once, and so did each repetition: the voter could not join while that instance stayed silent and calls to it hung. A lost voter was then not replaced by it, nor did a machine that had lost its disk vote again.

They are asked at the same time now. TestSilentPeerDoesNotKeepVoterFromJoining failed before: in 10 s of virtual time the instance behind the silent one was never asked with time left.

--- a/internal/state/voter/join.go
+++ b/internal/state/voter/join.go
@@ -6,6 +6,8 @@
 	"slices"
 	"time"
 
+	"golang.org/x/sync/errgroup"
+
 	"lycheevale/internal/base/event"
 	"lycheevale/internal/state/consensus"
 )
@@ -52,16 +54,26 @@
 	ctx, cancel := context.WithTimeout(ctx, v.options.CallTimeout)
 	defer cancel()
 	peers := slices.Sorted(slices.Values(v.options.Peers()))
-	members := make([]consensus.Member, 0, len(peers))
-	for _, name := range peers {
+	answers := make([]joinResult, len(peers))
+	var calls errgroup.Group // at the same time: one that is silent delays no other
+	for i, name := range peers {
 		if name == v.options.Name {
-			members = append(members, consensus.Member{ID: id, Name: name})
+			answers[i] = joinResult{ID: id, Empty: true}
 			continue
 		}
-		var answer joinResult
-		params := joinParams{Group: v.options.Group, ID: id, Name: v.options.Name}
-		if err := v.options.Call(ctx, name, joinMethod, params, &answer); err == nil && answer.Empty {
-			members = append(members, consensus.Member{ID: answer.ID, Name: name})
+		calls.Go(func() error {
+			params := joinParams{Group: v.options.Group, ID: id, Name: v.options.Name}
+			if err := v.options.Call(ctx, name, joinMethod, params, &answers[i]); err != nil {
+				answers[i] = joinResult{}
+			}
+			return nil
+		})
+	}
+	_ = calls.Wait() // its functions return no errors
+	members := make([]consensus.Member, 0, len(peers))
+	for i, a := range answers {
+		if a.Empty {
+			members = append(members, consensus.Member{ID: a.ID, Name: peers[i]})
 		}
 	}
 	if len(peers) == 0 || len(members) < len(peers) || peers[0] != v.options.Name || !v.options.MayBootstrap() {
