serve/engine: bound reports by what they take decoded

A broken engine that reports lists of empty elements took more memory than an instance has: up to 4 MiB of a report were decoded, and a list takes several times its text. Owners fetch reports of all their engines.

A report is read up to 64 KiB, which is more than an engine with a thousand adapters states.

--- a/internal/serve/engine/engine.go
+++ b/internal/serve/engine/engine.go
@@ -35,8 +35,9 @@
 // maxErrorBody bounds what is read of an error response, in bytes.
 const maxErrorBody = 4 << 10
 
-// maxStateBody bounds what is read of a state or load report, in bytes: far more than an engine with all its adapters states.
-const maxStateBody = 4 << 20
+// maxStateBody bounds what is read of a state or load report, in bytes: more than an engine with a thousand adapters states. Decoded, a list takes
+// several times the memory of its text.
+const maxStateBody = 64 << 10
 
 // maxDrain bounds what is read after the end marker, in bytes.
 const maxDrain = 4 << 10
--- a/internal/serve/engine/flood_test.go
+++ b/internal/serve/engine/flood_test.go
@@ -3,15 +3,19 @@
 import (
 	"context"
 	"io"
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"net/netip"
+	"runtime"
+	"strconv"
 	"strings"
 	"sync/atomic"
 	"testing"
 	"time"
 
 	"github.com/frankban/quicktest"
+	"golang.org/x/sync/errgroup"
 
 	"lycheevale/internal/serve/engine"
 )
@@ -59,3 +63,85 @@
 		})
 	}
 }
+
+// distinctFields returns n header fields with different short names and no values.
+func distinctFields(n int) string {
+	var b strings.Builder
+	for i := range n {
+		b.WriteString(strconv.FormatInt(int64(i), 36) + ":\r\n")
+	}
+	return b.String()
+}
+
+// A hundred broken engines send heads, events and reports without end, or just below their limits, at the same time. Guards against more memory than an
+// instance has, and against reading until the deadline of the request.
+func TestFloodsFitIntoMemory(t *testing.T) {
+	// An instance has 256 MB, of which it holds 137 MB at the target size.
+	const memory = (256 - 137) << 20
+	readStream := func(ctx context.Context, c *engine.Client) error {
+		answer, err := c.Complete(ctx, engine.Attempt{ID: "a", Path: "/v1/completions", Model: "m", Deadline: time.Now().Add(time.Minute)})
+		if err != nil {
+			return err
+		}
+		defer answer.Close()
+		for _, err := range answer.Events(nil) {
+			if err != nil {
+				return err
+			}
+		}
+		return nil
+	}
+	readState := func(ctx context.Context, c *engine.Client) error {
+		_, err := c.State(ctx)
+		return err
+	}
+	const report = "HTTP/1.1 200 OK\r\n\r\n"
+	for _, test := range []struct {
+		name, begin, part string
+		call              func(ctx context.Context, c *engine.Client) error
+	}{
+		{"head", "HTTP/1.1 200 OK\r\n" + distinctFields(10_000), "x", readState},
+		{"bytes in a report", report, "x", readState},
+		{"blanks behind a report", report + "{}", " ", readState},
+		{"list in a report", report + `{"Resident":[""`, `,""`, readState},
+		{"complete list in a report", report + `{"Resident":["` + strings.Repeat(`","`, 20_000) + `"]}`, " ", readState},
+		{"long list in a report", report + `{"Resident":["` + strings.Repeat(`","`, 1_000_000) + `"]}`, " ", readState},
+		{"refusal", "HTTP/1.1 503 Service Unavailable\r\n\r\n", "x", readStream},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			begin, block := []byte(test.begin), []byte(strings.Repeat(test.part, max(1, 4096/len(test.part))))
+			server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+				conn, _, err := http.NewResponseController(w).Hijack()
+				if err != nil {
+					return
+				}
+				defer func() { _ = conn.Close() }()
+				for _, err = conn.Write(begin); err == nil; _, err = conn.Write(block) {
+				}
+			}))
+			defer server.Close()
+			transport := engine.NewTransport()
+			transport.DialContext = (&net.Dialer{}).DialContext
+			c := engine.New(netip.MustParseAddrPort(strings.TrimPrefix(server.URL, "http://")), engine.WithTransport(transport))
+			ctx, cancel := context.WithTimeout(context.Background(), time.Minute)
+			defer cancel()
+			var group errgroup.Group
+			var highest atomic.Uint64
+			runtime.GC()
+			for range 100 {
+				group.Go(func() error {
+					_ = test.call(ctx, c)
+					var m runtime.MemStats
+					runtime.ReadMemStats(&m)
+					for was := highest.Load(); m.HeapAlloc > was && !highest.CompareAndSwap(was, m.HeapAlloc); was = highest.Load() {
+					}
+					return nil
+				})
+			}
+			_ = group.Wait()
+			t.Logf("%d MB of heap", highest.Load()>>20)
+			quicktest.Check(t, ctx.Err(), quicktest.IsNil, quicktest.Commentf("a call ended by its deadline"))
+			quicktest.Check(t, highest.Load() < memory, quicktest.IsTrue, quicktest.Commentf("%d bytes of heap", highest.Load()))
+		})
+	}
+}
