serve/engine: bound streams, and events by all their bytes

A broken engine that sent lines without data (comments, empty lines, fields of an event) or events without end was read as fast as the processor allowed, until the request's deadline or the idle timeout: only the data of an event had a limit, not its other lines, and a stream had none.

All bytes up to the end of an event count now, and an event may have 64 KiB, as on the users' platform, instead of 1 MiB; a stream may have 64 MiB. Beyond that it is truncated, and its connection closes.

--- a/internal/serve/engine/events.go
+++ b/internal/serve/engine/events.go
@@ -53,8 +53,14 @@
 	id      []byte // ID of the last event that had one
 	data    []byte
 	filled  bool // the current event has a field
+	size    int  // bytes since the last event, with comments and empty lines
+	total   int  // bytes of the stream
 }
 
+// maxStream is the maximum size of a stream in bytes, far above that of the longest completion. Without it, an engine that sends events without end
+// would keep a core busy until the request's deadline.
+const maxStream = 64 << 20
+
 func newEventReader(a *Answer, beforeWait func()) *eventReader {
 	o := a.client.options
 	r := &eventReader{rules: o.Rules, attempt: a.Attempt, limit: o.MaxEventSize}
@@ -102,17 +108,19 @@
 
 // next reads up to the end of the next event.
 func (r *eventReader) next() bool {
-	r.data, r.filled = r.data[:0], false
+	r.data, r.filled, r.size = r.data[:0], false, 0
 	for r.lines.Scan() {
 		line := r.lines.Bytes()
+		r.size += len(line) + 1
+		r.total += len(line) + 1
+		if r.size > r.limit || r.total > maxStream {
+			return false
+		}
 		if len(line) == 0 && r.filled {
 			r.data = bytes.TrimSuffix(r.data, []byte("\n"))
 			return true
 		}
 		r.field(line)
-		if len(r.data) > r.limit {
-			return false
-		}
 	}
 	return false
 }
@@ -152,8 +160,10 @@
 	switch {
 	case r.lines.Err() != nil:
 		return Truncated.Wrap(r.lines.Err())
-	case len(r.data) > r.limit:
+	case r.size > r.limit:
 		return Truncated.New("event is larger than %d bytes", r.limit)
+	case r.total > maxStream:
+		return Truncated.New("stream is larger than %d bytes", maxStream)
 	}
 	return Truncated.New("end of stream")
 }
--- a/internal/serve/engine/options.go
+++ b/internal/serve/engine/options.go
@@ -9,9 +9,9 @@
 // Defaults of the client.
 const (
 	defaultDialTimeout  = time.Second
-	defaultMaxEventSize = 1 << 20 // bytes
-	defaultMaxIdle      = 256     // connections kept open for each endpoint
-	bufferBytes         = 1 << 10 // per connection and direction
+	defaultMaxEventSize = 64 << 10 // bytes; far more than the text of a few tokens
+	defaultMaxIdle      = 256      // connections kept open for each endpoint
+	bufferBytes         = 1 << 10  // per connection and direction
 	// MaxHeadBytes is the largest head of a response, with the informational ones before it.
 	MaxHeadBytes = 64 << 10
 )
