serve/caller: read responses of plain services within a common memory

Responses of plain services share 40 MiB now, of which half is kept for the first 8 KiB of each, so that short answers are not refused beside long ones.

--- a/internal/serve/caller/options.go
+++ b/internal/serve/caller/options.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"time"
 
+	"lycheevale/internal/limit/buffers"
 	"lycheevale/internal/serve/isolate"
 	"lycheevale/internal/serve/owner"
 	"lycheevale/internal/state/registry"
@@ -90,9 +91,10 @@
 	Observe        func(Outcome)
 	Recorder       *isolate.Recorder // of crashes and begins
 	PlainTransport http.RoundTripper
-	MaxBody        int64         // bytes
-	MaxResponse    int64         // bytes of a plain service's response
-	DefaultTimeout time.Duration // of a request
+	Buffers        *buffers.Budget // of responses of plain services
+	MaxBody        int64           // bytes
+	MaxResponse    int64           // bytes of a plain service's response
+	DefaultTimeout time.Duration   // of a request
 	MaxTimeout     time.Duration
 	MaxOutput      int // default output limit in tokens
 	MaxAttempts    int
@@ -102,6 +104,14 @@
 	Rules          Rules
 }
 
+const (
+	// defaultBuffers is the memory in bytes for responses of plain services, a third of what an instance of the target size has free. Half of
+	// it holds the largest response that the default settings allow.
+	defaultBuffers = 40 << 20
+	// shortResponse is the size in bytes up to which a response may use all of that memory; longer ones leave half of it.
+	shortResponse = 8 << 10
+)
+
 // Option sets one of the Options.
 type Option func(*Options)
 
@@ -123,6 +133,7 @@
 		Recorder:       isolate.New(),
 		Trace:          func(*http.Request, Step) {},
 		PlainTransport: newPlainTransport(),
+		Buffers:        buffers.New(defaultBuffers),
 		MaxBody:        4 << 20,
 		MaxResponse:    4 << 20,
 		DefaultTimeout: time.Minute,
--- a/internal/serve/caller/plain.go
+++ b/internal/serve/caller/plain.go
@@ -20,6 +20,7 @@
 
 	"lycheevale/internal/base/event"
 	"lycheevale/internal/base/refusal"
+	"lycheevale/internal/limit/buffers"
 	"lycheevale/internal/serve/engine"
 	"lycheevale/internal/state/registry"
 )
@@ -105,16 +106,18 @@
 // plainCall is the state of one call of a plain service.
 type plainCall struct {
 	*exchange
-	route plainRoute
-	body  []byte
-	query string
+	route   plainRoute
+	body    []byte
+	query   string
+	buffers *buffers.Account // of the response
 }
 
 // servePlain passes a call of a plain service through the filters.
 func (s *Server) servePlain(w http.ResponseWriter, r *http.Request) {
 	x, err := s.newExchange(w, r)
 	defer func() { s.report(x) }()
-	c := &plainCall{exchange: x}
+	c := &plainCall{exchange: x, buffers: s.options.Buffers.Account()}
+	defer c.buffers.Close()
 	if err == nil {
 		err = s.runFilters(x, s.requireState, c.find(s), s.identify, c.authorise, c.read(s))
 	}
@@ -287,7 +290,12 @@
 		return nil, refusal.New(refusal.OutcomeUnknown, "endpoint answered another request")
 	}
 	s.options.Trace(c.r, StepFirstByte)
-	body, err := io.ReadAll(io.LimitReader(resp.Body, s.options.MaxResponse+1))
+	body, err := c.readResponse(resp.Body, s.options.MaxResponse)
+	if errs.Is(err, buffers.ErrFull) {
+		event.Log(ctx, s.options.Logger, event.BuffersFull, slog.String("Request", c.id), slog.String("Endpoint", target.Endpoint), slog.Int("Read", len(body)))
+		s.recordBegin(c.exchange, c.route.service)
+		return nil, refusal.New(refusal.OutcomeUnknown, "%v", err)
+	}
 	if err != nil {
 		s.recordBroken(ctx, c, target, sentAt, true)
 		return nil, refusal.New(refusal.OutcomeUnknown, "answer was cut: %v", err)
@@ -299,6 +307,16 @@
 	return &StoredResponse{Status: resp.StatusCode, ContentType: resp.Header.Get("Content-Type"), Body: body}, nil
 }
 
+// readResponse returns at most limit bytes of a response, and one more if it is longer.
+func (c *plainCall) readResponse(r io.Reader, limit int64) (body []byte, err error) {
+	c.buffers.Close() // returns what an earlier attempt has used
+	body, err = c.buffers.Read(nil, r, min(limit+1, shortResponse), 0)
+	if err != nil || len(body) < shortResponse {
+		return body, err
+	}
+	return c.buffers.Read(body, r, limit+1, buffers.Lowest)
+}
+
 // plainError returns NotRun only if no connection was opened.
 func plainError(err error) error {
 	dialled := !errs.IsFunc(err, func(e error) bool { op, ok := e.(*net.OpError); return ok && op.Op == "dial" })
