--- a/internal/wire/upstream/flood_test.go
+++ b/internal/wire/upstream/flood_test.go
@@ -146,3 +146,48 @@
 	c.Check(body, quicktest.Equals, "ran")
 	c.Check(p.Opened(), quicktest.Equals, int64(2))
 }
+
+// A hundred probes reach an endpoint that sends bytes without end as soon as it is connected. Guards against reading them, and against using such a
+// connection for a request.
+func TestProbesReadNothing(t *testing.T) {
+	c := quicktest.New(t)
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	c.Assert(err, quicktest.IsNil)
+	var server errgroup.Group
+	var sent, begun atomic.Int64
+	server.Go(func() error {
+		for {
+			conn, err := listener.Accept()
+			if err != nil {
+				return err
+			}
+			server.Go(func() error {
+				defer func() { _ = conn.Close() }()
+				block := make([]byte, 4096)
+				n, err := conn.Write(block)
+				begun.Add(1)
+				for ; err == nil; n, err = conn.Write(block) {
+					sent.Add(int64(n))
+				}
+				return err
+			})
+		}
+	})
+	to := listener.Addr().(*net.TCPAddr).AddrPort()
+	p := pool()
+	for range 100 {
+		c.Assert(p.Probe(context.Background(), to), quicktest.IsNil)
+	}
+	for begun.Load() < 100 {
+		time.Sleep(time.Millisecond)
+	}
+	opened := p.Opened()
+	_, err = get(p, to, "1")
+	c.Check(err, quicktest.IsNotNil)
+	c.Check(p.Opened(), quicktest.Equals, opened+1)
+	p.Drop(to)
+	_ = listener.Close()
+	_ = server.Wait() // the error of a closed listener
+	// Buffers of the connections hold bytes that were not read.
+	c.Check(sent.Load() < 100*(8<<20), quicktest.IsTrue, quicktest.Commentf("%d bytes sent", sent.Load()))
+}
