Record no endpoint whose version was left out on the way

While control instances are upgraded, those of a release before pass on announcements without the software version.

Cause: the leader could not tell an endpoint that names no version from one whose version was left out.

Fix: an instance states that it passes on versions. Without that statement, an announcement without a version is not acknowledged at a service with named versions, so that the endpoint goes on to the next instance, as the protocol has it; and as the start time shows that its former incarnation has ended, that one is dropped. Renewals of listed incarnations count as before, and so do all announcements while no version is named, and those that name one. An acknowledged endpoint is told the leader's address, so each has to find another instance once.

Evidence: TestAnnouncementWithoutItsVersionIsNotListed, with the condition off on a scratch copy: the announcement is acknowledged and two endpoints are listed. Not played with programs of two releases. A leader of an earlier release still tells entries no versions; that cannot be closed here.

--- a/internal/member/roster/roster.go
+++ b/internal/member/roster/roster.go
@@ -35,8 +35,11 @@
 	Sequence   uint64         `json:"Sequence"` // increases with each announcement of this incarnation
 	Slots      int            `json:"Slots,omitempty"`
 	Software   string         `json:"Software,omitempty"` // version of the endpoint's software, empty if it names none
-	Leaving    bool           `json:"Leaving,omitempty"`
-	Gone       bool           `json:"Gone,omitempty"` // the endpoint has stopped; only ID and Born are set
+	// SoftwareStated is set by instances that pass on Software; an earlier release leaves both out.
+	SoftwareStated bool `json:"SoftwareStated,omitempty"`
+
+	Leaving bool `json:"Leaving,omitempty"`
+	Gone    bool `json:"Gone,omitempty"` // the endpoint has stopped; only ID and Born are set
 
 	Models   []string            `json:"Models,omitempty"`
 	Holdings []residency.Holding `json:"Holdings,omitempty"`
--- a/internal/node/control/interface.go
+++ b/internal/node/control/interface.go
@@ -59,6 +59,7 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, requestTimeout)
 	defer cancel()
+	a.SoftwareStated = true
 	var answer announceReply
 	err = c.callLeader(ctx, report.AnnounceMethod, a, &answer, func() bool { return answer.Leading })
 	if err != nil {
--- a/internal/node/control/software.go
+++ b/internal/node/control/software.go
@@ -41,6 +41,10 @@
 		return true
 	}
 	now, s := ls.now(), softwareOf(a)
+	if ls.lacksSoftware(a) {
+		ls.supersede(now, a)
+		return false
+	}
 	ls.census.Observe(now, s)
 	if ls.census.Usable(s, ls.informed) {
 		ls.census.ObserveListed(now, s)
@@ -52,11 +56,18 @@
 	return false
 }
 
+// lacksSoftware reports whether an announcement has come by way of an instance of an earlier release, which leaves out the software version, although
+// endpoints of the service name theirs. The endpoint goes on to other instances.
+func (ls *leaderState) lacksSoftware(a roster.Announcement) bool {
+	named := func(version string) bool { return version != "" }
+	return a.Software == "" && !a.SoftwareStated && slices.ContainsFunc(ls.census.Versions(a.Service), named)
+}
+
 // supersede records that the earlier incarnations of an endpoint have ended, also those that an earlier leader has listed to entries. The roster does not
 // know the new one yet.
 func (ls *leaderState) supersede(now time.Time, a roster.Announcement) {
 	d := report.Departure{ID: a.ID, Born: a.Born - 1, Gone: true}
-	if d.Born == 0 { // it would cover the new one
+	if d.Born <= 0 { // 0 would cover the new one
 		return
 	}
 	ls.depart(now, d)
--- a/internal/node/control/software_test.go
+++ b/internal/node/control/software_test.go
@@ -9,6 +9,7 @@
 
 	"lycheevale/internal/member/report"
 	"lycheevale/internal/member/roster"
+	"lycheevale/internal/place/origin"
 )
 
 // A software version appears while entries report, are silent, or have stopped. Guards against endpoints of the version that get work while an entry still
@@ -65,3 +66,32 @@
 	c.Check(ls.endpoints(), quicktest.HasLen, 0)
 	c.Check(ls.census.Versions("s"), quicktest.DeepEquals, []string{"v1", "v2"})
 }
+
+// An instance of an earlier release passes on announcements, without the software versions that they name. Guards against endpoints that are listed without
+// their version beside others, against one that keeps its former version after a restart, and against losing those that are listed already.
+func TestAnnouncementWithoutItsVersionIsNotListed(t *testing.T) {
+	c := quicktest.New(t)
+	leader, _ := leadingControl()
+	named := soundAnnouncement("x", 1)
+	named.Software = "v1"
+	_, err := leader.Announce(t.Context(), named)
+	c.Assert(err, quicktest.IsNil)
+	leader.state.census.Restore(time.Now(), []origin.Software{softwareOf(named), {Service: "s"}})
+	passOn := func(id string, last byte, born int64, sequence uint64) announceReply {
+		a := soundAnnouncement(id, last)
+		a.Born, a.Sequence = born, sequence
+		reply, err := leader.handleAnnounce(t.Context(), "b", a)
+		c.Assert(err, quicktest.IsNil)
+		return reply
+	}
+	c.Check(passOn("y", 2, 5, 1).Leading, quicktest.IsFalse)
+	c.Check(passOn("x", 1, 5, 2).Leading, quicktest.IsTrue)
+	c.Assert(leader.state.endpoints(), quicktest.HasLen, 1)
+	c.Check(leader.state.endpoints()[0].Software, quicktest.Equals, "v1")
+	c.Check(passOn("x", 1, 6, 1).Leading, quicktest.IsFalse)
+	c.Check(leader.state.endpoints(), quicktest.HasLen, 0)
+	unnamed := soundAnnouncement("z", 3)
+	c.Check(leader.state.lacksSoftware(unnamed), quicktest.IsTrue)
+	unnamed.SoftwareStated = true
+	c.Check(leader.state.lacksSoftware(unnamed), quicktest.IsFalse)
+}
