Ask one gate before each act of a leader

A leader that was frozen for 6 s and replaced ordered a load 1.9 s after its thaw, with its old token, from an endpoint that does not check fencing numbers (ONE). It also told the entry that the adapter was being loaded. Cause: check, wait, act. An order was permitted once, and then waited up to 2 s for a transfer, for the endpoint's state and for a connection. The same in answers to entries after a wait. An instance that led again between two ticks answered from the state of its earlier term. The voter counted the end of a wait for the disk as contact with the others, so that a leader suspended in it acted until the next tick. Decisions of a leader (deputies, quarantine, software versions) were passed on to whoever led next. Change: control.acting holds the term and judges the time by the voter's last call of its core, also whether a majority has been heard since it was last suspended (300 ms without a call); orders ask it after each wait and once more on the open connection (upstream.Request.Permit); a leader that ends wakes what waits; its own decisions are appended by its own voter in its own term only. TestQueuedAnswersCountBeforeQuorumCheck only shares its setup with a new test.

--- a/internal/member/council/council.go
+++ b/internal/member/council/council.go
@@ -78,12 +78,13 @@
 	Leads     bool
 	Term      uint64
 	CheckedAt time.Time // when the voter last ran
+	Resumed   bool      // it was suspended, and has not heard a majority since
 }
 
 // MayAct reports whether a leader may give orders: its voter has run within maxAge, so that it would have received messages
-// of another leader.
+// of another leader, and has heard a majority since it was last suspended.
 func (l Leadership) MayAct(now time.Time, maxAge time.Duration) bool {
-	return l.Leads && now.Sub(l.CheckedAt) <= maxAge
+	return l.Leads && now.Sub(l.CheckedAt) <= maxAge && !l.Resumed
 }
 
 // KeepsState reports whether an instance keeps the state that it has collected as the leader of a term. It keeps the state
--- a/internal/node/control/control.go
+++ b/internal/node/control/control.go
@@ -240,7 +240,9 @@
 		return council.Leadership{}
 	}
 	s := c.voter.Status()
-	return council.Leadership{Leads: s.Role == consensus.Leader && s.CommitTerm == s.Term && s.Err == nil, Term: s.Term, CheckedAt: s.LeaderKnownAt}
+	return council.Leadership{
+		Leads: s.Role == consensus.Leader && s.CommitTerm == s.Term && s.Err == nil, Term: s.Term, CheckedAt: s.CheckedAt, Resumed: s.ActingTerm != s.Term,
+	}
 }
 
 // actingTerm returns the term in which this instance leads and may act, or 0. The caller holds c.mu.
@@ -280,8 +282,8 @@
 		default:
 		}
 	}
-	if c.state != nil && c.actingTerm() == c.state.term {
-		c.state.tick(ctx)
+	if ls := c.acting(); ls != nil {
+		ls.tick(ctx)
 	}
 }
 
--- a/internal/node/control/interface.go
+++ b/internal/node/control/interface.go
@@ -95,7 +95,8 @@
 func (c *Control) recordAnnouncement(ctx context.Context, from string, a roster.Announcement) (reply announceReply, departures document.Command) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.state == nil || c.actingTerm() == 0 || c.state.mayInherit(a) {
+	ls := c.acting()
+	if ls == nil || ls.mayInherit(a) {
 		return reply, departures
 	}
 	if err := a.Check(); err != nil {
@@ -103,16 +104,16 @@
 		event.Log(ctx, c.options.Logger, event.EndpointAnnounced, slog.String("From", from), slog.Any("Error", err))
 		return announceReply{Leading: true, Invalid: true}, departures
 	}
-	if !c.state.admitsSoftware(a) {
+	if !ls.admitsSoftware(a) {
 		return reply, departures // the instance that passes it on repeats it
 	}
-	changed, err := c.state.announce(a)
+	changed, err := ls.announce(a)
 	if changed || err != nil {
 		event.Log(ctx, c.options.Logger, event.EndpointAnnounced, slog.String("Endpoint", a.ID), slog.String("From", from),
 			slog.String("Service", a.Service), slog.Any("Address", a.Address), slog.Int64("Born", a.Born),
 			slog.Uint64("Sequence", a.Sequence), slog.String("Software", a.Software), slog.Bool("Leaving", a.Leaving), slog.Bool("Gone", a.Gone), slog.Any("Error", err))
 	}
-	return announceReply{Leading: true, Full: errs.Is(err, roster.ErrFull)}, c.state.departureCommand(a)
+	return announceReply{Leading: true, Full: errs.Is(err, roster.ErrFull)}, ls.departureCommand(a)
 }
 
 // Replace stores a configuration, whose content the caller has decoded and checked. A version that is not higher than the
@@ -223,18 +224,19 @@
 	waitUntil := c.options.Now().Add(maxPlaceWait)
 	for orders := 0; orders <= maxPlacementRetries; {
 		c.mu.Lock()
-		if c.state == nil || c.actingTerm() == 0 {
+		ls := c.acting()
+		if ls == nil {
 			leader := c.leader
 			c.mu.Unlock()
 			return report.PlacementReply{Leader: leader}, nil
 		}
-		placed, accepted := c.state.placeAdapter(ctx, from, w)
+		placed, accepted := ls.placeAdapter(ctx, from, w)
 		now := c.options.Now()
 		var ready chan struct{}
-		if placed.Endpoint == "" && !w.Replicate && now.Before(waitUntil) && c.state.placer.MayFreePlace(now) {
-			ready = c.state.addWaiter()
+		if placed.Endpoint == "" && !w.Replicate && now.Before(waitUntil) && ls.placer.MayFreePlace(now) {
+			ready = ls.addWaiter()
 		} else if placed.Endpoint == "" {
-			c.state.logPlaced(ctx, from, w, residency.Choice{})
+			ls.logPlaced(ctx, from, w, residency.Choice{})
 		}
 		c.mu.Unlock()
 		switch {
@@ -245,7 +247,7 @@
 		case accepted == nil:
 			return placed, nil
 		case waitAccepted(ctx, accepted):
-			return c.withReadyTime(placed, w), nil
+			return c.withReadyTime(ls, placed, w), nil
 		default:
 			orders++
 		}
@@ -283,15 +285,15 @@
 	}
 }
 
-// withReadyTime sets the time until the ordered load is expected to end.
-func (c *Control) withReadyTime(p report.PlacementReply, w report.PlacementRequest) report.PlacementReply {
+// withReadyTime sets the time until the load that a leader has ordered is expected to end.
+func (c *Control) withReadyTime(ls *leaderState, p report.PlacementReply, w report.PlacementRequest) report.PlacementReply {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.state == nil {
-		return p
+	if !ls.acts() {
+		return report.PlacementReply{Leader: c.leader}
 	}
 	now := c.options.Now()
-	if at, ok := c.state.placer.ReadyAt(p.Endpoint, w.Adapter); ok {
+	if at, ok := ls.placer.ReadyAt(p.Endpoint, w.Adapter); ok {
 		p.InMillis = max(at.Sub(now), 0).Milliseconds()
 	}
 	return p
@@ -301,11 +303,12 @@
 func (c *Control) handleBorrow(_ context.Context, _ string, l report.LoanRequest) (report.LoanReply, error) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.state == nil || c.actingTerm() == 0 {
+	ls := c.acting()
+	if ls == nil {
 		return report.LoanReply{}, nil
 	}
 	now := c.options.Now()
-	pool, limit := c.state.lender(l)
+	pool, limit := ls.lender(l)
 	answer := report.LoanReply{Leading: true}
 	for i, tokens := range l.Requests {
 		retryAt, admitted := pool.Borrow(now, l.Customer+l.Endpoint, tokens, limit, l.Order(i))
--- a/internal/node/control/leader.go
+++ b/internal/node/control/leader.go
@@ -48,6 +48,8 @@
 	appointing     bool                     // an appointment of deputies is being proposed
 	appointedAt    time.Time                // when one was last proposed
 	ended          bool
+	life           context.Context // ends with this leader
+	endLife        context.CancelFunc
 
 	detector           *quarantine.Detector
 	suspects           []quarantine.Signature
@@ -94,8 +96,9 @@
 	now := c.options.Now()
 	placerOptions := c.options.Placer
 	placerOptions.Regions = c.options.Settings.Regions
+	life, endLife := context.WithCancel(context.Background())
 	return &leaderState{
-		control: c, term: term, since: now, ordersFrom: c.ordersFrom(now, term), roster: roster.New(roster.DefaultOptions()), placer: residency.New(placerOptions),
+		control: c, term: term, life: life, endLife: endLife, since: now, ordersFrom: c.ordersFrom(now, term), roster: roster.New(roster.DefaultOptions()), placer: residency.New(placerOptions),
 		pool: quota.NewPool(now, shareOptions(Tolerance(c.options.Settings))), endpointPool: quota.NewPool(now, shareOptions(EndpointTolerance())), ceilings: ceiling.New(),
 		entries: map[string]*entry{}, active: map[string]int{}, backlog: map[string]int{}, inheritAsked: map[string]bool{}, addresses: map[string]report.Deputy{}, queues: map[string]*orderQueue{}, limits: map[string]quota.Limit{},
 		detector: quarantine.NewDetector(quarantine.DefaultOptions()), census: origin.NewCensus(), informedAt: now.Add(report.VersionsLease), streams: origin.New(origin.MaxStreams),
@@ -126,9 +129,6 @@
 	return quota.Tolerance{Window: s.Rates.Window.Duration(), Overage: s.Rates.Overage, Slack: s.Rates.Slack}
 }
 
-// end stops this leader from sending further orders.
-func (ls *leaderState) end() { ls.ended = true }
-
 func (ls *leaderState) now() time.Time { return ls.control.options.Now() }
 
 // partial reports whether there may be endpoints that have not announced themselves to this leader yet.
@@ -190,7 +190,7 @@
 	ls.appointing = true
 	c := ls.control
 	c.group.Go(func() error {
-		_, err := c.propose(ctx, document.Command{Action: document.Appoint, Appoint: document.Appointment{
+		err := ls.propose(ctx, document.Command{Action: document.Appoint, Appoint: document.Appointment{
 			Term: ls.term, Deputies: a.Deputies, Former: a.Former,
 		}})
 		event.Log(ctx, c.options.Logger, event.DeputiesAppointed, slog.Uint64("Term", ls.term), slog.Any("Deputies", a.Deputies),
--- a/internal/node/control/options.go
+++ b/internal/node/control/options.go
@@ -22,6 +22,8 @@
 	Sequence uint64 // number of orders that the endpoint must have accepted before
 	Holder   string
 	Fence    uint64
+	// Permit returns an error if the order must not be sent any more. It is asked after the last wait, directly before the first byte is sent.
+	Permit func() error
 }
 
 // Result is an endpoint's answer to an order.
--- a/internal/node/control/orders.go
+++ b/internal/node/control/orders.go
@@ -48,12 +48,14 @@
 	// The order must not be cancelled with the call of the entry that requested it.
 	ctx = context.WithoutCancel(ctx)
 	ls.control.group.Go(func() error {
+		ctx, cancel := ls.endsWith(ctx)
+		defer cancel()
 		ls.runQueue(ctx, id, l)
 		return nil
 	})
 }
 
-// mayOrder reports whether this leader may send orders.
+// mayOrder reports whether this leader may send orders, as far as earlier leaders are concerned.
 func (ls *leaderState) mayOrder() bool { return !ls.ended && !ls.now().Before(ls.ordersFrom) }
 
 // runQueue sends the orders of a queue until it is empty.
@@ -69,14 +71,14 @@
 		j := l.waiting[0]
 		l.waiting = l.waiting[1:]
 		to, present := ls.roster.Endpoint(id)
-		usable := present && ls.mayOrder() && c.actingTerm() == ls.term && ls.queues[id] == l
+		usable := present && ls.mayOrder() && ls.acts() && ls.queues[id] == l
 		c.mu.Unlock()
 		accepted := false
 		switch {
 		case usable && j.refresh:
 			ls.refresh(ctx, to, l)
 		case usable:
-			ls.waitForTransfer(id, j)
+			ls.waitForTransfer(ctx, id, j)
 			accepted = ls.executeOrder(ctx, to, l, j)
 		case !j.refresh:
 			c.mu.Lock()
@@ -89,8 +91,8 @@
 	}
 }
 
-// waitForTransfer waits until the endpoint can accept another load, for at most the longest transfer.
-func (ls *leaderState) waitForTransfer(id string, j orderJob) {
+// waitForTransfer waits until the endpoint can accept another load, for at most the longest transfer. It ends with this leader.
+func (ls *leaderState) waitForTransfer(ctx context.Context, id string, j orderJob) {
 	for range maxTransferWaits {
 		ls.control.mu.Lock()
 		full := j.load && ls.placer.LoadMustWait(id, j.holding.Adapter)
@@ -98,7 +100,11 @@
 		if !full {
 			return
 		}
-		time.Sleep(tickInterval)
+		select {
+		case <-ctx.Done():
+			return
+		case <-time.After(tickInterval):
+		}
 	}
 }
 
@@ -150,10 +156,16 @@
 	var result Result
 	var err error
 	for attempt := 0; attempt < orderAttempts; attempt++ {
+		if err = ls.permitOrder(); err != nil {
+			break
+		}
 		if !ls.sequenceKnown(l) {
 			if err = ls.fetchState(ctx, to, l); err != nil {
 				break
 			}
+			if err = ls.permitOrder(); err != nil {
+				break
+			}
 		}
 		if j.load && j.holding.Name != "" && !ls.mayLoad(to.ID, j.holding.Adapter) {
 			result = Refused
@@ -221,6 +233,7 @@
 	sentAt := ls.now()
 	result, err := ls.control.options.Engines.Order(ctx, to, Order{
 		Load: j.load, Holding: j.holding, Sequence: ls.sequence(l), Holder: ls.control.options.Settings.Name, Fence: ls.term,
+		Permit: ls.permitOrder,
 	})
 	if err == nil {
 		ls.recordAnswerTime(l, sentAt)
--- a/internal/node/control/quarantine.go
+++ b/internal/node/control/quarantine.go
@@ -66,7 +66,7 @@
 	ls.quarantining = true
 	c := ls.control
 	c.group.Go(func() error {
-		_, err := c.propose(ctx, command)
+		err := ls.propose(ctx, command)
 		event.Log(ctx, c.options.Logger, event.PartsQuarantined, slog.Uint64("Term", ls.term), slog.Any("Added", command.Quarantine),
 			slog.Any("Released", command.Release), slog.Any("Error", err))
 		c.mu.Lock()
--- a/internal/node/control/software.go
+++ b/internal/node/control/software.go
@@ -98,7 +98,7 @@
 	ls.storingSoftware = true
 	c := ls.control
 	c.group.Go(func() error {
-		_, err := c.propose(ctx, document.Command{Action: document.Software, Introduce: added, Retire: removed})
+		err := ls.propose(ctx, document.Command{Action: document.Software, Introduce: added, Retire: removed})
 		event.Log(ctx, c.options.Logger, event.SoftwareChanged, slog.Uint64("Term", ls.term), slog.Any("Added", added), slog.Any("Removed", removed),
 			slog.Any("Error", err))
 		c.mu.Lock()
@@ -135,11 +135,12 @@
 	arrived := c.options.Now()
 	for {
 		c.mu.Lock()
-		if c.state == nil || c.actingTerm() == 0 {
+		ls := c.acting()
+		if ls == nil {
 			defer c.mu.Unlock()
 			return report.OriginReply{Leader: c.leader}, nil
 		}
-		reply, settled := c.state.origin(q), c.state.haveReported(arrived)
+		reply, settled := ls.origin(q), ls.haveReported(arrived)
 		c.mu.Unlock()
 		if reply.Known || settled {
 			return reply, nil
@@ -147,6 +148,7 @@
 		select {
 		case <-ctx.Done():
 			return reply, ctx.Err()
+		case <-ls.life.Done():
 		case <-time.After(originInterval):
 		}
 	}
--- a/internal/node/control/updates.go
+++ b/internal/node/control/updates.go
@@ -20,8 +20,8 @@
 	defer cancel()
 	for {
 		c.mu.Lock()
-		if c.state != nil && c.actingTerm() != 0 {
-			u := c.state.sync(r)
+		if ls := c.acting(); ls != nil {
+			u := ls.sync(r)
 			c.mu.Unlock()
 			return u, nil
 		}
--- a/internal/state/consensus/consensus.go
+++ b/internal/state/consensus/consensus.go
@@ -49,6 +49,7 @@
 	match            uint64
 	next             uint64
 	active           bool      // replied since the last quorum check
+	heard            bool      // replied since this voter was last suspended
 	probing          bool      // the last matching entry is still unknown
 	probeSent        bool      // a probe is awaiting its reply
 	snapshotDeadline time.Time // a snapshot transfer counts as in progress until then
@@ -79,18 +80,26 @@
 
 // advance moves the core's clock forwards only, so that a clock step backwards cannot postpone deadlines. A leader that
 // was suspended for an election timeout steps down first, because replies from before the suspension no longer prove
-// that it has a majority.
+// that it has a majority. After a shorter suspension it leads on, but has to hear a majority before it may act.
 func (c *Core) advance(now time.Time) {
 	d := now.Sub(c.lastTime)
 	if d > 0 {
 		c.clock = c.clock.Add(d)
 	}
 	c.lastTime = now
+	if d >= suspendedHeartbeats*c.options.Heartbeat {
+		for _, p := range c.peers {
+			p.heard = false
+		}
+	}
 	if c.role == Leader && d >= c.options.ElectionTimeout && c.options.Rules.CheckQuorum {
 		c.becomeFollower("")
 	}
 }
 
+// suspendedHeartbeats is the number of heartbeat intervals without a call after which a voter counts as suspended.
+const suspendedHeartbeats = 2
+
 // Tick campaigns, sends heartbeats or checks the quorum if the deadline for it has passed. Call it several times per
 // heartbeat interval.
 func (c *Core) Tick(now time.Time) Output {
@@ -162,6 +171,15 @@
 	return Snapshot{Index: index, Term: term, Config: c.log.configAt(index)}
 }
 
+// ActingTerm returns the term in which this voter leads, or 0 if it does not, or if no majority has replied since it was last suspended. It holds as of
+// checkedAt, the time of the last call that passed one.
+func (c *Core) ActingTerm() (term uint64, checkedAt time.Time) {
+	if c.role != Leader || !c.log.config().majority(func(id string) bool { return id == c.options.ID || c.peers[id].heard }) {
+		return 0, c.lastTime
+	}
+	return c.state.Term, c.lastTime
+}
+
 // Status returns the state of the core.
 func (c *Core) Status() Status {
 	s := Status{
--- a/internal/state/consensus/election.go
+++ b/internal/state/consensus/election.go
@@ -73,7 +73,7 @@
 	config := c.log.config()
 	for _, m := range config.Members {
 		if _, known := c.peers[m.ID]; !known && m.ID != c.options.ID {
-			c.peers[m.ID] = &progress{next: c.log.last() + 1, active: true, probing: true}
+			c.peers[m.ID] = &progress{next: c.log.last() + 1, active: true, heard: true, probing: true}
 		}
 	}
 	for id := range c.peers {
--- a/internal/state/consensus/quickstart_test.go
+++ b/internal/state/consensus/quickstart_test.go
@@ -133,3 +133,29 @@
 	_, _, err := leader.Propose(w.now.Add(5*time.Second), []byte("late"))
 	c.Check(err, quicktest.ErrorIs, consensus.ErrNotLeader)
 }
+
+// Guards against a leader that resumes after a suspension shorter than the election timeout and acts before it has heard the other voters: they may be about
+// to follow another leader.
+func TestResumedLeaderActsAfterMajority(t *testing.T) {
+	c := quicktest.New(t)
+	w := &delayedCluster{now: epoch, cores: map[string]*consensus.Core{}}
+	for i := range uint64(3) {
+		w.start(c, fmt.Sprint("v", i), i)
+	}
+	_, elected := w.run(2*time.Second, func() bool { return w.leader() != "" })
+	c.Assert(elected, quicktest.IsTrue)
+	w.run(time.Second, func() bool { return false })
+	leader := w.cores[w.leader()]
+	term, _ := leader.ActingTerm()
+	c.Assert(term, quicktest.Equals, leader.Status().Term)
+	w.inFlight = nil
+	w.now = w.now.Add(400 * time.Millisecond)
+	w.send(leader.Tick(w.now))
+	c.Check(leader.Status().Role, quicktest.Equals, consensus.Leader)
+	term, checkedAt := leader.ActingTerm()
+	c.Check(term, quicktest.Equals, uint64(0))
+	c.Check(checkedAt, quicktest.Equals, w.now)
+	took, acts := w.run(time.Second, func() bool { term, _ := leader.ActingTerm(); return term != 0 })
+	c.Check(acts, quicktest.IsTrue)
+	c.Check(took >= 2*networkDelay, quicktest.IsTrue, quicktest.Commentf("%v", took))
+}
--- a/internal/state/consensus/replication.go
+++ b/internal/state/consensus/replication.go
@@ -157,7 +157,7 @@
 	if c.role != Leader || p == nil || m.Term != c.state.Term {
 		return
 	}
-	p.active = true
+	p.active, p.heard = true, true
 	if m.Reject {
 		c.stepReject(m, p)
 		return
--- a/internal/state/voter/loop_internal_test.go
+++ b/internal/state/voter/loop_internal_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"log/slog"
 	"testing"
 	"time"
 
@@ -11,15 +12,15 @@
 	"lycheevale/internal/state/record"
 )
 
-// A leader without processor time for most of an election timeout has answers of its followers in its queue when it runs again. Guards against giving up
-// the leadership for want of them, since its check of a majority came before the queue.
-func TestQueuedAnswersCountBeforeQuorumCheck(t *testing.T) {
-	const timeout = time.Second
-	c := quicktest.New(t)
-	now := time.Unix(1_800_000_000, 0)
-	store, err := record.Open(t.TempDir())
+// electionTimeout is that of the voters of newLeader.
+const electionTimeout = time.Second
+
+// newLeader returns the replica of a leader with two followers, whose first check of a majority has passed.
+func newLeader(c *quicktest.C, now time.Time) (*Replica, time.Time) {
+	const timeout = electionTimeout
+	store, err := record.Open(c.TempDir())
 	c.Assert(err, quicktest.IsNil)
-	defer func() { c.Check(store.Close(), quicktest.IsNil) }()
+	c.Cleanup(func() { c.Check(store.Close(), quicktest.IsNil) })
 	machine := StateMachine{
 		Apply: func([]byte) []byte { return nil }, Restore: func([]byte) error { return nil },
 		View: func() func() ([]byte, error) { return func() ([]byte, error) { return nil, nil } },
@@ -40,13 +41,21 @@
 		}
 		replica.Step(now, consensus.Message{Kind: kind, From: "b", To: "a", Term: term})
 	}
-	leader := replica.Status()
-	c.Assert(leader.Role, quicktest.Equals, consensus.Leader)
-
-	for range 11 { // the first check of a majority passes
+	c.Assert(replica.Status().Role, quicktest.Equals, consensus.Leader)
+	for range 11 {
 		now = now.Add(timeout / 10)
 		replica.Tick(now)
 	}
+	return replica, now
+}
+
+// A leader without processor time for most of an election timeout has answers of its followers in its queue when it runs again. Guards against giving up
+// the leadership for want of them, since its check of a majority came before the queue.
+func TestQueuedAnswersCountBeforeQuorumCheck(t *testing.T) {
+	const timeout = electionTimeout
+	c := quicktest.New(t)
+	replica, now := newLeader(c, time.Unix(1_800_000_000, 0))
+	leader := replica.Status()
 	v := New(WithName("a"), WithNow(func() time.Time { return now }))
 	l := &loop{voter: v, replica: replica, nextMaintenance: now.Add(time.Hour)}
 	v.inputs <- func(_ context.Context, l *loop) {
@@ -56,3 +65,41 @@
 	l.step(context.Background(), true)
 	c.Check(replica.Status().Role, quicktest.Equals, consensus.Leader)
 }
+
+// A leader is suspended while its voter waits for the disk. Guards against counting the end of that wait as contact with the other voters, so that the woken
+// leader acted until the next tick.
+func TestSuspensionDuringSyncIsNoContact(t *testing.T) {
+	c := quicktest.New(t)
+	replica, now := newLeader(c, time.Unix(1_800_000_000, 0))
+	ran := now
+	v := New(WithName("a"), WithNow(func() time.Time { return now }), WithLogger(slog.New(slog.DiscardHandler)))
+	l := &loop{voter: v, replica: replica, nextMaintenance: now.Add(time.Hour)}
+	l.step(context.Background(), true)
+	now = now.Add(6 * time.Second)
+	l.publish(context.Background())
+	c.Check(v.Status().CheckedAt, quicktest.Equals, ran)
+	l.step(context.Background(), true)
+	c.Check(v.Status().ActingTerm, quicktest.Equals, uint64(0))
+	c.Check(v.Status().CheckedAt, quicktest.Equals, now)
+}
+
+// A leader is suspended between a decision and its proposal, replaced, and elected again. Guards against a decision of an earlier term in the log.
+func TestProposalOfEarlierTermIsRefused(t *testing.T) {
+	c := quicktest.New(t)
+	replica, now := newLeader(c, time.Unix(1_800_000_000, 0))
+	v := New(WithName("a"), WithNow(func() time.Time { return now }))
+	l := &loop{voter: v, replica: replica, waiting: map[uint64]waiter{}}
+	term, last := replica.Status().Term, replica.Status().Last
+	for _, test := range []struct {
+		term  uint64
+		added uint64
+	}{{term - 1, 0}, {term + 1, 0}, {term, 1}, {0, 2}} {
+		done := make(chan proposalResult, 1)
+		l.proposals = append(l.proposals, pendingProposal{data: []byte("x"), term: test.term, done: done})
+		l.proposeWaiting()
+		c.Check(replica.Status().Last, quicktest.Equals, last+test.added, quicktest.Commentf("term %d of %d", test.term, term))
+		if test.added == 0 {
+			c.Check((<-done).Outcome, quicktest.Equals, outcomeNotLeader)
+		}
+	}
+}
--- a/internal/state/voter/replica.go
+++ b/internal/state/voter/replica.go
@@ -182,6 +182,9 @@
 // Status returns the state of the core.
 func (r *Replica) Status() consensus.Status { return r.core.Status() }
 
+// ActingTerm returns the term in which this voter may act as the leader; see consensus.Core.
+func (r *Replica) ActingTerm() (term uint64, checkedAt time.Time) { return r.core.ActingTerm() }
+
 // Applied returns the index of the last applied entry.
 func (r *Replica) Applied() uint64 { return r.applied }
 
--- a/internal/state/voter/voter.go
+++ b/internal/state/voter/voter.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"github.com/cespare/xxhash/v2"
+	"github.com/zeebo/errs"
 	"golang.org/x/sync/errgroup"
 
 	"lycheevale/internal/base/event"
@@ -35,6 +36,8 @@
 	consensus.Status
 	Applied        uint64
 	Leader         string    // instance name, "" if unknown
+	ActingTerm     uint64    // term in which this voter leads, 0 if it does not or has not heard a majority since it was last suspended
+	CheckedAt      time.Time // when ActingTerm was determined
 	LeaderKnownAt  time.Time // when a leader was last known, at most one election timeout after its last message
 	TruncatedTails []record.TruncatedTail
 	Err            error // why the voter stopped
@@ -60,6 +63,7 @@
 
 type pendingProposal struct {
 	data []byte
+	term uint64 // in which this voter has to lead; 0 for any
 	done chan<- proposalResult
 }
 
@@ -113,6 +117,24 @@
 	return v.client.Propose(ctx, data)
 }
 
+// ProposeInTerm proposes data only while this voter leads in a term, for decisions that a leader has made from what it knew in that term. The error is
+// ErrNoLeader if nothing was proposed.
+func (v *Voter) ProposeInTerm(ctx context.Context, term uint64, data []byte) (result []byte, err error) {
+	defer func() { err = Error.Wrap(err) }()
+	answer, err := v.propose(ctx, pendingProposal{data: data, term: term})
+	switch {
+	case err != nil:
+		return nil, errs.Combine(ErrOutcomeUnknown, err)
+	case answer.Outcome == outcomeDone:
+		return answer.Result, nil
+	case answer.Outcome == outcomeNotLeader:
+		return nil, ErrNoLeader
+	case answer.Outcome == outcomeTooLarge:
+		return nil, ErrTooLarge
+	}
+	return nil, ErrOutcomeUnknown
+}
+
 // Status returns the latest published status.
 func (v *Voter) Status() Status {
 	v.mu.Lock()
@@ -200,6 +222,16 @@
 		l.replica.Tick(l.now())
 		l.maintainMembership(ctx)
 	}
+	l.publishLeadership()
+}
+
+// publishLeadership publishes whether this voter leads, which must not wait for a slow disk, and holds as of the last time that the core has seen: the
+// process may have been suspended since.
+func (l *loop) publishLeadership() {
+	term, at := l.replica.ActingTerm()
+	l.voter.mu.Lock()
+	defer l.voter.mu.Unlock()
+	l.voter.status.ActingTerm, l.voter.status.CheckedAt = term, at
 }
 
 func (l *loop) now() time.Time { return l.voter.options.Now() }
@@ -260,12 +292,23 @@
 	if len(requests) == 0 {
 		return
 	}
+	status := l.replica.Status()
+	requests = slices.DeleteFunc(requests, func(r pendingProposal) bool {
+		late := r.term != 0 && (status.Role != consensus.Leader || status.Term != r.term)
+		if late {
+			r.done <- proposalResult{Outcome: outcomeNotLeader, Leader: leaderName(status)}
+		}
+		return late
+	})
+	if len(requests) == 0 {
+		return
+	}
 	var data [][]byte
 	for _, r := range requests {
 		data = append(data, r.data)
 	}
 	first, err := l.replica.Propose(l.now(), data...)
-	status := l.replica.Status()
+	status = l.replica.Status()
 	for i, r := range requests {
 		if err != nil {
 			r.done <- proposalResult{Outcome: outcomeNotLeader, Leader: leaderName(status)}
@@ -301,6 +344,7 @@
 		v.status.LeaderKnownAt = l.now()
 	}
 	v.mu.Unlock()
+	l.publishLeadership()
 	if s.Snapshot > l.loggedSnapshot {
 		l.loggedSnapshot = s.Snapshot
 		event.Log(ctx, v.options.Logger, event.SnapshotStored, slog.String("Group", v.options.Group),
@@ -378,13 +422,16 @@
 
 // receiveProposal proposes data if this voter is the leader.
 func (v *Voter) receiveProposal(ctx context.Context, _ string, p proposal) (proposalResult, error) {
-	if len(p.Data) > MaxProposalBytes {
+	return v.propose(ctx, pendingProposal{data: p.Data})
+}
+
+func (v *Voter) propose(ctx context.Context, p pendingProposal) (proposalResult, error) {
+	if len(p.data) > MaxProposalBytes {
 		return proposalResult{Outcome: outcomeTooLarge}, nil
 	}
 	done := make(chan proposalResult, 1)
-	err := v.post(ctx, func(_ context.Context, l *loop) {
-		l.proposals = append(l.proposals, pendingProposal{p.Data, done})
-	})
+	p.done = done
+	err := v.post(ctx, func(_ context.Context, l *loop) { l.proposals = append(l.proposals, p) })
 	if err != nil {
 		return proposalResult{}, err
 	}
--- a/internal/wire/upstream/upstream.go
+++ b/internal/wire/upstream/upstream.go
@@ -37,6 +37,8 @@
 	Header  http.Header
 	Body    []byte
 	Attempt string // identifier that the answer must echo, if it echoes one
+	// Permit, if not nil, is asked once the connection is open, directly before the first byte is written. Its error keeps the request from being sent.
+	Permit func() error
 }
 
 // Answer is the head of an answer; the caller must close Body.
@@ -231,6 +233,12 @@
 	if err != nil {
 		return nil, err
 	}
+	if r.Permit != nil {
+		if err := r.Permit(); err != nil {
+			_ = c.Close()
+			return nil, errs.Combine(ErrNotSent, err)
+		}
+	}
 	c.lastAttempt = r.Attempt
 	stop := context.AfterFunc(ctx, func() { _ = c.Close() })
 	x := &exchange{pool: p, conn: c, request: r, stop: stop, sent: make(chan error, 1)}
