Let a fenced leader go on answering while it leads

An endpoint that answers an order with 412 by mistake made the leader answer no entry, announcement or lookup any more, although its voter led on and nobody else would be elected. Cause: such an answer ended the leader as a change of the term does, and since the gate of all acts asks for that. Change: it only stops the orders of this leader, as on; whether the instance leads is for its voter to say. A wait for a transfer ends as well. Evidence: TestFencedLeaderAnswersEntries fails on (neither the report nor the lookup of an entry is answered by the leader).

--- a/internal/node/control/gate_test.go
+++ b/internal/node/control/gate_test.go
@@ -28,12 +28,13 @@
 	replaced  bool
 	orders    []time.Time // when orders were sent, by the clock that counts suspension
 	pauseAt   string      // the call that is suspended: "State", "Connection" or "Answer"
+	result    Result      // of orders
 }
 
 const suspension = 6 * time.Second
 
 func newSuspendable(slots int) *suspendable {
-	s := &suspendable{}
+	s := &suspendable{result: Accepted}
 	now := func() time.Time { return time.Now().Add(time.Duration(s.suspended.Load())) }
 	s.Control = New(WithSettings(deployment.Settings{Heartbeat: 1200, OrderLease: 3000}), WithLogger(slog.New(slog.DiscardHandler)), WithNow(now), WithEngines(Engines{
 		State: func(ctx context.Context, _ report.Endpoint) (EngineState, error) {
@@ -47,7 +48,7 @@
 				return "", err
 			}
 			s.orders = append(s.orders, now())
-			return Accepted, s.pause(ctx, "Answer")
+			return s.result, s.pause(ctx, "Answer")
 		},
 	}))
 	s.options.Placer.MaxTransfers = 1
@@ -205,3 +206,23 @@
 		})
 	}
 }
+
+// An endpoint answers an order as if it followed a newer leader, while the voter of this one still leads. Guards against an instance that answers no entry and no
+// endpoint any more, although no other one leads, and against further orders.
+func TestFencedLeaderAnswersEntries(t *testing.T) {
+	virtualtime.Test(t, func(t *testing.T) {
+		c := quicktest.New(t)
+		s := newSuspendable(4)
+		s.result = Fenced
+		c.Check(s.request(t, "first")().Endpoint, quicktest.Equals, "")
+		c.Check(s.request(t, "second")().Endpoint, quicktest.Equals, "")
+		c.Assert(s.group.Wait(), quicktest.IsNil)
+		c.Check(s.orders, quicktest.HasLen, 1)
+		update, err := s.handleSync(t.Context(), "entry", report.Entry{Name: "entry"})
+		c.Check(err, quicktest.IsNil)
+		c.Check(update.Leading, quicktest.IsTrue)
+		origin, err := s.handleOrigin(t.Context(), "entry", report.OriginRequest{Attempt: "1", Service: "s"})
+		c.Check(err, quicktest.IsNil)
+		c.Check(origin.Leading, quicktest.IsTrue)
+	})
+}
--- a/internal/node/control/leader.go
+++ b/internal/node/control/leader.go
@@ -47,6 +47,7 @@
 	addresses      map[string]report.Deputy // of entries that have reported; kept while a deputy does not report
 	appointing     bool                     // an appointment of deputies is being proposed
 	appointedAt    time.Time                // when one was last proposed
+	fenced         bool                     // an endpoint has followed a newer leader; no further orders are sent
 	ended          bool
 	life           context.Context // ends with this leader
 	endLife        context.CancelFunc
--- a/internal/node/control/orders.go
+++ b/internal/node/control/orders.go
@@ -56,7 +56,9 @@
 }
 
 // mayOrder reports whether this leader may send orders, as far as earlier leaders are concerned.
-func (ls *leaderState) mayOrder() bool { return !ls.ended && !ls.now().Before(ls.ordersFrom) }
+func (ls *leaderState) mayOrder() bool {
+	return !ls.ended && !ls.fenced && !ls.now().Before(ls.ordersFrom)
+}
 
 // runQueue sends the orders of a queue until it is empty.
 func (ls *leaderState) runQueue(ctx context.Context, id string, l *orderQueue) {
@@ -95,7 +97,7 @@
 func (ls *leaderState) waitForTransfer(ctx context.Context, id string, j orderJob) {
 	for range maxTransferWaits {
 		ls.control.mu.Lock()
-		full := j.load && ls.placer.LoadMustWait(id, j.holding.Adapter)
+		full := j.load && ls.mayOrder() && ls.placer.LoadMustWait(id, j.holding.Adapter)
 		ls.control.mu.Unlock()
 		if !full {
 			return
@@ -257,7 +259,7 @@
 		ls.orderAccepted(id, j, result)
 		return true
 	case result == Fenced:
-		ls.end()
+		ls.fenced = true // its voter will tell whether it still leads
 		ls.orderRefused(id, j)
 	default:
 		l.sequenceKnown = false
