Send commands to engines on connections of their own

A late copy of the result of an earlier command counted as the result of a command that the engine had refused, and a copy of an earlier state as its present one. Cause: results of commands and states carry no identifier, and went over kept connections; only answers that name an attempt were refused. Change: commands and the state that is read before the first one each open a connection, as health checks do. Load reports go on over kept connections, since they state their time by the engine's clock, and so do requests to stop an attempt, whose answer is ignored. Evidence: TestLateCopyIsNoCommandResult fails on: the refused command counts as done, and the incarnation read is the earlier one. One connection more for each load or unload of an adapter and for each endpoint that an owner takes over; processor time was not measured.

--- a/internal/serve/engine/engine.go
+++ b/internal/serve/engine/engine.go
@@ -46,6 +46,7 @@
 	options Options
 	base    string
 	http    *http.Client
+	fresh   *http.Client // opens a connection for each call
 }
 
 // New returns a client of the engine at the address.
@@ -57,7 +58,11 @@
 	if o.Transport == nil {
 		o.Transport = NewTransport()
 	}
-	return &Client{options: o, base: "http://" + address.String(), http: &http.Client{Transport: o.Transport}}
+	fresh := o.Transport.Clone()
+	fresh.DisableKeepAlives = true
+	return &Client{
+		options: o, base: "http://" + address.String(), http: &http.Client{Transport: o.Transport}, fresh: &http.Client{Transport: fresh},
+	}
 }
 
 // CloseIdle closes connections that carry no request, so that the next request opens a new one.
@@ -171,38 +176,36 @@
 	return Error.Wrap(err)
 }
 
-// State reads the engine's current state.
+// State reads the engine's current state, on a new connection, as SendCommand.
 func (c *Client) State(ctx context.Context) (state State, err error) {
-	err = c.call(ctx, http.MethodGet, "/v1/state", nil, &state)
+	err = c.call(ctx, c.fresh, http.MethodGet, "/v1/state", nil, &state)
 	return state, err
 }
 
-// Load reads the engine's load report, which may be older than State.
+// Load reads the engine's load report, which may be older than State: it holds as of MeasuredAt.
 func (c *Client) Load(ctx context.Context) (state State, err error) {
-	err = c.call(ctx, http.MethodGet, "/v1/load", nil, &state)
+	err = c.call(ctx, c.http, http.MethodGet, "/v1/load", nil, &state)
 	return state, err
 }
 
-// SendCommand sends a control command and waits for its result.
+// SendCommand sends a control command and waits for its result. Results carry no identifier, so that a late copy of an earlier answer could not be told from
+// them on a connection that has been used.
 func (c *Client) SendCommand(ctx context.Context, command Command) error {
-	return c.call(ctx, http.MethodPost, "/v1/commands", command, nil)
+	return c.call(ctx, c.fresh, http.MethodPost, "/v1/commands", command, nil)
 }
 
 // Cancel stops an attempt on the engine.
 func (c *Client) Cancel(ctx context.Context, attempt string) error {
-	return c.call(ctx, http.MethodDelete, "/v1/streams/"+attempt, nil, nil)
+	return c.call(ctx, c.http, http.MethodDelete, "/v1/streams/"+attempt, nil, nil)
 }
 
 // Probe checks the engine's health on a new connection, independent of open ones.
 func (c *Client) Probe(ctx context.Context) (err error) {
 	defer func() { err = Error.Wrap(err) }()
-	transport := c.options.Transport.Clone()
-	transport.DisableKeepAlives = true
-	fresh := Client{base: c.base, http: &http.Client{Transport: transport}}
-	return fresh.call(ctx, http.MethodGet, "/v1/health", nil, nil)
+	return c.call(ctx, c.fresh, http.MethodGet, "/v1/health", nil, nil)
 }
 
-func (c *Client) call(ctx context.Context, method, path string, in, out any) (err error) {
+func (c *Client) call(ctx context.Context, over *http.Client, method, path string, in, out any) (err error) {
 	var body io.Reader = http.NoBody
 	if in != nil {
 		raw, err := json.Marshal(in)
@@ -216,7 +219,7 @@
 		return Error.Wrap(err)
 	}
 	req.Header.Set("Content-Type", "application/json")
-	resp, err := c.http.Do(req)
+	resp, err := over.Do(req)
 	if err != nil {
 		return Error.Wrap(err)
 	}
--- a/internal/serve/engine/late_test.go
+++ b/internal/serve/engine/late_test.go
@@ -103,3 +103,54 @@
 		quicktest.Check(t, engine.NotRun.Has(err), quicktest.IsFalse, quicktest.Commentf("%v", err))
 	}
 }
+
+// An engine refuses a command and a report of its state follows, or another command, before which it sends an earlier answer once more. Guards against taking
+// that for the result of the command, which the engine has refused, or for its state.
+func TestLateCopyIsNoCommandResult(t *testing.T) {
+	const done, state = "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n", "HTTP/1.1 200 OK\r\nContent-Length: 17\r\n\r\n{\"Incarnation\":7}"
+	const failed = "HTTP/1.1 502 Bad Gateway\r\nContent-Length: 4\r\n\r\nfull"
+	var group errgroup.Group
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	quicktest.Assert(t, err, quicktest.IsNil)
+	answers := make(chan string, 4)
+	answers <- done
+	answers <- failed
+	answers <- "HTTP/1.1 200 OK\r\nContent-Length: 17\r\n\r\n{\"Incarnation\":6}"
+	answers <- state
+	serve := func(conn net.Conn) error {
+		defer func() { _ = conn.Close() }()
+		reader, last := bufio.NewReader(conn), ""
+		for {
+			r, err := http.ReadRequest(reader)
+			if err != nil {
+				return err
+			}
+			_, _ = io.Copy(io.Discard, r.Body)
+			answer := <-answers
+			_, _ = io.WriteString(conn, last+answer)
+			last = answer
+		}
+	}
+	group.Go(func() error {
+		for {
+			conn, err := listener.Accept()
+			if err != nil {
+				return err
+			}
+			group.Go(func() error { return serve(conn) })
+		}
+	})
+	c := engine.New(listener.Addr().(*net.TCPAddr).AddrPort())
+	ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
+	defer cancel()
+	quicktest.Check(t, c.SendCommand(ctx, engine.Command{ID: "a", Kind: engine.UnloadAdapter}), quicktest.IsNil)
+	quicktest.Check(t, engine.LoadFailure.Has(c.SendCommand(ctx, engine.Command{ID: "b", Kind: engine.UnloadAdapter})), quicktest.IsTrue)
+	for want := range uint64(2) {
+		s, err := c.State(ctx)
+		quicktest.Check(t, err, quicktest.IsNil)
+		quicktest.Check(t, s.Incarnation, quicktest.Equals, 6+want)
+	}
+	c.CloseIdle()
+	_ = listener.Close()
+	_ = group.Wait() // the error of a closed listener or connection
+}
