--- a/internal/serve/forward/attempt.go
+++ b/internal/serve/forward/attempt.go
@@ -58,7 +58,7 @@
 	s.inFlight = h.startAttempt(x, c)
 	x.lastEndpoint, x.sentAt = c.ID, s.started
 	request := h.outgoing(x, c)
-	request.OnSend = detach
+	request.Permit = detach
 	s.receiver.Go(func() error {
 		s.receive(ctx, h.options.Pool, request)
 		return nil
@@ -68,17 +68,18 @@
 
 // attemptContext returns the context of an attempt, which ends when the caller leaves. An order that is being sent goes on without its caller: breaking it off
 // would leave open what has happened, and a caller that has only closed its side of the connection gets the answer.
-func (h *Handler) attemptContext(x *exchange) (ctx context.Context, cancel context.CancelFunc, detach func()) {
+func (h *Handler) attemptContext(x *exchange) (ctx context.Context, cancel context.CancelFunc, detach func() error) {
 	if x.route.Kind != document.NonIdempotent {
 		ctx, cancel = context.WithCancel(x.ctx)
 		return ctx, cancel, nil
 	}
 	ctx, cancel = context.WithTimeout(context.WithoutCancel(x.ctx), x.deadline.Sub(h.options.Now()))
 	stop := context.AfterFunc(x.ctx, cancel)
-	return ctx, cancel, func() {
+	return ctx, cancel, func() error {
 		if !stop() {
 			cancel()
 		}
+		return context.Cause(ctx)
 	}
 }
 
--- a/internal/wire/upstream/upstream.go
+++ b/internal/wire/upstream/upstream.go
@@ -6,7 +6,9 @@
 	"bufio"
 	"bytes"
 	"context"
+	"fmt"
 	"io"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"net/netip"
@@ -37,7 +39,8 @@
 	Header  http.Header
 	Body    []byte
 	Attempt string // identifier that the answer must echo, if it echoes one
-	OnSend  func() // called before the first byte is written; nil for nothing
+	// Permit, if not nil, is called once the connection is open, directly before the first byte is written. Its error keeps the request from being sent.
+	Permit func() error
 }
 
 // Answer is the head of an answer; the caller must close Body.
@@ -204,8 +207,11 @@
 	if err != nil {
 		return nil, err
 	}
-	if r.OnSend != nil {
-		r.OnSend()
+	if r.Permit != nil {
+		if err := r.Permit(); err != nil {
+			_ = c.Close()
+			return nil, errs.Combine(ErrNotSent, err)
+		}
 	}
 	if ctx.Err() != nil {
 		_ = c.Close()
@@ -407,3 +413,6 @@
 	b.exchange.abandon()
 	return nil
 }
+
+// NewAttempt returns an identifier, in the form of those of callers, for a request of this process.
+func NewAttempt() string { return fmt.Sprintf("%016x", rand.Uint64()) }
--- a/internal/wire/upstream/upstream_test.go
+++ b/internal/wire/upstream/upstream_test.go
@@ -264,6 +264,7 @@
 	c := quicktest.New(t)
 	to, _ := endpoint(t, answer("1", "one"))
 	ctx, cancel := context.WithCancel(t.Context())
-	_, err := pool().Do(ctx, upstream.Request{Address: to, Method: "POST", Target: "/", Host: "h", Attempt: "1", OnSend: cancel})
+	leave := func() error { cancel(); return nil }
+	_, err := pool().Do(ctx, upstream.Request{Address: to, Method: "POST", Target: "/", Host: "h", Attempt: "1", Permit: leave})
 	c.Check(errs.Is(err, upstream.ErrNotSent), quicktest.IsTrue, quicktest.Commentf("%v", err))
 }
