Let loads share connections on which engines echo no identifiers

Only a false 200 to an unload does harm: its place counts as free. A false answer to a load makes the next order conflict, because each order states how many the engine has accepted; unloads and reports keep their own connections.

--- a/internal/wire/upstream/upstream.go
+++ b/internal/wire/upstream/upstream.go
@@ -41,6 +41,9 @@
 	Attempt string // identifier that the answer must echo, if it echoes one
 	// Permit, if not nil, is called once the connection is open, directly before the first byte is written. Its error keeps the request from being sent.
 	Permit func() error
+	// ToleratesCopies states that taking a late copy of an earlier answer for that to this request does no harm. Such requests share connections on which
+	// identifiers are not echoed.
+	ToleratesCopies bool
 }
 
 // Answer is the head of an answer; the caller must close Body.
@@ -72,6 +75,7 @@
 	idleUntil   time.Time
 	lastAttempt string // identifier of the last request
 	echoes      bool   // an answer on this connection has echoed the identifier of its request
+	anonymous   bool   // the last answer on this connection echoed none, so that only requests that tolerate copies may follow
 }
 
 // Opened returns the number of connections opened so far.
@@ -119,16 +123,16 @@
 
 // take returns an idle connection, but none that has just served an earlier try of the same attempt: a late copy of that answer could
 // not be told from the answer to this one. A request without an identifier gets none, since no late answer could be told from its own.
-func (p *Pool) take(address netip.AddrPort, attempt string) *conn {
-	if attempt == "" && p.options.Attempt != nil {
+func (p *Pool) take(r Request) *conn {
+	if r.Attempt == "" && p.options.Attempt != nil {
 		return nil
 	}
 	now := p.options.Now()
 	for {
 		p.mu.Lock()
-		list := p.idle[address]
+		list := p.idle[r.Address]
 		i := len(list) - 1
-		for i >= 0 && attempt != "" && list[i].lastAttempt == attempt {
+		for i >= 0 && !list[i].serves(r) {
 			i--
 		}
 		if i < 0 {
@@ -136,7 +140,7 @@
 			return nil
 		}
 		c := list[i]
-		p.idle[address] = slices.Delete(list, i, i+1)
+		p.idle[r.Address] = slices.Delete(list, i, i+1)
 		p.mu.Unlock()
 		if now.Before(c.idleUntil) && openAndUnread(c.Conn) {
 			return c
@@ -145,6 +149,11 @@
 	}
 }
 
+// serves reports whether the answer to a request can be told from late copies of those before it on the connection, or need not.
+func (c *conn) serves(r Request) bool {
+	return (r.Attempt == "" || c.lastAttempt != r.Attempt) && (!c.anonymous || r.ToleratesCopies)
+}
+
 func (p *Pool) put(address netip.AddrPort, c *conn, keepAlive time.Duration) {
 	c.idleUntil = p.options.Now().Add(min(p.options.IdleTimeout, keepAlive))
 	p.mu.Lock()
@@ -157,7 +166,7 @@
 }
 
 func (p *Pool) connect(ctx context.Context, r Request) (c *conn, err error) {
-	if c := p.take(r.Address, r.Attempt); c != nil {
+	if c := p.take(r); c != nil {
 		return c, nil
 	}
 	return p.open(ctx, r.Address)
@@ -342,7 +351,8 @@
 // finish returns the connection to the pool if it can be reused, and closes it otherwise.
 func (x *exchange) finish(response *http.Response, unframed bool) {
 	x.once.Do(func() {
-		if !x.stop() || response.Close || unframed || !x.identified(response) ||
+		x.conn.anonymous = !x.identified(response)
+		if !x.stop() || response.Close || unframed || (x.conn.anonymous && !x.request.ToleratesCopies) ||
 			x.conn.reader.Buffered() > 0 || !x.fullyWritten() {
 			_ = x.conn.Close()
 			return
--- a/internal/wire/upstream/upstream_test.go
+++ b/internal/wire/upstream/upstream_test.go
@@ -8,6 +8,7 @@
 	"net"
 	"net/http"
 	"net/netip"
+	"strconv"
 	"strings"
 	"sync"
 	"testing"
@@ -268,3 +269,24 @@
 	_, err := pool().Do(ctx, upstream.Request{Address: to, Method: "POST", Target: "/", Host: "h", Attempt: "1", Permit: leave})
 	c.Check(errs.Is(err, upstream.ErrNotSent), quicktest.IsTrue, quicktest.Commentf("%v", err))
 }
+
+// An endpoint echoes no identifiers. Guards against a connection for each request that tolerates late copies, and against any other request on one that such a
+// request has used.
+func TestAnonymousConnectionServesWhatToleratesCopies(t *testing.T) {
+	c := quicktest.New(t)
+	one := "HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\none"
+	to, _ := endpoint(t, one, one, one, one)
+	p := pool()
+	for i, test := range []struct {
+		tolerates bool
+		opened    int64
+	}{{true, 1}, {true, 1}, {false, 2}, {true, 2}} {
+		a, err := p.Do(t.Context(), upstream.Request{
+			Address: to, Method: "POST", Target: "/", Host: "h", Attempt: strconv.Itoa(i), ToleratesCopies: test.tolerates,
+		})
+		c.Assert(err, quicktest.IsNil)
+		_, err = io.ReadAll(a.Body)
+		c.Assert(err, quicktest.IsNil)
+		c.Check(p.Opened(), quicktest.Equals, test.opened, quicktest.Commentf("request %d", i))
+	}
+}
