--- a/internal/state/feed/large.go
+++ b/internal/state/feed/large.go
@@ -23,6 +23,8 @@
 	maxInlineBytes = 1 << 20 // bytes
 	chunkBytes     = 1 << 20
 	largeDeltaTTL  = time.Minute // after its last use
+	maxDeltaBytes  = 128 << 20   // four times a snapshot of the target size
+	maxObjectBytes = 8 << 20     // the default limit of a change
 )
 
 // largeDelta describes a delta that a subscriber has to fetch in parts; a snapshot of 140,000 adapters takes 33 MB.
@@ -199,6 +201,8 @@
 	large  largeDelta
 	offset int
 	part   []byte
+	// decoded returns the number of bytes up to the end of the last object.
+	decoded func() int64
 }
 
 func (r *partReader) Read(p []byte) (int, error) {
@@ -206,6 +210,9 @@
 		if r.offset >= r.large.Size {
 			return 0, io.EOF
 		}
+		if int64(r.offset)-r.decoded() > maxObjectBytes {
+			return 0, Error.New("object in a delta of %s is larger than %d bytes", r.source, maxObjectBytes)
+		}
 		answer, err := r.fetchPart()
 		if err != nil {
 			return 0, err
@@ -240,7 +247,12 @@
 // configuration one by one, because the message, its decoded form and the configuration together took 267 MB at 140,000
 // adapters.
 func (n *Node) fetch(ctx context.Context, source string, l largeDelta) error {
-	decoder := json.NewDecoder(&partReader{node: n, ctx: ctx, source: source, large: l})
+	if l.Size > maxDeltaBytes {
+		return Error.New("delta of %s has %d bytes, limit %d", source, l.Size, maxDeltaBytes)
+	}
+	parts := &partReader{node: n, ctx: ctx, source: source, large: l}
+	decoder := json.NewDecoder(parts)
+	parts.decoded = decoder.InputOffset
 	loader := n.options.Registry.Load()
 	d := registry.Delta{From: l.From, To: l.To, Snapshot: l.Snapshot}
 	for {
