forward: keep a panic over one answer from ending the entry

A panic while the head of an answer was decoded, or while another endpoint was sought for a request, ended the entry and all requests on it: both run in goroutines of their own, where the HTTP server catches nothing.

With the goroutines guarded alone, the second one showed an attempt that counted as running at its endpoint for ever.

An attempt at which a panic occurs is ended.

--- a/internal/serve/forward/attempt.go
+++ b/internal/serve/forward/attempt.go
@@ -9,6 +9,7 @@
 	"github.com/zeebo/errs"
 	"golang.org/x/sync/errgroup"
 
+	"lycheevale/internal/base/guard"
 	"lycheevale/internal/place/pick"
 	"lycheevale/internal/wire/upstream"
 )
@@ -57,7 +58,14 @@
 	x.lastEndpoint, x.sentAt = c.ID, s.started
 	request := h.outgoing(x, c)
 	s.receiver.Go(func() error {
-		s.receive(ctx, h.options.Pool, request)
+		returned := false
+		guard.Run(ctx, h.options.Logger, "receive answer of "+c.ID, func() {
+			s.receive(ctx, h.options.Pool, request)
+			returned = true
+		})
+		if !returned {
+			s.pass(part{err: errs.Combine(upstream.ErrMalformed, errs.New("reading the answer failed unexpectedly"))})
+		}
 		return nil
 	})
 	return s
--- a/internal/serve/forward/search.go
+++ b/internal/serve/forward/search.go
@@ -7,6 +7,7 @@
 	"github.com/zeebo/errs"
 	"golang.org/x/sync/errgroup"
 
+	"lycheevale/internal/base/guard"
 	"lycheevale/internal/place/pick"
 )
 
@@ -42,7 +43,9 @@
 	x.search = r
 	r.runner.Go(func() error {
 		defer close(r.done)
-		r.found, _ = h.begin(y) // without another endpoint, the request stays where it is
+		guard.Run(ctx, h.options.Logger, "search for another endpoint", func() {
+			r.found, _ = h.begin(y) // without another endpoint, the request stays where it is
+		})
 		return nil
 	})
 }
--- a/internal/serve/forward/send.go
+++ b/internal/serve/forward/send.go
@@ -54,13 +54,21 @@
 // begin sends the request to endpoints until one has begun to answer. The attempt that it returns has an answer that is no stream, or the first
 // events of one; nothing of it has been delivered.
 func (h *Handler) begin(x *exchange) (s *attempt, refused *refusal.Error) {
+	var running *attempt
+	defer func() {
+		if running != nil { // after a panic
+			h.endAttempt(x, running)
+		}
+	}()
 	for {
 		c, refused := h.placeAllowed(x)
 		if refused != nil {
 			return nil, refused
 		}
 		s = h.start(x, c)
+		running = s
 		v, reason := h.awaitBegin(x, s)
+		running = nil
 		if v == begun {
 			h.cancelSearch(x, s)
 			return s, nil
