--- a/internal/serve/forward/attempt.go
+++ b/internal/serve/forward/attempt.go
@@ -9,6 +9,7 @@
 	"github.com/zeebo/errs"
 	"golang.org/x/sync/errgroup"
 
+	"lycheevale/internal/base/guard"
 	"lycheevale/internal/place/pick"
 	"lycheevale/internal/state/document"
 	"lycheevale/internal/wire/upstream"
@@ -60,7 +61,14 @@
 	request := h.outgoing(x, c)
 	request.Permit = detach
 	s.receiver.Go(func() error {
-		s.receive(ctx, h.options.Pool, request)
+		returned := false
+		guard.Run(ctx, h.options.Logger, "receive answer of "+c.ID, func() {
+			s.receive(ctx, h.options.Pool, request)
+			returned = true
+		})
+		if !returned {
+			s.pass(part{err: errs.Combine(upstream.ErrMalformed, errs.New("reading the answer failed unexpectedly"))})
+		}
 		return nil
 	})
 	return s
