Send requests that may crash endpoints one copy at a time

Cause: crashes at the same time are one round of evidence, and three rounds blame a request. Each round cost as many endpoints as copies came.

Copies are not counted as evidence now. Entries report how many of them an endpoint had, and the leader holds an exact request once two runs of it have ended with their endpoints and it has begun nowhere (three crashes if it has begun before). Copies of a held request wait for up to a second, and the leader permits one at a time to one entry; the others are refused as not run. A begin ends the hold. A crash under a copy that was sent alone makes up for one of the rounds that are asked for while endpoints crash for other causes. Update.Held and Turns and Entry.Waiting are new and empty between releases; the product's own deployment (serve/isolate) holds nothing, so that its evidence is what it was.

Detector.Record takes the entry's name, which the tests pass.

--- a/internal/base/event/member.go
+++ b/internal/base/event/member.go
@@ -27,6 +27,7 @@
 	PartTried           ID = 5021
 	EndpointDeparted    ID = 5022
 	SoftwareChanged     ID = 5023
+	TurnPermitted       ID = 5024
 )
 
 var memberEvents = []Entry{
@@ -50,6 +51,7 @@
 	{EndpointsInherited, slog.LevelInfo, "new leader took over endpoints that an entry knows", "None; endpoints announce themselves again."},
 	{PartsQuarantined, slog.LevelWarn, "signatures of requests that crash endpoints were quarantined or released", "Added: find the callers that send them (Request, Parts, Adapter and Customer in event 2001), and have the endpoints fixed."},
 	{PartTried, slog.LevelInfo, "one request may try a quarantined signature", "None."},
+	{TurnPermitted, slog.LevelInfo, "one copy of a request that may crash endpoints may be sent", "None."},
 	{EndpointDeparted, slog.LevelInfo, "departures of endpoints stored", "Error: the endpoints have no acknowledgement; check that a majority of the control instances is up."},
 	{SoftwareChanged, slog.LevelInfo, "software versions of services stored", "Error: endpoints with a new version get no work; check that a majority of the control instances is up."},
 	{DeputiesAppointed, slog.LevelInfo, "entries that lend without a leader stored", "Frequent: check why entries come and go."},
--- a/internal/member/report/encoding_test.go
+++ b/internal/member/report/encoding_test.go
@@ -82,6 +82,22 @@
 	c.Check(*o.Software, quicktest.Equals, software)
 }
 
+// Guards against held requests and turns that encoding and decoding lose.
+func TestTurnsAreEncoded(t *testing.T) {
+	c := quicktest.New(t)
+	data, err := json.Marshal(report.Entry{Waiting: []string{"request:1"}})
+	c.Assert(err, quicktest.IsNil)
+	var e report.Entry
+	c.Assert(json.Unmarshal(data, &e), quicktest.IsNil)
+	c.Check(e.Waiting, quicktest.DeepEquals, []string{"request:1"})
+	data, err = json.Marshal(report.Update{Held: []string{"request:1", "request:2"}, Turns: []string{"request:1"}})
+	c.Assert(err, quicktest.IsNil)
+	var u report.Update
+	c.Assert(json.Unmarshal(data, &u), quicktest.IsNil)
+	c.Check(u.Held, quicktest.DeepEquals, []string{"request:1", "request:2"})
+	c.Check(u.Turns, quicktest.DeepEquals, []string{"request:1"})
+}
+
 // Messages as the release before signatures of several kinds encoded them.
 const (
 	earlierEntry  = `"r2ROYW1lZmVkZ2UtMWdBZGRyZXNzRAoAAAlqRGF0YUNlbnRyZWRlYXN0aERlcHV0aWVzAmRUZXJtBGlEaXJlY3RvcnkGaVBsYWNlbWVudAlmQWN0aXZloWNpLTECZFVzZXOBhGNpLTGiZU1vZGVsYW1kTmFtZWJhNwMCaUN1c3RvbWVyc6FhY4X7QF4AAAAAAAD7QD4AAAAAAAD7QHkAAAAAAAD7QI9AAAAAAAD7QIXgAAAAAABnQ3Jhc2hlc4GEgmNpLTEFYXMYUIGDZDVjMWUZASz1ZkJlZ2luc4GCgmFzZDkxYmQUaFN1c3BlY3RzA2pRdWFyYW50aW5lAmdSZWZ1c2VkoWQ1YzFlggIB"`
--- a/internal/member/report/report.go
+++ b/internal/member/report/report.go
@@ -56,6 +56,8 @@
 	Streams []origin.Stream `json:"Streams,omitempty"`
 	// Refused counts requests since the last report, by identifier of a quarantined signature.
 	Refused map[string]quarantine.Refusals `json:"Refused,omitempty"`
+	// Waiting lists the held exact requests of which copies wait for a turn.
+	Waiting []string `json:"Waiting,omitempty"`
 }
 
 // KnownEndpoint is an endpoint that an earlier leader has listed to an entry, with the adapters that it holds.
@@ -108,6 +110,8 @@
 	QuarantineRevision uint64                 `json:"QuarantineRevision,omitempty"`
 	Quarantine         []quarantine.Signature `json:"Quarantine,omitempty"` // all quarantined signatures, if their revision has changed
 	Trials             []string               `json:"Trials,omitempty"`     // identifiers of quarantined signatures that one request each may try
+	Held               []string               `json:"Held,omitempty"`       // exact requests of which only one copy at a time may be sent
+	Turns              []string               `json:"Turns,omitempty"`      // of these, the ones of which the entry may send one copy now
 }
 
 // Deputy is an entry that lends tokens while no leader answers.
--- a/internal/member/view/view.go
+++ b/internal/member/view/view.go
@@ -41,6 +41,8 @@
 	suspectRevision    uint64
 	quarantined        map[string][]quarantine.Signature // signatures that no endpoint gets, by identifier
 	quarantineRevision uint64
+	held               map[string]heldRequest // by identifier of an exact request
+	termSince          time.Time              // of the first update of the term
 }
 
 // leaving is an incarnation of an endpoint that has stated in an answer that it leaves.
@@ -142,6 +144,7 @@
 	v.applyVersions(u)
 	c.Deputies = v.applyDeputies(u)
 	c.Quarantine = v.applyQuarantine(u)
+	v.applyHeld(sentAt, u)
 	c.Directory, c.Removed = v.applyDirectory(u)
 	v.applyRunning(u)
 	v.applyPlacement(u)
--- a/internal/node/control/quarantine.go
+++ b/internal/node/control/quarantine.go
@@ -23,11 +23,14 @@
 
 // recordSignatures adds what an entry reports of signatures, and fills in what it needs to know.
 func (ls *leaderState) recordSignatures(u *report.Update, now time.Time, r report.Entry) {
-	ls.detector.Record(now, r.Crashes)
+	ls.detector.Record(now, r.Name, r.Crashes)
 	ls.detector.RecordBegins(now, r.Begins)
 	if u.Trials = ls.detector.Asked(now, r.Refused); len(u.Trials) > 0 {
 		event.Log(context.Background(), ls.control.options.Logger, event.PartTried, slog.String("Entry", r.Name), slog.Any("Parts", u.Trials))
 	}
+	if u.Held, u.Turns = ls.detector.Held(), ls.detector.Turns(now, r.Waiting); len(u.Turns) > 0 {
+		event.Log(context.Background(), ls.control.options.Logger, event.TurnPermitted, slog.String("Entry", r.Name), slog.Any("Requests", u.Turns))
+	}
 	if u.SuspectRevision = ls.suspectRevision; r.Suspects != u.SuspectRevision {
 		u.Suspects = ls.suspects
 	}
--- a/internal/place/quarantine/bench_test.go
+++ b/internal/place/quarantine/bench_test.go
@@ -32,7 +32,7 @@
 			d := quarantine.NewDetector(quarantine.DefaultOptions())
 			now, crashes := at(0), 0
 			report := func(c quarantine.Crash) {
-				d.Record(now, []quarantine.Crash{c})
+				d.Record(now, "entry", []quarantine.Crash{c})
 				crashes++
 			}
 			begins := func() {
--- a/internal/place/quarantine/blame.go
+++ b/internal/place/quarantine/blame.go
@@ -39,6 +39,7 @@
 		}
 	}
 	sortSuspects(d.all)
+	d.findHeld()
 	d.suspects = slices.SortedFunc(maps.Keys(d.quarantined), compareSignatures)
 	for _, s := range strongest(d.all, maxSuspects) {
 		d.suspects = append(d.suspects, s.signature)
@@ -98,6 +99,7 @@
 	unexplained  crashSet // crashes that no quarantined signature explains
 	acknowledged crashSet // of these, the crashes in which the endpoint had sent the head of an answer to a request with the signature
 	size         int      // of unexplained
+	runs         int      // copies of an exact request that ended in the unexplained crashes
 	// evidence counts crashes twice if they are acknowledged, and half if the signature has begun before: while all endpoints are down, common
 	// signatures do not begin either.
 	evidence int
@@ -108,6 +110,7 @@
 type round struct {
 	*crash
 	sentAt time.Time
+	turn   bool    // the request was sent alone
 	source *record // quarantined signature of a narrower kind that explains the crash, nil if none does
 }
 
@@ -171,7 +174,7 @@
 	s := &suspect{record: r}
 	var sources []*record
 	for _, x := range r.exposed {
-		one := round{crash: x.crash, sentAt: x.sentAt}
+		one := round{crash: x.crash, sentAt: x.sentAt, turn: x.turn}
 		if by := explains[x.crash]; len(by) > 0 {
 			if one.source = x.widestInside(by, r); one.source == nil {
 				continue
@@ -181,6 +184,7 @@
 			}
 		} else {
 			s.unexplained.add(x.crash)
+			s.runs += max(x.count(), 1)
 			if x.acknowledged {
 				s.acknowledged.add(x.crash)
 			}
@@ -270,9 +274,10 @@
 // isEnough reports whether enough endpoints crashed one after the other. Simultaneous crashes, as of a rack, are one round, and so are all that a
 // quarantined signature explains. A signature that several requests may have must have crashed endpoints with several of them, an adapter or
 // a customer in each round with another one. More rounds are needed if endpoints crash for another cause as well, unless they had
-// acknowledged requests with the signature.
+// acknowledged requests with the signature, or crashed under a copy that was sent alone: a sound request has copies at many endpoints when these
+// crash, but hardly at one only.
 func (x *decision) isEnough(s *suspect) bool {
-	count, fresh, last, surplus := 0, 0, time.Time{}, -1
+	count, alone, fresh, last, surplus := 0, 0, 0, time.Time{}, -1
 	minRounds := s.minRounds(x.options)
 	minFresh := [kinds]int{KindPart: 2, KindAdapter: minRounds, KindCustomer: minRounds}[s.kind]
 	seen := map[*record]bool{}
@@ -281,6 +286,9 @@
 			continue
 		}
 		count, last = count+1, one.at
+		if one.turn {
+			alone++
+		}
 		if fresh < minFresh && s.showsAnother(one, seen) {
 			fresh++
 		}
@@ -290,7 +298,7 @@
 		if surplus < 0 {
 			surplus = x.surplus(s)
 		}
-		if count >= minRounds+surplus {
+		if count+alone >= minRounds+surplus {
 			return true
 		}
 	}
--- a/internal/place/quarantine/blame_test.go
+++ b/internal/place/quarantine/blame_test.go
@@ -58,7 +58,7 @@
 		d := quarantine.NewDetector(quarantine.DefaultOptions())
 		for n := range 3 {
 			c.Check(d.Blame(at(900*n)), quicktest.HasLen, 0)
-			d.Record(at(900*n), crashOf(n, acknowledged, sent("dead", "first", "part", adapter, customer)))
+			d.Record(at(900*n), "entry", crashOf(n, acknowledged, sent("dead", "first", "part", adapter, customer)))
 		}
 		c.Check(blamed(d, at(9000)), quicktest.DeepEquals, sorted(exact("dead")))
 	}
@@ -71,7 +71,7 @@
 	for n := range 3 {
 		report := crashOf(n, false, sent("dead", customer))
 		report[0].Service = []string{"s", "other"}[n%2]
-		d.Record(at(900*n), report)
+		d.Record(at(900*n), "entry", report)
 	}
 	c.Check(blamed(d, at(9000)), quicktest.DeepEquals, sorted(exact("dead")))
 }
@@ -82,14 +82,14 @@
 	c := quicktest.New(t)
 	d := quarantine.NewDetector(quarantine.DefaultOptions())
 	for n := range 3 {
-		d.Record(at(900*n), crashOf(n, true, sent("repeated", "dead", adapter, customer)))
+		d.Record(at(900*n), "entry", crashOf(n, true, sent("repeated", "dead", adapter, customer)))
 	}
 	request := d.Blame(at(4000))
 	c.Assert(request, quicktest.DeepEquals, []quarantine.Signature{signature(exact("repeated"))})
 	d.SetQuarantined(at(4000), request)
-	d.Record(at(5000), crashOf(4, true, sent("second", "dead", adapter, customer)))
+	d.Record(at(5000), "entry", crashOf(4, true, sent("second", "dead", adapter, customer)))
 	c.Check(d.Blame(at(7000)), quicktest.HasLen, 0)
-	d.Record(at(7000), crashOf(5, true, sent("third", "dead", adapter, customer)))
+	d.Record(at(7000), "entry", crashOf(5, true, sent("third", "dead", adapter, customer)))
 	c.Check(d.Blame(at(9000)), quicktest.DeepEquals, []quarantine.Signature{signature("dead")})
 }
 
@@ -99,7 +99,7 @@
 	d := quarantine.NewDetector(quarantine.DefaultOptions())
 	d.RecordBegins(at(0), begin(0, "part", adapter, customer))
 	for n := range 6 {
-		d.Record(at(900*n+900), crashOf(n, true, sent(fmt.Sprint("dead", n%2), "part", adapter, customer)))
+		d.Record(at(900*n+900), "entry", crashOf(n, true, sent(fmt.Sprint("dead", n%2), "part", adapter, customer)))
 	}
 	c.Check(blamed(d, at(9000)), quicktest.DeepEquals, sorted(exact("dead0"), exact("dead1")))
 }
@@ -111,7 +111,7 @@
 	for n := range 5 {
 		now := at(900 * n)
 		c.Check(d.Blame(now), quicktest.HasLen, 0)
-		d.Record(now, crashOf(n, true, sent(fmt.Sprint("own", n), "first", adapter, customer), sent(fmt.Sprint("other", n), "first", customer)))
+		d.Record(now, "entry", crashOf(n, true, sent(fmt.Sprint("own", n), "first", adapter, customer), sent(fmt.Sprint("other", n), "first", customer)))
 		d.RecordBegins(now.Add(400*time.Millisecond), begin(0, "first", exact(fmt.Sprint("other", n))))
 	}
 	c.Check(blamed(d, at(9000)), quicktest.DeepEquals, sorted(adapter))
@@ -124,7 +124,7 @@
 	for n := range 5 {
 		now := at(900 * n)
 		c.Check(d.Blame(now), quicktest.HasLen, 0)
-		d.Record(now, crashOf(n, false, sent(fmt.Sprint("own", n), customer), sent(fmt.Sprint("other", n), quarantine.Customer("other"))))
+		d.Record(now, "entry", crashOf(n, false, sent(fmt.Sprint("own", n), customer), sent(fmt.Sprint("other", n), quarantine.Customer("other"))))
 		d.RecordBegins(now.Add(400*time.Millisecond), begin(0, quarantine.Customer("other")))
 	}
 	c.Check(blamed(d, at(9000)), quicktest.DeepEquals, sorted(customer))
@@ -138,7 +138,7 @@
 	for n := range 18 {
 		now := at(900 * n)
 		name := fmt.Sprint("dead", n/3)
-		d.Record(now, crashOf(n, false, sent(name, customer)))
+		d.Record(now, "entry", crashOf(n, false, sent(name, customer)))
 		if n%3 == 2 {
 			want = append(want, exact(name))
 			d.RecordBegins(now.Add(100*time.Millisecond), begin(0, customer))
@@ -158,7 +158,7 @@
 			if name == "part" {
 				request = sent(fmt.Sprint("own", n), "dead", customer)
 			}
-			d.Record(at(900*n), crashOf(n, false, request, sent("sound", customer)))
+			d.Record(at(900*n), "entry", crashOf(n, false, request, sent("sound", customer)))
 		}
 		c.Assert(blamed(d, at(4000)), quicktest.DeepEquals, sorted(append(deadly, exact("sound"))...), quicktest.Commentf(name))
 		refused := map[string]quarantine.Refusals{deadly[0]: {Total: 1}, exact("sound"): {Total: 1, Alone: 1}}
@@ -190,7 +190,7 @@
 		if n == 1 {
 			ids = sent("from an entry of this release", ids...)
 		}
-		d.Record(at(900*n), crash(n, true, ids...))
+		d.Record(at(900*n), "entry", crash(n, true, ids...))
 	}
 	c.Check(blamed(d, at(9000)), quicktest.DeepEquals, sorted("dead"))
 }
@@ -215,7 +215,7 @@
 			i := slices.IndexFunc(report[0].Exposed, func(e quarantine.Exposure) bool { return e.ID == exact("dead") })
 			report[0].Exposed[i].Acknowledged = true
 		}
-		d.Record(at(900*n), report)
+		d.Record(at(900*n), "entry", report)
 	}
 	c.Check(blamed(d, at(9000)), quicktest.DeepEquals, sorted(exact("dead")))
 }
@@ -226,7 +226,7 @@
 	c := quicktest.New(t)
 	d := quarantine.NewDetector(quarantine.DefaultOptions())
 	for n := range 3 {
-		d.Record(at(300*n), crashOf(n, false, sent("dead")))
+		d.Record(at(300*n), "entry", crashOf(n, false, sent("dead")))
 	}
 	c.Check(d.Blame(at(999)), quicktest.HasLen, 0)
 	c.Check(d.Blame(at(1000)), quicktest.HasLen, 1)
@@ -335,7 +335,7 @@
 			}
 		}
 		crashes, begins := tracker.Report(now, 1), tracker.Begins(now, 1, d.Suspects())
-		d.Record(now, crashes)
+		d.Record(now, "entry", crashes)
 		d.RecordBegins(now, begins)
 		tracker.Delivered(now, 1, crashes, begins)
 		if list := d.Blame(now); len(list) > 0 {
@@ -357,9 +357,9 @@
 	d := quarantine.NewDetector(quarantine.DefaultOptions())
 	d.SetQuarantined(at(0), []quarantine.Signature{quarantine.NewSignature("s", "dead")})
 	for n, ms := range []int{0, 300, 600} {
-		d.Record(at(ms), crash(n, true, "sound"))
+		d.Record(at(ms), "entry", crash(n, true, "sound"))
 		d.Blame(at(ms))
 	}
-	d.Record(at(800), crash(2, true, "dead"))
+	d.Record(at(800), "entry", crash(2, true, "dead"))
 	c.Check(d.Blame(at(3000)), quicktest.HasLen, 0)
 }
--- a/internal/place/quarantine/detector.go
+++ b/internal/place/quarantine/detector.go
@@ -41,7 +41,7 @@
 	crashes     map[Incarnation]*crash
 	records     map[Signature]*record
 	slots       [maxRecorded]*crash
-	repeated    map[*record]bool // exposed to several crashes, or to one since they last began
+	repeated    map[*record]bool // exposed to several crashes, or to one in several copies or since they last began
 	quarantined map[Signature]*quarantined
 	together    map[Signature]bool // signatures that were blamed for the same crashes as another one
 
@@ -50,7 +50,9 @@
 	changed  bool // there is evidence that the last comparison has not considered
 	all      []*suspect
 	suspects []Signature // those about which entries are asked
-	decided  bool        // blamed is the decision on the last comparison
+	held     map[string]*hold
+	heldIDs  []string // of held, sorted
+	decided  bool     // blamed is the decision on the last comparison
 	blamed   []Signature
 	reviewAt time.Time // when the decision may change without new evidence, zero for never
 }
@@ -123,8 +125,8 @@
 	d.changed = true
 }
 
-// Record adds crashes that an entry reports.
-func (d *Detector) Record(now time.Time, list []Crash) {
+// Record adds crashes that an entry reports. It may report a crash again with further requests.
+func (d *Detector) Record(now time.Time, entry string, list []Crash) {
 	for _, c := range list {
 		at := ago(now, c.AgoMillis)
 		if now.Sub(at) > retention {
@@ -142,14 +144,18 @@
 			}
 		}
 		var request *record
+		copies := map[*record]int{}
 		for _, e := range c.Exposed {
-			r := d.record(NewSignature(c.Service, e.ID))
+			r, x := d.record(NewSignature(c.Service, e.ID)), exposure{sentAt: ago(at, e.WaitedMillis), acknowledged: e.Acknowledged}
 			if r.kind == KindRequest {
 				request = r
+				copies[r]++
+				x.copies = map[string]int{entry: copies[r]}
+				x.turn = d.held[e.ID].permitted(x.sentAt)
 			} else if request != nil && len(request.carries) < maxCarried && !slices.Contains(request.carries, r) {
 				request.carries = append(request.carries, r)
 			}
-			d.expose(k, r, exposure{sentAt: ago(at, e.WaitedMillis), acknowledged: e.Acknowledged})
+			d.expose(k, r, x)
 		}
 		d.changed = true
 	}
@@ -206,9 +212,9 @@
 	}
 	if !r.begun.After(merged.sentAt) && !slices.ContainsFunc(r.exposed, func(x exposedTo) bool { return x.crash == k }) {
 		r.exposed = append(r.exposed, exposedTo{k, merged})
-		if len(r.exposed) > 1 || !r.begun.IsZero() {
-			d.repeated[r] = true
-		}
+	}
+	if len(r.exposed) > 1 || (len(r.exposed) > 0 && (!r.begun.IsZero() || merged.count() > 1)) {
+		d.repeated[r] = true
 	}
 	r.suspect = nil
 }
--- a/internal/place/quarantine/quarantine_test.go
+++ b/internal/place/quarantine/quarantine_test.go
@@ -38,11 +38,11 @@
 func TestThirdCrashBlames(t *testing.T) {
 	c := quicktest.New(t)
 	d := quarantine.NewDetector(quarantine.DefaultOptions())
-	d.Record(at(0), crash(1, true, "common", "dead"))
-	d.Record(at(300), crash(2, true, "common", "dead"))
+	d.Record(at(0), "entry", crash(1, true, "common", "dead"))
+	d.Record(at(300), "entry", crash(2, true, "common", "dead"))
 	d.RecordBegins(at(400), begin(0, "common"))
 	c.Check(d.Blame(at(1000)), quicktest.HasLen, 0) // the second crash
-	d.Record(at(1000), crash(3, true, "common", "dead"))
+	d.Record(at(1000), "entry", crash(3, true, "common", "dead"))
 	c.Check(d.Suspects(), quicktest.DeepEquals, []quarantine.Signature{part("dead"), part("common")})
 	c.Check(d.Blame(at(1000)), quicktest.DeepEquals, []quarantine.Signature{part("dead")})
 }
@@ -52,7 +52,7 @@
 	c := quicktest.New(t)
 	d := quarantine.NewDetector(quarantine.DefaultOptions())
 	for n := range 8 {
-		d.Record(at(n), crash(n, false, "rare", fmt.Sprint("other", n)))
+		d.Record(at(n), "entry", crash(n, false, "rare", fmt.Sprint("other", n)))
 	}
 	c.Check(d.Blame(at(5000)), quicktest.HasLen, 0)
 }
@@ -68,7 +68,7 @@
 		if n != 2 {
 			ids = append(ids, "rare")
 		}
-		d.Record(at(400*n+400), crash(n, true, ids...))
+		d.Record(at(400*n+400), "entry", crash(n, true, ids...))
 	}
 	c.Check(d.Blame(at(3000)), quicktest.DeepEquals, []quarantine.Signature{part("dead")})
 	c.Check(d.Blame(at(3000)), quicktest.DeepEquals, []quarantine.Signature{part("dead")}) // until it is stored
@@ -81,7 +81,7 @@
 	c := quicktest.New(t)
 	d := quarantine.NewDetector(quarantine.DefaultOptions())
 	for n := range 8 {
-		d.Record(at(400*n), crash(n, true, []string{"dead1", "dead2"}[n%2], fmt.Sprint("own", n)))
+		d.Record(at(400*n), "entry", crash(n, true, []string{"dead1", "dead2"}[n%2], fmt.Sprint("own", n)))
 	}
 	c.Check(d.Blame(at(5000)), quicktest.DeepEquals, []quarantine.Signature{part("dead1"), part("dead2")})
 }
@@ -92,7 +92,7 @@
 	c := quicktest.New(t)
 	d := quarantine.NewDetector(quarantine.DefaultOptions())
 	for n := range 3 {
-		d.Record(at(400*n), crash(n, true, "dead", "sound"))
+		d.Record(at(400*n), "entry", crash(n, true, "dead", "sound"))
 	}
 	both := []quarantine.Signature{part("dead"), part("sound")}
 	c.Assert(d.Blame(at(2000)), quicktest.DeepEquals, both)
@@ -129,7 +129,7 @@
 	d.RecordBegins(at(0), begin(0, "turned"))
 	for n := range 6 {
 		c.Check(d.Blame(at(400*n+400)), quicktest.HasLen, 0)
-		d.Record(at(400*n+400), crash(n, true, "turned"))
+		d.Record(at(400*n+400), "entry", crash(n, true, "turned"))
 	}
 	c.Check(d.Blame(at(3000)), quicktest.DeepEquals, []quarantine.Signature{part("turned")})
 }
@@ -260,7 +260,7 @@
 				}
 			}
 			crashes, begins := tracker.Report(now, 1), tracker.Begins(now, 1, d.Suspects())
-			d.Record(now, crashes)
+			d.Record(now, "entry", crashes)
 			d.RecordBegins(now, begins)
 			tracker.Delivered(now, 1, crashes, begins)
 			c.Assert(d.Blame(now), quicktest.HasLen, 0, quicktest.Commentf("seed %d, round %d", seed, round))
--- a/internal/place/quarantine/tracker.go
+++ b/internal/place/quarantine/tracker.go
@@ -41,13 +41,16 @@
 type exposedRequest struct {
 	signatures []string
 	repeated   bool // it was exposed to an earlier crash
+	copies     int
 	exposure
 }
 
 // exposure is the latest request with a signature that had not begun.
 type exposure struct {
 	sentAt       time.Time
-	acknowledged bool // the endpoint had sent the head of an answer to one of them
+	acknowledged bool           // the endpoint had sent the head of an answer to one of them
+	copies       map[string]int // at the leader, copies of an exact request by entry
+	turn         bool           // at the leader, the request was sent alone, with its permit
 }
 
 func (e *exposure) merge(other exposure) {
@@ -55,12 +58,28 @@
 		e.sentAt = other.sentAt
 	}
 	e.acknowledged = e.acknowledged || other.acknowledged
+	e.turn = e.turn || other.turn
+	for entry, n := range other.copies {
+		if e.copies == nil {
+			e.copies = map[string]int{}
+		}
+		e.copies[entry] = max(e.copies[entry], n) // a report contains what the entry has reported before
+	}
+}
+
+// count returns the number of copies at all entries.
+func (e *exposure) count() (n int) {
+	for _, copies := range e.copies {
+		n += copies
+	}
+	return n
 }
 
 // add merges a request. Beyond the limit, one that is acknowledged or repeated replaces one that is neither.
 func (b *brokenEndpoint) add(key string, x exposedRequest) {
 	if merged := b.exposed[key]; merged != nil {
 		merged.merge(x.exposure)
+		merged.copies = min(merged.copies+1, maxCopies)
 		for _, id := range x.signatures {
 			if !slices.Contains(merged.signatures, id) {
 				merged.signatures = append(slices.Clip(merged.signatures), id)
@@ -94,6 +113,8 @@
 	// maxCrashes and maxExposed limit the memory for crashes and the requests that were exposed to one crash.
 	maxCrashes = 128
 	maxExposed = 64
+	// maxCopies limits the copies of an exact request that a report of a crash counts.
+	maxCopies = 8
 	// maxReported limits the crashes of one report. A new leader gets those of the last ten minutes from all entries.
 	maxReported = 16
 )
@@ -172,7 +193,7 @@
 	}
 	b.service = a.Service
 	b.add(requestKey(a.Signatures), exposedRequest{
-		signatures: a.Signatures, repeated: t.Repeated(a), exposure: exposure{sentAt: a.SentAt, acknowledged: a.Acknowledged},
+		signatures: a.Signatures, repeated: t.Repeated(a), copies: 1, exposure: exposure{sentAt: a.SentAt, acknowledged: a.Acknowledged},
 	})
 	b.reported, b.delivered = false, 0
 	t.confirm(b)
@@ -219,7 +240,7 @@
 }
 
 // Report returns crashes that the leader of a term has not received yet, the oldest first, without requests that have begun here after they
-// were exposed. The exposures of the signatures of a request follow that of the exact request.
+// were exposed. The exposures of the signatures of a request follow that of the exact request, which is repeated for each further copy.
 func (t *Tracker) Report(now time.Time, term uint64) (list []Crash) {
 	due := slices.SortedFunc(maps.Values(t.crashes), func(a, b *brokenEndpoint) int { return a.at.Compare(b.at) })
 	for _, b := range due {
@@ -255,6 +276,9 @@
 		if begunSince(key) {
 			continue
 		}
+		for range x.copies - 1 {
+			c.Exposed = append(c.Exposed, x.report(b.at, key))
+		}
 		for _, id := range x.signatures {
 			if !begunSince(id) {
 				c.Exposed = append(c.Exposed, x.report(b.at, id))
--- a/internal/serve/forward/forward.go
+++ b/internal/serve/forward/forward.go
@@ -61,6 +61,8 @@
 	tracker           *quarantine.Tracker
 	refusedSignatures map[string]quarantine.Refusals // requests refused since the last report, by quarantined signature
 	trials            map[string]time.Time           // until when one request may try a quarantined signature
+	turns             map[string]time.Time           // until when one copy of a held request may be sent
+	waiting           map[string]int                 // copies of held requests that wait for a turn
 	streams           *origin.Book
 }
 
@@ -110,6 +112,7 @@
 	missingAt     string          // endpoint that did not hold the adapter
 	mayCrash      bool            // it may have crashed the endpoint of the last attempt
 	trial         bool            // it may be sent once with a quarantined signature
+	turnUntil     time.Time       // until when it may be sent although it is held, unless it has run
 	failedAnswer  *completeAnswer // error answer of an endpoint, delivered if no later attempt succeeds
 }
 
@@ -120,7 +123,8 @@
 		options: o, picker: pick.New(o.Picker, o.Seed), random: rand.New(rand.NewPCG(o.Seed, o.Seed+1)),
 		budgets: map[string]*retry.Budget{}, uses: map[[2]string]*use{}, placements: map[residency.Adapter]*placement{}, placing: semaphore.NewWeighted(maxPlacements),
 		silence: silence.New(silence.Defaults()), attempts: map[*inFlight]bool{}, loans: map[loanKey]*loanQueue{}, ceilings: ceiling.New(), endpointShares: quota.NewEntryPool(), unread: map[string]int{}, shares: o.Shares,
-		tracker: quarantine.NewTracker(), refusedSignatures: map[string]quarantine.Refusals{}, trials: map[string]time.Time{}, streams: origin.New(origin.MaxStreams),
+		tracker: quarantine.NewTracker(), refusedSignatures: map[string]quarantine.Refusals{}, trials: map[string]time.Time{},
+		turns: map[string]time.Time{}, waiting: map[string]int{}, streams: origin.New(origin.MaxStreams),
 	}
 	h.filters = []filter{h.match, h.identify, h.read, h.checkStop, h.sign, h.checkSignatures, h.findOrigin, h.admit, h.dispatch}
 	return h
--- a/internal/serve/forward/quarantine.go
+++ b/internal/serve/forward/quarantine.go
@@ -2,6 +2,7 @@
 
 import (
 	"log/slog"
+	"maps"
 	"slices"
 	"time"
 
@@ -148,6 +149,7 @@
 	r.Begins = h.tracker.Begins(now, r.Term, asked)
 	r.Refused = h.refusedSignatures
 	h.refusedSignatures = map[string]quarantine.Refusals{}
+	r.Waiting = slices.Sorted(maps.Keys(h.waiting))
 }
 
 // HasCrash reports whether a crash should be reported to the leader without waiting for the next report.
@@ -168,4 +170,7 @@
 	for _, id := range u.Trials {
 		h.trials[id] = h.options.Now().Add(trialTime)
 	}
+	for _, id := range u.Turns {
+		h.turns[id] = h.options.Now().Add(turnLease)
+	}
 }
--- a/internal/serve/forward/send.go
+++ b/internal/serve/forward/send.go
@@ -79,6 +79,11 @@
 			if refused = h.checkBacklog(x, c); refused != nil {
 				return c, refused
 			}
+			if waited, refused := h.awaitTurn(x); refused != nil {
+				return c, refused
+			} else if waited {
+				continue // the endpoint may have crashed meanwhile
+			}
 			if h.allowAttempt(x) {
 				return c, h.checkQuarantine(x, true) // a signature may have been quarantined since the request arrived
 			}
--- a/internal/serve/isolate/collector.go
+++ b/internal/serve/isolate/collector.go
@@ -143,7 +143,7 @@
 		one := reports[name]
 		c.received[name] = one.ID
 		delete(c.trials, name)
-		c.detector.Record(now, one.Crashes)
+		c.detector.Record(now, name, one.Crashes)
 		c.detector.RecordBegins(now, one.Begins)
 		if trials := c.detector.Asked(now, one.Refused); len(trials) > 0 {
 			c.trials[name] = permits{one.ID, trials}
