Find requests that crash endpoints with another query each time

Cause: the exact request was identified with its query, so that each repeat was another one, and the only other signature of a plain request is its customer, which sound requests begin all the time.

A request with a query now has a second signature, of everything but the query (prefix "target:"). It is blamed for crashes under several queries and none of them begun, while the exact request still goes first: one deadly query leaves the other ones served. One that has never begun is held like an exact request, and its requests are sent one at a time. The product's own deployment (serve/caller) has the signature too.

--- a/internal/place/quarantine/begun.go
+++ b/internal/place/quarantine/begun.go
@@ -8,7 +8,7 @@
 	return known
 }
 
-// LastBegin returns when an exact request last began here, as far as it is remembered, or the zero time.
+// LastBegin returns when an exact request or a target last began here, as far as it is remembered, or the zero time.
 func (t *Tracker) LastBegin(id string) time.Time {
 	at, _ := t.lastBegin(NewSignature("", id))
 	return at
--- a/internal/place/quarantine/blame.go
+++ b/internal/place/quarantine/blame.go
@@ -123,11 +123,11 @@
 	enough
 )
 
-// minRounds returns the number of consecutive crashes that blame the signature. It is higher for adapters and customers, which many sound requests
-// have, and for a signature that has begun before.
+// minRounds returns the number of consecutive crashes that blame the signature. It is higher for adapters, customers and targets that have begun, which
+// many sound requests have, and for a signature that has begun before.
 func (s *suspect) minRounds(o Options) int {
 	n := o.MinRounds
-	if s.kind > KindPart {
+	if s.kind > KindPart || (s.kind == KindTarget && !s.begun.IsZero()) {
 		n += o.MoreRounds
 	}
 	if !s.begun.IsZero() {
@@ -241,7 +241,7 @@
 	}
 	s := x.all[i]
 	for _, t := range x.all {
-		if t == s || (t.equals(s) && (t.kind == s.kind || (t.kind == KindPart && x.convincing(t))) && !x.contested(t)) {
+		if t == s || (t.equals(s) && (t.kind == s.kind || (t.kind == KindPart && s.kind != KindTarget && x.convincing(t))) && !x.contested(t)) {
 			blamed = append(blamed, t)
 		}
 	}
@@ -279,7 +279,10 @@
 func (x *decision) isEnough(s *suspect) bool {
 	count, alone, fresh, last, surplus := 0, 0, 0, time.Time{}, -1
 	minRounds := s.minRounds(x.options)
-	minFresh := [kinds]int{KindPart: 2, KindAdapter: minRounds, KindCustomer: minRounds}[s.kind]
+	minFresh := [kinds]int{KindTarget: 2, KindPart: 2, KindAdapter: minRounds, KindCustomer: minRounds}
+	if s.kind == KindTarget && !s.begun.IsZero() {
+		minFresh[s.kind] = minRounds
+	}
 	seen := map[*record]bool{}
 	for _, one := range s.rounds {
 		if !one.sentAt.After(last) || (one.source != nil && seen[one.source]) {
@@ -289,10 +292,10 @@
 		if one.turn {
 			alone++
 		}
-		if fresh < minFresh && s.showsAnother(one, seen) {
+		if fresh < minFresh[s.kind] && s.showsAnother(one, seen) {
 			fresh++
 		}
-		if count < minRounds || fresh < minFresh {
+		if count < minRounds || fresh < minFresh[s.kind] {
 			continue
 		}
 		if surplus < 0 {
@@ -314,7 +317,7 @@
 	first, last := s.rounds[0], s.rounds[len(s.rounds)-1]
 	var others crashSet
 	for _, t := range x.all {
-		if t.kind == KindRequest && t.size > 1 && t.begun.IsZero() {
+		if t.kind <= KindTarget && t.size > 1 && t.begun.IsZero() {
 			others.merge(t.unexplained)
 		}
 	}
--- a/internal/place/quarantine/detector.go
+++ b/internal/place/quarantine/detector.go
@@ -147,11 +147,11 @@
 		copies := map[*record]int{}
 		for _, e := range c.Exposed {
 			r, x := d.record(NewSignature(c.Service, e.ID)), exposure{sentAt: ago(at, e.WaitedMillis), acknowledged: e.Acknowledged}
+			x.turn = d.held[e.ID].permitted(x.sentAt)
 			if r.kind == KindRequest {
 				request = r
 				copies[r]++
 				x.copies = map[string]int{entry: copies[r]}
-				x.turn = d.held[e.ID].permitted(x.sentAt)
 			} else if request != nil && len(request.carries) < maxCarried && !slices.Contains(request.carries, r) {
 				request.carries = append(request.carries, r)
 			}
--- a/internal/place/quarantine/hold.go
+++ b/internal/place/quarantine/hold.go
@@ -20,16 +20,16 @@
 
 // held reports whether a request may have crashed so many endpoints that copies of it must not be sent at once.
 func (s *suspect) held() bool {
-	if s.kind != KindRequest || s.size == 0 {
+	switch {
+	case s.kind > KindTarget || s.size == 0:
 		return false
-	}
-	if s.begun.IsZero() {
+	case s.begun.IsZero():
 		return s.runs >= holdRuns
 	}
-	return s.size >= holdCrashes
+	return s.kind == KindRequest && s.size >= holdCrashes // many sound requests have a target that has begun
 }
 
-// Held returns the identifiers of the exact requests of which entries send one copy at a time, with a permit of the leader. The caller must not
+// Held returns the identifiers of the exact requests and targets of which entries send one copy at a time, with a permit of the leader. The caller must not
 // change the list.
 func (d *Detector) Held() []string {
 	d.compare()
--- a/internal/place/quarantine/signature.go
+++ b/internal/place/quarantine/signature.go
@@ -14,21 +14,22 @@
 // Kinds of signatures, the narrowest first.
 const (
 	KindRequest Kind = iota // one exact request
+	KindTarget              // requests that differ in their query only
 	KindPart                // a part of prompts
 	KindAdapter
 	KindCustomer
 )
 
 // kinds is the number of kinds.
-const kinds = 4
+const kinds = 5
 
 // prefixes begin the identifiers of each kind. Identifiers of parts have one only if they would be taken for another kind, because stored
 // lists and reports of earlier releases contain them as they are.
-var prefixes = [kinds]string{"request:", "part:", "adapter:", "customer:"}
+var prefixes = [kinds]string{"request:", "target:", "part:", "adapter:", "customer:"}
 
 // String returns what callers are told of the kind.
 func (k Kind) String() string {
-	return [kinds]string{"request", "prompt part", "adapter", "customer"}[k]
+	return [kinds]string{"request", "request with any query", "prompt part", "adapter", "customer"}[k]
 }
 
 // KindOf returns the kind of the signature with an identifier.
@@ -42,9 +43,9 @@
 }
 
 // NewSignature returns the signature of requests to a service with an identifier. An exact request has the same one at all services that its
-// route may choose.
+// route may choose, with and without its query.
 func NewSignature(service, id string) Signature {
-	if KindOf(id) == KindRequest {
+	if KindOf(id) <= KindTarget {
 		service = ""
 	}
 	return Signature{Service: service, ID: id}
@@ -57,7 +58,12 @@
 }
 
 // Request returns the identifier of an exact request, given everything by which it differs from others. It is a digest of 128 bits.
-func Request(fields ...[]byte) string {
+func Request(fields ...[]byte) string { return prefixes[KindRequest] + digest(fields) }
+
+// Target returns the identifier of requests that differ in their query only, given everything else.
+func Target(fields ...[]byte) string { return prefixes[KindTarget] + digest(fields) }
+
+func digest(fields [][]byte) string {
 	h := sha256.New()
 	var length [8]byte
 	for _, f := range fields {
@@ -65,7 +71,7 @@
 		h.Write(length[:])
 		h.Write(f)
 	}
-	return prefixes[KindRequest] + hex.EncodeToString(h.Sum(nil)[:digestSize])
+	return hex.EncodeToString(h.Sum(nil)[:digestSize])
 }
 
 // digestSize is the size in bytes of the digest of a request.
--- a/internal/place/quarantine/signature_test.go
+++ b/internal/place/quarantine/signature_test.go
@@ -13,7 +13,9 @@
 	c := quicktest.New(t)
 	for id, kind := range map[string]quarantine.Kind{
 		quarantine.Request([]byte("GET"), []byte("/a")): quarantine.KindRequest,
+		quarantine.Target([]byte("GET"), []byte("/a")):  quarantine.KindTarget,
 		quarantine.Part("5c1e07a2"):                     quarantine.KindPart,
+		quarantine.Part("target:5c1e07a2"):              quarantine.KindPart,
 		quarantine.Part("request:5c1e07a2"):             quarantine.KindPart,
 		quarantine.Part("part:5c1e07a2"):                quarantine.KindPart,
 		quarantine.Adapter("model", "request:a"):        quarantine.KindAdapter,
--- a/internal/place/quarantine/tracker.go
+++ b/internal/place/quarantine/tracker.go
@@ -10,7 +10,7 @@
 // Tracker records at an entry which signatures were exposed to crashes, and which ones begin. It is not safe for concurrent use.
 type Tracker struct {
 	begun         recentBegins
-	begunRequests recentBegins // of exact requests, most of which are unique
+	begunRequests recentBegins // of exact requests and targets, most of which are unique
 	broken        map[Incarnation]*brokenEndpoint
 	crashes       map[Incarnation]*brokenEndpoint // of these, the confirmed ones
 	told          map[Signature]time.Time         // begins that the leader of toldTerm has received
@@ -137,7 +137,7 @@
 
 // recent returns the begins among which those of a signature are.
 func (t *Tracker) recent(sig Signature) *recentBegins {
-	if KindOf(sig.ID) == KindRequest {
+	if KindOf(sig.ID) <= KindTarget {
 		return &t.begunRequests
 	}
 	return &t.begun
--- a/internal/serve/caller/isolate.go
+++ b/internal/serve/caller/isolate.go
@@ -9,9 +9,12 @@
 	"lycheevale/internal/place/quarantine"
 )
 
-// sign sets the signature of the exact request, by which it is compared with repeats of it.
+// sign sets the signatures by which the request is compared with repeats of it, also with another query.
 func (x *exchange) sign(query string, body []byte) {
 	x.signatures = []string{quarantine.Request([]byte(x.r.Method), []byte(x.r.URL.Path), []byte(query), []byte(x.customer), body)}
+	if query != "" {
+		x.signatures = append(x.signatures, quarantine.Target([]byte(x.r.Method), []byte(x.r.URL.Path), []byte(x.customer), body))
+	}
 }
 
 // signShared adds the signatures that a request shares with others of its adapter and its customer.
--- a/internal/serve/forward/quarantine.go
+++ b/internal/serve/forward/quarantine.go
@@ -4,6 +4,7 @@
 	"log/slog"
 	"maps"
 	"slices"
+	"strings"
 	"time"
 
 	"lycheevale/internal/base/event"
@@ -19,6 +20,9 @@
 		customer = x.customer.Name
 	}
 	x.signatures = append(x.signatures, quarantine.Request([]byte(x.request.Method), []byte(x.request.Target), []byte(customer), x.body))
+	if target, _, hasQuery := strings.Cut(x.request.Target, "?"); hasQuery {
+		x.signatures = append(x.signatures, quarantine.Target([]byte(x.request.Method), []byte(target), []byte(customer), x.body))
+	}
 	for _, part := range x.request.SharedParts[:min(len(x.request.SharedParts), maxComparedParts)] {
 		if id := quarantine.Part(part); len(id) <= maxPartBytes && !slices.Contains(x.signatures, id) {
 			x.signatures = append(x.signatures, id)
--- a/internal/serve/forward/turn.go
+++ b/internal/serve/forward/turn.go
@@ -21,8 +21,8 @@
 // awaitTurn delays a request that may have crashed endpoints, and is about to be sent, until the leader permits one copy of it, or until a copy has
 // begun. Copies that are sent at once would each crash an endpoint before the request can be blamed. A request that has run is not delayed, but refused.
 func (h *Handler) awaitTurn(x *exchange) (waited bool, refused *refusal.Error) {
-	id := x.exactRequest()
-	if h.hasTurn(x, id) {
+	id := h.heldSignature(x)
+	if id == "" || h.hasTurn(x, id) {
 		return false, nil
 	}
 	if x.ran > 0 {
@@ -47,6 +47,16 @@
 	return true, h.refuseTurn(id)
 }
 
+// heldSignature returns the identifier of the exact request or else of its target, whichever is held, empty if none is.
+func (h *Handler) heldSignature(x *exchange) string {
+	for _, id := range x.signatures[:min(len(x.signatures), 2)] {
+		if _, held := h.options.View.Held(h.options.Now(), id); held {
+			return id
+		}
+	}
+	return ""
+}
+
 func (h *Handler) countWaiting(id string, n int) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
@@ -83,11 +93,7 @@
 
 // hasTurn reports whether a request may be sent: it is not held, or has a turn and has not run.
 func (h *Handler) hasTurn(x *exchange, id string) bool {
-	now := h.options.Now()
-	if _, held := h.options.View.Held(now, id); !held {
-		return true
-	}
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	return !h.isHeld(id) || (x.ran == 0 && now.Before(x.turnUntil))
+	return !h.isHeld(id) || (x.ran == 0 && h.options.Now().Before(x.turnUntil))
 }
