--- a/internal/serve/forward/quarantine.go
+++ b/internal/serve/forward/quarantine.go
@@ -2,7 +2,9 @@
 
 import (
 	"log/slog"
+	"maps"
 	"slices"
+	"strings"
 	"time"
 
 	"lycheevale/internal/base/event"
@@ -18,6 +20,9 @@
 		customer = x.customer.Name
 	}
 	x.signatures = append(x.signatures, quarantine.Request([]byte(x.request.Method), []byte(x.request.Target), []byte(customer), x.body))
+	if target, _, hasQuery := strings.Cut(x.request.Target, "?"); hasQuery {
+		x.signatures = append(x.signatures, quarantine.Target([]byte(x.request.Method), []byte(target), []byte(customer), x.body))
+	}
 	for _, part := range x.request.SharedParts[:min(len(x.request.SharedParts), maxComparedParts)] {
 		if id := quarantine.Part(part); len(id) <= maxPartBytes && !slices.Contains(x.signatures, id) {
 			x.signatures = append(x.signatures, id)
@@ -148,6 +153,7 @@
 	r.Begins = h.tracker.Begins(now, r.Term, asked)
 	r.Refused = h.refusedSignatures
 	h.refusedSignatures = map[string]quarantine.Refusals{}
+	r.Waiting = slices.Sorted(maps.Keys(h.waiting))
 }
 
 // HasCrash reports whether a crash should be reported to the leader without waiting for the next report.
@@ -168,4 +174,7 @@
 	for _, id := range u.Trials {
 		h.trials[id] = h.options.Now().Add(trialTime)
 	}
+	for _, id := range u.Turns {
+		h.turns[id] = h.options.Now().Add(turnLease)
+	}
 }
