Unload no further adapters while unloads are not answered

Callers would see all adapters of an endpoint refused that entries reach and that serves well, if the leader gets no answers to its orders: two more adapters were taken from it every two seconds. An unload that was not answered shows nothing about requests that hold the adapter, and a further one is not answered either.

--- a/internal/place/residency/residency_test.go
+++ b/internal/place/residency/residency_test.go
@@ -108,6 +108,25 @@
 	c.Check(p.MayLoad("a", adapter("third")), quicktest.IsFalse)
 }
 
+// An endpoint answers no orders, while entries reach it: its state can't be fetched either. Guards against an endpoint that loses all its adapters, a few
+// every two seconds, although none of the unloads has made room.
+func TestUnansweredUnloadsLeaveAdapters(t *testing.T) {
+	c := quicktest.New(t)
+	for name, sent := range map[string]bool{"not answered": true, "waiting to be sent": false} {
+		p := placer(engine("a", "east", holdings(6)))
+		now := epoch.Add(5 * time.Second)
+		for range 200 {
+			for _, u := range p.MakeRoom(now) {
+				if sent {
+					p.UnloadUnanswered(now, "a", u.Holding.Adapter)
+				}
+			}
+			now = now.Add(100 * time.Millisecond)
+		}
+		c.Check(p.Summary(now).Resident, quicktest.Equals, 4, quicktest.Commentf("%s", name))
+	}
+}
+
 // Guards against exceeding an endpoint's slots, as seen on the bench: an announcement does not list loads in progress and
 // may be seconds old.
 func TestAnnouncementFreesNoPlace(t *testing.T) {
--- a/internal/place/residency/room.go
+++ b/internal/place/residency/room.go
@@ -178,7 +178,10 @@
 		}
 		leaving := 0
 		for _, pl := range e.places {
-			if (pl.state == Leaving || pl.state == Unknown) && now.Sub(pl.changedAt) <= slowUnload {
+			switch {
+			case pl.state == Unknown:
+				leaving++
+			case pl.state == Leaving && (!pl.ordered || now.Sub(pl.changedAt) <= slowUnload):
 				leaving++
 			}
 		}
@@ -197,7 +200,7 @@
 	return list
 }
 
-// slowUnload is the time after which a place is not expected to become free soon: a request that runs for longer may hold its adapter. By then the state
+// slowUnload is the time after which a place whose unload was accepted is not expected to become free soon: a request that runs for longer may hold its adapter. By then the state
 // that shows a finished unload has been fetched.
 const slowUnload = 2 * reconcileAfter
 
