Take a blocked write of an answer that is no stream for no silence of its endpoint

Callers saw streams that broke off cut although other endpoints were free. Cause: as with events of streams, a write of a complete answer to a slow caller was taken for silence of its endpoint after 0.9 s, and the retry budget was charged for a move that did not take place. The write is recorded like that of events. Evidence: TestSlowCallerOfAnswerUsesNoRetryBudget failed before (blocked for 1 s: the stream of the other caller ended with "the retry budget of service s is exhausted") and passes now.

--- a/internal/serve/forward/broken_test.go
+++ b/internal/serve/forward/broken_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"io"
 	"net/http"
 	"net/http/httptest"
 	"slices"
@@ -227,3 +228,30 @@
 		}, forward.WithRetry(retry.Options{Window: 10 * time.Second, Slack: 1}))
 	}
 }
+
+// A caller reads an answer that is no stream slowly, and another caller's stream breaks off. Guards against the same as the test above.
+func TestSlowCallerOfAnswerUsesNoRetryBudget(t *testing.T) {
+	for _, blocks := range []time.Duration{time.Second, 1700 * time.Millisecond, 4 * time.Second} {
+		var arrivals atomic.Int32
+		serve := func(w http.ResponseWriter, q *http.Request) {
+			switch arrivals.Add(1) {
+			case 1:
+				_, _ = io.WriteString(w, "answer")
+			case 2:
+				breaksAfterFirst(w, q)
+			default:
+				streamOf(false, event2+event3)(w, q)
+			}
+		}
+		runSilent(t, 3, serve, func(r *fixture) {
+			q := httptest.NewRequestWithContext(context.Background(), http.MethodGet, "/triple/x", http.NoBody)
+			q.Header.Set("Key", "k")
+			w := &blockingWriter{httptest.NewRecorder(), blocks}
+			r.handler.ServeHTTP(w, q)
+			r.Check(w.Body.String(), quicktest.Equals, "answer")
+			body, complete := r.stream("/triple/x")
+			r.Check(body, quicktest.Equals, event1+event2+event3, quicktest.Commentf("blocked for %v", blocks))
+			r.Check(complete, quicktest.IsTrue)
+		}, forward.WithRetry(retry.Options{Window: 10 * time.Second, Slack: 1}))
+	}
+}
--- a/internal/serve/forward/send.go
+++ b/internal/serve/forward/send.go
@@ -425,7 +425,9 @@
 		return h.stream(x, s)
 	}
 	x.firstByteAt = h.options.Now()
+	written := h.awaitCaller(s.inFlight)
 	s.complete.deliver(x)
+	written()
 	if s.long {
 		return h.relayRest(x, s)
 	}
