Ask the holders of an adapter again while the leader is silent

Callers saw a begun stream cut off, or stand still for two seconds, although an endpoint that holds its adapter was free again after 0.3 s. Cause: its endpoint had broken off and the other holders were full, so that the entry asked the leader for a further endpoint and waited for the answer only, up to 2.5 s. A leader that does not answer, as in the users' record beside a configuration that took 9 s to be acknowledged, so ended the 1.5 s in which the stream may go on. Class: the same as before, a wait for something else is used as a limit on time. Now a begun stream, or one at a silent endpoint, leaves the leader after 0.4 s and asks the holders again, unless its time would be over by then; the pauses, the tries and the retry budget limit the sendings as before, and each round makes one call to the leader.

--- a/internal/serve/forward/broken_test.go
+++ b/internal/serve/forward/broken_test.go
@@ -13,9 +13,11 @@
 	"time"
 
 	"github.com/frankban/quicktest"
+	"github.com/zeebo/errs"
 
 	"lycheevale/internal/limit/retry"
 	"lycheevale/internal/member/report"
+	"lycheevale/internal/place/residency"
 	"lycheevale/internal/serve/forward"
 	"lycheevale/internal/state/document"
 )
@@ -91,9 +93,7 @@
 			return report.PlacementReply{Leading: true, Endpoint: "0"}, nil
 		}
 		runSilent(t, 2, serve, func(r *fixture) {
-			r.replaceDocument(func(d *document.Document) {
-				d.Routes[slices.IndexFunc(d.Routes, func(r document.Route) bool { return r.Name == "long" })].Targets[0].Service = "engines"
-			}, func(e *report.Endpoint) { e.Service, e.Models = "engines", []string{"m"} })
+			r.replaceDocument(useEngines, func(e *report.Endpoint) { e.Service, e.Models = "engines", []string{"m"} })
 			body, complete := r.streamWith("/long/x", http.Header{"Adapter": {"a"}})
 			r.Check(body, quicktest.Equals, event1+event2+event3, quicktest.Commentf("load takes %v", load))
 			r.Check(complete, quicktest.IsTrue)
@@ -101,6 +101,40 @@
 	}
 }
 
+// All endpoints hold the adapter of a broken stream. The others are full for a moment, and the leader answers late, or not at all. Guards against a cut
+// stream, and one that stands still, because it waits for the leader while an endpoint that holds its adapter is free; and against many calls to the leader.
+func TestBrokenStreamNeedsNoLeader(t *testing.T) {
+	for _, takes := range []time.Duration{0, 100 * time.Millisecond, 1200 * time.Millisecond, 2500 * time.Millisecond} {
+		var calls atomic.Int32
+		place := func(_ context.Context, _ report.PlacementRequest) (report.PlacementReply, error) {
+			calls.Add(1)
+			time.Sleep(takes)
+			return report.PlacementReply{}, errs.New("no leader")
+		}
+		runSilent(t, 3, firstThen(breaksAfterFirst, refusesFor(300*time.Millisecond, respondFull)), func(r *fixture) {
+			for i := range r.update.Endpoints {
+				r.update.Events = append(r.update.Events, residency.Event{
+					Endpoint: r.update.Endpoints[i].ID, Holding: residency.Holding{Adapter: residency.Adapter{Model: "m", Name: "a"}, Version: 1},
+				})
+			}
+			r.update.Placement++
+			r.replaceDocument(useEngines, func(e *report.Endpoint) { e.Service, e.Models = "engines", []string{"m"} })
+			began := time.Now()
+			body, complete := r.streamWith("/long/x", http.Header{"Adapter": {"a"}})
+			took := time.Since(began)
+			r.Check(body, quicktest.Equals, event1+event2+event3, quicktest.Commentf("leader takes %v", takes))
+			r.Check(complete, quicktest.IsTrue)
+			r.Check(took < 1500*time.Millisecond, quicktest.IsTrue, quicktest.Commentf("%v", took))
+			r.Check(calls.Load() <= 3, quicktest.IsTrue, quicktest.Commentf("%d calls", calls.Load()))
+		}, forward.WithRequestPlacement(place))
+	}
+}
+
+// useEngines lets requests on the route "long" go to engines.
+func useEngines(d *document.Document) {
+	d.Routes[slices.IndexFunc(d.Routes, func(r document.Route) bool { return r.Name == "long" })].Targets[0].Service = "engines"
+}
+
 // A configuration arrives between the break of a stream and its continuation. Guards against a cut stream because its route or service is no longer
 // the one that it began with.
 func TestBrokenStreamOutlivesConfiguration(t *testing.T) {
--- a/internal/serve/forward/place.go
+++ b/internal/serve/forward/place.go
@@ -112,7 +112,7 @@
 		h.requestReplica(x, e)
 		return choice{Endpoint: e, version: version}, nil
 	}
-	return h.load(x, x.withOtherSoftware(h.withPaused(exclude, holders), h.options.View.Endpoints(x.service.Name)))
+	return h.load(x, x.withOtherSoftware(h.withPaused(exclude, holders), h.options.View.Endpoints(x.service.Name)), h.holdersFree(x, holders))
 }
 
 // withPaused adds those of the endpoints to a list that want no requests now.
@@ -235,13 +235,26 @@
 	localReplicaUses = 2
 )
 
-// load asks the leader to have the adapter loaded and waits until it is.
-func (h *Handler) load(x *exchange, exclude []string) (c choice, refused *refusal.Error) {
+// holdersFree returns a channel that is readable once those of the holders that have refused a begun stream may take it, or nil if that is too late or
+// there are none.
+func (h *Handler) holdersFree(x *exchange, holders []report.Endpoint) <-chan time.Time {
+	waits := x.headSent || len(x.silent) > 0
+	refused := slices.ContainsFunc(holders, func(e report.Endpoint) bool { return !slices.Contains(x.silent, e.ID) })
+	if !waits || !refused || h.options.Now().Add(retryBase).Sub(x.interruptedAt) >= streamWait {
+		return nil
+	}
+	return time.After(retryBase)
+}
+
+// load asks the leader to have the adapter loaded and waits until it is, or until holders of the adapter may be asked again before the leader has answered.
+func (h *Handler) load(x *exchange, exclude []string, holdersFree <-chan time.Time) (c choice, refused *refusal.Error) {
 	w := h.requestPlacement(report.PlacementRequest{Adapter: x.request.Adapter, DataCentre: h.options.DataCentre, Missing: x.missingAt, Avoid: exclude})
 	x.missingAt = ""
 	defer h.stopWaiting(w)
 	select {
 	case <-w.done:
+	case <-holdersFree:
+		return c, h.refuseWithRetry(refusal.Unavailable, "the leader has not named an endpoint for the adapter within %v", retryBase)
 	case <-x.ctx.Done():
 		return c, h.refuseWithRetry(refusal.Unavailable, "no endpoint got the adapter in time")
 	}
