--- a/internal/wire/upstream/options.go
+++ b/internal/wire/upstream/options.go
@@ -17,7 +17,6 @@
 	MaxHead      int           // maximum size in bytes of the head of an answer, with the informational answers before it
 	MaxHeadLines int           // maximum number of lines of a head, apart from those that arrive with the answer before it
 	MaxSkipped   int64         // maximum size in bytes of the body of an answer that is skipped
-	Spares       bool          // open a connection ahead of the next request to an endpoint that echoes no identifiers
 	Dial         func(ctx context.Context, to netip.AddrPort) (net.Conn, error)
 	// Attempt returns the identifier that an answer echoes, or "" if it has none. Without it, late answers are not recognised.
 	Attempt func(h http.Header) string
@@ -72,6 +71,3 @@
 func WithNow(f func() time.Time) Option {
 	return func(o *Options) { o.Now = f }
 }
-
-// WithSpares opens a connection ahead of the next request to an endpoint that echoes no identifiers, so that this one does not wait for it.
-func WithSpares() Option { return func(o *Options) { o.Spares = true } }
--- a/internal/wire/upstream/upstream.go
+++ b/internal/wire/upstream/upstream.go
@@ -131,9 +131,9 @@
 	for {
 		p.mu.Lock()
 		list := p.idle[r.Address]
-		i := lastIndex(list, func(c *conn) bool { return c.anonymous && c.serves(r) }) // others can serve any request
-		if i < 0 {
-			i = lastIndex(list, func(c *conn) bool { return c.serves(r) })
+		i := len(list) - 1
+		for i >= 0 && !list[i].serves(r) {
+			i--
 		}
 		if i < 0 {
 			p.mu.Unlock()
@@ -149,31 +149,6 @@
 	}
 }
 
-func lastIndex(list []*conn, matches func(c *conn) bool) int {
-	i := len(list) - 1
-	for i >= 0 && !matches(list[i]) {
-		i--
-	}
-	return i
-}
-
-// openSpare opens a connection for the next request to an endpoint that echoes no identifiers, unless there is an unused one.
-func (p *Pool) openSpare(to netip.AddrPort) {
-	p.mu.Lock()
-	unused := slices.ContainsFunc(p.idle[to], func(c *conn) bool { return c.lastAttempt == "" })
-	p.mu.Unlock()
-	if unused {
-		return
-	}
-	var group errgroup.Group
-	group.Go(func() error {
-		if c, err := p.open(context.Background(), to); err == nil { // otherwise the next request opens one, and reports its error
-			p.put(to, c, p.options.IdleTimeout)
-		}
-		return nil
-	})
-}
-
 // serves reports whether the answer to a request can be told from late copies of those before it on the connection, or need not.
 func (c *conn) serves(r Request) bool {
 	return (r.Attempt == "" || c.lastAttempt != r.Attempt) && (!c.anonymous || r.ToleratesCopies)
@@ -380,9 +355,6 @@
 		if !x.stop() || response.Close || unframed || (x.conn.anonymous && !x.request.ToleratesCopies) ||
 			x.conn.reader.Buffered() > 0 || !x.fullyWritten() {
 			_ = x.conn.Close()
-			if x.conn.anonymous && x.pool.options.Spares {
-				x.pool.openSpare(x.request.Address)
-			}
 			return
 		}
 		x.pool.put(x.request.Address, x.conn, keepAlive(response.Header))
--- a/internal/wire/upstream/upstream_test.go
+++ b/internal/wire/upstream/upstream_test.go
@@ -18,8 +18,6 @@
 	"github.com/zeebo/errs"
 	"golang.org/x/sync/errgroup"
 
-	"lycheevale/internal/base/virtualtime"
-	"lycheevale/internal/fake/network"
 	"lycheevale/internal/wire/upstream"
 )
 
@@ -292,40 +290,3 @@
 		c.Check(p.Opened(), quicktest.Equals, test.opened, quicktest.Commentf("request %d", i))
 	}
 }
-
-// An endpoint echoes no identifiers, so that each request has a connection of its own. Guards against a request that waits for it: loads that followed an unload
-// at a far endpoint began later.
-func TestSpareConnectionIsOpenedAhead(t *testing.T) {
-	virtualtime.Test(t, func(t *testing.T) {
-		c := quicktest.New(t)
-		n := network.New()
-		to := netip.MustParseAddrPort("127.0.0.1:80")
-		listener, err := n.Listen(to)
-		c.Assert(err, quicktest.IsNil)
-		server := &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(w, "one") }), ReadHeaderTimeout: time.Minute}
-		var group errgroup.Group
-		group.Go(func() error { return server.Serve(listener) })
-		dial := n.Dialer(netip.MustParseAddr("127.0.0.2"))
-		p := upstream.New(
-			upstream.WithAttempt(func(h http.Header) string { return h.Get("Attempt") }), upstream.WithSpares(),
-			upstream.WithDial(func(ctx context.Context, to netip.AddrPort) (net.Conn, error) { return dial(ctx, "tcp", to.String()) }),
-		)
-		for i := range int64(3) {
-			opened := int64(0)
-			a, err := p.Do(t.Context(), upstream.Request{
-				Address: to, Method: "POST", Target: "/", Host: "h", Attempt: strconv.FormatInt(i, 10),
-				Permit: func() error { opened = p.Opened(); return nil },
-			})
-			c.Assert(err, quicktest.IsNil)
-			_, err = io.ReadAll(a.Body)
-			c.Assert(err, quicktest.IsNil)
-			c.Check(opened, quicktest.Equals, i+1)
-			time.Sleep(time.Second)
-			c.Check(p.Opened(), quicktest.Equals, i+2)
-		}
-		p.Drop(to)
-		c.Check(server.Close(), quicktest.IsNil)
-		c.Check(group.Wait(), quicktest.ErrorIs, http.ErrServerClosed)
-		n.Close()
-	})
-}
