Give calls that need a connection of their own a timeout of their own

Cause: since answers of engines are told from late copies, an unload and a fetch of the state have a connection of their own at engines that echo no identifiers, and so take two round trips. Each kind has an estimate now, and the second one at least 220 ms.

--- a/internal/node/control/orders.go
+++ b/internal/node/control/orders.go
@@ -29,7 +29,8 @@
 	refreshedAt   time.Time // when the state was last fetched without an order
 	sequenceKnown bool      // sequence is as the endpoint last reported, and every order since was answered
 	sequence      uint64    // number of orders that the endpoint has accepted
-	answers       answertime.Estimate
+	answers       answertime.Estimate // to loads
+	otherAnswers  answertime.Estimate // to unloads and fetches of the state
 	state         *EngineState // last reported state, until an accepted order confirms that no other order came in between
 }
 
@@ -133,24 +134,33 @@
 
 // An order whose answer times out may still be carried out. The timeout covers several round trips between regions until an endpoint
 // has answered; after that it follows the measured answer time, plus the 100 ms for which a machine may pause when its CPU quota is
-// used up.
+// used up. If an endpoint echoes no identifiers, an unload and a fetch of the state take a round trip more, for a connection.
 const (
 	maxOrderTimeout = 300 * time.Millisecond
 	minOrderTimeout = 120 * time.Millisecond
+	maxOtherTimeout = 2 * maxOrderTimeout
+	minOtherTimeout = minOrderTimeout + 100*time.Millisecond
 )
 
-// orderTimeout returns the timeout for an answer of an endpoint.
-func (ls *leaderState) orderTimeout(l *orderQueue) time.Duration {
+// orderTimeout returns the timeout for an answer of an endpoint to a load, or to another call.
+func (ls *leaderState) orderTimeout(l *orderQueue, load bool) time.Duration {
 	ls.control.mu.Lock()
 	defer ls.control.mu.Unlock()
-	return l.answers.Timeout(minOrderTimeout, maxOrderTimeout)
+	if load {
+		return l.answers.Timeout(minOrderTimeout, maxOrderTimeout)
+	}
+	return l.otherAnswers.Timeout(minOtherTimeout, maxOtherTimeout)
 }
 
-// recordAnswerTime records how long an endpoint took to answer.
-func (ls *leaderState) recordAnswerTime(l *orderQueue, since time.Time) {
+// recordAnswerTime records how long an endpoint took to answer a load, or another call.
+func (ls *leaderState) recordAnswerTime(l *orderQueue, load bool, since time.Time) {
 	ls.control.mu.Lock()
 	defer ls.control.mu.Unlock()
-	l.answers.Observe(ls.now().Sub(since))
+	e := &l.otherAnswers
+	if load {
+		e = &l.answers
+	}
+	e.Observe(ls.now().Sub(since))
 }
 
 // orderAttempts is the number of attempts of an order that conflicts with another one.
@@ -217,14 +227,14 @@
 
 // fetchState fetches the state and the sequence of an endpoint.
 func (ls *leaderState) fetchState(ctx context.Context, to report.Endpoint, l *orderQueue) error {
-	ctx, cancel := context.WithTimeout(ctx, ls.orderTimeout(l))
+	ctx, cancel := context.WithTimeout(ctx, ls.orderTimeout(l, false))
 	defer cancel()
 	sentAt := ls.now()
 	state, err := ls.control.options.Engines.State(ctx, to)
 	if err != nil {
 		return errs.Combine(upstream.ErrNotSent, err) // the order itself was not sent
 	}
-	ls.recordAnswerTime(l, sentAt)
+	ls.recordAnswerTime(l, false, sentAt)
 	ls.control.mu.Lock()
 	defer ls.control.mu.Unlock()
 	l.sequence, l.sequenceKnown, l.state = state.Sequence, true, &state
@@ -233,7 +243,7 @@
 }
 
 func (ls *leaderState) sendOrder(ctx context.Context, to report.Endpoint, l *orderQueue, j orderJob) (Result, error) {
-	ctx, cancel := context.WithTimeout(ctx, ls.orderTimeout(l))
+	ctx, cancel := context.WithTimeout(ctx, ls.orderTimeout(l, j.load))
 	defer cancel()
 	sentAt := ls.now()
 	result, err := ls.control.options.Engines.Order(ctx, to, Order{
@@ -241,7 +251,7 @@
 		Permit: ls.permitOrder,
 	})
 	if err == nil {
-		ls.recordAnswerTime(l, sentAt)
+		ls.recordAnswerTime(l, j.load, sentAt)
 	}
 	return result, err
 }
