Test that a link outlives a long message

The time limit for reading a long message must not apply to what follows: without its removal every link would close 30 s after a message of more than 64 KiB, and no test of wire/peer failed when that line was left out for a trial. TestLinkOutlivesLongMessage fails then (closed after 31 s) and passes on this code. No code is changed.

--- a/internal/wire/peer/flood_test.go
+++ b/internal/wire/peer/flood_test.go
@@ -169,3 +169,28 @@
 		_ = n.group.Wait()
 	})
 }
+
+// Guards against a link that is closed some time after a long message, because the time limit of that message still applies.
+func TestLinkOutlivesLongMessage(t *testing.T) {
+	virtualtime.Test(t, func(t *testing.T) {
+		c, n := quicktest.New(t), largeNode()
+		client, done := acceptPipe(n)
+		var got bytes.Buffer
+		n.spawn(func() { _, _ = got.ReadFrom(client) })
+		long := strings.Replace(echoFrame, `"Text":"x"`, `"Text":"`+strings.Repeat("x", 2*shortMessage)+`"`, 1)
+		_, err := client.Write(append(frame(helloFrame), frame(long)...))
+		c.Assert(err, quicktest.IsNil)
+		for started := time.Now(); time.Since(started) < 2*n.options.CallTimeout; time.Sleep(time.Second) {
+			_, err = client.Write(binary.BigEndian.AppendUint32(nil, pingHeader))
+			c.Assert(err, quicktest.IsNil, quicktest.Commentf("after %v", time.Since(started)))
+		}
+		_, err = client.Write(frame(echoFrame))
+		c.Assert(err, quicktest.IsNil)
+		time.Sleep(time.Second)
+		_ = client.Close()
+		<-done
+		n.end()
+		_ = n.group.Wait()
+		c.Check(strings.Contains(got.String(), `"Text":"x"`), quicktest.IsTrue)
+	})
+}
