--- a/internal/node/control/orders.go
+++ b/internal/node/control/orders.go
@@ -26,12 +26,12 @@
 type orderQueue struct {
 	waiting       []orderJob
 	running       bool
-	refreshedAt   time.Time // when the state was last fetched without an order
-	sequenceKnown bool      // sequence is as the endpoint last reported, and every order since was answered
-	sequence      uint64    // number of orders that the endpoint has accepted
+	refreshedAt   time.Time           // when the state was last fetched without an order
+	sequenceKnown bool                // sequence is as the endpoint last reported, and every order since was answered
+	sequence      uint64              // number of orders that the endpoint has accepted
 	answers       answertime.Estimate // to loads
 	otherAnswers  answertime.Estimate // to unloads and fetches of the state
-	state         *EngineState // last reported state, until an accepted order confirms that no other order came in between
+	state         *EngineState        // last reported state, until an accepted order confirms that no other order came in between
 }
 
 // enqueueOrder queues an order. The caller holds the mutex of Control.
--- a/internal/node/control/timeout_test.go
+++ b/internal/node/control/timeout_test.go
@@ -34,7 +34,9 @@
 			}
 		}
 		control := New(WithSettings(deployment.Settings{Heartbeat: 1200}), WithLogger(slog.New(slog.DiscardHandler)), WithEngines(Engines{
-			State: func(ctx context.Context, _ report.Endpoint) (EngineState, error) { return EngineState{}, answer(ctx, 2) },
+			State: func(ctx context.Context, _ report.Endpoint) (EngineState, error) {
+				return EngineState{}, answer(ctx, 2)
+			},
 			Order: func(ctx context.Context, _ report.Endpoint, o Order) (Result, error) {
 				if o.Load {
 					return Accepted, answer(ctx, 1)
