Keep adapters at an endpoint that accepts unloads and ends none

At most Options.Spare of them are left out of the count now, so that as many adapters more are unloaded, and no others. Evidence: TestEndpointThatEndsNoUnloadKeepsAdapters failed before (0 of 6 adapters left, 2 expected) and passes now, as does TestPendingUnloadsDoNotBlockEndpoint.

--- a/internal/place/residency/residency_test.go
+++ b/internal/place/residency/residency_test.go
@@ -127,6 +127,23 @@
 	}
 }
 
+// An endpoint accepts unloads and ends none. Guards against unloading all adapters of an endpoint, two more every two seconds.
+func TestEndpointThatEndsNoUnloadKeepsAdapters(t *testing.T) {
+	c := quicktest.New(t)
+	p := placer(engine("a", "east", holdings(6)))
+	now := epoch.Add(5 * time.Second)
+	for range 300 {
+		for _, u := range p.MakeRoom(now) {
+			p.UnloadAccepted(now, "a", u.Holding.Adapter, false)
+		}
+		if p.NeedsReconcile(now, "a") {
+			p.Reconcile(now, "a", holdings(6), nil)
+		}
+		now = now.Add(100 * time.Millisecond)
+	}
+	c.Check(p.Summary(now).Resident, quicktest.Equals, 2)
+}
+
 // Guards against exceeding an endpoint's slots, as seen on the bench: an announcement does not list loads in progress and
 // may be seconds old.
 func TestAnnouncementFreesNoPlace(t *testing.T) {
--- a/internal/place/residency/room.go
+++ b/internal/place/residency/room.go
@@ -176,15 +176,16 @@
 		if !e.Accepting || e.Slots == 0 || now.Before(e.pausedUntil) {
 			continue
 		}
-		leaving := 0
+		leaving, slow := 0, 0
 		for _, pl := range e.places {
 			switch {
-			case pl.state == Unknown:
-				leaving++
-			case pl.state == Leaving && (!pl.ordered || now.Sub(pl.changedAt) <= slowUnload):
+			case pl.state == Leaving && pl.ordered && now.Sub(pl.changedAt) > slowUnload:
+				slow++
+			case pl.state == Leaving || pl.state == Unknown:
 				leaving++
 			}
 		}
+		leaving += max(slow-p.options.Spare, 0) // an endpoint that ends no unload keeps its other adapters
 		for need := len(e.places) - leaving - (e.Slots - p.options.Spare); need > 0; need-- {
 			v := p.victim(now, e)
 			if v == nil {
