--- a/internal/base/httpserver/httpserver.go
+++ b/internal/base/httpserver/httpserver.go
@@ -3,8 +3,6 @@
 package httpserver
 
 import (
-	"context"
-	"log"
 	"net/http"
 
 	"github.com/zeebo/errs"
@@ -109,14 +107,7 @@
 func (a *answer) Unwrap() http.ResponseWriter { return a.ResponseWriter }
 
 func logAborted(r *http.Request, reason error) {
-	if l := errorLog(r.Context()); l != nil {
-		l.Printf("answer to %s %.100q aborted: %v", r.Method, r.URL.Path, reason)
+	if s, ok := r.Context().Value(http.ServerContextKey).(*http.Server); ok && s.ErrorLog != nil {
+		s.ErrorLog.Printf("answer to %s %.100q aborted: %v", r.Method, r.URL.Path, reason)
 	}
 }
-
-func errorLog(ctx context.Context) *log.Logger {
-	if s, ok := ctx.Value(http.ServerContextKey).(*http.Server); ok {
-		return s.ErrorLog
-	}
-	return nil
-}
