--- a/internal/serve/forward/broken_test.go
+++ b/internal/serve/forward/broken_test.go
@@ -176,22 +176,6 @@
 	r.Check(err, quicktest.IsNil)
 }
 
-// streamWith does the same as stream with further header fields.
-func (r *fixture) streamWith(path string, header http.Header) (body string, complete bool) {
-	ctx, cancel := context.WithCancel(context.Background())
-	defer cancel()
-	q := httptest.NewRequestWithContext(ctx, http.MethodGet, path, http.NoBody)
-	q.Header = header.Clone()
-	q.Header.Set("Key", "k")
-	q.Header.Set("Attempt", "1")
-	w := httptest.NewRecorder()
-	func() {
-		defer func() { complete = recover() == nil && w.Code == http.StatusOK }()
-		r.handler.ServeHTTP(w, q)
-	}()
-	return w.Body.String(), complete
-}
-
 // A stream breaks off, five endpoints refuse it, and the one that continues it hangs. Guards against a stream that stays at a hung endpoint because it
 // used up its tries in an earlier search.
 func TestContinuedStreamMayStillMove(t *testing.T) {
--- a/internal/serve/forward/silent_test.go
+++ b/internal/serve/forward/silent_test.go
@@ -78,9 +78,15 @@
 
 // stream sends a request and returns the body of its answer and whether it came complete.
 func (r *fixture) stream(path string) (body string, complete bool) {
+	return r.streamWith(path, http.Header{})
+}
+
+// streamWith does the same with further header fields.
+func (r *fixture) streamWith(path string, header http.Header) (body string, complete bool) {
 	ctx, cancel := context.WithCancel(context.Background()) // as a server does, the request's context ends with the handler
 	defer cancel()
 	q := httptest.NewRequestWithContext(ctx, http.MethodGet, path, http.NoBody)
+	q.Header = header.Clone()
 	q.Header.Set("Key", "k")
 	q.Header.Set("Attempt", "1")
 	w := httptest.NewRecorder()
