--- a/review/stand-2/machines.go
+++ b/review/stand-2/machines.go
@@ -34,6 +34,9 @@
 
 var zones = []string{"suva-a", "labasa-a", "vunisea-a"}
 
+// entriesInAll is the number of entries, in all zones in turn.
+const entriesInAll = 8
+
 // network is a block of loopback addresses that nothing else uses.
 type network struct{ octet int }
 
@@ -57,9 +60,11 @@
 	return network{}, errors.New("no free block of loopback addresses")
 }
 
-func (n network) control(zone int) string   { return fmt.Sprintf("127.%d.%d.1", n.octet, zone) }
-func (n network) hidden(zone int) string    { return fmt.Sprintf("127.%d.%d.101", n.octet, zone) }
-func (n network) entry(zone int) string     { return fmt.Sprintf("127.%d.%d.2", n.octet, zone) }
+func (n network) control(zone int) string { return fmt.Sprintf("127.%d.%d.1", n.octet, zone) }
+func (n network) hidden(zone int) string  { return fmt.Sprintf("127.%d.%d.101", n.octet, zone) }
+func (n network) entry(i int) string {
+	return fmt.Sprintf("127.%d.%d.%d", n.octet, i%len(zones), 2+i/len(zones))
+}
 func (n network) worker(zone, i int) string { return fmt.Sprintf("127.%d.%d.%d", n.octet, zone, 10+i) }
 
 // machine is a process of one of the project's programs.
@@ -69,13 +74,13 @@
 	done chan struct{}
 }
 
-// deployment is a small deployment: a control instance and an entry in each zone.
+// deployment is a small deployment: a control instance in each zone, and several entries.
 type deployment struct {
 	*stand
 	network
 	program  string
 	running  map[string]*machine
-	cuttable int  // zone of the entry whose links can be cut, -1 for none
+	cuttable int  // entry whose links can be cut, -1 for none
 	cutCore  bool // links between control instances can be cut
 	fencing  bool // workers check fencing tokens
 }
@@ -96,13 +101,14 @@
 }
 
 // settings returns what deploy/settings.yaml.tmpl makes of the settings of a machine.
-func (d *deployment) settings(role string, zone int, bootstrap bool) string {
+func (d *deployment) settings(role string, i int, bootstrap bool) string {
+	zone := i % len(zones)
 	var b strings.Builder
 	address := d.control(zone)
 	if role == "entry" {
-		address = d.entry(zone)
+		address = d.entry(i)
 	}
-	fmt.Fprintf(&b, "Name: \"%s-%s-1\"\nAddress: %s\nDataCentre: %q\nRegions:\n", role, zones[zone], address, zones[zone])
+	fmt.Fprintf(&b, "Name: \"%s-%s-%d\"\nAddress: %s\nDataCentre: %q\nRegions:\n", role, zones[zone], 1+i/len(zones), address, zones[zone])
 	for _, z := range zones {
 		fmt.Fprintf(&b, "  %q: \"fiji\"\n", z)
 	}
@@ -110,7 +116,7 @@
 	peers := peerPort
 	if role == "entry" {
 		fmt.Fprintf(&b, "  Callers: %s:%d\n  Ready: %s:%d\n", address, callerPort, address, readyPort)
-		if zone == d.cuttable {
+		if i == d.cuttable {
 			peers = linkPort
 		}
 	} else {
@@ -138,17 +144,17 @@
 	return filepath.Join(d.folder, fmt.Sprintf("data-%d", zone))
 }
 
-func machineName(role string, zone int) string { return fmt.Sprintf("%s-%d", role, zone) }
+func machineName(role string, i int) string { return fmt.Sprintf("%s-%d", role, i) }
 
 // start starts a program with the command of the deploy file.
-func (d *deployment) start(role string, zone int, bootstrap bool) error {
-	name := machineName(role, zone)
+func (d *deployment) start(role string, i int, bootstrap bool) error {
+	name := machineName(role, i)
 	path := filepath.Join(d.folder, name+".yaml")
-	if err := os.WriteFile(path, []byte(d.settings(role, zone, bootstrap)), 0o600); err != nil {
+	if err := os.WriteFile(path, []byte(d.settings(role, i, bootstrap)), 0o600); err != nil {
 		return err
 	}
 	if role == "control" {
-		if err := os.MkdirAll(d.dataFolder(zone), 0o700); err != nil {
+		if err := os.MkdirAll(d.dataFolder(i), 0o700); err != nil {
 			return err
 		}
 	}
@@ -177,15 +183,20 @@
 // startAll starts all machines, and waits until all entries are ready.
 func (d *deployment) startAll(ctx context.Context, configuration []byte) error {
 	for z := range zones {
-		if err := errors.Join(d.start("control", z, true), d.start("entry", z, true)); err != nil {
+		if err := d.start("control", z, true); err != nil {
+			return err
+		}
+	}
+	for i := range entriesInAll {
+		if err := d.start("entry", i, true); err != nil {
 			return err
 		}
 	}
 	if err := d.configure(ctx, configuration); err != nil {
 		return err
 	}
-	for z := range zones {
-		if err := d.awaitReady(ctx, z); err != nil {
+	for i := range entriesInAll {
+		if err := d.awaitReady(ctx, i); err != nil {
 			return err
 		}
 	}
@@ -244,8 +255,8 @@
 // plainClient opens a connection for each request.
 var plainClient = &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}
 
-func (d *deployment) awaitReady(ctx context.Context, zone int) error {
-	url := fmt.Sprintf("http://%s:%d/v1/readyz", d.entry(zone), readyPort)
+func (d *deployment) awaitReady(ctx context.Context, i int) error {
+	url := fmt.Sprintf("http://%s:%d/v1/readyz", d.entry(i), readyPort)
 	for {
 		request, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
 		if err != nil {
@@ -259,7 +270,7 @@
 			}
 		}
 		if !pause(ctx, 100*time.Millisecond) {
-			return fmt.Errorf("entry-%d is not ready: %w", zone, ctx.Err())
+			return fmt.Errorf("entry-%d is not ready: %w", i, ctx.Err())
 		}
 	}
 }
--- a/review/stand-2/main.go
+++ b/review/stand-2/main.go
@@ -32,6 +32,8 @@
 // cases holds the cases by name.
 var cases = map[string]func(ctx context.Context, s *stand) (verdict, error){
 	"versions": mixedVersions,
+	"lease":    ordersOfTwoHolders,
+	"takeup":   streamsTakenUp,
 }
 
 // stand is one run of a case.
