--- a/review/stand-2/lease.go
+++ b/review/stand-2/lease.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"io"
 	"math/rand/v2"
 	"net/http"
 	"slices"
@@ -23,7 +24,7 @@
 	firstBurst  = 1500 * time.Millisecond
 	secondBurst = 3700 * time.Millisecond
 	// cuts is the number of cuts, and calmTime the time before each.
-	cuts     = 3
+	cuts     = 5
 	calmTime = 5 * time.Second
 )
 
@@ -114,9 +115,12 @@
 				return
 			}
 			request.Header.Set("X-Model", "daka510000/a"+strconv.Itoa(1+rand.IntN(adaptersAsked)))
-			if response, err := plainClient.Do(request); err == nil {
-				d.readAll(response.Body)
+			response, err := plainClient.Do(request)
+			if err != nil {
+				return
 			}
+			defer func() { _ = response.Body.Close() }()
+			_, _ = io.Copy(io.Discard, response.Body) // what a client does not get is not judged here
 		}()
 	}
 	clients.Wait()
--- a/review/stand-2/versions.go
+++ b/review/stand-2/versions.go
@@ -4,7 +4,6 @@
 	"bufio"
 	"context"
 	"fmt"
-	"io"
 	"maps"
 	"net/http"
 	"slices"
@@ -282,9 +281,3 @@
 	}
 	return a
 }
-
-// readAll reads a body to its end and closes it.
-func (d *deployment) readAll(body io.ReadCloser) {
-	_, _ = io.Copy(io.Discard, body) // what a client does not get is not judged here
-	_ = body.Close()
-}
--- a/review/stand-2/worker.go
+++ b/review/stand-2/worker.go
@@ -17,11 +17,6 @@
 // heartbeatInterval is the interval of the platform.
 const heartbeatInterval = 1200 * time.Millisecond
 
-// execution is a request that a worker has begun to work on.
-type execution struct {
-	worker, software, attempt, lastEvent string
-}
-
 // received is an order that has reached a worker.
 type received struct {
 	at      time.Time
@@ -33,19 +28,17 @@
 
 // worker stands for a model worker, as the pages describe it: it announces itself, carries out orders, and streams answers.
 type worker struct {
-	stand      *stand
-	id         string
-	service    string
-	model      string
-	zone       string
-	address    string
-	slots      int
-	interval   time.Duration
-	controls   []string
-	fromDisk   time.Duration // to load the model again after a restart
-	unfenced   bool          // it does not check fencing tokens
-	serveBody  func(w http.ResponseWriter, r *http.Request) bool
-	serveEarly func(w http.ResponseWriter, r *http.Request) bool
+	stand    *stand
+	id       string
+	service  string
+	model    string
+	zone     string
+	address  string
+	slots    int
+	interval time.Duration
+	controls []string
+	fromDisk time.Duration // to load the model again after a restart
+	unfenced bool          // it does not check fencing tokens
 
 	mu         sync.Mutex
 	software   string
@@ -58,7 +51,6 @@
 	adapters   map[string]int
 	pending    map[string]int
 	active     int
-	runs       []execution
 	received   []received
 	server     *http.Server
 	end        context.CancelFunc // of this incarnation
@@ -104,13 +96,6 @@
 	w.stand.log("worker %s crashes, software %s", w.id, w.software)
 }
 
-// allRuns returns the runs of all incarnations.
-func (w *worker) allRuns() []execution {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	return append([]execution(nil), w.runs...)
-}
-
 // ServeHTTP implements http.Handler.
 func (w *worker) ServeHTTP(rw http.ResponseWriter, r *http.Request) {
 	if attempt := r.Header.Get("X-Attempt-Id"); attempt != "" {
@@ -231,9 +216,6 @@
 }
 
 func (w *worker) request(rw http.ResponseWriter, r *http.Request) {
-	if w.serveEarly != nil && w.serveEarly(rw, r) {
-		return
-	}
 	if _, err := io.Copy(io.Discard, r.Body); err != nil {
 		return
 	}
@@ -254,7 +236,6 @@
 	}
 	w.active++
 	software := w.software
-	w.runs = append(w.runs, execution{w.id, software, r.Header.Get("X-Attempt-Id"), r.Header.Get("Last-Event-Id")})
 	w.mu.Unlock()
 	defer func() {
 		w.mu.Lock()
@@ -262,9 +243,6 @@
 		w.active--
 	}()
 	rw.Header().Set("X-Server-Seal", "seal-"+w.id)
-	if w.serveBody != nil && w.serveBody(rw, r) {
-		return
-	}
 	w.stream(rw, r, software)
 }
 
