Review case 9: a stream that crashes endpoints after its first event is never quarantined

Cause: an event counts as proof that the request is sound, and a connection that breaks after it is no evidence of a crash. Change: review/9; in the stand, a run reserves its block of loopback addresses.

--- a/review/stand-2/machines.go
+++ b/review/stand-2/machines.go
@@ -38,28 +38,39 @@
 const entriesInAll = 8
 
 // network is a block of loopback addresses that nothing else uses.
-type network struct{ octet int }
+type network struct {
+	octet    int
+	reserved net.Listener // keeps other runs from using the block
+}
 
-// freeNetwork returns a block in which the ports of the first machine are free.
+// freeNetwork reserves a block in which the ports of the first machine are free.
 func freeNetwork() (network, error) {
 	for range 50 {
-		n := network{100 + rand.IntN(100)}
-		free := true
-		for _, port := range []int{callerPort, readyPort, controlPort, peerPort, metricsPort, linkPort} {
-			l, err := net.Listen("tcp", fmt.Sprintf("%s:%d", n.control(0), port))
-			if err != nil {
-				free = false
-				break
-			}
-			_ = l.Close()
+		octet := 100 + rand.IntN(100)
+		l, err := net.Listen("tcp", fmt.Sprintf("127.%d.255.1:%d", octet, controlPort))
+		if err != nil {
+			continue
 		}
-		if free {
+		n := network{octet, l}
+		if n.isFree() {
 			return n, nil
 		}
+		_ = l.Close()
 	}
 	return network{}, errors.New("no free block of loopback addresses")
 }
 
+func (n network) isFree() bool {
+	for _, port := range []int{callerPort, readyPort, controlPort, peerPort, metricsPort, linkPort} {
+		l, err := net.Listen("tcp", fmt.Sprintf("%s:%d", n.control(0), port))
+		if err != nil {
+			return false
+		}
+		_ = l.Close()
+	}
+	return true
+}
+
 func (n network) control(zone int) string { return fmt.Sprintf("127.%d.%d.1", n.octet, zone) }
 func (n network) hidden(zone int) string  { return fmt.Sprintf("127.%d.%d.101", n.octet, zone) }
 func (n network) entry(i int) string {
--- a/review/stand-2/main.go
+++ b/review/stand-2/main.go
@@ -34,6 +34,8 @@
 	"versions": mixedVersions,
 	"lease":    ordersOfTwoHolders,
 	"takeup":   streamsTakenUp,
+	"deadly":   deadlyRequest,
+	"begun":    deadlyStream,
 }
 
 // stand is one run of a case.
--- a/review/stand-2/worker.go
+++ b/review/stand-2/worker.go
@@ -37,8 +37,9 @@
 	slots    int
 	interval time.Duration
 	controls []string
-	fromDisk time.Duration // to load the model again after a restart
-	unfenced bool          // it does not check fencing tokens
+	fromDisk time.Duration                                 // to load the model again after a restart
+	answer   func(rw http.ResponseWriter, r *http.Request) // of a plain worker
+	unfenced bool                                          // it does not check fencing tokens
 
 	mu         sync.Mutex
 	software   string
@@ -87,13 +88,17 @@
 	return nil, err
 }
 
-// crash ends the incarnation: its connections break, and it announces nothing.
-func (w *worker) crash() {
+// crash ends the incarnation: its connections break, and it announces nothing. It reports whether it had not ended before.
+func (w *worker) crash() bool {
 	w.mu.Lock()
 	defer w.mu.Unlock()
+	if w.heartbeats.Err() != nil {
+		return false
+	}
 	w.end()
 	_ = w.server.Close()
 	w.stand.log("worker %s crashes, software %s", w.id, w.software)
+	return true
 }
 
 // ServeHTTP implements http.Handler.
@@ -243,6 +248,10 @@
 		w.active--
 	}()
 	rw.Header().Set("X-Server-Seal", "seal-"+w.id)
+	if w.answer != nil {
+		w.answer(rw, r)
+		return
+	}
 	w.stream(rw, r, software)
 }
 
