Review: sounder stand-ins, and records of every request of the cases

Cause: read again, the records left out most requests and runs; the worker that joins in case 7 was not empty; case 8 set 8 places where the site has 36; the client of case 10 left for longer at a time than the site names; unloads did not wait for runs.

--- a/review/stand-2/begun.go
+++ b/review/stand-2/begun.go
@@ -49,7 +49,7 @@
 				if err != nil {
 					return
 				}
-				_, _, status := readEvents(request)
+				_, _, status := d.readEvents(request)
 				mu.Lock()
 				sound[status]++
 				mu.Unlock()
@@ -69,7 +69,7 @@
 			book.mu.Lock()
 			book.sent[attempt] = time.Now()
 			book.mu.Unlock()
-			last, _, status := readEvents(request)
+			last, _, status := d.readEvents(request)
 			s.log("%s: status %d, %d events", attempt, status, last)
 		}()
 	}
--- a/review/stand-2/lease.go
+++ b/review/stand-2/lease.go
@@ -8,7 +8,6 @@
 	"net/http"
 	"slices"
 	"strconv"
-	"strings"
 	"sync"
 	"time"
 )
@@ -17,8 +16,8 @@
 	// leaseTime is leaseMs of the settings, and thawTime is thawMs.
 	leaseTime = 3 * time.Second
 	thawTime  = 300 * time.Millisecond
-	// adaptersAsked is the number of adapters that clients ask for, several times as many as the workers have places for.
-	adaptersAsked = 400
+	// adaptersAsked is the number of adapters of the model, several times as many as the workers have places for.
+	adaptersAsked = 3000
 	askedPerEntry = 20 // requests a second
 	// firstBurst is the time from the beginning of a cut to the end of the burst before, and secondBurst that to the next burst.
 	firstBurst  = 1500 * time.Millisecond
@@ -54,7 +53,7 @@
 		}
 		defer w.crash()
 	}
-	if err := d.startAll(ctx, []byte(strings.Replace(configuration, `"adapterSlots":36`, `"adapterSlots":8`, 1))); err != nil {
+	if err := d.startAll(ctx, []byte(configuration)); err != nil {
 		return v, err
 	}
 	if err := d.awaitService(ctx); err != nil {
@@ -115,7 +114,7 @@
 				return
 			}
 			request.Header.Set("X-Model", "daka510000/a"+strconv.Itoa(1+rand.IntN(adaptersAsked)))
-			response, err := plainClient.Do(request)
+			response, err := d.callers.Do(request)
 			if err != nil {
 				return
 			}
--- a/review/stand-2/machines.go
+++ b/review/stand-2/machines.go
@@ -90,6 +90,7 @@
 	*stand
 	network
 	program  string
+	callers  *http.Client // of the entries; records what is sent and answered
 	running  map[string]*machine
 	cuttable int  // entry whose links can be cut, -1 for none
 	cutCore  bool // links between control instances can be cut
@@ -108,7 +109,8 @@
 	if _, err := os.Stat(program); err != nil {
 		return nil, err
 	}
-	return &deployment{stand: s, network: n, program: program, running: map[string]*machine{}, cuttable: cuttable, fencing: true}, nil
+	callers := &http.Client{Transport: recordedTransport{s, plainClient.Transport}}
+	return &deployment{stand: s, network: n, program: program, callers: callers, running: map[string]*machine{}, cuttable: cuttable, fencing: true}, nil
 }
 
 // settings returns what deploy/settings.yaml.tmpl makes of the settings of a machine.
@@ -263,6 +265,26 @@
 	return response.StatusCode
 }
 
+// recordedTransport records the requests of callers, and the heads of their answers.
+type recordedTransport struct {
+	stand *stand
+	next  http.RoundTripper
+}
+
+// RoundTrip implements http.RoundTripper.
+func (t recordedTransport) RoundTrip(r *http.Request) (*http.Response, error) {
+	attempt := r.Header.Get("X-Attempt-Id")
+	t.stand.log("%s sent to %s: %s %s, model %q, last event %q, resumes %q", attempt, r.URL.Host, r.Method, r.URL.Path, r.Header.Get("X-Model"),
+		r.Header.Get("Last-Event-Id"), r.Header.Get("Resumes"))
+	response, err := t.next.RoundTrip(r)
+	if err != nil {
+		t.stand.log("%s got no answer: %v", attempt, err)
+		return nil, err
+	}
+	t.stand.log("%s answered with %d", attempt, response.StatusCode)
+	return response, nil
+}
+
 // plainClient opens a connection for each request.
 var plainClient = &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}
 
--- a/review/stand-2/takeup.go
+++ b/review/stand-2/takeup.go
@@ -68,13 +68,14 @@
 			list[i] = d.takeUpStream(ctx, abandoned, i)
 		}()
 	}
-	pause(ctx, 3*time.Second)
+	pause(ctx, 5*time.Second) // all machines are in touch then
 	frozenAt := time.Now()
 	if s.trouble {
 		d.signal(machineName("entry", 0), syscall.SIGSTOP)
 	}
 	pause(ctx, newerAfter)
-	if err := newer.start("v2", true); err != nil {
+	newer.fromDisk = 1300 * time.Millisecond // it has no copy yet
+	if err := newer.start("v2", false); err != nil {
 		return v, err
 	}
 	defer newer.crash()
@@ -101,7 +102,7 @@
 	if err != nil {
 		return t
 	}
-	last, software, status := readEvents(first)
+	last, software, status := d.readEvents(first)
 	t.before, t.software = last, software
 	if status != http.StatusOK || last == 0 {
 		return t
@@ -113,15 +114,15 @@
 	second.URL.Path = first.URL.Path
 	second.Header.Set("Last-Event-Id", strconv.Itoa(last))
 	second.Header.Set("Resumes", t.attempt)
-	reached, software, status := readEvents(second)
+	reached, software, status := d.readEvents(second)
 	t.status, t.softwareAfter = status, software
 	t.after = max(reached-last, 0)
 	return t
 }
 
 // readEvents sends a request and returns the identifier of the last event, the software version that wrote it, and the status.
-func readEvents(request *http.Request) (last int, software string, status int) {
-	response, err := plainClient.Do(request)
+func (d *deployment) readEvents(request *http.Request) (last int, software string, status int) {
+	response, err := d.callers.Do(request)
 	if err != nil {
 		return 0, "", 0
 	}
@@ -142,7 +143,7 @@
 			return begun, asked
 		}
 		asked++
-		if last, _, status := readEvents(request); status == http.StatusOK && last > 0 {
+		if last, _, status := d.readEvents(request); status == http.StatusOK && last > 0 {
 			begun++
 		}
 	}
--- a/review/stand-2/versions.go
+++ b/review/stand-2/versions.go
@@ -187,7 +187,7 @@
 		z := i % len(zones)
 		list = append(list, &worker{
 			stand: d.stand, id: fmt.Sprintf("i-7f3a91c%d", i), service: "koro-lm", model: "daka510000", zone: zones[z],
-			address: fmt.Sprintf("%s:%d", d.worker(z, i), workerPort), slots: 64, interval: 100 * time.Millisecond,
+			address: fmt.Sprintf("%s:%d", d.worker(z, i), workerPort), slots: 128, interval: 100 * time.Millisecond,
 			controls: append(slices.Clone(controls[z:]), controls[:z]...), fromDisk: 520 * time.Millisecond,
 		})
 	}
@@ -203,7 +203,7 @@
 // configuration has the form of the example in the pages.
 const configuration = `{"version":7,"routes":[{"name":"r-nr26tta","host":"ficu95.example","pathPrefix":"/lohu930/","routeKind":"streaming","timeoutMs":15000,
 "sloMs":600,"priority":1,"service":"koro-lm","maxAttempts":2,"public":false,"sticky":true,"resumable":true,"gapSloMs":300}],
-"services":[{"name":"koro-lm","healthPath":"/healthz","maxConns":620,"protocol":"h1","tls":false,"engine":{"slots":64,"kvCapacity":192994,
+"services":[{"name":"koro-lm","healthPath":"/healthz","maxConns":620,"protocol":"h1","tls":false,"engine":{"slots":128,"kvCapacity":192994,
 "kvBytes":131072,"linkMbps":1100000.0,"moves":true,"backups":true,"stride":5,"maxCount":12,"hostMb":61000.0,"diskMb":180000.0,"pinMs":4000.0,
 "holdMs":2000.0,"handle_s":5.0,"models":[{"name":"daka510000","weightsMb":34300.0,"loadS":1.3,"adapters":3000,"adapterMb":40.0,"warmS":0.39,
 "diskS":0.52}],"weightsMb":36500.0,"adapterSlots":36,"loadsPerS":4.4}}],
@@ -235,7 +235,7 @@
 			if err != nil {
 				return err
 			}
-			response, err := plainClient.Do(request)
+			response, err := d.callers.Do(request)
 			if err == nil {
 				_ = response.Body.Close() // the client gives the stream up
 				if response.StatusCode == http.StatusOK {
@@ -257,7 +257,7 @@
 	if err != nil {
 		return a
 	}
-	response, err := plainClient.Do(request)
+	response, err := d.callers.Do(request)
 	if err != nil {
 		return a
 	}
--- a/review/stand-2/worker.go
+++ b/review/stand-2/worker.go
@@ -14,6 +14,9 @@
 	"time"
 )
 
+// maxInTransit is the number of adapters that may be in transit to a worker at the same time.
+const maxInTransit = 4
+
 // heartbeatInterval is the interval of the platform.
 const heartbeatInterval = 1200 * time.Millisecond
 
@@ -52,6 +55,8 @@
 	adapters   map[string]int
 	pending    map[string]int
 	active     int
+	uses       map[string]int  // runs by adapter
+	leaving    map[string]bool // adapters that are unloaded once their runs have ended
 	received   []received
 	server     *http.Server
 	end        context.CancelFunc // of this incarnation
@@ -67,6 +72,7 @@
 	w.mu.Lock()
 	w.software, w.born, w.sequence, w.orders, w.fence = software, time.Now().UnixMilli(), 0, 0, 0
 	w.held, w.loading, w.adapters, w.pending = holdsModel, false, map[string]int{}, map[string]int{}
+	w.active, w.uses, w.leaving = 0, map[string]int{}, map[string]bool{}
 	w.heartbeats, w.end = context.WithCancel(context.Background())
 	server, ctx := &http.Server{Handler: w, ReadHeaderTimeout: 5 * time.Second}, w.heartbeats
 	w.server = server
@@ -205,6 +211,9 @@
 		if w.adapters[adapter] == version {
 			return http.StatusOK
 		}
+		if len(w.pending) >= maxInTransit {
+			return http.StatusConflict
+		}
 		w.orders++
 		w.pending[adapter] = version
 		later(250*time.Millisecond, func() {
@@ -213,7 +222,14 @@
 		})
 		return http.StatusAccepted
 	case operation == "unload" && adapter != "":
+		if _, there := w.adapters[adapter]; !there {
+			return http.StatusOK
+		}
 		w.orders++
+		if w.uses[adapter] > 0 {
+			w.leaving[adapter] = true
+			return http.StatusAccepted
+		}
 		delete(w.adapters, adapter)
 		return http.StatusOK
 	}
@@ -240,12 +256,21 @@
 		return
 	}
 	w.active++
-	software := w.software
+	w.uses[adapter]++
+	software, born := w.software, w.born
+	w.stand.log("worker %s, software %s, runs %s behind event %q", w.id, software, r.Header.Get("X-Attempt-Id"), r.Header.Get("Last-Event-Id"))
 	w.mu.Unlock()
 	defer func() {
 		w.mu.Lock()
 		defer w.mu.Unlock()
+		if w.born != born {
+			return // another incarnation
+		}
 		w.active--
+		if w.uses[adapter]--; w.uses[adapter] == 0 && w.leaving[adapter] {
+			delete(w.adapters, adapter)
+			delete(w.leaving, adapter)
+		}
 	}()
 	rw.Header().Set("X-Server-Seal", "seal-"+w.id)
 	if w.answer != nil {
