Tell restarted endpoints from listed ones before a stream goes on there

Cause: an entry took the version of an endpoint from its list, however old that was, for continuing a stream and for recording a new one. The lease of 3 s covered which versions a service has, not which one an endpoint runs; an endpoint that changes between known versions was not covered at all. The model missed it, because it let a restarted endpoint serve only entries that had heard of it.

Change: where the list is older than the lease, or the service has several versions, the entry asks the endpoint for its start time, before a stream is sent there to be continued and when the first events arrive, once for each connection. If it is not the one of the list, the stream does not go on there, and a new stream has no record. Events 2027 and 2028 show the question and its outcome.

Why it works: an incarnation has one version, and a start time that is stated after a connection was opened shows that the process has not changed since it was listed.

--- a/internal/base/event/entry.go
+++ b/internal/base/event/entry.go
@@ -30,6 +30,8 @@
 	EndpointLimit     ID = 2024
 	EndpointAtLimit   ID = 2025
 	StreamContinued   ID = 2026
+	IncarnationAsked  ID = 2027
+	SoftwareUnknown   ID = 2028
 )
 
 var entryEvents = []Entry{
@@ -50,6 +52,8 @@
 	{EndpointLimit, slog.LevelInfo, "endpoint named another number of requests that it takes, or none any more", "Frequent: check the load of the endpoint."},
 	{EndpointAtLimit, slog.LevelInfo, "endpoint takes no more requests of this entry for now", "Many: check the load of the endpoint that it names."},
 	{StreamContinued, slog.LevelInfo, "software version of a stream that a caller continues was looked up", "Many without Known: check the control instances; several entries may have restarted."},
+	{IncarnationAsked, slog.LevelInfo, "endpoint was asked for its start time, because the list does not show its software version", "Not Same: it has restarted. Lasting, with a high ViewAgeMillis: check the way to the control instances."},
+	{SoftwareUnknown, slog.LevelInfo, "software version that began a stream is not known, so that nothing can continue the stream", "See event 2027 of the same attempt."},
 	{EndpointLeaves, slog.LevelInfo, "endpoint stated in an answer that it leaves", "None."},
 	{EndpointProbed, slog.LevelInfo, "silent endpoint was probed with a new connection", "With an Error: check the endpoint and the way to it."},
 	{DeputiesNamed, slog.LevelInfo, "leader named the deputies that lend without it", "None."},
--- a/internal/node/control/software_model_test.go
+++ b/internal/node/control/software_model_test.go
@@ -1,6 +1,7 @@
 package control
 
 import (
+	"cmp"
 	"encoding/json"
 	"fmt"
 	"log/slog"
@@ -20,8 +21,8 @@
 // each step that no stream holds events of two versions. Elections, transport, the choice of endpoints and callers are replaced: entries in step report
 // each 200 ms, endpoints announce themselves each 500 ms, a change of the log takes 100 ms or seconds.
 //
-// An endpoint that has restarted under its identity serves an entry that lists its former incarnation only if the entry has heard of the leader after the
-// leader had heard of the new one; before that, nobody could tell.
+// An endpoint that has restarted under its identity holds nothing, and serves once a leader has listed it, which then orders it to load. It serves any
+// entry that sends it a request, also one that lists its former incarnation.
 type softwareModel struct {
 	now       time.Time
 	slices    int
@@ -48,6 +49,8 @@
 	sentTime     modelGuard = "the age of a list counts from the report that it answers"
 	sameVersion  modelGuard = "an answer is continued at the version that began it"
 	formerLeader modelGuard = "a leader that has been replaced does not act when it wakes"
+	oldListing   modelGuard = "an old list does not show the version of an endpoint"
+	mixedListing modelGuard = "a list does not show the version of an endpoint if its service has several"
 )
 
 type modelLeader struct {
@@ -64,7 +67,13 @@
 	suspended bool
 	tell      bool
 	waiting   *modelAnswer
-	listAt    time.Time // when the report was sent that the last update answers
+	conns     map[string]modelConn // idle, by endpoint
+}
+
+// modelConn is a connection to a run of an endpoint.
+type modelConn struct {
+	born  int64
+	shown int64 // the incarnation to which it is known to lead, 0 for none
 }
 
 // modelReach states which leaders an entry reaches.
@@ -85,8 +94,8 @@
 
 type modelEndpoint struct {
 	roster.Announcement
-	heard  map[uint64]time.Time // when leaders heard of this incarnation, by term
-	silent bool                 // its announcements reach no leader
+	serves bool // a leader has listed this incarnation, and had it load
+	silent bool // its announcements reach no leader
 }
 
 type modelStream struct {
@@ -130,7 +139,7 @@
 	}
 	m.commit(command)
 	for n := range modelEntries {
-		m.entries = append(m.entries, &modelEntry{name: fmt.Sprint("entry-", n), view: view.New(), book: origin.New(origin.MaxStreams)})
+		m.entries = append(m.entries, &modelEntry{name: fmt.Sprint("entry-", n), view: view.New(), book: origin.New(origin.MaxStreams), conns: map[string]modelConn{}})
 	}
 	m.join(version)
 	m.join(version)
@@ -249,7 +258,7 @@
 // join adds an endpoint.
 func (m *softwareModel) join(version string) *modelEndpoint {
 	n := len(m.endpoints)
-	e := &modelEndpoint{heard: map[uint64]time.Time{}, Announcement: roster.Announcement{
+	e := &modelEndpoint{Announcement: roster.Announcement{
 		ID: fmt.Sprint("endpoint-", n), Service: modelService, Address: netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, byte(n >> 8), byte(n)}), 80),
 		Slots: 4, Born: 10, Software: version,
 	}}
@@ -261,7 +270,7 @@
 // restart restarts an endpoint under its identity with another version.
 func (m *softwareModel) restart(e *modelEndpoint, version string) {
 	m.note("%s restarts with %q", e.ID, version)
-	e.Born, e.Sequence, e.Software, e.Leaving, e.heard = e.Born+10, 0, version, false, map[uint64]time.Time{}
+	e.Born, e.Sequence, e.Software, e.Leaving, e.serves = e.Born+10, 0, version, false, false
 }
 
 func (m *softwareModel) announce(e *modelEndpoint, leader int) {
@@ -270,12 +279,10 @@
 	}
 	l := m.leaders[leader]
 	e.Sequence++
-	if _, heard := e.heard[l.term]; !heard {
-		e.heard[l.term] = m.now
-	}
 	if l.admitsSoftware(e.Announcement) {
 		_, _ = l.announce(e.Announcement) // one that is refused changes nothing
 	}
+	e.serves = e.serves || (l.lists(e) && !e.Leaving)
 }
 
 // target returns the leader to which an entry reports.
@@ -341,7 +348,6 @@
 	if _, err := e.view.Apply(sentAt, a.update, func([]byte) (document.Document, error) { return document.Document{}, nil }); err != nil {
 		panic(err)
 	}
-	e.listAt = a.sentAt
 }
 
 // begin starts a stream at an endpoint that an entry lists.
@@ -354,7 +360,7 @@
 
 // continueWithin continues a stream at the entry that serves it.
 func (m *softwareModel) continueWithin(s *modelStream, choice int) {
-	if s.at == nil || s.at.suspended {
+	if s.at == nil || s.at.suspended || (s.software == nil && !m.without[sameVersion]) {
 		return
 	}
 	software := s.software
@@ -430,19 +436,27 @@
 	listed := list[choice%len(list)]
 	i := slices.IndexFunc(m.endpoints, func(e *modelEndpoint) bool { return e.ID == listed.ID })
 	endpoint := m.endpoints[i]
-	if listed.Born != endpoint.Born {
-		var r report.Entry
-		e.view.FillReport(&r)
-		if heardAt, heard := endpoint.heard[r.Term]; !heard || !e.listAt.After(heardAt) {
-			return false
-		}
+	if !endpoint.serves {
+		return false
+	}
+	connection := e.conns[listed.ID]
+	if connection.born != endpoint.Born { // it has ended with the endpoint
+		connection = modelConn{born: endpoint.Born}
 	}
-	if software == nil {
-		software = &listed.Software
+	_, listing := e.view.Listing(m.now, listed)
+	sure := listing == view.Sole || connection.shown == listed.Born || listed.Born == endpoint.Born || // the endpoint states its start time
+		(listing == view.Mixed && m.without[mixedListing]) || (listing == view.Outdated && (m.without[oldListing] || m.without[lease]))
+	if software != nil && !sure {
+		return false
 	}
-	e.book.Record(m.now, origin.Stream{Attempt: s.attempt, Software: origin.Software{Service: modelService, Version: listed.Software}})
 	s.at, s.software = e, software
-	m.note("%s goes on at %s of %s: listed with %q, is %q", s.attempt, listed.ID, e.name, listed.Software, endpoint.Software)
+	if sure {
+		connection.shown = listed.Born
+		s.software = cmp.Or(software, &listed.Software)
+		e.book.Record(m.now, origin.Stream{Attempt: s.attempt, Software: origin.Software{Service: modelService, Version: listed.Software}})
+	}
+	e.conns[listed.ID] = connection
+	m.note("%s goes on at %s of %s: listed with %q, is %q, sure %v", s.attempt, listed.ID, e.name, listed.Software, endpoint.Software, sure)
 	if !slices.Contains(s.versions, endpoint.Software) {
 		s.versions = append(s.versions, endpoint.Software)
 	}
--- a/internal/node/control/software_property_test.go
+++ b/internal/node/control/software_property_test.go
@@ -73,6 +73,9 @@
 		m.logDelay = []time.Duration{modelSlice, 5 * time.Second}[s.b%2]
 		m.note("log takes %v", m.logDelay)
 	case beginStep:
+		if s.b%2 == 0 {
+			clear(entry.conns)
+		}
 		for n := range entry.view.Endpoints(modelService) {
 			m.begin(entry, n)
 		}
@@ -175,7 +178,7 @@
 // Guards against a model that finds nothing: without one of the rules, versions are joined.
 func TestModelFindsEachMissingRule(t *testing.T) {
 	t.Parallel()
-	for _, guard := range []modelGuard{lease, sentTime, sameVersion, formerLeader} {
+	for _, guard := range []modelGuard{lease, sentTime, sameVersion, formerLeader, oldListing, mixedListing} {
 		t.Run(string(guard), func(t *testing.T) {
 			t.Parallel()
 			_, _, broken := searchJoined(modelSchedules, "v1", guard)
--- a/internal/node/entry/entry.go
+++ b/internal/node/entry/entry.go
@@ -72,7 +72,7 @@
 	e.handler = forward.New(
 		forward.WithDataCentre(o.Settings.DataCentre), forward.WithRegions(o.Settings.Regions), forward.WithCodec(o.Codec), forward.WithView(e.view),
 		forward.WithPool(o.Pool), forward.WithLogger(o.Logger), forward.WithNow(o.Now), forward.WithRequestPlacement(e.requestPlacement), forward.WithBorrow(e.borrow),
-		forward.WithFindOrigin(e.findOrigin),
+		forward.WithFindOrigin(e.findOrigin), forward.WithStartTime(o.StartTime),
 		forward.WithLeaderExpectedAt(func() time.Time { return e.outage.ExpectedEnd(o.Now()) }),
 		forward.WithBuffers(buffers.New(bufferLimit(o.Settings.MemoryMB))),
 		forward.WithSeed(uint64(time.Now().UnixNano())), forward.WithObserve(e.observe), forward.WithSpawn(e.spawn),
--- a/internal/node/entry/options.go
+++ b/internal/node/entry/options.go
@@ -1,6 +1,7 @@
 package entry
 
 import (
+	"context"
 	"log/slog"
 	"net"
 	"net/netip"
@@ -10,6 +11,7 @@
 
 	"lycheevale/internal/base/clock"
 	"lycheevale/internal/base/deployment"
+	"lycheevale/internal/member/report"
 	"lycheevale/internal/serve/forward"
 	"lycheevale/internal/state/document"
 	"lycheevale/internal/wire/peer"
@@ -23,6 +25,8 @@
 	Decode    func(content []byte) (document.Document, error)
 	Pool      *upstream.Pool
 	ReadyPath string
+	// StartTime asks an endpoint for its start time in Unix milliseconds; 0 if it does not state one.
+	StartTime func(ctx context.Context, e report.Endpoint) (born int64, err error)
 	Logger    *slog.Logger
 	Scope     tally.Scope
 	Peer      []peer.Option
@@ -36,8 +40,9 @@
 func newOptions(opts []Option) Options {
 	o := Options{
 		Pool: upstream.New(), ReadyPath: "/ready", Logger: slog.Default(), Scope: tally.NoopScope, Now: clock.Now,
-		Listen: func(at netip.AddrPort) (net.Listener, error) { return net.Listen("tcp", at.String()) },
-		Decode: func([]byte) (document.Document, error) { return document.Document{}, nil },
+		Listen:    func(at netip.AddrPort) (net.Listener, error) { return net.Listen("tcp", at.String()) },
+		StartTime: func(context.Context, report.Endpoint) (int64, error) { return 0, nil },
+		Decode:    func([]byte) (document.Document, error) { return document.Document{}, nil },
 	}
 	for _, opt := range opts {
 		opt(&o)
@@ -59,6 +64,11 @@
 // WithPool sets the connection pool for endpoints.
 func WithPool(p *upstream.Pool) Option { return func(o *Options) { o.Pool = p } }
 
+// WithStartTime sets the call that asks an endpoint for its start time.
+func WithStartTime(f func(ctx context.Context, e report.Endpoint) (born int64, err error)) Option {
+	return func(o *Options) { o.StartTime = f }
+}
+
 // WithReadyPath sets the path of the load balancer's readiness check.
 func WithReadyPath(path string) Option { return func(o *Options) { o.ReadyPath = path } }
 
--- a/internal/serve/forward/attempt.go
+++ b/internal/serve/forward/attempt.go
@@ -37,6 +37,7 @@
 	returned    int             // bytes of complete events that pending has returned and still holds
 	firstEvents []byte          // that wait for delivery
 	firstErr    error           // behind the first events
+	identified  bool            // the events are of the listed incarnation of the endpoint
 }
 
 // part is the head of an answer, or bytes of its body and the error behind them, which is io.EOF at the end.
--- a/internal/serve/forward/options.go
+++ b/internal/serve/forward/options.go
@@ -35,6 +35,8 @@
 	Borrow func(ctx context.Context, l report.LoanRequest) (report.LoanReply, error)
 	// FindOrigin asks the leader which software version began a stream.
 	FindOrigin func(ctx context.Context, q report.OriginRequest) (report.OriginReply, error)
+	// StartTime asks an endpoint for the start time of its present incarnation in Unix milliseconds; 0 if it does not state one.
+	StartTime func(ctx context.Context, e report.Endpoint) (born int64, err error)
 	// LeaderExpectedAt returns the time at which a leader is expected to answer again; zero while one answers.
 	LeaderExpectedAt func() time.Time
 	Observe          func(Outcome)
@@ -58,6 +60,7 @@
 		FindOrigin: func(context.Context, report.OriginRequest) (report.OriginReply, error) {
 			return report.OriginReply{Leading: true}, nil
 		},
+		StartTime: func(context.Context, report.Endpoint) (int64, error) { return 0, nil },
 		Spawn: func(f func()) {
 			var group errgroup.Group
 			group.Go(func() error { f(); return nil })
@@ -107,6 +110,11 @@
 	return func(o *Options) { o.RequestPlacement = f }
 }
 
+// WithStartTime sets the call that asks an endpoint for its start time.
+func WithStartTime(f func(ctx context.Context, e report.Endpoint) (born int64, err error)) Option {
+	return func(o *Options) { o.StartTime = f }
+}
+
 // WithLeaderExpectedAt sets the function that returns when a leader is expected to answer again.
 func WithLeaderExpectedAt(f func() time.Time) Option {
 	return func(o *Options) { o.LeaderExpectedAt = f }
--- a/internal/serve/forward/origin.go
+++ b/internal/serve/forward/origin.go
@@ -92,11 +92,16 @@
 // originTimeout covers the call to the leader and the next reports of the other entries.
 const originTimeout = 1500 * time.Millisecond
 
-// recordOrigin records that the first events of a stream were delivered, which only endpoints of the same software version may continue.
+// recordOrigin records that the first events of a stream were delivered, which only endpoints of the same software version may continue; none if the
+// version is not known.
 func (h *Handler) recordOrigin(x *exchange, s *attempt) {
 	if x.delivered {
 		return
 	}
+	if !s.identified {
+		event.Log(x.ctx, h.options.Logger, event.SoftwareUnknown, slog.String("Attempt", x.request.Attempt), slog.String("Endpoint", s.ID), slog.Int64("Born", s.Born))
+		return
+	}
 	attempt := x.request.Attempt
 	if x.request.LastEvent != "" {
 		attempt = x.request.Continues
--- a/internal/serve/forward/origin_test.go
+++ b/internal/serve/forward/origin_test.go
@@ -7,6 +7,7 @@
 	"net/http/httptest"
 	"slices"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -28,6 +29,15 @@
 	r.Assert(err, quicktest.IsNil)
 }
 
+// useEngine makes the endpoints those of a model service, started at 10 ms, for the next list.
+func (r *fixture) useEngine() {
+	r.replaceDocument(func(d *document.Document) { d.Services[0].Engine = &document.Engine{} }, func(*report.Endpoint) {})
+	r.update.Directory++
+	for i := range r.update.Endpoints {
+		r.update.Endpoints[i].Born, r.update.Endpoints[i].Models = 10, []string{""}
+	}
+}
+
 // continueCodec reads the fields of a stream that the caller continues.
 func continueCodec() forward.Codec {
 	c := resumeCodec()
@@ -196,3 +206,76 @@
 		})
 	}
 }
+
+// An endpoint breaks off in the middle of a stream, and the other one of the list has restarted with another software version, or may have. Guards against
+// an entry that goes on there because of a list that is old or of a service with several versions, and against one that leaves endpoints which have not
+// restarted.
+func TestBrokenStreamContinuesAtListedIncarnationOnly(t *testing.T) {
+	for name, test := range map[string]struct {
+		age       time.Duration // of the list
+		versions  []string
+		plain     bool
+		born      int64 // that the other endpoint states, 0 for none
+		continued bool
+	}{
+		"old list, restarted":               {age: 4 * time.Second, versions: []string{"v1"}, born: 20},
+		"old list, not restarted":           {age: 4 * time.Second, versions: []string{"v1"}, born: 10, continued: true},
+		"old list, not stated":              {age: 4 * time.Second, versions: []string{"v1"}},
+		"several versions, restarted":       {versions: []string{"v1", "v2"}, born: 20},
+		"several versions, not restarted":   {versions: []string{"v1", "v2"}, born: 10, continued: true},
+		"several versions, not stated":      {versions: []string{"v1", "v2"}, continued: true},
+		"current list of the only version":  {versions: []string{"v1"}, born: 20, continued: true}, // an endpoint of another one does not serve yet
+		"plain service is not asked":        {plain: true, versions: []string{"v1", "v2"}, born: 20, continued: true},
+		"old list of an earlier release":    {age: 4 * time.Second, born: 20, continued: true},
+		"list that became old meanwhile":    {age: 2900 * time.Millisecond, versions: []string{"v1"}, born: 20},
+		"list that became old, same as was": {age: 2900 * time.Millisecond, versions: []string{"v1"}, born: 10, continued: true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			var asked atomic.Bool
+			firstAsked := test.age > report.VersionsLease || len(test.versions) > 1
+			version := "v1"
+			if test.born == 20 && !test.continued {
+				version = "v2"
+			}
+			serve := func(w http.ResponseWriter, q *http.Request) {
+				if q.Header.Get("Last-Event-Id") == "" {
+					writes("v1", true)(w, q)
+					return
+				}
+				time.Sleep(200 * time.Millisecond) // the list ages
+				writes(version, false)(w, q)
+			}
+			r := newFixture(t, []http.HandlerFunc{serve, serve}, forward.WithCodec(resumeCodec()),
+				forward.WithStartTime(func(context.Context, report.Endpoint) (int64, error) {
+					if test.born != 0 && !asked.Swap(true) && firstAsked {
+						return 10, nil // at the first events
+					}
+					return test.born, nil
+				}))
+			if !test.plain {
+				r.useEngine()
+			}
+			r.setSoftware(time.Now().Add(-test.age), []string{"v1", "v1"}, test.versions...)
+			body, complete := r.ask(t, "/read/x")
+			r.Check(complete, quicktest.Equals, test.continued, quicktest.Commentf("%s", body))
+			r.Check(strings.Contains(body, "v1") && strings.Contains(body, "v2"), quicktest.IsFalse, quicktest.Commentf("%s", body))
+		})
+	}
+}
+
+// Endpoints have restarted since an entry has heard of the leader, and a stream begins at one of them. Guards against a record of the version that the old
+// list names, by which the stream would go on at an endpoint of that version.
+func TestStreamOfRestartedEndpointIsNotRecorded(t *testing.T) {
+	for _, stated := range []int64{10, 20} {
+		r := newFixture(t, []http.HandlerFunc{writes("v2", false)}, forward.WithCodec(continueCodec()),
+			forward.WithStartTime(func(context.Context, report.Endpoint) (int64, error) { return stated, nil }))
+		r.useEngine()
+		r.setSoftware(time.Now().Add(-4*time.Second), []string{"v1"}, "v1")
+		r.ask(t, "/read/x")
+		r.setSoftware(time.Now(), []string{"v1"}, "v1", "v2")
+		var reported report.Entry
+		r.view.FillReport(&reported)
+		r.handler.Report(&reported, time.Second)
+		r.Check(len(reported.Streams) > 0, quicktest.Equals, stated == 10)
+	}
+}
--- a/internal/serve/forward/place.go
+++ b/internal/serve/forward/place.go
@@ -83,10 +83,14 @@
 		if c, refused = h.place(x, x.exclude); refused != nil {
 			return c, refused
 		}
+		reason := reasonUnavailable
 		if h.accepts(c) && h.admitToEndpoint(x, c) {
-			return c, nil
+			if h.incarnationChecked(x, c) {
+				return c, nil
+			}
+			reason = reasonRestarted
 		}
-		h.logRetry(x, c, notRun, reasonUnavailable)
+		h.logRetry(x, c, notRun, reason)
 		x.exclude = append(slices.Clip(x.exclude), c.ID)
 	}
 }
--- a/internal/serve/forward/send.go
+++ b/internal/serve/forward/send.go
@@ -258,6 +258,7 @@
 // Reasons for which an attempt was not answered.
 const (
 	reasonUnavailable = "Unavailable" // the endpoint has left, or takes no more requests of this entry for now
+	reasonRestarted   = "Restarted"   // the endpoint may have another software version now
 	reasonUnreachable = "Unreachable"
 	reasonBroken      = "Broken"
 	reasonSilent      = "Silent"
@@ -317,6 +318,8 @@
 		return reasonMalformed
 	case errs.Is(err, errReplaced):
 		return reasonSilent
+	case errs.Is(err, errRestarted):
+		return reasonRestarted
 	case s.ctx.Err() != nil:
 		h.observeUnanswered(s)
 		return reasonStopped
--- a/internal/serve/forward/stream.go
+++ b/internal/serve/forward/stream.go
@@ -69,6 +69,11 @@
 			if err := h.checkResumed(x, s, events); err != nil {
 				return nil, err
 			}
+			if !s.inFlight.begun {
+				if err := h.identifyEndpoint(x, s); err != nil {
+					return nil, err
+				}
+			}
 			h.cancelSearch(x, s)
 			h.recordEvents(x, s)
 			s.returned = len(events)
@@ -161,7 +166,7 @@
 		_, err := strconv.ParseUint(id, 10, 64)
 		x.request.LastEvent, x.identified = id, err == nil
 	}
-	h.recordUnresumable(x, s.inFlight, !x.identified)
+	h.recordUnresumable(x, s.inFlight, !x.identified || x.software == nil)
 	defer h.awaitCaller(s.inFlight)()
 	if _, err := x.Write(events); err != nil {
 		return false
--- a/internal/wire/upstream/upstream.go
+++ b/internal/wire/upstream/upstream.go
@@ -52,6 +52,17 @@
 	Header   http.Header
 	Body     io.ReadCloser
 	Unframed bool // the body has neither a length nor chunks, and ends with its connection
+	// Peer is what SetPeer has recorded of the connection by an earlier answer, or "".
+	Peer string
+	pool *Pool
+	conn *conn
+}
+
+// SetPeer records to which process the connection leads, for the answers to later requests on it.
+func (a *Answer) SetPeer(peer string) {
+	a.pool.mu.Lock()
+	defer a.pool.mu.Unlock()
+	a.conn.peer = peer
 }
 
 // Pool keeps idle connections to endpoints. It is safe for concurrent use.
@@ -75,6 +86,7 @@
 	idleUntil   time.Time
 	lastAttempt string // identifier of the last request
 	echoes      bool   // an answer on this connection has echoed the identifier of its request
+	peer        string // by SetPeer; guarded by the mutex of the Pool
 	anonymous   bool   // the last answer on this connection echoed none, so that only requests that tolerate copies may follow
 }
 
@@ -314,13 +326,20 @@
 		x.conn.echoes = x.conn.echoes || attempt != ""
 		a := &Answer{
 			Status: response.StatusCode, Header: response.Header,
-			Unframed: response.ContentLength < 0 && len(response.TransferEncoding) == 0,
+			Unframed: response.ContentLength < 0 && len(response.TransferEncoding) == 0, pool: x.pool, conn: x.conn,
 		}
+		a.Peer = x.pool.peer(x.conn)
 		a.Body = &body{ReadCloser: response.Body, exchange: x, response: response, unframed: a.Unframed}
 		return a, nil
 	}
 }
 
+func (p *Pool) peer(c *conn) string {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return c.peer
+}
+
 // attempt returns the identifier that an answer echoes, or "" if it has none.
 func (p *Pool) attempt(h http.Header) string {
 	if p.options.Attempt == nil {
