Count a software version as one that began streams once it is listed

Cause: the census of software versions serves two questions, which versions are to be stored and known before another one is listed, and which may have begun a stream. It answered the second with all versions that had announced themselves, although no endpoint serves before a leader lists it.

Change: Census.Begun leaves out versions that neither this leader nor an earlier one may have listed, and a lookup goes by the versions of the moment in which it arrived.

Why it works: a stream of the new version cannot exist before, so that an unknown stream is of the former one.

--- a/internal/node/control/software.go
+++ b/internal/node/control/software.go
@@ -178,7 +178,7 @@
 
 // handleOrigin answers which software version began a stream. If that is not known, it waits for the next reports of the entries.
 func (c *Control) handleOrigin(ctx context.Context, _ string, q report.OriginRequest) (reply report.OriginReply, err error) {
-	arrived := c.options.Now()
+	var lookup originLookup
 	for {
 		c.mu.Lock()
 		ls := c.acting()
@@ -186,7 +186,10 @@
 			defer c.mu.Unlock()
 			return report.OriginReply{Leader: c.leader}, nil
 		}
-		reply, settled := ls.origin(q), ls.haveReported(arrived)
+		if lookup.term != ls.term {
+			lookup = ls.beginLookup(q)
+		}
+		reply, settled := ls.origin(q, lookup), ls.haveReported(lookup.arrived)
 		c.mu.Unlock()
 		if reply.Known || settled {
 			return reply, nil
@@ -216,8 +219,19 @@
 // originInterval is short compared with the interval of reports.
 const originInterval = 50 * time.Millisecond
 
-func (ls *leaderState) origin(q report.OriginRequest) report.OriginReply {
-	reply := report.OriginReply{Leading: true, Versions: ls.census.Versions(q.Service)}
+// originLookup is a lookup at the leader of a term. A version whose endpoints are listed only after it has arrived has not begun the stream.
+type originLookup struct {
+	term     uint64
+	arrived  time.Time
+	versions []string
+}
+
+func (ls *leaderState) beginLookup(q report.OriginRequest) originLookup {
+	return originLookup{ls.term, ls.now(), ls.census.Begun(q.Service)}
+}
+
+func (ls *leaderState) origin(q report.OriginRequest, l originLookup) report.OriginReply {
+	reply := report.OriginReply{Leading: true, Versions: l.versions}
 	if s, known := ls.streams.Find(q.Attempt); known {
 		reply.Known, reply.Software = true, &s
 	}
--- a/internal/node/control/software_cases_test.go
+++ b/internal/node/control/software_cases_test.go
@@ -218,3 +218,51 @@
 		})
 	}
 }
+
+// Streams run at an entry that falls silent, an endpoint of a new software version announces itself, and callers take the streams up at another entry. Guards
+// against refusing them because of a version that has begun no stream yet.
+func TestStreamsOfSilentEntryGoOnBesideNewVersion(t *testing.T) {
+	for _, test := range []struct {
+		name    string
+		silence func(m *softwareModel, e *modelEntry)
+		from    int // tenths of a second from the announcement
+		to      int
+	}{
+		{"suspended", func(m *softwareModel, e *modelEntry) { m.suspend(e, false) }, 0, 24},
+		{"cut off", func(_ *softwareModel, e *modelEntry) { e.reach = reachNone }, 0, 24},
+		{"two entries", func(m *softwareModel, e *modelEntry) {
+			m.suspend(e, false)
+			m.suspend(m.entries[2], false)
+		}, 0, 24},
+		{"second new version", func(m *softwareModel, e *modelEntry) {
+			m.suspend(e, false)
+			m.join("v3")
+		}, 0, 24},
+		{"version leaves again", func(m *softwareModel, e *modelEntry) {
+			m.suspend(e, false)
+			m.join("v3").silent = true
+			m.announce(m.endpoints[len(m.endpoints)-1], m.newest())
+			m.wait(time.Second)
+		}, 0, 14},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			for tenths := test.from; tenths <= test.to; tenths++ {
+				c := quicktest.New(t)
+				m := newSoftwareModel("v1")
+				e, other := m.entries[0], m.entries[1]
+				m.begin(e, 0)
+				m.begin(e, 1)
+				m.wait(time.Second)
+				test.silence(m, e)
+				m.join("v2")
+				m.wait(time.Duration(tenths) * modelSlice)
+				m.takeUpAll(other)
+				m.wait(2 * time.Second)
+				for _, s := range m.streams {
+					c.Check(s.at, quicktest.Equals, other, quicktest.Commentf("after %d tenths of a second: %q", tenths, m.trace))
+				}
+				m.checkApart(c)
+			}
+		})
+	}
+}
--- a/internal/node/control/software_model_test.go
+++ b/internal/node/control/software_model_test.go
@@ -106,10 +106,10 @@
 }
 
 type modelLookup struct {
-	stream  *modelStream
-	entry   *modelEntry
-	leader  int
-	arrived time.Time
+	stream *modelStream
+	entry  *modelEntry
+	leader int
+	begun  originLookup
 }
 
 type modelProposal struct {
@@ -387,7 +387,7 @@
 	switch {
 	case source == origin.Leader:
 		if leader, reached := m.target(e); reached {
-			m.lookups = append(m.lookups, &modelLookup{stream: s, entry: e, leader: leader, arrived: m.now})
+			m.lookups = append(m.lookups, &modelLookup{s, e, leader, m.leaders[leader].beginLookup(report.OriginRequest{Service: modelService})})
 			m.answerLookups()
 		}
 	case found == nil:
@@ -403,15 +403,15 @@
 	m.lookups = nil
 	for _, q := range pending {
 		switch {
-		case !m.acts(q.leader) || q.entry.reach == reachNone || m.now.Sub(q.arrived) > 2*time.Second:
+		case !m.acts(q.leader) || q.entry.reach == reachNone || m.now.Sub(q.begun.arrived) > 2*time.Second:
 			continue // refused
 		case q.entry.suspended:
 			m.lookups = append(m.lookups, q)
 			continue
 		}
 		l := m.leaders[q.leader]
-		reply := l.origin(report.OriginRequest{Service: modelService, Attempt: q.stream.attempt})
-		if !reply.Known && !l.haveReported(q.arrived) {
+		reply := l.origin(report.OriginRequest{Service: modelService, Attempt: q.stream.attempt}, q.begun)
+		if !reply.Known && !l.haveReported(q.begun.arrived) {
 			m.lookups = append(m.lookups, q)
 			continue
 		}
--- a/internal/place/origin/census.go
+++ b/internal/place/origin/census.go
@@ -13,6 +13,7 @@
 	revision uint64 // increases with each version that is added
 	// expectUntil is the time until which versions may be missing, zero once it has passed.
 	expectUntil time.Time
+	restored    bool // what earlier leaders have stored is known
 }
 
 // period is the time in which a software version has served.
@@ -22,6 +23,7 @@
 	until    time.Time // when an endpoint last served with it
 	durable  bool      // it is stored, and so outlives this leader
 	listed   bool      // endpoints have been listed with it, before which all entries were informed
+	former   bool      // an earlier leader has stored it, and may have listed endpoints with it
 }
 
 // NewCensus returns an empty census.
@@ -61,7 +63,8 @@
 // Revision returns a number that increases with each version that is added.
 func (c *Census) Revision() uint64 { return c.revision }
 
-// Restore records the versions that are stored. Those of an earlier leader count from now on, since their last endpoint may have left just now.
+// Restore records the versions that are stored. Those of an earlier leader count from now on, since their last endpoint may have left just now; the first
+// call is to hold all of them.
 func (c *Census) Restore(now time.Time, stored []Software) {
 	for _, p := range c.versions {
 		p.durable = false
@@ -69,10 +72,12 @@
 	for _, s := range stored {
 		if c.versions[s] == nil {
 			c.revision++
-			c.versions[s] = &period{since: now, until: now, revision: c.revision}
+			c.versions[s] = &period{since: now, until: now, revision: c.revision, former: true}
 		}
-		c.versions[s].durable = true
+		p := c.versions[s]
+		p.durable, p.former = true, p.former || !c.restored
 	}
+	c.restored = true
 }
 
 // Usable reports whether endpoints with a software version may serve: the service has no other, or all of them are stored, and endpoints have been listed
@@ -102,10 +107,20 @@
 // mayHide reports whether the only known version of a service may not be the only one. One without a name is not stored while it is the only one.
 func (c *Census) mayHide(s Software) bool { return s.Version != "" && !c.expectUntil.IsZero() }
 
-// Versions returns the software versions that may have begun streams of a service, sorted.
-func (c *Census) Versions(service string) (list []string) {
-	for s := range c.versions {
-		if s.Service == service {
+// Versions returns the software versions that may have begun streams of a service or are about to, sorted.
+func (c *Census) Versions(service string) []string {
+	return c.matching(service, func(*period) bool { return true })
+}
+
+// Begun returns the software versions that may have begun streams of a service, sorted: an endpoint serves once a leader has listed it. While earlier
+// leaders may have listed versions that are not known yet, these are all versions.
+func (c *Census) Begun(service string) []string {
+	return c.matching(service, func(p *period) bool { return p.listed || p.former || !c.expectUntil.IsZero() })
+}
+
+func (c *Census) matching(service string, holds func(*period) bool) (list []string) {
+	for s, p := range c.versions {
+		if s.Service == service && holds(p) {
 			list = append(list, s.Version)
 		}
 	}
@@ -113,7 +128,7 @@
 	return list
 }
 
-// All returns the software versions of all services by service, sorted.
+// All returns the Versions of all services by service, sorted.
 func (c *Census) All() map[string][]string {
 	all := map[string][]string{}
 	for _, s := range slices.SortedFunc(maps.Keys(c.versions), Software.compare) {
