Report the streams of services with one software version as well

Callers wait for up to four objectives before they take a stream up at another entry, 4 s on some routes. An endpoint of a new software version is listed 3 s after the last entry has fallen silent, and from then on the streams of that entry were refused, however old they were.

Cause: entries reported streams only once their service had several versions, so that no leader knew those of an entry that had fallen silent before.

Change: each report holds up to 50 streams of services with one version, the newest first; routes whose streams callers cannot take up are left out. In the first 4.7 s of a leader, a version that has only announced itself does not count beside one that an earlier leader has stored.

Evidence: TestStreamsOfSilentEntryGoOnBesideNewVersion passes up to 8 s after the announcement; without the reports it fails from 3 s on.

--- a/internal/node/control/software_cases_test.go
+++ b/internal/node/control/software_cases_test.go
@@ -228,22 +228,26 @@
 		from    int // tenths of a second from the announcement
 		to      int
 	}{
-		{"suspended", func(m *softwareModel, e *modelEntry) { m.suspend(e, false) }, 0, 24},
-		{"cut off", func(_ *softwareModel, e *modelEntry) { e.reach = reachNone }, 0, 24},
+		{"suspended", func(m *softwareModel, e *modelEntry) { m.suspend(e, false) }, 0, 80},
+		{"cut off", func(_ *softwareModel, e *modelEntry) { e.reach = reachNone }, 0, 80},
 		{"two entries", func(m *softwareModel, e *modelEntry) {
 			m.suspend(e, false)
 			m.suspend(m.entries[2], false)
-		}, 0, 24},
+		}, 0, 80},
+		{"leader replaced", func(m *softwareModel, e *modelEntry) {
+			m.suspend(e, false)
+			m.replaceLeader(false, true)
+		}, 0, 40},
 		{"second new version", func(m *softwareModel, e *modelEntry) {
 			m.suspend(e, false)
 			m.join("v3")
-		}, 0, 24},
+		}, 0, 80},
 		{"version leaves again", func(m *softwareModel, e *modelEntry) {
 			m.suspend(e, false)
 			m.join("v3").silent = true
 			m.announce(m.endpoints[len(m.endpoints)-1], m.newest())
 			m.wait(time.Second)
-		}, 0, 14},
+		}, 0, 80},
 	} {
 		t.Run(test.name, func(t *testing.T) {
 			for tenths := test.from; tenths <= test.to; tenths++ {
--- a/internal/node/control/software_model_test.go
+++ b/internal/node/control/software_model_test.go
@@ -324,7 +324,7 @@
 	}
 	r := report.Entry{Name: e.name}
 	e.view.FillReport(&r)
-	r.Streams = e.book.Unconfirmed(r.Term, e.view.MixedServices(), 1000)
+	r.Streams = e.book.Unconfirmed(r.Term, e.view.MixedServices(), 1000, 50)
 	if e.tell {
 		r.Known = e.view.KnownEndpoints()
 	}
--- a/internal/place/origin/census.go
+++ b/internal/place/origin/census.go
@@ -112,10 +112,11 @@
 	return c.matching(service, func(*period) bool { return true })
 }
 
-// Begun returns the software versions that may have begun streams of a service, sorted: an endpoint serves once a leader has listed it. While earlier
-// leaders may have listed versions that are not known yet, these are all versions.
+// Begun returns the software versions that may have begun streams of a service, sorted: an endpoint serves once a leader has listed it. Earlier leaders
+// list one that they have not stored only while it is the only one.
 func (c *Census) Begun(service string) []string {
-	return c.matching(service, func(p *period) bool { return p.listed || p.former || !c.expectUntil.IsZero() })
+	hidden := !c.expectUntil.IsZero() && len(c.matching(service, func(p *period) bool { return p.former })) == 0
+	return c.matching(service, func(p *period) bool { return p.listed || p.former || hidden })
 }
 
 func (c *Census) matching(service string, holds func(*period) bool) (list []string) {
--- a/internal/place/origin/origin.go
+++ b/internal/place/origin/origin.go
@@ -88,16 +88,22 @@
 	return r.Software, true
 }
 
-// Unconfirmed returns the newest streams of some services that the leader of a term has not confirmed, at most limit; older ones have mostly ended.
-func (b *Book) Unconfirmed(term uint64, services []string, limit int) (list []Stream) {
+// Unconfirmed returns the newest streams that the leader of a term has not confirmed, at most limit of some services and at most others of the rest; older
+// ones have mostly ended.
+func (b *Book) Unconfirmed(term uint64, services []string, limit, others int) (list []Stream) {
 	if len(services) == 0 {
-		return nil
+		limit = 0
 	}
 	for _, r := range slices.Backward(b.order[b.dropped:]) {
-		if len(list) >= limit {
+		if limit+others <= 0 {
 			break
 		}
-		if r.sent != term && slices.Contains(services, r.Software.Service) {
+		room := &others
+		if slices.Contains(services, r.Software.Service) {
+			room = &limit
+		}
+		if r.sent != term && *room > 0 {
+			*room--
 			list = append(list, r.Stream)
 		}
 	}
--- a/internal/place/origin/origin_test.go
+++ b/internal/place/origin/origin_test.go
@@ -16,19 +16,21 @@
 	newer  = origin.Software{Service: "s", Version: "v2"}
 )
 
-// Guards against a new leader that is not told of the streams which entries had reported to an earlier one, and against reports of streams at services
-// with one software version.
+// Guards against a new leader that is not told of the streams which entries had reported to an earlier one, and against reports that grow with the
+// streams of services with one software version.
 func TestStreamsAreReportedToEachLeader(t *testing.T) {
 	c := quicktest.New(t)
 	b := origin.New(origin.MaxStreams)
 	mixed := origin.Stream{Attempt: "1", Software: former}
 	b.Record(start, mixed)
 	b.Record(start, origin.Stream{Attempt: "2", Software: origin.Software{Service: "other", Version: "v1"}})
-	c.Check(b.Unconfirmed(3, nil, 10), quicktest.HasLen, 0)
-	c.Check(b.Unconfirmed(3, []string{"s"}, 10), quicktest.DeepEquals, []origin.Stream{mixed})
+	c.Check(b.Unconfirmed(3, nil, 10, 0), quicktest.HasLen, 0)
+	c.Check(b.Unconfirmed(3, []string{"s"}, 10, 0), quicktest.DeepEquals, []origin.Stream{mixed})
 	b.Confirm(3, []origin.Stream{mixed})
-	c.Check(b.Unconfirmed(3, []string{"s"}, 10), quicktest.HasLen, 0)
-	c.Check(b.Unconfirmed(4, []string{"s"}, 10), quicktest.DeepEquals, []origin.Stream{mixed})
+	c.Check(b.Unconfirmed(3, []string{"s"}, 10, 0), quicktest.HasLen, 0)
+	c.Check(b.Unconfirmed(4, []string{"s"}, 10, 0), quicktest.DeepEquals, []origin.Stream{mixed})
+	c.Check(b.Unconfirmed(4, []string{"s"}, 10, 1), quicktest.HasLen, 2)
+	c.Check(b.Unconfirmed(4, nil, 10, 1), quicktest.HasLen, 1)
 }
 
 // Guards against a book that grows without bound, forgets the streams that still run, or takes a later report for the beginning of a stream.
--- a/internal/serve/forward/origin.go
+++ b/internal/serve/forward/origin.go
@@ -112,6 +112,9 @@
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	s.inFlight.software = x.software
+	if !x.route.Repeatable() {
+		return // no caller takes it up
+	}
 	h.streams.Record(h.options.Now(), origin.Stream{Attempt: attempt, Software: origin.Software{Service: x.service.Name, Version: s.Software}})
 }
 
@@ -122,11 +125,16 @@
 		retention = origin.Retention(index.LongestTimeout())
 	}
 	h.streams.Forget(now, retention)
-	r.Streams = h.streams.Unconfirmed(r.Term, h.options.View.MixedServices(), maxReportedStreams)
+	r.Streams = h.streams.Unconfirmed(r.Term, h.options.View.MixedServices(), maxReportedStreams, maxEarlyStreams)
 }
 
-// maxReportedStreams limits the size of a report; the rest follows with the next ones.
-const maxReportedStreams = 1000
+const (
+	// maxReportedStreams limits the size of a report; the rest follows with the next ones.
+	maxReportedStreams = 1000
+	// maxEarlyStreams limits the streams of services with one software version in a report. The leader needs them only if another version appears after
+	// the entry has fallen silent.
+	maxEarlyStreams = 50
+)
 
 // continuing returns those of the endpoints that may continue what was delivered of a stream.
 func (x *exchange) continuing(list []report.Endpoint) []report.Endpoint {
--- a/internal/serve/forward/origin_test.go
+++ b/internal/serve/forward/origin_test.go
@@ -279,3 +279,17 @@
 		r.Check(len(reported.Streams) > 0, quicktest.Equals, stated == 10)
 	}
 }
+
+// Guards against streams of a service with one software version that no leader knows of when another version appears and their entry has fallen silent, and
+// against reports of streams that no caller may take up.
+func TestStreamsOfOnlyVersionAreReported(t *testing.T) {
+	for path, reported := range map[string]int{"/read/x": 1, "/brief/x": 0} {
+		r := newFixture(t, []http.HandlerFunc{writes("v1", false)}, forward.WithCodec(continueCodec()))
+		r.setSoftware(time.Now(), []string{"v1"}, "v1")
+		r.ask(t, path)
+		var e report.Entry
+		r.view.FillReport(&e)
+		r.handler.Report(&e, time.Second)
+		r.Check(e.Streams, quicktest.HasLen, reported, quicktest.Commentf("%s", path))
+	}
+}
