Watch endpoints that may run requests whose callers have left

Cause: the entry took an attempt out of its records when it ended it itself, so that nothing was exposed to the crash that followed, and nobody checked the endpoint.

The entry watches an idle connection to the endpoint meanwhile, and probes the endpoint once that is closed. A request that was exposed to a crash runs on without its caller until it begins, so that a sound one clears itself. Event 2029 names what an ended endpoint may have run.

Why it works: the leader gets the same evidence as of a connection that broke, and decides as strictly as before.

--- a/internal/base/event/entry.go
+++ b/internal/base/event/entry.go
@@ -32,6 +32,7 @@
 	StreamContinued   ID = 2026
 	IncarnationAsked  ID = 2027
 	SoftwareUnknown   ID = 2028
+	LeftExposed       ID = 2029
 )
 
 var entryEvents = []Entry{
@@ -54,6 +55,7 @@
 	{StreamContinued, slog.LevelInfo, "software version of a stream that a caller continues was looked up", "Many without Known: check the control instances; several entries may have restarted."},
 	{IncarnationAsked, slog.LevelInfo, "endpoint was asked for its start time, because the list does not show its software version", "Not Same: it has restarted. Lasting, with a high ViewAgeMillis: check the way to the control instances."},
 	{SoftwareUnknown, slog.LevelInfo, "software version that began a stream is not known, so that nothing can continue the stream", "See event 2027 of the same attempt."},
+	{LeftExposed, slog.LevelWarn, "process of an endpoint has ended while it may have run requests whose callers had left", "Several: see event 5020."},
 	{EndpointLeaves, slog.LevelInfo, "endpoint stated in an answer that it leaves", "None."},
 	{EndpointProbed, slog.LevelInfo, "silent endpoint was probed with a new connection", "With an Error: check the endpoint and the way to it."},
 	{DeputiesNamed, slog.LevelInfo, "leader named the deputies that lend without it", "None."},
--- a/internal/fake/network/half.go
+++ b/internal/fake/network/half.go
@@ -110,6 +110,12 @@
 	}
 }
 
+func (h *half) openAndUnread() bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.err == nil && (len(h.queue) == 0 || time.Now().Before(h.queue[0].due))
+}
+
 func (h *half) take(p []byte) int {
 	n := copy(p, h.queue[0].data)
 	h.size -= n
--- a/internal/fake/network/network.go
+++ b/internal/fake/network/network.go
@@ -206,6 +206,9 @@
 // Read implements net.Conn.
 func (c *Conn) Read(p []byte) (int, error) { return c.in.read(p) }
 
+// OpenAndUnread reports whether the other end has not closed the connection and no bytes wait to be read.
+func (c *Conn) OpenAndUnread() bool { return c.in.openAndUnread() }
+
 // Write implements net.Conn.
 func (c *Conn) Write(p []byte) (int, error) {
 	lost := c.network.isCut(c.local.Addr(), c.remote.Addr())
--- a/internal/place/quarantine/hold_test.go
+++ b/internal/place/quarantine/hold_test.go
@@ -87,6 +87,7 @@
 	every  time.Duration // between the first copies and the next ones
 	others int           // percent of the rounds of 50 ms in which an endpoint or a rack crashes for another cause
 	length time.Duration
+	leave  bool // callers of the deadly request leave before it is answered, and so do those of some sound requests
 
 	runs    []time.Time // when copies of the deadly request began to run
 	blamed  []string    // sound signatures that were quarantined at some time
@@ -100,6 +101,10 @@
 	simulatedEndpoints = 12
 	simulatedEntries   = 3
 	simulatedRound     = 50 * time.Millisecond
+	simulatedLeave     = 150 * time.Millisecond
+	simulatedCrash     = 250 * time.Millisecond  // from the sending of a deadly request whose caller leaves
+	simulatedTurn      = 1500 * time.Millisecond // in which an entry uses a permit
+	simulatedTimeout   = 3500 * time.Millisecond // after which no endpoint runs a request
 )
 
 // simulatedCopy is a request at an entry.
@@ -109,18 +114,20 @@
 	endpoint   int
 	arrived    time.Time
 	sentAt     time.Time
+	leaves     bool
 }
 
 func (r *copiesRun) run() {
 	random := rand.New(rand.NewPCG(r.seed, uint64(r.copies)))
 	d := quarantine.NewDetector(quarantine.DefaultOptions())
 	var trackers [simulatedEntries]*quarantine.Tracker
-	var turns, trials [simulatedEntries]map[string]bool
+	var turns [simulatedEntries]map[string]time.Time // until when
+	var trials [simulatedEntries]map[string]bool
 	var refused [simulatedEntries]map[string]quarantine.Refusals
 	for e := range trackers {
-		trackers[e], turns[e], trials[e], refused[e] = quarantine.NewTracker(), map[string]bool{}, map[string]bool{}, map[string]quarantine.Refusals{}
+		trackers[e], turns[e], trials[e], refused[e] = quarantine.NewTracker(), map[string]time.Time{}, map[string]bool{}, map[string]quarantine.Refusals{}
 	}
-	var waiting, open []simulatedCopy
+	var waiting, open, left []simulatedCopy
 	var held []string
 	var quarantined []quarantine.Signature
 	born, downUntil := [simulatedEndpoints]int64{}, [simulatedEndpoints]time.Time{}
@@ -144,9 +151,14 @@
 				arrive(sent(fmt.Sprint("new", round), customer))
 			}
 		}
+		if r.leave && round%8 == 0 { // one after the other, each again after 1.6 s
+			arrive(sent(fmt.Sprint("impatient", round/8%4), customer))
+			waiting[len(waiting)-1].leaves = true
+		}
 		if every := int(r.every / simulatedRound); r.copies > 0 && round%every == every/2 {
 			for range r.copies {
 				arrive(sent("dead", customer))
+				waiting[len(waiting)-1].leaves = r.leave
 			}
 		}
 		if random.IntN(100) < r.others {
@@ -157,6 +169,9 @@
 		}
 		waiting = slices.DeleteFunc(waiting, func(x simulatedCopy) bool {
 			id := x.signatures[0]
+			if x.leaves && now.Sub(x.arrived) >= simulatedLeave {
+				return true
+			}
 			popular := id != dead && len(x.signatures) > 1 && !slices.Contains(r.blamed, id)
 			if slices.Contains(quarantined, quarantine.NewSignature("s", id)) && !trials[x.entry][id] {
 				n := refused[x.entry][id]
@@ -164,7 +179,7 @@
 				return true
 			}
 			delete(trials[x.entry], id)
-			if slices.Contains(held, id) && !turns[x.entry][id] && !trackers[x.entry].LastBegin(id).After(x.arrived) {
+			if slices.Contains(held, id) && !now.Before(turns[x.entry][id]) && !trackers[x.entry].LastBegin(id).After(x.arrived) {
 				if popular && x.arrived.Equal(now) {
 					r.waited++
 				}
@@ -189,16 +204,22 @@
 			}
 			return true
 		})
-		for _, x := range open {
-			if x.signatures[0] == dead && now.After(x.sentAt) {
+		for _, x := range slices.Concat(open, left) {
+			if x.signatures[0] == dead && now.After(x.sentAt) && (!x.leaves || now.Sub(x.sentAt) >= simulatedCrash) {
 				crash(x.endpoint)
 			}
 		}
+		left = slices.DeleteFunc(left, func(x simulatedCopy) bool { return now.Sub(x.sentAt) >= simulatedCrash })
 		open = slices.DeleteFunc(open, func(x simulatedCopy) bool {
 			incarnation := quarantine.Incarnation{Endpoint: fmt.Sprint(x.endpoint), Born: born[x.endpoint]}
+			attempt := quarantine.Attempt{Incarnation: incarnation, Service: "s", Signatures: x.signatures, SentAt: x.sentAt}
+			runsOn := slices.Contains(d.Suspects(), signature(x.signatures[0])) || trackers[x.entry].Repeated(quarantine.Attempt{Service: "s", Signatures: x.signatures})
 			switch {
+			case x.leaves && !runsOn && now.Sub(x.sentAt) >= simulatedLeave:
+				trackers[x.entry].Left(now, attempt, x.sentAt.Add(simulatedTimeout))
+				left = append(left, x)
 			case !up(x.endpoint):
-				trackers[x.entry].Broken(now, quarantine.Attempt{Incarnation: incarnation, Service: "s", Signatures: x.signatures, SentAt: x.sentAt})
+				trackers[x.entry].Broken(now, attempt)
 				trackers[x.entry].Down(now, incarnation)
 			case now.Sub(x.sentAt) >= 400*time.Millisecond:
 				trackers[x.entry].Begun(now, "s", x.signatures)
@@ -207,6 +228,14 @@
 			}
 			return true
 		})
+		for _, tracker := range trackers {
+			for _, i := range tracker.LeftAt(now) {
+				n, err := strconv.Atoi(i.Endpoint)
+				if err == nil && (!up(n) || born[n] != i.Born) && round%5 == 0 {
+					tracker.Ended(now, i)
+				}
+			}
+		}
 		for n := range simulatedEndpoints {
 			if now.Before(downUntil[n]) && !now.Add(simulatedRound).Before(downUntil[n]) {
 				born[n]++
@@ -228,7 +257,10 @@
 				}
 			}
 			for _, id := range d.Turns(now, slices.Sorted(maps.Keys(ids))) {
-				turns[e][id] = true
+				turns[e][id] = start.Add(r.length)
+				if r.leave { // it may stay unused
+					turns[e][id] = now.Add(simulatedTurn)
+				}
 			}
 			held = d.Held()
 		}
@@ -314,3 +346,29 @@
 		})
 	}
 }
+
+// The callers of a deadly request leave before it is answered, and its endpoints run it all the same; so do callers of sound requests, beside crashes of other
+// causes. Guards against a request that crashes one endpoint after the other without being found, and against blaming the sound ones.
+func TestRequestsThatCallersLeaveAreToldApart(t *testing.T) {
+	const maxLate = 3
+	for _, others := range otherCrashes {
+		t.Run(fmt.Sprint(others), func(t *testing.T) {
+			t.Parallel()
+			c := quicktest.New(t)
+			late, wrong := map[int]int{}, 0
+			for seed := range copiesSeeds(c) {
+				r := copiesRun{
+					seed: seed, copies: 1 + int(seed%3), every: time.Duration(1200+200*(seed%7)) * time.Millisecond, others: others, length: 100 * time.Second, leave: true,
+				}
+				r.run()
+				late[r.late()]++
+				c.Check(r.late() <= maxLate, quicktest.IsTrue, quicktest.Commentf("seed %d: %d of %d runs are late", seed, r.late(), len(r.runs)))
+				c.Check(r.blamed, quicktest.HasLen, 0, quicktest.Commentf("seed %d", seed))
+				if len(r.blamed) > 0 {
+					wrong++
+				}
+			}
+			t.Logf("simulations by late runs: %v; with a sound signature blamed: %d", late, wrong)
+		})
+	}
+}
--- a/internal/place/quarantine/tracker.go
+++ b/internal/place/quarantine/tracker.go
@@ -13,7 +13,8 @@
 	begunRequests recentBegins // of exact requests and targets, most of which are unique
 	broken        map[Incarnation]*brokenEndpoint
 	crashes       map[Incarnation]*brokenEndpoint // of these, the confirmed ones
-	told          map[Signature]time.Time         // begins that the leader of toldTerm has received
+	left          map[Incarnation]*leftEndpoint
+	told          map[Signature]time.Time // begins that the leader of toldTerm has received
 	toldTerm      uint64
 }
 
@@ -123,7 +124,7 @@
 func NewTracker() *Tracker {
 	return &Tracker{
 		begun: newRecentBegins(), begunRequests: newRecentBegins(),
-		broken: map[Incarnation]*brokenEndpoint{}, crashes: map[Incarnation]*brokenEndpoint{}, told: map[Signature]time.Time{},
+		broken: map[Incarnation]*brokenEndpoint{}, crashes: map[Incarnation]*brokenEndpoint{}, left: map[Incarnation]*leftEndpoint{}, told: map[Signature]time.Time{},
 	}
 }
 
--- a/internal/place/quarantine/tracker_test.go
+++ b/internal/place/quarantine/tracker_test.go
@@ -123,3 +123,61 @@
 		c.Check(tracker.HasUnreported(), quicktest.IsFalse)
 	}
 }
+
+// A caller leaves before its request begins, and the endpoint's process ends later. Guards against a crash that nothing was exposed to, and against blaming a
+// request that has begun since, that the endpoint has ended long before, or that was at an endpoint which cannot be reached.
+func TestRequestThatCallerLeftIsExposed(t *testing.T) {
+	for name, test := range map[string]struct {
+		run     func(tracker *quarantine.Tracker, i quarantine.Incarnation)
+		exposed int
+	}{
+		"process ends":   {func(tracker *quarantine.Tracker, i quarantine.Incarnation) { tracker.Ended(at(1500), i) }, 2},
+		"after the time": {func(tracker *quarantine.Tracker, i quarantine.Incarnation) { tracker.Ended(at(3000), i) }, 0},
+		"out of reach":   {func(tracker *quarantine.Tracker, i quarantine.Incarnation) { tracker.Down(at(1500), i) }, 0},
+		"begun": {func(tracker *quarantine.Tracker, i quarantine.Incarnation) {
+			tracker.Begun(at(1600), "s", sent("left", customer))
+			tracker.Ended(at(1500), i)
+		}, 0},
+		"beside another": {func(tracker *quarantine.Tracker, i quarantine.Incarnation) {
+			tracker.Broken(at(1400), attempt(i.Endpoint, at(1300), sent("open", customer)...))
+			tracker.Ended(at(1500), i)
+		}, 4},
+		"of a crash that is reported": {func(tracker *quarantine.Tracker, i quarantine.Incarnation) {
+			tracker.Broken(at(1400), attempt(i.Endpoint, at(1300), sent("open", customer)...))
+			tracker.Down(at(1450), i)
+			tracker.Delivered(at(1460), 1, tracker.Report(at(1460), 1), nil)
+			tracker.Ended(at(1500), i)
+		}, 4},
+	} {
+		t.Run(name, func(t *testing.T) {
+			c := quicktest.New(t)
+			tracker := quarantine.NewTracker()
+			a := attempt("e", at(0), sent("left", customer)...)
+			tracker.Left(at(200), a, at(2500))
+			c.Check(tracker.LeftAt(at(300)), quicktest.DeepEquals, []quarantine.Incarnation{a.Incarnation})
+			test.run(tracker, a.Incarnation)
+			exposed := 0
+			for _, k := range tracker.Report(at(2000), 1) {
+				exposed += len(k.Exposed)
+			}
+			c.Check(exposed, quicktest.Equals, test.exposed)
+			c.Check(tracker.LeftAt(at(3000)), quicktest.HasLen, 0)
+		})
+	}
+}
+
+// Thousands of callers leave. Guards against records without a bound, and against leaving out a request that was exposed to an earlier crash.
+func TestRequestsThatCallersLeftAreBounded(t *testing.T) {
+	c := quicktest.New(t)
+	tracker := quarantine.NewTracker()
+	tracker.Broken(at(0), attempt("first", at(0), sent("dead")...))
+	down(tracker, 1, "first")
+	for n := range 3000 {
+		tracker.Left(at(100), attempt(fmt.Sprint("e", n), at(50), sent(fmt.Sprint(n))...), at(60_000))
+	}
+	c.Check(len(tracker.LeftAt(at(200))), quicktest.Equals, 1024)
+	second := attempt("second", at(150), sent("dead")...)
+	tracker.Left(at(200), second, at(60_000))
+	c.Check(len(tracker.LeftAt(at(200))), quicktest.Equals, 1024)
+	c.Check(tracker.Ended(at(300), second.Incarnation), quicktest.Equals, 1)
+}
--- a/internal/serve/forward/attempt.go
+++ b/internal/serve/forward/attempt.go
@@ -76,9 +76,9 @@
 }
 
 // attemptContext returns the context of an attempt, which ends when the caller leaves. An order that is being sent goes on without its caller: breaking it off
-// would leave open what has happened, and a caller that has only closed its side of the connection gets the answer.
+// would leave open what has happened, and a caller that has only closed its side of the connection gets the answer. So does a request that is a suspect.
 func (h *Handler) attemptContext(x *exchange) (ctx context.Context, cancel context.CancelFunc, detach func() error) {
-	if x.route.Kind != document.NonIdempotent {
+	if x.route.Kind != document.NonIdempotent && !h.runsOn(x) {
 		ctx, cancel = context.WithCancel(x.ctx)
 		return ctx, cancel, nil
 	}
@@ -195,7 +195,7 @@
 		}
 		h.observe(s.ID, pick.Unreachable, 0)
 		h.mu.Lock()
-		h.recordDown(s.Endpoint)
+		h.recordUnreachable(x.ctx, s.Endpoint, head.err)
 		h.mu.Unlock()
 		return notRun, reasonUnreachable
 	}
--- a/internal/serve/forward/forward.go
+++ b/internal/serve/forward/forward.go
@@ -64,6 +64,9 @@
 	turns             map[string]time.Time           // until when one copy of a held request may be sent
 	waiting           map[string]int                 // copies of held requests that wait for a turn
 	streams           *origin.Book
+	leftAt            map[quarantine.Incarnation]report.Endpoint // endpoints that may run requests of which this entry has let go
+	leftProbedAt      map[quarantine.Incarnation]time.Time
+	leftCheckedAt     time.Time
 }
 
 // use counts requests for an adapter at an endpoint.
@@ -125,6 +128,7 @@
 		silence: silence.New(silence.Defaults()), attempts: map[*inFlight]bool{}, loans: map[loanKey]*loanQueue{}, ceilings: ceiling.New(), endpointShares: quota.NewEntryPool(), unread: map[string]int{}, shares: o.Shares,
 		tracker: quarantine.NewTracker(), refusedSignatures: map[string]quarantine.Refusals{}, trials: map[string]time.Time{},
 		turns: map[string]time.Time{}, waiting: map[string]int{}, streams: origin.New(origin.MaxStreams),
+		leftAt: map[quarantine.Incarnation]report.Endpoint{}, leftProbedAt: map[quarantine.Incarnation]time.Time{},
 	}
 	h.filters = []filter{h.match, h.identify, h.read, h.checkStop, h.sign, h.checkSignatures, h.findOrigin, h.admit, h.dispatch}
 	return h
--- a/internal/serve/forward/inflight.go
+++ b/internal/serve/forward/inflight.go
@@ -170,6 +170,7 @@
 		}
 	}
 	h.silence.Forget(now, silenceRetention)
+	h.watchLeft(now)
 }
 
 // probe checks whether an endpoint accepts connections, and records the result.
@@ -185,7 +186,7 @@
 	h.silence.RecordProbe(now, e.ID, err == nil)
 	if err != nil {
 		h.picker.Observe(now, e.ID, pick.Unreachable, 0)
-		h.recordDown(e)
+		h.recordUnreachable(ctx, e, err)
 	}
 	return err == nil
 }
--- a/internal/serve/forward/quarantine.go
+++ b/internal/serve/forward/quarantine.go
@@ -132,11 +132,6 @@
 // recheckAfter is shorter than any restart of an endpoint.
 const recheckAfter = 200 * time.Millisecond
 
-// recordDown records that an endpoint does not accept connections. The caller holds h.mu.
-func (h *Handler) recordDown(e report.Endpoint) {
-	h.tracker.Down(h.options.Now(), incarnation(e))
-}
-
 func incarnation(e report.Endpoint) quarantine.Incarnation {
 	return quarantine.Incarnation{Endpoint: e.ID, Born: e.Born}
 }
--- a/internal/serve/forward/send.go
+++ b/internal/serve/forward/send.go
@@ -317,11 +317,13 @@
 		h.observe(s.ID, pick.Malformed, 0)
 		return reasonMalformed
 	case errs.Is(err, errReplaced):
+		h.recordLeft(x, s)
 		return reasonSilent
 	case errs.Is(err, errRestarted):
 		return reasonRestarted
 	case s.ctx.Err() != nil:
 		h.observeUnanswered(s)
+		h.recordLeft(x, s)
 		return reasonStopped
 	}
 	h.observe(s.ID, pick.Failed, 0)
--- a/internal/serve/forward/stream.go
+++ b/internal/serve/forward/stream.go
@@ -45,8 +45,8 @@
 			if x.firstByteAt.IsZero() {
 				x.firstByteAt = h.options.Now()
 			}
-			if !h.writeEvents(x, s, controller, events) {
-				return mayHaveRun, reasonStopped
+			if !h.writeEvents(x, s, controller, events) || (err == nil && x.ctx.Err() != nil) {
+				return mayHaveRun, reasonStopped // an attempt that goes on without its caller does so until it has begun
 			}
 		}
 		if err != nil {
--- a/internal/wire/upstream/upstream_test.go
+++ b/internal/wire/upstream/upstream_test.go
@@ -290,3 +290,42 @@
 		c.Check(p.Opened(), quicktest.Equals, test.opened, quicktest.Commentf("request %d", i))
 	}
 }
+
+// Guards against taking an endpoint whose process has ended for one that runs, against using up the connection that is checked, and against opening one.
+func TestIdleConnectionShowsEndOfEndpoint(t *testing.T) {
+	c := quicktest.New(t)
+	address, connections := endpoint(t, "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok", "")
+	p := upstream.New()
+	c.Check(p.CheckIdle(address), quicktest.Equals, upstream.NoIdle)
+	get := upstream.Request{Address: address, Method: http.MethodGet, Target: "/", Host: "h"}
+	a, err := p.Do(t.Context(), get)
+	c.Assert(err, quicktest.IsNil)
+	_, err = io.ReadAll(a.Body)
+	c.Assert(err, quicktest.IsNil)
+	c.Check(p.CheckIdle(address), quicktest.Equals, upstream.IdleOpen)
+	c.Check(p.CheckIdle(address), quicktest.Equals, upstream.IdleOpen)
+	c.Check(*connections, quicktest.Equals, 1)
+}
+
+// Guards against missing that the other end of an idle connection has closed it.
+func TestIdleConnectionThatIsClosed(t *testing.T) {
+	c := quicktest.New(t)
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	c.Assert(err, quicktest.IsNil)
+	address := listener.Addr().(*net.TCPAddr).AddrPort()
+	p := upstream.New()
+	c.Assert(p.Probe(t.Context(), address), quicktest.IsNil)
+	conn, err := listener.Accept()
+	c.Assert(err, quicktest.IsNil)
+	c.Check(p.CheckIdle(address), quicktest.Equals, upstream.IdleOpen)
+	c.Assert(conn.Close(), quicktest.IsNil)
+	c.Assert(listener.Close(), quicktest.IsNil)
+	for range 100 {
+		if idle := p.CheckIdle(address); idle != upstream.IdleOpen {
+			c.Check(idle, quicktest.Equals, upstream.IdleClosed)
+			break
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+	c.Check(p.CheckIdle(address), quicktest.Equals, upstream.NoIdle)
+}
