Let suspects of all kinds run on without their callers

Cause: only exact requests and targets among the suspects ran on without their callers, and an adapter, a part or a customer could not clear itself.

Change: a request with any signature that the leader names as a suspect runs on until it begins.

--- a/internal/place/quarantine/hold_test.go
+++ b/internal/place/quarantine/hold_test.go
@@ -153,7 +153,10 @@
 		}
 		if r.leave && round%8 == 0 { // one after the other, each again after 1.6 s
 			arrive(sent(fmt.Sprint("impatient", round/8%4), customer))
-			waiting[len(waiting)-1].leaves = true
+			arrive(sent(fmt.Sprint("rare", round), quarantine.Adapter("m", "rare"), customer))
+			for i := range waiting[len(waiting)-2:] {
+				waiting[len(waiting)-1-i].leaves = true
+			}
 		}
 		if every := int(r.every / simulatedRound); r.copies > 0 && round%every == every/2 {
 			for range r.copies {
@@ -213,7 +216,8 @@
 		open = slices.DeleteFunc(open, func(x simulatedCopy) bool {
 			incarnation := quarantine.Incarnation{Endpoint: fmt.Sprint(x.endpoint), Born: born[x.endpoint]}
 			attempt := quarantine.Attempt{Incarnation: incarnation, Service: "s", Signatures: x.signatures, SentAt: x.sentAt}
-			runsOn := slices.Contains(d.Suspects(), signature(x.signatures[0])) || trackers[x.entry].Repeated(quarantine.Attempt{Service: "s", Signatures: x.signatures})
+			runsOn := slices.ContainsFunc(d.Suspects(), func(s quarantine.Signature) bool { return slices.Contains(x.signatures, s.ID) }) ||
+				trackers[x.entry].Repeated(quarantine.Attempt{Service: "s", Signatures: x.signatures})
 			switch {
 			case x.leaves && !runsOn && now.Sub(x.sentAt) >= simulatedLeave:
 				trackers[x.entry].Left(now, attempt, x.sentAt.Add(simulatedTimeout))
--- a/internal/serve/forward/left.go
+++ b/internal/serve/forward/left.go
@@ -74,14 +74,14 @@
 	}
 }
 
-// runsOn reports whether a request is sent on to its end although its caller has left: it may have crashed an endpoint before, and whether it begins shows
-// whether it has.
+// runsOn reports whether a request is sent on to its end although its caller has left: it, or what it has in common with others, may have crashed an endpoint
+// before, and whether it begins shows whether it has.
 func (h *Handler) runsOn(x *exchange) bool {
 	if len(x.silent) > 0 {
 		return false // a search ends with the request for which it began
 	}
 	for _, s := range h.options.View.Suspects() {
-		if quarantine.KindOf(s.ID) <= quarantine.KindTarget && slices.Contains(x.signatures, s.ID) {
+		if s.AppliesTo(x.service.Name) && slices.Contains(x.signatures, s.ID) {
 			return true
 		}
 	}
