Watch endpoints that may run requests whose callers have left, in the product's own path

Cause: the recorder of an instance heard nothing of attempts that the instance had ended itself.

Change: serve/isolate remembers such attempts and keeps a connection to the endpoint until a second after their deadline; suspects run on without their callers, at plain services and at owners. Here and at entries, an endpoint that is leaving, or not listed any more, ends without a crash; a request that was let go of there would have counted as exposed.

--- a/internal/node/instance/isolate.go
+++ b/internal/node/instance/isolate.go
@@ -8,6 +8,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"lycheevale/internal/base/repeat"
+	"lycheevale/internal/place/quarantine"
 	"lycheevale/internal/serve/isolate"
 	"lycheevale/internal/state/consensus"
 	"lycheevale/internal/state/registry"
@@ -27,6 +28,7 @@
 	recorder := isolate.New(isolate.With(func(o *isolate.Options) {
 		o.Logger, o.Now, o.Wall, o.Dial, o.Call, o.Registry = i.options.Logger, i.options.Now, i.options.Wall, i.options.Dial, i.links.Call, st.registry
 		o.Leader = st.leader
+		o.Serves = func(e quarantine.Incarnation) bool { return i.targets.serves(e) }
 		o.Instances = func() []string { return append(st.distribution.localInstances(), i.settings.Name) }
 		o.Centres = st.distribution.remoteInstances
 		o.Term = st.term
--- a/internal/node/instance/targets.go
+++ b/internal/node/instance/targets.go
@@ -12,6 +12,7 @@
 	"lycheevale/internal/base/refusal"
 	"lycheevale/internal/base/settings"
 	"lycheevale/internal/member/node"
+	"lycheevale/internal/place/quarantine"
 	"lycheevale/internal/place/route"
 	"lycheevale/internal/serve/caller"
 	"lycheevale/internal/serve/engine"
@@ -84,6 +85,19 @@
 	}
 }
 
+// serves reports whether an incarnation of an endpoint is known and does not leave.
+func (t *targets) serves(i quarantine.Incarnation) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	is := func(e node.Endpoint) bool { return e.Name == i.Endpoint && int64(e.Incarnation) == i.Born }
+	for _, list := range t.plain {
+		if slices.ContainsFunc(list, is) {
+			return true
+		}
+	}
+	return is(t.owners[i.Endpoint])
+}
+
 func (t *targets) refresh() {
 	view := t.members.View()
 	t.mu.Lock()
--- a/internal/serve/caller/isolate.go
+++ b/internal/serve/caller/isolate.go
@@ -56,14 +56,33 @@
 	}
 }
 
-// recordBroken records a call of a plain service whose connection broke before the whole answer arrived.
+// recordBroken records a call of a plain service whose connection broke before the whole answer arrived, or which this instance has ended before that.
 func (s *Server) recordBroken(ctx context.Context, c *plainCall, target PlainTarget, sentAt time.Time, acknowledged bool) {
 	address, err := netip.ParseAddrPort(target.Address)
-	if err != nil || ctx.Err() != nil {
+	if err != nil {
 		return
 	}
-	s.options.Recorder.Broken(ctx, quarantine.Attempt{
+	a := quarantine.Attempt{
 		Incarnation: quarantine.Incarnation{Endpoint: target.Endpoint, Born: int64(target.Born)}, Service: c.route.service,
 		Signatures: c.signatures, SentAt: sentAt, Acknowledged: acknowledged,
-	}, address)
+	}
+	if ctx.Err() != nil { // this instance has ended it, and the service may run it all the same
+		a.Acknowledged = false
+		s.options.Recorder.Left(a, address, c.deadline.Add(overrun))
+		return
+	}
+	s.options.Recorder.Broken(ctx, a, address)
+}
+
+// overrun is the time by which a service may exceed the deadline of a request.
+const overrun = time.Second
+
+// runOn returns the context of an attempt. One of a request that may have crashed endpoints does not end when its caller leaves, since whether it begins
+// shows whether it has.
+func (s *Server) runOn(ctx context.Context, c *plainCall) (attempt context.Context, cancel context.CancelFunc) {
+	deadline, limited := ctx.Deadline()
+	if !limited || !s.options.Recorder.Suspected(c.route.service, c.signatures) {
+		return context.WithCancel(ctx)
+	}
+	return context.WithDeadline(context.WithoutCancel(ctx), deadline)
 }
--- a/internal/serve/caller/plain.go
+++ b/internal/serve/caller/plain.go
@@ -260,7 +260,9 @@
 		ctx, cancel = context.WithTimeout(ctx, plainAnswerWait)
 		defer cancel()
 	}
-	response, err := s.exchangePlain(ctx, c, target)
+	attempt, cancel := s.runOn(ctx, c)
+	defer cancel()
+	response, err := s.exchangePlain(attempt, c, target)
 	s.recordInterrupted(ctx, c.exchange, c.route.service, err)
 	return response, target.Endpoint, err
 }
--- a/internal/serve/forward/left.go
+++ b/internal/serve/forward/left.go
@@ -54,6 +54,9 @@
 	}
 	for _, i := range list {
 		e := h.leftAt[i]
+		if !h.serves(e) {
+			continue
+		}
 		idle := h.options.Pool.CheckIdle(e.Address)
 		if idle == upstream.IdleOpen || (idle == upstream.NoIdle && now.Sub(h.leftProbedAt[i]) < leftProbeInterval) {
 			continue
@@ -63,9 +66,15 @@
 	}
 }
 
+// serves reports whether an incarnation of an endpoint is listed and does not leave; one that leaves ends without a crash.
+func (h *Handler) serves(e report.Endpoint) bool {
+	listed, ok := h.options.View.Endpoint(e.ID)
+	return ok && listed.Born == e.Born
+}
+
 // recordUnreachable records that a connection to an endpoint has failed. The caller holds h.mu.
 func (h *Handler) recordUnreachable(ctx context.Context, e report.Endpoint, err error) {
-	if !errs.Is(err, syscall.ECONNREFUSED) {
+	if !errs.Is(err, syscall.ECONNREFUSED) || !h.serves(e) {
 		h.tracker.Down(h.options.Now(), incarnation(e))
 		return
 	}
--- a/internal/serve/isolate/isolate.go
+++ b/internal/serve/isolate/isolate.go
@@ -34,9 +34,11 @@
 type Recorder struct {
 	options Options
 	probes  chan probe
+	watches chan probe
 
 	mu              sync.Mutex
 	tracker         *quarantine.Tracker
+	watched         map[quarantine.Incarnation]bool    // endpoints that may run requests of which this instance has let go
 	interrupted     map[quarantine.Signature]time.Time // exact requests that may have crashed an endpoint
 	suspects        []quarantine.Signature             // those about which the leader asks
 	suspectRevision uint64
@@ -64,7 +66,7 @@
 		opt(&o)
 	}
 	return &Recorder{
-		options: o, probes: make(chan probe, maxProbes), tracker: quarantine.NewTracker(), interrupted: map[quarantine.Signature]time.Time{},
+		options: o, probes: make(chan probe, maxProbes), watches: make(chan probe, maxProbes), watched: map[quarantine.Incarnation]bool{}, tracker: quarantine.NewTracker(), interrupted: map[quarantine.Signature]time.Time{},
 		refused: map[string]quarantine.Refusals{}, trials: map[string]time.Time{},
 		reports: uint64(o.Wall().UnixNano()), // reports before and after a restart differ
 	}
@@ -206,6 +208,11 @@
 					r.check(ctx, p)
 					return nil
 				})
+			case p := <-r.watches:
+				group.Go(func() error {
+					r.watch(ctx, p)
+					return nil
+				})
 			case <-ticker.C:
 				r.notify(ctx)
 			}
--- a/internal/serve/isolate/options.go
+++ b/internal/serve/isolate/options.go
@@ -8,6 +8,7 @@
 
 	"github.com/zeebo/errs"
 
+	"lycheevale/internal/place/quarantine"
 	"lycheevale/internal/state/registry"
 	"lycheevale/internal/wire/peer"
 )
@@ -22,6 +23,7 @@
 	Wall      func() time.Time
 	Registry  *registry.Registry
 	Call      peer.Caller
+	Serves    func(i quarantine.Incarnation) bool // whether an endpoint is known and does not leave
 	Dial      func(ctx context.Context, network, address string) (net.Conn, error)
 	Leader    func() (name string, known bool) // of the configuration log
 	Instances func() []string                  // of the data centre, with this one
@@ -41,6 +43,7 @@
 	return Options{
 		Logger: slog.Default(), Now: time.Now, Wall: time.Now, Registry: registry.New(),
 		Call:      func(context.Context, string, string, any, any) error { return Error.New("no other instances") },
+		Serves:    func(quarantine.Incarnation) bool { return true },
 		Dial:      (&net.Dialer{}).DialContext,
 		Leader:    func() (string, bool) { return "", false },
 		Instances: func() []string { return nil },
--- a/internal/serve/owner/stream.go
+++ b/internal/serve/owner/stream.go
@@ -63,7 +63,7 @@
 	attempt := engine.Attempt{
 		ID: r.Attempt, Path: r.Path, Model: r.Target(), Priority: r.Priority, Deadline: r.Deadline, Body: r.Body,
 	}
-	t.watch = newWatchdog(ctx, o.options.IdleTimeout)
+	t.watch = t.newWatch()
 	answer, err := e.client.Complete(t.watch.ctx, attempt)
 	if err != nil {
 		t.recordBroken(err, false)
@@ -77,18 +77,38 @@
 	}, nil
 }
 
-// recordBroken records an attempt that its endpoint accepted and whose connection broke before the answer began.
+// newWatch returns the watchdog of an attempt, which ends when the reader leaves. One of a request that may have crashed endpoints goes on until it has
+// begun, since that shows whether it has.
+func (t *transfer) newWatch() *watchdog {
+	parent := t.ctx
+	if t.last == 0 && t.owner.options.Recorder.Suspected(t.request.Model, t.request.Signatures) {
+		parent = context.WithoutCancel(t.ctx)
+	}
+	return newWatchdog(parent, t.owner.options.IdleTimeout)
+}
+
+// recordBroken records an attempt that its endpoint accepted and whose connection broke before the answer began, or which this instance has ended before
+// that.
 func (t *transfer) recordBroken(cause error, acknowledged bool) {
-	if t.watch.ctx.Err() != nil || engine.NotRun.Has(cause) || engine.WrongAttempt.Has(cause) {
+	if engine.NotRun.Has(cause) || engine.WrongAttempt.Has(cause) {
 		return
 	}
-	a := t.sentTo
-	t.owner.options.Recorder.Broken(t.ctx, quarantine.Attempt{
-		Incarnation: quarantine.Incarnation{Endpoint: a.Name, Born: int64(a.Incarnation)}, Service: t.request.Model,
+	to := t.sentTo
+	a := quarantine.Attempt{
+		Incarnation: quarantine.Incarnation{Endpoint: to.Name, Born: int64(to.Incarnation)}, Service: t.request.Model,
 		Signatures: t.request.Signatures, SentAt: t.sentAt, Acknowledged: acknowledged,
-	}, a.Address)
+	}
+	if t.watch.ctx.Err() != nil { // the endpoint may run it all the same
+		a.Acknowledged = false
+		t.owner.options.Recorder.Left(a, to.Address, t.request.Deadline.Add(overrun))
+		return
+	}
+	t.owner.options.Recorder.Broken(t.ctx, a, to.Address)
 }
 
+// overrun is the time by which an endpoint may exceed the deadline of a request.
+const overrun = time.Second
+
 // toRefusal converts an engine error to a refusal; only class NotRun proves that the request did not run.
 func (t *transfer) toRefusal(err error) error {
 	if engine.NotRun.Has(err) {
@@ -160,7 +180,7 @@
 	t.resumes++
 	event.Log(t.ctx, o.options.Logger, event.StreamCut, slog.String("Attempt", t.request.Attempt),
 		slog.Uint64("After", t.last), slog.Any("Error", cause))
-	t.watch = newWatchdog(t.ctx, o.options.IdleTimeout)
+	t.watch = t.newWatch()
 	answer, err := t.endpoint.client.Resume(t.watch.ctx, t.request.Attempt, t.request.Target(), t.last)
 	if err != nil {
 		// Without the class of err: that the endpoint did not accept the resumption does not show that the request has not run.
