Ask endpoints for their start time over connections of their own

Cause: entries asked over the connections of callers' requests.

Change: a pool of its own for these questions, whose answers tolerate copies: all answers on a connection are of one process.

TestStartTimeUsesOneConnection failed before.

--- a/internal/node/entry/entry.go
+++ b/internal/node/entry/entry.go
@@ -173,6 +173,7 @@
 func (e *Entry) sweep(context.Context) {
 	e.handler.Sweep()
 	e.options.Pool.Sweep()
+	e.options.Sweep()
 }
 
 // readiness answers the readiness checks of the load balancer.
--- a/internal/node/entry/options.go
+++ b/internal/node/entry/options.go
@@ -27,6 +27,7 @@
 	ReadyPath string
 	// StartTime asks an endpoint for its start time in Unix milliseconds; 0 if it does not state one.
 	StartTime func(ctx context.Context, e report.Endpoint) (born int64, err error)
+	Sweep     func() // closes idle connections of what StartTime uses; called a few times a second
 	Logger    *slog.Logger
 	Scope     tally.Scope
 	Peer      []peer.Option
@@ -41,6 +42,7 @@
 	o := Options{
 		Pool: upstream.New(), ReadyPath: "/ready", Logger: slog.Default(), Scope: tally.NoopScope, Now: clock.Now,
 		Listen:    func(at netip.AddrPort) (net.Listener, error) { return net.Listen("tcp", at.String()) },
+		Sweep:     func() {},
 		StartTime: func(context.Context, report.Endpoint) (int64, error) { return 0, nil },
 		Decode:    func([]byte) (document.Document, error) { return document.Document{}, nil },
 	}
@@ -69,6 +71,9 @@
 	return func(o *Options) { o.StartTime = f }
 }
 
+// WithSweep sets the function that closes idle connections of what StartTime uses.
+func WithSweep(f func()) Option { return func(o *Options) { o.Sweep = f } }
+
 // WithReadyPath sets the path of the load balancer's readiness check.
 func WithReadyPath(path string) Option { return func(o *Options) { o.ReadyPath = path } }
 
