Add review case 12: streams are refused after leader and entry are lost

Cause: which software version began a stream is known to its entry and to the leader only, both in memory. When both are lost at once, the new leader cannot tell and the streams are refused while two versions count. Change: a script in which the leader and one of nine entries lose power. The stand gets more entries, software versions and machines that go dark.

--- a/review/stand-3/basemodels.go
+++ b/review/stand-3/basemodels.go
@@ -52,7 +52,7 @@
 		defer mu.Unlock()
 		return broken != ""
 	}
-	if err := f.startPrograms(); err != nil {
+	if err := f.startPrograms(len(zones)); err != nil {
 		return "", err
 	}
 	var first *engine
--- a/review/stand-3/engine.go
+++ b/review/stand-3/engine.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"cmp"
 	"encoding/json"
 	"fmt"
 	"net"
@@ -66,6 +67,7 @@
 	fleet    *fleet
 	store    *store
 	id       string
+	software string // version
 	zone     int
 	address  string
 	sizes    map[string]float64 // of models, in MB
@@ -319,7 +321,7 @@
 		}
 		e.heartbeats++
 		body := map[string]any{
-			"service": "engines", "address": e.address, "zone": zones[e.zone], "version": "v1", "slots": e.slots, "state": "ready", "coldLeftMs": 0, "stage": "both",
+			"service": "engines", "address": e.address, "zone": zones[e.zone], "version": cmp.Or(e.software, "v1"), "slots": e.slots, "state": "ready", "coldLeftMs": 0, "stage": "both",
 			"models": models(e.held), "sequence": e.heartbeats, "born": e.born,
 		}
 		latency := e.latency()
--- a/review/stand-3/fleet.go
+++ b/review/stand-3/fleet.go
@@ -40,6 +40,7 @@
 	folder  string
 	binary  string
 	trouble bool
+	entries int
 	octet   byte // second octet of the addresses of this run
 	started time.Time
 	ctx     context.Context
@@ -89,7 +90,8 @@
 
 func (f *fleet) controlIP(zone int) netip.Addr { return f.ip(zone, 0, 1) }
 
-func (f *fleet) entryIP(zone int) netip.Addr { return f.ip(zone, 1, 1) }
+// entryIP returns the address of an entry; the zones have entries in turn.
+func (f *fleet) entryIP(n int) netip.Addr { return f.ip(n%len(zones), 1, byte(n/len(zones)+1)) }
 
 func (f *fleet) workerAddress(zone, n int) netip.AddrPort {
 	return netip.AddrPortFrom(f.ip(zone, 2, byte(n+1)), 8080)
@@ -105,10 +107,16 @@
 	return -1
 }
 
-// startPrograms starts three control instances and three entries.
-func (f *fleet) startPrograms() error {
+// startPrograms starts three control instances and some entries.
+func (f *fleet) startPrograms(entries int) error {
+	f.entries = entries
 	for zone := range zones {
-		if err := errs.Combine(f.start("control", zone, true), f.start("entry", zone, true)); err != nil {
+		if err := f.start("control", zone, true); err != nil {
+			return err
+		}
+	}
+	for n := range entries {
+		if err := f.start("entry", n, true); err != nil {
 			return err
 		}
 	}
@@ -116,11 +124,12 @@
 }
 
 // start writes a settings file with the bounds of the users' small deployments, and starts a program with it.
-func (f *fleet) start(role string, zone int, bootstrap bool) (err error) {
+func (f *fleet) start(role string, n int, bootstrap bool) (err error) {
+	zone := n % len(zones)
 	address := f.controlIP(zone)
 	listen := fmt.Sprintf("  Control: %s:%d\n", address, controlPort)
 	if role == "entry" {
-		address = f.entryIP(zone)
+		address = f.entryIP(n)
 		listen = fmt.Sprintf("  Callers: %s:%d\n  Ready: %s:%d\n", address, callerPort, address, readyPort)
 	}
 	var seeds, regions []string
@@ -128,7 +137,7 @@
 		seeds = append(seeds, fmt.Sprintf("%q", netip.AddrPortFrom(f.controlIP(z), controlPort)))
 		regions = append(regions, fmt.Sprintf("  %q: %q\n", name, "region-"+name))
 	}
-	name := fmt.Sprintf("%s-%d", role, zone)
+	name := fmt.Sprintf("%s-%d", role, n)
 	text := fmt.Sprintf("Name: %q\nAddress: %s\nDataCentre: %q\nRegions:\n%sListen:\n%s  Peers: %s:%d\n  Metrics: %s:7601\nSeeds: [%s]\nBootstrap: %v\n",
 		address, address, zones[zone], strings.Join(regions, ""), listen, address, peerPort, address, strings.Join(seeds, ","), bootstrap)
 	if role == "control" {
@@ -158,6 +167,17 @@
 	return nil
 }
 
+// signal sends a signal to a program.
+func (f *fleet) signal(name string, s syscall.Signal) {
+	f.mu.Lock()
+	cmd := f.running[name]
+	f.mu.Unlock()
+	if cmd != nil {
+		_ = cmd.Process.Signal(s) // fails if the process has ended
+	}
+	f.log("%s gets %v", name, s)
+}
+
 // kill ends a program with SIGKILL.
 func (f *fleet) kill(name string) {
 	f.mu.Lock()
@@ -234,8 +254,8 @@
 
 // awaitReady waits until all entries say that they are ready.
 func (f *fleet) awaitReady() error {
-	for zone := range zones {
-		url := fmt.Sprintf("http://%s:%d/v1/readyz", f.entryIP(zone), readyPort)
+	for n := range f.entries {
+		url := fmt.Sprintf("http://%s:%d/v1/readyz", f.entryIP(n), readyPort)
 		for attempt := 0; ; attempt++ {
 			response, err := f.client.Get(url)
 			if err == nil {
@@ -245,7 +265,7 @@
 				}
 			}
 			if attempt == 60 {
-				return errs.New("entry %d is not ready", zone)
+				return errs.New("entry %d is not ready", n)
 			}
 			time.Sleep(200 * time.Millisecond)
 		}
--- a/review/stand-3/main.go
+++ b/review/stand-3/main.go
@@ -23,7 +23,7 @@
 	name := flag.String("case", "", "name of the case")
 	record := flag.String("record", "record.txt", "file that gets what was sent, answered and run")
 	flag.Parse()
-	plays := map[string]play{"base-models": playBaseModels, "retry-window": playRetryWindow}
+	plays := map[string]play{"base-models": playBaseModels, "retry-window": playRetryWindow, "taken-up": playTakenUp, "dark": playDark}
 	p, known := plays[*name]
 	if !known {
 		fmt.Fprintf(os.Stderr, "case %q is not known\n", *name)
--- a/review/stand-3/retrywindow.go
+++ b/review/stand-3/retrywindow.go
@@ -55,7 +55,7 @@
 func playRetryWindow(f *fleet) (broken string, err error) {
 	t := &traffic{arrived: map[string]int{}}
 	store := newStore(f)
-	if err := f.startPrograms(); err != nil {
+	if err := f.startPrograms(len(zones)); err != nil {
 		return "", err
 	}
 	var engines []*engine
