--- a/review/stand-3/dark.go
+++ b/review/stand-3/dark.go
@@ -289,7 +289,9 @@
 	for zone := range zones {
 		f.group.Go(func() error {
 			for n := 0; ctx.Err() == nil; n++ {
-				status := f.lookUp(zone, fmt.Sprintf("/lookup/%d-%d", zone, n), fmt.Sprintf("%08x%08x", zone, n))
+				path := fmt.Sprintf("/lookup/%d-%d", zone, n)
+				status := f.lookUp(zone, path, fmt.Sprintf("%08x%08x", zone, n))
+				f.log("entry %d, %s: %d", zone, path, status)
 				d.mu.Lock()
 				sound[status]++
 				d.mu.Unlock()
--- a/review/stand-3/retrywindow.go
+++ b/review/stand-3/retrywindow.go
@@ -115,9 +115,7 @@
 		_, _ = io.Copy(io.Discard, r.Body) // a caller that has left is noticed below
 		attempt := r.Header.Get("X-Attempt-Id")
 		from, _ := strconv.Atoi(r.Header.Get("Last-Event-Id")) // absent means from the first
-		if n := t.arrive(attempt); n > 1 {
-			e.fleet.log("%s: arrival %d of %s, behind event %d", e.id, n, attempt, from)
-		}
+		e.fleet.log("%s: arrival %d of %s, behind event %d", e.id, t.arrive(attempt), attempt, from)
 		e.active.Add(1)
 		defer e.active.Add(-1)
 		w.Header().Set("Content-Type", "text/event-stream")
@@ -174,6 +172,7 @@
 	t.mu.Lock()
 	t.sent = append(t.sent, time.Now())
 	t.mu.Unlock()
+	f.log("%s: sent to entry %d", attempt, n%len(zones))
 	response, err := client.Do(r)
 	if err != nil {
 		f.log("%s: no answer: %v", attempt, err)
@@ -187,9 +186,7 @@
 			last = id
 		}
 	}
-	if response.StatusCode != http.StatusOK || lines.Err() != nil || last != strconv.Itoa(streamEvents) {
-		f.log("%s: %d, last event %q, %v", attempt, response.StatusCode, last, lines.Err())
-	}
+	f.log("%s: %d, last event %q, error %v", attempt, response.StatusCode, last, lines.Err())
 }
 
 // check compares the repeats of each window with what its requests allow.
--- a/review/stand-3/takenup.go
+++ b/review/stand-3/takenup.go
@@ -171,6 +171,7 @@
 func (l *lookups) hold(f *fleet, entry int, attempt string, abandon <-chan struct{}) {
 	ctx, cancel := context.WithTimeout(f.ctx, streamTime)
 	defer cancel()
+	f.log("%s: sent to entry %d", attempt, entry)
 	response, err := f.openStream(ctx, entry, attempt, "", "")
 	if err != nil {
 		f.log("%s: no answer: %v", attempt, err)
