--- a/review/stand-3/basemodels.go
+++ b/review/stand-3/basemodels.go
@@ -16,7 +16,7 @@
 	modelSlots    = 64
 )
 
-// Engines are added twice two at a time, each round after the one before has ended. Two of eight are less than the share of 0.3 that may be added at once.
+// Engines are added two at a time, each round after the one before has ended. Two of eight are less than the share of 0.3 that may be added at once.
 const (
 	sound      = 8
 	added      = 2
@@ -79,7 +79,7 @@
 				break
 			}
 			if f.trouble {
-				id := fmt.Sprintf("i-%02d", 40-round*added-n)
+				id := fmt.Sprintf("i-%02d", 20+round*added+n)
 				f.log("%s is added, empty", id)
 				zone := (first.leader() + 1 + n) % len(zones) // another region than the leader's
 				if err := newEngine(zone, sound+round*added+n, id).run(); err != nil {
--- a/review/stand-3/dark.go
+++ b/review/stand-3/dark.go
@@ -105,7 +105,21 @@
 	return e.born == born && !e.dark
 }
 
-// serve answers the requests on a connection. Once the machine is dark, the connection stays open without an answer.
+// reset ends a connection on which bytes have arrived since the machine went dark: once it is back, the system resets what it does not know.
+func (e *plainEndpoint) reset(c *net.TCPConn) {
+	for e.isDark() && e.fleet.ctx.Err() == nil {
+		e.fleet.sleep(darkAfter)
+	}
+	_ = c.SetLinger(0) // fails only on a closed connection
+}
+
+func (e *plainEndpoint) isDark() bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.dark
+}
+
+// serve answers the requests on a connection. Once the machine is dark, requests that it has read stay without an answer.
 func (e *plainEndpoint) serve(c net.Conn, born int64) {
 	defer func() { _ = c.Close() }()
 	stop := context.AfterFunc(e.fleet.ctx, func() { _ = c.Close() })
@@ -117,7 +131,7 @@
 			_, err = io.Copy(io.Discard, q.Body)
 		}
 		if !e.lives(born) {
-			<-e.fleet.ctx.Done() // a dark machine closes nothing
+			e.reset(c.(*net.TCPConn))
 			return
 		}
 		if err != nil {
--- a/review/stand-3/engine.go
+++ b/review/stand-3/engine.go
@@ -270,7 +270,7 @@
 		e.loading = o.Model
 		e.record()
 	}
-	held, loading := fmt.Sprint(e.held), e.loading
+	held, loading, born := fmt.Sprint(e.held), e.loading, e.born
 	e.mu.Unlock()
 	e.fleet.log("%s: load %s by %s, fence %d, precondition %v: %d (holds %s, loads %q)", e.id, o.Model, o.Holder, o.FencingToken, value(o.Precondition), status, held, loading)
 	w.WriteHeader(status)
@@ -280,7 +280,6 @@
 		e.exceeded(e, o.Model)
 		e.crash()
 	default:
-		born := e.born
 		e.store.begin(e.loadTime, func() { e.loaded(born, o.Model) })
 	}
 }
--- a/review/stand-3/fleet.go
+++ b/review/stand-3/fleet.go
@@ -27,13 +27,26 @@
 // oneWay is the latency between two regions of the users' deployments.
 const oneWay = 30 * time.Millisecond
 
-// Ports of all instances, as in the example of the users' pages.
-const (
-	callerPort  = 8221
-	readyPort   = 8224
-	controlPort = 8229
-	peerPort    = 7600
-)
+// Ports of all instances, which are free when the run begins.
+var callerPort, readyPort, controlPort, peerPort, metricsPort, workerPort uint16
+
+// choosePorts asks the system for free ports.
+func choosePorts() (err error) {
+	var taken []net.Listener
+	for _, port := range []*uint16{&callerPort, &readyPort, &controlPort, &peerPort, &metricsPort, &workerPort} {
+		l, failed := net.Listen("tcp", "127.0.0.1:0")
+		if failed != nil {
+			err = errs.Combine(err, failed)
+			continue
+		}
+		*port = l.Addr().(*net.TCPAddr).AddrPort().Port()
+		taken = append(taken, l)
+	}
+	for _, l := range taken {
+		err = errs.Combine(err, l.Close())
+	}
+	return err
+}
 
 // fleet is a small deployment.
 type fleet struct {
@@ -55,6 +68,9 @@
 	running map[string]*exec.Cmd
 }
 
+// reservedPort is the same for all runs.
+const reservedPort = 47600
+
 // firstOctet to lastOctet are tried as the second octet until the addresses are free.
 const (
 	firstOctet = 150
@@ -67,10 +83,13 @@
 		folder: folder, binary: binary, trouble: trouble, started: time.Now(), ctx: ctx, cancel: cancel, out: out, running: map[string]*exec.Cmd{},
 		client: &http.Client{Timeout: time.Second, Transport: &http.Transport{DisableKeepAlives: true}},
 	}
+	if err := choosePorts(); err != nil {
+		return nil, err
+	}
 	for f.octet = firstOctet; f.octet <= lastOctet; f.octet++ {
 		// The listener keeps the addresses from other runs until this one ends.
-		if f.reserved, err = net.Listen("tcp", netip.AddrPortFrom(f.ip(len(zones), 0, 1), controlPort).String()); err == nil {
-			f.log("addresses 127.%d.0.0, trouble %v", f.octet, trouble)
+		if f.reserved, err = net.Listen("tcp", netip.AddrPortFrom(f.ip(len(zones), 0, 1), reservedPort).String()); err == nil {
+			f.log("addresses 127.%d.0.0, ports %d (callers) and %d (control), trouble %v", f.octet, callerPort, controlPort, trouble)
 			return f, nil
 		}
 	}
@@ -94,7 +113,7 @@
 func (f *fleet) entryIP(n int) netip.Addr { return f.ip(n%len(zones), 1, byte(n/len(zones)+1)) }
 
 func (f *fleet) workerAddress(zone, n int) netip.AddrPort {
-	return netip.AddrPortFrom(f.ip(zone, 2, byte(n+1)), 8080)
+	return netip.AddrPortFrom(f.ip(zone, 2, byte(n+1)), workerPort)
 }
 
 // zoneOf returns the zone of a control instance with a name or an address.
@@ -138,8 +157,8 @@
 		regions = append(regions, fmt.Sprintf("  %q: %q\n", name, "region-"+name))
 	}
 	name := fmt.Sprintf("%s-%d", role, n)
-	text := fmt.Sprintf("Name: %q\nAddress: %s\nDataCentre: %q\nRegions:\n%sListen:\n%s  Peers: %s:%d\n  Metrics: %s:7601\nSeeds: [%s]\nBootstrap: %v\n",
-		address, address, zones[zone], strings.Join(regions, ""), listen, address, peerPort, address, strings.Join(seeds, ","), bootstrap)
+	text := fmt.Sprintf("Name: %q\nAddress: %s\nDataCentre: %q\nRegions:\n%sListen:\n%s  Peers: %s:%d\n  Metrics: %s:%d\nSeeds: [%s]\nBootstrap: %v\n",
+		address, address, zones[zone], strings.Join(regions, ""), listen, address, peerPort, address, metricsPort, strings.Join(seeds, ","), bootstrap)
 	if role == "control" {
 		text += fmt.Sprintf("DataFolder: %q\n", filepath.Join(f.folder, name))
 	}
@@ -192,9 +211,8 @@
 	f.log("%s killed", name)
 }
 
-// stop ends everything that this run has started.
-func (f *fleet) stop() {
-	var names []string
+// killAll ends all programs.
+func (f *fleet) killAll() (names []string) {
 	f.mu.Lock()
 	for name := range f.running {
 		names = append(names, name)
@@ -203,6 +221,12 @@
 	for _, name := range names {
 		f.kill(name)
 	}
+	return names
+}
+
+// stop ends everything that this run has started.
+func (f *fleet) stop() {
+	names := f.killAll()
 	if keep := os.Getenv("KEEP_LOGS"); keep != "" {
 		for _, name := range names {
 			if content, err := os.ReadFile(filepath.Join(f.folder, name+".log")); err == nil {
--- a/review/stand-3/main.go
+++ b/review/stand-3/main.go
@@ -6,7 +6,11 @@
 	"flag"
 	"fmt"
 	"os"
+	"os/signal"
 	"path/filepath"
+	"syscall"
+
+	"golang.org/x/sync/errgroup"
 )
 
 // Exit codes of a case.
@@ -32,6 +36,24 @@
 	os.Exit(run(p, *record))
 }
 
+// stopOnSignal ends all processes of a run that is ended before its time.
+func stopOnSignal(f *fleet, folder string) {
+	signals := make(chan os.Signal, 1)
+	signal.Notify(signals, os.Interrupt, syscall.SIGTERM)
+	var watcher errgroup.Group
+	watcher.Go(func() error {
+		select {
+		case <-signals:
+		case <-f.ctx.Done():
+			return nil
+		}
+		f.killAll()
+		_ = os.RemoveAll(folder) // the system's folder for temporary files is cleaned otherwise
+		os.Exit(exitNotRun)
+		return nil
+	})
+}
+
 func run(p play, path string) int {
 	folder, err := os.MkdirTemp("", "review-3-")
 	if err != nil {
@@ -49,6 +71,7 @@
 		fmt.Fprintln(os.Stderr, err)
 		return exitNotRun
 	}
+	stopOnSignal(f, folder)
 	broken, err := p(f)
 	f.stop()
 	code := exitHeld
--- a/review/stand-3/retrywindow.go
+++ b/review/stand-3/retrywindow.go
@@ -12,13 +12,14 @@
 	"time"
 )
 
-// Streams of the case: 25 a second of 80 events, for at most 15 s.
+// Streams of the case: 25 a second of 100 events, for at most 15 s, at four engines.
 const (
-	streamRate   = 25
-	streamEvents = 80
-	eventPause   = 100 * time.Millisecond
-	streamTime   = 15 * time.Second
-	streamSlots  = 128
+	streamRate    = 25
+	streamEngines = 4
+	streamEvents  = 100
+	eventPause    = 100 * time.Millisecond
+	streamTime    = 15 * time.Second
+	streamSlots   = 128
 )
 
 // The retry budget of the users' small deployments.
@@ -59,9 +60,10 @@
 		return "", err
 	}
 	var engines []*engine
-	for zone := range zones {
+	for n := range streamEngines {
+		zone := n % len(zones)
 		e := &engine{
-			fleet: f, store: store, id: fmt.Sprintf("i-%02d", zone), zone: zone, address: f.workerAddress(zone, 0).String(), sizes: map[string]float64{"m0": modelMB},
+			fleet: f, store: store, id: fmt.Sprintf("i-%02d", n), zone: zone, address: f.workerAddress(zone, n).String(), sizes: map[string]float64{"m0": modelMB},
 			memory: engineMB, slots: streamSlots, loadTime: modelLoadTime, held: []string{"m0"}, exceeded: func(*engine, string) {},
 		}
 		e.serveRequest = t.serve(e)
